--- /dev/null
+++ b/packages/entry/src/callers/body-reader.ts
@@ -0,0 +1,59 @@
+/** Reads a caller's body within its limits. */
+import type { IncomingMessage } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { LimpetwinchError } from '@limpetwinch/core'
+
+/** How much may come, and for how long. */
+export interface BodyLimits {
+  readonly bytes: number
+  readonly seconds: number
+}
+
+/**
+ * Reads a whole body. A caller that sends slowly, or stops in the middle, would hold memory and a connection for ever;
+ * the time limit is for the whole body, so that a byte now and then does not stretch it.
+ *
+ * @param message - the request
+ * @param limits - bytes and seconds
+ * @returns the body, `body-too-large`, `body-timeout` or `request-ended-early`
+ */
+export async function readBody (message: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer, LimpetwinchError>> {
+  if (Number(message.headers['content-length'] ?? 0) > limits.bytes) return err(tooLarge(limits))
+  return await new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const finish = (result: Result<Buffer, LimpetwinchError>): void => {
+      clearTimeout(timer)
+      message.removeAllListeners('data')
+      message.pause()
+      resolve(result)
+    }
+    const timer = setTimeout(() => finish(err(new LimpetwinchError('body-timeout', { seconds: limits.seconds }))), limits.seconds * 1000)
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes > limits.bytes) return finish(err(tooLarge(limits)))
+      chunks.push(chunk)
+    })
+    message.once('end', () => finish(ok(Buffer.concat(chunks))))
+    message.once('close', () => finish(err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run' }))))
+    message.once('error', () => finish(err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run' }))))
+  })
+}
+
+/**
+ * @param body - bytes that should be one JSON object in UTF-8
+ * @returns the value, or `malformed-json`
+ */
+export function parseJson (body: Buffer): Result<unknown, LimpetwinchError> {
+  try {
+    return ok(JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(body)))
+  } catch (cause) {
+    const reason = cause instanceof SyntaxError ? cause.message : 'it is not UTF-8'
+    return err(new LimpetwinchError('malformed-json', { reason }, { cause }))
+  }
+}
+
+function tooLarge (limits: BodyLimits): LimpetwinchError {
+  return new LimpetwinchError('body-too-large', { limit: limits.bytes })
+}
--- /dev/null
+++ b/packages/entry/src/callers/completion-answer.ts
@@ -0,0 +1,145 @@
+/** Writes answers in the OpenAI forms, streamed or whole, straight onto the connection. */
+import type { ServerResponse } from 'node:http'
+import type { LimpetwinchError, RequestId } from '@limpetwinch/core'
+import type { CompletionForm } from './completion-request.js'
+import { errorBody, errorHeaders, REQUEST_ID_HEADER } from './error-answer.js'
+
+/** Who answers, named in every answer. */
+export interface AnswerNames {
+  readonly requestId: RequestId
+  readonly team: string
+  readonly adapter: string
+  readonly version: string
+}
+
+/** How an answer ended. */
+export interface AnswerEnd {
+  readonly finishReason: string
+  readonly promptTokens: number
+  readonly outputTokens: number
+}
+
+/** Writes one answer. */
+export abstract class CompletionAnswer {
+  protected readonly created = Math.floor(Date.now() / 1000)
+
+  /**
+   * @param response - the connection
+   * @param form - chat or text
+   * @param names - who answers
+   */
+  constructor (protected readonly response: ServerResponse, protected readonly form: CompletionForm, protected readonly names: AnswerNames) {}
+
+  /** Writes one text. Resolves when the caller's connection takes more: a slow caller slows its own stream only. */
+  abstract text (text: string): Promise<void>
+
+  /** Ends a whole answer. */
+  abstract end (end: AnswerEnd): void
+
+  /** Ends with an error. */
+  abstract fail (error: LimpetwinchError): void
+
+  protected get modelName (): string {
+    return `${this.names.team}/${this.names.adapter}@${this.names.version}`
+  }
+
+  protected headers (contentType: string): Record<string, string> {
+    return {
+      'content-type': contentType,
+      'cache-control': 'no-cache',
+      [REQUEST_ID_HEADER]: this.names.requestId,
+      'x-limpetwinch-team': this.names.team,
+      'x-limpetwinch-adapter': this.names.adapter,
+      'x-limpetwinch-version': this.names.version
+    }
+  }
+
+  protected body (kind: 'whole' | 'chunk', choice: Record<string, unknown>, usage: AnswerEnd | undefined): Record<string, unknown> {
+    const chatObject = kind === 'whole' ? 'chat.completion' : 'chat.completion.chunk'
+    return {
+      id: this.names.requestId,
+      object: this.form === 'chat' ? chatObject : 'text_completion',
+      created: this.created,
+      model: this.modelName,
+      choices: [{ index: 0, ...choice }],
+      ...(usage === undefined ? {} : { usage: usageOf(usage) })
+    }
+  }
+
+  protected failWhole (error: LimpetwinchError): void {
+    const { requestId } = this.names
+    this.response.writeHead(error.status, errorHeaders(error, requestId))
+    this.response.end(JSON.stringify(errorBody(error, requestId)))
+  }
+}
+
+/** One JSON document at the end. */
+export class WholeAnswer extends CompletionAnswer {
+  private readonly texts: string[] = []
+
+  override async text (text: string): Promise<void> {
+    this.texts.push(text)
+  }
+
+  override end (end: AnswerEnd): void {
+    const text = this.texts.join('')
+    const content = this.form === 'chat' ? { message: { role: 'assistant', content: text } } : { text }
+    const body = this.body('whole', { ...content, finish_reason: end.finishReason }, end)
+    this.response.writeHead(200, this.headers('application/json'))
+    this.response.end(JSON.stringify(body))
+  }
+
+  override fail (error: LimpetwinchError): void {
+    this.failWhole(error)
+  }
+}
+
+/** Server-sent events, ended by `[DONE]`; a caller that does not see it knows that the answer is not whole. */
+export class StreamedAnswer extends CompletionAnswer {
+  private begun = false
+
+  override async text (text: string): Promise<void> {
+    const content = this.form === 'chat' ? { delta: { content: text } } : { text }
+    await this.write(this.body('chunk', { ...content, finish_reason: null }, undefined))
+  }
+
+  override end (end: AnswerEnd): void {
+    const content = this.form === 'chat' ? { delta: {} } : { text: '' }
+    void this.write(this.body('chunk', { ...content, finish_reason: end.finishReason }, end))
+    this.response.end('data: [DONE]\n\n')
+  }
+
+  override fail (error: LimpetwinchError): void {
+    if (!this.begun) return this.failWhole(error)
+    this.response.end(`data: ${JSON.stringify(errorBody(error, this.names.requestId))}\n\n`)
+  }
+
+  private async write (body: Record<string, unknown>): Promise<void> {
+    if (!this.begun) {
+      this.begun = true
+      this.response.writeHead(200, this.headers('text/event-stream'))
+    }
+    const roomLeft = this.response.write(`data: ${JSON.stringify(body)}\n\n`)
+    if (!roomLeft && !this.response.destroyed) await drained(this.response)
+  }
+}
+
+async function drained (response: ServerResponse): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const finish = (): void => {
+      response.off('drain', finish)
+      response.off('close', finish)
+      resolve()
+    }
+    response.on('drain', finish)
+    response.on('close', finish)
+  })
+}
+
+function usageOf (end: AnswerEnd): Record<string, number> {
+  return {
+    prompt_tokens: end.promptTokens,
+    completion_tokens: end.outputTokens,
+    total_tokens: end.promptTokens + end.outputTokens
+  }
+}
--- /dev/null
+++ b/packages/entry/src/delivery/delivery.ts
@@ -0,0 +1,298 @@
+/** One task for each request: attempts, the whole answer once, and exactly what the caller is told. */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { AdapterReference, Clock, EndpointId, EngineClient, EngineSettings, OperatorSettings, RequestId } from '@limpetwinch/core'
+import type { RetryBudget, RoutingPolicy } from '@limpetwinch/decisions'
+import type { ExplainLog, RequestStory } from '../measures/explain-log.js'
+import type { PrefixTracker } from '../routing/prefix-tracker.js'
+import type { EndpointDirectory } from '../routing/endpoint-directory.js'
+import type { Route, Router } from '../routing/router.js'
+import type { AdmissionClient, HeldAdmission } from './admission-client.js'
+import { EngineAnswer } from './engine-answer.js'
+import type { StreamLimits } from './engine-answer.js'
+
+const MOST_ATTEMPTS = 4
+const ASK_AGAIN_MILLISECONDS = 50
+const LONGEST_CANCEL_PAUSE_MILLISECONDS = 5_000
+
+/** A request that has passed authentication and limits. */
+export interface DeliveryRequest {
+  readonly requestId: RequestId
+  readonly adapter: AdapterReference
+  /** `team/adapter@version`. */
+  readonly adapterName: string
+  readonly baseModel: string
+  readonly priority: number
+  readonly prompt: string
+  readonly promptTokens: number
+  readonly maximumTokens: number
+  readonly temperature: number | undefined
+  readonly seed: number
+  readonly idempotent: boolean
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number
+}
+
+/** What a delivery yields: one `admitted`, texts, then one end or error. After a retry there is another `admitted`. */
+export type DeliveryEvent =
+  | { readonly kind: 'admitted', readonly endpoint: EndpointId, readonly servedAs: string | undefined, readonly loadStall: number, readonly queueWait: number }
+  | { readonly kind: 'text', readonly text: string }
+  | { readonly kind: 'end', readonly finishReason: string, readonly promptTokens: number, readonly outputTokens: number }
+  | { readonly kind: 'error', readonly error: LimpetwinchError }
+
+/** What deliveries work with. */
+export interface DeliveryOptions {
+  readonly router: Router
+  readonly admissions: AdmissionClient
+  readonly directory: EndpointDirectory
+  readonly prefixes: PrefixTracker
+  readonly clientOf: (engine: EngineSettings) => EngineClient
+  readonly policy: () => RoutingPolicy
+  readonly retryBudget: RetryBudget
+  readonly explain: ExplainLog
+  readonly streamLimits: StreamLimits
+  readonly clock: Clock
+}
+
+/** Delivers answers. */
+export class Delivery {
+  private readonly options: DeliveryOptions
+
+  /** @param options - what it works with */
+  constructor (options: DeliveryOptions) {
+    this.options = options
+  }
+
+  /**
+   * @param request - the request
+   * @param settings - what is in force; the same for the whole request
+   * @param signal - the caller has gone away
+   * @returns events; the last is an end or an error
+   */
+  async * deliver (request: DeliveryRequest, settings: OperatorSettings, signal: AbortSignal): AsyncGenerator<DeliveryEvent> {
+    const deadline = new Deadline(request.deadlineAt - this.options.clock.now())
+    try {
+      const run = new DeliveryRun(this.options, request, settings, AbortSignal.any([signal, deadline.signal]), deadline)
+      yield * run.events()
+    } finally {
+      deadline.stop()
+    }
+  }
+}
+
+/** A timer that is stopped with its request, where AbortSignal.timeout would stay until it ends. */
+class Deadline {
+  private readonly controller = new AbortController()
+  private readonly timer: NodeJS.Timeout
+
+  constructor (milliseconds: number) {
+    this.timer = setTimeout(() => this.controller.abort(), Math.max(0, milliseconds))
+  }
+
+  get signal (): AbortSignal {
+    return this.controller.signal
+  }
+
+  get passed (): boolean {
+    return this.controller.signal.aborted
+  }
+
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+}
+
+/** What one attempt came to: the answer is whole, or an error which says whether it may have run. */
+type Attempt = { readonly whole: true } | { readonly whole: false, readonly error: LimpetwinchError }
+
+/** The state of one request over its attempts. */
+class DeliveryRun {
+  private readonly avoid = new Set<EndpointId>()
+  private readonly delivered: string[] = []
+  private readonly story: RequestStory
+  private attempts = 0
+  private mayHaveRun = false
+
+  constructor (
+    private readonly options: DeliveryOptions,
+    private readonly request: DeliveryRequest,
+    private readonly settings: OperatorSettings,
+    private readonly signal: AbortSignal,
+    private readonly deadline: Deadline
+  ) {
+    this.story = options.explain.begin(request.requestId, request.adapterName)
+  }
+
+  async * events (): AsyncGenerator<DeliveryEvent> {
+    this.options.retryBudget.deposit(this.options.clock.now())
+    for (;;) {
+      const admission = await this.admit()
+      if (admission.isErr()) return yield this.final(admission.error)
+      const { held, route } = admission.value
+      yield { kind: 'admitted', endpoint: route.engine.endpoint, servedAs: held.loadedName, loadStall: held.grant.loadStall, queueWait: held.grant.queueWait }
+      const attempt = yield * this.attempt(route, held)
+      if (attempt.whole) return
+      if (!this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
+      this.avoid.add(route.engine.endpoint)
+    }
+  }
+
+  /** Routes and asks until admitted, refused for good, or out of time; asking runs nothing, so it may be repeated. */
+  private async admit (): Promise<Result<{ held: HeldAdmission, route: Route }, LimpetwinchError>> {
+    for (;;) {
+      if (this.signal.aborted) return err(this.ended('not_run'))
+      const route = this.options.router.route({ ...this.question(), avoid: this.avoid }, this.settings)
+      if (route.isErr()) return err(route.error)
+      const held = await this.ask(route.value)
+      if (held.isOk()) return ok({ held: held.value, route: route.value })
+      this.story.add('not admitted', { endpoint: route.value.engine.endpoint, kind: held.error.kind })
+      if (!isPassing(held.error)) return err(held.error)
+      await this.options.clock.sleep(ASK_AGAIN_MILLISECONDS, this.signal)
+    }
+  }
+
+  private async ask (route: Route): Promise<Result<HeldAdmission, LimpetwinchError>> {
+    const { admissions, directory, clock } = this.options
+    const { request } = this
+    directory.sent(route.engine.endpoint, request.adapterName)
+    this.story.add('asked for admission', { endpoint: route.engine.endpoint, owner: route.owner })
+    return await admissions.ask(route, {
+      requestId: this.attemptId(),
+      adapter: request.adapter,
+      team: request.adapter.team,
+      priority: request.priority,
+      promptTokens: request.promptTokens,
+      maximumTokens: request.maximumTokens,
+      patience: Math.max(0, request.deadlineAt - clock.now())
+    }, this.signal)
+  }
+
+  private async * attempt (route: Route, held: HeldAdmission): AsyncGenerator<DeliveryEvent, Attempt> {
+    const { clientOf, prefixes, streamLimits, policy, clock } = this.options
+    const { endpoint } = route.engine
+    if (this.options.router.isLeaving(endpoint)) {
+      held.done('withdrawn', 0)
+      return { whole: false, error: new LimpetwinchError('endpoint-refused', { endpoint, reason: 'it is leaving' }) }
+    }
+    const client = clientOf(route.engine)
+    const requestId = this.attemptId()
+    const answer = new EngineAnswer(endpoint, client, {
+      requestId,
+      adapter: held.loadedName,
+      prompt: this.request.prompt,
+      maximumTokens: this.request.maximumTokens,
+      priority: this.request.priority,
+      seed: this.request.seed,
+      ...(this.request.temperature === undefined ? {} : { temperature: this.request.temperature })
+    }, streamLimits)
+    this.story.add('sent', { endpoint, loadedName: held.loadedName, attempt: this.attempts })
+    prefixes.sent(endpoint, this.request.adapterName, this.request.prompt)
+    let ended = false
+    try {
+      const attempt = yield * this.relay(answer, held)
+      ended = attempt.whole || attempt.error.outcome === 'not_run'
+      policy().observe(endpoint, attempt.whole ? 'answered' : 'failed', clock.now())
+      this.mayHaveRun ||= !attempt.whole && attempt.error.outcome === 'unknown'
+      return attempt
+    } finally {
+      if (!ended) void this.abandon(client, held, requestId, answer.delivered)
+    }
+  }
+
+  private async * relay (answer: EngineAnswer, held: HeldAdmission): AsyncGenerator<DeliveryEvent, Attempt> {
+    let position = 0
+    for await (const event of answer.events(this.signal)) {
+      if (event.kind === 'text') {
+        for (const text of event.texts) {
+          const known = this.delivered[position]
+          if (known === undefined) {
+            this.delivered.push(text)
+            yield { kind: 'text', text }
+          } else if (known !== text) {
+            // A second run that says something else cannot be joined to what the caller has read of the first.
+            return { whole: false, error: this.failed('a repeated run gave another answer') }
+          }
+          position += 1
+        }
+      } else if (event.kind === 'end') {
+        held.done('answered', event.end.outputTokens)
+        this.story.add('answered whole', { outputTokens: event.end.outputTokens })
+        yield { kind: 'end', finishReason: event.end.finishReason, promptTokens: event.end.promptTokens, outputTokens: event.end.outputTokens }
+        return { whole: true }
+      } else {
+        this.story.add('attempt failed', { kind: event.error.kind, outcome: event.error.outcome, reason: event.error.message })
+        if (event.error.outcome === 'not_run') held.done('not-run', 0)
+        return { whole: false, error: event.error }
+      }
+    }
+    return { whole: false, error: this.ended('unknown') }
+  }
+
+  /**
+   * Ends a run that nobody waits for. It may go on where the engine cannot be reached, so its adapter stays pinned
+   * until the engine has said that it ended or no run can last any longer.
+   */
+  private async abandon (client: EngineClient, held: HeldAdmission, requestId: RequestId, outputTokens: number): Promise<void> {
+    const { clock } = this.options
+    const giveUpAt = clock.now() + 1000 * this.settings.policy.longestRequestSeconds
+    let pause = ASK_AGAIN_MILLISECONDS
+    while (clock.now() < giveUpAt) {
+      const cancelled = await client.cancel(requestId)
+      if (cancelled.isOk()) break
+      await clock.sleep(pause)
+      pause = Math.min(LONGEST_CANCEL_PAUSE_MILLISECONDS, 2 * pause)
+    }
+    held.done('failed', outputTokens)
+  }
+
+  private mayTryAgain (error: LimpetwinchError): boolean {
+    if (this.signal.aborted || this.attempts + 1 >= MOST_ATTEMPTS) return false
+    // A run that may have begun is never begun again for a request that may run only once.
+    if (error.outcome === 'unknown' && !this.request.idempotent) return false
+    if (!this.options.retryBudget.withdraw(this.options.clock.now())) return false
+    this.attempts += 1
+    this.story.add('tries again', { attempt: this.attempts })
+    return true
+  }
+
+  /** What the caller is told: once anything may have run, no later refusal makes it `not_run` again. */
+  private final (error: LimpetwinchError): DeliveryEvent {
+    const outcome = this.mayHaveRun ? 'unknown' : error.outcome
+    const options = error.retryAfterSeconds === undefined ? {} : { retryAfterSeconds: error.retryAfterSeconds }
+    const told = this.signal.aborted ? this.ended(outcome) : new LimpetwinchError(error.kind, error.details, { outcome, cause: error, ...options })
+    this.story.add('told an error', { kind: told.kind, outcome })
+    return { kind: 'error', error: told }
+  }
+
+  private ended (outcome: 'not_run' | 'unknown'): LimpetwinchError {
+    return new LimpetwinchError(this.deadline.passed ? 'deadline-passed' : 'request-ended-early', {}, { outcome, retryAfterSeconds: 1 })
+  }
+
+  private failed (reason: string): LimpetwinchError {
+    return new LimpetwinchError('endpoint-failed', { endpoint: 'engine', reason })
+  }
+
+  /** Each attempt has an id of its own: an engine knows requests by id, and a late first attempt is not the second. */
+  private attemptId (): RequestId {
+    return (this.attempts === 0 ? this.request.requestId : `${this.request.requestId}~${this.attempts + 1}`) as RequestId
+  }
+
+  private question (): Omit<Parameters<Router['route']>[0], 'avoid'> {
+    const { request } = this
+    return {
+      adapter: request.adapterName,
+      team: request.adapter.team,
+      baseModel: request.baseModel,
+      prompt: request.prompt,
+      promptTokens: request.promptTokens,
+      maximumTokens: request.maximumTokens,
+      priority: request.priority
+    }
+  }
+}
+
+/** Errors of an owner that moved or went: the next one is asked at once. */
+function isPassing (error: LimpetwinchError): boolean {
+  return error.kind === 'not-owner' || error.kind === 'peer-unreachable' || error.kind === 'peer-silent'
+}
--- /dev/null
+++ b/packages/entry/src/delivery/engine-answer.ts
@@ -0,0 +1,149 @@
+/** One whole answer of one engine run: taken up again by position when a connection drops or goes silent. */
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { EndpointId, EngineClient, GenerateRequest, GenerationEnd, GenerationEventResult } from '@limpetwinch/core'
+import { AnswerAssembler } from './answer-assembler.js'
+
+/** How long a stream may say nothing, and how often it is taken up again without progress. */
+export interface StreamLimits {
+  readonly silenceMilliseconds: number
+  readonly resumesWithoutProgress: number
+}
+
+/** What an engine's answer yields. */
+export type AnswerEvent =
+  | { readonly kind: 'text', readonly texts: readonly string[] }
+  | { readonly kind: 'end', readonly end: GenerationEnd }
+  | { readonly kind: 'error', readonly error: LimpetwinchError }
+
+type StepResult = { readonly finished: AnswerEvent } | { readonly broken: LimpetwinchError }
+
+/** Streams one run. The caller of {@link EngineAnswer.events} may leave at any time by its signal. */
+export class EngineAnswer {
+  private readonly endpoint: EndpointId
+  private readonly client: EngineClient
+  private readonly request: GenerateRequest
+  private readonly limits: StreamLimits
+  private readonly assembler = new AnswerAssembler()
+
+  /**
+   * @param endpoint - the engine's id, for errors
+   * @param client - the engine
+   * @param request - what to run
+   * @param limits - when to give a connection up
+   */
+  constructor (endpoint: EndpointId, client: EngineClient, request: GenerateRequest, limits: StreamLimits) {
+    this.endpoint = endpoint
+    this.client = client
+    this.request = request
+    this.limits = limits
+  }
+
+  /** Tokens that have gone out. */
+  get delivered (): number {
+    return this.assembler.next
+  }
+
+  /**
+   * @param signal - gives the answer up
+   * @returns texts in order, then an end or an error; an error with outcome `not_run` proves that nothing was run
+   */
+  async * events (signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+    let lastError: LimpetwinchError | undefined
+    let withoutProgress = 0
+    let started = false
+    while (!signal.aborted && withoutProgress <= this.limits.resumesWithoutProgress) {
+      const before = this.assembler.next
+      const step = yield * this.connection(started, signal)
+      if ('finished' in step) {
+        yield step.finished
+        return
+      }
+      lastError = step.broken
+      if (!started && step.broken.outcome === 'not_run') break
+      if (started && isUnknownRequest(step.broken)) {
+        lastError = this.lost(step.broken)
+        break
+      }
+      started = true
+      withoutProgress = this.assembler.next > before ? 0 : withoutProgress + 1
+    }
+    yield { kind: 'error', error: lastError ?? new LimpetwinchError('request-ended-early') }
+  }
+
+  /** Reads one connection until it ends, breaks, or says nothing for too long. */
+  private async * connection (resumed: boolean, signal: AbortSignal): AsyncGenerator<AnswerEvent, StepResult> {
+    const silence = new SilenceWatch(this.limits.silenceMilliseconds)
+    const both = AbortSignal.any([signal, silence.signal])
+    const source = resumed
+      ? this.client.resume(this.request.requestId, this.assembler.next, both)
+      : this.client.generate(this.request, both)
+    try {
+      for await (const result of source) {
+        silence.heard()
+        const step = yield * this.take(result)
+        if (step !== undefined) return step
+      }
+    } finally {
+      silence.stop()
+    }
+    return { broken: new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason: 'the stream ended early' }) }
+  }
+
+  private async * take (result: GenerationEventResult): AsyncGenerator<AnswerEvent, StepResult | undefined> {
+    if (!result.ok) return { broken: result.error }
+    if (result.event.kind === 'part') {
+      const texts = this.assembler.push(result.event.part)
+      if (texts.length > 0) yield { kind: 'text', texts }
+      return undefined
+    }
+    const { end } = result.event
+    // An end that comes before parts it counts would cut the answer short; the missing parts are asked for again.
+    if (this.assembler.hasGap || this.assembler.next < end.outputTokens) {
+      return { broken: new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason: 'parts are missing' }) }
+    }
+    return { finished: this.checked(end) }
+  }
+
+  /** An engine that says it used another adapter has not answered this request, whatever it sent. */
+  private checked (end: GenerationEnd): AnswerEvent {
+    if (end.adapter === this.request.adapter) return { kind: 'end', end }
+    const reason = `it says that it used '${end.adapter}' in place of '${this.request.adapter}'`
+    return { kind: 'error', error: new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason }) }
+  }
+
+  /** The engine knows the request no more. It may have run before a restart, or may still reach the engine late. */
+  private lost (cause: LimpetwinchError): LimpetwinchError {
+    return new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason: 'it knows the request no more' }, { cause })
+  }
+}
+
+function isUnknownRequest (error: LimpetwinchError): boolean {
+  return error.kind === 'endpoint-refused' && error.details.code === 'unknown-request'
+}
+
+/** Ends a connection that says nothing. One timer for the whole stream, so that a token costs no timer. */
+class SilenceWatch {
+  private readonly controller = new AbortController()
+  private readonly timer: NodeJS.Timeout
+  private lastHeard = performance.now()
+
+  constructor (milliseconds: number) {
+    this.timer = setInterval(() => {
+      if (performance.now() - this.lastHeard > milliseconds) this.controller.abort()
+    }, milliseconds / 4)
+  }
+
+  get signal (): AbortSignal {
+    return this.controller.signal
+  }
+
+  heard (): void {
+    this.lastHeard = performance.now()
+  }
+
+  stop (): void {
+    clearInterval(this.timer)
+    // Also ends the connection underneath when the reader left before its end.
+    this.controller.abort()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/prefix-tracker.ts
@@ -0,0 +1,55 @@
+/** Which prompt prefixes an engine has likely cached, from what was sent there and from its cache events. */
+import { LRUCache } from 'lru-cache'
+import type { EndpointId } from '@limpetwinch/core'
+
+/** Prefixes are compared in blocks of so many characters. */
+const BLOCK_CHARACTERS = 256
+const MOST_BLOCKS = 32
+const TRACKED_PREFIXES = 50_000
+
+/** Remembers prompt prefixes by endpoint, the oldest forgotten first. */
+export class PrefixTracker {
+  private readonly cached = new LRUCache<string, true>({ max: TRACKED_PREFIXES })
+
+  /** Tells that a prompt was sent to an endpoint. */
+  sent (endpoint: EndpointId, adapter: string | undefined, prompt: string): void {
+    for (const key of keysOf(endpoint, adapter, prompt)) this.cached.set(key, true)
+  }
+
+  /** @returns the share of the prompt that is likely cached, 0 to 1 */
+  share (endpoint: EndpointId, adapter: string | undefined, prompt: string): number {
+    const keys = keysOf(endpoint, adapter, prompt)
+    if (keys.length === 0) return 0
+    let found = 0
+    while (found < keys.length && this.cached.get(keys[found] ?? '') === true) found += 1
+    return found / keys.length
+  }
+
+  /** Forgets what was cached on an endpoint that was restarted. */
+  forget (endpoint: EndpointId): void {
+    for (const key of [...this.cached.keys()]) {
+      if (key.startsWith(`${endpoint} `)) this.cached.delete(key)
+    }
+  }
+}
+
+/** A cached prefix belongs to one adapter: another adapter's states for the same text differ. */
+function keysOf (endpoint: EndpointId, adapter: string | undefined, prompt: string): string[] {
+  const blocks = Math.min(MOST_BLOCKS, Math.floor(prompt.length / BLOCK_CHARACTERS))
+  const keys: string[] = []
+  let hash = 0
+  for (let block = 0; block < blocks; block += 1) {
+    hash = hashBlock(prompt, block * BLOCK_CHARACTERS, hash)
+    keys.push(`${endpoint} ${adapter ?? ''} ${block} ${hash}`)
+  }
+  return keys
+}
+
+/** Chained, so that a block only matches behind the same prefix. A wrong match costs a little time and nothing else. */
+function hashBlock (text: string, start: number, seed: number): number {
+  let hash = seed
+  for (let index = start; index < start + BLOCK_CHARACTERS; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
+  }
+  return hash >>> 0
+}
--- /dev/null
+++ b/packages/entry/src/scheduling/loader.ts
@@ -0,0 +1,199 @@
+/** Loads and evictions on one owned engine: one task that runs one order after another. */
+import { formatAdapter, LimpetwinchError, loadedNameOf } from '@limpetwinch/core'
+import type { AdapterReference, Clock, EngineClient, LoadedName, Logger } from '@limpetwinch/core'
+import type { EvictionPolicy, FairQueue, LoadOrder, WantedLoad } from '@limpetwinch/decisions'
+import type { LoadTurns } from '../loads/load-turns.js'
+import type { OwnerRights } from '../ownership/ownership.js'
+import type { WaitingRequest } from './admission.js'
+import type { EndpointScheduler } from './endpoint-scheduler.js'
+import type { Slot } from './slot-table.js'
+
+const FIRST_BACKOFF_MILLISECONDS = 500
+const LONGEST_BACKOFF_MILLISECONDS = 30_000
+/** After so many failures in a row those who wait are refused; later requests wait for the back-off. */
+const FAILURES_BEFORE_REFUSAL = 3
+const IDLE_MILLISECONDS = 1_000
+const RETRY_MILLISECONDS = 100
+/** Clocks of engines and instances may differ by so much. */
+const CLOCK_MARGIN_MILLISECONDS = 1_000
+
+/** What a loader works with. */
+export interface LoaderOptions {
+  readonly scheduler: EndpointScheduler
+  readonly client: EngineClient
+  readonly queue: FairQueue<WaitingRequest>
+  readonly eviction: EvictionPolicy
+  readonly loadOrder: LoadOrder
+  readonly loadTurns: LoadTurns
+  readonly rights: () => OwnerRights
+  /** Names that requests admitted by an earlier owner may use. */
+  readonly earlierPins: () => ReadonlySet<LoadedName>
+  readonly otherCopies: (adapter: string) => number
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+interface Failures {
+  count: number
+  notBefore: number
+}
+
+/** Orders loads and unloads; it alone changes the engine's slots. */
+export class Loader {
+  private readonly options: LoaderOptions
+  private readonly failures = new Map<string, Failures>()
+  private wake: () => void = () => undefined
+  private stopped = false
+
+  /** @param options - what it works with */
+  constructor (options: LoaderOptions) {
+    this.options = options
+  }
+
+  /** Looks for wanted loads soon. */
+  poke (): void {
+    this.wake()
+  }
+
+  /** Orders nothing more; an order under way is finished by {@link Loader.run}. */
+  stop (): void {
+    this.stopped = true
+    this.wake()
+  }
+
+  /** Runs until stopped or the signal ends it; when it has returned no order is under way. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.stopped) {
+      const wanted = this.mostUrgent()
+      if (wanted === undefined) await this.idle(signal)
+      else await this.serve(wanted, signal)
+    }
+  }
+
+  private async serve (wanted: WantedLoad, signal: AbortSignal): Promise<void> {
+    const release = await this.turn(wanted, signal)
+    try {
+      // While it waited for the turn, another load may have become more urgent, or this one may not be wanted any more.
+      const now = this.mostUrgent()
+      const progressed = now !== undefined && await this.loadOne(now)
+      if (!progressed) await this.pause(RETRY_MILLISECONDS, signal)
+    } finally {
+      release()
+    }
+  }
+
+  private async turn (wanted: WantedLoad, signal: AbortSignal): Promise<() => void> {
+    const { scheduler, loadOrder, loadTurns, clock } = this.options
+    // Confirming what the engine holds already costs the weight store nothing.
+    if (scheduler.slots.usable(wanted.adapter)?.state === 'unverified') return () => undefined
+    return await loadTurns.acquire(loadOrder.urgency(wanted, clock.now()), signal)
+  }
+
+  private async loadOne (wanted: WantedLoad): Promise<boolean> {
+    const { scheduler } = this.options
+    const reference = this.referenceOf(wanted.adapter)
+    if (reference === undefined || this.stopped) return false
+    const present = scheduler.slots.usable(wanted.adapter)
+    if (present?.state === 'loaded') return false
+    if (present === undefined && !scheduler.slots.hasFreeSlot && !await this.evictFor(wanted.adapter)) return false
+    if (this.stopped) return false
+    const name = present?.name ?? loadedNameOf(reference, scheduler.engine.fencing === 'ignores' ? scheduler.token : undefined)
+    const slot = scheduler.slots.occupy(name, 'loading', true, this.options.clock.now())
+    return await this.order(slot, reference)
+  }
+
+  private async order (slot: Slot, reference: AdapterReference): Promise<boolean> {
+    const { scheduler, client, logger } = this.options
+    slot.state = 'loading'
+    const result = await client.load({ name: slot.name, token: scheduler.token }, reference)
+    scheduler.lastOrderAt = this.options.clock.wallTime() + CLOCK_MARGIN_MILLISECONDS
+    if (result.isOk()) {
+      slot.state = 'loaded'
+      this.failures.delete(slot.adapter)
+      scheduler.pump()
+      return true
+    }
+    logger.warn('A load failed.', { endpoint: scheduler.engine.endpoint, adapter: slot.adapter, kind: result.error.kind, reason: result.error.message })
+    this.afterFailure(slot, result.error)
+    return true
+  }
+
+  private afterFailure (slot: Slot, error: LimpetwinchError): void {
+    const { scheduler, clock } = this.options
+    // An order whose answer was lost may have taken effect, so the slot stays taken until an order or a report tells.
+    if (error.outcome === 'unknown') slot.state = 'unverified'
+    else if (slot.pins.size === 0) scheduler.slots.free(slot.name)
+    const failures = this.failures.get(slot.adapter) ?? { count: 0, notBefore: 0 }
+    failures.count += 1
+    const backoff = Math.min(LONGEST_BACKOFF_MILLISECONDS, FIRST_BACKOFF_MILLISECONDS * 2 ** (failures.count - 1))
+    failures.notBefore = clock.now() + backoff
+    this.failures.set(slot.adapter, failures)
+    if (failures.count < FAILURES_BEFORE_REFUSAL) return
+    const refusal = new LimpetwinchError('load-failed', { adapter: slot.adapter, reason: error.message }, { outcome: 'not_run', retryAfterSeconds: Math.ceil(backoff / 1000) })
+    scheduler.refuseWaiting(slot.adapter, refusal)
+  }
+
+  private async evictFor (incoming: string): Promise<boolean> {
+    const { scheduler, client, eviction, rights, earlierPins, otherCopies, clock, logger } = this.options
+    if (!rights().mayEvict) return false
+    const candidates = scheduler.slots.evictable((adapter) => scheduler.waitingFor(adapter).size, otherCopies, earlierPins())
+    // Names that this owner may not grant are of no use to anyone here, so they go first.
+    const useless = candidates.find(({ slot }) => !slot.usable)
+    const chosen = useless?.view.adapter ?? eviction.victim(candidates.map(({ view }) => view), incoming, clock.now())
+    const slot = (useless ?? candidates.find(({ view }) => view.adapter === chosen))?.slot
+    if (slot === undefined) return false
+    // From here no grant uses the slot, so that none can come between this check and the order.
+    slot.state = 'unloading'
+    const result = await client.unload({ name: slot.name, token: scheduler.token })
+    scheduler.lastOrderAt = this.options.clock.wallTime() + CLOCK_MARGIN_MILLISECONDS
+    if (result.isOk()) {
+      scheduler.slots.free(slot.name)
+      return true
+    }
+    logger.warn('An unload failed.', { endpoint: scheduler.engine.endpoint, adapter: slot.adapter, kind: result.error.kind })
+    slot.state = 'unverified'
+    return false
+  }
+
+  private mostUrgent (): WantedLoad | undefined {
+    const { scheduler, loadOrder, clock, rights } = this.options
+    if (!rights().mayAdmit || !scheduler.knowsSlots) return undefined
+    const wanted = scheduler.wantedAdapters().map((adapter) => this.wantedLoad(adapter))
+    return loadOrder.next(wanted, clock.now())
+  }
+
+  private wantedLoad (adapter: string): WantedLoad {
+    const { scheduler, queue } = this.options
+    const waiting = [...scheduler.waitingFor(adapter)]
+    const team = waiting[0]?.team ?? ''
+    const failures = this.failures.get(adapter)
+    return {
+      adapter,
+      team,
+      endpoint: scheduler.engine.endpoint,
+      waitingSince: Math.min(...waiting.map((item) => item.enqueuedAt)),
+      waiters: waiting.length,
+      highestPriority: Math.max(...waiting.map((item) => item.priority)),
+      shareUsed: queue.shareUsed(team),
+      failures: failures?.count ?? 0,
+      notBefore: failures?.notBefore ?? 0
+    }
+  }
+
+  private referenceOf (adapter: string): AdapterReference | undefined {
+    for (const item of this.options.scheduler.waitingFor(adapter)) {
+      if (item.ask.adapter !== undefined && formatAdapter(item.ask.adapter) === adapter) return item.ask.adapter
+    }
+    return undefined
+  }
+
+  private async idle (signal: AbortSignal): Promise<void> {
+    await this.pause(this.options.scheduler.wantedAdapters().length > 0 ? RETRY_MILLISECONDS : IDLE_MILLISECONDS, signal)
+  }
+
+  private async pause (milliseconds: number, signal: AbortSignal): Promise<void> {
+    const early = new AbortController()
+    this.wake = () => early.abort()
+    await this.options.clock.sleep(milliseconds, AbortSignal.any([signal, early.signal]))
+  }
+}
