Frames: date heartbeats by echo, add goodbye, name load turns, tell whether a hand-over is recovered

Need: a heartbeat read after a pause may have lain in the socket's buffer for as long; only one that echoes the receiver's own sequence proves when it was made. Call numbers are the network's, so a turn needs an id of its own. An owner that had not yet heard all earlier pins must say so when it hands over. The store's version goes back when it is restored, so the ownership object carries a sequence of its own. Ruled out: wall times in heartbeats (clocks differ). Conclusion: four fields and one frame, before anything else uses them.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -16,15 +16,22 @@
 export interface HeartbeatFrame {
   readonly kind: 'heartbeat'
   readonly sequence: number
+  /** Sequence of the receiver's last heartbeat on this connection, 0 for none: dates what this one confirms. */
+  readonly echo: number
   readonly leaving: boolean
   /** Hash over all settings revisions in force here; a difference shows a gap. */
   readonly settingsHash: string
-  /** Highest version of the data centre's ownership object seen. */
+  /** Sequence of the newest ownership object seen, or of a write of the sender whose fate is open. */
   readonly ownershipVersion: number
   /** Whether the sender's last call to the object API was answered. */
   readonly storeReachable: boolean
 }
 
+/** The sender's last frame: it runs no request, gives no order and ends. */
+export interface GoodbyeFrame {
+  readonly kind: 'goodbye'
+}
+
 /** An error as a peer sends it. */
 export interface ErrorFrameBody {
   readonly error: ErrorName
@@ -123,6 +130,7 @@
 /** The newest ownership object seen, passed on so that no peer waits for its own read. */
 export interface OwnershipFrame {
   readonly kind: 'ownership'
+  /** Sequence of the object's value; the store's own version may go back when it is restored. */
   readonly version: number
   readonly value: unknown
 }
@@ -133,6 +141,8 @@
   readonly call: number
   readonly endpoint: EndpointId
   readonly token: FencingToken
+  /** Whether the sender itself knew all earlier pins; if not, the receiver asks the members as after a loss. */
+  readonly recovered: boolean
   readonly loaded: readonly LoadedName[]
   readonly pins: readonly { readonly requestId: RequestId, readonly instance: InstanceId, readonly loadedName: LoadedName | undefined, readonly team: string }[]
 }
@@ -141,6 +151,8 @@
 export interface LoadTurnAskFrame {
   readonly kind: 'load-turn-ask'
   readonly call: number
+  /** The asker's own id of the turn, named again when it is given back. */
+  readonly turn: string
   /** Expected stall that the load ends; larger goes first. */
   readonly urgency: number
 }
@@ -148,7 +160,7 @@
 /** Gives the turn back. */
 export interface LoadTurnDoneFrame {
   readonly kind: 'load-turn-done'
-  readonly call: number
+  readonly turn: string
 }
 
 /** Service that teams had from the sender's endpoints since its last such frame; keeps fairness across owners. */
@@ -173,6 +185,7 @@
 export type PeerFrame =
   | HelloFrame
   | HeartbeatFrame
+  | GoodbyeFrame
   | AdmissionAskFrame
   | AdmissionGrantedFrame
   | AdmissionRefusedFrame
