Add first concrete decision classes on the contracts

Change: weighted routing with outlier ejection, expected-stall eviction, stall load order with backoff, virtual-time fair queue on a ledger that several queues can share, token bucket limits, retry budget, overload guard. The contracts keep their signatures. Not measured yet; the parameters are first values.

--- /dev/null
+++ b/packages/decisions/src/eviction/use-rates.ts
@@ -0,0 +1,64 @@
+/** How often each adapter was used of late; memory is bounded, idle adapters fall out. */
+import { LRUCache } from 'lru-cache'
+
+interface UseRecord {
+  /** Uses, each halved with every half-life that has passed since. */
+  decayedUses: number
+  decayedTokens: number
+  updatedAt: number
+}
+
+/** Bounds and memory of {@link UseRates}. */
+export interface UseRatesOptions {
+  /** Time after which a use counts half, milliseconds. */
+  readonly halfLifeMilliseconds?: number
+  /** Adapters remembered at most. */
+  readonly most?: number
+}
+
+/** Decayed counts of uses; each use costs the same time whatever the number of adapters. */
+export class UseRates {
+  private readonly halfLife: number
+  private readonly records: LRUCache<string, UseRecord>
+
+  constructor (options: UseRatesOptions = {}) {
+    this.halfLife = options.halfLifeMilliseconds ?? 30_000
+    this.records = new LRUCache({ max: options.most ?? 20_000 })
+  }
+
+  /** Counts one use. */
+  used (adapter: string, tokens: number, now: number): void {
+    const record = this.records.get(adapter)
+    if (record === undefined) {
+      this.records.set(adapter, { decayedUses: 1, decayedTokens: tokens, updatedAt: now })
+      return
+    }
+    const factor = this.decay(record, now)
+    record.decayedUses = record.decayedUses * factor + 1
+    record.decayedTokens = record.decayedTokens * factor + tokens
+    record.updatedAt = Math.max(now, record.updatedAt)
+  }
+
+  /** @returns expected uses in a millisecond, from the decayed count */
+  rate (adapter: string, now: number): number {
+    const record = this.records.peek(adapter)
+    if (record === undefined) return 0
+    return record.decayedUses * this.decay(record, now) * Math.LN2 / this.halfLife
+  }
+
+  /** @returns expected tokens in a millisecond */
+  tokenRate (adapter: string, now: number): number {
+    const record = this.records.peek(adapter)
+    if (record === undefined) return 0
+    return record.decayedTokens * this.decay(record, now) * Math.LN2 / this.halfLife
+  }
+
+  /** @returns the adapters remembered, those used last first */
+  recent (): Iterable<string> {
+    return this.records.keys()
+  }
+
+  private decay (record: UseRecord, now: number): number {
+    return 2 ** (-Math.max(0, now - record.updatedAt) / this.halfLife)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/fairness/virtual-time-fair-queue.ts
@@ -0,0 +1,146 @@
+/** Weighted fair queueing by virtual time over tokens and loads. */
+import { FairQueue } from './fair-queue.js'
+import type { QueuedRequest } from './fair-queue.js'
+import { ServiceLedger } from './service-ledger.js'
+
+/** How priorities age, and with whom accounts are shared. */
+export interface VirtualTimeFairQueueOptions {
+  /** Accounts shared with the other queues of this instance; its own unless given. */
+  readonly ledger?: ServiceLedger
+  /** A request rises by one level of priority each time it has waited this long, milliseconds. */
+  readonly agingMilliseconds?: number
+}
+
+const DEFAULT_AGING_MILLISECONDS = 5_000
+
+/**
+ * Serves the highest priority first; within a priority the team with the least virtual time; within a team the oldest.
+ *
+ * Time: `push` and `remove` are linear in the team's own waiting requests, `next` in the requests looked at until one
+ * is eligible. None depends on the number of adapters.
+ */
+export class VirtualTimeFairQueue<Item extends QueuedRequest> extends FairQueue<Item> {
+  private readonly ledger: ServiceLedger
+  private readonly agingMilliseconds: number
+  private readonly byTeam = new Map<string, Item[]>()
+  private readonly byId = new Map<string, Item>()
+
+  constructor (options: VirtualTimeFairQueueOptions = {}) {
+    super()
+    this.ledger = options.ledger ?? new ServiceLedger()
+    this.agingMilliseconds = options.agingMilliseconds ?? DEFAULT_AGING_MILLISECONDS
+  }
+
+  push (item: Item): void {
+    if (this.byId.has(item.requestId)) return
+    const waiting = this.byTeam.get(item.team) ?? []
+    this.byTeam.set(item.team, waiting)
+    waiting.splice(placeFor(item, waiting, this.agingMilliseconds), 0, item)
+    this.byId.set(item.requestId, item)
+    this.ledger.arrived(item.team)
+  }
+
+  remove (requestId: string): Item | undefined {
+    const item = this.byId.get(requestId)
+    if (item === undefined) return undefined
+    this.take(item)
+    return item
+  }
+
+  next (eligible: (item: Item) => boolean, now: number): Item | undefined {
+    let best: Item | undefined
+    let bestLevel = -Infinity
+    let bestTime = Infinity
+    for (const [team, waiting] of this.byTeam) {
+      const item = waiting.find(eligible)
+      if (item === undefined) continue
+      const level = this.level(item, now)
+      const time = this.ledger.virtualTime(team)
+      const better = level > bestLevel || (level === bestLevel && time < bestTime)
+      if (!better) continue
+      best = item
+      bestLevel = level
+      bestTime = time
+    }
+    if (best === undefined) return undefined
+    this.take(best)
+    this.ledger.charge(best.team, best.cost)
+    return best
+  }
+
+  charge (team: string, tokens: number): void {
+    this.ledger.charge(team, tokens)
+  }
+
+  setWeight (team: string, weight: number): void {
+    this.ledger.setWeight(team, weight)
+  }
+
+  shareUsed (team: string): number {
+    return this.ledger.shareUsed(team)
+  }
+
+  worst (): Item | undefined {
+    let worst: Item | undefined
+    let worstShare = -Infinity
+    for (const [team, waiting] of this.byTeam) {
+      const item = lowest(waiting)
+      if (item === undefined) continue
+      const share = this.ledger.shareUsed(team)
+      const worse = worst === undefined || item.priority < worst.priority ||
+        (item.priority === worst.priority && share > worstShare)
+      if (!worse) continue
+      worst = item
+      worstShare = share
+    }
+    return worst
+  }
+
+  items (): Iterable<Item> {
+    return this.byId.values()
+  }
+
+  get size (): number {
+    return this.byId.size
+  }
+
+  /** Without ageing, a steady stream of high priorities would keep low ones waiting for ever. */
+  private level (item: Item, now: number): number {
+    return item.priority + Math.floor(Math.max(0, now - item.enqueuedAt) / this.agingMilliseconds)
+  }
+
+  private take (item: Item): void {
+    this.byId.delete(item.requestId)
+    this.ledger.left(item.team)
+    const waiting = this.byTeam.get(item.team) ?? []
+    const index = waiting.indexOf(item)
+    if (index >= 0) waiting.splice(index, 1)
+    if (waiting.length === 0) this.byTeam.delete(item.team)
+  }
+}
+
+/** Age and priority are one number: a level is worth `aging` milliseconds, so the order within a team never changes. */
+function placeFor (item: QueuedRequest, waiting: readonly QueuedRequest[], aging: number): number {
+  const rank = item.enqueuedAt - item.priority * aging
+  let low = 0
+  let high = waiting.length
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    const other = waiting[middle]
+    const goesAfter = other !== undefined && other.enqueuedAt - other.priority * aging <= rank
+    if (goesAfter) low = middle + 1
+    else high = middle
+  }
+  return low
+}
+
+/** @returns the youngest of the lowest priority: it has waited least */
+function lowest<Item extends QueuedRequest> (waiting: readonly Item[]): Item | undefined {
+  let lowestItem: Item | undefined
+  for (const item of waiting) {
+    const worse = lowestItem === undefined || item.priority < lowestItem.priority ||
+      (item.priority === lowestItem.priority && item.enqueuedAt >= lowestItem.enqueuedAt)
+    if (worse) lowestItem = item
+  }
+  return lowestItem
+}
--- /dev/null
+++ b/packages/decisions/src/limits/token-bucket-team-limiter.ts
@@ -0,0 +1,82 @@
+/** A team's limits by token buckets and counts. */
+import { TeamLimiter } from './team-limiter.js'
+import type { LimitDecision, TeamLimits } from './team-limiter.js'
+import { TokenBucket } from './token-bucket.js'
+
+/** First limits and how much may come at once. */
+export interface TokenBucketTeamLimiterOptions {
+  readonly limits: TeamLimits
+  /** Seconds of the rates that may be used at once after a pause. */
+  readonly burstSeconds?: number
+}
+
+type LimitName = Extract<LimitDecision, { admitted: false }>['limit']
+
+const LEAST_RETRY_AFTER_SECONDS = 1
+
+/** Admits or refuses at once; a refused request takes nothing from any limit. */
+export class TokenBucketTeamLimiter extends TeamLimiter {
+  private limits: TeamLimits
+  private readonly burstSeconds: number
+  private readonly requests: TokenBucket
+  private readonly tokens: TokenBucket
+  private queued = 0
+  private running = 0
+
+  constructor (options: TokenBucketTeamLimiterOptions) {
+    super()
+    this.limits = options.limits
+    this.burstSeconds = options.burstSeconds ?? 2
+    this.requests = new TokenBucket(options.limits.requestsPerSecond, this.requestBurst())
+    this.tokens = new TokenBucket(options.limits.tokensPerSecond, this.tokenBurst())
+  }
+
+  configure (limits: TeamLimits): void {
+    this.limits = limits
+    this.requests.configure(limits.requestsPerSecond, this.requestBurst())
+    this.tokens.configure(limits.tokensPerSecond, this.tokenBurst())
+  }
+
+  admit (promptTokens: number, maximumTokens: number, now: number): LimitDecision {
+    const cost = promptTokens + maximumTokens
+    const forRequests = this.requests.secondsUntil(1, now)
+    if (forRequests > 0) return refuse('requests per second', forRequests)
+    const forTokens = this.tokens.secondsUntil(cost, now)
+    if (forTokens > 0) return refuse('tokens per second', forTokens)
+    if (this.queued + this.running >= this.limits.inFlight) return refuse('requests in flight', 0)
+    if (this.queued >= this.limits.queued) return refuse('requests queued', 0)
+    this.requests.take(1)
+    this.tokens.take(cost)
+    this.queued += 1
+    return { admitted: true }
+  }
+
+  start (): void {
+    this.queued = Math.max(0, this.queued - 1)
+    this.running += 1
+  }
+
+  finish (wasRunning: boolean, unusedTokens: number, now: number): void {
+    if (wasRunning) this.running = Math.max(0, this.running - 1)
+    else this.queued = Math.max(0, this.queued - 1)
+    this.tokens.giveBack(unusedTokens, now)
+  }
+
+  /** @returns requests that wait and run */
+  get counts (): { readonly queued: number, readonly running: number } {
+    return { queued: this.queued, running: this.running }
+  }
+
+  /** A team's share of one instance can be below one request a second; the bucket must hold at least one. */
+  private requestBurst (): number {
+    return Math.max(1, this.limits.requestsPerSecond * this.burstSeconds)
+  }
+
+  private tokenBurst (): number {
+    return this.limits.tokensPerSecond * this.burstSeconds
+  }
+}
+
+function refuse (limit: LimitName, seconds: number): LimitDecision {
+  return { admitted: false, limit, retryAfterSeconds: Math.max(LEAST_RETRY_AFTER_SECONDS, Math.ceil(seconds)) }
+}
--- /dev/null
+++ b/packages/decisions/src/overload/service-rate.ts
@@ -0,0 +1,31 @@
+/** How fast a queue is served, from what was served of late. */
+
+const LEAST_ELAPSED_MILLISECONDS = 250
+
+/** Decayed rate of service, tokens in a millisecond. */
+export class ServiceRate {
+  private tokens = 0
+  private milliseconds = 0
+  private updatedAt: number | undefined
+
+  /**
+   * @param firstRate - tokens in a millisecond, believed until something was served
+   * @param memoryMilliseconds - busy time after which what was seen counts 1/e
+   */
+  constructor (private readonly firstRate: number, private readonly memoryMilliseconds: number) {}
+
+  /** Tells of tokens served since the last call; idle time is told with `busy` false and does not count. */
+  served (tokens: number, busy: boolean, now: number): void {
+    const elapsed = this.updatedAt === undefined ? 0 : Math.max(0, now - this.updatedAt)
+    this.updatedAt = now
+    const factor = Math.exp(-elapsed / this.memoryMilliseconds)
+    this.tokens = this.tokens * factor + tokens
+    this.milliseconds = this.milliseconds * factor + (busy ? elapsed : 0)
+  }
+
+  /** @returns tokens in a millisecond */
+  get rate (): number {
+    if (this.milliseconds < LEAST_ELAPSED_MILLISECONDS || this.tokens <= 0) return this.firstRate
+    return this.tokens / this.milliseconds
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/weighted-routing-policy.ts
@@ -0,0 +1,143 @@
+/** Routing by expected wait: each thing that matters is turned into milliseconds and the smallest sum wins. */
+import type { EndpointId } from '@limpetwinch/core'
+import { OutlierEjection } from './outlier-ejection.js'
+import type { OutlierEjectionOptions } from './outlier-ejection.js'
+import { rendezvousWeight } from './rendezvous.js'
+import { RoutingPolicy } from './routing-policy.js'
+import type { EndpointView, RoutingQuestion } from './routing-policy.js'
+
+/** What the costs are made of. */
+export interface WeightedRoutingOptions {
+  /** 0 puts load stalls first, 1 puts batch efficiency first. */
+  readonly batchEfficiencyWeight?: number
+  /** Loads a second of the whole deployment. */
+  readonly loadsPerSecond?: number
+  /** Milliseconds of one decoding step. */
+  readonly stepMilliseconds?: number
+  /** Output tokens of a usual request. */
+  readonly usualOutputTokens?: number
+  /** Prompt tokens read in a millisecond. */
+  readonly promptTokensPerMillisecond?: number
+  /** Roles that take requests. */
+  readonly roles?: readonly string[]
+  readonly ejection?: OutlierEjectionOptions
+}
+
+/** Sums over all candidates, made once for each question. */
+interface Surroundings {
+  readonly loadsAhead: number
+  readonly copies: number
+}
+
+const DEFAULT_ROLES: readonly string[] = ['', 'generate', 'mixed', 'decode', 'serve']
+const FAILURE_PENALTY_MILLISECONDS = 2_000
+const PACKING_MILLISECONDS = 60
+
+/** Chooses the endpoint with the smallest expected wait. Asks only the endpoints handed in; adapters are never scanned. */
+export class WeightedRoutingPolicy extends RoutingPolicy {
+  private readonly batchEfficiencyWeight: number
+  private readonly loadMilliseconds: number
+  private readonly serviceMilliseconds: number
+  private readonly promptTokensPerMillisecond: number
+  private readonly roles: ReadonlySet<string>
+  private readonly ejection: OutlierEjection
+
+  constructor (options: WeightedRoutingOptions = {}) {
+    super()
+    this.batchEfficiencyWeight = options.batchEfficiencyWeight ?? 0.5
+    this.loadMilliseconds = 1_000 / (options.loadsPerSecond ?? 4)
+    this.serviceMilliseconds = (options.stepMilliseconds ?? 30) * (options.usualOutputTokens ?? 64)
+    this.promptTokensPerMillisecond = options.promptTokensPerMillisecond ?? 10
+    this.roles = new Set(options.roles ?? DEFAULT_ROLES)
+    this.ejection = new OutlierEjection(options.ejection)
+  }
+
+  choose (question: RoutingQuestion, endpoints: readonly EndpointView[], now: number): EndpointId | undefined {
+    const suitable = endpoints.filter((view) => this.suits(question, view))
+    const fresh = suitable.filter((view) => !question.avoid.has(view.endpoint))
+    // An endpoint that failed this request is better than none: its fault may have passed.
+    const candidates = this.ejection.usable(fresh.length > 0 ? fresh : suitable, now)
+    const surroundings = surroundingsOf(question, candidates)
+    let best: EndpointView | undefined
+    let bestCost = Infinity
+    for (const view of candidates) {
+      const cost = this.cost(question, view, surroundings, now)
+      if (cost < bestCost) {
+        best = view
+        bestCost = cost
+      }
+    }
+    return best?.endpoint
+  }
+
+  observe (endpoint: EndpointId, result: 'answered' | 'failed', now: number): void {
+    this.ejection.observe(endpoint, result, now)
+  }
+
+  /** @returns whether an endpoint could run the request at all */
+  private suits (question: RoutingQuestion, view: EndpointView): boolean {
+    return !view.leaving && view.baseModel === question.baseModel && this.roles.has(view.role)
+  }
+
+  /** @returns the expected wait on an endpoint and what it costs others, milliseconds */
+  private cost (question: RoutingQuestion, view: EndpointView, surroundings: Surroundings, now: number): number {
+    const queue = this.queueWait(view)
+    const load = this.loadWait(question, view, surroundings)
+    const prompt = question.promptTokens * (1 - view.cachedShare(question.prompt)) / this.promptTokensPerMillisecond
+    const failures = this.ejection.penalty(view.endpoint, now) * FAILURE_PENALTY_MILLISECONDS
+    // The load and the queue pass side by side: a request waits for the longer one.
+    return Math.max(queue, load.wait) + load.price + this.batchCost(view) + prompt + 2 * view.distance + failures +
+      this.homeCost(question, view)
+  }
+
+  /** @returns the wait for a place in the batch; reports lag, so what was sent since the newest one counts as queued */
+  private queueWait (view: EndpointView): number {
+    const ahead = view.running + view.queued + view.sentSince
+    const over = ahead + 1 - view.batchCapacity
+    if (over <= 0) return 0
+    return over / view.batchCapacity * this.serviceMilliseconds
+  }
+
+  /** @returns the wait for the adapter, and what a new load costs those whose loads wait behind it */
+  private loadWait (question: RoutingQuestion, view: EndpointView, surroundings: Surroundings): { wait: number, price: number } {
+    if (question.adapter === undefined) return { wait: 0, price: 0 }
+    const held = view.holds(question.adapter)
+    if (held === 'loaded') return { wait: 0, price: 0 }
+    if (held === 'loading') return { wait: surroundings.loadsAhead * this.loadMilliseconds / 2, price: 0 }
+    const wait = (surroundings.loadsAhead + 1) * this.loadMilliseconds + this.slotWait(view)
+    // Loads run one at a time: another copy holds up each load behind it, so only a queue longer than that asks for it.
+    const price = surroundings.copies > 0 ? (surroundings.loadsAhead + 1) * this.loadMilliseconds : 0
+    return { wait, price }
+  }
+
+  /** @returns the wait for a slot: with all slots pinned a load waits until a request ends */
+  private slotWait (view: EndpointView): number {
+    if (view.pinnedSlots < view.slots) return view.pinnedSlots / view.slots * this.loadMilliseconds
+    return this.serviceMilliseconds
+  }
+
+  /** @returns the cost of a step that stays empty: a fuller batch gives more tokens for each step */
+  private batchCost (view: EndpointView): number {
+    const ahead = view.running + view.queued + view.sentSince
+    const filled = Math.min(1, ahead / view.batchCapacity)
+    const spread = filled
+    const packed = 1 - filled
+    return PACKING_MILLISECONDS * (this.batchEfficiencyWeight * packed + (1 - this.batchEfficiencyWeight) * spread)
+  }
+
+  /** @returns less for an adapter's home, so that instances which route at the same moment share one load */
+  private homeCost (question: RoutingQuestion, view: EndpointView): number {
+    const key = question.adapter ?? question.team
+    return (1 - rendezvousWeight(key, view.endpoint)) * this.loadMilliseconds / 2
+  }
+}
+
+function surroundingsOf (question: RoutingQuestion, candidates: readonly EndpointView[]): Surroundings {
+  let loadsAhead = 0
+  let copies = 0
+  for (const view of candidates) {
+    loadsAhead += view.loadsAhead
+    if (question.adapter !== undefined && view.holds(question.adapter) !== 'absent') copies += 1
+  }
+  return { loadsAhead, copies }
+}
--- /dev/null
+++ b/packages/decisions/test/properties.test.ts
@@ -0,0 +1,137 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { EndpointId } from '@limpetwinch/core'
+import { OutlierEjection, ShareRetryBudget, StallEvictionPolicy, TokenBucketTeamLimiter, VirtualTimeFairQueue } from '@limpetwinch/decisions'
+import type { QueuedRequest, SlotView } from '@limpetwinch/decisions'
+
+const SEED = 20_260
+const settings = { seed: SEED, numRuns: 200 }
+
+function request (team: string, number: number, cost: number, enqueuedAt = 0): QueuedRequest {
+  return { requestId: `${team}-${number}`, team, priority: 5, adapter: undefined, cost, enqueuedAt, deadlineAt: 1e9 }
+}
+
+/** Fills the queue so that no team runs out, serves it, and returns the tokens that each team had. */
+function serveBacklog (weights: readonly number[], costs: readonly number[], rounds: number): number[] {
+  const queue = new VirtualTimeFairQueue<QueuedRequest>()
+  const served = weights.map(() => 0)
+  weights.forEach((weight, team) => queue.setWeight(`team${team}`, weight))
+  let number = 0
+  weights.forEach((_, team) => {
+    for (let index = 0; index < rounds; index++) queue.push(request(`team${team}`, number++, costs[index % costs.length] ?? 1))
+  })
+  for (let round = 0; round < rounds; round++) {
+    const item = queue.next(() => true, 0)
+    if (item === undefined) break
+    const team = Number(item.team.slice(4))
+    served[team] = (served[team] ?? 0) + item.cost
+  }
+  return served
+}
+
+describe('eviction', () => {
+  it('never chooses a pinned adapter, one that requests wait for, or the incoming one', () => {
+    const slot = fc.record({
+      adapter: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+      pins: fc.nat(2),
+      loadedAt: fc.nat(1000),
+      lastUsedAt: fc.nat(1000),
+      waiting: fc.nat(2),
+      otherCopies: fc.nat(3)
+    })
+    const slotLists = fc.uniqueArray(slot, { selector: (view) => view.adapter, maxLength: 5 })
+    fc.assert(fc.property(slotLists, fc.array(fc.constantFrom('a', 'b', 'c', 'd', 'e')), (slots: SlotView[], uses) => {
+      const policy = new StallEvictionPolicy()
+      uses.forEach((adapter, index) => policy.used(adapter, 'team', 1, index))
+      const victim = policy.victim(slots, 'a', 1000)
+      const free = slots.filter((view) => view.pins === 0 && view.waiting === 0 && view.adapter !== 'a')
+      if (free.length === 0) expect(victim).toBeUndefined()
+      else expect(free.map((view) => view.adapter)).toContain(victim)
+    }), settings)
+  })
+})
+
+describe('fair queue', () => {
+  it('keeps backlogged teams within two requests of their weighted shares', () => {
+    const weights = fc.array(fc.integer({ min: 1, max: 8 }), { minLength: 2, maxLength: 6 })
+    const costs = fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 1, maxLength: 20 })
+    fc.assert(fc.property(weights, costs, (teamWeights, teamCosts) => {
+      const served = serveBacklog(teamWeights, teamCosts, 300)
+      const times = served.map((tokens, team) => tokens / (teamWeights[team] ?? 1))
+      expect(Math.max(...times) - Math.min(...times)).toBeLessThanOrEqual(2 * Math.max(...teamCosts))
+    }), settings)
+  })
+
+  it('gives no credit for idling', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), fc.integer({ min: 1, max: 50 }), (rounds, cost) => {
+      const queue = new VirtualTimeFairQueue<QueuedRequest>()
+      for (let index = 0; index < rounds + 100; index++) queue.push(request('busy', index, cost))
+      for (let index = 0; index < rounds; index++) queue.next(() => true, 0)
+      for (let index = 0; index < 100; index++) queue.push(request('idle', index, cost))
+      const next = Array.from({ length: 20 }, () => queue.next(() => true, 0)?.team)
+      const ofIdle = next.filter((team) => team === 'idle').length
+      expect(ofIdle).toBeGreaterThanOrEqual(9)
+      expect(ofIdle).toBeLessThanOrEqual(11)
+    }), settings)
+  })
+})
+
+describe('retry budget', () => {
+  it('allows at most the share of first attempts and the least number in any window', () => {
+    const events = fc.array(fc.record({ after: fc.nat(300), retry: fc.boolean() }), { maxLength: 200 })
+    fc.assert(fc.property(events, (list) => {
+      const budget = new ShareRetryBudget({ share: 0.2, least: 2, windowMilliseconds: 1000 })
+      const attempts: number[] = []
+      const retries: number[] = []
+      let now = 0
+      for (const { after, retry } of list) {
+        now += after
+        if (!retry) {
+          budget.deposit(now)
+          attempts.push(now)
+        } else if (budget.withdraw(now)) retries.push(now)
+        const within = (at: number) => at > now - 900
+        const allowed = 2 + 0.2 * attempts.filter((at) => at > now - 1000).length
+        expect(retries.filter(within).length).toBeLessThanOrEqual(allowed + 1e-9)
+      }
+    }), settings)
+  })
+})
+
+describe('outlier ejection', () => {
+  it('keeps the floor in use whatever fails', () => {
+    const endpoints = Array.from({ length: 9 }, (_, index) => ({ endpoint: `e${index}` as EndpointId }))
+    const failures = fc.array(fc.record({ endpoint: fc.nat(8), after: fc.nat(500) }), { maxLength: 100 })
+    fc.assert(fc.property(failures, fc.integer({ min: 1, max: 10 }), (list, tenths) => {
+      const ejection = new OutlierEjection({ floor: tenths / 10 })
+      let now = 0
+      for (const failure of list) {
+        now += failure.after
+        ejection.observe(`e${failure.endpoint}` as EndpointId, 'failed', now)
+        expect(ejection.usable(endpoints, now).length).toBeGreaterThanOrEqual(Math.ceil(9 * tenths / 10))
+      }
+    }), settings)
+  })
+})
+
+describe('team limits', () => {
+  it('never admits more than the rate and burst, the places in flight and in the queue', () => {
+    const events = fc.array(fc.record({ after: fc.nat(200), kind: fc.constantFrom('admit', 'start', 'finish') }), { maxLength: 200 })
+    fc.assert(fc.property(events, (list) => {
+      const limits = { requestsPerSecond: 5, tokensPerSecond: 1e6, inFlight: 6, queued: 3 }
+      const limiter = new TokenBucketTeamLimiter({ limits, burstSeconds: 2 })
+      let now = 0
+      let admitted = 0
+      for (const { after, kind } of list) {
+        now += after
+        const { queued, running } = limiter.counts
+        if (kind === 'start' && queued > 0) limiter.start()
+        else if (kind === 'finish' && running > 0) limiter.finish(true, 0, now)
+        else if (limiter.admit(10, 10, now).admitted) admitted += 1
+        expect(limiter.counts.queued).toBeLessThanOrEqual(3)
+        expect(limiter.counts.queued + limiter.counts.running).toBeLessThanOrEqual(6)
+        expect(admitted).toBeLessThanOrEqual(10 + 5 * now / 1000 + 1e-9)
+      }
+    }), settings)
+  })
+})
