Add the stand-in engine, platform and plain service

Tests, the launcher and the load tool need outside systems that behave and fail like the real ones. Each is a class to run in-process and a binary.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,12 @@
+/** Stand-ins for what stands around limpetwinch: engine, plain service and platform, in this process or as binaries. */
 export * from './platform/memory-object-store.js'
+export * from './platform/stand-in-platform.js'
+export type { PlatformFaults } from './platform/platform-bodies.js'
+export * from './engine/answer-text.js'
+export * from './engine/engine-options.js'
+export { prefixHash, PREFIX_BLOCK_CHARACTERS } from './engine/prefix-cache.js'
+export * from './engine/stand-in-engine.js'
+export type { EngineFaults } from './engine/engine-bodies.js'
+export { StandInService, REQUEST_ID_HEADER } from './service/stand-in-service.js'
+export type { ServiceFaults, StandInServiceOptions } from './service/stand-in-service.js'
+export type { HistoryLine, StandInEvent } from './history/history-recorder.js'
--- a/packages/stand-ins/src/platform/memory-object-store.ts
+++ b/packages/stand-ins/src/platform/memory-object-store.ts
@@ -19,29 +19,36 @@
   slowness: number
   /** So many of the next writes take effect, but their answers are lost. */
   loseAnswers: number
+  /** Gets and lists show what was true so many milliseconds ago; watches and conditional writes do not. */
+  staleReads: number
 }
 
 interface Entry {
   readonly object: StoredObject
   readonly cursor: number
+  readonly writtenAt: number
+  /** The state before, for stale reads. */
+  readonly before: Entry | undefined
 }
 
+const MOST_EARLIER_STATES = 8
+
 /** Objects with versions; one instance stands for the whole platform service. */
 export class MemoryObjectStore extends ObjectStore {
   readonly calls: StoreCalls = { reads: 0, writes: 0, watches: 0 }
-  readonly faults: StoreFaults = { outage: false, slowness: 0, loseAnswers: 0 }
+  readonly faults: StoreFaults = { outage: false, slowness: 0, loseAnswers: 0, staleReads: 0 }
   private readonly entries = new Map<string, Entry>()
   private cursor = 0
   private readonly waiting = new Set<() => void>()
 
   override get (path: string): ResultAsync<StoredObject | undefined, LimpetwinchError> {
     this.calls.reads += 1
-    return this.reach().map(() => this.entries.get(path)?.object)
+    return this.reach().map(() => this.visible(this.entries.get(path))?.object)
   }
 
   override list (prefix: string): ResultAsync<{ objects: readonly StoredObject[], cursor: number }, LimpetwinchError> {
     this.calls.reads += 1
-    return this.reach().map(() => ({ objects: this.changedSince(prefix, 0), cursor: this.cursor }))
+    return this.reach().map(() => this.page(prefix))
   }
 
   override put (write: ConditionalWrite): ResultAsync<number, LimpetwinchError> {
@@ -79,10 +86,31 @@
 
   private set (path: string, version: number, value: unknown): void {
     this.cursor += 1
-    this.entries.set(path, { object: { path, version, value: structuredClone(value) }, cursor: this.cursor })
+    const before = withoutStatesBefore(this.entries.get(path), MOST_EARLIER_STATES)
+    const object = { path, version, value: structuredClone(value) }
+    this.entries.set(path, { object, cursor: this.cursor, writtenAt: performance.now(), before })
     for (const wake of this.waiting) wake()
   }
 
+  /** @returns the state of an entry that reads see */
+  private visible (entry: Entry | undefined): Entry | undefined {
+    if (this.faults.staleReads === 0) return entry
+    const seenUntil = performance.now() - this.faults.staleReads
+    let state = entry
+    while (state !== undefined && state.writtenAt > seenUntil) state = state.before
+    return state
+  }
+
+  private page (prefix: string): { objects: readonly StoredObject[], cursor: number } {
+    if (this.faults.staleReads === 0) return { objects: this.changedSince(prefix, 0), cursor: this.cursor }
+    const states = [...this.entries.values()]
+      .map((entry) => this.visible(entry))
+      .filter((state): state is Entry => state !== undefined)
+    const objects = states.map((state) => state.object).filter((object) => object.path.startsWith(prefix))
+    // The cursor belongs to the stale state: a watch from it shows what the list did not.
+    return { objects, cursor: Math.max(0, ...states.map((state) => state.cursor)) }
+  }
+
   private changedSince (prefix: string, cursor: number): readonly StoredObject[] {
     return [...this.entries.values()]
       .filter((entry) => entry.cursor > cursor && entry.object.path.startsWith(prefix))
@@ -119,3 +147,8 @@
     return ResultAsync.fromSafePromise(sleep(this.faults.slowness))
   }
 }
+
+function withoutStatesBefore (entry: Entry | undefined, kept: number): Entry | undefined {
+  if (entry === undefined || kept === 0) return undefined
+  return { ...entry, before: withoutStatesBefore(entry.before, kept - 1) }
+}
