--- a/packages/stand-ins/src/bin/serve-stand-in.ts
+++ b/packages/stand-ins/src/bin/serve-stand-in.ts
@@ -47,8 +47,19 @@
   }
 }
 
+/** A command class of oclif, as far as it is needed here. */
+interface BinaryCommand {
+  readonly description?: string | undefined
+  readonly flags: Readonly<Record<string, { readonly description?: string | undefined, readonly default?: unknown }>>
+  run: (argv: string[], root: string) => Promise<unknown>
+}
+
 /** Runs a single command of oclif as the whole binary. */
-export async function runBinary (command: { run: (argv: string[], root: string) => Promise<unknown> }, root: string): Promise<void> {
+export async function runBinary (command: BinaryCommand, root: string): Promise<void> {
+  if (process.argv.includes('--help')) {
+    process.stdout.write(helpOf(command))
+    return
+  }
   try {
     await command.run(process.argv.slice(2), root)
   } catch (problem) {
@@ -57,3 +68,12 @@
     process.exitCode = exit ?? 1
   }
 }
+
+/** oclif's own help needs a command that was found by name, which the one command of a binary is not. */
+function helpOf (command: BinaryCommand): string {
+  const lines = Object.entries(command.flags).map(([name, flag]) => {
+    const standard = flag.default === undefined ? '' : ` [default: ${String(flag.default)}]`
+    return `  --${name.padEnd(24)} ${flag.description ?? ''}${standard}`
+  })
+  return `${command.description ?? ''}\n\n${lines.join('\n')}\n`
+}
