--- /dev/null
+++ b/packages/entry/src/admin/admin-api.ts
@@ -0,0 +1,57 @@
+/** HTTP towards operators: settings, status, explanations, histograms, health. */
+import { Hono } from 'hono'
+import type { HttpBindings } from '@hono/node-server'
+import type { Context, Next } from 'hono'
+import { LimpetwinchError } from '@limpetwinch/core'
+import { hashOf } from '../callers/authentication.js'
+import type { ExplainLog } from '../measures/explain-log.js'
+import type { Measures } from '../measures/measures.js'
+import { statusOf } from './status.js'
+import type { StatusSources } from './status.js'
+
+/** What the admin API works with. */
+export interface AdminApiOptions extends StatusSources {
+  readonly administratorKeySha256: string
+  readonly explain: ExplainLog
+  readonly measures: Measures
+  /** Settings under `/admin/settings`, `/admin/validate` and `/admin/watch`; they check keys themselves. */
+  readonly settingsRoutes: Hono<{ Bindings: HttpBindings }>
+}
+
+/**
+ * @param options - what it works with
+ * @returns the routes for operators
+ */
+export function adminApi (options: AdminApiOptions): Hono<{ Bindings: HttpBindings }> {
+  const app = new Hono<{ Bindings: HttpBindings }>()
+  app.get('/health', (context) => context.json({ status: 'alive' }))
+  app.get('/ready', (context) => {
+    const ready = options.isReady() && !options.isStopping()
+    return context.json({ status: ready ? 'ready' : 'not ready' }, ready ? 200 : 503)
+  })
+  const administratorsOnly = checkAdministrator(options.administratorKeySha256)
+  app.get('/admin/status', administratorsOnly, (context) => context.json(statusOf(options)))
+  app.get('/admin/histograms', administratorsOnly, (context) => context.json({ series: options.measures.summary() }))
+  app.get('/admin/explain/:request', administratorsOnly, (context) => explain(options, context))
+  app.route('/', options.settingsRoutes)
+  return app
+}
+
+function explain (options: AdminApiOptions, context: Context): Response {
+  const story = options.explain.get(context.req.param('request') ?? '')
+  if (story !== undefined) return context.json({ requestId: story.requestId, adapter: story.adapter, steps: story.steps })
+  return context.json({ error: { code: 'unknown_request', message: 'This instance remembers no such request. Ask the instance that took it; only the latest requests are remembered.' } }, 404)
+}
+
+function checkAdministrator (sha256: string) {
+  return async (context: Context, next: Next): Promise<Response | undefined> => {
+    const key = /^Bearer (\S+)$/i.exec(context.req.header('authorization') ?? '')?.[1]
+    // Hashes are compared, so that the time of the comparison tells nothing of the key.
+    if (key !== undefined && hashOf(key) === sha256) {
+      await next()
+      return undefined
+    }
+    const error = new LimpetwinchError('unauthorized')
+    return context.json({ error: { code: error.code, message: "The key is not the administrators'. Send 'Authorization: Bearer <administrators' key>'." } }, 401)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/callers/completions.ts
@@ -0,0 +1,225 @@
+/** One completion from its headers to its last byte. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { randomInt } from 'node:crypto'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { adapterOf, formatAdapter, LimpetwinchError, newRequestId, parseModelName, priorityOf } from '@limpetwinch/core'
+import type { AdapterReference, Clock, OperatorSettings, RequestId } from '@limpetwinch/core'
+import type { Delivery, DeliveryRequest } from '../delivery/delivery.js'
+import type { CountedOutcome, Measures } from '../measures/measures.js'
+import type { Claims, HeldClaim } from '../outcomes/claims.js'
+import type { Authentication, Caller } from './authentication.js'
+import { parseJson, readBody } from './body-reader.js'
+import type { BodyLimits } from './body-reader.js'
+import { StreamedAnswer, WholeAnswer } from './completion-answer.js'
+import type { CompletionAnswer } from './completion-answer.js'
+import { parseCompletion } from './completion-request.js'
+import type { CompletionForm, CompletionRequest } from './completion-request.js'
+import { errorBody, errorHeaders } from './error-answer.js'
+import { parseRequestOptions } from './request-options.js'
+import type { RequestOptions } from './request-options.js'
+import type { Passage, TeamGate } from './team-gate.js'
+
+/** What completions work with. */
+export interface CompletionsOptions {
+  readonly settings: () => OperatorSettings | undefined
+  readonly authentication: Authentication
+  readonly gate: TeamGate
+  readonly claims: Claims
+  readonly delivery: Delivery
+  readonly measures: Measures
+  readonly bodyLimits: BodyLimits
+  readonly clock: Clock
+}
+
+/** A request that may go on to its delivery. */
+interface Accepted {
+  readonly settings: OperatorSettings
+  readonly reference: AdapterReference
+  readonly completion: CompletionRequest
+  readonly options: RequestOptions
+  readonly delivery: DeliveryRequest
+}
+
+const LARGEST_SEED = 2 ** 31
+
+/** Serves completions. */
+export class Completions {
+  private readonly options: CompletionsOptions
+
+  /** @param options - what it works with */
+  constructor (options: CompletionsOptions) {
+    this.options = options
+  }
+
+  /** Serves one request; resolves when the answer has ended. */
+  async serve (form: CompletionForm, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = newRequestId()
+    const accepted = await this.accept(form, message, requestId)
+    if (accepted.isErr()) return refuse(response, accepted.error, requestId)
+    const { reference, settings, completion, options } = accepted.value
+    const passage = this.options.gate.pass(reference.team, settings, completion.promptTokens, completion.maximumTokens)
+    if (passage.isErr()) {
+      this.options.measures.outcome('not_run', reference.team, options.priorityClass)
+      return refuse(response, passage.error, requestId)
+    }
+    try {
+      await this.claimAndDeliver(accepted.value, passage.value, response)
+    } finally {
+      passage.value.finish(0)
+    }
+  }
+
+  private async accept (form: CompletionForm, message: IncomingMessage, requestId: RequestId): Promise<Result<Accepted, LimpetwinchError>> {
+    const settings = this.options.settings()
+    if (settings === undefined) return err(new LimpetwinchError('store-unavailable', { reason: 'no settings yet' }, { retryAfterSeconds: 1 }))
+    const caller = this.options.authentication.check(message.headers.authorization, settings)
+    if (caller.isErr()) return err(caller.error)
+    const body = await readBody(message, this.options.bodyLimits)
+    const longest = 1000 * settings.policy.longestRequestSeconds
+    return body
+      .andThen(parseJson)
+      .andThen((value) => parseCompletion(form, value))
+      .andThen((completion) => resolveAdapter(completion, caller.value, settings)
+        .andThen((reference) => parseRequestOptions(headerReader(message), longest, true)
+          .andThen((options) => this.prepare(requestId, settings, reference, completion, options))))
+  }
+
+  private prepare (requestId: RequestId, settings: OperatorSettings, reference: AdapterReference, completion: CompletionRequest, options: RequestOptions): Result<Accepted, LimpetwinchError> {
+    const team = settings.teams.get(reference.team)
+    const priority = priorityOf(settings, reference.team, options.priorityClass)
+    const adapter = team === undefined ? undefined : adapterOf(team, reference.adapter)
+    if (priority === undefined || adapter === undefined) {
+      const reason = `the team has no class '${options.priorityClass.slice(0, 80)}'`
+      return err(new LimpetwinchError('invalid-request', { where: 'x-limpetwinch-class', reason }))
+    }
+    const delivery: DeliveryRequest = {
+      requestId,
+      adapter: reference,
+      adapterName: formatAdapter(reference),
+      baseModel: adapter.baseModel,
+      priority,
+      prompt: completion.prompt,
+      promptTokens: completion.promptTokens,
+      maximumTokens: completion.maximumTokens,
+      temperature: completion.temperature,
+      // A repeated run must say the same, so every run of a request has one seed.
+      seed: completion.seed ?? randomInt(LARGEST_SEED),
+      idempotent: options.idempotent,
+      deadlineAt: this.options.clock.now() + options.patience
+    }
+    return ok({ settings, reference, completion, options, delivery })
+  }
+
+  private async claimAndDeliver (accepted: Accepted, passage: Passage, response: ServerResponse): Promise<void> {
+    const { options, reference, delivery } = accepted
+    if (options.idempotent || options.key === undefined) {
+      await this.deliver(accepted, passage, response)
+      return
+    }
+    const claim = await this.options.claims.claim(reference.team, options.key, delivery.requestId)
+    if (claim.isErr()) {
+      this.options.measures.outcome(claim.error.outcome, reference.team, options.priorityClass)
+      return refuse(response, claim.error, delivery.requestId)
+    }
+    const outcome = await this.deliver(accepted, passage, response)
+    await this.settleClaim(claim.value, outcome)
+  }
+
+  private async settleClaim (claim: HeldClaim, outcome: CountedOutcome): Promise<void> {
+    if (outcome === 'not_run') await this.options.claims.release(claim)
+    if (outcome === 'answered') await this.options.claims.answered(claim)
+  }
+
+  private async deliver (accepted: Accepted, passage: Passage, response: ServerResponse): Promise<CountedOutcome> {
+    const { reference, completion, delivery, options, settings } = accepted
+    const answer = answerFor(response, completion, reference, delivery.requestId)
+    const gone = new AbortController()
+    response.on('close', () => gone.abort())
+    const meter = new RequestMeter(this.options.measures, this.options.clock, reference.team, options.priorityClass)
+    for await (const event of this.options.delivery.deliver(delivery, settings, gone.signal)) {
+      if (event.kind === 'text') {
+        meter.token()
+        await answer.text(event.text)
+      } else if (event.kind === 'admitted') {
+        passage.start()
+        meter.admitted(event.loadStall, event.queueWait)
+      } else if (event.kind === 'end') {
+        passage.finish(Math.max(0, completion.maximumTokens - event.outputTokens))
+        answer.end(event)
+        return meter.ended('answered')
+      } else {
+        passage.finish(event.error.outcome === 'not_run' ? completion.maximumTokens : 0)
+        answer.fail(event.error)
+        return meter.ended(event.error.outcome)
+      }
+    }
+    return meter.ended('unknown')
+  }
+}
+
+/** Measures one request. */
+class RequestMeter {
+  private readonly began: number
+  private lastToken: number | undefined
+
+  constructor (private readonly measures: Measures, private readonly clock: Clock, private readonly team: string, private readonly priorityClass: string) {
+    this.began = clock.now()
+  }
+
+  admitted (loadStall: number, queueWait: number): void {
+    this.measures.time('load_stall', this.team, this.priorityClass, loadStall)
+    this.measures.time('queue_wait', this.team, this.priorityClass, queueWait)
+  }
+
+  token (): void {
+    const now = this.clock.now()
+    if (this.lastToken === undefined) this.measures.time('first_token', this.team, this.priorityClass, now - this.began)
+    else this.measures.time('between_tokens', this.team, this.priorityClass, now - this.lastToken)
+    this.lastToken = now
+  }
+
+  ended (outcome: CountedOutcome): CountedOutcome {
+    this.measures.time('whole', this.team, this.priorityClass, this.clock.now() - this.began)
+    this.measures.outcome(outcome, this.team, this.priorityClass)
+    return outcome
+  }
+}
+
+/** The adapter and version that a request is addressed to; the version is fixed here for the whole request. */
+function resolveAdapter (completion: CompletionRequest, caller: Caller, settings: OperatorSettings): Result<AdapterReference, LimpetwinchError> {
+  return parseModelName(completion.model).andThen((model): Result<AdapterReference, LimpetwinchError> => {
+    const team = settings.teams.get(model.team)
+    if (team === undefined) return err(new LimpetwinchError('unknown-team', { team: model.team }))
+    if (model.team !== caller.team) return err(new LimpetwinchError('forbidden', { what: `team '${model.team}'` }))
+    const adapter = adapterOf(team, model.adapter)
+    if (adapter === undefined) return err(new LimpetwinchError('unknown-adapter', { adapter: `${model.team}/${model.adapter}` }))
+    const version = model.version ?? adapter.current
+    if (!adapter.versions.includes(version)) {
+      return err(new LimpetwinchError('unknown-version', { adapter: `${model.team}/${model.adapter}`, version }))
+    }
+    return ok({ team: model.team, adapter: model.adapter, version })
+  })
+}
+
+function answerFor (response: ServerResponse, completion: CompletionRequest, reference: AdapterReference, requestId: RequestId): CompletionAnswer {
+  const names = { requestId, ...reference }
+  return completion.stream ? new StreamedAnswer(response, completion.form, names) : new WholeAnswer(response, completion.form, names)
+}
+
+/** @returns a function that reads one header of a message */
+export function headerReader (message: IncomingMessage): (name: string) => string | undefined {
+  return (name) => {
+    const value = message.headers[name]
+    return Array.isArray(value) ? value[0] : value
+  }
+}
+
+/** Answers with an error. */
+export function refuse (response: ServerResponse, error: LimpetwinchError, requestId: RequestId): void {
+  if (response.headersSent || response.destroyed) return
+  // The rest of a body that is not wanted would be read as the next request.
+  const close = error.kind === 'body-too-large' || error.kind === 'body-timeout' ? { connection: 'close' } : {}
+  response.writeHead(error.status, { ...errorHeaders(error, requestId), ...close })
+  response.end(JSON.stringify(errorBody(error, requestId)))
+}
--- /dev/null
+++ b/packages/entry/src/callers/team-gate.ts
@@ -0,0 +1,73 @@
+/** Limits of teams on this instance, kept in step with the settings. */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { Clock, OperatorSettings, TeamId } from '@limpetwinch/core'
+import { TokenBucketTeamLimiter } from '@limpetwinch/decisions'
+import type { TeamLimits } from '@limpetwinch/decisions'
+
+/** An admitted request, to be finished once. */
+export interface Passage {
+  /** The request has left the queue. */
+  start: () => void
+  /** The request has ended. */
+  finish: (unusedTokens: number) => void
+}
+
+/** One limiter for each team that has called. */
+export class TeamGate {
+  private readonly limiters = new Map<TeamId, { limiter: TokenBucketTeamLimiter, limits: TeamLimits, instances: number }>()
+  private readonly clock: Clock
+  private readonly instances: () => number
+
+  /**
+   * @param clock - time
+   * @param instances - live instances, between which a team's limits are divided: the balancer spreads its requests
+   */
+  constructor (clock: Clock, instances: () => number) {
+    this.clock = clock
+    this.instances = instances
+  }
+
+  /** @returns a passage, or `rate-limited` with the time to come back */
+  pass (team: TeamId, settings: OperatorSettings, promptTokens: number, maximumTokens: number): Result<Passage, LimpetwinchError> {
+    const limiter = this.limiterOf(team, settings)
+    const decision = limiter.admit(promptTokens, maximumTokens, this.clock.now())
+    if (!decision.admitted) {
+      return err(new LimpetwinchError('rate-limited', { limit: decision.limit }, { retryAfterSeconds: decision.retryAfterSeconds }))
+    }
+    let running = false
+    let finished = false
+    return ok({
+      start: () => {
+        if (!running) limiter.start()
+        running = true
+      },
+      finish: (unusedTokens) => {
+        if (!finished) limiter.finish(running, unusedTokens, this.clock.now())
+        finished = true
+      }
+    })
+  }
+
+  private limiterOf (team: TeamId, settings: OperatorSettings): TokenBucketTeamLimiter {
+    const limits = settings.teams.get(team)?.limits ?? { requestsPerSecond: 1, tokensPerSecond: 1, inFlight: 1, queued: 1 }
+    const instances = Math.max(1, this.instances())
+    const present = this.limiters.get(team)
+    if (present !== undefined && present.limits === limits && present.instances === instances) return present.limiter
+    const share = divide(limits, instances)
+    const limiter = present?.limiter ?? new TokenBucketTeamLimiter({ limits: share })
+    limiter.configure(share)
+    this.limiters.set(team, { limiter, limits, instances })
+    return limiter
+  }
+}
+
+function divide (limits: TeamLimits, instances: number): TeamLimits {
+  return {
+    requestsPerSecond: limits.requestsPerSecond / instances,
+    tokensPerSecond: limits.tokensPerSecond / instances,
+    inFlight: Math.max(1, Math.ceil(limits.inFlight / instances)),
+    queued: Math.max(1, Math.ceil(limits.queued / instances))
+  }
+}
--- a/packages/entry/src/scheduling/endpoint-scheduler.ts
+++ b/packages/entry/src/scheduling/endpoint-scheduler.ts
@@ -33,6 +33,8 @@
   readonly logger: Logger
   /** Called when a load may be wanted. */
   readonly onWanted: () => void
+  /** Called with the service that a request has had, in tokens. */
+  readonly onServed: (team: string, tokens: number) => void
   /** Called when slots changed or the queue did. */
   readonly onChange: () => void
 }
@@ -121,6 +123,7 @@
     const expected = expectedCost(ask.promptTokens, ask.maximumTokens)
     const actual = outcome === 'answered' || outcome === 'failed' ? expectedCost(ask.promptTokens, outputTokens) : 0
     this.options.queue.charge(ask.team, actual - expected)
+    if (actual > 0) this.options.onServed(ask.team, actual)
     const seconds = (this.options.clock.now() - running.grantedAt) / 1000
     this.secondsPerRequest = 0.9 * this.secondsPerRequest + 0.1 * seconds
     this.pump()
--- /dev/null
+++ b/packages/entry/src/scheduling/owned-endpoints.ts
@@ -0,0 +1,229 @@
+/** The endpoints that this instance owns: a scheduler, a loader and a reporter for each, and the frames that reach them. */
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { AdmissionAskFrame, AdmissionDoneFrame, Clock, EndpointId, EngineClient, EngineReport, EngineSettings, InstanceId, LoadedName, Logger, OperatorSettings } from '@limpetwinch/core'
+import { ShareServiceLedger } from './share-service-ledger.js'
+import { StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue } from '@limpetwinch/decisions'
+import type { EvictionPolicy, LoadOrder } from '@limpetwinch/decisions'
+import type { LoadTurns } from '../loads/load-turns.js'
+import type { Membership } from '../membership/membership.js'
+import type { Ownership, OwnershipRecord } from '../ownership/ownership.js'
+import type { PeerNetwork, ReplyBody } from '../peers/peer-network.js'
+import type { EndpointDirectory } from '../routing/endpoint-directory.js'
+import type { Supervisor } from '../runtime/supervisor.js'
+import type { Grant, WaitingRequest } from './admission.js'
+import { DigestMaker } from './digest.js'
+import { EndpointScheduler } from './endpoint-scheduler.js'
+import { Loader } from './loader.js'
+
+const REPORT_MILLISECONDS = 500
+/** A report must be so much younger than a grant before it says anything of it: clocks differ and reports lag. */
+const REPORT_MARGIN_MILLISECONDS = 2_000
+const FULL_DIGEST_EVERY = 20
+const REPORTS_MISSED_BEFORE_UNHEALTHY = 4
+/** Digests are sent to each member, so their pace falls with the number of members: bytes stay within the budget. */
+const DIGEST_MILLISECONDS_PER_MEMBER = 50
+const SHORTEST_DIGEST_MILLISECONDS = 100
+
+/** What owned endpoints work with. */
+export interface OwnedEndpointsOptions {
+  readonly supervisor: Supervisor
+  readonly network: PeerNetwork
+  readonly membership: Membership
+  readonly ownership: Ownership
+  readonly settings: () => OperatorSettings | undefined
+  readonly directory: EndpointDirectory
+  readonly loadTurns: LoadTurns
+  readonly earlierPins: (endpoint: EndpointId) => ReadonlySet<LoadedName>
+  readonly clientOf: (engine: EngineSettings) => EngineClient
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+/** One owned endpoint and its tasks. */
+export interface OwnedEndpoint {
+  readonly scheduler: EndpointScheduler
+  readonly loader: Loader
+  readonly client: EngineClient
+  readonly digests: DigestMaker
+  readonly controller: AbortController
+  readonly loaderEnded: Promise<void>
+  latestReport: EngineReport | undefined
+  missedReports: number
+  placementChanged: boolean
+}
+
+/** Keeps one scheduler for each endpoint that this instance owns. */
+export class OwnedEndpoints {
+  private readonly options: OwnedEndpointsOptions
+  private readonly owned = new Map<EndpointId, OwnedEndpoint>()
+  private readonly eviction: EvictionPolicy = new StallEvictionPolicy()
+  private readonly loadOrder: LoadOrder = new StallLoadOrder()
+  private readonly service: ShareServiceLedger
+  private digestRound = 0
+
+  /** @param options - what it works with */
+  constructor (options: OwnedEndpointsOptions) {
+    this.options = options
+    this.service = new ShareServiceLedger(options.network, options.membership)
+    options.network.onCall('admission-ask', async (from, frame, signal) => await this.admit(from, frame, signal))
+    options.network.onNotice('admission-done', (_from, frame) => this.done(frame))
+    options.network.onNotice('team-service', (from, frame) => this.service.hear(from, frame))
+    options.ownership.onChange(() => this.follow())
+  }
+
+  /** @returns the endpoints that this instance owns now */
+  all (): readonly OwnedEndpoint[] {
+    return [...this.owned.values()]
+  }
+
+  /** @returns one owned endpoint */
+  get (endpoint: EndpointId): OwnedEndpoint | undefined {
+    return this.owned.get(endpoint)
+  }
+
+  /** Takes up the records and settings in force. */
+  follow (): void {
+    const settings = this.options.settings()
+    if (settings === undefined) return
+    this.service.setWeights(settings)
+    const engines = new Map(this.options.directory.enginesIn(settings).map((engine) => [engine.endpoint, engine]))
+    const records = new Map(this.options.ownership.owned().map((record) => [record.endpoint, record]))
+    for (const [endpoint, owned] of this.owned) {
+      const record = records.get(endpoint)
+      const same = record?.token === owned.scheduler.token && sameEngine(engines.get(endpoint), owned.scheduler.engine)
+      if (!same) this.drop(endpoint)
+    }
+    for (const [endpoint, record] of records) {
+      const engine = engines.get(endpoint)
+      if (engine !== undefined && !this.owned.has(endpoint)) this.take(engine, record)
+    }
+  }
+
+  /** Stops granting and ordering on an endpoint; resolves when no order is under way. */
+  async freeze (endpoint: EndpointId): Promise<void> {
+    const owned = this.owned.get(endpoint)
+    if (owned === undefined) return
+    owned.scheduler.freeze()
+    owned.loader.stop()
+    await owned.loaderEnded
+  }
+
+  /** Tells the data centre about all owned endpoints, again and again. */
+  async broadcast (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.digestRound += 1
+      const full = this.digestRound % FULL_DIGEST_EVERY === 1
+      for (const owned of this.owned.values()) this.tell(owned, full)
+      this.service.tell()
+      const members = this.options.membership.members().length
+      await this.options.clock.sleep(Math.max(SHORTEST_DIGEST_MILLISECONDS, DIGEST_MILLISECONDS_PER_MEMBER * members), signal)
+    }
+  }
+
+  /** Stops everything on one endpoint. */
+  drop (endpoint: EndpointId): void {
+    const owned = this.owned.get(endpoint)
+    if (owned === undefined) return
+    this.owned.delete(endpoint)
+    owned.scheduler.freeze()
+    owned.loader.stop()
+    owned.controller.abort()
+    this.options.logger.info('An endpoint is owned here no more.', { endpoint, token: owned.scheduler.token })
+  }
+
+  private take (engine: EngineSettings, record: OwnershipRecord): void {
+    const { clock, logger, ownership, clientOf, loadTurns, directory, earlierPins, supervisor } = this.options
+    const queue = new VirtualTimeFairQueue<WaitingRequest>({ ledger: this.service.ledger })
+    const rights = (): ReturnType<Ownership['rights']> => ownership.rights(record)
+    const scheduler = new EndpointScheduler({
+      engine,
+      record,
+      rights,
+      queue,
+      eviction: this.eviction,
+      clock,
+      logger,
+      onWanted: () => this.owned.get(engine.endpoint)?.loader.poke(),
+      onServed: (team, tokens) => this.service.served(team, tokens),
+      onChange: () => { const owned = this.owned.get(engine.endpoint); if (owned !== undefined) owned.placementChanged = true }
+    })
+    const client = clientOf(engine)
+    const loader = new Loader({
+      scheduler,
+      client,
+      queue,
+      eviction: this.eviction,
+      loadOrder: this.loadOrder,
+      loadTurns,
+      rights,
+      earlierPins: () => earlierPins(engine.endpoint),
+      otherCopies: (adapter) => directory.copiesElsewhere(adapter, engine.endpoint),
+      clock,
+      logger
+    })
+    const controller = new AbortController()
+    const loaderEnded = supervisor.start(`loader ${engine.endpoint}`, async (signal) => await loader.run(signal), controller.signal)
+    const owned: OwnedEndpoint = { scheduler, loader, client, digests: new DigestMaker(), controller, loaderEnded, latestReport: undefined, missedReports: 0, placementChanged: true }
+    this.owned.set(engine.endpoint, owned)
+    void supervisor.start(`reports ${engine.endpoint}`, async (signal) => await this.followReports(owned, signal), controller.signal)
+    logger.info('An endpoint is owned here.', { endpoint: engine.endpoint, token: record.token, handedOverFrom: record.handedOverFrom })
+  }
+
+  private async followReports (owned: OwnedEndpoint, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const report = await owned.client.report()
+      if (report.isOk()) this.takeReport(owned, report.value)
+      else owned.missedReports += 1
+      await this.options.clock.sleep(REPORT_MILLISECONDS, signal)
+    }
+  }
+
+  private takeReport (owned: OwnedEndpoint, report: EngineReport): void {
+    const { membership, clock, settings } = this.options
+    owned.missedReports = 0
+    owned.latestReport = report
+    owned.scheduler.takeReport(report)
+    const longestRequest = 1000 * (settings()?.policy.longestRequestSeconds ?? Infinity)
+    const isGone = (instance: InstanceId): boolean => membership.member(instance)?.state === 'gone'
+    owned.scheduler.dropEnded(isGone, report, REPORT_MARGIN_MILLISECONDS, clock.wallTime(), longestRequest)
+  }
+
+  private tell (owned: OwnedEndpoint, full: boolean): void {
+    if (!full && !owned.placementChanged) return
+    owned.placementChanged = false
+    const { endpoint } = owned.scheduler.engine
+    const leaving = this.options.membership.leavingEndpoints().has(endpoint)
+    const healthy = owned.latestReport !== undefined && owned.missedReports < REPORTS_MISSED_BEFORE_UNHEALTHY
+    const digest = owned.digests.make(owned.scheduler, full, leaving, healthy)
+    for (const member of this.options.membership.members()) {
+      if (member.state !== 'gone') this.options.network.notify(member.instance, digest)
+    }
+  }
+
+  private async admit (from: InstanceId, frame: AdmissionAskFrame, signal: AbortSignal): Promise<ReplyBody> {
+    const owned = this.owned.get(frame.endpoint)
+    if (owned === undefined) return refusal(new LimpetwinchError('not-owner', { endpoint: frame.endpoint }))
+    if (this.options.membership.leavingEndpoints().has(frame.endpoint)) {
+      return refusal(new LimpetwinchError('endpoint-refused', { endpoint: frame.endpoint, reason: 'it is leaving' }))
+    }
+    const result = await owned.scheduler.admit({ ...frame, from }, signal)
+    return result.match(granted, refusal)
+  }
+
+  private done (frame: AdmissionDoneFrame): void {
+    this.owned.get(frame.endpoint)?.scheduler.done(frame.requestId, frame.outcome, frame.outputTokens)
+  }
+}
+
+function granted (grant: Grant): ReplyBody {
+  return { kind: 'admission-granted', ...grant }
+}
+
+function refusal (error: LimpetwinchError): ReplyBody {
+  const retry = error.retryAfterSeconds === undefined ? {} : { retryAfterSeconds: error.retryAfterSeconds }
+  return { kind: 'admission-refused', error: error.kind, details: error.details, outcome: error.outcome, ...retry }
+}
+
+function sameEngine (one: EngineSettings | undefined, other: EngineSettings): boolean {
+  return one !== undefined && JSON.stringify(one) === JSON.stringify(other)
+}
