Follow and accept operator settings; read instance settings

Need: a change accepted once must be in force everywhere and never give way to an older one, whatever the store, a watch or a peer says later; two operators must not overwrite each other; a lost answer must not make two writes.

Ruled out: ordering by the store's versions (they go back with a restored store); watching from every instance (37 watches a data centre, each counted by the platform); history inside the object (every watcher would read it with each change, and a large team would have no room for it).

SettingsFollower reads the store and the peers at start, watches where it is first or spare by rendezvous hashing, passes changes on and closes gaps shown by heartbeat hashes. The frame settings-change gains an optional `answer`, settings-revisions gains writeId and acceptedAt.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -168,6 +168,48 @@
     outcome: 'not_run',
     message: ({ problems }) => `The settings were refused: ${problems}`
   },
+  'unknown-settings-path': {
+    title: 'There are no settings under this path.',
+    status: 404,
+    outcome: 'not_run',
+    message: ({ path }) => `'${path}' is no path of settings. Use /teams/<team>, /shares, /endpoints or /policy, written exactly so.`
+  },
+  'no-settings': {
+    title: 'Nothing is set under this path.',
+    status: 404,
+    outcome: 'not_run',
+    message: ({ path }) => `Nothing is set under '${path}'. Put a first document there with If-Match "0".`
+  },
+  'revision-needed': {
+    title: 'The change names no revision.',
+    status: 428,
+    outcome: 'not_run',
+    message: ({ path }) => `The change of '${path}' names no revision. Read it first, then send its revision as If-Match: "<revision>", or "0" when nothing is set yet.`
+  },
+  'no-such-revision': {
+    title: 'The revision is not kept.',
+    status: 404,
+    outcome: 'not_run',
+    message: ({ path, revision, kept }) => `Revision ${revision} of '${path}' is not kept. Ask for one of ${kept}.`
+  },
+  'settings-unread': {
+    title: 'This instance has no settings yet.',
+    status: 503,
+    outcome: 'not_run',
+    message: () => 'This instance has not read the settings yet. Try again in a moment, or ask another instance.'
+  },
+  'invalid-patch': {
+    title: 'The patch is not valid.',
+    status: 400,
+    outcome: 'not_run',
+    message: ({ reason }) => `The patch was refused: ${reason}.`
+  },
+  'invalid-instance-settings': {
+    title: 'The instance settings are not valid.',
+    status: 500,
+    outcome: 'not_run',
+    message: ({ problems }) => `The instance settings were refused: ${problems}`
+  },
   'revision-conflict': {
     title: 'The settings have changed.',
     status: 409,
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -112,12 +112,14 @@
 export interface SettingsChangeFrame {
   readonly kind: 'settings-change'
   readonly documents: readonly SettingsDocument[]
+  /** In the last frame of an answer to `settings-revisions`: whether the sender has a whole state itself. */
+  readonly answer?: 'whole' | 'unready'
 }
 
 /** Sent when hashes differ: the sender's revisions; the receiver answers with what is newer there. */
 export interface SettingsRevisionsFrame {
   readonly kind: 'settings-revisions'
-  readonly revisions: readonly { readonly path: SettingsPath, readonly revision: Revision }[]
+  readonly revisions: readonly { readonly path: SettingsPath, readonly revision: Revision, readonly writeId: string, readonly acceptedAt: number }[]
 }
 
 /** The newest ownership object seen, passed on so that no peer waits for its own read. */
--- /dev/null
+++ b/packages/core/src/settings/cross-checks.ts
@@ -0,0 +1,127 @@
+/** Checks between values, which a schema of single values cannot make. They read raw values, so that all problems show. */
+import type { SettingsPath, TeamId } from '../ids/ids.js'
+import { nearestKey } from './nearest-key.js'
+import { grantedPriority } from './operator-settings.js'
+import type { OperatorSettings } from './operator-settings.js'
+
+/** A problem with the keys and indexes that lead to it. */
+export interface PlacedProblem {
+  readonly place: readonly (string | number)[]
+  readonly message: string
+}
+
+/**
+ * @param path - the document's path
+ * @param team - the team whose document it is, if any
+ * @param value - the raw value, which need not follow the schema
+ * @param inForce - the other settings
+ * @returns every problem
+ */
+export function crossProblems (path: SettingsPath, team: TeamId | undefined, value: unknown, inForce: OperatorSettings | undefined): PlacedProblem[] {
+  if (team !== undefined) {
+    return [...currentProblems(value), ...keyProblems(value, team, inForce), ...priorityProblems(value, team, inForce)]
+  }
+  return path === '/endpoints' ? endpointProblems(value) : []
+}
+
+/** A current version that does not exist would send every request for the adapter into an error. */
+function currentProblems (value: unknown): PlacedProblem[] {
+  const problems: PlacedProblem[] = []
+  for (const [adapter, settings] of entriesOf(fieldOf(value, 'adapters'))) {
+    const versions = textsOf(fieldOf(settings, 'versions'))
+    const current = fieldOf(settings, 'current')
+    const place = ['adapters', adapter]
+    if (typeof current === 'string' && versions.length > 0 && !versions.includes(current)) {
+      const choice = nearestKey(current, versions) ?? versions.at(-1)
+      problems.push({ place: [...place, 'current'], message: `'${current}' is not among the versions; write '${choice}' or add '${current}' to the versions` })
+    }
+    for (const index of repeatedIndexes(versions)) {
+      problems.push({ place: [...place, 'versions', index], message: `version '${versions[index]}' stands twice; remove one of them` })
+    }
+  }
+  return problems
+}
+
+/** One key in two teams would let one of them act as the other. */
+function keyProblems (value: unknown, team: TeamId, inForce: OperatorSettings | undefined): PlacedProblem[] {
+  const keys = listOf(fieldOf(value, 'keys'))
+  const hashes = keys.map((key) => String(fieldOf(key, 'sha256')))
+  const labels = keys.map((key) => String(fieldOf(key, 'label')))
+  const problems = [
+    ...repeatedIndexes(hashes).map((index) => ({ place: ['keys', index, 'sha256'], message: 'this key stands twice; remove one of them' })),
+    ...repeatedIndexes(labels).map((index) => ({ place: ['keys', index, 'label'], message: `label '${labels[index]}' stands twice; choose another` }))
+  ]
+  const taken = new Set<string>()
+  for (const [other, settings] of inForce?.teams ?? []) {
+    if (other !== team) for (const key of settings.keys) taken.add(key.sha256)
+  }
+  hashes.forEach((hash, index) => {
+    if (taken.has(hash)) problems.push({ place: ['keys', index, 'sha256'], message: 'this key is in use by another team; make a new key' })
+  })
+  return problems
+}
+
+function priorityProblems (value: unknown, team: TeamId, inForce: OperatorSettings | undefined): PlacedProblem[] {
+  const granted = grantedPriority(inForce?.shares, team)
+  return entriesOf(fieldOf(value, 'priorityClasses')).flatMap(([name, priority]) => {
+    if (typeof priority !== 'number' || priority <= granted) return []
+    return [{ place: ['priorityClasses', name], message: `the operators grant this team priorities up to ${granted}; write ${granted} or less, or ask them to raise it under /shares highestPriority` }]
+  })
+}
+
+/** Two engines at one URL would each be given an owner, and the two owners would evict each other's adapters. */
+function endpointProblems (value: unknown): PlacedProblem[] {
+  const engines = entriesOf(fieldOf(value, 'engines'))
+  const problems: PlacedProblem[] = []
+  const names = new Set(engines.map(([name]) => name))
+  const urls = new Map<string, string>()
+  for (const [name, engine] of engines) {
+    const place = ['engines', name, 'url']
+    const url = String(fieldOf(engine, 'url')).replace(/\/+$/, '')
+    problems.push(...urlProblems(place, url))
+    const first = urls.get(url)
+    if (first !== undefined) problems.push({ place, message: `engine '${first}' has this URL already; write this engine's own` })
+    urls.set(url, first ?? name)
+  }
+  for (const [service, settings] of entriesOf(fieldOf(value, 'services'))) {
+    for (const [name, endpoint] of entriesOf(fieldOf(settings, 'endpoints'))) {
+      const place = ['services', service, 'endpoints', name]
+      problems.push(...urlProblems([...place, 'url'], String(fieldOf(endpoint, 'url'))))
+      if (names.has(name)) problems.push({ place, message: `endpoint '${name}' stands twice; choose another name` })
+      names.add(name)
+    }
+  }
+  return problems
+}
+
+function urlProblems (place: readonly (string | number)[], url: string): PlacedProblem[] {
+  const other = /^([a-z][a-z0-9+.-]*):/i.exec(url)?.[1]?.toLowerCase()
+  if (other === undefined || other === 'http' || other === 'https') return []
+  return [{ place, message: `'${other}:' is not served; write an http: or https: URL` }]
+}
+
+function fieldOf (value: unknown, key: string): unknown {
+  if (typeof value !== 'object' || value === null || !Object.hasOwn(value, key)) return undefined
+  return (value as Record<string, unknown>)[key]
+}
+
+function entriesOf (value: unknown): [string, unknown][] {
+  return typeof value === 'object' && value !== null && !Array.isArray(value) ? Object.entries(value) : []
+}
+
+function listOf (value: unknown): unknown[] {
+  return Array.isArray(value) ? value as unknown[] : []
+}
+
+function textsOf (value: unknown): string[] {
+  return listOf(value).map(String)
+}
+
+function repeatedIndexes (texts: readonly string[]): number[] {
+  const seen = new Set<string>()
+  return texts.flatMap((text, index) => {
+    if (seen.has(text)) return [index]
+    seen.add(text)
+    return []
+  })
+}
--- /dev/null
+++ b/packages/core/src/settings/instance-settings.ts
@@ -0,0 +1,182 @@
+/** What one instance is told at its start: its addresses, its data centre, the platform and its limits. */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { z } from 'zod'
+import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import { nearestKey } from './nearest-key.js'
+import { checkBySchema } from './schema-problems.js'
+import { parseSettingsText } from './settings-text.js'
+import type { ParsedText, SettingsProblem } from './settings-text.js'
+
+const port = z.int().min(0).max(65_535)
+const milliseconds = z.int().positive()
+const seconds = z.number().positive()
+
+/** The file that an instance is started with. */
+export const instanceSettingsSchema = z.strictObject({
+  /** Where this instance listens; port 0 takes any free one. */
+  address: z.strictObject({ host: z.string().min(1), callerPort: port, adminPort: port, peerPort: port }),
+  dataCentre: z.string().regex(/^[a-z0-9][a-z0-9._-]{0,63}$/i, "use letters, digits, '.', '_' or '-'"),
+  /** URL of the platform. */
+  platform: z.url({ protocol: /^https?$/ }),
+  /** SHA-256 of the administrators' key. */
+  administratorKeySha256: z.string().regex(/^[0-9a-f]{64}$/, 'write the SHA-256 of the key as 64 hex digits'),
+  logs: z.strictObject({
+    format: z.enum(['text', 'json']).default('text'),
+    level: z.enum(['error', 'warn', 'info', 'debug']).default('info')
+  }).prefault({}),
+  /** Where metrics go by DogStatsD; none are sent without it. */
+  metrics: z.strictObject({ host: z.string().min(1), port: z.int().min(1).max(65_535).default(8125) }).optional(),
+  limits: z.strictObject({
+    bodyBytes: z.int().positive().default(1_048_576),
+    headerBytes: z.int().positive().default(16_384),
+    connections: z.int().positive().default(10_000),
+    headerSeconds: seconds.default(10),
+    bodySeconds: seconds.default(30),
+    /** How long a stop waits for requests in progress. */
+    stopSeconds: seconds.default(600)
+  }).prefault({}),
+  timing: z.strictObject({
+    heartbeatMilliseconds: milliseconds.default(500),
+    /** A peer that is silent for so long is suspect. */
+    suspectMilliseconds: milliseconds.default(2_000),
+    instanceListMilliseconds: milliseconds.default(1_000),
+    settingsWatchMilliseconds: milliseconds.default(5_000)
+  }).prefault({})
+})
+
+/** The settings of one instance, defaults filled in. */
+export type InstanceSettings = z.infer<typeof instanceSettingsSchema>
+
+/** One value that a flag or a variable may override. */
+export interface InstanceSettingsOverride {
+  /** Such as `['address', 'callerPort']`. */
+  readonly place: readonly string[]
+  /** Such as `address-caller-port`. */
+  readonly flag: string
+  /** Such as `LIMPETWINCH_ADDRESS_CALLER_PORT`. */
+  readonly variable: string
+  readonly numeric: boolean
+}
+
+const VARIABLE_PREFIX = 'LIMPETWINCH_'
+/** Variables of other programs and of the start itself. */
+const OTHER_VARIABLES: ReadonlySet<string> = new Set(['LIMPETWINCH_SERVER', 'LIMPETWINCH_KEY', 'LIMPETWINCH_SETTINGS'])
+
+/** Every value that a flag or a variable may override. */
+export const INSTANCE_SETTINGS_OVERRIDES: readonly InstanceSettingsOverride[] = overridesOf(instanceSettingsSchema, [])
+
+interface Override {
+  readonly place: readonly string[]
+  readonly value: string | number
+  /** How the operator wrote it, for messages. */
+  readonly source: string
+}
+
+/**
+ * Reads the settings of an instance.
+ *
+ * @param text - the file: JSON with comments
+ * @param environment - variables `LIMPETWINCH_…` override the file
+ * @param flags - by name as in {@link InstanceSettingsOverride}; they override both
+ * @returns the settings, or `invalid-instance-settings` with every problem
+ */
+export function loadInstanceSettings (text: string, environment: Readonly<Record<string, string | undefined>>, flags: Readonly<Record<string, string | undefined>>): Result<InstanceSettings, LimpetwinchError> {
+  const result = parseSettingsText(text)
+  if ('problems' in result) return refused(result.problems.map(inFile))
+  const fromVariables = variableOverrides(environment)
+  const fromFlags = flagOverrides(flags)
+  const unknown = [...fromVariables.unknown, ...fromFlags.unknown]
+  const overrides = [...fromVariables.overrides, ...fromFlags.overrides]
+  const merged: ParsedText = { root: result.parsed.root, value: withOverrides(result.parsed.value, overrides) }
+  const checked = checkBySchema(instanceSettingsSchema, text, merged)
+  if ('problems' in checked) return refused([...unknown, ...checked.problems.map((problem) => described(problem, overrides))])
+  const problems = [...unknown, ...crossProblems(checked.value)]
+  return problems.length === 0 ? ok(checked.value) : refused(problems)
+}
+
+function crossProblems (settings: InstanceSettings): string[] {
+  const problems: string[] = []
+  const { callerPort, adminPort, peerPort } = settings.address
+  const fixed = [callerPort, adminPort, peerPort].filter((each) => each !== 0)
+  if (new Set(fixed).size < fixed.length) problems.push('address: two ports are the same; write a different number for each of callerPort, adminPort and peerPort')
+  const { heartbeatMilliseconds, suspectMilliseconds } = settings.timing
+  if (suspectMilliseconds < 2 * heartbeatMilliseconds) {
+    problems.push(`timing.suspectMilliseconds: one late heartbeat would make a peer suspect; write at least ${2 * heartbeatMilliseconds}`)
+  }
+  return problems
+}
+
+function variableOverrides (environment: Readonly<Record<string, string | undefined>>): { overrides: Override[], unknown: string[] } {
+  const overrides: Override[] = []
+  const unknown: string[] = []
+  for (const [variable, value] of Object.entries(environment)) {
+    if (!variable.startsWith(VARIABLE_PREFIX) || OTHER_VARIABLES.has(variable) || value === undefined) continue
+    const known = INSTANCE_SETTINGS_OVERRIDES.find((each) => each.variable === variable)
+    if (known === undefined) unknown.push(unknownName(`variable ${variable}`, variable, INSTANCE_SETTINGS_OVERRIDES.map((each) => each.variable)))
+    else overrides.push({ place: known.place, value: converted(known, value), source: `variable ${variable}` })
+  }
+  return { overrides, unknown }
+}
+
+function flagOverrides (flags: Readonly<Record<string, string | undefined>>): { overrides: Override[], unknown: string[] } {
+  const overrides: Override[] = []
+  const unknown: string[] = []
+  for (const [flag, value] of Object.entries(flags)) {
+    if (value === undefined) continue
+    const known = INSTANCE_SETTINGS_OVERRIDES.find((each) => each.flag === flag)
+    if (known === undefined) unknown.push(unknownName(`flag --${flag}`, flag, INSTANCE_SETTINGS_OVERRIDES.map((each) => each.flag)))
+    else overrides.push({ place: known.place, value: converted(known, value), source: `flag --${flag}` })
+  }
+  return { overrides, unknown }
+}
+
+function unknownName (source: string, name: string, known: readonly string[]): string {
+  const nearest = nearestKey(name, known)
+  return `${source}: it is not known; ${nearest === undefined ? 'remove it' : `write '${nearest}'`}`
+}
+
+function converted (override: InstanceSettingsOverride, text: string): string | number {
+  const number = Number(text)
+  return override.numeric && text.trim() !== '' && Number.isFinite(number) ? number : text
+}
+
+function withOverrides (value: unknown, overrides: readonly Override[]): unknown {
+  if (overrides.length === 0 || typeof value !== 'object' || value === null) return value
+  const merged = structuredClone(value) as Record<string, unknown>
+  for (const { place, value: written } of overrides) {
+    let inside = merged
+    for (const part of place.slice(0, -1)) {
+      if (typeof inside[part] !== 'object' || inside[part] === null) inside[part] = {}
+      inside = inside[part] as Record<string, unknown>
+    }
+    inside[place.at(-1) ?? ''] = written
+  }
+  return merged
+}
+
+function described (problem: SettingsProblem, overrides: readonly Override[]): string {
+  const override = overrides.findLast((each) => each.place.join('.') === problem.key)
+  return override === undefined ? inFile(problem) : `${override.source}: ${problem.message}`
+}
+
+function inFile (problem: SettingsProblem): string {
+  const place = `line ${problem.line}, column ${problem.column}: ${problem.message}`
+  return problem.key === '' ? place : `${problem.key}, ${place}`
+}
+
+function refused (problems: readonly string[]): Result<never, LimpetwinchError> {
+  return err(new LimpetwinchError('invalid-instance-settings', { problems: problems.join('; '), list: problems }))
+}
+
+function overridesOf (schema: z.ZodObject, place: readonly string[]): InstanceSettingsOverride[] {
+  return Object.entries(schema.shape as Record<string, z.ZodType>).flatMap(([key, value]) => {
+    let inner = value
+    while (inner instanceof z.ZodDefault || inner instanceof z.ZodPrefault || inner instanceof z.ZodOptional) inner = inner.def.innerType as z.ZodType
+    const inside = [...place, key]
+    if (inner instanceof z.ZodObject) return overridesOf(inner, inside)
+    const flag = inside.map((part) => part.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)).join('-')
+    const variable = VARIABLE_PREFIX + flag.replaceAll('-', '_').toUpperCase()
+    return [{ place: inside, flag, variable, numeric: inner instanceof z.ZodNumber }]
+  })
+}
--- a/packages/core/src/settings/operator-settings.ts
+++ b/packages/core/src/settings/operator-settings.ts
@@ -121,11 +121,40 @@
 export function priorityOf (settings: OperatorSettings, team: TeamId, priorityClass: PriorityClass): number | undefined {
   const classes = settings.teams.get(team)?.priorityClasses
   if (classes === undefined || !Object.hasOwn(classes, priorityClass)) return undefined
-  const highest = Object.hasOwn(settings.shares.highestPriority, team) ? settings.shares.highestPriority[team] : undefined
-  return Math.min(classes[priorityClass] ?? 0, highest ?? DEFAULT_HIGHEST_PRIORITY)
+  return Math.min(classes[priorityClass] ?? 0, grantedPriority(settings.shares, team))
+}
+
+/** @returns the highest priority that the operators grant a team */
+export function grantedPriority (shares: SharesSettings | undefined, team: TeamId): number {
+  if (shares === undefined || !Object.hasOwn(shares.highestPriority, team)) return DEFAULT_HIGHEST_PRIORITY
+  return shares.highestPriority[team] ?? DEFAULT_HIGHEST_PRIORITY
 }
 
 const DEFAULT_HIGHEST_PRIORITY = 5
 
-/** Where settings objects stand in the store. */
+/** Where settings objects stand in the store: this, then the path. */
 export const SETTINGS_PREFIX = '/settings'
+
+/** A document as the store holds it. */
+export const settingsDocumentSchema = z.object({
+  path: z.string(),
+  revision: z.int().positive(),
+  text: z.string().optional(),
+  writeId: z.string(),
+  acceptedAt: z.number(),
+  author: z.string()
+})
+
+/** What orders the states of one path. */
+export type SettingsOrder = Pick<SettingsDocument, 'revision' | 'acceptedAt' | 'writeId'>
+
+/**
+ * Whether one state of a path is newer than another. The revision decides. After a restore of the store two writers
+ * can give the same revision to different texts; then the later acceptance wins, the same way on every instance.
+ */
+export function isNewer (document: SettingsOrder, than: SettingsOrder | undefined): boolean {
+  if (than === undefined) return true
+  if (document.revision !== than.revision) return document.revision > than.revision
+  if (document.acceptedAt !== than.acceptedAt) return document.acceptedAt > than.acceptedAt
+  return document.writeId > than.writeId
+}
--- /dev/null
+++ b/packages/core/src/settings/settings-checks.ts
@@ -0,0 +1,67 @@
+/** Whether a text may become the settings of a path. */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { z } from 'zod'
+import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import type { SettingsPath } from '../ids/ids.js'
+import { crossProblems } from './cross-checks.js'
+import type { PlacedProblem } from './cross-checks.js'
+import { endpointsSettingsSchema, policySettingsSchema, sharesSettingsSchema, teamSettingsSchema } from './operator-settings.js'
+import type { OperatorSettings } from './operator-settings.js'
+import { checkBySchema } from './schema-problems.js'
+import { offsetOf, parseAcceptedText, parseSettingsText, problemAt } from './settings-text.js'
+import type { ParsedText, SettingsProblem } from './settings-text.js'
+import { teamOfPath } from './settings-paths.js'
+
+const SCHEMAS: Readonly<Record<string, z.ZodType>> = {
+  '/shares': sharesSettingsSchema,
+  '/endpoints': endpointsSettingsSchema,
+  '/policy': policySettingsSchema
+}
+
+/** @returns the schema of a path's document */
+export function schemaOf (path: SettingsPath): z.ZodType {
+  return SCHEMAS[path] ?? teamSettingsSchema
+}
+
+/**
+ * Checks a text that someone wants to put under a path. All problems are found, not only the first.
+ *
+ * @param path - where it is to stand
+ * @param text - JSON with comments
+ * @param inForce - the other settings, for checks across paths
+ * @returns nothing, or `invalid-settings` with `details.list`
+ */
+export function checkSettings (path: SettingsPath, text: string, inForce: OperatorSettings | undefined): Result<void, LimpetwinchError> {
+  const problems = problemsOf(path, text, inForce)
+  return problems.length === 0 ? ok(undefined) : err(invalidSettings(path, problems))
+}
+
+/** @returns the error that names every problem with path, line and column */
+export function invalidSettings (path: string, list: readonly SettingsProblem[]): LimpetwinchError {
+  const lines = list.map(({ key, line, column, message }) => `${path}${key === '' ? '' : ` ${key}`}, line ${line}, column ${column}: ${message}`)
+  return new LimpetwinchError('invalid-settings', { path, problems: lines.join('; '), list })
+}
+
+/**
+ * Reads a text that was accepted before.
+ *
+ * @returns the value with defaults filled in, or undefined when this release cannot read it
+ */
+export function parseAccepted (path: SettingsPath, text: string): unknown {
+  const result = schemaOf(path).safeParse(parseAcceptedText(text))
+  return result.success ? result.data : undefined
+}
+
+function problemsOf (path: SettingsPath, text: string, inForce: OperatorSettings | undefined): readonly SettingsProblem[] {
+  const result = parseSettingsText(text)
+  if ('problems' in result) return result.problems
+  const checked = checkBySchema(schemaOf(path), text, result.parsed)
+  const problems = 'problems' in checked ? checked.problems : []
+  const across = crossProblems(path, teamOfPath(path), result.parsed.value, inForce)
+  return [...problems, ...across.map((problem) => placed(text, result.parsed, problem))]
+}
+
+function placed (text: string, parsed: ParsedText, problem: PlacedProblem): SettingsProblem {
+  return problemAt(text, offsetOf(parsed.root, problem.place), problem.place.join('.'), problem.message)
+}
--- /dev/null
+++ b/packages/core/src/settings/settings-edits.ts
@@ -0,0 +1,79 @@
+/** Changes of a text that keep its comments and layout. */
+import { applyEdits, modify } from 'jsonc-parser'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import { parseSettingsText } from './settings-text.js'
+
+/** A JSON merge patch, or one value at a place; a value of undefined removes the place. */
+export type SettingsPatch =
+  | { readonly kind: 'merge', readonly patch: unknown }
+  | { readonly kind: 'value', readonly place: readonly (string | number)[], readonly value: unknown }
+
+const FORMATTING = { insertSpaces: true, tabSize: 2, eol: '\n' }
+const EMPTY_DOCUMENT = '{}\n'
+
+/**
+ * Applies a patch; what it does not name stays as it was written.
+ *
+ * @param text - JSON with comments, or undefined for an empty document
+ * @param patch - the change
+ * @returns the new text, or `invalid-patch`
+ */
+export function patchText (text: string | undefined, patch: SettingsPatch): Result<string, LimpetwinchError> {
+  const before = text ?? EMPTY_DOCUMENT
+  if ('problems' in parseSettingsText(before)) return refused('the document it changes is no JSON with comments; put a whole document')
+  try {
+    if (patch.kind === 'value') return setAt(before, patch.place, patch.value)
+    if (!isObject(patch.patch)) return refused('a merge patch is one JSON object; write null for a key to remove it')
+    return ok(merge(before, [], patch.patch))
+  } catch (cause) {
+    // The editor throws where a place leads through a number or a text.
+    return refused(cause instanceof Error ? cause.message : String(cause))
+  }
+}
+
+/** Applies a merge patch key by key: a whole object written at once would lose the comments inside. */
+function merge (text: string, place: readonly string[], patch: Record<string, unknown>): string {
+  let changed = text
+  for (const [key, value] of Object.entries(patch)) {
+    const inside = [...place, key]
+    if (isObject(value)) {
+      if (!isObject(valueAt(changed, inside))) changed = edit(changed, inside, {})
+      changed = merge(changed, inside, value)
+    } else {
+      const present = valueAt(changed, inside)
+      if (value === null && present === undefined) continue
+      // Writing the same value again would only lose comments inside it.
+      if (JSON.stringify(present) !== JSON.stringify(value)) changed = edit(changed, inside, value ?? undefined)
+    }
+  }
+  return changed
+}
+
+function setAt (text: string, place: readonly (string | number)[], value: unknown): Result<string, LimpetwinchError> {
+  if (value === undefined && valueAt(text, place) === undefined) return refused(`there is nothing at '${place.join('.')}' to remove`)
+  return ok(edit(text, place, value))
+}
+
+function edit (text: string, place: readonly (string | number)[], value: unknown): string {
+  return applyEdits(text, modify(text, [...place], value, { formattingOptions: FORMATTING }))
+}
+
+function valueAt (text: string, place: readonly (string | number)[]): unknown {
+  const parsed = parseSettingsText(text)
+  let value: unknown = 'parsed' in parsed ? parsed.parsed.value : undefined
+  for (const part of place) {
+    if (typeof value !== 'object' || value === null || !Object.hasOwn(value, part)) return undefined
+    value = (value as Record<string | number, unknown>)[part]
+  }
+  return value
+}
+
+function isObject (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
+
+function refused (reason: string): Result<never, LimpetwinchError> {
+  return err(new LimpetwinchError('invalid-patch', { reason }))
+}
--- /dev/null
+++ b/packages/core/src/settings/settings-text.ts
@@ -0,0 +1,147 @@
+/** JSON with comments as operators write it, with the place of each value. */
+import { createScanner, findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser'
+import type { Node, ParseError } from 'jsonc-parser'
+
+/** One reason to refuse a text. */
+export interface SettingsProblem {
+  /** Where inside the document, such as `adapters.poem.current`; empty for the document itself. */
+  readonly key: string
+  /** From 1. */
+  readonly line: number
+  /** From 1, in UTF-16 units. */
+  readonly column: number
+  /** What is wrong and what to write instead. */
+  readonly message: string
+}
+
+/** A text that is JSON with comments. */
+export interface ParsedText {
+  readonly value: unknown
+  readonly root: Node
+}
+
+const PARSE_OPTIONS = { allowTrailingComma: true, allowEmptyContent: false }
+const DEEPEST = 32
+const MOST_SYNTAX_PROBLEMS = 20
+/** Tokens by the numbers of jsonc-parser, whose own names exist only for its compiler. */
+const TOKEN = { openBrace: 1, closeBrace: 2, openBracket: 3, closeBracket: 4, end: 17 }
+
+const SYNTAX_REMEDIES: Readonly<Record<string, string>> = {
+  InvalidSymbol: "this is no JSON value; write text in double quotes, a number, true, false, null, '{' or '['",
+  InvalidNumberFormat: 'this is no number; write digits such as 12 or 0.5',
+  PropertyNameExpected: 'a key is missing here; write it in double quotes',
+  ValueExpected: 'a value is missing here; write one',
+  ColonExpected: "write ':' between key and value",
+  CommaExpected: "write ',' between this and what stands before it",
+  CloseBraceExpected: "write '}' to close the object",
+  CloseBracketExpected: "write ']' to close the list",
+  EndOfFileExpected: 'the document has ended before this; remove the rest',
+  InvalidCommentToken: "write comments as '// …' or '/* … */'",
+  UnexpectedEndOfComment: "close the comment with '*/'",
+  UnexpectedEndOfString: 'close the text with a double quote',
+  UnexpectedEndOfNumber: 'the number ends too early; write its digits',
+  InvalidUnicode: 'write four hex digits after \\u',
+  InvalidEscapeCharacter: 'this escape is unknown; write \\\\ for a backslash',
+  InvalidCharacter: 'this character must be escaped; write \\n, \\t or \\u and four hex digits'
+}
+
+/** @returns line and column of an offset, both from 1 */
+export function positionAt (text: string, offset: number): { line: number, column: number } {
+  const before = text.slice(0, offset)
+  const lines = before.split(/\r\n|\n|\r/)
+  return { line: lines.length, column: (lines.at(-1) ?? '').length + 1 }
+}
+
+/**
+ * Reads JSON with comments and trailing commas.
+ *
+ * @param text - the document
+ * @returns its value and tree, or every syntax problem
+ */
+export function parseSettingsText (text: string): { parsed: ParsedText } | { problems: readonly SettingsProblem[] } {
+  const deep = offsetDeeperThan(text, DEEPEST)
+  if (deep !== undefined) return { problems: [problemAt(text, deep, '', `this is nested more than ${DEEPEST} deep; write it flatter`)] }
+  const errors: ParseError[] = []
+  const root = parseTree(text, errors, PARSE_OPTIONS)
+  if (errors.length > 0 || root === undefined) return { problems: syntaxProblems(text, errors) }
+  const doubled = doubledKeys(text, root, '')
+  if (doubled.length > 0) return { problems: doubled }
+  return { parsed: { value: parse(text, [], PARSE_OPTIONS), root } }
+}
+
+/**
+ * Reads a text that was accepted before, without the tree.
+ *
+ * @returns the value, or undefined when the text is no JSON with comments
+ */
+export function parseAcceptedText (text: string): unknown {
+  if (offsetDeeperThan(text, DEEPEST) !== undefined) return undefined
+  const errors: ParseError[] = []
+  const value: unknown = parse(text, errors, PARSE_OPTIONS)
+  return errors.length > 0 ? undefined : value
+}
+
+/** @returns a problem at an offset */
+export function problemAt (text: string, offset: number, key: string, message: string): SettingsProblem {
+  return { key, ...positionAt(text, offset), message }
+}
+
+/**
+ * Finds where a value stands; the nearest part around it when it is missing.
+ *
+ * @param root - the tree
+ * @param path - keys and indexes from the root
+ * @param ofKey - whether to point at the key and not at the value
+ * @returns an offset
+ */
+export function offsetOf (root: Node, path: readonly (string | number)[], ofKey = false): number {
+  const node = findNodeAtLocation(root, [...path])
+  if (node !== undefined) {
+    const property = node.parent?.type === 'property' ? node.parent : undefined
+    return ofKey ? property?.offset ?? node.offset : node.offset
+  }
+  return path.length === 0 ? root.offset : offsetOf(root, path.slice(0, -1), ofKey)
+}
+
+/** The parser recurses, so that a text of brackets alone would end the process by its stack; the scanner does not. */
+function offsetDeeperThan (text: string, deepest: number): number | undefined {
+  const scanner = createScanner(text, true)
+  let depth = 0
+  for (let token: number = scanner.scan(); token !== TOKEN.end; token = scanner.scan()) {
+    if (token === TOKEN.openBrace || token === TOKEN.openBracket) depth += 1
+    if (token === TOKEN.closeBrace || token === TOKEN.closeBracket) depth -= 1
+    if (depth > deepest) return scanner.getTokenOffset()
+  }
+  return undefined
+}
+
+function syntaxProblems (text: string, errors: readonly ParseError[]): SettingsProblem[] {
+  if (errors.length === 0) return [problemAt(text, 0, '', 'the document is empty; write one object, such as {}')]
+  return errors.slice(0, MOST_SYNTAX_PROBLEMS).map(({ error, offset }) => {
+    const name = printParseErrorCode(error)
+    return problemAt(text, offset, '', SYNTAX_REMEDIES[name] ?? `this is no JSON (${name}); write JSON with comments`)
+  })
+}
+
+/**
+ * A key written twice would silently keep its last value only, and `__proto__` would set no key at all: the operator
+ * would see one thing and the instances another.
+ */
+function doubledKeys (text: string, node: Node, place: string): SettingsProblem[] {
+  const problems: SettingsProblem[] = []
+  const seen = new Set<string>()
+  for (const child of node.children ?? []) {
+    if (node.type !== 'object') {
+      problems.push(...doubledKeys(text, child, place))
+      continue
+    }
+    const [keyNode, valueNode] = child.children ?? []
+    const key = String(keyNode?.value)
+    const inside = place === '' ? key : `${place}.${key}`
+    if (key === '__proto__') problems.push(problemAt(text, child.offset, inside, "'__proto__' cannot be a key; choose another name"))
+    if (seen.has(key)) problems.push(problemAt(text, child.offset, inside, `'${key}' stands twice; remove one of them`))
+    seen.add(key)
+    if (valueNode !== undefined) problems.push(...doubledKeys(text, valueNode, inside))
+  }
+  return problems
+}
--- /dev/null
+++ b/packages/entry/src/settings/settings-exchange.ts
@@ -0,0 +1,161 @@
+/** Settings between the instances of a data centre: pushing what is new, and finding and closing gaps. */
+import { isNewer } from '@limpetwinch/core'
+import type { Clock, FrameOf, InstanceId, Logger, SettingsDocument } from '@limpetwinch/core'
+import type { Membership } from '../membership/membership.js'
+import type { PeerNetwork } from '../peers/peer-network.js'
+import type { SettingsState } from './settings-state.js'
+
+/** What the exchange needs of its instance. */
+export interface SettingsExchangeParts {
+  readonly network: PeerNetwork
+  readonly membership: Membership
+  readonly state: SettingsState
+  readonly logger: Logger
+  readonly clock: Clock
+  /** Whether this instance has a whole state that others may start from. */
+  readonly ready: () => boolean
+  /** Takes documents that a peer sent. */
+  readonly take: (from: InstanceId, documents: readonly SettingsDocument[]) => void
+}
+
+interface Gap {
+  readonly since: number
+  wait: number
+  nextAsk: number
+}
+
+const CHECK_MILLISECONDS = 100
+/** A change on its way makes hashes differ for a moment; only a lasting difference is a gap. */
+const GRACE_MILLISECONDS = 200
+const FIRST_ASK_MILLISECONDS = 500
+const LONGEST_ASK_MILLISECONDS = 30_000
+/** Characters of text in one frame, so that no frame holds a connection up for long. */
+const FRAME_CHARACTERS = 256 * 1024
+
+/** Exchanges settings with the peers. */
+export class SettingsExchange {
+  private readonly parts: SettingsExchangeParts
+  private readonly gaps = new Map<InstanceId, Gap>()
+  private readonly heard = new Map<InstanceId, string>()
+  private readonly answerListeners = new Set<(from: InstanceId, answer: 'whole' | 'unready') => void>()
+
+  /** @param parts - what it works with */
+  constructor (parts: SettingsExchangeParts) {
+    this.parts = parts
+    parts.network.onNotice('settings-change', (from, frame) => { this.takeChange(from, frame) })
+    parts.network.onNotice('settings-revisions', (from, frame) => { this.answer(from, frame) })
+  }
+
+  /** @returns connected peers of this data centre */
+  peers (): InstanceId[] {
+    const { network, membership } = this.parts
+    const { instance, dataCentre } = network.self
+    return network.connected().filter((peer) => peer !== instance && membership.member(peer)?.dataCentre === dataCentre)
+  }
+
+  /**
+   * Sends documents to peers.
+   *
+   * @param documents - what is new
+   * @param to - the peers; all of the data centre unless given
+   */
+  push (documents: readonly SettingsDocument[], to: readonly InstanceId[] = this.peers()): void {
+    if (documents.length === 0) return
+    for (const peer of to) this.send(peer, documents, undefined)
+  }
+
+  /** Takes up the hash of a peer's heartbeat. */
+  heardHash (from: InstanceId, hash: string): void {
+    if (hash === this.parts.state.hash()) {
+      this.heard.delete(from)
+      this.gaps.delete(from)
+      return
+    }
+    this.heard.set(from, hash)
+    const now = this.parts.clock.now()
+    if (!this.gaps.has(from)) this.gaps.set(from, { since: now, wait: FIRST_ASK_MILLISECONDS, nextAsk: now + GRACE_MILLISECONDS })
+  }
+
+  /** Asks one peer at a time for what is missing here, for as long as its hash differs. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.parts.clock.sleep(CHECK_MILLISECONDS, signal)
+      this.forgetClosedGaps()
+      const now = this.parts.clock.now()
+      const due = [...this.gaps].find(([, gap]) => gap.nextAsk <= now)
+      if (due !== undefined) this.askAgain(due[0], due[1], now)
+    }
+  }
+
+  /** Tells a peer what is known here; it answers with what is newer there. */
+  ask (peer: InstanceId): void {
+    const revisions = [...this.parts.state.all()].map(({ path, revision, writeId, acceptedAt }) => ({ path, revision, writeId, acceptedAt }))
+    this.parts.network.notify(peer, { kind: 'settings-revisions', revisions })
+  }
+
+  /**
+   * @param listener - called when a peer has answered an ask to its end
+   * @returns ends the listening
+   */
+  onAnswer (listener: (from: InstanceId, answer: 'whole' | 'unready') => void): () => void {
+    this.answerListeners.add(listener)
+    return () => { this.answerListeners.delete(listener) }
+  }
+
+  private forgetClosedGaps (): void {
+    const connected = new Set(this.peers())
+    const hash = this.parts.state.hash()
+    for (const peer of this.gaps.keys()) {
+      if (connected.has(peer) && this.heard.get(peer) !== hash) continue
+      this.gaps.delete(peer)
+      this.heard.delete(peer)
+    }
+  }
+
+  /** A peer that stays behind, or reads settings otherwise, is asked more and more rarely. */
+  private askAgain (peer: InstanceId, gap: Gap, now: number): void {
+    gap.nextAsk = now + gap.wait
+    gap.wait = Math.min(LONGEST_ASK_MILLISECONDS, gap.wait * 2)
+    this.ask(peer)
+  }
+
+  private answer (from: InstanceId, frame: FrameOf<'settings-revisions'>): void {
+    if (!this.parts.ready()) {
+      this.parts.network.notify(from, { kind: 'settings-change', documents: [], answer: 'unready' })
+      return
+    }
+    const known = new Map(frame.revisions.map((each) => [each.path, each]))
+    const newer = [...this.parts.state.all()].filter((document) => isNewer(document, known.get(document.path)))
+    this.send(from, newer, 'whole')
+  }
+
+  private send (peer: InstanceId, documents: readonly SettingsDocument[], answer: 'whole' | undefined): void {
+    const frames = inFrames(documents)
+    frames.forEach((part, index) => {
+      const last = index === frames.length - 1
+      this.parts.network.notify(peer, { kind: 'settings-change', documents: part, ...(answer !== undefined && last ? { answer } : {}) })
+    })
+  }
+
+  private takeChange (from: InstanceId, frame: FrameOf<'settings-change'>): void {
+    this.parts.take(from, frame.documents)
+    if (frame.answer === undefined) return
+    for (const listener of this.answerListeners) listener(from, frame.answer)
+  }
+}
+
+/** @returns the documents split by size; one empty part when there are none */
+function inFrames (documents: readonly SettingsDocument[]): SettingsDocument[][] {
+  const frames: SettingsDocument[][] = [[]]
+  let characters = 0
+  for (const document of documents) {
+    const size = document.text?.length ?? 0
+    if (characters > 0 && characters + size > FRAME_CHARACTERS) {
+      frames.push([])
+      characters = 0
+    }
+    frames.at(-1)?.push(document)
+    characters += size
+  }
+  return frames
+}
--- /dev/null
+++ b/packages/entry/src/settings/watch-rank.ts
@@ -0,0 +1,54 @@
+/** Which instances of a data centre watch the store: one and a spare. */
+import { createHash } from 'node:crypto'
+import type { InstanceId } from '@limpetwinch/core'
+import type { Member, Membership } from '../membership/membership.js'
+import type { PeerNetwork } from '../peers/peer-network.js'
+
+const WATCHERS = 2
+
+/**
+ * Ranks by rendezvous hashing: when a member comes or goes, only its own place changes.
+ *
+ * @param instances - the candidates
+ * @param purpose - what is ranked for, so that one instance is not first in everything
+ * @returns them, best first
+ */
+export function rendezvousRank (instances: readonly InstanceId[], purpose: string): InstanceId[] {
+  return instances
+    .map((instance) => ({ instance, score: createHash('sha256').update(`${purpose}\n${instance}`).digest('hex') }))
+    .sort((left, right) => left.score < right.score ? 1 : -1)
+    .map(({ instance }) => instance)
+}
+
+/** @returns the watcher and its spare, as seen here */
+export function rendezvousRankOfWatchers (network: PeerNetwork, membership: Membership): InstanceId[] {
+  return watchersAmong([network.self.instance, ...livePeers(network, membership).map((member) => member.instance)])
+}
+
+/**
+ * @param network - tells which peers are connected
+ * @param membership - tells who is alive
+ * @param storeReachable - whether the store answers this instance
+ * @returns whether this instance watches the store now
+ */
+export function watchesHere (network: PeerNetwork, membership: Membership, storeReachable: boolean): boolean {
+  const { instance } = network.self
+  const watchers = rendezvousRankOfWatchers(network, membership)
+  if (watchers.includes(instance)) return true
+  const connected = network.connected()
+  if (!watchers.some((watcher) => connected.includes(watcher))) return true
+  // The watchers may be cut off from the store while others reach it; then the two best of those watch as well. In an
+  // outage for all, each instance leaves this list after its first failure, so that no more than the two go on trying.
+  const reaching = livePeers(network, membership).filter((member) => member.storeReachable).map((member) => member.instance)
+  if (!storeReachable || watchers.some((watcher) => reaching.includes(watcher))) return false
+  return watchersAmong([instance, ...reaching]).includes(instance)
+}
+
+function livePeers (network: PeerNetwork, membership: Membership): Member[] {
+  const { instance, dataCentre } = network.self
+  return membership.members().filter((member) => member.dataCentre === dataCentre && member.state === 'alive' && member.instance !== instance)
+}
+
+function watchersAmong (instances: readonly InstanceId[]): InstanceId[] {
+  return rendezvousRank(instances, 'settings-watch').slice(0, WATCHERS)
+}
--- /dev/null
+++ b/packages/entry/test/settings/deployment.ts
@@ -0,0 +1,235 @@
+/** A few instances in one process, joined by frames that can be cut, for tests of the settings. */
+import { errAsync, ok, ResultAsync } from 'neverthrow'
+import { createLogger, LimpetwinchError, ObjectStore, silentLogger, SystemClock } from '@limpetwinch/core'
+import type { Clock, ConditionalWrite, DataCentreId, FrameOf, InstanceId, Revision, SettingsDocument, SettingsPath, StoredObject, WatchStep } from '@limpetwinch/core'
+import { Membership, PeerNetwork, SettingsFollower, SettingsHistory, SettingsWriter } from '@limpetwinch/entry'
+import type { CallBody, CallFrame, FrameCounts, Member, MemberState, NoticeFrame, ReplyBody } from '@limpetwinch/entry'
+
+type Handler = (from: InstanceId, frame: NoticeFrame) => void
+
+/** One entry instance's part that has to do with settings. */
+export interface SettingsInstance {
+  readonly instance: InstanceId
+  readonly follower: SettingsFollower
+  readonly writer: SettingsWriter
+  readonly history: SettingsHistory
+  readonly stop: () => Promise<void>
+}
+
+/** The instances, and the connections between them. */
+export class SettingsDeployment {
+  readonly sent: { from: InstanceId, to: InstanceId, frame: NoticeFrame }[] = []
+  private readonly networks = new Map<InstanceId, TestNetwork>()
+  private readonly cuts = new Set<string>()
+  private readonly states = new Map<InstanceId, MemberState>()
+  readonly unreachableStore = new Set<InstanceId>()
+  private readonly running: SettingsInstance[] = []
+  private heartbeat: NodeJS.Timeout | undefined
+
+  /** Starts an instance; settings are in force when the promise resolves, unless `wait` is false. */
+  async start (name: string, store: ObjectStore, options: { dataCentre?: string, wait?: boolean, clock?: Clock } = {}): Promise<SettingsInstance> {
+    const instance = name as InstanceId
+    const network = new TestNetwork(this, { instance, dataCentre: (options.dataCentre ?? 'north') as DataCentreId, address: name })
+    const membership = new TestMembership(this)
+    this.networks.set(instance, network)
+    this.states.set(instance, 'alive')
+    const logger = process.env['SHOW_LOGS'] === undefined ? silentLogger() : createLogger('text', 'debug').part(name)
+    const clock = options.clock ?? new SystemClock()
+    const follower = new SettingsFollower({ store, network, membership, logger, clock, watchMilliseconds: 200 })
+    const history = new SettingsHistory(store)
+    const writer = new SettingsWriter({ store, follower, history, logger, clock })
+    const ending = new AbortController()
+    const run = follower.run(ending.signal)
+    const started: SettingsInstance = {
+      instance,
+      follower,
+      writer,
+      history,
+      stop: async () => {
+        this.networks.delete(instance)
+        this.states.delete(instance)
+        this.running.splice(this.running.indexOf(started), 1)
+        ending.abort()
+        await run
+      }
+    }
+    this.running.push(started)
+    this.heartbeat ??= setInterval(() => { this.beat() }, 50)
+    if (options.wait !== false) await until(() => follower.current() !== undefined)
+    return started
+  }
+
+  /** Ends everything. */
+  async stop (): Promise<void> {
+    clearInterval(this.heartbeat)
+    for (const each of [...this.running]) await each.stop()
+  }
+
+  /** Cuts frames between two instances, both ways. */
+  cut (left: SettingsInstance, right: SettingsInstance): void {
+    this.cuts.add(linkOf(left.instance, right.instance))
+  }
+
+  /** Joins all instances again. */
+  join (): void {
+    this.cuts.clear()
+  }
+
+  /** @returns whether frames pass between two instances */
+  connects (left: InstanceId, right: InstanceId): boolean {
+    return this.networks.has(left) && this.networks.has(right) && !this.cuts.has(linkOf(left, right))
+  }
+
+  /** @returns the instances as members */
+  members (): Member[] {
+    return [...this.networks.values()].map(({ self }) => ({
+      ...self,
+      state: this.states.get(self.instance) ?? 'gone',
+      storeReachable: !this.unreachableStore.has(self.instance)
+    }))
+  }
+
+  /** Carries a frame over in a later turn. */
+  deliver (from: InstanceId, to: InstanceId, frame: NoticeFrame): void {
+    if (!this.connects(from, to)) return
+    this.sent.push({ from, to, frame })
+    setImmediate(() => { this.networks.get(to)?.receive(from, structuredClone(frame)) })
+  }
+
+  private beat (): void {
+    for (const from of this.running) {
+      for (const to of this.running) {
+        if (from !== to && this.connects(from.instance, to.instance)) to.follower.heardHash(from.instance, from.follower.settingsHash())
+      }
+    }
+  }
+}
+
+class TestNetwork extends PeerNetwork {
+  override readonly self: { instance: InstanceId, dataCentre: DataCentreId, address: string }
+  private readonly deployment: SettingsDeployment
+  private readonly handlers = new Map<string, Handler>()
+
+  constructor (deployment: SettingsDeployment, self: { instance: InstanceId, dataCentre: DataCentreId, address: string }) {
+    super()
+    this.deployment = deployment
+    this.self = self
+  }
+
+  override notify (to: InstanceId, frame: NoticeFrame): void {
+    this.deployment.deliver(this.self.instance, to, frame)
+  }
+
+  override call (to: InstanceId, _body: CallBody): ResultAsync<ReplyBody, LimpetwinchError> {
+    return errAsync(new LimpetwinchError('peer-unreachable', { instance: to, reason: 'settings make no calls' }))
+  }
+
+  override onNotice<Kind extends NoticeFrame['kind']> (kind: Kind, handler: (from: InstanceId, frame: FrameOf<Kind>) => void): void {
+    this.handlers.set(kind, handler as unknown as Handler)
+  }
+
+  override onCall<Kind extends CallFrame['kind']> (_kind: Kind): void {}
+
+  override connected (): readonly InstanceId[] {
+    return this.deployment.members().map((member) => member.instance).filter((other) => other !== this.self.instance && this.deployment.connects(this.self.instance, other))
+  }
+
+  override counts (): FrameCounts {
+    return {}
+  }
+
+  receive (from: InstanceId, frame: NoticeFrame): void {
+    this.handlers.get(frame.kind)?.(from, frame)
+  }
+}
+
+class TestMembership extends Membership {
+  private readonly deployment: SettingsDeployment
+
+  constructor (deployment: SettingsDeployment) {
+    super()
+    this.deployment = deployment
+  }
+
+  override members (): readonly Member[] {
+    return this.deployment.members()
+  }
+
+  override member (instance: InstanceId): Member | undefined {
+    return this.members().find((member) => member.instance === instance)
+  }
+
+  override leavingEndpoints (): ReadonlySet<string> {
+    return new Set()
+  }
+
+  override onChange (): void {}
+}
+
+/** One instance's own way to the store: its calls can be held up, and its answers replaced. */
+export class InterceptedStore extends ObjectStore {
+  /** Run before each read of one object. */
+  beforeGet: () => Promise<unknown> = async () => undefined
+  /** What a watch finds, in place of the truth. */
+  watchFinds: ((step: WatchStep) => WatchStep) | undefined
+  /** What a read of one object finds, in place of the truth. */
+  getFinds: ((object: StoredObject | undefined) => StoredObject | undefined) | undefined
+  private readonly inner: ObjectStore
+
+  constructor (inner: ObjectStore) {
+    super()
+    this.inner = inner
+  }
+
+  override get (path: string): ResultAsync<StoredObject | undefined, LimpetwinchError> {
+    return ResultAsync.fromSafePromise(this.beforeGet())
+      .andThen(() => this.inner.get(path))
+      .map((object) => this.getFinds === undefined ? object : this.getFinds(object))
+  }
+
+  override list (prefix: string): ResultAsync<{ objects: readonly StoredObject[], cursor: number }, LimpetwinchError> {
+    return this.inner.list(prefix)
+  }
+
+  override put (write: ConditionalWrite): ResultAsync<number, LimpetwinchError> {
+    return this.inner.put(write)
+  }
+
+  override watch (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): ResultAsync<WatchStep, LimpetwinchError> {
+    return this.inner.watch(prefix, cursor, waitMilliseconds, signal)
+      .map((step) => this.watchFinds === undefined ? step : this.watchFinds(step))
+  }
+}
+
+/** Waits for a condition; the test's own timeout ends it. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => { setTimeout(resolve, 5) })
+}
+
+/** The path that most tests write. */
+export const PATH = '/teams/history' as SettingsPath
+
+/** @returns a team's document with one adapter at a version */
+export function teamText (version: string): string {
+  return `{ "adapters": { "poem": { "baseModel": "base", "versions": ["v1", "v2", "v3"], "current": "${version}" } } }`
+}
+
+/** Asks for a whole new text. */
+export async function put (writer: SettingsWriter, text: string | undefined, ifRevision: number, path: SettingsPath = PATH): Promise<Awaited<ReturnType<SettingsWriter['accept']>>> {
+  return await writer.accept({ path, ifRevision: ifRevision as Revision, change: () => ok(text), author: 'administrator' })
+}
+
+/** @returns the current version of the tests' adapter where an instance stands */
+export function versionAt (instance: SettingsInstance): string | undefined {
+  const teams = instance.follower.current()?.teams
+  return [...teams?.values() ?? []][0]?.adapters['poem']?.current
+}
+
+/** @returns a document for frames and stored states */
+export function document (revision: number, version: string): SettingsDocument {
+  return { path: PATH, revision: revision as Revision, text: teamText(version), writeId: `write-${revision}`, acceptedAt: revision, author: 'administrator' }
+}
+
+function linkOf (left: InstanceId, right: InstanceId): string {
+  return [left, right].sort().join(' ')
+}
