--- /dev/null
+++ b/packages/entry/src/entry-instance.ts
@@ -0,0 +1,335 @@
+/** One entry instance: all its parts under one supervisor tree. */
+import { Hono } from 'hono'
+import type { HttpBindings } from '@hono/node-server'
+import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, InstanceId, InstanceSettings, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
+import { ShareRetryBudget, WeightedRoutingPolicy } from '@limpetwinch/decisions'
+import type { RetryBudget, RoutingPolicy } from '@limpetwinch/decisions'
+import { adminApi } from './admin/admin-api.js'
+import { Authentication } from './callers/authentication.js'
+import { callerApi } from './callers/caller-api.js'
+import { Completions } from './callers/completions.js'
+import type { CompletionsOptions } from './callers/completions.js'
+import { HttpServer } from './callers/http-server.js'
+import { ServiceCalls } from './callers/service-calls.js'
+import { TeamGate } from './callers/team-gate.js'
+import { AdmissionClient } from './delivery/admission-client.js'
+import { Delivery } from './delivery/delivery.js'
+import { InFlightTable } from './delivery/in-flight-table.js'
+import { ServiceDelivery } from './delivery/service-delivery.js'
+import { PacedLoadTurns } from './loads/paced-load-turns.js'
+import { ExplainLog } from './measures/explain-log.js'
+import { Measures } from './measures/measures.js'
+import { ListMembership } from './membership/list-membership.js'
+import { Claims } from './outcomes/claims.js'
+import { StoreOwnership } from './ownership/store-ownership.js'
+import { TcpPeerNetwork } from './peers/tcp-peer-network.js'
+import { EndpointDirectory } from './routing/endpoint-directory.js'
+import { PrefixTracker } from './routing/prefix-tracker.js'
+import { Router } from './routing/router.js'
+import { Supervisor } from './runtime/supervisor.js'
+import { WorkInProgress } from './runtime/work-in-progress.js'
+import { OwnedEndpoints } from './scheduling/owned-endpoints.js'
+import { SettingsFollower } from './settings/settings-follower.js'
+
+/** A stream that says nothing for so long is taken up again on a new connection. */
+const SILENCE_MILLISECONDS = 5_000
+const RESUMES_WITHOUT_PROGRESS = 3
+/** The balancer and the peers are given so long to see that this instance is not ready before it closes. */
+const LEAVING_MILLISECONDS = 1_000
+
+/** Where an instance listens. */
+export interface ListeningAt {
+  readonly caller: string
+  readonly admin: string
+  readonly peer: string
+}
+
+/** All parts of one instance. */
+export class EntryInstance {
+  readonly instance: InstanceId = newInstanceId()
+  readonly dataCentre: DataCentreId
+  private readonly settings: InstanceSettings
+  private readonly logger: Logger
+  private readonly clock: Clock = new SystemClock()
+  private readonly supervisor: Supervisor
+  private readonly store: HttpObjectStore
+  private readonly instanceList: HttpInstanceList
+  private readonly network: TcpPeerNetwork
+  private readonly membership: ListMembership
+  private readonly follower: SettingsFollower
+  private readonly ownership: StoreOwnership
+  private readonly directory = new EndpointDirectory()
+  private readonly prefixes = new PrefixTracker()
+  private readonly inFlight = new InFlightTable()
+  private readonly explain = new ExplainLog()
+  private readonly measures: Measures
+  private readonly retryBudget: RetryBudget = new ShareRetryBudget()
+  private readonly work = new WorkInProgress()
+  private readonly engineClients = new Map<string, HttpEngineClient>()
+  private readonly serviceClients = new Map<string, HttpServiceClient>()
+  private readonly owned: OwnedEndpoints
+  private readonly callerServer: HttpServer
+  private readonly adminServer: HttpServer
+  private routingPolicy: RoutingPolicy = new WeightedRoutingPolicy()
+  private policySettings: OperatorSettings['policy'] | undefined
+  private stopping = false
+
+  /**
+   * @param settings - the instance's own settings
+   * @param logger - the process's logger
+   */
+  constructor (settings: InstanceSettings, logger: Logger) {
+    this.settings = settings
+    this.logger = logger.part('instance')
+    this.dataCentre = settings.dataCentre as DataCentreId
+    const { clock } = this
+    this.supervisor = new Supervisor(logger.part('supervisor'), clock)
+    this.store = new HttpObjectStore(settings.platform)
+    this.instanceList = new HttpInstanceList(settings.platform)
+    this.measures = new Measures(settings.metrics)
+    const { timing } = settings
+    this.network = new TcpPeerNetwork({
+      instance: this.instance,
+      dataCentre: this.dataCentre,
+      address: `${settings.address.host}:${settings.address.peerPort}`,
+      logger,
+      clock,
+      heartbeatMilliseconds: timing.heartbeatMilliseconds
+    })
+    this.membership = new ListMembership({
+      peers: this.network,
+      list: this.instanceList,
+      logger,
+      clock,
+      pollMilliseconds: timing.instanceListMilliseconds,
+      suspectAfterMilliseconds: timing.suspectMilliseconds
+    })
+    this.follower = new SettingsFollower({
+      store: this.store,
+      network: this.network,
+      membership: this.membership,
+      logger,
+      clock,
+      watchMilliseconds: timing.settingsWatchMilliseconds
+    })
+    this.ownership = new StoreOwnership({
+      peers: this.network,
+      membership: this.membership,
+      store: this.store,
+      engines: () => this.enginesHere(),
+      logger,
+      clock
+    })
+    this.owned = this.buildOwned(logger)
+    this.follower.onChange(() => this.settingsChanged())
+    this.answerPinsAsks()
+    this.network.onNotice('endpoint-digest', (from, frame) => { this.directory.hear(from, frame, clock.now()) })
+    this.describeHeartbeats()
+    const router = this.buildRouter()
+    this.callerServer = this.buildCallerServer(router)
+    this.adminServer = this.buildAdminServer()
+  }
+
+  /** Starts to listen and to follow; resolves when the addresses are known, before the instance is ready. */
+  async start (): Promise<ListeningAt> {
+    const { address } = this.settings
+    const peer = (await this.network.listen())._unsafeUnwrap()
+    const caller = await this.callerServer.listen(address.host, address.callerPort)
+    const admin = await this.adminServer.listen(address.host, address.adminPort)
+    void this.supervisor.start('peers', async (signal) => await this.network.run(signal))
+    void this.supervisor.start('membership', async (signal) => await this.membership.run(signal))
+    void this.supervisor.start('settings', async (signal) => await this.follower.run(signal))
+    void this.supervisor.start('ownership', async (signal) => await this.ownership.run(signal))
+    void this.supervisor.start('digests', async (signal) => await this.owned.broadcast(signal))
+    this.logger.info('The instance listens.', { caller, admin, peer, instance: this.instance })
+    return { caller, admin, peer }
+  }
+
+  /** Whether the instance may be sent requests. */
+  get isReady (): boolean {
+    return this.follower.current() !== undefined
+  }
+
+  /**
+   * Stops in order: not ready first, then no new work, then every request in progress is finished.
+   *
+   * @returns what was still in progress when the time for stopping was over; 0 when nothing was cut off
+   */
+  async stop (): Promise<number> {
+    this.logger.info('The instance is stopping.', { requestsInProgress: this.work.count })
+    this.stopping = true
+    this.membership.startLeaving()
+    // New work is still taken until the balancer has had time to see this instance leave.
+    await this.clock.sleep(LEAVING_MILLISECONDS)
+    const closed = Promise.allSettled([this.callerServer.close(), this.work.finished()])
+    const inTime = this.clock.sleep(1000 * this.settings.limits.stopSeconds).then(() => false)
+    const finished = await Promise.race([closed.then(() => true), inTime])
+    const cut = finished ? 0 : this.work.count
+    if (cut > 0) this.logger.error('Requests are cut off, since the time for stopping is over.', { requests: cut })
+    await this.end()
+    return cut
+  }
+
+  /** Ends at once, as a crash would; for tests. */
+  async kill (): Promise<void> {
+    this.callerServer.destroy()
+    await this.end()
+  }
+
+  private async end (): Promise<void> {
+    await this.supervisor.stop()
+    this.callerServer.destroy()
+    this.adminServer.destroy()
+    this.measures.close()
+    const clients = [...this.engineClients.values(), ...this.serviceClients.values()]
+    await Promise.allSettled([this.store.close(), this.instanceList.close(), ...clients.map(async (client) => await client.close())])
+    this.logger.info('The instance has stopped.')
+  }
+
+  private buildOwned (logger: Logger): OwnedEndpoints {
+    return new OwnedEndpoints({
+      supervisor: this.supervisor.child('scheduler'),
+      network: this.network,
+      membership: this.membership,
+      ownership: this.ownership,
+      settings: () => this.follower.current(),
+      directory: this.directory,
+      loadTurns: new PacedLoadTurns(() => this.loadsPerSecondHere(), this.clock),
+      earlierPins: () => new Set(),
+      clientOf: (engine) => this.engineClient(engine),
+      clock: this.clock,
+      logger: logger.part('scheduler')
+    })
+  }
+
+  private buildRouter (): Router {
+    return new Router({
+      dataCentre: this.dataCentre,
+      directory: this.directory,
+      prefixes: this.prefixes,
+      membership: this.membership,
+      policy: () => this.routingPolicy,
+      clock: this.clock
+    })
+  }
+
+  private buildCallerServer (router: Router): HttpServer {
+    const { limits } = this.settings
+    const admissions = new AdmissionClient(this.network, this.inFlight, (endpoint) => this.directory.get(endpoint)?.owner)
+    const common: CompletionsOptions = {
+      settings: () => this.follower.current(),
+      authentication: new Authentication(),
+      gate: new TeamGate(this.clock, () => this.membership.members().length),
+      claims: new Claims(this.store, this.clock),
+      delivery: new Delivery({
+        router,
+        admissions,
+        directory: this.directory,
+        prefixes: this.prefixes,
+        clientOf: (engine) => this.engineClient(engine),
+        policy: () => this.routingPolicy,
+        retryBudget: this.retryBudget,
+        explain: this.explain,
+        streamLimits: { silenceMilliseconds: SILENCE_MILLISECONDS, resumesWithoutProgress: RESUMES_WITHOUT_PROGRESS },
+        clock: this.clock
+      }),
+      measures: this.measures,
+      bodyLimits: { bytes: limits.bodyBytes, seconds: limits.bodySeconds },
+      clock: this.clock
+    }
+    const services = new ServiceDelivery({
+      dataCentre: this.dataCentre,
+      membership: this.membership,
+      clientOf: (endpoint, url) => this.serviceClient(endpoint, url),
+      retryBudget: this.retryBudget,
+      explain: this.explain,
+      clock: this.clock
+    })
+    return new HttpServer(callerApi({
+      ...common,
+      completions: new Completions(common),
+      serviceCalls: new ServiceCalls(common, services),
+      isStopping: () => false,
+      track: async (work) => await this.work.track(work)
+    }), limits)
+  }
+
+  private buildAdminServer (): HttpServer {
+    return new HttpServer(adminApi({
+      network: this.network,
+      membership: this.membership,
+      ownership: this.ownership,
+      directory: this.directory,
+      owned: this.owned,
+      inFlight: this.inFlight,
+      settings: this.follower,
+      requestsInProgress: () => this.work.count,
+      storeCalls: () => this.store.calls,
+      isReady: () => this.isReady,
+      isStopping: () => this.stopping,
+      administratorKeySha256: this.settings.administratorKeySha256,
+      explain: this.explain,
+      measures: this.measures,
+      settingsRoutes: new Hono<{ Bindings: HttpBindings }>()
+    }), this.settings.limits)
+  }
+
+  /** A new owner learns what may still run here, and grants under older tokens are refused from then on. */
+  private answerPinsAsks (): void {
+    this.network.onCall('pins-ask', async (_from, frame) => ({
+      kind: 'pins-report',
+      pins: this.inFlight.raise(frame.endpoint, frame.token).map(({ requestId, loadedName, team }) => ({ requestId, loadedName, team }))
+    }))
+  }
+
+  private describeHeartbeats (): void {
+    this.network.describeHeartbeat(() => ({
+      leaving: this.stopping,
+      settingsHash: this.follower.settingsHash(),
+      ownershipVersion: this.ownership.announcedVersion(),
+      storeReachable: this.ownership.storeReachable() && this.follower.storeReachable()
+    }))
+    this.network.onHeartbeat((from, heartbeat) => this.follower.heardHash(from, heartbeat.frame.settingsHash))
+  }
+
+  private settingsChanged (): void {
+    const settings = this.follower.current()
+    if (settings === undefined) return
+    if (this.policySettings !== settings.policy) {
+      this.policySettings = settings.policy
+      this.routingPolicy = new WeightedRoutingPolicy({
+        batchEfficiencyWeight: settings.policy.batchEfficiencyWeight,
+        loadsPerSecond: settings.policy.loadsPerSecond
+      })
+    }
+    this.ownership.look()
+    this.owned.follow()
+  }
+
+  private enginesHere (): readonly EngineSettings[] | undefined {
+    const settings = this.follower.current()
+    return settings === undefined ? undefined : this.directory.enginesIn(settings)
+  }
+
+  private loadsPerSecondHere (): number {
+    const rate = this.follower.current()?.policy.loadsPerSecond ?? 1
+    return rate / Math.max(1, this.membership.members().length)
+  }
+
+  private engineClient (engine: EngineSettings): EngineClient {
+    const present = this.engineClients.get(engine.url)
+    if (present !== undefined) return present
+    const client = new HttpEngineClient(engine.endpoint, engine.url)
+    this.engineClients.set(engine.url, client)
+    return client
+  }
+
+  private serviceClient (endpoint: EndpointId, url: string): ServiceClient {
+    const present = this.serviceClients.get(url)
+    if (present !== undefined) return present
+    const client = new HttpServiceClient(endpoint, url)
+    this.serviceClients.set(url, client)
+    return client
+  }
+}
--- /dev/null
+++ b/packages/entry/src/loads/paced-load-turns.ts
@@ -0,0 +1,62 @@
+/** Load turns without anyone to ask: this instance's share of the weight store's rate. */
+import type { Clock } from '@limpetwinch/core'
+import { LoadTurns } from './load-turns.js'
+
+interface Waiting {
+  readonly urgency: number
+  readonly begin: () => void
+}
+
+/** One load at a time, the most urgent first, at the instance's share of the rate. */
+export class PacedLoadTurns extends LoadTurns {
+  private readonly loadsPerSecond: () => number
+  private readonly clock: Clock
+  private waiting: Waiting[] = []
+  private busy = false
+  private nextAt = 0
+
+  /**
+   * @param loadsPerSecond - this instance's share
+   * @param clock - time
+   */
+  constructor (loadsPerSecond: () => number, clock: Clock) {
+    super()
+    this.loadsPerSecond = loadsPerSecond
+    this.clock = clock
+  }
+
+  override async acquire (urgency: number, signal: AbortSignal): Promise<() => void> {
+    await new Promise<void>((resolve, reject) => {
+      const entry: Waiting = { urgency, begin: resolve }
+      this.waiting.push(entry)
+      signal.addEventListener('abort', () => {
+        this.waiting = this.waiting.filter((other) => other !== entry)
+        reject(new Error('the wait for a load turn was given up'))
+      })
+      this.grant()
+    })
+    return () => {
+      this.busy = false
+      this.grant()
+    }
+  }
+
+  private grant (): void {
+    if (this.busy || this.waiting.length === 0) return
+    this.busy = true
+    const now = this.clock.now()
+    const pause = Math.max(0, this.nextAt - now)
+    this.nextAt = Math.max(now, this.nextAt) + 1000 / this.loadsPerSecond()
+    void this.clock.sleep(pause).then(() => this.beginMostUrgent())
+  }
+
+  private beginMostUrgent (): void {
+    const [first] = this.waiting.sort((one, other) => other.urgency - one.urgency)
+    if (first === undefined) {
+      this.busy = false
+      return
+    }
+    this.waiting = this.waiting.filter((entry) => entry !== first)
+    first.begin()
+  }
+}
--- /dev/null
+++ b/packages/entry/test/delivery/engine-answer.test.ts
@@ -0,0 +1,108 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { HttpEngineClient } from '@limpetwinch/core'
+import type { EndpointId, FencingToken, LoadedName, RequestId } from '@limpetwinch/core'
+import { expectedAnswer, StandInEngine } from '@limpetwinch/stand-ins'
+import type { EngineFaults } from '@limpetwinch/stand-ins'
+import { EngineAnswer } from '../../src/delivery/engine-answer.js'
+import type { AnswerEvent } from '../../src/delivery/engine-answer.js'
+
+const ADAPTER = 'history/essays@v1' as LoadedName
+const TOKENS = 40
+const engines: StandInEngine[] = []
+const clients: HttpEngineClient[] = []
+
+async function startEngine (faults: EngineFaults): Promise<{ engine: StandInEngine, client: HttpEngineClient }> {
+  const engine = new StandInEngine({ name: 'engine-1', faults, stepMilliseconds: 2, loadMilliseconds: 1 })
+  const url = await engine.listen()
+  const client = new HttpEngineClient('engine-1' as EndpointId, url)
+  engines.push(engine)
+  clients.push(client)
+  const source = { team: 'history', adapter: 'essays', version: 'v1' } as unknown as Parameters<HttpEngineClient['load']>[1]
+  const loaded = await client.load({ name: ADAPTER, token: 1 as FencingToken }, source)
+  expect(loaded.isOk()).toBe(true)
+  return { engine, client }
+}
+
+function answerOf (client: HttpEngineClient): EngineAnswer {
+  const request = { requestId: 'request-1' as RequestId, adapter: ADAPTER, prompt: 'Why?', maximumTokens: TOKENS, priority: 5, seed: 7 }
+  return new EngineAnswer('engine-1' as EndpointId, client, request, { silenceMilliseconds: 300, resumesWithoutProgress: 3 })
+}
+
+async function collect (events: AsyncIterable<AnswerEvent>, onText: (tokens: number) => void = () => undefined): Promise<{ text: string, last: AnswerEvent | undefined }> {
+  let tokens = 0
+  let text = ''
+  let last: AnswerEvent | undefined
+  for await (const event of events) {
+    last = event
+    if (event.kind !== 'text') continue
+    text += event.texts.join('')
+    tokens += event.texts.length
+    onText(tokens)
+  }
+  return { text, last }
+}
+
+function runsOf (engine: StandInEngine): number {
+  return engine.history.events.filter((event) => event.event === 'run-started').length
+}
+
+const whole = expectedAnswer({ adapter: ADAPTER, prompt: 'Why?', seed: 7 }, TOKENS)
+
+afterEach(async () => {
+  await Promise.all(clients.splice(0).map(async (client) => await client.close()))
+  await Promise.all(engines.splice(0).map(async (engine) => await engine.close()))
+})
+
+describe('the whole answer of an engine', () => {
+  // The caller sees the whole answer, each token once and in order.
+  // The engine sends every third part twice and every fourth after the one that follows it; without the assembler
+  // the caller would read doubled and swapped words.
+  it('puts doubled and late parts in order', async () => {
+    const { client } = await startEngine({ duplicateEvery: 3, lateEvery: 4 })
+    const { text, last } = await collect(answerOf(client).events(new AbortController().signal))
+    expect(text).toBe(whole)
+    expect(last?.kind).toBe('end')
+  })
+
+  // The caller sees the whole answer, with a pause in the middle.
+  // Two streams in a row are cut after three parts while the request runs on; each time the stream is taken up again
+  // from the next position, and the engine has run the request once.
+  it('takes a dropped stream up again without running it twice', async () => {
+    const { engine, client } = await startEngine({ dropStreams: 2, dropAfterTokens: 3 })
+    const { text, last } = await collect(answerOf(client).events(new AbortController().signal))
+    expect(text).toBe(whole)
+    expect(last?.kind).toBe('end')
+    expect(runsOf(engine)).toBe(1)
+  })
+
+  // The caller sees the whole answer, with a pause of the silence limit.
+  // After ten tokens something on the way loses track of the connection: nothing comes any more, and no error either.
+  // New connections work, so the answer is taken up on one; waiting on the old one would last for ever.
+  it('leaves a connection that has gone silent', async () => {
+    const { engine, client } = await startEngine({})
+    const { text, last } = await collect(answerOf(client).events(new AbortController().signal), (tokens) => {
+      if (tokens === 10) engine.setFaults({ silenceConnections: true })
+    })
+    expect(text).toBe(whole)
+    expect(last?.kind).toBe('end')
+    expect(runsOf(engine)).toBe(1)
+  })
+
+  // The caller is told that its request may have run.
+  // The engine restarts cold in the middle of the answer and knows the request no more; it did run, in part.
+  it('tells of a restarted engine as unknown, never as not run', async () => {
+    const { engine, client } = await startEngine({})
+    const { last } = await collect(answerOf(client).events(new AbortController().signal), (tokens) => {
+      if (tokens === 5) engine.restart()
+    })
+    expect(last).toMatchObject({ kind: 'error', error: { kind: 'endpoint-failed', outcome: 'unknown' } })
+  })
+
+  // The caller may be told that nothing was run, since the engine itself refused it.
+  it('tells of a refusal as not run', async () => {
+    const { engine, client } = await startEngine({ refuse: true })
+    const { last } = await collect(answerOf(client).events(new AbortController().signal))
+    expect(last).toMatchObject({ kind: 'error', error: { outcome: 'not_run' } })
+    expect(runsOf(engine)).toBe(0)
+  })
+})
