Connect instances: peers over TCP, membership from list and heartbeats, ownership in one object

Need: entry instances act as one. The lead's scheduler, delivery and router wait for something that two processes can use. Ruled out: named fields on the wire (a heartbeat of three times the size); closing one of two connections of a pair by a rule (each side may close another one); the store's version as order of ownership states (it goes back when the store is restored), so the object has a sequence of its own; a heartbeat's arrival as proof of ownership (it may have lain in the socket's buffer through a pause), so only an echoed one counts, from when the echoed one was sent. Change: TcpPeerNetwork, ListMembership, StoreOwnership with run(signal). A take-over is proposed in rendezvous rank, and not by an instance that hears less than half of the others.

--- /dev/null
+++ b/packages/entry/src/membership/list-membership.ts
@@ -0,0 +1,241 @@
+/** Membership from the platform's lagging list and the heartbeats of peers. */
+import { SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, InstanceId, InstanceList, ListedInstance, Logger } from '@limpetwinch/core'
+import { Wake } from '../concurrency/wake.js'
+import type { PeerIdentity, PeerLinks, PeerTarget } from '../peers/peer-links.js'
+import { rendezvousRank } from '../placement/rendezvous.js'
+import { MemberEntry } from './member-entry.js'
+import { Membership } from './membership.js'
+import type { Member } from './membership.js'
+import { chooseRemotes } from './remote-choice.js'
+
+const UNLISTED_GONE_MILLISECONDS = 600_000
+const FORGET_GONE_MILLISECONDS = 3_600_000
+const REMOTE_SUSPECT_FACTOR = 5
+
+/** What the membership is made of. */
+export interface ListMembershipOptions {
+  readonly peers: PeerLinks
+  readonly list: InstanceList
+  readonly logger: Logger
+  readonly clock?: Clock
+  /** Uniform in 0 to 1. */
+  readonly random?: () => number
+  /** Mean time between reads of the list. */
+  readonly pollMilliseconds?: number
+  /** Silence after which a member of this data centre is suspect. */
+  readonly suspectAfterMilliseconds?: number
+  /** Longer than the list ever lags: an instance silent and never listed for so long has ended. */
+  readonly unlistedGoneMilliseconds?: number
+}
+
+/** A {@link Membership} that merges list and heartbeats. The list alone never removes a member that is heard. */
+export class ListMembership extends Membership {
+  private readonly peers: PeerLinks
+  private readonly list: InstanceList
+  private readonly logger: Logger
+  private readonly clock: Clock
+  private readonly random: () => number
+  private readonly pollMilliseconds: number
+  private readonly suspectAfterMilliseconds: number
+  private readonly unlistedGoneMilliseconds: number
+  private readonly entries = new Map<InstanceId, MemberEntry>()
+  private readonly goneAt = new Map<InstanceId, number>()
+  private readonly listeners: (() => void)[] = []
+  private readonly wake = new Wake()
+  private endpointsLeaving: ReadonlySet<string> = new Set()
+  private keptRemotes: ReadonlySet<InstanceId> = new Set()
+  private leavingSelf = false
+  private targetsStale = false
+  private listRead = false
+
+  /** @param options - the sources and their times */
+  constructor (options: ListMembershipOptions) {
+    super()
+    this.peers = options.peers
+    this.list = options.list
+    this.logger = options.logger.part('membership')
+    this.clock = options.clock ?? new SystemClock()
+    this.random = options.random ?? Math.random
+    this.pollMilliseconds = options.pollMilliseconds ?? 2_000
+    this.suspectAfterMilliseconds = options.suspectAfterMilliseconds ?? 3_000
+    this.unlistedGoneMilliseconds = options.unlistedGoneMilliseconds ?? UNLISTED_GONE_MILLISECONDS
+    this.peers.onConnected((peer) => this.connected(peer))
+    this.peers.onHeartbeat((from, heartbeat) => this.heard(from, (entry) => { entry.heartbeat = heartbeat.frame }))
+    this.peers.onNotice('goodbye', (from) => this.heard(from, (entry) => { entry.saidGoodbye = true }))
+    this.peers.onEndEvidence((instance, evidence) => this.heard(instance, (entry) => { entry.evidence = evidence }))
+  }
+
+  /** Follows list and heartbeats until the signal ends it. */
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all([this.poll(signal), this.judgeOften(signal)])
+  }
+
+  /** Marks this instance as leaving; heartbeats are to say so as well. */
+  startLeaving (): void {
+    this.leavingSelf = true
+    this.changed()
+  }
+
+  /** Tells all peers that this instance ends now; nothing may be ordered or run by it after this. */
+  sayGoodbye (): void {
+    for (const instance of this.peers.connected()) this.peers.notify(instance, { kind: 'goodbye' })
+  }
+
+  /** @returns whether the list has been read at least once */
+  ready (): boolean {
+    return this.listRead
+  }
+
+  override members (): readonly Member[] {
+    const others = [...this.entries.values()].filter((entry) => entry.state !== 'gone').map((entry) => entry.view())
+    return [this.self(), ...others]
+  }
+
+  override member (instance: InstanceId): Member | undefined {
+    if (instance === this.peers.self.instance) return this.self()
+    return this.entries.get(instance)?.view()
+  }
+
+  override leavingEndpoints (): ReadonlySet<string> {
+    return this.endpointsLeaving
+  }
+
+  override onChange (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
+  /**
+   * @param dataCentre - which members count
+   * @returns whether this instance hears so many of them that it is not itself the one cut off
+   */
+  hearsEnough (dataCentre: DataCentreId): boolean {
+    const others = [...this.entries.values()].filter((entry) => entry.dataCentre === dataCentre && entry.state !== 'gone')
+    // An instance whose address refuses connections has ended; an instance that is cut off gets no such answer.
+    const counted = others.filter((entry) => entry.state !== 'suspect' || entry.evidence === undefined)
+    const heard = 1 + counted.filter((entry) => entry.state !== 'suspect').length
+    const all = 1 + counted.length
+    if (heard * 2 !== all) return heard * 2 > all
+    const [first] = rendezvousRank('even-split', [this.peers.self.instance, ...counted.map((entry) => entry.instance)])
+    return first !== undefined && this.sides(counted).has(first)
+  }
+
+  private sides (counted: readonly MemberEntry[]): ReadonlySet<InstanceId> {
+    const heard = counted.filter((entry) => entry.state !== 'suspect').map((entry) => entry.instance)
+    return new Set([this.peers.self.instance, ...heard])
+  }
+
+  private self (): Member {
+    const { instance, dataCentre, address } = this.peers.self
+    return { instance, dataCentre, address, state: this.leavingSelf ? 'leaving' : 'alive', storeReachable: true }
+  }
+
+  private async poll (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const began = this.clock.now()
+      const read = await this.list.read()
+      if (read.isOk()) this.takeList(read.value, began)
+      // Through an outage the last list stays: that the platform does not answer says nothing about members.
+      else this.logger.debug('The instance list cannot be read.', { reason: read.error.message })
+      await this.clock.sleep(this.pollMilliseconds * (0.5 + this.random()), signal)
+    }
+  }
+
+  private async judgeOften (signal: AbortSignal): Promise<void> {
+    const tick = this.suspectAfterMilliseconds / 12
+    while (!signal.aborted) {
+      this.judge()
+      await this.wake.wait(tick, signal)
+    }
+  }
+
+  private takeList (list: readonly ListedInstance[], began: number): void {
+    this.listRead = true
+    const entries = new Map(list.filter((line) => line.kind === 'entry').map((line) => [line.id as InstanceId, line]))
+    for (const [instance, line] of entries) {
+      if (instance !== this.peers.self.instance) this.entryOf(instance, line.dataCentre, line.address)
+    }
+    for (const entry of this.entries.values()) entry.listed(entries.get(entry.instance)?.state, began)
+    const leaving = list.filter((line) => line.kind === 'endpoint' && line.state === 'leaving').map((line) => line.id)
+    const same = leaving.length === this.endpointsLeaving.size && leaving.every((endpoint) => this.endpointsLeaving.has(endpoint))
+    this.endpointsLeaving = new Set(leaving)
+    this.judge(!same)
+  }
+
+  private entryOf (instance: InstanceId, dataCentre: DataCentreId, address: string): MemberEntry {
+    const present = this.entries.get(instance)
+    if (present !== undefined) {
+      this.targetsStale ||= present.address !== address
+      present.address = address
+      return present
+    }
+    const entry = new MemberEntry(instance, dataCentre, address, this.clock.now())
+    this.entries.set(instance, entry)
+    this.targetsStale = true
+    return entry
+  }
+
+  private connected (peer: PeerIdentity): void {
+    this.entryOf(peer.instance, peer.dataCentre, peer.address)
+    this.judge()
+  }
+
+  private heard (instance: InstanceId, take: (entry: MemberEntry) => void): void {
+    const entry = this.entries.get(instance)
+    if (entry === undefined) return
+    take(entry)
+    if (this.judgeOne(entry)) this.changed()
+  }
+
+  /** Judges every member anew and tells what changed. */
+  private judge (changedAlready = false): void {
+    const changed = [...this.entries.values()].map((entry) => this.judgeOne(entry))
+    this.forgetGone(this.clock.now())
+    if (!changed.includes(true) && !changedAlready && !this.targetsStale) return
+    this.targetsStale = false
+    this.changed()
+  }
+
+  /** Heartbeats come by the dozen each second; each judges its sender alone. */
+  private judgeOne (entry: MemberEntry): boolean {
+    const own = entry.dataCentre === this.peers.self.dataCentre
+    const before = entry.state
+    const changed = entry.judge({
+      now: this.clock.now(),
+      lastHeard: this.peers.lastHeard(entry.instance),
+      kept: own || this.keptRemotes.has(entry.instance),
+      suspectAfterMilliseconds: this.suspectAfterMilliseconds * (own ? 1 : REMOTE_SUSPECT_FACTOR),
+      unlistedGoneMilliseconds: this.unlistedGoneMilliseconds
+    })
+    if (changed) this.logger.info('A member changed its state.', { instance: entry.instance, before, state: entry.state })
+    return changed
+  }
+
+  private forgetGone (now: number): void {
+    for (const entry of this.entries.values()) {
+      if (entry.state !== 'gone') this.goneAt.delete(entry.instance)
+      else if (!this.goneAt.has(entry.instance)) this.goneAt.set(entry.instance, now)
+      else if (now - (this.goneAt.get(entry.instance) ?? now) > FORGET_GONE_MILLISECONDS) {
+        this.entries.delete(entry.instance)
+        this.goneAt.delete(entry.instance)
+      }
+    }
+  }
+
+  private changed (): void {
+    this.updateTargets()
+    for (const listener of this.listeners) listener()
+  }
+
+  private updateTargets (): void {
+    const { instance, dataCentre } = this.peers.self
+    const entries = [...this.entries.values()].filter((entry) => entry.state !== 'gone')
+    this.keptRemotes = chooseRemotes(instance, dataCentre, entries)
+    this.peers.setTargets(entries.map((entry): PeerTarget => ({
+      instance: entry.instance,
+      dataCentre: entry.dataCentre,
+      address: entry.address,
+      keep: entry.dataCentre === dataCentre || this.keptRemotes.has(entry.instance)
+    })))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/ownership/confirmation.ts
@@ -0,0 +1,75 @@
+/** Whether this instance's picture of the owners was still the newest a moment ago. */
+import type { Clock, InstanceId } from '@limpetwinch/core'
+import type { Moment } from './ownership-writer.js'
+
+interface PeerWord {
+  readonly sequence: number
+  readonly saidAfter: Moment
+}
+
+/** Collects what proves that nobody else has written. */
+export class Confirmation {
+  private readonly clock: Clock
+  private readonly validMilliseconds: number
+  private readonly words = new Map<InstanceId, PeerWord>()
+  private store: Moment | undefined
+
+  /**
+   * @param clock - dates the proofs
+   * @param validMilliseconds - how long a proof counts
+   */
+  constructor (clock: Clock, validMilliseconds: number) {
+    this.clock = clock
+    this.validMilliseconds = validMilliseconds
+  }
+
+  /** Notes that the store held nothing newer at a moment. */
+  byStore (moment: Moment): void {
+    this.store = moment
+  }
+
+  /** Notes the newest sequence that a peer knew or was writing after a moment. */
+  byPeer (instance: InstanceId, sequence: number, saidAfter: Moment): void {
+    this.words.set(instance, { sequence, saidAfter })
+  }
+
+  /** @returns whether the store itself was seen in time */
+  storeFresh (): boolean {
+    return this.fresh(this.store)
+  }
+
+  /**
+   * @param sequence - the newest state known here
+   * @param others - all who could have written a newer one
+   * @returns whether store or peers prove that there was none
+   */
+  holds (sequence: number, others: readonly InstanceId[]): boolean {
+    return this.storeFresh() || this.heldByPeers(sequence, others)
+  }
+
+  /** @returns whether every one of the others has said in time that it knows nothing newer */
+  heldByPeers (sequence: number, others: readonly InstanceId[]): boolean {
+    return others.every((instance) => {
+      const word = this.words.get(instance)
+      return word !== undefined && word.sequence <= sequence && this.fresh(word.saidAfter)
+    })
+  }
+
+  /** Forgets instances that are gone. */
+  keepOnly (instances: ReadonlySet<InstanceId>): void {
+    for (const instance of this.words.keys()) {
+      if (!instances.has(instance)) this.words.delete(instance)
+    }
+  }
+
+  /**
+   * Both clocks must agree that the proof is young: the monotonic one stands still while a virtual machine is
+   * suspended, and the wall clock may be set back. A pause of any kind therefore makes every proof old at once.
+   */
+  private fresh (moment: Moment | undefined): boolean {
+    if (moment === undefined) return false
+    const monotonicAge = this.clock.now() - moment.monotonic
+    const wallAge = Math.abs(this.clock.wallTime() - moment.wall)
+    return monotonicAge <= this.validMilliseconds && wallAge <= this.validMilliseconds
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/frame-dispatcher.ts
@@ -0,0 +1,68 @@
+/** Hands frames that came in to the parts that took up their kind. */
+import type { FrameKind, FrameOf, InstanceId, Logger } from '@limpetwinch/core'
+import type { CallFrame, NoticeFrame, ReplyBody, ReplyFrame } from './peer-network.js'
+
+const CALL_KINDS: ReadonlySet<FrameKind> = new Set<CallFrame['kind']>(['admission-ask', 'pins-ask', 'hand-over', 'load-turn-ask'])
+const REPLY_KINDS: ReadonlySet<FrameKind> = new Set<ReplyFrame['kind']>(['admission-granted', 'admission-refused', 'pins-report', 'accepted', 'refused'])
+
+type NoticeHandler = (from: InstanceId, frame: NoticeFrame) => void
+type CallHandler = (from: InstanceId, frame: CallFrame, signal: AbortSignal) => Promise<ReplyBody>
+
+/** @returns whether a frame asks for an answer */
+export function isCall (frame: { readonly kind: FrameKind }): frame is CallFrame {
+  return CALL_KINDS.has(frame.kind)
+}
+
+/** @returns whether a frame answers a call */
+export function isReply (frame: { readonly kind: FrameKind }): frame is ReplyFrame {
+  return REPLY_KINDS.has(frame.kind)
+}
+
+/** Handlers by kind of frame. */
+export class FrameDispatcher {
+  private readonly logger: Logger
+  private readonly notices = new Map<FrameKind, NoticeHandler[]>()
+  private readonly calls = new Map<FrameKind, CallHandler>()
+
+  /** @param logger - says which handler failed */
+  constructor (logger: Logger) {
+    this.logger = logger
+  }
+
+  /** Adds a handler of notices. */
+  onNotice<Kind extends NoticeFrame['kind']> (kind: Kind, handler: (from: InstanceId, frame: FrameOf<Kind>) => void): void {
+    const handlers = this.notices.get(kind) ?? []
+    this.notices.set(kind, [...handlers, handler as unknown as NoticeHandler])
+  }
+
+  /** Sets the handler of a kind of call. */
+  onCall<Kind extends CallFrame['kind']> (kind: Kind, handler: (from: InstanceId, frame: FrameOf<Kind>, signal: AbortSignal) => Promise<ReplyBody>): void {
+    this.calls.set(kind, handler as unknown as CallHandler)
+  }
+
+  /** Delivers a notice. */
+  notice (from: InstanceId, frame: NoticeFrame): void {
+    for (const handler of this.notices.get(frame.kind) ?? []) {
+      try {
+        handler(from, frame)
+      } catch (cause) {
+        // One part's fault must not end the connection that all parts share.
+        this.logger.error('A notice handler failed.', { kind: frame.kind, cause: String(cause) })
+      }
+    }
+  }
+
+  /** Delivers a call; the answer is never a rejection. */
+  async call (from: InstanceId, frame: CallFrame, signal: AbortSignal): Promise<ReplyBody> {
+    const handler = this.calls.get(frame.kind)
+    if (handler === undefined) {
+      return { kind: 'refused', error: 'peer-unreachable', details: { reason: `it takes no ${frame.kind}` }, outcome: 'not_run' }
+    }
+    try {
+      return await handler(from, frame, signal)
+    } catch (cause) {
+      this.logger.error('A call handler failed.', { kind: frame.kind, cause: String(cause) })
+      return { kind: 'refused', error: 'peer-silent', details: {}, outcome: 'unknown' }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -0,0 +1,109 @@
+/** The form of each frame on the wire. A field's place in its object is its place on the wire: append only. */
+import { ERRORS } from '@limpetwinch/core'
+import type { ErrorName, FrameKind } from '@limpetwinch/core'
+import { z } from 'zod'
+
+const id = z.string().min(1).max(200)
+const count = z.int().min(0)
+const errorNames = Object.keys(ERRORS) as [ErrorName, ...ErrorName[]]
+
+/** A newer release may send an error that this one has no row for; what is known of the work still holds. */
+const errorName = z.enum(errorNames).catch('bad-frame')
+
+const errorBody = {
+  error: errorName,
+  details: z.record(z.string(), z.unknown()),
+  outcome: z.enum(['not_run', 'unknown']),
+  retryAfterSeconds: z.number().optional()
+}
+
+const pin = { requestId: id, loadedName: z.string().max(400).optional(), team: id }
+
+/** Schemas by kind, without `kind` itself; kinds are numbered on the wire in this order: append only. */
+export const FRAME_SCHEMAS = {
+  hello: z.object({ instance: id, dataCentre: id, address: id }),
+  heartbeat: z.object({
+    sequence: count,
+    echo: count,
+    leaving: z.boolean(),
+    settingsHash: z.string().max(64),
+    ownershipVersion: count,
+    storeReachable: z.boolean()
+  }),
+  goodbye: z.object({}),
+  'admission-ask': z.object({
+    call: count,
+    requestId: id,
+    endpoint: id,
+    adapter: z.object({ team: id, adapter: id, version: id }).optional(),
+    team: id,
+    priority: z.number(),
+    promptTokens: count,
+    maximumTokens: count,
+    patience: z.number()
+  }),
+  'admission-granted': z.object({
+    call: count,
+    token: count,
+    loadedName: z.string().max(400).optional(),
+    loadStall: z.number(),
+    queueWait: z.number()
+  }),
+  'admission-refused': z.object({ call: count, ...errorBody }),
+  'admission-done': z.object({
+    requestId: id,
+    endpoint: id,
+    outputTokens: count,
+    outcome: z.enum(['answered', 'not-run', 'failed', 'withdrawn'])
+  }),
+  'pins-ask': z.object({ call: count, endpoint: id, token: count }),
+  'pins-report': z.object({ call: count, pins: z.array(z.object(pin)) }),
+  'endpoint-digest': z.object({
+    endpoint: id,
+    token: count,
+    sequence: count,
+    queued: count,
+    running: count,
+    slots: count,
+    pinnedSlots: count,
+    batchCapacity: count,
+    leaving: z.boolean(),
+    healthy: z.boolean(),
+    full: z.boolean(),
+    added: z.array(z.string().max(400)),
+    removed: z.array(z.string().max(400))
+  }),
+  'settings-change': z.object({
+    documents: z.array(z.object({
+      path: id,
+      revision: count,
+      text: z.string().optional(),
+      writeId: id,
+      acceptedAt: z.number(),
+      author: z.string()
+    }))
+  }),
+  'settings-revisions': z.object({ revisions: z.array(z.object({ path: id, revision: count })) }),
+  ownership: z.object({ version: count, value: z.unknown() }),
+  'hand-over': z.object({
+    call: count,
+    endpoint: id,
+    token: count,
+    recovered: z.boolean(),
+    loaded: z.array(z.string().max(400)),
+    pins: z.array(z.object({ ...pin, instance: id }))
+  }),
+  'load-turn-ask': z.object({ call: count, turn: id, urgency: z.number() }),
+  'load-turn-done': z.object({ turn: id }),
+  'team-service': z.object({ tokens: z.array(z.object({ team: id, tokens: z.number() })) }),
+  accepted: z.object({ call: count }),
+  refused: z.object({ call: count, ...errorBody })
+} as const satisfies Record<FrameKind, z.ZodObject>
+
+/** Kinds by their number on the wire. */
+export const FRAME_KINDS = Object.keys(FRAME_SCHEMAS) as readonly FrameKind[]
+
+/** Names of a kind's fields by their place on the wire. */
+export const FRAME_FIELDS = Object.fromEntries(
+  FRAME_KINDS.map((kind) => [kind, Object.keys(FRAME_SCHEMAS[kind].shape)])
+) as unknown as Readonly<Record<FrameKind, readonly string[]>>
--- /dev/null
+++ b/packages/entry/src/peers/peer-dialler.ts
@@ -0,0 +1,138 @@
+/** The task that keeps one peer connected, or dials it on demand. */
+import { LimpetwinchError } from '@limpetwinch/core'
+import { Backoff } from '../concurrency/backoff.js'
+import { Wake } from '../concurrency/wake.js'
+import type { ConnectionTable } from './connection-table.js'
+import type { FrameCounter } from './frame-counter.js'
+import { dial, handshake } from './handshake.js'
+import { PeerConnection } from './peer-connection.js'
+import type { ConnectionSurroundings } from './peer-connection.js'
+import type { EndEvidence, PeerIdentity, PeerTarget } from './peer-links.js'
+
+const BACKOFF = { first: 50, largest: 2_000 }
+const IDLE_MILLISECONDS = 60_000
+const LOOK_AGAIN_MILLISECONDS = 5_000
+
+/** What a dialler needs from the network. */
+export interface DiallerSurroundings {
+  readonly self: PeerIdentity
+  readonly table: ConnectionTable
+  readonly counter: FrameCounter
+  readonly connection: ConnectionSurroundings
+  readonly random: () => number
+  readonly intervalMilliseconds: number
+  readonly serve: (connection: PeerConnection) => void
+  readonly onEvidence: (evidence: EndEvidence) => void
+}
+
+/** Dials one target for as long as it is one. */
+export class PeerDialler {
+  target: PeerTarget
+  private readonly surroundings: DiallerSurroundings
+  private readonly wake = new Wake()
+  private readonly stopping = new AbortController()
+  private demanded = false
+
+  /**
+   * @param target - whom to dial
+   * @param surroundings - what the network lends
+   */
+  constructor (target: PeerTarget, surroundings: DiallerSurroundings) {
+    this.target = target
+    this.surroundings = surroundings
+  }
+
+  /** Asks for a connection now. */
+  demand (): void {
+    this.demanded = true
+    this.wake.notify()
+  }
+
+  /** Takes up a change of the target or of its connections. */
+  look (): void {
+    this.wake.notify()
+  }
+
+  /** Ends the task; a live connection is left to its end. */
+  stop (): void {
+    this.stopping.abort()
+  }
+
+  /** Dials whenever a connection is wanted and none is there. */
+  async run (): Promise<void> {
+    const { signal } = this.stopping
+    const backoff = new Backoff(BACKOFF, this.surroundings.random)
+    await this.letTheOtherDial(signal)
+    while (!signal.aborted) {
+      if (!this.wanted() || this.connected()) {
+        this.closeIdle()
+        await this.wake.wait(LOOK_AGAIN_MILLISECONDS, signal)
+        continue
+      }
+      if (await this.connectOnce(signal)) backoff.reset()
+      if (!this.connected()) await this.surroundings.connection.clock.sleep(backoff.next(), signal)
+    }
+  }
+
+  /** Both know of each other as a rule; the higher id dials first, so that a pair seldom holds two connections. */
+  private async letTheOtherDial (signal: AbortSignal): Promise<void> {
+    if (this.surroundings.self.instance > this.target.instance) return
+    const until = this.surroundings.connection.clock.now() + 2 * this.surroundings.intervalMilliseconds
+    while (!signal.aborted && !this.demanded && !this.connected()) {
+      const left = until - this.surroundings.connection.clock.now()
+      if (left <= 0) return
+      await this.wake.wait(left, signal)
+    }
+  }
+
+  private wanted (): boolean {
+    return this.target.keep || this.demanded
+  }
+
+  private connected (): boolean {
+    return this.surroundings.table.newest(this.target.instance) !== undefined
+  }
+
+  private closeIdle (): void {
+    const connection = this.surroundings.table.newest(this.target.instance)
+    if (connection === undefined || this.target.keep || !connection.dialled) return
+    if (this.surroundings.connection.clock.now() - connection.lastUsed < IDLE_MILLISECONDS) return
+    this.demanded = false
+    connection.end('nothing was sent for a while')
+  }
+
+  /** @returns whether a connection was made; it is served in its own task */
+  private async connectOnce (signal: AbortSignal): Promise<boolean> {
+    const { intervalMilliseconds, self, counter } = this.surroundings
+    const limit = 2 * intervalMilliseconds
+    const socket = await dial(this.target.address, limit, signal)
+    if (socket.isErr()) {
+      if (socket.error.code === 'ECONNREFUSED') this.surroundings.onEvidence('refused')
+      return this.failed()
+    }
+    const greeted = await handshake(socket.value, self, true, limit, counter)
+    if (greeted.isErr()) return this.failed()
+    const { hello, frames } = greeted.value
+    // Another process listens here now. What was meant for the earlier one must not reach it: to the new one an
+    // old call would look like its own. The list brings its id, under which it is dialled anew.
+    if (hello.instance !== this.target.instance || signal.aborted) {
+      socket.value.destroy()
+      if (!signal.aborted) this.surroundings.onEvidence('replaced')
+      return this.failed()
+    }
+    const connection = new PeerConnection(socket.value, frames, hello, true, intervalMilliseconds, this.surroundings.connection)
+    this.surroundings.serve(connection)
+    return true
+  }
+
+  /** A demand that failed once is over; the next call makes another. */
+  private failed (): boolean {
+    if (!this.target.keep) this.demanded = false
+    return false
+  }
+}
+
+/** @returns the error for a peer that cannot be reached and was therefore not asked */
+export function unreachable (instance: string, reason: string): LimpetwinchError {
+  return new LimpetwinchError('peer-unreachable', { instance, reason })
+}
--- /dev/null
+++ b/packages/entry/src/peers/tcp-peer-network.ts
@@ -0,0 +1,277 @@
+/** The peer network over TCP: one connection to each peer of the data centre, others on demand. */
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, FrameOf, InstanceId, LimpetwinchError, Logger } from '@limpetwinch/core'
+import { err, ResultAsync } from 'neverthrow'
+import { TaskGroup } from '../concurrency/task-group.js'
+import { ConnectionTable } from './connection-table.js'
+import { FrameCounter } from './frame-counter.js'
+import { FrameDispatcher } from './frame-dispatcher.js'
+import { handshake, splitAddress } from './handshake.js'
+import { OutstandingCalls } from './outstanding-calls.js'
+import type { CallResult } from './outstanding-calls.js'
+import { PeerConnection } from './peer-connection.js'
+import type { ConnectionSurroundings } from './peer-connection.js'
+import { PeerDialler, unreachable } from './peer-dialler.js'
+import { PeerLinks } from './peer-links.js'
+import type { EndEvidence, HeardHeartbeat, HeartbeatBody, PeerIdentity, PeerTarget } from './peer-links.js'
+import type { CallBody, CallFrame, FrameCounts, NoticeFrame, ReplyBody, ReplyFrame } from './peer-network.js'
+
+/** Heartbeats to another data centre are this much rarer: nobody there takes this instance's endpoints over. */
+const REMOTE_INTERVALS = 5
+const LARGEST_WAITING_NOTICES = 1_000
+const NEVER = new AbortController().signal
+
+/** What a network is made of. */
+export interface TcpPeerNetworkOptions {
+  readonly instance: InstanceId
+  readonly dataCentre: DataCentreId
+  /** `host:port` to listen at and to be dialled at; port 0 takes a free one. */
+  readonly address: string
+  readonly logger: Logger
+  readonly clock?: Clock
+  /** Uniform in 0 to 1. */
+  readonly random?: () => number
+  /** Between heartbeats inside the data centre; a connection is silent after three. */
+  readonly heartbeatMilliseconds?: number
+}
+
+const NOTHING_TO_SAY: HeartbeatBody = { leaving: false, settingsHash: '', ownershipVersion: 0, storeReachable: true }
+
+/** A {@link PeerLinks} over TCP. */
+export class TcpPeerNetwork extends PeerLinks {
+  override self: PeerIdentity
+  readonly counter = new FrameCounter()
+  private readonly clock: Clock
+  private readonly logger: Logger
+  private readonly random: () => number
+  private readonly heartbeatMilliseconds: number
+  private readonly dispatcher: FrameDispatcher
+  private readonly table = new ConnectionTable()
+  private readonly diallers = new Map<InstanceId, PeerDialler>()
+  private readonly tasks: TaskGroup
+  private readonly ownCalls: OutstandingCalls
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private readonly connectedListeners: ((peer: PeerIdentity) => void)[] = []
+  private readonly heartbeatListeners: ((from: InstanceId, heartbeat: HeardHeartbeat) => void)[] = []
+  private readonly evidenceListeners: ((instance: InstanceId, evidence: EndEvidence) => void)[] = []
+  private readonly surroundings: ConnectionSurroundings
+  private describe = (): HeartbeatBody => NOTHING_TO_SAY
+  private targets: readonly PeerTarget[] = []
+  private waitingNotices = 0
+  private running = false
+
+  /** @param options - who this is and how to beat */
+  constructor (options: TcpPeerNetworkOptions) {
+    super()
+    this.self = { instance: options.instance, dataCentre: options.dataCentre, address: options.address }
+    this.logger = options.logger.part('peers')
+    this.clock = options.clock ?? new SystemClock()
+    this.random = options.random ?? Math.random
+    this.heartbeatMilliseconds = options.heartbeatMilliseconds ?? 1_000
+    this.dispatcher = new FrameDispatcher(this.logger)
+    this.tasks = new TaskGroup(this.logger)
+    this.ownCalls = new OutstandingCalls(options.instance)
+    this.server = createServer({ noDelay: true }, (socket) => { this.tasks.spawn('accept', async () => await this.accept(socket)) })
+    this.surroundings = {
+      clock: this.clock,
+      logger: this.logger,
+      counter: this.counter,
+      dispatcher: this.dispatcher,
+      describe: () => this.describe(),
+      onHeartbeat: (peer, heartbeat) => { for (const listener of this.heartbeatListeners) listener(peer.instance, heartbeat) }
+    }
+  }
+
+  /** Starts to listen. @returns the address with the port taken, or the system's error */
+  listen (): ResultAsync<string, Error> {
+    return ResultAsync.fromPromise(this.startServer(), (cause) => cause as Error)
+  }
+
+  /** Serves until the signal ends it; all connections are closed and tasks ended then. */
+  async run (signal: AbortSignal): Promise<void> {
+    if (!this.server.listening) await this.startServer()
+    this.running = true
+    this.setTargets(this.targets)
+    if (!signal.aborted) await new Promise<void>((resolve) => { signal.addEventListener('abort', () => resolve(), { once: true }) })
+    this.running = false
+    for (const dialler of this.diallers.values()) dialler.stop()
+    this.diallers.clear()
+    this.server.close()
+    this.table.endAll('this instance stops')
+    for (const socket of this.sockets) socket.destroy()
+    await this.tasks.settle()
+  }
+
+  override setTargets (targets: readonly PeerTarget[]): void {
+    this.targets = targets
+    if (!this.running) return
+    const wanted = new Map(targets.filter((target) => target.instance !== this.self.instance).map((target) => [target.instance, target]))
+    for (const [instance, dialler] of this.diallers) {
+      const target = wanted.get(instance)
+      if (target?.address === dialler.target.address) continue
+      dialler.stop()
+      this.diallers.delete(instance)
+      if (target === undefined) this.table.forget(instance)
+    }
+    for (const target of wanted.values()) this.dialTarget(target)
+  }
+
+  override describeHeartbeat (describe: () => HeartbeatBody): void {
+    this.describe = describe
+  }
+
+  override lastHeard (instance: InstanceId): number | undefined {
+    return this.table.lastHeard(instance)
+  }
+
+  override onConnected (listener: (peer: PeerIdentity) => void): void {
+    this.connectedListeners.push(listener)
+  }
+
+  override onHeartbeat (listener: (from: InstanceId, heartbeat: HeardHeartbeat) => void): void {
+    this.heartbeatListeners.push(listener)
+  }
+
+  override onEndEvidence (listener: (instance: InstanceId, evidence: EndEvidence) => void): void {
+    this.evidenceListeners.push(listener)
+  }
+
+  override notify (to: InstanceId, frame: NoticeFrame): void {
+    if (to === this.self.instance) return queueMicrotask(() => this.dispatcher.notice(to, frame))
+    const connection = this.table.newest(to)
+    if (connection !== undefined) return connection.notify(frame)
+    if (!this.diallers.has(to) || this.waitingNotices >= LARGEST_WAITING_NOTICES) {
+      this.counter.droppedNotices += 1
+      return
+    }
+    this.waitingNotices += 1
+    this.tasks.spawn('notify', async () => {
+      const made = await this.demand(to, this.heartbeatMilliseconds)
+      this.waitingNotices -= 1
+      if (made === undefined) this.counter.droppedNotices += 1
+      else made.notify(frame)
+    })
+  }
+
+  override call (to: InstanceId, body: CallBody, timeoutMilliseconds: number, signal?: AbortSignal): ResultAsync<ReplyBody, LimpetwinchError> {
+    return new ResultAsync(this.ask(to, body, timeoutMilliseconds, signal))
+  }
+
+  override onNotice<Kind extends NoticeFrame['kind']> (kind: Kind, handler: (from: InstanceId, frame: FrameOf<Kind>) => void): void {
+    this.dispatcher.onNotice(kind, handler)
+  }
+
+  override onCall<Kind extends CallFrame['kind']> (kind: Kind, handler: (from: InstanceId, frame: FrameOf<Kind>, signal: AbortSignal) => Promise<ReplyBody>): void {
+    this.dispatcher.onCall(kind, handler)
+  }
+
+  override connected (): readonly InstanceId[] {
+    return this.table.peers()
+  }
+
+  override counts (): FrameCounts {
+    return this.counter.counts()
+  }
+
+  private async startServer (): Promise<string> {
+    const { host, port } = splitAddress(this.self.address)
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject)
+        resolve()
+      })
+    })
+    const taken = (this.server.address() as AddressInfo).port
+    this.self = { ...this.self, address: this.self.address.replace(/:\d+$/, `:${taken}`) }
+    return this.self.address
+  }
+
+  private dialTarget (target: PeerTarget): void {
+    const present = this.diallers.get(target.instance)
+    if (present !== undefined) {
+      present.target = target
+      present.look()
+      return
+    }
+    const dialler = new PeerDialler(target, {
+      self: this.self,
+      table: this.table,
+      counter: this.counter,
+      connection: this.surroundings,
+      random: this.random,
+      intervalMilliseconds: this.intervalFor(target.dataCentre),
+      serve: (connection) => { this.tasks.spawn('connection', async () => await this.serve(connection)) },
+      onEvidence: (evidence) => { for (const listener of this.evidenceListeners) listener(target.instance, evidence) }
+    })
+    this.diallers.set(target.instance, dialler)
+    this.tasks.spawn('dialler', async () => await dialler.run())
+  }
+
+  private async accept (socket: Socket): Promise<void> {
+    this.sockets.add(socket)
+    socket.on('close', () => { this.sockets.delete(socket) })
+    socket.on('error', () => { socket.destroy() })
+    const greeted = await handshake(socket, this.self, false, 2 * this.heartbeatMilliseconds, this.counter)
+    if (greeted.isErr()) {
+      this.counter.badFrames += 1
+      this.logger.warn('A connection brought no hello and was closed.', { reason: greeted.error.message })
+      return
+    }
+    const { hello, frames } = greeted.value
+    const connection = new PeerConnection(socket, frames, hello, false, this.intervalFor(hello.dataCentre), this.surroundings)
+    await this.serve(connection)
+  }
+
+  private async serve (connection: PeerConnection): Promise<void> {
+    this.table.add(connection)
+    for (const listener of this.connectedListeners) listener(connection.peer)
+    this.diallers.get(connection.peer.instance)?.look()
+    try {
+      await connection.run()
+    } finally {
+      this.table.remove(connection)
+      this.diallers.get(connection.peer.instance)?.look()
+    }
+  }
+
+  private async ask (to: InstanceId, body: CallBody, timeoutMilliseconds: number, signal: AbortSignal | undefined): Promise<CallResult> {
+    if (to === this.self.instance) return await this.askSelf(body, timeoutMilliseconds, signal)
+    const started = this.clock.now()
+    const wait = Math.min(timeoutMilliseconds, this.heartbeatMilliseconds)
+    const connection = this.table.newest(to) ?? await this.demand(to, wait, signal)
+    if (connection === undefined) return err(unreachable(to, 'no connection'))
+    const left = Math.max(0, timeoutMilliseconds - (this.clock.now() - started))
+    return await connection.call(body, { timeoutMilliseconds: left, signal })
+  }
+
+  /** Waits for a connection that is being dialled. */
+  private async demand (to: InstanceId, milliseconds: number, signal?: AbortSignal): Promise<PeerConnection | undefined> {
+    const dialler = this.diallers.get(to)
+    if (dialler === undefined) return undefined
+    dialler.demand()
+    const until = this.clock.now() + milliseconds
+    for (;;) {
+      const connection = this.table.newest(to)
+      const left = until - this.clock.now()
+      if (connection !== undefined || left <= 0 || signal?.aborted === true) return connection
+      await this.table.wakeOf(to).wait(left, signal)
+    }
+  }
+
+  private intervalFor (dataCentre: DataCentreId): number {
+    return dataCentre === this.self.dataCentre ? this.heartbeatMilliseconds : REMOTE_INTERVALS * this.heartbeatMilliseconds
+  }
+
+  private async askSelf (body: CallBody, timeoutMilliseconds: number, signal: AbortSignal | undefined): Promise<CallResult> {
+    return await this.ownCalls.open({ timeoutMilliseconds, signal }, (call, onWritten) => {
+      onWritten()
+      this.dispatcher.call(this.self.instance, { ...body, call } as CallFrame, signal ?? NEVER)
+        .then((reply) => this.ownCalls.answered({ ...reply, call } as ReplyFrame))
+      return true
+    })
+  }
+}
