Refuse at once what cannot be answered in time; tests of admission to an owned engine

Need: a full queue refused by its length alone, and a request that could not make its deadline waited until it. The guard of the decisions package now decides on each arrival with a forecast learnt from what was served, and what can no longer be answered is told so at the next report of the engine.

--- a/packages/entry/src/scheduling/endpoint-scheduler.ts
+++ b/packages/entry/src/scheduling/endpoint-scheduler.ts
@@ -3,17 +3,17 @@
 import type { Result } from 'neverthrow'
 import { formatAdapter, LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EngineReport, EngineSettings, FencingToken, InstanceId, LoadedName, Logger } from '@limpetwinch/core'
-import type { EvictionPolicy, FairQueue } from '@limpetwinch/decisions'
+import type { EvictionPolicy, FairQueue, OverloadGuard, Refusal, WaitForecast } from '@limpetwinch/decisions'
 import type { OwnerRights, OwnershipRecord } from '../ownership/ownership.js'
 import { expectedCost } from './admission.js'
 import type { AdmissionAsk, AdmissionOutcome, Grant, WaitingRequest } from './admission.js'
 import { SlotTable } from './slot-table.js'
 import type { Slot } from './slot-table.js'
+import { WaitForecaster } from './wait-forecaster.js'
+import { WaitingRoom } from './waiting-room.js'
 
 /** Requests granted beyond the engine's batch, so that a finished sequence is replaced in the next step. */
 const GRANTED_BEYOND_BATCH = 2
-const LONGEST_QUEUE = 2_000
-const SHORTEST_RETRY_SECONDS = 1
 
 /** A granted request. */
 export interface Running {
@@ -29,6 +29,8 @@
   readonly rights: () => OwnerRights
   readonly queue: FairQueue<WaitingRequest>
   readonly eviction: EvictionPolicy
+  readonly guard: OverloadGuard<WaitingRequest>
+  readonly loadMilliseconds: () => number
   readonly clock: Clock
   readonly logger: Logger
   /** Called when a load may be wanted. */
@@ -39,8 +41,6 @@
   readonly onChange: () => void
 }
 
-type Settle = (result: Result<Grant, LimpetwinchError>) => void
-
 /** The queue, the pins and the slots of one owned engine. */
 export class EndpointScheduler {
   readonly engine: EngineSettings
@@ -48,13 +48,14 @@
   readonly slots: SlotTable
   readonly running = new Map<string, Running>()
   private readonly options: EndpointSchedulerOptions
-  private readonly settles = new Map<string, Settle>()
-  private readonly waitingByAdapter = new Map<string, Set<WaitingRequest>>()
+  private readonly waiting: WaitingRoom
+  private readonly forecaster: WaitForecaster
+  /** Service of all that wait, tokens. */
+  private waitingCost = 0
   /** Wall time at which the last order ended; an older report says nothing of it. */
   lastOrderAt = 0
   private engineRun: string | undefined
   private frozen = false
-  private secondsPerRequest = 0.5
 
   /** @param options - what it works with */
   constructor (options: EndpointSchedulerOptions) {
@@ -62,11 +63,13 @@
     this.engine = options.engine
     this.record = options.record
     this.slots = new SlotTable(options.engine.slots)
+    this.waiting = new WaitingRoom(options.queue)
+    this.forecaster = new WaitForecaster(options.engine)
   }
 
   /** Requests that wait here. */
   get queued (): number {
-    return this.options.queue.size
+    return this.waiting.size
   }
 
   /** The fencing token of every order and grant. */
@@ -81,12 +84,12 @@
 
   /** @returns requests that wait for an adapter */
   waitingFor (adapter: string): ReadonlySet<WaitingRequest> {
-    return this.waitingByAdapter.get(adapter) ?? new Set()
+    return this.waiting.forAdapter(adapter)
   }
 
   /** @returns adapters that requests wait for and that no slot holds ready */
   wantedAdapters (): string[] {
-    return [...this.waitingByAdapter.keys()].filter((adapter) => this.slots.usable(adapter)?.state !== 'loaded')
+    return this.waiting.adapters().filter((adapter) => this.slots.usable(adapter)?.state !== 'loaded')
   }
 
   /**
@@ -101,9 +104,18 @@
     // The asker asks again when the answer to its first ask was lost with a connection: it holds the pin already.
     if (running !== undefined) return ok(this.grantOf(running, 0, 0))
     if (this.frozen) return err(new LimpetwinchError('not-owner', { endpoint: this.engine.endpoint }))
-    const refused = this.makeRoom(ask)
-    if (refused !== undefined) return err(refused)
-    return await this.wait(ask, signal)
+    const item = this.itemOf(ask)
+    const decision = this.options.guard.admit(item, this.options.queue, this.forecast(item, this.waitingCost), item.enqueuedAt)
+    if (!decision.admitted) return err(refusalError(decision))
+    if (decision.shed !== undefined) this.settle(decision.shed.item, err(refusalError(decision.shed.refusal)))
+    return await this.wait(item, signal)
+  }
+
+  /** Refuses at once whoever can no longer be answered in time. */
+  expire (): void {
+    const { guard, queue, clock } = this.options
+    const given = guard.expire(queue, (item) => this.forecast(item, 0), clock.now())
+    for (const { item, refusal } of given) this.settle(item, err(refusalError(refusal)))
   }
 
   /**
@@ -114,7 +126,7 @@
    * @param outputTokens - what it generated
    */
   done (requestId: string, outcome: AdmissionOutcome, outputTokens: number): void {
-    this.settle(requestId, err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run' })))
+    this.withdraw(requestId)
     const running = this.running.get(requestId)
     if (running === undefined) return
     this.running.delete(requestId)
@@ -124,8 +136,7 @@
     const actual = outcome === 'answered' || outcome === 'failed' ? expectedCost(ask.promptTokens, outputTokens) : 0
     this.options.queue.charge(ask.team, actual - expected)
     if (actual > 0) this.options.onServed(ask.team, actual)
-    const seconds = (this.options.clock.now() - running.grantedAt) / 1000
-    this.secondsPerRequest = 0.9 * this.secondsPerRequest + 0.1 * seconds
+    this.learn(running, outcome, outputTokens, actual)
     this.pump()
   }
 
@@ -165,9 +176,10 @@
   /** Stops granting, for a hand-over; whoever waits is told to ask the next owner. */
   freeze (): void {
     this.frozen = true
-    for (const requestId of [...this.settles.keys()]) {
-      this.settle(requestId, err(new LimpetwinchError('not-owner', { endpoint: this.engine.endpoint })))
+    for (const requestId of this.waiting.ids()) {
+      this.waiting.settle(requestId, err(new LimpetwinchError('not-owner', { endpoint: this.engine.endpoint })))
     }
+    this.waitingCost = 0
   }
 
   /** Grants what can run now. */
@@ -183,7 +195,7 @@
 
   /** Refuses everyone who waits for an adapter. */
   refuseWaiting (adapter: string, error: LimpetwinchError): void {
-    for (const item of [...this.waitingFor(adapter)]) this.settle(item.requestId, err(error))
+    for (const item of [...this.waitingFor(adapter)]) this.settle(item, err(error))
   }
 
   /** @returns whether a name may be granted by this owner */
@@ -193,62 +205,63 @@
     return token !== undefined && (Number(token) === this.record.token || Number(token) === this.record.handedOverFrom)
   }
 
-  private async wait (ask: AdmissionAsk, signal: AbortSignal): Promise<Result<Grant, LimpetwinchError>> {
-    const item = this.enqueue(ask)
-    const answer = new Promise<Result<Grant, LimpetwinchError>>((resolve) => this.settles.set(ask.requestId, resolve))
-    const giveUp = (): void => this.settle(ask.requestId, err(this.tooLate(ask)))
-    const timer = setTimeout(giveUp, ask.patience)
+  private async wait (item: WaitingRequest, signal: AbortSignal): Promise<Result<Grant, LimpetwinchError>> {
+    const answer = new Promise<Result<Grant, LimpetwinchError>>((resolve) => this.waiting.add(item, resolve))
+    this.waitingCost += item.cost
+    if (item.adapter !== undefined) this.options.eviction.used(item.adapter, item.team, item.cost, item.enqueuedAt)
+    const timer = setTimeout(() => this.settle(item, err(this.tooLate(item))), item.ask.patience)
+    const giveUp = (): void => this.withdraw(item.requestId)
     signal.addEventListener('abort', giveUp)
     this.pump()
-    if (this.settles.has(item.requestId)) this.options.onWanted()
+    if (this.waiting.has(item.requestId)) this.options.onWanted()
     const result = await answer
     clearTimeout(timer)
     signal.removeEventListener('abort', giveUp)
     return result
   }
 
-  private enqueue (ask: AdmissionAsk): WaitingRequest {
+  private itemOf (ask: AdmissionAsk): WaitingRequest {
     const now = this.options.clock.now()
-    const adapter = ask.adapter === undefined ? undefined : formatAdapter(ask.adapter)
-    const item: WaitingRequest = {
+    return {
       requestId: ask.requestId,
       team: ask.team,
       priority: ask.priority,
-      adapter,
+      adapter: ask.adapter === undefined ? undefined : formatAdapter(ask.adapter),
       cost: expectedCost(ask.promptTokens, ask.maximumTokens),
       enqueuedAt: now,
       deadlineAt: now + ask.patience,
       ask,
       loadedSince: undefined
     }
-    this.options.queue.push(item)
-    if (adapter !== undefined) {
-      const waiting = this.waitingByAdapter.get(adapter) ?? new Set()
-      waiting.add(item)
-      this.waitingByAdapter.set(adapter, waiting)
-      this.options.eviction.used(adapter, ask.team, item.cost, now)
-    }
-    return item
   }
 
-  private makeRoom (ask: AdmissionAsk): LimpetwinchError | undefined {
-    const { queue } = this.options
-    if (queue.size < LONGEST_QUEUE) return undefined
-    const worst = queue.worst()
-    if (worst === undefined || worst.priority >= ask.priority) return this.full()
-    this.settle(worst.requestId, err(this.full()))
-    return undefined
+  private forecast (item: WaitingRequest, costAhead: number): WaitForecast {
+    const loaded = item.adapter === undefined || this.slots.usable(item.adapter)?.state === 'loaded'
+    return this.forecaster.forecast({
+      maximumTokens: item.ask.maximumTokens,
+      costAhead,
+      loadsAhead: loaded ? 0 : 1,
+      loadMilliseconds: this.options.loadMilliseconds()
+    })
+  }
+
+  private learn (running: Running, outcome: AdmissionOutcome, outputTokens: number, cost: number): void {
+    const now = this.options.clock.now()
+    this.forecaster.served(cost, true, now)
+    if (outcome === 'answered') this.forecaster.answered(outputTokens, running.ask.maximumTokens, now - running.grantedAt)
   }
 
   private grant (item: WaitingRequest): void {
     const now = this.options.clock.now()
     const slot = item.adapter === undefined ? undefined : this.slots.usable(item.adapter)
+    // Time in which nothing ran says nothing of the engine's speed.
+    if (this.running.size === 0) this.forecaster.served(0, false, now)
     const running: Running = { ask: item.ask, loadedName: slot?.name, grantedAt: now }
     this.running.set(item.requestId, running)
     slot?.pins.add(item.requestId)
     if (slot !== undefined) slot.lastUsedAt = now
     const stall = item.adapter === undefined ? 0 : Math.max(0, (item.loadedSince ?? now) - item.enqueuedAt)
-    this.settle(item.requestId, ok(this.grantOf(running, stall, now - item.enqueuedAt)))
+    this.settle(item, ok(this.grantOf(running, stall, now - item.enqueuedAt)))
   }
 
   private grantOf (running: Running, loadStall: number, queueWait: number): Grant {
@@ -266,29 +279,15 @@
     return this.running.size < this.engine.batchCapacity + GRANTED_BEYOND_BATCH
   }
 
-  private settle (requestId: string, result: Result<Grant, LimpetwinchError>): void {
-    const settle = this.settles.get(requestId)
-    if (settle === undefined) return
-    this.settles.delete(requestId)
-    const item = this.options.queue.remove(requestId)
-    if (item !== undefined) this.forgetWaiting(item)
-    else this.forgetWaitingById(requestId)
-    settle(result)
+  private settle (item: WaitingRequest, result: Result<Grant, LimpetwinchError>): void {
+    if (!this.waiting.has(item.requestId)) return
+    this.waitingCost -= item.cost
+    this.waiting.settle(item.requestId, result)
   }
 
-  private forgetWaiting (item: WaitingRequest): void {
-    if (item.adapter === undefined) return
-    const waiting = this.waitingByAdapter.get(item.adapter)
-    waiting?.delete(item)
-    if (waiting?.size === 0) this.waitingByAdapter.delete(item.adapter)
-  }
-
-  private forgetWaitingById (requestId: string): void {
-    const adapter = this.running.get(requestId)?.ask.adapter
-    if (adapter === undefined) return
-    for (const item of this.waitingFor(formatAdapter(adapter))) {
-      if (item.requestId === requestId) return this.forgetWaiting(item)
-    }
+  private withdraw (requestId: string): void {
+    const item = this.waiting.get(requestId)
+    if (item !== undefined) this.settle(item, err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run' })))
   }
 
   private unpin (running: Running, outcome: AdmissionOutcome): void {
@@ -325,16 +324,15 @@
     }
   }
 
-  private full (): LimpetwinchError {
-    return new LimpetwinchError('overloaded', { reason: 'its queue is full' }, { retryAfterSeconds: this.retrySeconds() })
-  }
-
-  private tooLate (ask: AdmissionAsk): LimpetwinchError {
-    return new LimpetwinchError('deadline-unreachable', { expected: Math.round(ask.patience) }, { retryAfterSeconds: this.retrySeconds() })
+  private tooLate (item: WaitingRequest): LimpetwinchError {
+    const { firstTokenMilliseconds, serviceMilliseconds } = this.forecast(item, this.waitingCost)
+    const expected = Math.round(firstTokenMilliseconds + serviceMilliseconds)
+    return new LimpetwinchError('deadline-unreachable', { expected }, { retryAfterSeconds: Math.max(1, Math.ceil(expected / 1000)) })
   }
+}
 
-  private retrySeconds (): number {
-    const rounds = this.queued / this.engine.batchCapacity
-    return Math.max(SHORTEST_RETRY_SECONDS, Math.ceil(rounds * this.secondsPerRequest))
-  }
+function refusalError (refusal: Refusal): LimpetwinchError {
+  const options = { retryAfterSeconds: refusal.retryAfterSeconds }
+  if (refusal.reason === 'queue full') return new LimpetwinchError('overloaded', { reason: 'the queue is full' }, options)
+  return new LimpetwinchError('deadline-unreachable', { expected: Math.round(refusal.expectedMilliseconds) }, options)
 }
--- a/packages/entry/src/scheduling/owned-endpoints.ts
+++ b/packages/entry/src/scheduling/owned-endpoints.ts
@@ -2,7 +2,7 @@
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { AdmissionAskFrame, AdmissionDoneFrame, Clock, EndpointId, EngineClient, EngineReport, EngineSettings, InstanceId, LoadedName, Logger, OperatorSettings } from '@limpetwinch/core'
 import { ShareServiceLedger } from './share-service-ledger.js'
-import { StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue } from '@limpetwinch/decisions'
+import { OverloadGuard, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue } from '@limpetwinch/decisions'
 import type { EvictionPolicy, LoadOrder } from '@limpetwinch/decisions'
 import type { LoadTurns } from '../loads/load-turns.js'
 import type { Membership } from '../membership/membership.js'
@@ -16,6 +16,7 @@
 import { Loader } from './loader.js'
 
 const REPORT_MILLISECONDS = 500
+const MOST_QUEUED = 2_000
 /** A report must be so much younger than a grant before it says anything of it: clocks differ and reports lag. */
 const REPORT_MARGIN_MILLISECONDS = 2_000
 const FULL_DIGEST_EVERY = 20
@@ -58,6 +59,7 @@
   private readonly owned = new Map<EndpointId, OwnedEndpoint>()
   private readonly eviction: EvictionPolicy = new StallEvictionPolicy()
   private readonly loadOrder: LoadOrder = new StallLoadOrder()
+  private readonly guard = new OverloadGuard<WaitingRequest>({ mostQueued: MOST_QUEUED })
   private readonly service: ShareServiceLedger
   private digestRound = 0
 
@@ -141,6 +143,8 @@
       rights,
       queue,
       eviction: this.eviction,
+      guard: this.guard,
+      loadMilliseconds: () => 1000 / (this.options.settings()?.policy.loadsPerSecond ?? 1),
       clock,
       logger,
       onWanted: () => this.owned.get(engine.endpoint)?.loader.poke(),
@@ -183,6 +187,7 @@
     owned.missedReports = 0
     owned.latestReport = report
     owned.scheduler.takeReport(report)
+    owned.scheduler.expire()
     const longestRequest = 1000 * (settings()?.policy.longestRequestSeconds ?? Infinity)
     const isGone = (instance: InstanceId): boolean => membership.member(instance)?.state === 'gone'
     owned.scheduler.dropEnded(isGone, report, REPORT_MARGIN_MILLISECONDS, clock.wallTime(), longestRequest)
--- /dev/null
+++ b/packages/entry/test/scheduling/owned-engine.ts
@@ -0,0 +1,151 @@
+/** One owned engine for tests: the real scheduler and loader before a stand-in engine. */
+import { expect, vi } from 'vitest'
+import { formatAdapter, HttpEngineClient, silentLogger, SystemClock } from '@limpetwinch/core'
+import type { AdapterReference, DataCentreId, EndpointId, EngineSettings, FencingToken, InstanceId, LimpetwinchError, LoadedName, RequestId } from '@limpetwinch/core'
+import { OverloadGuard, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue } from '@limpetwinch/decisions'
+import { StandInEngine } from '@limpetwinch/stand-ins'
+import type { StandInEngineOptions } from '@limpetwinch/stand-ins'
+import type { Result } from 'neverthrow'
+import { LoadTurns } from '../../src/loads/load-turns.js'
+import type { AdmissionAsk, Grant, WaitingRequest } from '../../src/scheduling/admission.js'
+import { EndpointScheduler } from '../../src/scheduling/endpoint-scheduler.js'
+import { Loader } from '../../src/scheduling/loader.js'
+
+class NoTurns extends LoadTurns {
+  override async acquire (): Promise<() => void> {
+    return () => undefined
+  }
+}
+
+/** @returns an adapter of the team `history` */
+export function adapterNamed (adapter: string): AdapterReference {
+  return { team: 'history', adapter, version: 'v1' } as unknown as AdapterReference
+}
+
+/** What a test may vary. */
+export interface OwnedEngineOptions extends Partial<StandInEngineOptions> {
+  readonly mayEvict?: boolean
+  readonly earlierPins?: ReadonlySet<LoadedName>
+  readonly mostQueued?: number
+}
+
+/** An engine that one scheduler owns. */
+export class OwnedEngine {
+  readonly engine: StandInEngine
+  scheduler!: EndpointScheduler
+  private client!: HttpEngineClient
+  private readonly options: OwnedEngineOptions
+  private readonly controller = new AbortController()
+  private loading: Promise<void> = Promise.resolve()
+  private requests = 0
+
+  constructor (options: OwnedEngineOptions = {}) {
+    const { mayEvict, earlierPins, mostQueued, ...engine } = options
+    this.options = options
+    this.engine = new StandInEngine({ name: 'engine-1', slots: 2, stepMilliseconds: 2, loadMilliseconds: 5, reportLag: 0, reportInterval: 20, ...engine })
+  }
+
+  /** Starts engine, scheduler and loader, under a token. */
+  async start (token = 1): Promise<void> {
+    const url = await this.engine.listen()
+    this.client = new HttpEngineClient('engine-1' as EndpointId, url)
+    this.own(token, url)
+    await this.report()
+  }
+
+  /** Asks for admission. */
+  async ask (adapter: string, patience = 30_000): Promise<Result<Grant, LimpetwinchError>> {
+    return await this.scheduler.admit(this.request(adapter, patience), new AbortController().signal)
+  }
+
+  /** @returns an ask that is not sent yet */
+  request (adapter: string, patience = 30_000, priority = 5): AdmissionAsk {
+    this.requests += 1
+    return {
+      requestId: `request-${this.requests}` as RequestId,
+      from: 'instance-1' as InstanceId,
+      adapter: adapterNamed(adapter),
+      team: 'history',
+      priority,
+      promptTokens: 10,
+      maximumTokens: 10,
+      patience
+    }
+  }
+
+  /** Hands the scheduler a report made now. */
+  async report (): Promise<void> {
+    const made = Date.now()
+    await vi.waitFor(async () => {
+      const report = (await this.client.report())._unsafeUnwrap()
+      expect(report.madeAt).toBeGreaterThanOrEqual(made)
+      this.scheduler.takeReport(report)
+    }, { timeout: 10_000 })
+  }
+
+  /** @returns the orders that the engine carried out */
+  orders (order: 'load' | 'unload'): string[] {
+    return this.engine.history.all().flatMap((event) =>
+      event.event === 'order' && event.order === order && event.result === 'done' ? [event.name] : [])
+  }
+
+  async stop (): Promise<void> {
+    this.controller.abort()
+    await this.loading.catch(() => undefined)
+    await this.client.close()
+    await this.engine.close()
+  }
+
+  private own (token: number, url: string): void {
+    const clock = new SystemClock()
+    const logger = silentLogger()
+    const queue = new VirtualTimeFairQueue<WaitingRequest>()
+    const eviction = new StallEvictionPolicy()
+    const rights = (): { mayAdmit: boolean, mayEvict: boolean } => ({ mayAdmit: true, mayEvict: this.options.mayEvict ?? true })
+    const engine: EngineSettings = {
+      endpoint: 'engine-1' as EndpointId,
+      url,
+      dataCentre: 'north' as DataCentreId,
+      baseModel: 'base-1',
+      slots: this.options.slots ?? 2,
+      batchCapacity: this.options.batchCapacity ?? 16,
+      fencing: this.options.fencing ?? 'refuses'
+    }
+    const record = { endpoint: engine.endpoint, owner: 'instance-1' as InstanceId, token: token as FencingToken, handedOverFrom: undefined }
+    this.scheduler = new EndpointScheduler({
+      engine,
+      record,
+      rights,
+      queue,
+      eviction,
+      guard: new OverloadGuard({ mostQueued: this.options.mostQueued ?? 100 }),
+      loadMilliseconds: () => 5,
+      clock,
+      logger,
+      onWanted: () => this.loader?.poke(),
+      onServed: () => undefined,
+      onChange: () => undefined
+    })
+    this.loader = new Loader({
+      scheduler: this.scheduler,
+      client: this.client,
+      queue,
+      eviction,
+      loadOrder: new StallLoadOrder(),
+      loadTurns: new NoTurns(),
+      rights,
+      earlierPins: () => this.options.earlierPins ?? new Set(),
+      otherCopies: () => 0,
+      clock,
+      logger
+    })
+    this.loading = this.loader.run(this.controller.signal)
+  }
+
+  private loader: Loader | undefined
+}
+
+/** @returns the name of an adapter as it is loaded on an engine that refuses old tokens */
+export function plainName (adapter: string): string {
+  return formatAdapter(adapterNamed(adapter))
+}
