Recover an endpoint after an unclean take-over, hand it over by plan, and take load turns

Need: a new owner must not evict what a request of an earlier owner's time uses; a planned stop must not pause service; loads share a weight store that serves one at a time. Ruled out: a bounded wait in place of answers (a paused member starts its request whenever it wakes); admitting before an engine that refuses old tokens has seen the new one (an earlier owner's late unload would be carried out); counting the longest request time from the take-over (a member that wakes late starts a request after it), so it counts from when all had answered or were gone; stopping grants before the hand-over is written (a slow store would pause service). Change: EndpointRecovery (fence, ask all, engine's report), HandOvers with HandOverSource for the scheduler, ConductedLoadTurns. rights() gives nothing until EndpointRecoveries has spoken: whoever builds a StoreOwnership builds it too.

--- /dev/null
+++ b/packages/entry/src/loads/conducted-load-turns.ts
@@ -0,0 +1,95 @@
+/** Load turns granted by one member that all agree on by rendezvous hashing. */
+import { SystemClock } from '@limpetwinch/core'
+import type { Clock, InstanceId, Logger } from '@limpetwinch/core'
+import { uuidv7 } from 'uuidv7'
+import type { Membership } from '../membership/membership.js'
+import type { PeerNetwork } from '../peers/peer-network.js'
+import { rendezvousRank } from '../placement/rendezvous.js'
+import { LoadTurnConductor } from './load-turn-conductor.js'
+import { LoadTurns } from './load-turns.js'
+import type { Release } from './load-turns.js'
+
+const ASK_MILLISECONDS = 10_000
+
+/** What the turns are made of. */
+export interface ConductedLoadTurnsOptions {
+  readonly peers: PeerNetwork
+  readonly membership: Membership
+  readonly logger: Logger
+  /** Loads a second of the whole deployment. */
+  readonly loadsPerSecond: () => number
+  /** One conductor for each data centre, or one for the deployment, with which only one load runs at a time. */
+  readonly scope: 'data-centre' | 'deployment'
+  readonly clock?: Clock
+}
+
+/** {@link LoadTurns} from a conductor, with a share of the rate as the fallback. */
+export class ConductedLoadTurns extends LoadTurns {
+  /** Turns taken without a conductor so far. */
+  unconducted = 0
+  private readonly options: ConductedLoadTurnsOptions
+  private readonly clock: Clock
+  private readonly conductor: LoadTurnConductor
+  private nextOwnTurn = 0
+
+  /** @param options - the surroundings */
+  constructor (options: ConductedLoadTurnsOptions) {
+    super()
+    this.options = options
+    this.clock = options.clock ?? new SystemClock()
+    this.conductor = new LoadTurnConductor(this.clock)
+    const { peers } = options
+    peers.onNotice('load-turn-done', (from, frame) => this.conductor.done(from, frame.turn))
+    peers.onCall('load-turn-ask', async (from, frame, signal) => {
+      const granted = await this.conductor.ask(from, frame.turn, frame.urgency, signal)
+      if (granted) return { kind: 'accepted' }
+      return { kind: 'refused', error: 'overloaded', details: { reason: 'the turn lapsed' }, outcome: 'not_run' }
+    })
+  }
+
+  override async acquire (urgency: number, signal: AbortSignal): Promise<Release> {
+    const turn = uuidv7()
+    const began = this.clock.now()
+    while (!signal.aborted) {
+      const conductor = this.conductorNow()
+      if (conductor === undefined) break
+      const waited = this.clock.now() - began
+      const answer = await this.options.peers.call(conductor, { kind: 'load-turn-ask', turn, urgency: urgency + waited }, ASK_MILLISECONDS, signal)
+      if (answer.isOk() && answer.value.kind === 'accepted') return this.releaseOf(conductor, turn)
+      // An ask that was given up may have been granted meanwhile; the conductor is told, or the turn would block others.
+      this.options.peers.notify(conductor, { kind: 'load-turn-done', turn })
+      const queued = answer.isErr() && answer.error.kind === 'peer-silent' && this.options.peers.connected().includes(conductor)
+      if (!queued) break
+    }
+    await this.ownShare(signal)
+    return () => {}
+  }
+
+  private conductorNow (): InstanceId | undefined {
+    const { membership, peers, scope } = this.options
+    const alive = membership.members().filter((member) => member.state === 'alive' &&
+      (scope === 'deployment' || member.dataCentre === peers.self.dataCentre))
+    const key = scope === 'deployment' ? 'load-turns' : `load-turns ${peers.self.dataCentre}`
+    return rendezvousRank(key, alive.map((member) => member.instance))[0]
+  }
+
+  private releaseOf (conductor: InstanceId, turn: string): Release {
+    let held = true
+    return () => {
+      if (held) this.options.peers.notify(conductor, { kind: 'load-turn-done', turn })
+      held = false
+    }
+  }
+
+  /** Spaces this instance's loads so that all instances together keep to the rate. */
+  private async ownShare (signal: AbortSignal): Promise<void> {
+    if (signal.aborted) return
+    this.unconducted += 1
+    const instances = this.options.membership.members().length
+    const spacing = 1_000 * instances / this.options.loadsPerSecond()
+    const now = this.clock.now()
+    const mine = Math.max(now, this.nextOwnTurn)
+    this.nextOwnTurn = mine + spacing
+    if (mine > now) await this.clock.sleep(mine - now, signal)
+  }
+}
--- a/packages/entry/src/membership/list-membership.ts
+++ b/packages/entry/src/membership/list-membership.ts
@@ -176,7 +176,8 @@
   }
 
   private connected (peer: PeerIdentity): void {
-    this.entryOf(peer.instance, peer.dataCentre, peer.address)
+    // The list's address stands where there is one: what a peer takes for its own may not be how it is reached.
+    if (!this.entries.has(peer.instance)) this.entryOf(peer.instance, peer.dataCentre, peer.address)
     this.judge()
   }
 
--- a/packages/entry/src/ownership/store-ownership.ts
+++ b/packages/entry/src/ownership/store-ownership.ts
@@ -23,7 +23,7 @@
 const GAP_MILLISECONDS = 1_500
 const PASS_ON_RANKS = 2
 
-/** What recovery knows of an endpoint; without it nothing earlier may be evicted. */
+/** What recovery knows of an endpoint; without any word from it nothing may be done there. */
 export interface RecoveryGate {
   /** Whether an order with this record's token has reached an engine that refuses older ones. */
   readonly fenced: boolean
@@ -65,7 +65,7 @@
   private readonly lastSaid = new Map<InstanceId, number>()
   private known: OwnershipObject
   private byEndpoint: ReadonlyMap<EndpointId, OwnershipRecord> = new Map()
-  private gate: (record: OwnershipRecord) => RecoveryGate = () => ({ fenced: true, recovered: true })
+  private gate: (record: OwnershipRecord) => RecoveryGate = () => ({ fenced: false, recovered: false })
   private read = false
   /** Whether the store was seen to hold an older state than is known here. */
   private restoreNeeded = false
@@ -155,6 +155,8 @@
 
   /** @returns whether it is proved that nobody had taken over a moment ago */
   confirmed (): boolean {
+    // A hand-over whose write has no answer yet may already be in force.
+    if (this.writer.pendingSequence() > this.known.sequence) return false
     return this.confirmation.holds(this.known.sequence, this.others())
   }
 
--- /dev/null
+++ b/packages/entry/test/hand-over.failure.test.ts
@@ -0,0 +1,95 @@
+import type { EndpointId, InstanceId, LoadedName, RequestId } from '@limpetwinch/core'
+import { afterEach, describe, expect, it } from 'vitest'
+import { agreed, Cluster, until } from './support/cluster.js'
+import type { TestInstance } from './support/cluster.js'
+
+const E0 = 'e0' as EndpointId
+const LOADED = 'history/essays@1' as LoadedName
+const PIN = { requestId: 'r1' as RequestId, instance: 'one' as InstanceId, loadedName: LOADED, team: 'history' }
+
+let cluster: Cluster
+
+afterEach(async () => { await cluster.end() })
+
+async function started (): Promise<{ owner: TestInstance, others: TestInstance[] }> {
+  cluster = new Cluster()
+  const all = await cluster.startAll(['one', 'two', 'three'])
+  cluster.setEngines(1)
+  await until(() => agreed(cluster, all))
+  const owner = all.find((instance) => instance.ownership.owned().length === 1) as TestInstance
+  owner.scheduler.loaded.set(E0, [LOADED])
+  owner.scheduler.pins.set(E0, [PIN])
+  return { owner, others: all.filter((instance) => instance !== owner) }
+}
+
+function mayEvict (instance: TestInstance): boolean {
+  const record = instance.ownership.recordOf(E0)
+  return record !== undefined && instance.ownership.rights(record).mayEvict
+}
+
+describe('an owner that leaves', () => {
+  // The caller sees nothing. The leaving owner stops its orders, writes the new owner, then hands over what is loaded
+  // and pinned and sends its askers there. Nothing is reloaded, and no member has to be asked.
+  it('hands over loaded names and pins, in order, and sends askers on', async () => {
+    const { owner, others } = await started()
+    await until(() => mayEvict(owner))
+    owner.membership.startLeaving()
+    const left = await owner.handOvers.leave(AbortSignal.timeout(30_000))
+    expect(left).toEqual([])
+    const next = others.find((instance) => instance.ownership.owned().length === 1) as TestInstance
+    expect(owner.scheduler.events).toEqual(['freeze e0', 'state e0', 'release e0'])
+    expect(owner.scheduler.releasedTo.get(E0)).toBe(next.id)
+    expect(next.scheduler.loaded.get(E0)).toEqual([LOADED])
+    expect(next.recoveries.earlierPins(E0).map((pin) => pin.requestId)).toEqual(['r1'])
+    await until(() => mayEvict(next))
+    expect(next.peers.counts()['pins-ask']?.sent ?? 0).toBe(0)
+  })
+
+  // The caller sees its answer go on. The leaving owner took over unclean itself and does not know all earlier pins,
+  // as a member is paused. If the next owner took the hand-over as complete, it would evict under that member's request.
+  it('passes on that earlier pins are still unknown', async () => {
+    const { owner: first, others } = await started()
+    const [one, two] = others as [TestInstance, TestInstance]
+    await until(() => mayEvict(first))
+    await first.kill()
+    await until(() => one.ownership.owned().length + two.ownership.owned().length === 1)
+    const [second, third] = one.ownership.owned().length === 1 ? [one, two] : [two, one]
+    await until(() => second.ownership.rights(second.ownership.owned()[0] as never).mayAdmit)
+    second.membership.startLeaving()
+    await second.handOvers.leave(AbortSignal.timeout(30_000))
+    expect(third.ownership.owned().length).toBe(1)
+    await until(() => third.ownership.rights(third.ownership.owned()[0] as never).mayAdmit)
+    expect(third.recoveries.recovered(E0)).toBe(false)
+    cluster.list.remove(first.id)
+    await until(() => mayEvict(third))
+  })
+
+  // The caller sees nothing. The store is out when an owner wants to leave: nothing is written, the owner gives orders
+  // again and goes on serving until the store is back.
+  it('goes on serving while the store is out', async () => {
+    const { owner, others } = await started()
+    await until(() => mayEvict(owner))
+    owner.membership.startLeaving()
+    cluster.store.faults.outage = true
+    const leaving = owner.handOvers.leave(AbortSignal.timeout(30_000))
+    await until(() => owner.scheduler.events.includes('resume e0'))
+    expect(owner.ownership.rights(owner.ownership.owned()[0] as never).mayAdmit).toBe(true)
+    cluster.store.faults.outage = false
+    expect(await leaving).toEqual([])
+    expect(others.filter((instance) => instance.ownership.owned().length === 1).length).toBe(1)
+  })
+
+  // The caller sees a shorter queue. An instance joins a data centre whose endpoints all have owners; each owner above
+  // its share hands some over, and no endpoint is taken from a living owner.
+  it('does the same to even out with an instance that joined', async () => {
+    cluster = new Cluster()
+    cluster.setEngines(6)
+    const one = await cluster.start('one', { evenOutMilliseconds: 50 })
+    await until(() => one.ownership.owned().length === 6)
+    const two = await cluster.start('two', { evenOutMilliseconds: 50 })
+    await until(() => two.ownership.owned().length === 2)
+    await until(() => agreed(cluster, [one, two]))
+    expect(one.scheduler.events.filter((event) => event.startsWith('release')).length).toBe(2)
+    expect(two.scheduler.events.filter((event) => event.startsWith('adopt')).length).toBe(2)
+  })
+})
--- a/packages/entry/test/ownership-basics.test.ts
+++ b/packages/entry/test/ownership-basics.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { Cluster, until } from './support/cluster.js'
+import { agreed, Cluster, until } from './support/cluster.js'
+import type { TestInstance } from './support/cluster.js'
 
 let cluster: Cluster
 
@@ -8,12 +9,9 @@
 describe('instances of one data centre', () => {
   it('share the endpoints and agree on who owns which', async () => {
     cluster = new Cluster()
-    const one = await cluster.start('one')
-    const two = await cluster.start('two')
-    await until(() => one.peers.connected().includes(two.id) && two.peers.connected().includes(one.id))
+    const [one, two] = await cluster.startAll(['one', 'two']) as [TestInstance, TestInstance]
     cluster.setEngines(6)
-    await until(() => one.ownership.owned().length + two.ownership.owned().length === 6)
-    await until(() => one.ownership.announcedVersion() === two.ownership.announcedVersion())
+    await until(() => agreed(cluster, [one, two]))
     const owners = cluster.engines.map((engine) => one.ownership.recordOf(engine.endpoint))
     expect(cluster.engines.map((engine) => two.ownership.recordOf(engine.endpoint))).toEqual(owners)
     expect(new Set(owners.map((record) => record?.owner)).size).toBe(2)
--- a/packages/entry/test/support/cluster.ts
+++ b/packages/entry/test/support/cluster.ts
@@ -1,11 +1,14 @@
 /** Instances with peers, membership and ownership in one process, over real sockets. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { InstanceList, LimpetwinchError, silentLogger, SystemClock } from '@limpetwinch/core'
-import type { Clock, DataCentreId, EndpointId, EngineSettings, InstanceId, ListedInstance, Logger } from '@limpetwinch/core'
-import { ListMembership, StoreOwnership, TcpPeerNetwork } from '@limpetwinch/entry'
+import type { Clock, DataCentreId, EndpointId, EngineSettings, InstanceId, ListedInstance, Logger, ObjectStore } from '@limpetwinch/core'
+import { EndpointRecoveries, HandOvers, ListMembership, StoreOwnership, TcpPeerNetwork } from '@limpetwinch/entry'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { errAsync, okAsync } from 'neverthrow'
 import type { ResultAsync } from 'neverthrow'
+import { EngineInMemory } from './engine-in-memory.js'
+import { Relays } from './relay.js'
+import { SchedulerInMemory } from './scheduler-in-memory.js'
 
 export const HEARTBEAT = 50
 const PLACE = 'place' as DataCentreId
@@ -29,6 +32,20 @@
   }
 }
 
+/** The list as one instance reads it: every other instance stands behind a relay of its own. */
+class RoutedList extends InstanceList {
+  constructor (private readonly list: ListInMemory, private readonly relays: Relays, private readonly reader: string) {
+    super()
+  }
+
+  override read (): ResultAsync<readonly ListedInstance[], LimpetwinchError> {
+    return this.list.read().map(async (lines) => await Promise.all(lines.map(async (line) => {
+      if (line.kind !== 'entry' || line.id === this.reader) return line
+      return { ...line, address: await this.relays.route(this.reader, line.id, line.address) }
+    })))
+  }
+}
+
 /** A clock that a test sets forward: to its owner, time passes at once. */
 export class JumpingClock extends SystemClock {
   private ahead = 0
@@ -52,6 +69,9 @@
   readonly peers: TcpPeerNetwork
   readonly membership: ListMembership
   readonly ownership: StoreOwnership
+  readonly recoveries: EndpointRecoveries
+  readonly handOvers: HandOvers
+  readonly scheduler: SchedulerInMemory
   /** Ends it as a kill would: no goodbye. */
   readonly kill: () => Promise<void>
   readonly address: string
@@ -61,21 +81,24 @@
 export interface InstanceChoice {
   readonly clock?: Clock
   readonly address?: string
-  /** Where the list says that it is, such as a relay before it. */
-  readonly listedAs?: (address: string) => Promise<string>
-  readonly dataCentre?: string
+  /** Another store than the cluster's, such as one that is out for this instance alone. */
+  readonly store?: ObjectStore
+  readonly evenOutMilliseconds?: number
 }
 
 /** Instances on one platform. */
 export class Cluster {
   readonly store = new MemoryObjectStore()
   readonly list = new ListInMemory()
+  readonly relays = new Relays()
   readonly instances: TestInstance[] = []
+  readonly engineClients = new Map<string, EngineInMemory>()
   engines: EngineSettings[] = []
   readonly logger: Logger = silentLogger()
 
   /** Sets engines `e0`, `e1`, and so on. */
   setEngines (count: number, fencing: 'refuses' | 'ignores' = 'refuses'): void {
+    for (let index = 0; index < count; index += 1) this.engineClients.set(`e${index}`, new EngineInMemory(fencing))
     this.engines = Array.from({ length: count }, (_, index): EngineSettings => ({
       endpoint: `e${index}` as EndpointId,
       url: 'http://127.0.0.1:1',
@@ -88,32 +111,78 @@
   }
 
   async start (id: string, choice: InstanceChoice = {}): Promise<TestInstance> {
-    const { logger, store, list } = this
+    const { logger } = this
     const clock = choice.clock ?? new SystemClock()
-    const dataCentre = (choice.dataCentre ?? PLACE) as DataCentreId
-    const peers = new TcpPeerNetwork({ instance: id as InstanceId, dataCentre, address: choice.address ?? '127.0.0.1:0', logger, clock, heartbeatMilliseconds: HEARTBEAT })
+    const engines = (): EngineSettings[] => this.engines
+    const peers = new TcpPeerNetwork({ instance: id as InstanceId, dataCentre: PLACE, address: choice.address ?? '127.0.0.1:0', logger, clock, heartbeatMilliseconds: HEARTBEAT })
     const address = (await peers.listen())._unsafeUnwrap()
-    const listed = choice.listedAs === undefined ? address : await choice.listedAs(address)
-    list.add(id, listed, dataCentre)
+    this.list.add(id, address)
+    const list = new RoutedList(this.list, this.relays, id)
     const membership = new ListMembership({ peers, list, logger, clock, pollMilliseconds: HEARTBEAT, suspectAfterMilliseconds: 3 * HEARTBEAT })
-    const ownership = new StoreOwnership({ peers, membership, store, engines: () => this.engines, logger, clock, rankDelayMilliseconds: 50, confirmedMilliseconds: 5 * HEARTBEAT })
+    const ownership = new StoreOwnership({ peers, membership, store: choice.store ?? this.store, engines, logger, clock, rankDelayMilliseconds: 50, confirmedMilliseconds: 5 * HEARTBEAT })
+    const scheduler = new SchedulerInMemory(peers)
+    const recoveries = new EndpointRecoveries({
+      peers,
+      membership,
+      ownership,
+      engines,
+      clientOf: (engine) => this.engineClients.get(engine.endpoint) as EngineInMemory,
+      granted: () => false,
+      longestRequestMilliseconds: () => 600_000,
+      logger,
+      clock,
+      times: { ask: 4 * HEARTBEAT, settle: HEARTBEAT, clockMargin: 0, report: HEARTBEAT }
+    })
+    const handOvers = new HandOvers({ peers, ownership, recoveries, source: scheduler, logger, clock, evenOutMilliseconds: choice.evenOutMilliseconds ?? 3_600_000 })
     peers.describeHeartbeat(() => ({ leaving: false, settingsHash: '', ownershipVersion: ownership.announcedVersion(), storeReachable: ownership.storeReachable() }))
     const ending = new AbortController()
-    const running = Promise.all([peers.run(ending.signal), membership.run(ending.signal), ownership.run(ending.signal)])
+    const running = Promise.all([peers, membership, ownership, recoveries, handOvers].map(async (part) => await part.run(ending.signal)))
     const kill = async (): Promise<void> => {
       ending.abort()
       await running
     }
-    const instance: TestInstance = { id: id as InstanceId, peers, membership, ownership, kill, address }
+    const instance: TestInstance = { id: id as InstanceId, peers, membership, ownership, recoveries, handOvers, scheduler, kill, address }
     this.instances.push(instance)
     return instance
   }
 
+  /** Starts instances and waits until all are connected; engines set after that are shared among them. */
+  async startAll (ids: readonly string[], choice: InstanceChoice = {}): Promise<TestInstance[]> {
+    const started = await Promise.all(ids.map(async (id) => await this.start(id, choice)))
+    await until(() => started.every((instance) => instance.peers.connected().length === ids.length - 1))
+    return started
+  }
+
+  /** Loses everything between one instance and all others, both ways; the platform and the engines stay in reach. */
+  isolate (id: string): void {
+    for (const { id: other } of this.instances) {
+      this.relays.cut(id, other)
+      this.relays.cut(other, id)
+    }
+  }
+
+  rejoin (id: string): void {
+    for (const { id: other } of this.instances) {
+      this.relays.mend(id, other)
+      this.relays.mend(other, id)
+    }
+  }
+
   async end (): Promise<void> {
     await Promise.all(this.instances.map(async (instance) => await instance.kill()))
+    await this.relays.close()
   }
 }
 
+/** @returns whether the instances own all engines between them and agree on it */
+export function agreed (cluster: Cluster, instances: readonly TestInstance[]): boolean {
+  const [first] = instances
+  if (first === undefined) return false
+  const owned = instances.reduce((sum, instance) => sum + instance.ownership.owned().length, 0)
+  const versions = new Set(instances.map((instance) => instance.ownership.announcedVersion()))
+  return owned === cluster.engines.length && versions.size === 1
+}
+
 /** Waits until something holds; the test's own time limit is the only one. */
 export async function until (holds: () => boolean): Promise<void> {
   while (!holds()) await sleep(5)
--- /dev/null
+++ b/packages/entry/test/support/relay.ts
@@ -0,0 +1,88 @@
+/** TCP relays between instances, one for each dialler and target, that lose what a test tells them to. */
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+
+type Direction = 'to-target' | 'to-dialler'
+
+/** One relay. What is lost is read and thrown away, so that neither end sees an error. */
+export class Relay {
+  readonly lost = new Set<Direction>()
+  /** Connections taken so far. */
+  accepted = 0
+  private silentBefore = 0
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+
+  constructor (targetPort: number) {
+    this.server = createServer((near) => {
+      this.accepted += 1
+      const number = this.accepted
+      const far = connect({ host: '127.0.0.1', port: targetPort, noDelay: true })
+      this.join(near, far, 'to-target', number)
+      this.join(far, near, 'to-dialler', number)
+    })
+  }
+
+  async listen (): Promise<string> {
+    await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', () => resolve()) })
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Connections that are open now go silent for good; new ones work. */
+  silenceOpen (): void {
+    this.silentBefore = this.accepted + 1
+  }
+
+  async close (): Promise<void> {
+    for (const socket of this.sockets) socket.destroy()
+    await new Promise<void>((resolve) => { this.server.close(() => resolve()) })
+  }
+
+  private join (from: Socket, to: Socket, direction: Direction, number: number): void {
+    this.sockets.add(from)
+    const silent = (): boolean => number < this.silentBefore || this.lost.has(direction)
+    from.on('data', (chunk) => { if (!silent()) to.write(chunk) })
+    from.on('error', () => {})
+    from.on('close', () => {
+      this.sockets.delete(from)
+      if (!silent()) to.destroy()
+    })
+  }
+}
+
+/** All relays of a cluster. */
+export class Relays {
+  private readonly relays = new Map<string, { relay: Relay, address: string }>()
+
+  /** @returns the address under which the dialler reaches the target */
+  async route (dialler: string, target: string, address: string): Promise<string> {
+    const key = `${dialler} ${target} ${address}`
+    let route = this.relays.get(key)
+    if (route === undefined) {
+      const relay = new Relay(Number(address.split(':')[1]))
+      route = { relay, address: await relay.listen() }
+      this.relays.set(key, route)
+    }
+    return route.address
+  }
+
+  /** @returns the relays on which one dials the other */
+  between (dialler: string, target: string): Relay[] {
+    return [...this.relays].filter(([key]) => key.startsWith(`${dialler} ${target} `)).map(([, { relay }]) => relay)
+  }
+
+  /** Loses all that one sends to the other. */
+  cut (from: string, to: string): void {
+    for (const relay of this.between(from, to)) relay.lost.add('to-target')
+    for (const relay of this.between(to, from)) relay.lost.add('to-dialler')
+  }
+
+  mend (from: string, to: string): void {
+    for (const relay of this.between(from, to)) relay.lost.delete('to-target')
+    for (const relay of this.between(to, from)) relay.lost.delete('to-dialler')
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.relays.values()].map(async ({ relay }) => await relay.close()))
+  }
+}
