Test settings against stale news, restored stores, outages and cuts

Need: proof that an accepted change never gives way to an older one and that the calls to the store stay few.

Change: tests over a small deployment in one process, whose frames can be cut and whose store answers can be stale.

--- a/packages/entry/test/settings/deployment.ts
+++ b/packages/entry/test/settings/deployment.ts
@@ -1,5 +1,6 @@
 /** A few instances in one process, joined by frames that can be cut, for tests of the settings. */
 import { errAsync, ok, ResultAsync } from 'neverthrow'
+import type { Result } from 'neverthrow'
 import { createLogger, LimpetwinchError, ObjectStore, silentLogger, SystemClock } from '@limpetwinch/core'
 import type { Clock, ConditionalWrite, DataCentreId, FrameOf, InstanceId, Revision, SettingsDocument, SettingsPath, StoredObject, WatchStep } from '@limpetwinch/core'
 import { Membership, PeerNetwork, SettingsFollower, SettingsHistory, SettingsWriter } from '@limpetwinch/entry'
@@ -22,7 +23,6 @@
   private readonly networks = new Map<InstanceId, TestNetwork>()
   private readonly cuts = new Set<string>()
   private readonly states = new Map<InstanceId, MemberState>()
-  readonly unreachableStore = new Set<InstanceId>()
   private readonly running: SettingsInstance[] = []
   private heartbeat: NodeJS.Timeout | undefined
 
@@ -85,7 +85,7 @@
     return [...this.networks.values()].map(({ self }) => ({
       ...self,
       state: this.states.get(self.instance) ?? 'gone',
-      storeReachable: !this.unreachableStore.has(self.instance)
+      storeReachable: this.running.find((each) => each.instance === self.instance)?.follower.storeReachable() ?? true
     }))
   }
 
@@ -168,6 +168,8 @@
 
 /** One instance's own way to the store: its calls can be held up, and its answers replaced. */
 export class InterceptedStore extends ObjectStore {
+  /** Lists and watches made, and watches waiting now. */
+  readonly calls = { lists: 0, watches: 0, waiting: 0 }
   /** Run before each read of one object. */
   beforeGet: () => Promise<unknown> = async () => undefined
   /** What a watch finds, in place of the truth. */
@@ -188,6 +190,7 @@
   }
 
   override list (prefix: string): ResultAsync<{ objects: readonly StoredObject[], cursor: number }, LimpetwinchError> {
+    this.calls.lists += 1
     return this.inner.list(prefix)
   }
 
@@ -196,8 +199,15 @@
   }
 
   override watch (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): ResultAsync<WatchStep, LimpetwinchError> {
-    return this.inner.watch(prefix, cursor, waitMilliseconds, signal)
-      .map((step) => this.watchFinds === undefined ? step : this.watchFinds(step))
+    this.calls.watches += 1
+    this.calls.waiting += 1
+    return new ResultAsync(this.watchCounted(prefix, cursor, waitMilliseconds, signal))
+  }
+
+  private async watchCounted (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<WatchStep, LimpetwinchError>> {
+    const result = await this.inner.watch(prefix, cursor, waitMilliseconds, signal)
+    this.calls.waiting -= 1
+    return result.map((step) => this.watchFinds === undefined ? step : this.watchFinds(step))
   }
 }
 
--- /dev/null
+++ b/packages/entry/test/settings/settings-watch.test.ts
@@ -0,0 +1,107 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { MemoryObjectStore } from '@limpetwinch/stand-ins'
+import { BackOff } from '../../src/settings/back-off.js'
+import { rendezvousRank } from '../../src/settings/watch-rank.js'
+import { InterceptedStore, put, SettingsDeployment, teamText, until, versionAt } from './deployment.js'
+import type { SettingsInstance } from './deployment.js'
+
+const NAMES = ['one', 'two', 'three', 'four', 'five', 'six']
+
+describe('settings watch', () => {
+  let deployment = new SettingsDeployment()
+  afterEach(async () => {
+    await deployment.stop()
+    deployment = new SettingsDeployment()
+  })
+
+  /** Starts six instances, each with a way to the store that counts its own calls. */
+  async function startSix (store: MemoryObjectStore): Promise<{ instances: SettingsInstance[], ways: InterceptedStore[] }> {
+    const ways = NAMES.map(() => new InterceptedStore(store))
+    const instances = await Promise.all(NAMES.map(async (name, index) => await deployment.start(name, ways[index]!)))
+    return { instances, ways }
+  }
+
+  it('keeps one watcher and a spare for a data centre', async () => {
+    // The platform counts a waiting watch as a call, and its rates do not grow with the fleet. With a watch from each
+    // instance the deployment would be refused at size; two are enough, as the rest hear from them.
+    const { instances, ways } = await startSix(new MemoryObjectStore())
+    await until(() => ways.filter((way) => way.calls.watches >= 4).length >= 2)
+    expect(ways.filter((way) => way.calls.watches > 0)).toHaveLength(2)
+    await put(instances[0]!.writer, teamText('v1'), 0)
+    await until(() => instances.every((each) => versionAt(each) === 'v1'))
+  })
+
+  it('goes on with the next in rank when both watchers are gone', async () => {
+    // Both watchers are replaced in the same second. Until the others watch, a change accepted in another data centre
+    // would not be seen here at all.
+    const store = new MemoryObjectStore()
+    const { instances } = await startSix(store)
+    const rank = rendezvousRank(instances.map((each) => each.instance), 'settings-watch')
+    for (const name of rank.slice(0, 2)) await instances.find((each) => each.instance === name)!.stop()
+    const away = await deployment.start('away', store, { dataCentre: 'south' })
+    await put(away.writer, teamText('v2'), 0)
+    const left = instances.filter((each) => !rank.slice(0, 2).includes(each.instance))
+    await until(() => left.every((each) => versionAt(each) === 'v2'))
+  })
+
+  it('watches by itself when it can reach neither watcher', async () => {
+    // One instance is cut off from its peers but not from the store, and a change is accepted meanwhile. It must not
+    // serve the former version for as long as the cut lasts.
+    const { instances } = await startSix(new MemoryObjectStore())
+    const rank = rendezvousRank(instances.map((each) => each.instance), 'settings-watch')
+    const last = instances.find((each) => each.instance === rank.at(-1))!
+    const others = instances.filter((each) => each !== last)
+    for (const other of others) deployment.cut(last, other)
+    await put(others[0]!.writer, teamText('v3'), 0)
+    await until(() => versionAt(last) === 'v3')
+  })
+
+  it('lets others watch when the store answers them and not the watchers', async () => {
+    // The watchers' own way to the store fails while the rest reach it. They stay alive and connected, so that by rank
+    // alone nobody else would watch, and a change from elsewhere would wait for their way to come back.
+    const store = new MemoryObjectStore()
+    const broken = new MemoryObjectStore()
+    const rank = rendezvousRank(NAMES as never[], 'settings-watch')
+    const instances = await Promise.all(NAMES.map(async (name) => await deployment.start(name, rank.indexOf(name as never) < 2 ? broken : store)))
+    broken.faults.outage = true
+    await until(() => instances.filter((each) => !each.follower.storeReachable()).length === 2)
+    const away = await deployment.start('away', store, { dataCentre: 'south' })
+    await put(away.writer, teamText('v1'), 0)
+    await until(() => instances.every((each) => versionAt(each) === 'v1'))
+  })
+
+  it('backs off in an outage and comes back without a herd', async () => {
+    // The store goes out under all instances at once. Each call counts, also a refused one: the two watchers try ever
+    // more rarely, every other instance once at most, and when the store is back two watches are waiting and not twelve.
+    const store = new MemoryObjectStore()
+    const { instances, ways } = await startSix(store)
+    await put(instances[0]!.writer, teamText('v1'), 0)
+    await until(() => instances.every((each) => versionAt(each) === 'v1'))
+    const rank = rendezvousRank(instances.map((each) => each.instance), 'settings-watch')
+    const watchers = ways.filter((_, index) => rank.indexOf(instances[index]!.instance) < 2)
+    const others = ways.filter((way) => !watchers.includes(way))
+    const before = ways.map((way) => way.calls.watches + way.calls.lists)
+    store.faults.outage = true
+    await until(() => watchers.every((way) => way.calls.watches >= before[ways.indexOf(way)]! + 5))
+    for (const way of others) expect(way.calls.watches + way.calls.lists).toBeLessThanOrEqual(before[ways.indexOf(way)]! + 1)
+    expect(instances.every((each) => versionAt(each) === 'v1')).toBe(true)
+    const atReturn = ways.map((way) => way.calls.lists)
+    store.faults.outage = false
+    await until(() => watchers.every((way) => way.calls.waiting === 1))
+    expect(others.every((way) => way.calls.waiting === 0)).toBe(true)
+    expect(ways.map((way) => way.calls.lists)).toEqual(atReturn)
+  })
+
+  it('waits longer after each failure, and not the same on each instance', () => {
+    const low = new BackOff(() => 0)
+    const high = new BackOff(() => 0.999)
+    const waits = Array.from({ length: 10 }, () => [low.next(), high.next()] as [number, number])
+    for (const [index, [shortest, longest]] of waits.entries()) {
+      expect(longest / shortest).toBeGreaterThan(5)
+      expect(longest).toBeLessThanOrEqual(5_000)
+      if (index > 0 && index < 6) expect(longest).toBeGreaterThan(waits[index - 1]![1])
+    }
+    low.reset()
+    expect(low.next()).toBe(waits[0]![0])
+  })
+})
