Tighten the properties of the limits until each mutant fails

Mutants seen to fail one property each: no pin check, no check of waiters, no lift after idling, no weights, a larger retry budget, no ejection floor, no limit of the queue. Two survived the first form of the limits' property (no limit in flight, no charge for a request) since the queue limit hid them; it is split in two and both now fail, as does a mutant that charges no tokens.

--- a/packages/decisions/test/properties.test.ts
+++ b/packages/decisions/test/properties.test.ts
@@ -115,22 +115,37 @@
 })
 
 describe('team limits', () => {
-  it('never admits more than the rate and burst, the places in flight and in the queue', () => {
-    const events = fc.array(fc.record({ after: fc.nat(200), kind: fc.constantFrom('admit', 'start', 'finish') }), { maxLength: 200 })
-    fc.assert(fc.property(events, (list) => {
-      const limits = { requestsPerSecond: 5, tokensPerSecond: 1e6, inFlight: 6, queued: 3 }
-      const limiter = new TokenBucketTeamLimiter({ limits, burstSeconds: 2 })
+  const unlimited = { requestsPerSecond: 1e6, tokensPerSecond: 1e9, inFlight: 1e6, queued: 1e6 }
+  const arrivals = fc.array(fc.record({ after: fc.nat(200), tokens: fc.integer({ min: 1, max: 100 }) }), { minLength: 30, maxLength: 200 })
+
+  it('never admits more requests and tokens than the rate and the burst', () => {
+    fc.assert(fc.property(arrivals, (list) => {
+      const limiter = new TokenBucketTeamLimiter({ limits: { ...unlimited, requestsPerSecond: 5, tokensPerSecond: 200 }, burstSeconds: 2 })
       let now = 0
-      let admitted = 0
-      for (const { after, kind } of list) {
-        now += after
+      let requests = 0
+      let tokens = 0
+      for (const arrival of list) {
+        now += arrival.after
+        if (!limiter.admit(arrival.tokens, 0, now).admitted) continue
+        requests += 1
+        tokens += arrival.tokens
+        expect(requests).toBeLessThanOrEqual(10 + 5 * now / 1000 + 1e-9)
+        expect(tokens).toBeLessThanOrEqual(400 + 200 * now / 1000 + 1e-6)
+      }
+    }), settings)
+  })
+
+  it('never has more in flight or queued than allowed', () => {
+    const steps = fc.array(fc.constantFrom('admit', 'admit', 'start', 'finish'), { minLength: 50, maxLength: 200 })
+    fc.assert(fc.property(steps, (list) => {
+      const limiter = new TokenBucketTeamLimiter({ limits: { ...unlimited, inFlight: 6, queued: 3 } })
+      for (const step of list) {
         const { queued, running } = limiter.counts
-        if (kind === 'start' && queued > 0) limiter.start()
-        else if (kind === 'finish' && running > 0) limiter.finish(true, 0, now)
-        else if (limiter.admit(10, 10, now).admitted) admitted += 1
+        if (step === 'start' && queued > 0) limiter.start()
+        else if (step === 'finish' && running > 0) limiter.finish(true, 0, 0)
+        else limiter.admit(10, 10, 0)
         expect(limiter.counts.queued).toBeLessThanOrEqual(3)
         expect(limiter.counts.queued + limiter.counts.running).toBeLessThanOrEqual(6)
-        expect(admitted).toBeLessThanOrEqual(10 + 5 * now / 1000 + 1e-9)
       }
     }), settings)
   })
