Add bench policy: small engines on a fake clock with the product's decision classes

Change: seven made traces by seed, trace files, engines with slots, queue and steps, the weight store, baselines and variants as subclasses in the load package, the JSON document.

--- a/packages/decisions/src/fairness/fair-queue.ts
+++ b/packages/decisions/src/fairness/fair-queue.ts
@@ -43,6 +43,12 @@
   /** @returns the request to shed first: lowest priority, then of the team furthest over its share */
   abstract worst (): Item | undefined
 
+  /**
+   * @param item - a request that is not in the queue yet
+   * @returns the service in tokens that the queue would give before it; absent where a queue cannot tell
+   */
+  tokensAhead? (item: Item): number
+
   /** @returns all requests, in no order */
   abstract items (): Iterable<Item>
 
--- a/packages/decisions/src/fairness/service-ledger.ts
+++ b/packages/decisions/src/fairness/service-ledger.ts
@@ -69,6 +69,11 @@
     account.recent = Math.max(0, account.recent + tokens * this.scale)
   }
 
+  /** @returns the team's weight */
+  weight (team: string): number {
+    return this.account(team).weight
+  }
+
   /** @returns the team's virtual time; lower is served first */
   virtualTime (team: string): number {
     return this.account(team).virtualTime
--- a/packages/decisions/src/fairness/virtual-time-fair-queue.ts
+++ b/packages/decisions/src/fairness/virtual-time-fair-queue.ts
@@ -24,6 +24,7 @@
   private readonly agingMilliseconds: number
   private readonly byTeam = new Map<string, Item[]>()
   private readonly byId = new Map<string, Item>()
+  private readonly costByTeam = new Map<string, number>()
 
   constructor (options: VirtualTimeFairQueueOptions = {}) {
     super()
@@ -37,6 +38,7 @@
     this.byTeam.set(item.team, waiting)
     waiting.splice(placeFor(item, waiting, this.agingMilliseconds), 0, item)
     this.byId.set(item.requestId, item)
+    this.costByTeam.set(item.team, (this.costByTeam.get(item.team) ?? 0) + item.cost)
     this.ledger.arrived(item.team)
   }
 
@@ -96,6 +98,17 @@
     return worst
   }
 
+  /** A team is served in its turn: what others have waiting counts only up to what they get while this team is served. */
+  override tokensAhead (item: Item): number {
+    const own = this.costByTeam.get(item.team) ?? 0
+    const turns = (own + item.cost) / this.ledger.weight(item.team)
+    let ahead = own
+    for (const [team, cost] of this.costByTeam) {
+      if (team !== item.team) ahead += Math.min(cost, turns * this.ledger.weight(team))
+    }
+    return ahead
+  }
+
   items (): Iterable<Item> {
     return this.byId.values()
   }
@@ -115,7 +128,10 @@
     const waiting = this.byTeam.get(item.team) ?? []
     const index = waiting.indexOf(item)
     if (index >= 0) waiting.splice(index, 1)
-    if (waiting.length === 0) this.byTeam.delete(item.team)
+    this.costByTeam.set(item.team, (this.costByTeam.get(item.team) ?? 0) - item.cost)
+    if (waiting.length > 0) return
+    this.byTeam.delete(item.team)
+    this.costByTeam.delete(item.team)
   }
 }
 
--- /dev/null
+++ b/packages/load/src/commands/bench/policy.ts
@@ -0,0 +1,69 @@
+/** `limpetwinch-load bench policy`. */
+import { Command, Flags } from '@oclif/core'
+import { POLICIES_UNDER_TEST } from '../../policy/policies/policies-under-test.js'
+import { USUAL_SECONDS, USUAL_SIZE, makeTraces, runPolicy } from '../../policy/policy-experiment.js'
+import type { RunReport } from '../../policy/results/run-report.js'
+import { readTraceFile } from '../../policy/traces/trace-file.js'
+import type { Trace } from '../../policy/traces/trace.js'
+
+/** The document that `--json` prints. */
+export interface PolicyBenchDocument {
+  readonly bench: 'policy'
+  readonly seed: number
+  readonly runs: readonly RunReport[]
+}
+
+/** Replays traces on small engines with the product's decision classes and with others. */
+export default class BenchPolicy extends Command {
+  static override description = 'Measure the decisions: replay traces on small engines on a fake clock.'
+  static override enableJsonFlag = true
+  static override flags = {
+    seed: Flags.integer({ default: 1, description: 'Seed of the made traces.' }),
+    trace: Flags.string({ description: 'Replay this file of JSON lines instead of the made traces.' }),
+    slots: Flags.integer({ default: USUAL_SIZE.slots, min: 1, description: 'Adapter slots of each engine.' }),
+    engines: Flags.integer({ default: USUAL_SIZE.engines, min: 1, description: 'Number of engines.' }),
+    'loads-per-second': Flags.string({ default: String(USUAL_SIZE.loadsPerSecond), description: 'Loads a second, one at a time.' }),
+    seconds: Flags.integer({ default: USUAL_SECONDS, min: 1, description: 'Length of the made traces.' }),
+    policies: Flags.string({ multiple: true, description: 'Run only policies whose name starts so.' }),
+    traces: Flags.string({ multiple: true, description: 'Run only made traces whose name starts so.' })
+  }
+
+  override async run (): Promise<PolicyBenchDocument> {
+    const { flags } = await this.parse(BenchPolicy)
+    const size = { engines: flags.engines, slots: flags.slots, loadsPerSecond: Number(flags['loads-per-second']) }
+    const runs: RunReport[] = []
+    for (const trace of this.traces(flags.seed, size, flags.seconds, flags.trace)) {
+      if (!chosen(flags.traces, trace.name)) continue
+      for (const policy of POLICIES_UNDER_TEST) {
+        if (!chosen(flags.policies, policy.name)) continue
+        const report = runPolicy(trace, policy)
+        runs.push(report)
+        this.log(line(report))
+      }
+    }
+    return { bench: 'policy', seed: flags.seed, runs }
+  }
+
+  private traces (seed: number, size: Trace['size'], seconds: number, file: string | undefined): Trace[] {
+    if (file === undefined) return makeTraces(seed, size, seconds)
+    const trace = readTraceFile(file, size)
+    return [trace.match((read) => read, (failure) => this.error(failure.message, { exit: 2 }))]
+  }
+}
+
+function chosen (starts: readonly string[] | undefined, name: string): boolean {
+  return starts === undefined || starts.some((start) => name.startsWith(start))
+}
+
+function line (report: RunReport): string {
+  const { load_stall_ms: stall, first_token_ms: first, fairness } = report
+  return [
+    report.trace.padEnd(18),
+    report.policy.padEnd(27),
+    `stall ${stall.p50}/${stall.p95}/${stall.p99}/${stall.max}`.padEnd(40),
+    `first ${first.p50}/${first.p95}/${first.p99}`.padEnd(34),
+    `batch ${report.batch_efficiency}/${report.batch_efficiency_while_waiting}`.padEnd(22),
+    `loads ${report.loads} refused ${report.refused} completed ${report.completed} left ${report.waiting_at_end}`.padEnd(52),
+    `share ${fairness.worst_share_ratio} flood ${fairness.worst_first_token_ratio ?? '-'}`
+  ].join(' ')
+}
--- /dev/null
+++ b/packages/load/src/policy/policies/baseline-routing.ts
@@ -0,0 +1,39 @@
+/** Routing that one would take without knowing of adapters, or knowing of nothing else. */
+import type { EndpointId } from '@limpetwinch/core'
+import { RoutingPolicy, rendezvousWeight } from '@limpetwinch/decisions'
+import type { EndpointView, RoutingQuestion } from '@limpetwinch/decisions'
+
+/** The endpoint with the fewest requests. */
+export class LeastLoadedRouting extends RoutingPolicy {
+  choose (_question: RoutingQuestion, endpoints: readonly EndpointView[]): EndpointId | undefined {
+    let best: EndpointView | undefined
+    for (const view of endpoints) {
+      if (best === undefined || loadOf(view) < loadOf(best)) best = view
+    }
+    return best?.endpoint
+  }
+
+  observe (): void {}
+}
+
+/** The adapter's home by rendezvous hashing, whatever its queue. */
+export class StickyRouting extends RoutingPolicy {
+  choose (question: RoutingQuestion, endpoints: readonly EndpointView[]): EndpointId | undefined {
+    const key = question.adapter ?? question.team
+    let best: EndpointView | undefined
+    let bestWeight = -1
+    for (const view of endpoints) {
+      const weight = rendezvousWeight(key, view.endpoint)
+      if (weight <= bestWeight) continue
+      best = view
+      bestWeight = weight
+    }
+    return best?.endpoint
+  }
+
+  observe (): void {}
+}
+
+function loadOf (view: EndpointView): number {
+  return view.queued + view.running + view.sentSince
+}
--- /dev/null
+++ b/packages/load/src/policy/policy-experiment.ts
@@ -0,0 +1,31 @@
+/** Runs traces against policies. */
+import { reportOf } from './results/run-report.js'
+import type { RunReport } from './results/run-report.js'
+import type { PolicyUnderTest } from './simulation/policy-bundle.js'
+import { Simulation } from './simulation/simulation.js'
+import { TRACE_MAKERS } from './traces/made-traces.js'
+import type { DeploymentSize, Trace } from './traces/trace.js'
+
+/** Today's deployment. */
+export const USUAL_SIZE: DeploymentSize = { engines: 13, slots: 8, loadsPerSecond: 4 }
+
+/** Length of the made traces, seconds. */
+export const USUAL_SECONDS = 240
+
+/**
+ * @param seed - of all random numbers
+ * @param size - the engines
+ * @param seconds - length of each trace
+ * @returns the seven made traces
+ */
+export function makeTraces (seed: number, size: DeploymentSize = USUAL_SIZE, seconds = USUAL_SECONDS): Trace[] {
+  return TRACE_MAKERS.map((make) => make({ seed, size, seconds }))
+}
+
+/** @returns the figures of one policy on one trace */
+export function runPolicy (trace: Trace, policy: PolicyUnderTest): RunReport {
+  const result = new Simulation(trace, policy.make(trace.size)).run()
+  if (trace.control === undefined) return reportOf(trace.name, policy.name, result)
+  const control = new Simulation(trace, policy.make(trace.size), { requests: trace.control }).run()
+  return reportOf(trace.name, policy.name, result, control, trace.floodTeam)
+}
--- /dev/null
+++ b/packages/load/src/policy/results/run-report.ts
@@ -0,0 +1,120 @@
+/** The figures of one run, as the JSON document has them. */
+import type { SimulationResult } from '../simulation/simulation.js'
+import type { StepCounts } from '../simulation/simulated-engine.js'
+import { BATCH_CAPACITY } from '../simulation/engine-timing.js'
+import { percentilesOf, round } from './percentiles.js'
+import type { Percentiles, PercentilesAndMaximum } from './percentiles.js'
+
+/** One team's figures. */
+export interface TeamReport {
+  readonly tokens: number
+  /** Tokens while it was backlogged, over its weighted share of what the backlogged teams had; null when it never was. */
+  readonly share_ratio: number | null
+  readonly first_token_p95_ms: number
+  readonly completed: number
+  readonly refused: number
+}
+
+/** Who had how much. */
+export interface FairnessReport {
+  /** The share ratio farthest from 1 among teams that were backlogged for long; null when none was. */
+  readonly worst_share_ratio: number | null
+  /** Where the trace has a flood: the largest p95 of the first token of another team, over that without the flood. */
+  readonly worst_first_token_ratio?: number
+  readonly per_team: Readonly<Record<string, TeamReport>>
+}
+
+/** One run. */
+export interface RunReport {
+  readonly trace: string
+  readonly policy: string
+  readonly load_stall_ms: PercentilesAndMaximum
+  readonly first_token_ms: Percentiles
+  /** Sequences in all steps over what the steps could hold. */
+  readonly batch_efficiency: number
+  /** The same, of the steps taken while requests waited for their engine. */
+  readonly batch_efficiency_while_waiting: number | null
+  readonly loads: number
+  readonly evictions: number
+  readonly refused: number
+  readonly completed: number
+  readonly waiting_at_end: number
+  readonly lost: number
+  readonly fairness: FairnessReport
+}
+
+/** A team that was backlogged for a moment only has too few tokens for a ratio. */
+const LEAST_FAIR_TOKENS = 5_000
+
+/**
+ * @param trace - name of the trace
+ * @param policy - name of the policy
+ * @param result - what the run counted
+ * @param control - the run without the flood
+ * @param floodTeam - the team that floods
+ */
+export function reportOf (trace: string, policy: string, result: SimulationResult, control?: SimulationResult, floodTeam?: string): RunReport {
+  const { requests, endedAt } = result
+  const count = (state: string) => requests.filter((request) => request.state === state).length
+  const { p50, p95, p99 } = percentilesOf(firstTokens(result))
+  return {
+    trace,
+    policy,
+    // A request that never got its adapter counts with its wait so far.
+    load_stall_ms: percentilesOf(requests.map((request) => request.stallAt(endedAt))),
+    first_token_ms: { p50, p95, p99 },
+    batch_efficiency: efficiency(result.steps, (counts) => counts.sequences, (counts) => counts.steps) ?? 0,
+    batch_efficiency_while_waiting: efficiency(result.steps, (counts) => counts.sequencesWhileWaiting, (counts) => counts.stepsWhileWaiting),
+    loads: result.loads.loads,
+    evictions: result.loads.evictions,
+    refused: count('refused'),
+    completed: count('completed'),
+    waiting_at_end: count('waiting') + count('running'),
+    lost: count('lost'),
+    fairness: fairnessOf(result, control, floodTeam)
+  }
+}
+
+/** A request without a first token counts with its wait so far. */
+function firstTokens (result: SimulationResult, team?: string): number[] {
+  const requests = team === undefined ? result.requests : result.requests.filter((request) => request.team === team)
+  return requests.map((request) => {
+    if (request.firstTokenAt >= 0) return request.firstTokenAt - request.enqueuedAt
+    return (request.endedAt >= 0 ? request.endedAt : result.endedAt) - request.enqueuedAt
+  })
+}
+
+function efficiency (steps: readonly StepCounts[], sequences: (counts: StepCounts) => number, taken: (counts: StepCounts) => number): number | null {
+  const all = steps.reduce((sum, counts) => sum + taken(counts), 0)
+  if (all === 0) return null
+  return round(steps.reduce((sum, counts) => sum + sequences(counts), 0) / (all * BATCH_CAPACITY), 4)
+}
+
+function fairnessOf (result: SimulationResult, control?: SimulationResult, floodTeam?: string): FairnessReport {
+  const teams = [...new Set(result.requests.map((request) => request.team))].sort()
+  const backlogged = result.service.backlogged()
+  const perTeam: Record<string, TeamReport> = {}
+  let worst: number | null = null
+  for (const team of teams) {
+    const share = backlogged.get(team)
+    const ratio = share === undefined ? null : round(share.tokens / share.fairTokens, 4)
+    const long = share !== undefined && share.fairTokens >= LEAST_FAIR_TOKENS
+    if (long && ratio !== null && (worst === null || Math.abs(ratio - 1) > Math.abs(worst - 1))) worst = ratio
+    const own = result.requests.filter((request) => request.team === team)
+    perTeam[team] = {
+      tokens: Math.round(result.service.tokensOf(team)),
+      share_ratio: ratio,
+      first_token_p95_ms: percentilesOf(firstTokens(result, team)).p95,
+      completed: own.filter((request) => request.state === 'completed').length,
+      refused: own.filter((request) => request.state === 'refused').length
+    }
+  }
+  const flood = control === undefined ? {} : { worst_first_token_ratio: floodRatio(result, control, teams, floodTeam) }
+  return { worst_share_ratio: worst, ...flood, per_team: perTeam }
+}
+
+function floodRatio (result: SimulationResult, control: SimulationResult, teams: readonly string[], floodTeam?: string): number {
+  const ratios = teams.filter((team) => team !== floodTeam).map((team) =>
+    percentilesOf(firstTokens(result, team)).p95 / percentilesOf(firstTokens(control, team)).p95)
+  return round(Math.max(...ratios), 3)
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/engine-view.ts
@@ -0,0 +1,52 @@
+/** An engine as the router sees it: counts from a report that lags, what was sent since, slots as the owner knows them. */
+import type { DataCentreId, EndpointId } from '@limpetwinch/core'
+import type { EndpointView } from '@limpetwinch/decisions'
+import { BATCH_CAPACITY } from './engine-timing.js'
+import type { SimulatedEngine } from './simulated-engine.js'
+
+const DATA_CENTRES = 3
+const DISTANCE_MILLISECONDS = 0.5
+
+/** A view that is kept for the whole run; `refresh` takes a new report. */
+export class EngineView implements EndpointView {
+  readonly endpoint: EndpointId
+  readonly dataCentre: DataCentreId
+  readonly distance: number
+  readonly baseModel = 'base'
+  readonly role = 'generate'
+  readonly slots: number
+  readonly batchCapacity = BATCH_CAPACITY
+  readonly leaving = false
+  queued = 0
+  running = 0
+  sentSince = 0
+  pinnedSlots = 0
+  loadsAhead = 0
+
+  /** @param engine - the engine that is seen */
+  constructor (private readonly engine: SimulatedEngine) {
+    const place = engine.index % DATA_CENTRES
+    this.endpoint = `engine-${String(engine.index).padStart(3, '0')}` as EndpointId
+    this.dataCentre = `data-centre-${place}` as DataCentreId
+    this.distance = place === 0 ? 0 : DISTANCE_MILLISECONDS
+    this.slots = engine.slots.count
+  }
+
+  readonly holds = (adapter: string): 'loaded' | 'loading' | 'absent' => {
+    const state = this.engine.slots.get(adapter)?.state
+    if (state !== undefined) return state
+    return this.engine.waitingByAdapter.has(adapter) ? 'loading' : 'absent'
+  }
+
+  /** Prompts have no text in a trace. */
+  readonly cachedShare = (): number => 0
+
+  /** Takes a new report. */
+  refresh (loadsAhead: number): void {
+    this.queued = this.engine.queue.size
+    this.running = this.engine.running.length
+    this.sentSince = 0
+    this.pinnedSlots = this.engine.slots.pinned
+    this.loadsAhead = loadsAhead
+  }
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/event-queue.ts
@@ -0,0 +1,33 @@
+/** Events on the fake clock; those of one time happen in the order in which they were set. */
+import TinyQueue from 'tinyqueue'
+
+interface TimedEvent {
+  readonly at: number
+  readonly sequence: number
+  readonly run: (now: number) => void
+}
+
+/** Runs events in the order of time. */
+export class EventQueue {
+  private readonly events = new TinyQueue<TimedEvent>([], compareEvents)
+  private sequence = 0
+
+  /** Sets an event. */
+  at (time: number, run: (now: number) => void): void {
+    this.events.push({ at: time, sequence: this.sequence++, run })
+  }
+
+  /** Runs all events up to a time. */
+  runUntil (end: number): void {
+    for (;;) {
+      const next = this.events.peek()
+      if (next === undefined || next.at > end) return
+      this.events.pop()
+      next.run(next.at)
+    }
+  }
+}
+
+function compareEvents (left: TimedEvent, right: TimedEvent): number {
+  return left.at === right.at ? left.sequence - right.sequence : left.at - right.at
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/load-pipeline.ts
@@ -0,0 +1,183 @@
+/** Loads of the whole deployment: what is wanted, which goes next, and who leaves for it. */
+import { notBeforeAfterFailure } from '@limpetwinch/decisions'
+import type { WantedLoad } from '@limpetwinch/decisions'
+import type { EventQueue } from './event-queue.js'
+import type { PolicyBundle } from './policy-bundle.js'
+import type { SimulatedEngine } from './simulated-engine.js'
+import { SimulatedWeightStore } from './weight-store.js'
+
+/** What the pipeline tells the simulation. */
+export interface LoadListener {
+  /** An adapter is loaded on an engine. */
+  readonly loaded: (engine: SimulatedEngine, now: number) => void
+}
+
+interface FailureRecord {
+  readonly failures: number
+  readonly notBefore: number
+}
+
+/** Loads counted. */
+export interface LoadCounts {
+  loads: number
+  evictions: number
+  failedLoads: number
+}
+
+/** Keeps one load running at a time, the one that the policy puts first. */
+export class LoadPipeline {
+  readonly counts: LoadCounts = { loads: 0, evictions: 0, failedLoads: 0 }
+  private readonly store: SimulatedWeightStore
+  private readonly failures = new Map<string, FailureRecord>()
+  /** Whether something changed since no load could be found. */
+  private dirty = true
+  private wakesAt = Infinity
+  private teamsWanting: ReadonlySet<string> = new Set()
+
+  constructor (
+    private readonly engines: readonly SimulatedEngine[],
+    private readonly policy: PolicyBundle,
+    private readonly events: EventQueue,
+    private readonly listener: LoadListener,
+    loadsPerSecond: number,
+    private readonly fails: (adapter: string, now: number) => boolean
+  ) {
+    this.store = new SimulatedWeightStore(1_000 / loadsPerSecond)
+  }
+
+  /** Something changed that may make a load wanted or possible. */
+  changed (): void {
+    this.dirty = true
+  }
+
+  /** Begins the next load if none runs. */
+  run (now: number): void {
+    while (this.dirty && this.store.active === 0) {
+      this.dirty = this.beginNext(now)
+    }
+  }
+
+  /** @returns loads wanted or under way on one engine */
+  ahead (engine: SimulatedEngine): number {
+    let count = 0
+    for (const adapter of engine.waitingByAdapter.keys()) {
+      if (engine.slots.get(adapter)?.state !== 'loaded') count += 1
+    }
+    return count
+  }
+
+  private beginNext (now: number): boolean {
+    const wanted = this.wanted()
+    this.tellLedger(wanted)
+    this.wakeForBackoff(wanted, now)
+    while (wanted.length > 0) {
+      const load = this.policy.loadOrder.next(wanted, now)
+      if (load === undefined) return false
+      if (this.begin(load, now)) return true
+      wanted.splice(wanted.indexOf(load), 1)
+    }
+    return false
+  }
+
+  private wanted (): WantedLoad[] {
+    const wanted: WantedLoad[] = []
+    for (const engine of this.engines) {
+      for (const [adapter, waiting] of engine.waitingByAdapter) {
+        if (engine.slots.get(adapter) !== undefined) continue
+        const first = waiting.values().next().value
+        if (first === undefined) continue
+        const key = `${engine.index} ${adapter}`
+        const failure = this.failures.get(key)
+        wanted.push({
+          adapter,
+          team: first.team,
+          endpoint: String(engine.index),
+          waitingSince: first.stalledSince,
+          waiters: waiting.size,
+          highestPriority: Math.max(...[...waiting].map((request) => request.priority)),
+          shareUsed: this.policy.loadLedger?.shareUsed(first.team) ?? 1,
+          failures: failure?.failures ?? 0,
+          notBefore: failure?.notBefore ?? 0
+        })
+      }
+    }
+    return wanted
+  }
+
+  private begin (load: WantedLoad, now: number): boolean {
+    const engine = this.engines[Number(load.endpoint)]
+    if (engine === undefined || !this.makeRoom(engine, load.adapter, now)) return false
+    engine.slots.reserve(load.adapter, engine.waitingByAdapter.get(load.adapter)?.size ?? 0, now)
+    this.counts.loads += 1
+    this.policy.loadLedger?.charge(load.team, 1)
+    const epoch = engine.epoch
+    this.store.begin(now, (at) => this.ended(engine, load, epoch, at))
+    const end = this.store.nextEnd()
+    if (end !== undefined) this.events.at(end, (at) => this.store.advance(at))
+    return true
+  }
+
+  private makeRoom (engine: SimulatedEngine, incoming: string, now: number): boolean {
+    if (engine.slots.free > 0) return true
+    const slots = engine.slots.loaded()
+    for (const slot of slots) slot.otherCopies = this.otherCopies(engine, slot.adapter)
+    const victim = this.policy.eviction.victim(slots, incoming, now)
+    if (victim === undefined) return false
+    engine.slots.evict(victim)
+    this.counts.evictions += 1
+    for (const request of engine.waitingByAdapter.get(victim) ?? []) request.beginStall(now)
+    return true
+  }
+
+  private otherCopies (engine: SimulatedEngine, adapter: string): number {
+    let copies = 0
+    for (const other of this.engines) {
+      if (other !== engine && other.slots.get(adapter)?.state === 'loaded') copies += 1
+    }
+    return copies
+  }
+
+  private ended (engine: SimulatedEngine, load: WantedLoad, epoch: number, now: number): void {
+    this.dirty = true
+    // The engine restarted meanwhile: the load went with all else, and its waiters want it again.
+    if (engine.epoch !== epoch) return
+    const key = `${engine.index} ${load.adapter}`
+    if (this.fails(load.adapter, now)) {
+      const failures = (this.failures.get(key)?.failures ?? 0) + 1
+      this.failures.set(key, { failures, notBefore: notBeforeAfterFailure(failures, now) })
+      this.counts.failedLoads += 1
+      engine.slots.evict(load.adapter)
+      return
+    }
+    this.failures.delete(key)
+    const slot = engine.slots.get(load.adapter)
+    if (slot === undefined) return
+    slot.state = 'loaded'
+    slot.loadedAt = now
+    slot.lastUsedAt = now
+    for (const request of engine.waitingByAdapter.get(load.adapter) ?? []) request.endStall(now)
+    this.listener.loaded(engine, now)
+  }
+
+  /** Teams whose loads wait are backlogged in the accounts of loads. */
+  private tellLedger (wanted: readonly WantedLoad[]): void {
+    const ledger = this.policy.loadLedger
+    if (ledger === undefined) return
+    const teams = new Set(wanted.map((load) => load.team))
+    for (const team of teams) if (!this.teamsWanting.has(team)) ledger.arrived(team)
+    for (const team of this.teamsWanting) if (!teams.has(team)) ledger.left(team)
+    this.teamsWanting = teams
+  }
+
+  /** A load that failed is wanted again at a time when nothing else may happen. */
+  private wakeForBackoff (wanted: readonly WantedLoad[], now: number): void {
+    let earliest = Infinity
+    for (const load of wanted) if (load.notBefore > now) earliest = Math.min(earliest, load.notBefore)
+    if (earliest === Infinity || (this.wakesAt > now && this.wakesAt <= earliest)) return
+    this.wakesAt = earliest
+    this.events.at(earliest, (at) => {
+      this.dirty = true
+      this.run(at)
+    })
+  }
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/policy-bundle.ts
@@ -0,0 +1,23 @@
+/** Everything that decides in one run. */
+import type { EvictionPolicy, FairQueue, LoadOrder, OverloadGuard, RoutingPolicy, ServiceLedger } from '@limpetwinch/decisions'
+import type { DeploymentSize } from '../traces/trace.js'
+import type { SimulatedRequest } from './simulated-request.js'
+
+/** The decision classes of one policy under test, fresh for each run. */
+export interface PolicyBundle {
+  readonly routing: RoutingPolicy
+  readonly eviction: EvictionPolicy
+  readonly loadOrder: LoadOrder
+  /** @returns the queue of one engine */
+  readonly makeQueue: () => FairQueue<SimulatedRequest>
+  /** Accounts of loads; without it a load's order knows no shares. */
+  readonly loadLedger?: ServiceLedger
+  /** Refuses early; without it a request is given up at its deadline. */
+  readonly guard?: OverloadGuard<SimulatedRequest>
+}
+
+/** A policy under test. */
+export interface PolicyUnderTest {
+  readonly name: string
+  readonly make: (size: DeploymentSize) => PolicyBundle
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/simulated-engine.ts
@@ -0,0 +1,161 @@
+/** One engine with its owner's queue: slots, steps, waiting requests. */
+import type { EvictionPolicy, FairQueue } from '@limpetwinch/decisions'
+import { BATCH_CAPACITY, PROMPT_TOKENS_PER_STEP, stepMilliseconds } from './engine-timing.js'
+import { EngineSlots } from './engine-slots.js'
+import { OUTPUT_WEIGHT } from './simulated-request.js'
+import type { SimulatedRequest } from './simulated-request.js'
+
+/** What an engine tells the simulation. */
+export interface EngineListener {
+  /** A request had its last token. */
+  readonly completed: (request: SimulatedRequest, now: number) => void
+  /** Tokens were served, weighed. */
+  readonly served: (request: SimulatedRequest, tokens: number, now: number) => void
+  /** A pin or a waiter went, so that a slot may have come free for a load. */
+  readonly slotReleased: () => void
+}
+
+/** Steps counted. */
+export interface StepCounts {
+  steps: number
+  sequences: number
+  /** Steps taken while requests waited in this engine's queue. */
+  stepsWhileWaiting: number
+  sequencesWhileWaiting: number
+}
+
+/** An engine of the simulation. */
+export class SimulatedEngine {
+  readonly slots: EngineSlots
+  readonly running: SimulatedRequest[] = []
+  readonly counts: StepCounts = { steps: 0, sequences: 0, stepsWhileWaiting: 0, sequencesWhileWaiting: 0 }
+  /** Waiting requests by adapter, the oldest first. */
+  readonly waitingByAdapter = new Map<string, Set<SimulatedRequest>>()
+  /** Changes with each cold restart, so that steps of before are void. */
+  epoch = 0
+  stepping = false
+
+  constructor (
+    readonly index: number,
+    slotCount: number,
+    readonly queue: FairQueue<SimulatedRequest>,
+    private readonly eviction: EvictionPolicy,
+    private readonly listener: EngineListener
+  ) {
+    this.slots = new EngineSlots(slotCount)
+  }
+
+  /** Puts a request into the queue. */
+  enqueue (request: SimulatedRequest, now: number): void {
+    request.engine = this.index
+    request.state = 'waiting'
+    this.queue.push(request)
+    const waiting = this.waitingByAdapter.get(request.adapter) ?? new Set()
+    this.waitingByAdapter.set(request.adapter, waiting.add(request))
+    const slot = this.slots.get(request.adapter)
+    if (slot !== undefined) slot.waiting += 1
+    if (slot?.state !== 'loaded') request.beginStall(now)
+    this.eviction.used(request.adapter, request.team, request.cost, now)
+  }
+
+  /** Notes that a request left the queue, by whatever way. */
+  noLongerWaits (request: SimulatedRequest, now: number): void {
+    const waiting = this.waitingByAdapter.get(request.adapter)
+    waiting?.delete(request)
+    if (waiting?.size === 0) this.waitingByAdapter.delete(request.adapter)
+    const slot = this.slots.get(request.adapter)
+    if (slot !== undefined) slot.waiting -= 1
+    request.endStall(now)
+    this.listener.slotReleased()
+  }
+
+  /**
+   * Begins a step if there is anything to run.
+   *
+   * @returns its length in milliseconds, or undefined
+   */
+  beginStep (now: number): number | undefined {
+    this.admit(now)
+    if (this.running.length === 0) return undefined
+    this.count()
+    let promptTokens = 0
+    for (const request of this.running) {
+      if (request.promptLeft > 0) promptTokens += Math.min(request.promptLeft, PROMPT_TOKENS_PER_STEP - promptTokens)
+    }
+    return stepMilliseconds(this.running.length, promptTokens)
+  }
+
+  /** Ends the step begun before: prompts are read, tokens come out. */
+  endStep (now: number): void {
+    let promptRoom = PROMPT_TOKENS_PER_STEP
+    for (const request of [...this.running]) {
+      if (request.promptLeft > 0) {
+        const read = Math.min(request.promptLeft, promptRoom)
+        promptRoom -= read
+        request.promptLeft -= read
+        this.serve(request, read, now)
+        if (request.promptLeft > 0) continue
+      }
+      this.generate(request, now)
+    }
+  }
+
+  /** Loses everything; running requests are handed back. */
+  restart (now: number): SimulatedRequest[] {
+    this.epoch += 1
+    this.stepping = false
+    const lost = this.running.splice(0)
+    for (const request of lost) this.settle(request)
+    this.slots.clear()
+    for (const waiting of this.waitingByAdapter.values()) {
+      for (const request of waiting) request.beginStall(now)
+    }
+    return lost
+  }
+
+  private admit (now: number): void {
+    while (this.running.length < BATCH_CAPACITY && this.queue.size > 0) {
+      const request = this.queue.next((item) => this.slots.get(item.adapter)?.state === 'loaded', now)
+      if (request === undefined) return
+      const slot = this.slots.get(request.adapter)
+      if (slot === undefined) throw new Error('The queue gave a request whose adapter is not loaded.')
+      slot.pins += 1
+      slot.lastUsedAt = now
+      this.noLongerWaits(request, now)
+      request.state = 'running'
+      this.running.push(request)
+    }
+  }
+
+  private generate (request: SimulatedRequest, now: number): void {
+    if (request.firstTokenAt < 0) request.firstTokenAt = now
+    request.outputLeft -= 1
+    this.serve(request, OUTPUT_WEIGHT, now)
+    if (request.outputLeft > 0) return
+    this.running.splice(this.running.indexOf(request), 1)
+    const slot = this.slots.get(request.adapter)
+    if (slot !== undefined) slot.pins -= 1
+    this.settle(request)
+    this.listener.slotReleased()
+    this.listener.completed(request, now)
+  }
+
+  /** The queue charged what was expected; what came is known now. */
+  private settle (request: SimulatedRequest): void {
+    this.queue.charge(request.team, request.charged - request.cost)
+    request.charged = 0
+  }
+
+  private serve (request: SimulatedRequest, tokens: number, now: number): void {
+    request.charged += tokens
+    this.listener.served(request, tokens, now)
+  }
+
+  private count (): void {
+    this.counts.steps += 1
+    this.counts.sequences += this.running.length
+    if (this.queue.size === 0) return
+    this.counts.stepsWhileWaiting += 1
+    this.counts.sequencesWhileWaiting += this.running.length
+  }
+}
--- /dev/null
+++ b/packages/load/src/policy/simulation/simulation.ts
@@ -0,0 +1,234 @@
+/** Replays a trace on small engines with the decision classes of one policy, on a fake clock. */
+import { ServiceRate } from '@limpetwinch/decisions'
+import type { Refusal, WaitForecast } from '@limpetwinch/decisions'
+import type { Trace, TraceRequest } from '../traces/trace.js'
+import { BATCH_CAPACITY, stepMilliseconds } from './engine-timing.js'
+import { EngineView } from './engine-view.js'
+import { EventQueue } from './event-queue.js'
+import { LoadPipeline } from './load-pipeline.js'
+import type { LoadCounts } from './load-pipeline.js'
+import type { PolicyBundle } from './policy-bundle.js'
+import { ServiceRecord } from './service-record.js'
+import { SimulatedEngine } from './simulated-engine.js'
+import type { StepCounts } from './simulated-engine.js'
+import { OUTPUT_WEIGHT, SimulatedRequest } from './simulated-request.js'
+
+/** Everything counted in one run. */
+export interface SimulationResult {
+  readonly requests: readonly SimulatedRequest[]
+  /** When the run ended; what waits then counts with its wait so far. */
+  readonly endedAt: number
+  readonly loads: LoadCounts
+  readonly steps: readonly StepCounts[]
+  readonly service: ServiceRecord
+}
+
+/** What may be set besides the trace and the policy. */
+export interface SimulationOptions {
+  /** @returns whether a load of the adapter that ends now fails */
+  readonly loadFails?: (adapter: string, now: number) => boolean
+  /** Another stream of requests in place of the trace's. */
+  readonly requests?: readonly TraceRequest[]
+}
+
+const REPORT_MILLISECONDS = 200
+/** Time after the last arrival in which what waits may still be served, milliseconds. */
+const DRAIN_MILLISECONDS = 10_000
+/** The plain bound on a queue without a guard. */
+const MOST_QUEUED = 500
+const RATE_MEMORY_MILLISECONDS = 10_000
+const FULL_BATCH_RATE = BATCH_CAPACITY * OUTPUT_WEIGHT / stepMilliseconds(BATCH_CAPACITY, 0)
+
+/** One run. */
+export class Simulation {
+  private readonly events = new EventQueue()
+  private readonly engines: SimulatedEngine[]
+  private readonly views: EngineView[]
+  private readonly rates: ServiceRate[]
+  private readonly loads: LoadPipeline
+  private readonly service: ServiceRecord
+  private readonly requests: SimulatedRequest[]
+  private readonly endsAt: number
+
+  constructor (private readonly trace: Trace, private readonly policy: PolicyBundle, options: SimulationOptions = {}) {
+    const arrivals = options.requests ?? trace.requests
+    this.requests = arrivals.map((request, index) => new SimulatedRequest(request, index))
+    this.endsAt = (arrivals.at(-1)?.atMilliseconds ?? 0) + DRAIN_MILLISECONDS
+    const listener = {
+      completed: (request: SimulatedRequest, now: number) => this.completed(request, now),
+      served: (request: SimulatedRequest, tokens: number) => this.service.served(request.team, tokens),
+      slotReleased: () => this.loads.changed()
+    }
+    this.engines = Array.from({ length: trace.size.engines }, (_, index) =>
+      new SimulatedEngine(index, trace.size.slots, policy.makeQueue(), policy.eviction, listener))
+    this.views = this.engines.map((engine) => new EngineView(engine))
+    this.rates = this.engines.map(() => new ServiceRate(FULL_BATCH_RATE, RATE_MEMORY_MILLISECONDS))
+    this.service = new ServiceRecord(trace.weights)
+    this.loads = new LoadPipeline(this.engines, policy, this.events, {
+      loaded: (engine, now) => this.wake(engine, now)
+    }, trace.size.loadsPerSecond, options.loadFails ?? (() => false))
+    for (const [team, weight] of trace.weights) this.setWeight(team, weight)
+  }
+
+  /** @returns what was counted */
+  run (): SimulationResult {
+    for (const request of this.requests) this.events.at(request.enqueuedAt, (now) => this.arrives(request, now))
+    for (const { atMilliseconds, engine } of this.trace.restarts) {
+      this.events.at(atMilliseconds, (now) => this.restart(this.engines[engine], now))
+    }
+    this.events.at(0, (now) => this.report(now))
+    this.events.runUntil(this.endsAt)
+    return {
+      requests: this.requests,
+      endedAt: this.endsAt,
+      loads: this.loads.counts,
+      steps: this.engines.map((engine) => engine.counts),
+      service: this.service
+    }
+  }
+
+  private setWeight (team: string, weight: number): void {
+    for (const engine of this.engines) engine.queue.setWeight(team, weight)
+    this.policy.loadLedger?.setWeight(team, weight)
+  }
+
+  private arrives (request: SimulatedRequest, now: number): void {
+    this.route(request, now)
+    this.loads.run(now)
+  }
+
+  private route (request: SimulatedRequest, now: number, hasRun = false): void {
+    const chosen = this.policy.routing.choose({
+      adapter: request.adapter,
+      team: request.team,
+      baseModel: 'base',
+      prompt: '',
+      promptTokens: request.trace.promptTokens,
+      maximumTokens: request.maximumTokens,
+      priority: request.priority,
+      avoid: NONE
+    }, this.views, now)
+    const index = this.views.findIndex((view) => view.endpoint === chosen)
+    const engine = this.engines[index]
+    const view = this.views[index]
+    if (engine === undefined || view === undefined) return this.refuse(request, now)
+    if (!hasRun && !this.admit(request, engine, now)) return this.refuse(request, now)
+    view.sentSince += 1
+    this.enqueue(request, engine, now)
+  }
+
+  private admit (request: SimulatedRequest, engine: SimulatedEngine, now: number): boolean {
+    if (this.policy.guard === undefined) return engine.queue.size < MOST_QUEUED
+    const decision = this.policy.guard.admit(request, engine.queue, this.forecast(request, engine), now)
+    if (decision.admitted && decision.shed !== undefined) this.giveUp(engine, decision.shed, now)
+    return decision.admitted
+  }
+
+  private enqueue (request: SimulatedRequest, engine: SimulatedEngine, now: number): void {
+    engine.enqueue(request, now)
+    this.service.waits(request.team, 1)
+    if (engine.slots.get(request.adapter)?.state === 'loaded') this.wake(engine, now)
+    else this.loads.changed()
+  }
+
+  /** Expects what waits before a request under fair queueing, at the rate of late. */
+  private forecast (request: SimulatedRequest, engine: SimulatedEngine): WaitForecast {
+    const rate = this.rates[engine.index]?.rate ?? FULL_BATCH_RATE
+    const ahead = engine.queue.tokensAhead?.(request) ?? 0
+    const serviceMilliseconds = request.maximumTokens / 2 * stepMilliseconds(BATCH_CAPACITY, 0)
+    const held = engine.slots.get(request.adapter)?.state === 'loaded'
+    const load = held ? 0 : 1_000 / this.trace.size.loadsPerSecond
+    return { firstTokenMilliseconds: Math.max(load, ahead / rate), serviceMilliseconds }
+  }
+
+  private giveUp (engine: SimulatedEngine, given: { readonly item: SimulatedRequest, readonly refusal: Refusal }, now: number): void {
+    engine.noLongerWaits(given.item, now)
+    this.service.waits(given.item.team, -1)
+    this.refuse(given.item, now)
+  }
+
+  private refuse (request: SimulatedRequest, now: number): void {
+    request.endStall(now)
+    request.state = 'refused'
+    request.endedAt = now
+  }
+
+  private completed (request: SimulatedRequest, now: number): void {
+    request.state = 'completed'
+    request.endedAt = now
+  }
+
+  /** Begins a step on an engine that rests. */
+  private wake (engine: SimulatedEngine, now: number): void {
+    if (engine.stepping) return
+    const before = engine.running.length
+    const length = engine.beginStep(now)
+    this.startedRunning(engine, before)
+    if (length === undefined) return
+    engine.stepping = true
+    const epoch = engine.epoch
+    this.events.at(now + length, (at) => this.stepEnds(engine, epoch, at))
+  }
+
+  private stepEnds (engine: SimulatedEngine, epoch: number, now: number): void {
+    if (engine.epoch !== epoch) return
+    const before = this.service.total
+    engine.endStep(now)
+    this.rates[engine.index]?.served(this.service.total - before, true, now)
+    engine.stepping = false
+    this.wake(engine, now)
+    this.loads.run(now)
+  }
+
+  private startedRunning (engine: SimulatedEngine, before: number): void {
+    for (const request of engine.running.slice(before)) this.service.waits(request.team, -1)
+  }
+
+  private restart (engine: SimulatedEngine | undefined, now: number): void {
+    if (engine === undefined) return
+    for (const request of engine.restart(now)) {
+      if (request.trace.idempotent) this.enqueueAgain(request, now)
+      else request.state = 'lost'
+    }
+    this.loads.changed()
+    this.loads.run(now)
+  }
+
+  /** A stream that was cut off goes on elsewhere from its last token. */
+  private enqueueAgain (request: SimulatedRequest, now: number): void {
+    request.promptLeft = request.trace.promptTokens
+    this.route(request, now, true)
+  }
+
+  private report (now: number): void {
+    this.views.forEach((view, index) => {
+      const engine = this.engines[index]
+      if (engine !== undefined) view.refresh(this.loads.ahead(engine))
+    })
+    for (const engine of this.engines) this.expire(engine, now)
+    this.service.sample(now)
+    this.loads.run(now)
+    if (now < this.endsAt) this.events.at(now + REPORT_MILLISECONDS, (at) => this.report(at))
+  }
+
+  private expire (engine: SimulatedEngine, now: number): void {
+    const { guard } = this.policy
+    if (guard !== undefined) {
+      const service = (request: SimulatedRequest) => ({
+        firstTokenMilliseconds: 0,
+        serviceMilliseconds: request.maximumTokens / 2 * stepMilliseconds(BATCH_CAPACITY, 0)
+      })
+      for (const given of guard.expire(engine.queue, service, now)) this.giveUp(engine, given, now)
+      return
+    }
+    for (const request of [...engine.queue.items()]) {
+      if (request.deadlineAt > now) continue
+      engine.queue.remove(request.requestId)
+      engine.noLongerWaits(request, now)
+      this.service.waits(request.team, -1)
+      this.refuse(request, now)
+    }
+  }
+}
+
+const NONE: ReadonlySet<never> = new Set<never>()
