Give priorities a head start between teams; let waited-for adapters go after a while

Change: age raises a request within its team only; between teams a level of priority is a head start in virtual time. A waited-for adapter is protected for 10 s after its load, then counted with its waiters. The property of the victim is restated for that: just loaded ones with waiters stay protected. Ruled out: strict priority with ageing across teams, for the first cause.

--- a/packages/decisions/src/eviction/stall-eviction-policy.ts
+++ b/packages/decisions/src/eviction/stall-eviction-policy.ts
@@ -10,16 +10,20 @@
   readonly horizonMilliseconds?: number
   /** Adapters remembered at most. */
   readonly rememberedAdapters?: number
+  /** Time after its load in which an adapter that requests wait for stays, milliseconds. */
+  readonly leastResidenceMilliseconds?: number
 }
 
-/** Victim: the unpinned adapter, with nobody waiting for it, whose absence is expected to stall least. */
+/** Victim: the unpinned adapter whose absence is expected to stall least; one that requests wait for only after a while. */
 export class StallEvictionPolicy extends EvictionPolicy {
   private readonly rates: UseRates
   private readonly horizon: number
+  private readonly leastResidence: number
 
   constructor (options: StallEvictionOptions = {}) {
     super()
     this.horizon = options.horizonMilliseconds ?? 10_000
+    this.leastResidence = options.leastResidenceMilliseconds ?? 10_000
     this.rates = new UseRates({ halfLifeMilliseconds: options.halfLifeMilliseconds ?? 60_000, most: options.rememberedAdapters ?? 20_000 })
   }
 
@@ -34,9 +38,10 @@
       // A pinned adapter is read by a running request: without it, that request's answer would come from another adapter.
       if (slot.pins > 0 || slot.adapter === incoming) continue
       // With a working set larger than all slots, evicting what requests wait for loads the same adapters for ever
-      // and serves none. Each load serves its waiters before its slot is given away.
-      if (slot.waiting > 0) continue
-      const stall = this.expectedStall(slot, now)
+      // and serves none: each load first serves its waiters for a while. Not for ever, since in an overload every
+      // loaded adapter has waiters, and those of an absent one would never be served.
+      if (slot.waiting > 0 && now < slot.loadedAt + this.leastResidence) continue
+      const stall = this.expectedStall(slot, now) + slot.waiting
       if (stall < least) {
         least = stall
         victim = slot.adapter
--- a/packages/decisions/src/fairness/virtual-time-fair-queue.ts
+++ b/packages/decisions/src/fairness/virtual-time-fair-queue.ts
@@ -7,14 +7,19 @@
 export interface VirtualTimeFairQueueOptions {
   /** Accounts shared with the other queues of this instance; its own unless given. */
   readonly ledger?: ServiceLedger
-  /** A request rises by one level of priority each time it has waited this long, milliseconds. */
+  /** Within its team a request rises by one level of priority each time it has waited this long, milliseconds. */
   readonly agingMilliseconds?: number
+  /** Between teams a level of priority goes before so much service of the others, tokens for a weight of 1. */
+  readonly headStartTokens?: number
 }
 
 const DEFAULT_AGING_MILLISECONDS = 5_000
+const DEFAULT_HEAD_START_TOKENS = 4_000
 
 /**
- * Serves the highest priority first; within a priority the team with the least virtual time; within a team the oldest.
+ * Within a team the highest priority goes first, and age raises it. Between teams the least virtual time goes first, and
+ * a priority is a head start in it: a request goes before what others are served meanwhile, but its team's service
+ * counts as ever, so that no priority takes more than the team's share in the long run and none starves.
  *
  * Time: `push` and `remove` are linear in the team's own waiting requests, `next` in the requests looked at until one
  * is eligible. None depends on the number of adapters.
@@ -22,6 +27,7 @@
 export class VirtualTimeFairQueue<Item extends QueuedRequest> extends FairQueue<Item> {
   private readonly ledger: ServiceLedger
   private readonly agingMilliseconds: number
+  private readonly headStartTokens: number
   private readonly byTeam = new Map<string, Item[]>()
   private readonly byId = new Map<string, Item>()
   private readonly costByTeam = new Map<string, number>()
@@ -30,6 +36,7 @@
     super()
     this.ledger = options.ledger ?? new ServiceLedger()
     this.agingMilliseconds = options.agingMilliseconds ?? DEFAULT_AGING_MILLISECONDS
+    this.headStartTokens = options.headStartTokens ?? DEFAULT_HEAD_START_TOKENS
   }
 
   push (item: Item): void {
@@ -49,19 +56,15 @@
     return item
   }
 
-  next (eligible: (item: Item) => boolean, now: number): Item | undefined {
+  next (eligible: (item: Item) => boolean, _now: number): Item | undefined {
     let best: Item | undefined
-    let bestLevel = -Infinity
     let bestTime = Infinity
     for (const [team, waiting] of this.byTeam) {
       const item = waiting.find(eligible)
       if (item === undefined) continue
-      const level = this.level(item, now)
-      const time = this.ledger.virtualTime(team)
-      const better = level > bestLevel || (level === bestLevel && time < bestTime)
-      if (!better) continue
+      const time = this.ledger.virtualTime(team) - item.priority * this.headStartTokens
+      if (time >= bestTime) continue
       best = item
-      bestLevel = level
       bestTime = time
     }
     if (best === undefined) return undefined
@@ -117,11 +120,6 @@
     return this.byId.size
   }
 
-  /** Without ageing, a steady stream of high priorities would keep low ones waiting for ever. */
-  private level (item: Item, now: number): number {
-    return item.priority + Math.floor(Math.max(0, now - item.enqueuedAt) / this.agingMilliseconds)
-  }
-
   private take (item: Item): void {
     this.byId.delete(item.requestId)
     this.ledger.left(item.team)
@@ -135,7 +133,10 @@
   }
 }
 
-/** Age and priority are one number: a level is worth `aging` milliseconds, so the order within a team never changes. */
+/**
+ * Age and priority are one number: a level is worth `aging` milliseconds, so the order within a team never changes.
+ * Without ageing, a steady stream of high priorities would keep the team's low ones waiting for ever.
+ */
 function placeFor (item: QueuedRequest, waiting: readonly QueuedRequest[], aging: number): number {
   const rank = item.enqueuedAt - item.priority * aging
   let low = 0
--- /dev/null
+++ b/packages/load/src/policy/results/clairvoyant.ts
@@ -0,0 +1,154 @@
+/** What could be reached at best, about: one who knows the future, with loads as the only limit. */
+import { adapterKeyOf } from '../traces/trace.js'
+import type { Trace } from '../traces/trace.js'
+import { percentilesOf } from './percentiles.js'
+import type { PercentilesAndMaximum } from './percentiles.js'
+
+/** The reference beside a trace's figures. */
+export interface Optimum {
+  readonly load_stall_ms: PercentilesAndMaximum
+  readonly loads: number
+}
+
+/** Requests looked at ahead for the next adapter that will be wanted. */
+const LOOK_AHEAD = 3_000
+
+/**
+ * All slots of all engines are one cache, requests need no time to run, and loads run one at a time.
+ *
+ * The adapter whose next use is farthest leaves. The pipeline takes the load with the most waiters (the oldest among
+ * equals), and when nobody waits it loads what will be wanted next. No order of loads is proved best for a percentile,
+ * so this is a reference with every advantage, not a proved bound.
+ */
+class Clairvoyant {
+  private readonly keys: readonly string[]
+  private readonly times: readonly number[]
+  /** Places of each adapter's requests still to come, the next one last. */
+  private readonly uses = new Map<string, number[]>()
+  private readonly held = new Set<string>()
+  private readonly waiting = new Map<string, number[]>()
+  private readonly stalls: number[]
+  private readonly slots: number
+  private loading: string | undefined
+  private loads = 0
+
+  constructor (private readonly trace: Trace) {
+    this.keys = trace.requests.map(adapterKeyOf)
+    this.times = trace.requests.map((request) => request.atMilliseconds)
+    this.stalls = this.keys.map(() => 0)
+    this.slots = trace.size.engines * trace.size.slots
+    for (let index = this.keys.length - 1; index >= 0; index--) {
+      const key = this.keys[index] as string
+      const places = this.uses.get(key) ?? []
+      this.uses.set(key, places)
+      places.push(index)
+    }
+  }
+
+  /** @returns the stalls of all requests */
+  run (): Optimum {
+    const loadMilliseconds = 1_000 / this.trace.size.loadsPerSecond
+    const restarts = [...this.trace.restarts]
+    let loadEnds = Infinity
+    let next = 0
+    while (next < this.keys.length || this.waiting.size > 0) {
+      const arrival = this.times[next] ?? Infinity
+      const now = Math.min(arrival, loadEnds)
+      while ((restarts[0]?.atMilliseconds ?? Infinity) <= now) {
+        restarts.shift()
+        this.loseOneEngine()
+      }
+      if (loadEnds <= arrival) this.endLoad(now)
+      else this.arrive(next++)
+      if (this.loading === undefined) this.loading = this.chooseLoad(next, now)
+      if (this.loading === undefined) loadEnds = Infinity
+      else if (loadEnds <= now || loadEnds === Infinity) loadEnds = now + loadMilliseconds
+    }
+    return { load_stall_ms: percentilesOf(this.stalls), loads: this.loads }
+  }
+
+  private arrive (index: number): void {
+    const key = this.keys[index] as string
+    this.uses.get(key)?.pop()
+    if (this.held.has(key)) return
+    this.waiting.set(key, [...this.waiting.get(key) ?? [], index])
+  }
+
+  private endLoad (now: number): void {
+    const key = this.loading as string
+    this.loading = undefined
+    this.held.add(key)
+    for (const index of this.waiting.get(key) ?? []) this.stalls[index] = now - (this.times[index] as number)
+    this.waiting.delete(key)
+  }
+
+  private chooseLoad (next: number, now: number): string | undefined {
+    const chosen = this.mostWanted(now) ?? this.nextWanted(next)
+    if (chosen === undefined) return undefined
+    this.loads += 1
+    return chosen
+  }
+
+  private mostWanted (now: number): string | undefined {
+    let best: string | undefined
+    let most = -1
+    for (const [key, indexes] of this.waiting) {
+      const urgency = indexes.length * (now - (this.times[indexes[0] as number] as number) + 1)
+      if (urgency <= most) continue
+      best = key
+      most = urgency
+    }
+    if (best !== undefined) this.makeRoom()
+    return best
+  }
+
+  /** Loads ahead only when what leaves is wanted later than what comes. */
+  private nextWanted (next: number): string | undefined {
+    for (let index = next; index < Math.min(this.keys.length, next + LOOK_AHEAD); index++) {
+      const key = this.keys[index] as string
+      if (this.held.has(key)) continue
+      if (this.held.size < this.slots) return key
+      const victim = this.farthest()
+      if (victim === undefined || this.nextUse(victim) <= index) return undefined
+      this.held.delete(victim)
+      return key
+    }
+    return undefined
+  }
+
+  private makeRoom (): void {
+    if (this.held.size < this.slots) return
+    const victim = this.farthest()
+    if (victim !== undefined) this.held.delete(victim)
+  }
+
+  private farthest (): string | undefined {
+    let victim: string | undefined
+    let farthest = -1
+    for (const key of this.held) {
+      const use = this.nextUse(key)
+      if (use <= farthest) continue
+      victim = key
+      farthest = use
+    }
+    return victim
+  }
+
+  private nextUse (key: string): number {
+    return this.uses.get(key)?.at(-1) ?? Infinity
+  }
+
+  /** Those wanted last are taken to have been on the engine that restarts. */
+  private loseOneEngine (): void {
+    const lost = this.held.size - this.trace.size.slots * (this.trace.size.engines - 1)
+    for (let count = 0; count < lost; count++) {
+      const victim = this.farthest()
+      if (victim !== undefined) this.held.delete(victim)
+    }
+  }
+}
+
+/** @returns the reference for a trace */
+export function optimumOf (trace: Trace): Optimum {
+  return new Clairvoyant(trace).run()
+}
