Add history events and the history checker

The promises are to be proved on recorded runs, so each needs a check that can fail. One class a promise reads a whole history and names the events that break it. The whole answer is recomputed from the request rather than taken from anyone's word.

--- /dev/null
+++ b/packages/load/src/history/checker.ts
@@ -0,0 +1,58 @@
+/** All promises over one history. */
+import type { HistoryEvent } from './events.js'
+import { History } from './history.js'
+import type { HistoryRule, Violation } from './history-rule.js'
+import { AtMostOnceRule } from './rules/at-most-once-rule.js'
+import { EveryRequestEndedRule } from './rules/every-request-ended-rule.js'
+import { FairnessRule } from './rules/fairness-rule.js'
+import { LeavingEndpointRule } from './rules/leaving-endpoint-rule.js'
+import { NoEvictionInUseRule } from './rules/no-eviction-in-use-rule.js'
+import { NotRunRule } from './rules/not-run-rule.js'
+import { PlannedStopRule } from './rules/planned-stop-rule.js'
+import { RightAdapterRule } from './rules/right-adapter-rule.js'
+import { SettingsInForceRule } from './rules/settings-in-force-rule.js'
+import { WholeAnswerRule } from './rules/whole-answer-rule.js'
+import type { AnswerText } from './rules/whole-answer-rule.js'
+
+/** What the promises leave to the deployment. */
+export interface CheckBounds {
+  /** Until when a leaving endpoint may still receive new work, milliseconds. */
+  readonly leavingGrace: number
+  /** How soon accepted settings have to be in force, milliseconds. */
+  readonly settingsInForce: number
+  /** Most by which the weighed service of two backlogged teams may differ, tokens. */
+  readonly fairness: number
+}
+
+/** The bounds that the promises' own words suggest ("a few seconds", "within seconds"). */
+export const DEFAULT_BOUNDS: CheckBounds = { leavingGrace: 5_000, settingsInForce: 4_000, fairness: 4_096 }
+
+/** Checks histories against every promise. */
+export class HistoryChecker {
+  readonly rules: readonly HistoryRule[]
+
+  /**
+   * @param answerText - the text that the endpoints of the history generate
+   * @param bounds - the deployment's bounds
+   */
+  constructor (answerText: AnswerText, bounds: CheckBounds = DEFAULT_BOUNDS) {
+    this.rules = [
+      new RightAdapterRule(),
+      new NoEvictionInUseRule(),
+      new WholeAnswerRule(answerText),
+      new NotRunRule(),
+      new AtMostOnceRule(),
+      new LeavingEndpointRule(bounds.leavingGrace),
+      new PlannedStopRule(),
+      new SettingsInForceRule(bounds.settingsInForce),
+      new FairnessRule(bounds.fairness),
+      new EveryRequestEndedRule()
+    ]
+  }
+
+  /** @returns every broken promise of a history */
+  check (events: readonly HistoryEvent[]): Violation[] {
+    const history = new History(events)
+    return this.rules.flatMap((rule) => rule.check(history))
+  }
+}
--- /dev/null
+++ b/packages/load/src/history/events.ts
@@ -0,0 +1,149 @@
+/** What callers, endpoints, operators and the fault driver saw: one typed event for each line of a history. */
+import { z } from 'zod'
+
+const at = z.number().nonnegative()
+const text = z.string().min(1)
+
+const requestSent = z.object({
+  event: z.literal('request-sent'),
+  at,
+  request: text,
+  key: text.optional(),
+  team: text,
+  /** Absent for a plain service. */
+  adapter: text.optional(),
+  version: text.optional(),
+  /** Present for a plain service. */
+  service: text.optional(),
+  idempotent: z.boolean(),
+  instance: text,
+  prompt: z.string(),
+  maximumTokens: z.int().nonnegative().optional(),
+  seed: z.int().optional()
+})
+
+const requestPart = z.object({
+  event: z.literal('request-part'),
+  at,
+  request: text,
+  /** Counts the parts as this caller received them, from 0. */
+  position: z.int().nonnegative(),
+  text: z.string()
+})
+
+const requestEnded = z.object({
+  event: z.literal('request-ended'),
+  at,
+  request: text,
+  outcome: z.enum(['answered', 'not_run', 'unknown']),
+  code: text.optional(),
+  /** What the answer says it was made with. */
+  adapter: text.optional(),
+  version: text.optional(),
+  text: z.string().optional(),
+  servedAs: text.optional()
+})
+
+const order = z.object({
+  event: z.literal('order'),
+  at,
+  endpoint: text,
+  order: z.enum(['load', 'unload', 'configure']),
+  name: z.string().optional(),
+  token: z.number().optional(),
+  /** `done`, or the code of the refusal. */
+  result: text
+})
+
+const runStarted = z.object({
+  event: z.literal('run-started'),
+  at,
+  endpoint: text,
+  run: text,
+  request: z.string(),
+  /** The name under which the engine holds it; absent for the base model and plain services. */
+  adapter: text.optional(),
+  prompt: z.string().optional()
+})
+
+const runEnded = z.object({
+  event: z.literal('run-ended'),
+  at,
+  endpoint: text,
+  run: text,
+  request: z.string(),
+  result: z.enum(['finished', 'cancelled', 'lost']),
+  /** Prompt and output tokens that were spent. */
+  tokens: z.number().nonnegative().optional()
+})
+
+const endpointState = z.object({
+  event: z.enum(['endpoint-leaving', 'endpoint-live', 'endpoint-restarted']),
+  at,
+  endpoint: text
+})
+
+const settingsAccepted = z.object({
+  event: z.literal('settings-accepted'),
+  at,
+  path: text,
+  revision: z.int().positive(),
+  /** Identifies the text, so that two texts under one revision are seen. */
+  digest: text.optional()
+})
+
+const settingsInForce = z.object({
+  event: z.literal('settings-in-force'),
+  at,
+  path: text,
+  revision: z.int().positive(),
+  instance: text,
+  digest: text.optional()
+})
+
+const instanceState = z.object({
+  event: z.enum(['instance-started', 'instance-stop-asked', 'instance-killed', 'instance-ended']),
+  at,
+  instance: text
+})
+
+const fault = z.object({
+  event: z.enum(['fault-started', 'fault-ended']),
+  at,
+  /** One name for the start and the end of the same fault. */
+  fault: text,
+  kind: text,
+  /** Instances that it may keep from the newest settings. */
+  instances: z.array(text).default([])
+})
+
+const teamWeight = z.object({ event: z.literal('team-weight'), at, team: text, weight: z.number().positive() })
+
+const teamBacklog = z.object({
+  event: z.enum(['team-backlog-started', 'team-backlog-ended']),
+  at,
+  team: text
+})
+
+/** One line of a history. */
+export const historyEventSchema = z.discriminatedUnion('event', [
+  requestSent, requestPart, requestEnded, order, runStarted, runEnded, endpointState, settingsAccepted,
+  settingsInForce, instanceState, fault, teamWeight, teamBacklog
+])
+
+/** One event of a history. */
+export type HistoryEvent = z.infer<typeof historyEventSchema>
+
+/** The kinds of events. */
+export type HistoryEventKind = HistoryEvent['event']
+
+/** The event of one kind. */
+export type HistoryEventOf<Kind extends HistoryEventKind> = HistoryEvent extends infer Event
+  ? Event extends { event: infer Kinds } ? (Kind extends Kinds ? Event & { event: Kind } : never) : never
+  : never
+
+/** An event with its place in the history, which names it in reports. */
+export type Recorded<Event extends HistoryEvent = HistoryEvent> = Event & {
+  /** Counts from 1 over all files in the order read. */
+  readonly line: number
+}
--- /dev/null
+++ b/packages/load/src/history/history.ts
@@ -0,0 +1,108 @@
+/** A whole history with the joins that the rules need. */
+import type { HistoryEvent, HistoryEventKind, HistoryEventOf, Recorded } from './events.js'
+
+/** One run at an endpoint. */
+export interface Run {
+  readonly started: Recorded<HistoryEventOf<'run-started'>>
+  /** Absent when the history ends before the run. */
+  readonly ended: Recorded<HistoryEventOf<'run-ended'>> | undefined
+}
+
+/** One request as its caller saw it. */
+export interface CallerView {
+  readonly sent: Recorded<HistoryEventOf<'request-sent'>>
+  readonly parts: readonly Recorded<HistoryEventOf<'request-part'>>[]
+  readonly ends: readonly Recorded<HistoryEventOf<'request-ended'>>[]
+  /** Runs of this request; where callers share key and prompt, each run stands with every one who may have caused it. */
+  readonly runs: readonly Run[]
+}
+
+/** Events in order of time, and what belongs together. */
+export class History {
+  readonly events: readonly Recorded[]
+  readonly runs: readonly Run[]
+  readonly requests: readonly CallerView[]
+  private readonly byKind = new Map<HistoryEventKind, Recorded[]>()
+
+  /** @param events - as read; those of one millisecond stay in the order read */
+  constructor (events: readonly HistoryEvent[]) {
+    this.events = events
+      .map((event, index) => ({ ...event, line: index + 1 }))
+      .sort((left, right) => left.at - right.at || left.line - right.line)
+    for (const event of this.events) this.group(event.event).push(event)
+    this.runs = this.joinRuns()
+    this.requests = this.joinRequests()
+  }
+
+  /** @returns the events of one kind in order */
+  of<Kind extends HistoryEventKind> (kind: Kind): readonly Recorded<HistoryEventOf<Kind>>[] {
+    return this.group(kind) as unknown as Recorded<HistoryEventOf<Kind>>[]
+  }
+
+  /** Time of the last event, milliseconds. */
+  get end (): number {
+    return this.events.at(-1)?.at ?? 0
+  }
+
+  private group (kind: HistoryEventKind): Recorded[] {
+    const present = this.byKind.get(kind)
+    if (present !== undefined) return present
+    const group: Recorded[] = []
+    this.byKind.set(kind, group)
+    return group
+  }
+
+  private joinRuns (): Run[] {
+    const ends = new Map(this.of('run-ended').map((ended) => [runKey(ended), ended]))
+    return this.of('run-started').map((started) => ({ started, ended: ends.get(runKey(started)) }))
+  }
+
+  private joinRequests (): CallerView[] {
+    const parts = groupBy(this.of('request-part'), (part) => part.request)
+    const ends = groupBy(this.of('request-ended'), (ended) => ended.request)
+    const runs = this.runsByRequest()
+    return this.of('request-sent').map((sent) => ({
+      sent,
+      parts: parts.get(sent.request) ?? [],
+      ends: ends.get(sent.request) ?? [],
+      runs: runs.get(sent.request) ?? []
+    }))
+  }
+
+  /** Joins by request id where the endpoint saw the caller's, else by prompt, which the load tool makes unique. */
+  private runsByRequest (): Map<string, Run[]> {
+    const sent = this.of('request-sent')
+    const known = new Set(sent.map((event) => event.request))
+    const byPrompt = groupBy(sent, (event) => event.prompt)
+    const joined = new Map<string, Run[]>()
+    for (const run of this.runs) {
+      const { request, prompt } = run.started
+      if (known.has(request)) {
+        push(joined, request, run)
+        continue
+      }
+      const senders = prompt === undefined ? [] : byPrompt.get(prompt) ?? []
+      const earlier = senders.filter((event) => event.line < run.started.line || event.at < run.started.at)
+      for (const event of earlier) push(joined, event.request, run)
+    }
+    return joined
+  }
+}
+
+/** @returns a run's name in the history; endpoints number their runs apart */
+export function runKey (event: { readonly endpoint: string, readonly run: string }): string {
+  return `${event.endpoint} ${event.run}`
+}
+
+/** @returns the items under their keys, in order */
+export function groupBy<Item> (items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) push(groups, keyOf(item), item)
+  return groups
+}
+
+function push<Item> (groups: Map<string, Item[]>, key: string, item: Item): void {
+  const group = groups.get(key)
+  if (group === undefined) groups.set(key, [item])
+  else group.push(item)
+}
