--- a/packages/load/src/history/json-lines.ts
+++ b/packages/load/src/history/json-lines.ts
@@ -42,7 +42,17 @@
 export async function readHistoryFiles (files: readonly string[]): Promise<Result<HistoryEvent[], UnreadableLine>> {
   const events: HistoryEvent[] = []
   for (const file of files) {
-    let line = 0
+    const read = await readHistoryFile(file)
+    if (read.isErr()) return err(read.error)
+    for (const event of read.value) events.push(event)
+  }
+  return ok(events)
+}
+
+async function readHistoryFile (file: string): Promise<Result<HistoryEvent[], UnreadableLine>> {
+  const events: HistoryEvent[] = []
+  let line = 0
+  try {
     for await (const text of createInterface({ input: createReadStream(file), crlfDelay: Infinity })) {
       line += 1
       if (text.trim() === '') continue
@@ -50,6 +60,8 @@
       if (event.isErr()) return err({ file, line, reason: event.error })
       events.push(event.value)
     }
+  } catch (cause) {
+    return err({ file, line, reason: cause instanceof Error ? cause.message : String(cause) })
   }
   return ok(events)
 }
--- a/packages/stand-ins/src/engine/stand-in-engine.ts
+++ b/packages/stand-ins/src/engine/stand-in-engine.ts
@@ -229,16 +229,17 @@
   }
 
   private noteStarted (sequence: Sequence): number {
-    const { request, run } = sequence
-    this.history.record({ event: 'run-started', endpoint: this.options.name, run, request: request.requestId, adapter: request.adapter })
-    return this.cache.use(request.prompt)
+    const { request: { requestId, adapter, prompt }, run } = sequence
+    this.history.record({ event: 'run-started', endpoint: this.options.name, run, request: requestId, adapter, prompt })
+    return this.cache.use(prompt)
   }
 
   private noteEnded (sequence: Sequence, result: SequenceResult): void {
     this.sequences.noteEnded(sequence)
     if (!sequence.started) return
     const { request, run } = sequence
-    this.history.record({ event: 'run-ended', endpoint: this.options.name, run, request: request.requestId, result })
+    const tokens = sequence.promptTokens + sequence.produced
+    this.history.record({ event: 'run-ended', endpoint: this.options.name, run, request: request.requestId, result, tokens })
   }
 
   private makeReport (): EngineReport {
--- a/packages/stand-ins/src/history/history-recorder.ts
+++ b/packages/stand-ins/src/history/history-recorder.ts
@@ -19,6 +19,8 @@
   readonly run: string
   readonly request: string
   readonly adapter?: string | undefined
+  /** By this the checker joins a run to its request: an entry instance gives requests ids of its own. */
+  readonly prompt: string
 }
 
 /** A request no longer runs. */
@@ -28,11 +30,13 @@
   readonly run: string
   readonly request: string
   readonly result: 'finished' | 'cancelled' | 'lost'
+  /** Prompt and output tokens that were spent. */
+  readonly tokens?: number
 }
 
-/** An endpoint is marked leaving, or restarted cold. */
+/** An endpoint is marked leaving or live, or restarted cold. */
 export interface EndpointEvent {
-  readonly event: 'endpoint-leaving' | 'endpoint-restarted'
+  readonly event: 'endpoint-leaving' | 'endpoint-live' | 'endpoint-restarted'
   readonly endpoint: string
 }
 
--- a/packages/stand-ins/src/platform/stand-in-platform.ts
+++ b/packages/stand-ins/src/platform/stand-in-platform.ts
@@ -151,8 +151,8 @@
     const body = await readBody(context, instanceSchema)
     if (body.isErr()) return body.error
     this.list.set(body.value)
-    if (body.value.kind === 'endpoint' && body.value.state === 'leaving') {
-      this.history.record({ event: 'endpoint-leaving', endpoint: body.value.id })
+    if (body.value.kind === 'endpoint') {
+      this.history.record({ event: `endpoint-${body.value.state}`, endpoint: body.value.id })
     }
     return context.json({})
   }
--- a/packages/stand-ins/src/service/stand-in-service.ts
+++ b/packages/stand-ins/src/service/stand-in-service.ts
@@ -83,7 +83,7 @@
     if (this.faults.slowness > 0) await sleep(this.faults.slowness)
     const run = randomUUID()
     const request = context.req.header(REQUEST_ID_HEADER) ?? ''
-    this.history.record({ event: 'run-started', endpoint: this.name, run, request })
+    this.history.record({ event: 'run-started', endpoint: this.name, run, request, prompt: body })
     this.history.record({ event: 'run-ended', endpoint: this.name, run, request, result: 'finished' })
     if (this.takeFault('failAfter')) return cut(context)
     const { pathname, search } = new URL(context.req.url)
