Mend what fuzzing found in the HTTP clients of engine and object API

A resume's failure is now always unknown. - EHOSTUNREACH and ENETUNREACH counted as proof that nothing was sent, also when an open connection lost its route. The system call decides now. - A write answered with 200 of another form, with 201, 4xx, 500, 502 or 504 was reported as 'nothing was changed'. Only 413, 429 and 503 say so now, the platform's own refusals; all else is a lost answer, to be read back. - Bytes that are no UTF-8 reached the caller as U+FFFD.

--- a/packages/core/src/endpoints/http-engine-client.ts
+++ b/packages/core/src/endpoints/http-engine-client.ts
@@ -8,6 +8,7 @@
 import { ERRORS } from '../errors/errors-data.js'
 import type { ErrorName } from '../errors/errors-data.js'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import { OversizeAnswer, readBoundedText } from '../http/bounded-text.js'
 import { formatAdapter } from '../ids/adapter-reference.js'
 import type { AdapterReference } from '../ids/adapter-reference.js'
 import type { EndpointId, FencingToken, RequestId } from '../ids/ids.js'
@@ -17,6 +18,9 @@
 
 const ORDER_MILLISECONDS = 60_000
 const QUICK_MILLISECONDS = 5_000
+const MOST_ANSWER_BYTES = 16 * 1024 * 1024
+const MOST_REFUSAL_BYTES = 64 * 1024
+const MOST_EVENT_CHARACTERS = 1024 * 1024
 const REFUSALS: ReadonlySet<string> = new Set(['adapter-not-loaded', 'stale-fencing-token', 'no-free-slot', 'load-failed'])
 
 const partSchema = z.object({ position: z.int().min(0), text: z.string() })
@@ -67,7 +71,7 @@
   }
 
   override resume (requestId: RequestId, position: number, signal: AbortSignal): AsyncIterable<GenerationEventResult> {
-    return this.stream('GET', `/generate/${requestId}?from=${position}`, undefined, signal)
+    return unproved(this.stream('GET', `/generate/${requestId}?from=${position}`, undefined, signal))
   }
 
   override cancel (requestId: RequestId): ResultAsync<void, LimpetwinchError> {
@@ -108,7 +112,7 @@
     try {
       response = await this.send(method, target, body, signal)
       if (response.statusCode !== 200) {
-        yield { ok: false, error: this.refusal(response.statusCode, await response.body.text(), undefined) }
+        yield { ok: false, error: this.refusal(response.statusCode, await readBoundedText(response.body, MOST_REFUSAL_BYTES), undefined) }
         return
       }
     } catch (cause) {
@@ -154,7 +158,7 @@
   private async answer (method: 'GET' | 'POST', target: string, body: unknown, milliseconds: number, adapter?: string): Promise<Result<unknown, LimpetwinchError>> {
     try {
       const response = await this.send(method, target, body, AbortSignal.timeout(milliseconds))
-      const text = await response.body.text()
+      const text = await readBoundedText(response.body, MOST_ANSWER_BYTES)
       if (response.statusCode !== 200) return err(this.refusal(response.statusCode, text, adapter))
       return ok(text === '' ? undefined : JSON.parse(text))
     } catch (cause) {
@@ -199,13 +203,33 @@
   }
 }
 
-/** Reads server-sent events as they come. */
+/**
+ * Takes a failed resume for no proof of anything: the request was sent before, so an engine that no longer knows it, or
+ * does not listen any more, may have run it all the same. Told as not run, its caller would run it twice.
+ */
+async function * unproved (results: AsyncIterable<GenerationEventResult>): AsyncIterable<GenerationEventResult> {
+  for await (const result of results) {
+    if (result.ok) yield result
+    else yield { ok: false, error: new LimpetwinchError(result.error.kind, { ...result.error.details }, { outcome: 'unknown', cause: result.error }) }
+  }
+}
+
+/**
+ * Reads server-sent events as they come. Bytes that are no UTF-8 end the stream: replaced by a sign, they would reach
+ * the caller as text that the engine never wrote. So does an event without end, which would fill the memory.
+ */
 async function * eventData (body: AsyncIterable<Buffer>): AsyncIterable<string> {
-  const decoder = new TextDecoder()
+  const decoder = new TextDecoder('utf-8', { fatal: true })
   let waiting: string[] = []
-  const parser = createParser({ onEvent: (event) => { waiting.push(event.data) } })
+  let oversize = false
+  const parser = createParser({
+    maxBufferSize: MOST_EVENT_CHARACTERS,
+    onEvent: (event) => { waiting.push(event.data) },
+    onError: (error) => { oversize ||= error.type === 'max-buffer-size-exceeded' }
+  })
   for await (const chunk of body) {
     parser.feed(decoder.decode(chunk, { stream: true }))
+    if (oversize) throw new OversizeAnswer(MOST_EVENT_CHARACTERS)
     const ready = waiting
     waiting = []
     yield * ready
--- /dev/null
+++ b/packages/core/src/http/bounded-text.ts
@@ -0,0 +1,29 @@
+/** Bodies of answers read with a bound. */
+
+/** An answer is longer than anything its sender has reason to send. */
+export class OversizeAnswer extends Error {
+  /** @param mostBytes - the bound that it broke */
+  constructor (mostBytes: number) {
+    super(`an answer of more than ${mostBytes} bytes`)
+  }
+}
+
+/**
+ * Reads a body whole. One without end would take all memory of the instance and end every request on it; leaving the
+ * loop closes the connection, so that the sender stops as well.
+ *
+ * @param body - the body as it comes
+ * @param mostBytes - how much is taken at most
+ * @returns its text
+ * @throws OversizeAnswer beyond the bound, TypeError when it is not UTF-8
+ */
+export async function readBoundedText (body: AsyncIterable<Uint8Array>, mostBytes: number): Promise<string> {
+  const chunks: Uint8Array[] = []
+  let bytes = 0
+  for await (const chunk of body) {
+    bytes += chunk.length
+    if (bytes > mostBytes) throw new OversizeAnswer(mostBytes)
+    chunks.push(chunk)
+  }
+  return new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks))
+}
--- a/packages/core/src/platform/http-object-store.ts
+++ b/packages/core/src/platform/http-object-store.ts
@@ -4,11 +4,16 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import { readBoundedText } from '../http/bounded-text.js'
 import { ObjectStore } from './object-store.js'
 import type { ConditionalWrite, StoredObject, WatchStep } from './object-store.js'
 
 const ANSWER_MILLISECONDS = 2_000
 const WATCH_GRACE_MILLISECONDS = 2_000
+/** Room for a list of everything that a deployment holds. */
+const MOST_ANSWER_BYTES = 64 * 1024 * 1024
+/** Answers by which the platform says that it did not carry a write out: too large, over its rate, in an outage. */
+const REFUSED_WRITE_STATUSES: ReadonlySet<number> = new Set([413, 429, 503])
 
 const storedObjectSchema = z.object({ path: z.string(), version: z.number(), value: z.unknown() })
 const listSchema = z.object({ objects: z.array(storedObjectSchema), cursor: z.number() })
@@ -92,16 +97,31 @@
       answer = await this.send({ method: 'PUT', target: '/objects', body: write, milliseconds: ANSWER_MILLISECONDS })
     } catch (cause) {
       if (neverConnected(cause)) return err(this.unavailable(cause))
-      // The platform may have carried the write out before its answer was lost; calling it unavailable would make
-      // the caller write twice. The caller reads back by the write's own id.
-      this.calls.failed += 1
-      return err(new LimpetwinchError('store-answer-lost', { path: write.path }, { cause }))
+      return err(this.answerLost(write, cause))
     }
-    if (answer.status === 409) {
-      return parsed(conflictSchema, { ...answer, status: 200 })
-        .andThen((conflict) => err(new LimpetwinchError('version-conflict', { path: write.path, ...conflict })))
+    return this.readWriteAnswer(write, answer)
+  }
+
+  /** Only the platform's own words count; an error page of something in between says nothing about the write. */
+  private readWriteAnswer (write: ConditionalWrite, answer: Answer): Result<number, LimpetwinchError> {
+    const written = versionSchema.safeParse(answer.body)
+    if (answer.status === 200 && written.success) return ok(written.data.version)
+    const conflict = conflictSchema.safeParse(answer.body)
+    if (answer.status === 409 && conflict.success) {
+      return err(new LimpetwinchError('version-conflict', { path: write.path, ...conflict.data }))
     }
-    return parsed(versionSchema, answer).map((body) => body.version)
+    const reason = `status ${answer.status}`
+    if (REFUSED_WRITE_STATUSES.has(answer.status)) return err(this.unavailable(new Error(reason)))
+    return err(this.answerLost(write, new Error(reason)))
+  }
+
+  /**
+   * The platform may have carried the write out before its answer was lost; calling it unavailable would make the
+   * caller write twice. The caller reads back by the write's own id.
+   */
+  private answerLost (write: ConditionalWrite, cause: unknown): LimpetwinchError {
+    this.calls.failed += 1
+    return new LimpetwinchError('store-answer-lost', { path: write.path }, { cause })
   }
 
   private async send (call: Call): Promise<Answer> {
@@ -113,8 +133,8 @@
       signal,
       ...(call.body === undefined ? {} : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } })
     })
-    const text = await response.body.text()
-    return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) }
+    const text = await readBoundedText(response.body, MOST_ANSWER_BYTES)
+    return { status: response.statusCode, body: parseBody(response.statusCode, text) }
   }
 
   private unavailable (cause: unknown): LimpetwinchError {
@@ -124,10 +144,24 @@
   }
 }
 
-/** @returns whether an error proves that nothing was sent */
+/**
+ * @param cause - what a call failed with
+ * @returns whether it proves that nothing was sent; a socket that lost its route under way carries the same codes as one
+ *   that never connected, so the system call decides
+ */
 export function neverConnected (cause: unknown): boolean {
-  const code = (cause as { code?: string } | undefined)?.code
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH' || code === 'ENETUNREACH'
+  if (cause instanceof AggregateError) return cause.errors.length > 0 && cause.errors.every(neverConnected)
+  const { code, syscall } = (cause ?? {}) as { code?: string, syscall?: string }
+  if (code === 'UND_ERR_CONNECT_TIMEOUT') return true
+  return syscall === 'connect' && CONNECT_FAILURES.has(code ?? '')
+}
+
+const CONNECT_FAILURES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'])
+
+/** An error page is no JSON, and its status says enough. */
+function parseBody (status: number, text: string): unknown {
+  if (status !== 200 && status !== 409) return undefined
+  return text === '' ? undefined : JSON.parse(text)
 }
 
 function parsed<Body> (schema: z.ZodType<Body>, answer: Answer): Result<Body, LimpetwinchError> {
--- /dev/null
+++ b/packages/core/test/fuzz/object-store.test.ts
@@ -0,0 +1,61 @@
+// The platform, or something in between, answers a write with an error page, half an answer or bytes without end. If
+// the client said "nothing was changed" though the write had taken effect, its caller would write twice, or report a
+// change as refused that is in force.
+import fc from 'fast-check'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { HttpObjectStore, neverConnected } from '@limpetwinch/core'
+import { answerOf, endless, MOST_SENT, RawServer } from './raw-server.js'
+
+const RUNS = { seed: 61_203, numRuns: 150 }
+const NOTHING_HAPPENED = new Set([413, 429, 503])
+
+describe('object API from outside', () => {
+  const server = new RawServer()
+  let store: HttpObjectStore
+
+  beforeAll(async () => { store = new HttpObjectStore(await server.listen()) })
+
+  afterAll(async () => {
+    await store.close()
+    await server.close()
+  })
+
+  const body = fc.oneof(fc.jsonValue().map((value) => JSON.stringify(value)), fc.string()).filter((text) => !text.includes('"version"'))
+
+  it('says of a write that nothing happened only where the platform says so', async () => {
+    await fc.assert(fc.asyncProperty(fc.constantFrom(200, 201, 400, 404, 409, 413, 429, 500, 502, 503, 504), body, async (status, text) => {
+      server.answer = answerOf(status, [Buffer.from(text)])
+      const error = (await store.put({ path: '/a', ifVersion: 0, value: 1 }))._unsafeUnwrapErr()
+      const nothingHappened = error.kind === 'store-unavailable'
+      if (nothingHappened) expect(NOTHING_HAPPENED).toContain(status)
+      else expect(error).toMatchObject({ kind: 'store-answer-lost', outcome: 'unknown' })
+    }), RUNS)
+  })
+
+  it('takes no answer of another form for an object', async () => {
+    await fc.assert(fc.asyncProperty(body, async (text) => {
+      server.answer = answerOf(200, [Buffer.from(text)])
+      for (const read of [store.get('/a'), store.list('/'), store.watch('/', 0, 10)]) {
+        expect((await read)._unsafeUnwrapErr().kind).toBe('store-unavailable')
+      }
+    }), RUNS)
+  })
+
+  it('gives up on an answer without end', async () => {
+    const answer = endless(200, '{"objects":"', 'x')
+    server.answer = answer.answer
+    expect((await store.list('/'))._unsafeUnwrapErr().kind).toBe('store-unavailable')
+    expect(await answer.bytesTaken).toBeLessThan(MOST_SENT)
+  })
+
+  // A route is lost while a request is under way: its socket then fails with EHOSTUNREACH on read, after the endpoint
+  // may have seen it. Only the same code on connect proves that nothing was sent.
+  it('takes a lost route for proof of nothing sent only while it connects', () => {
+    const lost = (syscall: string) => Object.assign(new Error('lost'), { code: 'EHOSTUNREACH', syscall })
+    expect(neverConnected(lost('connect'))).toBe(true)
+    expect(neverConnected(lost('read'))).toBe(false)
+    expect(neverConnected(new AggregateError([lost('connect'), lost('connect')]))).toBe(true)
+    expect(neverConnected(new AggregateError([lost('connect'), lost('write')]))).toBe(false)
+    expect(neverConnected(new AggregateError([]))).toBe(false)
+  })
+})
