--- a/packages/stand-ins/src/engine/stand-in-engine.ts
+++ b/packages/stand-ins/src/engine/stand-in-engine.ts
@@ -229,9 +229,9 @@
   }
 
   private noteStarted (sequence: Sequence): number {
-    const { request: { requestId, adapter, prompt }, run } = sequence
-    this.history.record({ event: 'run-started', endpoint: this.options.name, run, request: requestId, adapter, prompt })
-    return this.cache.use(prompt)
+    const { request, run } = sequence
+    this.history.record({ event: 'run-started', endpoint: this.options.name, run, request: request.requestId, adapter: request.adapter, prompt: request.prompt })
+    return this.cache.use(request.adapter, request.prompt)
   }
 
   private noteEnded (sequence: Sequence, result: SequenceResult): void {
--- a/packages/stand-ins/src/history/history-recorder.ts
+++ b/packages/stand-ins/src/history/history-recorder.ts
@@ -19,7 +19,7 @@
   readonly run: string
   readonly request: string
   readonly adapter?: string | undefined
-  /** By this the checker joins a run to its request: an entry instance gives requests ids of its own. */
+  /** The prompt, or a plain service's body: the checker finds the caller's request by it. */
   readonly prompt: string
 }
 
@@ -34,7 +34,7 @@
   readonly tokens?: number
 }
 
-/** An endpoint is marked leaving or live, or restarted cold. */
+/** An endpoint is marked leaving or live again, or restarted cold. */
 export interface EndpointEvent {
   readonly event: 'endpoint-leaving' | 'endpoint-live' | 'endpoint-restarted'
   readonly endpoint: string
