Make the parts that keep the promises by a class that tests can extend

The proof has to show that each check catches a wrong part. Ruled out: switches in the product, and patching of prototypes, which would hit every instance of a process. EntryParts makes the parts as they ship; a subclass in test code puts a wrong one in place.

--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -1,8 +1,8 @@
 /** One entry instance: all its parts under one supervisor tree. */
 import { Hono } from 'hono'
 import type { HttpBindings } from '@hono/node-server'
-import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, InstanceId, InstanceSettings, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
+import { HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, HttpEngineClient, InstanceId, InstanceSettings, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
 import { ShareRetryBudget, WeightedRoutingPolicy } from '@limpetwinch/decisions'
 import type { RetryBudget, RoutingPolicy } from '@limpetwinch/decisions'
 import { adminApi } from './admin/admin-api.js'
@@ -13,24 +13,23 @@
 import { HttpServer } from './callers/http-server.js'
 import { ServiceCalls } from './callers/service-calls.js'
 import { TeamGate } from './callers/team-gate.js'
+import { EntryParts } from './entry-parts.js'
 import { AdmissionClient } from './delivery/admission-client.js'
-import { Delivery } from './delivery/delivery.js'
 import { InFlightTable } from './delivery/in-flight-table.js'
 import { ServiceDelivery } from './delivery/service-delivery.js'
 import { PacedLoadTurns } from './loads/paced-load-turns.js'
 import { ExplainLog } from './measures/explain-log.js'
 import { Measures } from './measures/measures.js'
-import { ListMembership } from './membership/list-membership.js'
-import { Claims } from './outcomes/claims.js'
-import { StoreOwnership } from './ownership/store-ownership.js'
+import type { ListMembership } from './membership/list-membership.js'
+import type { StoreOwnership } from './ownership/store-ownership.js'
 import { TcpPeerNetwork } from './peers/tcp-peer-network.js'
 import { EndpointDirectory } from './routing/endpoint-directory.js'
 import { PrefixTracker } from './routing/prefix-tracker.js'
 import { Router } from './routing/router.js'
 import { Supervisor } from './runtime/supervisor.js'
 import { WorkInProgress } from './runtime/work-in-progress.js'
-import { OwnedEndpoints } from './scheduling/owned-endpoints.js'
-import { SettingsFollower } from './settings/settings-follower.js'
+import type { OwnedEndpoints } from './scheduling/owned-endpoints.js'
+import type { SettingsFollower } from './settings/settings-follower.js'
 
 /** A stream that says nothing for so long is taken up again on a new connection. */
 const SILENCE_MILLISECONDS = 5_000
@@ -52,6 +51,7 @@
   readonly instance: InstanceId = newInstanceId()
   readonly dataCentre: DataCentreId
   private readonly settings: InstanceSettings
+  private readonly parts: EntryParts
   private readonly logger: Logger
   private readonly clock: Clock = new SystemClock()
   private readonly supervisor: Supervisor
@@ -81,9 +81,11 @@
   /**
    * @param settings - the instance's own settings
    * @param logger - the process's logger
+   * @param parts - makes the parts
    */
-  constructor (settings: InstanceSettings, logger: Logger) {
+  constructor (settings: InstanceSettings, logger: Logger, parts: EntryParts = new EntryParts()) {
     this.settings = settings
+    this.parts = parts
     this.logger = logger.part('instance')
     this.dataCentre = settings.dataCentre as DataCentreId
     const { clock } = this
@@ -100,7 +102,7 @@
       clock,
       heartbeatMilliseconds: timing.heartbeatMilliseconds
     })
-    this.membership = new ListMembership({
+    this.membership = this.parts.membership({
       peers: this.network,
       list: this.instanceList,
       logger,
@@ -108,7 +110,7 @@
       pollMilliseconds: timing.instanceListMilliseconds,
       suspectAfterMilliseconds: timing.suspectMilliseconds
     })
-    this.follower = new SettingsFollower({
+    this.follower = this.parts.settings({
       store: this.store,
       network: this.network,
       membership: this.membership,
@@ -116,7 +118,7 @@
       clock,
       watchMilliseconds: timing.settingsWatchMilliseconds
     })
-    this.ownership = new StoreOwnership({
+    this.ownership = this.parts.ownership({
       peers: this.network,
       membership: this.membership,
       store: this.store,
@@ -199,7 +201,7 @@
   }
 
   private buildOwned (logger: Logger): OwnedEndpoints {
-    return new OwnedEndpoints({
+    return this.parts.ownedEndpoints({
       supervisor: this.supervisor.child('scheduler'),
       network: this.network,
       membership: this.membership,
@@ -232,8 +234,8 @@
       settings: () => this.follower.current(),
       authentication: new Authentication(),
       gate: new TeamGate(this.clock, () => this.membership.members().length),
-      claims: new Claims(this.store, this.clock),
-      delivery: new Delivery({
+      claims: this.parts.claims(this.store, this.clock),
+      delivery: this.parts.delivery({
         router,
         admissions,
         directory: this.directory,
@@ -332,7 +334,7 @@
   private engineClient (engine: EngineSettings): EngineClient {
     const present = this.engineClients.get(engine.url)
     if (present !== undefined) return present
-    const client = new HttpEngineClient(engine.endpoint, engine.url)
+    const client = this.parts.engineClient(engine)
     this.engineClients.set(engine.url, client)
     return client
   }
--- /dev/null
+++ b/packages/entry/src/entry-parts.ts
@@ -0,0 +1,52 @@
+/** Makes those parts of an instance that keep the promises, so that a test can put another in place of one. */
+import { HttpEngineClient } from '@limpetwinch/core'
+import type { Clock, EngineSettings, ObjectStore } from '@limpetwinch/core'
+import { Delivery } from './delivery/delivery.js'
+import type { DeliveryOptions } from './delivery/delivery.js'
+import { ListMembership } from './membership/list-membership.js'
+import type { ListMembershipOptions } from './membership/list-membership.js'
+import { Claims } from './outcomes/claims.js'
+import { StoreOwnership } from './ownership/store-ownership.js'
+import type { StoreOwnershipOptions } from './ownership/store-ownership.js'
+import { OwnedEndpoints } from './scheduling/owned-endpoints.js'
+import type { OwnedEndpointsOptions } from './scheduling/owned-endpoints.js'
+import { SettingsFollower } from './settings/settings-follower.js'
+import type { SettingsFollowerParts } from './settings/settings-follower.js'
+
+/** The parts as they ship. The proof of the promises subclasses this to see that its checks catch a wrong part. */
+export class EntryParts {
+  /** @returns the client of an engine */
+  engineClient (engine: EngineSettings): HttpEngineClient {
+    return new HttpEngineClient(engine.endpoint, engine.url)
+  }
+
+  /** @returns who else is here */
+  membership (options: ListMembershipOptions): ListMembership {
+    return new ListMembership(options)
+  }
+
+  /** @returns the settings in force */
+  settings (parts: SettingsFollowerParts): SettingsFollower {
+    return new SettingsFollower(parts)
+  }
+
+  /** @returns who owns which endpoint */
+  ownership (options: StoreOwnershipOptions): StoreOwnership {
+    return new StoreOwnership(options)
+  }
+
+  /** @returns the schedulers of owned endpoints */
+  ownedEndpoints (options: OwnedEndpointsOptions): OwnedEndpoints {
+    return new OwnedEndpoints(options)
+  }
+
+  /** @returns the holder of idempotency keys */
+  claims (store: ObjectStore, clock: Clock): Claims {
+    return new Claims(store, clock)
+  }
+
+  /** @returns the delivery of answers */
+  delivery (options: DeliveryOptions): Delivery {
+    return new Delivery(options)
+  }
+}
