--- a/packages/stand-ins/src/bin/limpetwinch-develop.ts
+++ b/packages/stand-ins/src/bin/limpetwinch-develop.ts
@@ -22,7 +22,7 @@
     const { flags } = await this.parse(DevelopCommand)
     const deployment = new Deployment(createLogger('text', 'info').part('develop'), flags.logs)
     const interruption = new Interruption()
-    const shown = await Promise.race([this.demonstrate(deployment), interruption.happened.then((): Demonstration => 'interrupted')])
+    const shown = await Promise.race([this.demonstrate(deployment, !flags.once), interruption.happened.then((): Demonstration => 'interrupted')])
     const stays = !flags.once && shown !== 'not started'
     if (stays) await interruption.happened
     const lost = deployment.lost.length
@@ -30,7 +30,7 @@
     process.exitCode = stays || (shown === 'answered' && lost === 0) ? 0 : 1
   }
 
-  private async demonstrate (deployment: Deployment): Promise<Demonstration> {
+  private async demonstrate (deployment: Deployment, stays: boolean): Promise<Demonstration> {
     const started = await deployment.start()
     if (started.isErr()) {
       this.explain(started.error.message, deployment)
@@ -43,7 +43,7 @@
       failed += outcomes.filter((outcome) => !outcome.passed).length
     }
     if (failed > 0) this.explain(`${failed} sample requests were not answered as expected.`, deployment)
-    this.log(this.directions(started.value, deployment))
+    if (stays) this.log(this.directions(started.value, deployment))
     return failed === 0 ? 'answered' : 'not answered'
   }
 
