--- a/packages/entry/src/ownership/store-ownership.ts
+++ b/packages/entry/src/ownership/store-ownership.ts
@@ -230,7 +230,7 @@
   private mayPropose (): boolean {
     const self = this.membership.member(this.peers.self.instance)
     if (!this.read || !this.membership.ready() || self?.state !== 'alive' || this.gapSince !== undefined) return false
-    return this.membership.hearsEnough(this.peers.self.dataCentre)
+    return this.membership.hearsEnough()
   }
 
   private ground (): PlanGround | undefined {
