--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -18,6 +18,7 @@
 import { InFlightTable } from './delivery/in-flight-table.js'
 import { ServiceDelivery } from './delivery/service-delivery.js'
 import { ConductedLoadTurns } from './loads/conducted-load-turns.js'
+import { PacedLoadTurns } from './loads/paced-load-turns.js'
 import { ExplainLog } from './measures/explain-log.js'
 import { Measures } from './measures/measures.js'
 import type { ListMembership } from './membership/list-membership.js'
@@ -248,7 +249,7 @@
         peers: this.network,
         membership: this.membership,
         logger,
-        loadsPerSecond: () => this.follower.current()?.policy.loadsPerSecond ?? 1,
+        fallback: new PacedLoadTurns(() => this.loadsPerSecondHere(), this.clock),
         scope: 'deployment',
         clock: this.clock
       }),
@@ -369,6 +370,11 @@
     return settings === undefined ? undefined : this.directory.enginesIn(settings)
   }
 
+  private loadsPerSecondHere (): number {
+    const rate = this.follower.current()?.policy.loadsPerSecond ?? 1
+    return rate / Math.max(1, this.membership.members().length)
+  }
+
   private namesInEarlierUse (endpoint: EndpointId): ReadonlySet<LoadedName> {
     const names = this.recoveries.earlierPins(endpoint).map((pin) => pin.loadedName)
     return new Set(names.filter((name) => name !== undefined))
--- a/packages/entry/src/loads/conducted-load-turns.ts
+++ b/packages/entry/src/loads/conducted-load-turns.ts
@@ -7,7 +7,6 @@
 import { rendezvousRank } from '../placement/rendezvous.js'
 import { LoadTurnConductor } from './load-turn-conductor.js'
 import { LoadTurns } from './load-turns.js'
-import type { Release } from './load-turns.js'
 
 const ASK_MILLISECONDS = 10_000
 
@@ -16,21 +15,20 @@
   readonly peers: PeerNetwork
   readonly membership: Membership
   readonly logger: Logger
-  /** Loads a second of the whole deployment. */
-  readonly loadsPerSecond: () => number
+  /** Turns at this instance's share of the rate, taken while there is no conductor. */
+  readonly fallback: LoadTurns
   /** One conductor for each data centre, or one for the deployment, with which only one load runs at a time. */
   readonly scope: 'data-centre' | 'deployment'
   readonly clock?: Clock
 }
 
-/** {@link LoadTurns} from a conductor, with a share of the rate as the fallback. */
+/** {@link LoadTurns} from a conductor, with a share of the rate as the fallback. It needs no fencing: two loads at once are slower, not wrong. */
 export class ConductedLoadTurns extends LoadTurns {
   /** Turns taken without a conductor so far. */
   unconducted = 0
   private readonly options: ConductedLoadTurnsOptions
   private readonly clock: Clock
   private readonly conductor: LoadTurnConductor
-  private nextOwnTurn = 0
 
   /** @param options - the surroundings */
   constructor (options: ConductedLoadTurnsOptions) {
@@ -47,10 +45,11 @@
     })
   }
 
-  override async acquire (urgency: number, signal: AbortSignal): Promise<Release> {
+  override async acquire (urgency: number, signal: AbortSignal): Promise<() => void> {
     const turn = uuidv7()
     const began = this.clock.now()
-    while (!signal.aborted) {
+    for (;;) {
+      if (signal.aborted) throw new Error('the wait for a load turn was given up')
       const conductor = this.conductorNow()
       if (conductor === undefined) break
       const waited = this.clock.now() - began
@@ -61,8 +60,8 @@
       const queued = answer.isErr() && answer.error.kind === 'peer-silent' && this.options.peers.connected().includes(conductor)
       if (!queued) break
     }
-    await this.ownShare(signal)
-    return () => {}
+    this.unconducted += 1
+    return await this.options.fallback.acquire(urgency, signal)
   }
 
   private conductorNow (): InstanceId | undefined {
@@ -73,23 +72,11 @@
     return rendezvousRank(key, alive.map((member) => member.instance))[0]
   }
 
-  private releaseOf (conductor: InstanceId, turn: string): Release {
+  private releaseOf (conductor: InstanceId, turn: string): () => void {
     let held = true
     return () => {
       if (held) this.options.peers.notify(conductor, { kind: 'load-turn-done', turn })
       held = false
     }
   }
-
-  /** Spaces this instance's loads so that all instances together keep to the rate. */
-  private async ownShare (signal: AbortSignal): Promise<void> {
-    if (signal.aborted) return
-    this.unconducted += 1
-    const instances = this.options.membership.members().length
-    const spacing = 1_000 * instances / this.options.loadsPerSecond()
-    const now = this.clock.now()
-    const mine = Math.max(now, this.nextOwnTurn)
-    this.nextOwnTurn = mine + spacing
-    if (mine > now) await this.clock.sleep(mine - now, signal)
-  }
 }
--- a/packages/entry/src/membership/member-entry.ts
+++ b/packages/entry/src/membership/member-entry.ts
@@ -14,6 +14,8 @@
   readonly lastHeard: number | undefined
   /** Whether a connection to it is kept, so that silence says something. */
   readonly kept: boolean
+  /** Whether this process has just woken from a pause, so that what peers sent may still be unread. */
+  readonly justWoken: boolean
   readonly suspectAfterMilliseconds: number
   readonly unlistedGoneMilliseconds: number
 }
@@ -81,7 +83,8 @@
     if (this.saidGoodbye) return 'gone'
     // A member that has just been listed has not had time to connect; taking it for silent would let a new instance
     // take over the endpoints of all others.
-    const heard = judgement.now - (judgement.lastHeard ?? this.firstSeen) <= judgement.suspectAfterMilliseconds
+    const heardInTime = judgement.now - (judgement.lastHeard ?? this.firstSeen) <= judgement.suspectAfterMilliseconds
+    const heard = heardInTime || (judgement.justWoken && (this.state === 'alive' || this.state === 'leaving'))
     if (heard) {
       this.suspectSince = undefined
       this.evidence = undefined
--- a/packages/entry/src/peers/peer-dialler.ts
+++ b/packages/entry/src/peers/peer-dialler.ts
@@ -9,7 +9,8 @@
 import type { ConnectionSurroundings } from './peer-connection.js'
 import type { EndEvidence, PeerIdentity, PeerTarget } from './peer-links.js'
 
-const BACKOFF = { first: 50, largest: 2_000 }
+/** In heartbeat intervals. */
+const BACKOFF = { first: 0.05, largest: 2 }
 const IDLE_MILLISECONDS = 60_000
 const LOOK_AGAIN_MILLISECONDS = 5_000
 
@@ -61,7 +62,8 @@
   /** Dials whenever a connection is wanted and none is there. */
   async run (): Promise<void> {
     const { signal } = this.stopping
-    const backoff = new Backoff(BACKOFF, this.surroundings.random)
+    const interval = this.surroundings.intervalMilliseconds
+    const backoff = new Backoff({ first: BACKOFF.first * interval, largest: BACKOFF.largest * interval }, this.surroundings.random)
     await this.letTheOtherDial(signal)
     while (!signal.aborted) {
       if (!this.wanted() || this.connected()) {
