Answer each ask for settings with one frame, on the real wire form

Need: frames go by named fields, so the new `answer`, `writeId` and `acceptedAt` were dropped on the wire, and an instance starting beside peers waited its full two seconds. A state of many frames could also be taken for whole when the send queue, bounded at 8 MiB, had dropped its beginning.

Ruled out: counting frames of one answer (a lost one means starting over); raising the queue (memory for each peer).

Change: the wire schemas name the fields, appended. One ask is answered by one frame, `more` asks for the rest and `whole` ends it. A key may stand in two teams (authentication gives it both), so that check is gone. The follower learns whether the list of instances was read.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -119,8 +119,8 @@
 export interface SettingsChangeFrame {
   readonly kind: 'settings-change'
   readonly documents: readonly SettingsDocument[]
-  /** In the last frame of an answer to `settings-revisions`: whether the sender has a whole state itself. */
-  readonly answer?: 'whole' | 'unready'
+  /** In an answer to `settings-revisions`: all that is newer, a part of it, or nothing as the sender has no whole state. */
+  readonly answer?: 'whole' | 'more' | 'unready' | undefined
 }
 
 /** Sent when hashes differ: the sender's revisions; the receiver answers with what is newer there. */
--- a/packages/core/src/settings/cross-checks.ts
+++ b/packages/core/src/settings/cross-checks.ts
@@ -19,7 +19,7 @@
  */
 export function crossProblems (path: SettingsPath, team: TeamId | undefined, value: unknown, inForce: OperatorSettings | undefined): PlacedProblem[] {
   if (team !== undefined) {
-    return [...currentProblems(value), ...keyProblems(value, team, inForce), ...priorityProblems(value, team, inForce)]
+    return [...currentProblems(value), ...keyProblems(value), ...priorityProblems(value, team, inForce)]
   }
   return path === '/endpoints' ? endpointProblems(value) : []
 }
@@ -42,23 +42,14 @@
   return problems
 }
 
-/** One key in two teams would let one of them act as the other. */
-function keyProblems (value: unknown, team: TeamId, inForce: OperatorSettings | undefined): PlacedProblem[] {
+function keyProblems (value: unknown): PlacedProblem[] {
   const keys = listOf(fieldOf(value, 'keys'))
   const hashes = keys.map((key) => String(fieldOf(key, 'sha256')))
   const labels = keys.map((key) => String(fieldOf(key, 'label')))
-  const problems = [
+  return [
     ...repeatedIndexes(hashes).map((index) => ({ place: ['keys', index, 'sha256'], message: 'this key stands twice; remove one of them' })),
     ...repeatedIndexes(labels).map((index) => ({ place: ['keys', index, 'label'], message: `label '${labels[index]}' stands twice; choose another` }))
   ]
-  const taken = new Set<string>()
-  for (const [other, settings] of inForce?.teams ?? []) {
-    if (other !== team) for (const key of settings.keys) taken.add(key.sha256)
-  }
-  hashes.forEach((hash, index) => {
-    if (taken.has(hash)) problems.push({ place: ['keys', index, 'sha256'], message: 'this key is in use by another team; make a new key' })
-  })
-  return problems
 }
 
 function priorityProblems (value: unknown, team: TeamId, inForce: OperatorSettings | undefined): PlacedProblem[] {
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -112,6 +112,7 @@
       store: this.store,
       network: this.network,
       membership: this.membership,
+      membershipKnown: () => this.membership.ready(),
       logger,
       clock,
       watchMilliseconds: timing.settingsWatchMilliseconds
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -81,9 +81,10 @@
       writeId: id,
       acceptedAt: z.number(),
       author: z.string()
-    }))
+    })),
+    answer: z.enum(['whole', 'more', 'unready']).optional()
   }),
-  'settings-revisions': z.object({ revisions: z.array(z.object({ path: id, revision: count })) }),
+  'settings-revisions': z.object({ revisions: z.array(z.object({ path: id, revision: count, writeId: id, acceptedAt: z.number() })) }),
   ownership: z.object({ version: count, value: z.unknown() }),
   'hand-over': z.object({
     call: count,
--- a/packages/entry/src/settings/settings-exchange.ts
+++ b/packages/entry/src/settings/settings-exchange.ts
@@ -18,6 +18,9 @@
   readonly take: (from: InstanceId, documents: readonly SettingsDocument[]) => void
 }
 
+/** `more`: ask again for the rest; `unready`: the peer has no whole state itself. */
+type SettingsAnswer = NonNullable<FrameOf<'settings-change'>['answer']>
+
 interface Gap {
   readonly since: number
   wait: number
@@ -37,7 +40,7 @@
   private readonly parts: SettingsExchangeParts
   private readonly gaps = new Map<InstanceId, Gap>()
   private readonly heard = new Map<InstanceId, string>()
-  private readonly answerListeners = new Set<(from: InstanceId, answer: 'whole' | 'unready') => void>()
+  private readonly answerListeners = new Set<(from: InstanceId, answer: SettingsAnswer) => void>()
 
   /** @param parts - what it works with */
   constructor (parts: SettingsExchangeParts) {
@@ -61,7 +64,9 @@
    */
   push (documents: readonly SettingsDocument[], to: readonly InstanceId[] = this.peers()): void {
     if (documents.length === 0) return
-    for (const peer of to) this.send(peer, documents, undefined)
+    for (const part of inFrames(documents)) {
+      for (const peer of to) this.parts.network.notify(peer, { kind: 'settings-change', documents: part })
+    }
   }
 
   /** Takes up the hash of a peer's heartbeat. */
@@ -94,10 +99,10 @@
   }
 
   /**
-   * @param listener - called when a peer has answered an ask to its end
+   * @param listener - called with each answer to an ask
    * @returns ends the listening
    */
-  onAnswer (listener: (from: InstanceId, answer: 'whole' | 'unready') => void): () => void {
+  onAnswer (listener: (from: InstanceId, answer: SettingsAnswer) => void): () => void {
     this.answerListeners.add(listener)
     return () => { this.answerListeners.delete(listener) }
   }
@@ -126,20 +131,16 @@
     }
     const known = new Map(frame.revisions.map((each) => [each.path, each]))
     const newer = [...this.parts.state.all()].filter((document) => isNewer(document, known.get(document.path)))
-    this.send(from, newer, 'whole')
-  }
-
-  private send (peer: InstanceId, documents: readonly SettingsDocument[], answer: 'whole' | undefined): void {
-    const frames = inFrames(documents)
-    frames.forEach((part, index) => {
-      const last = index === frames.length - 1
-      this.parts.network.notify(peer, { kind: 'settings-change', documents: part, ...(answer !== undefined && last ? { answer } : {}) })
-    })
+    // One frame for each ask: the connection drops frames beyond a bound, and the end of an answer whose beginning was
+    // dropped would pass for all of it.
+    const [part = [], ...rest] = inFrames(newer)
+    this.parts.network.notify(from, { kind: 'settings-change', documents: part, answer: rest.length === 0 ? 'whole' : 'more' })
   }
 
   private takeChange (from: InstanceId, frame: FrameOf<'settings-change'>): void {
     this.parts.take(from, frame.documents)
     if (frame.answer === undefined) return
+    if (frame.answer === 'more') this.ask(from)
     for (const listener of this.answerListeners) listener(from, frame.answer)
   }
 }
--- a/packages/entry/src/settings/settings-follower.ts
+++ b/packages/entry/src/settings/settings-follower.ts
@@ -1,13 +1,13 @@
 /** Keeps the operator settings in force on this instance, and passes on what is new. */
 import type { Clock, InstanceId, Logger, ObjectStore, OperatorSettings, Revision, SettingsDocument, SettingsPath } from '@limpetwinch/core'
+import { Backoff } from '../concurrency/backoff.js'
 import type { Membership } from '../membership/membership.js'
 import type { PeerNetwork } from '../peers/peer-network.js'
-import { BackOff } from './back-off.js'
 import { SettingsExchange } from './settings-exchange.js'
 import { takeFromPeers } from './settings-start.js'
 import { SettingsState } from './settings-state.js'
 import { SettingsView } from './settings-view.js'
-import { SettingsWatch } from './settings-watch.js'
+import { SettingsWatch, STORE_WAITS } from './settings-watch.js'
 import { rendezvousRankOfWatchers, watchesHere } from './watch-rank.js'
 
 /** What the follower needs of its instance. */
@@ -15,6 +15,8 @@
   readonly store: ObjectStore
   readonly network: PeerNetwork
   readonly membership: Membership
+  /** Whether the platform's list of instances has been read; before, nobody knows which peers there are. */
+  readonly membershipKnown?: () => boolean
   readonly logger: Logger
   readonly clock: Clock
   /** How long the store may hold one watch call, milliseconds. */
@@ -125,16 +127,16 @@
   }
 
   private async start (signal: AbortSignal): Promise<void> {
-    const backOff = new BackOff(this.random)
-    const { network, membership, clock } = this.parts
+    const backoff = new Backoff(STORE_WAITS, this.random)
+    const { clock } = this.parts
     while (!signal.aborted) {
       const answers = await Promise.all([
         this.listForStart(signal),
-        takeFromPeers(this.exchange, network, membership, clock, signal)
+        takeFromPeers({ ...this.parts, exchange: this.exchange }, signal)
       ])
       if (answers.includes(true)) break
       this.logger.warn('Neither the store nor a peer has answered; this instance is not ready.')
-      await clock.sleep(backOff.next(), signal)
+      await clock.sleep(backoff.next(), signal)
     }
     if (signal.aborted) return
     this.ready = true
--- a/packages/entry/src/settings/settings-watch.ts
+++ b/packages/entry/src/settings/settings-watch.ts
@@ -1,6 +1,6 @@
 /** The settings in the store: reading all of them, and watching for changes where this instance is the watcher. */
 import type { Clock, Logger, ObjectStore, SettingsDocument } from '@limpetwinch/core'
-import { BackOff } from './back-off.js'
+import { Backoff } from '../concurrency/backoff.js'
 import { documentsOf, SETTINGS_LIST_PREFIX } from './stored-settings.js'
 
 /** What the watch needs of its instance. */
@@ -18,6 +18,8 @@
   readonly take: (documents: readonly SettingsDocument[]) => void
 }
 
+/** Waits between calls while the store does not answer; jittered, or all would come back in the same moment. */
+export const STORE_WAITS = { first: 100, largest: 5_000 }
 const ROLE_CHECK_MILLISECONDS = 250
 const LIST_AGAIN_MILLISECONDS = 300_000
 const REACHABLE_AGAIN_MILLISECONDS = 30_000
@@ -25,7 +27,7 @@
 /** Reads and watches the settings in the store. */
 export class SettingsWatch {
   private readonly parts: SettingsWatchParts
-  private readonly backOff: BackOff
+  private readonly backoff: Backoff
   private cursor: number | undefined
   private listAgainAt = 0
   private failedAt: number | undefined
@@ -33,7 +35,7 @@
   /** @param parts - what it works with */
   constructor (parts: SettingsWatchParts) {
     this.parts = parts
-    this.backOff = new BackOff(parts.random)
+    this.backoff = new Backoff(STORE_WAITS, parts.random)
   }
 
   /** @returns whether the last call was answered; a failure counts for a while only, as others may be tried again */
@@ -61,7 +63,7 @@
         continue
       }
       const answered = this.cursor === undefined || this.parts.clock.now() >= this.listAgainAt ? await this.list() : await this.step(this.cursor, signal)
-      if (!answered) await this.parts.clock.sleep(this.backOff.next(), signal)
+      if (!answered) await this.parts.clock.sleep(this.backoff.next(), signal)
     }
   }
 
@@ -79,7 +81,7 @@
   private answered (): void {
     if (this.failedAt !== undefined) this.parts.logger.info('The store answers again.')
     this.failedAt = undefined
-    this.backOff.reset()
+    this.backoff.reset()
   }
 
   private failed (reason: string): boolean {
--- a/packages/entry/src/settings/watch-rank.ts
+++ b/packages/entry/src/settings/watch-rank.ts
@@ -1,24 +1,12 @@
 /** Which instances of a data centre watch the store: one and a spare. */
-import { createHash } from 'node:crypto'
 import type { InstanceId } from '@limpetwinch/core'
 import type { Member, Membership } from '../membership/membership.js'
 import type { PeerNetwork } from '../peers/peer-network.js'
+import { rendezvousRank } from '../placement/rendezvous.js'
 
 const WATCHERS = 2
-
-/**
- * Ranks by rendezvous hashing: when a member comes or goes, only its own place changes.
- *
- * @param instances - the candidates
- * @param purpose - what is ranked for, so that one instance is not first in everything
- * @returns them, best first
- */
-export function rendezvousRank (instances: readonly InstanceId[], purpose: string): InstanceId[] {
-  return instances
-    .map((instance) => ({ instance, score: createHash('sha256').update(`${purpose}\n${instance}`).digest('hex') }))
-    .sort((left, right) => left.score < right.score ? 1 : -1)
-    .map(({ instance }) => instance)
-}
+/** The key of the ranking. */
+export const RANKED_FOR = 'settings-watch'
 
 /** @returns the watcher and its spare, as seen here */
 export function rendezvousRankOfWatchers (network: PeerNetwork, membership: Membership): InstanceId[] {
@@ -50,5 +38,5 @@
 }
 
 function watchersAmong (instances: readonly InstanceId[]): InstanceId[] {
-  return rendezvousRank(instances, 'settings-watch').slice(0, WATCHERS)
+  return rendezvousRank(RANKED_FOR, instances).slice(0, WATCHERS)
 }
--- a/packages/entry/test/settings/settings-follower.test.ts
+++ b/packages/entry/test/settings/settings-follower.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
+import type { SettingsPath } from '@limpetwinch/core'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { document, InterceptedStore, PATH, put, SettingsDeployment, teamText, until, versionAt } from './deployment.js'
 
@@ -97,6 +98,25 @@
     await until(() => versionAt(alone) === 'v1')
   })
 
+  it('takes a state of many frames from its peers whole', async () => {
+    // At size the settings take many frames, and a connection drops what its queue cannot hold. Ready after the last
+    // frame of a run whose first were dropped, an instance would answer 'unknown team' for a part of the teams.
+    const store = new MemoryObjectStore()
+    store.faults.outage = true
+    const one = await deployment.start('one', store, { wait: false })
+    const paths = Array.from({ length: 20 }, (_, index) => `/teams/team-${index}` as SettingsPath)
+    const padding = `// ${'x'.repeat(50_000)}\n`
+    for (const path of paths) one.follower.accepted({ ...document(1, 'v1'), path, text: padding + teamText('v1') })
+    store.faults.outage = false
+    await until(() => one.follower.current() !== undefined)
+    store.faults.outage = true
+    let dropped = 0
+    deployment.drop = (frame) => frame.kind === 'settings-change' && frame.documents.length > 0 && (dropped += 1) === 2
+    const two = await deployment.start('two', store)
+    expect(dropped).toBeGreaterThan(3)
+    expect(two.follower.current()?.teams.size).toBe(paths.length)
+  })
+
   it('closes a gap that the hashes of heartbeats show', async () => {
     // Two peers lose the frame that carries a change, and neither watches the store. Their next heartbeats differ from
     // the others'; without an exchange they would serve the former version until a restart.
