--- /dev/null
+++ b/packages/cli/src/commands/settings/watch.ts
@@ -0,0 +1,55 @@
+/** `limpetwinch settings watch [PATH]`. */
+import { Args, Flags } from '@oclif/core'
+import type { LimpetwinchError } from '@limpetwinch/core'
+import { SettingsCommand } from '../../server/settings-command.js'
+import type { SettingsSummary } from '../../server/settings-command.js'
+import { settingsPath } from '../../server/settings-targets.js'
+import { watchSettings } from '../../server/watch-stream.js'
+
+/** Follows settings as they come into force on an instance. */
+export default class SettingsWatch extends SettingsCommand {
+  static override description = 'Prints the revision in force of each path under PATH, then each change as it comes into force on the instance. Goes on over lost connections; end it with Ctrl-C.'
+
+  static override enableJsonFlag = false
+
+  static override args = { path: Args.string({ default: '/', description: "such as /teams or /teams/history; '/' watches everything the key reaches" }) }
+
+  static override flags = {
+    after: Flags.integer({ min: 0, default: 0, description: 'pass over revisions up to this one at the start' }),
+    count: Flags.integer({ min: 1, description: 'end after so many lines' }),
+    json: Flags.boolean({ default: false, description: 'one JSON document a line' })
+  }
+
+  override async run (): Promise<void> {
+    const { args, flags } = await this.parse(SettingsWatch)
+    const ending = new AbortController()
+    process.once('SIGINT', () => { ending.abort() })
+    let refusal: LimpetwinchError | undefined
+    const options = {
+      prefix: settingsPath(args.path),
+      after: flags.after,
+      onLost: (error: LimpetwinchError | undefined): void => { this.lost(error) },
+      isFinal: (error: LimpetwinchError): boolean => {
+        const final = error.kind === 'admin-refused' && error.details['status'] !== 503
+        if (final) refusal = error
+        return final
+      }
+    }
+    let lines = 0
+    for await (const summary of watchSettings(this.client(flags), options, ending.signal)) {
+      process.stdout.write(flags.json ? `${JSON.stringify(summary)}\n` : lineOf(summary))
+      lines += 1
+      if (lines === flags.count) break
+    }
+    ending.abort()
+    if (refusal !== undefined) this.fail(refusal)
+  }
+
+  private lost (error: LimpetwinchError | undefined): void {
+    this.logToStderr(error === undefined ? 'The connection was lost; connecting again.' : error.message)
+  }
+}
+
+function lineOf ({ path, revision, deleted, author, acceptedAt }: SettingsSummary): string {
+  return `${new Date(acceptedAt).toISOString()}  ${path}  revision ${revision}${deleted ? ' (deleted)' : ''}  by ${author}\n`
+}
--- a/packages/cli/src/server/admin-command.ts
+++ b/packages/cli/src/server/admin-command.ts
@@ -1,8 +1,10 @@
 /** What all commands share: which instance they ask, and how they end. */
 import { Command, Flags } from '@oclif/core'
 import type { ResultAsync } from 'neverthrow'
+import type { z } from 'zod'
 import type { LimpetwinchError } from '@limpetwinch/core'
 import { AdminClient } from './admin-client.js'
+import type { AdminAnswer } from './admin-client.js'
 
 /** How the command line ends. */
 export const EXIT = {
@@ -53,6 +55,19 @@
     return this.fail(settled.error, file)
   }
 
+  /** @returns an answer's JSON in its expected form, or ends the command */
+  protected bodyOf<Body> (schema: z.ZodType<Body>, answer: AdminAnswer): Body {
+    let body: unknown
+    try {
+      body = JSON.parse(answer.text)
+    } catch {
+      body = undefined
+    }
+    const checked = schema.safeParse(body)
+    if (checked.success) return checked.data
+    return this.error('The server answered in another form. Check that --server is an instance\'s admin address of the same release.', { exit: EXIT.refused })
+  }
+
   /** Ends the command. */
   protected fail (error: LimpetwinchError, file = ''): never {
     if (error.details['status'] === 401) this.error(KEY_REMEDY, { exit: EXIT.keyNotAccepted, code: 'unauthorized' })
--- a/packages/cli/src/server/settings-command.ts
+++ b/packages/cli/src/server/settings-command.ts
@@ -57,17 +57,4 @@
       : `See what changed with 'limpetwinch settings diff ${path} ${revision}'`
     return this.error(`Nothing was changed: ${path} is at revision ${newest} now. ${look}, then send your change with --revision ${newest}.`, { exit: EXIT.conflict, code: String(code) })
   }
-
-  /** @returns an answer's JSON in its expected form, or ends the command */
-  protected bodyOf<Body> (schema: z.ZodType<Body>, answer: AdminAnswer): Body {
-    let body: unknown
-    try {
-      body = JSON.parse(answer.text)
-    } catch {
-      body = undefined
-    }
-    const checked = schema.safeParse(body)
-    if (checked.success) return checked.data
-    return this.error('The server answered in another form. Check that --server is an instance\'s admin address of the same release.', { exit: EXIT.refused })
-  }
 }
