--- a/packages/core/src/settings/settings-checks.ts
+++ b/packages/core/src/settings/settings-checks.ts
@@ -59,7 +59,8 @@
   const checked = checkBySchema(schemaOf(path), text, result.parsed)
   const problems = 'problems' in checked ? checked.problems : []
   const across = crossProblems(path, teamOfPath(path), result.parsed.value, inForce)
-  return [...problems, ...across.map((problem) => placed(text, result.parsed, problem))]
+  const all = [...problems, ...across.map((problem) => placed(text, result.parsed, problem))]
+  return all.sort((left, right) => left.line - right.line || left.column - right.column)
 }
 
 function placed (text: string, parsed: ParsedText, problem: PlacedProblem): SettingsProblem {
