--- a/packages/decisions/src/eviction/eviction-policy.ts
+++ b/packages/decisions/src/eviction/eviction-policy.ts
@@ -26,4 +26,13 @@
    * @returns an adapter with no pins, or undefined when all are pinned or worth more than the incoming one
    */
   abstract victim (slots: readonly SlotView[], incoming: string, now: number): string | undefined
+
+  /**
+   * @param slots - the adapters of one engine, none of them free
+   * @param wanted - other loads that already want a slot of this engine
+   * @param now - monotonic milliseconds
+   * @returns how many requests the eviction for one more load is expected to stall; Infinity when none can leave.
+   *   Absent where a policy cannot tell
+   */
+  cost? (slots: readonly SlotView[], wanted: number, now: number): number
 }
--- a/packages/decisions/src/overload/service-rate.ts
+++ b/packages/decisions/src/overload/service-rate.ts
@@ -14,12 +14,15 @@
    */
   constructor (private readonly firstRate: number, private readonly memoryMilliseconds: number) {}
 
-  /** Tells of tokens served since the last call; idle time is told with `busy` false and does not count. */
+  /**
+   * Tells of tokens served since the last call. Time in which the engine had room (`busy` false) does not count: a batch
+   * that is half empty because adapters are missing says nothing of how fast a full one is.
+   */
   served (tokens: number, busy: boolean, now: number): void {
     const elapsed = this.updatedAt === undefined ? 0 : Math.max(0, now - this.updatedAt)
     this.updatedAt = now
     const factor = Math.exp(-elapsed / this.memoryMilliseconds)
-    this.tokens = this.tokens * factor + tokens
+    this.tokens = this.tokens * factor + (busy ? tokens : 0)
     this.milliseconds = this.milliseconds * factor + (busy ? elapsed : 0)
   }
 
--- a/packages/decisions/src/routing/routing-policy.ts
+++ b/packages/decisions/src/routing/routing-policy.ts
@@ -20,6 +20,8 @@
   readonly loadsAhead: number
   /** @returns whether the adapter `team/adapter@version` is loaded, or its load is under way */
   readonly holds: (adapter: string) => 'loaded' | 'loading' | 'absent'
+  /** @returns requests expected to stall by the eviction that another load needs: 0 with a free slot, Infinity when all are pinned */
+  readonly evictionCost?: () => number
   /** @returns the share of the prompt whose prefix is likely cached, 0 to 1 */
   readonly cachedShare: (prompt: string) => number
 }
--- a/packages/decisions/src/routing/weighted-routing-policy.ts
+++ b/packages/decisions/src/routing/weighted-routing-policy.ts
@@ -32,6 +32,7 @@
 const DEFAULT_ROLES: readonly string[] = ['', 'generate', 'mixed', 'decode', 'serve']
 const FAILURE_PENALTY_MILLISECONDS = 2_000
 const PACKING_MILLISECONDS = 60
+const HOME_MILLISECONDS = 20
 
 /** Chooses the endpoint with the smallest expected wait. Asks only the endpoints handed in; adapters are never scanned. */
 export class WeightedRoutingPolicy extends RoutingPolicy {
@@ -104,16 +105,13 @@
     const held = view.holds(question.adapter)
     if (held === 'loaded') return { wait: 0, price: 0 }
     if (held === 'loading') return { wait: surroundings.loadsAhead * this.loadMilliseconds / 2, price: 0 }
-    const wait = (surroundings.loadsAhead + 1) * this.loadMilliseconds + this.slotWait(view)
+    const oneLoad = (surroundings.loadsAhead + 1) * this.loadMilliseconds
+    const stalled = view.evictionCost?.() ?? view.pinnedSlots / view.slots
+    const slot = view.pinnedSlots >= view.slots || stalled === Infinity ? this.serviceMilliseconds : 0
     // Loads run one at a time: another copy holds up each load behind it, so only a queue longer than that asks for it.
-    const price = surroundings.copies > 0 ? (surroundings.loadsAhead + 1) * this.loadMilliseconds : 0
-    return { wait, price }
-  }
-
-  /** @returns the wait for a slot: with all slots pinned a load waits until a request ends */
-  private slotWait (view: EndpointView): number {
-    if (view.pinnedSlots < view.slots) return view.pinnedSlots / view.slots * this.loadMilliseconds
-    return this.serviceMilliseconds
+    const copy = surroundings.copies > 0 ? oneLoad : 0
+    const eviction = stalled === Infinity ? oneLoad : stalled * oneLoad
+    return { wait: oneLoad + slot, price: copy + eviction }
   }
 
   /** @returns the cost of a step that stays empty: a fuller batch gives more tokens for each step */
@@ -128,7 +126,7 @@
   /** @returns less for an adapter's home, so that instances which route at the same moment share one load */
   private homeCost (question: RoutingQuestion, view: EndpointView): number {
     const key = question.adapter ?? question.team
-    return (1 - rendezvousWeight(key, view.endpoint)) * this.loadMilliseconds / 2
+    return (1 - rendezvousWeight(key, view.endpoint)) * HOME_MILLISECONDS
   }
 }
 
--- a/packages/load/src/policy/simulation/engine-view.ts
+++ b/packages/load/src/policy/simulation/engine-view.ts
@@ -1,6 +1,6 @@
 /** An engine as the router sees it: counts from a report that lags, what was sent since, slots as the owner knows them. */
 import type { DataCentreId, EndpointId } from '@limpetwinch/core'
-import type { EndpointView } from '@limpetwinch/decisions'
+import type { EndpointView, EvictionPolicy } from '@limpetwinch/decisions'
 import { BATCH_CAPACITY } from './engine-timing.js'
 import type { SimulatedEngine } from './simulated-engine.js'
 
@@ -22,9 +22,20 @@
   sentSince = 0
   pinnedSlots = 0
   loadsAhead = 0
+  readonly evictionCost?: () => number
 
-  /** @param engine - the engine that is seen */
-  constructor (private readonly engine: SimulatedEngine) {
+  /**
+   * @param engine - the engine that is seen
+   * @param eviction - tells what another load would cost there
+   * @param clock - the time of the simulation
+   */
+  constructor (private readonly engine: SimulatedEngine, eviction: EvictionPolicy, clock: () => number) {
+    if (eviction.cost !== undefined) {
+      this.evictionCost = () => {
+        const wanted = engine.wantedSlots() - engine.slots.free
+        return wanted < 0 ? 0 : eviction.cost?.(engine.slots.loaded(), wanted, clock()) ?? 0
+      }
+    }
     const place = engine.index % DATA_CENTRES
     this.endpoint = `engine-${String(engine.index).padStart(3, '0')}` as EndpointId
     this.dataCentre = `data-centre-${place}` as DataCentreId
--- a/packages/load/src/policy/simulation/simulated-engine.ts
+++ b/packages/load/src/policy/simulation/simulated-engine.ts
@@ -100,6 +100,13 @@
     }
   }
 
+  /** @returns slots that adapters with waiting requests will want */
+  wantedSlots (): number {
+    let wanted = 0
+    for (const adapter of this.waitingByAdapter.keys()) if (this.slots.get(adapter) === undefined) wanted += 1
+    return wanted
+  }
+
   /** Loses everything; running requests are handed back. */
   restart (now: number): SimulatedRequest[] {
     this.epoch += 1
--- a/packages/load/src/policy/simulation/simulation.ts
+++ b/packages/load/src/policy/simulation/simulation.ts
@@ -49,6 +49,9 @@
   private readonly service: ServiceRecord
   private readonly requests: SimulatedRequest[]
   private readonly endsAt: number
+  private now = 0
+  /** Loads wanted or under way at the last report. */
+  private loadsAhead = 0
 
   constructor (private readonly trace: Trace, private readonly policy: PolicyBundle, options: SimulationOptions = {}) {
     const arrivals = options.requests ?? trace.requests
@@ -61,7 +64,7 @@
     }
     this.engines = Array.from({ length: trace.size.engines }, (_, index) =>
       new SimulatedEngine(index, trace.size.slots, policy.makeQueue(), policy.eviction, listener))
-    this.views = this.engines.map((engine) => new EngineView(engine))
+    this.views = this.engines.map((engine) => new EngineView(engine, policy.eviction, () => this.now))
     this.rates = this.engines.map(() => new ServiceRate(FULL_BATCH_RATE, RATE_MEMORY_MILLISECONDS))
     this.service = new ServiceRecord(trace.weights)
     this.loads = new LoadPipeline(this.engines, policy, this.events, {
@@ -98,6 +101,7 @@
   }
 
   private route (request: SimulatedRequest, now: number, hasRun = false): void {
+    this.now = now
     const chosen = this.policy.routing.choose({
       adapter: request.adapter,
       team: request.team,
@@ -137,7 +141,7 @@
     const ahead = engine.queue.tokensAhead?.(request) ?? 0
     const serviceMilliseconds = request.maximumTokens / 2 * stepMilliseconds(BATCH_CAPACITY, 0)
     const held = engine.slots.get(request.adapter)?.state === 'loaded'
-    const load = held ? 0 : 1_000 / this.trace.size.loadsPerSecond
+    const load = held ? 0 : (this.loadsAhead + 1) * 1_000 / this.trace.size.loadsPerSecond
     return { firstTokenMilliseconds: Math.max(load, ahead / rate), serviceMilliseconds }
   }
 
@@ -173,8 +177,9 @@
   private stepEnds (engine: SimulatedEngine, epoch: number, now: number): void {
     if (engine.epoch !== epoch) return
     const before = this.service.total
+    const full = engine.running.length >= BATCH_CAPACITY
     engine.endStep(now)
-    this.rates[engine.index]?.served(this.service.total - before, true, now)
+    this.rates[engine.index]?.served(this.service.total - before, full, now)
     engine.stepping = false
     this.wake(engine, now)
     this.loads.run(now)
@@ -201,9 +206,11 @@
   }
 
   private report (now: number): void {
+    this.loadsAhead = 0
     this.views.forEach((view, index) => {
       const engine = this.engines[index]
       if (engine !== undefined) view.refresh(this.loads.ahead(engine))
+      this.loadsAhead += view.loadsAhead
     })
     for (const engine of this.engines) this.expire(engine, now)
     this.service.sample(now)
