Take an adapter that fell silent for retired; bring the traces to the limit of the loads

Cause: a decayed count keeps the slot of an adapter whose popularity has ended for minutes; and the first quarter of each trace measured empty engines filling up.

--- a/packages/decisions/src/eviction/stall-eviction-policy.ts
+++ b/packages/decisions/src/eviction/stall-eviction-policy.ts
@@ -11,6 +11,8 @@
   readonly halfLifeMilliseconds?: number
   /** How much the burst counts, 0 to 1. */
   readonly burstWeight?: number
+  /** Odds that a lasting popularity has ended, before the silence since its last use is weighed. */
+  readonly retiredOdds?: number
   /** How far ahead a use counts as soon, milliseconds. */
   readonly horizonMilliseconds?: number
   /** Adapters remembered at most. */
@@ -29,6 +31,7 @@
   private readonly bursts: UseRates
   private readonly rates: UseRates
   private readonly burstWeight: number
+  private readonly retiredOdds: number
   private readonly horizon: number
   private readonly leastResidence: number
   private readonly loadMilliseconds: number
@@ -39,9 +42,10 @@
     this.leastResidence = options.leastResidenceMilliseconds ?? 10_000
     this.loadMilliseconds = 1_000 / (options.loadsPerSecond ?? 4)
     this.burstWeight = options.burstWeight ?? 0.1
+    this.retiredOdds = options.retiredOdds ?? 0.06
     const most = options.rememberedAdapters ?? 20_000
     this.bursts = new UseRates({ halfLifeMilliseconds: options.burstHalfLifeMilliseconds ?? 5_000, most })
-    this.rates = new UseRates({ halfLifeMilliseconds: options.halfLifeMilliseconds ?? 60_000, most })
+    this.rates = new UseRates({ halfLifeMilliseconds: options.halfLifeMilliseconds ?? 120_000, most })
   }
 
   used (adapter: string, _team: string, tokens: number, now: number): void {
@@ -79,7 +83,8 @@
    * steadily but seldom leaves for what came once (a short one).
    */
   private rate (adapter: string, now: number): number {
-    return this.burstWeight * this.bursts.rate(adapter, now) + (1 - this.burstWeight) * this.rates.rate(adapter, now)
+    const lasting = this.rates.rate(adapter, now) * this.rates.alive(adapter, this.retiredOdds, now)
+    return this.burstWeight * this.bursts.rate(adapter, now) + (1 - this.burstWeight) * lasting
   }
 
   /** @returns requests expected to stall: the first use within the horizon, those during its load, and those that wait */
--- a/packages/decisions/src/eviction/use-rates.ts
+++ b/packages/decisions/src/eviction/use-rates.ts
@@ -8,6 +8,9 @@
   updatedAt: number
 }
 
+/** Keeps the exponential finite. */
+const MOST_MISSED = 500
+
 /** Bounds and memory of {@link UseRates}. */
 export interface UseRatesOptions {
   /** Time after which a use counts half, milliseconds. */
@@ -46,6 +49,22 @@
     return record.decayedUses * this.decay(record, now) * Math.LN2 / this.halfLife
   }
 
+  /**
+   * The chance that the adapter is still in use. One that was used every second and then not for ten has most likely
+   * lost its popularity, while its decayed count would hold its slot for minutes.
+   *
+   * @param adapter - the adapter
+   * @param retired - odds against its being in use, before its silence is weighed
+   * @param now - monotonic milliseconds
+   * @returns 0 to 1; the more uses were to be expected since the last one, the less
+   */
+  alive (adapter: string, retired: number, now: number): number {
+    const record = this.records.peek(adapter)
+    if (record === undefined) return 0
+    const missed = record.decayedUses * Math.LN2 / this.halfLife * Math.max(0, now - record.updatedAt)
+    return 1 / (1 + retired * Math.exp(Math.min(MOST_MISSED, missed)))
+  }
+
   /** @returns expected tokens in a millisecond */
   tokenRate (adapter: string, now: number): number {
     const record = this.records.peek(adapter)
--- a/packages/decisions/src/loads/stall-load-order.ts
+++ b/packages/decisions/src/loads/stall-load-order.ts
@@ -23,14 +23,14 @@
 
   constructor (options: StallLoadOrderOptions = {}) {
     super()
-    this.waitersPower = options.waitersPower ?? 0.5
-    this.headStart = options.headStartMilliseconds ?? 500
-    this.priorityFactor = options.priorityFactor ?? 1.5
-    this.sharePower = options.sharePower ?? 0.5
+    this.waitersPower = options.waitersPower ?? 0.25
+    this.headStart = options.headStartMilliseconds ?? 0
+    this.priorityFactor = options.priorityFactor ?? 1.1
+    this.sharePower = options.sharePower ?? 0.25
   }
 
   urgency (load: WantedLoad, now: number): number {
-    const age = Math.max(0, now - load.waitingSince) + this.headStart
+    const age = Math.max(0, now - load.waitingSince) + this.headStart + 1
     const waiters = Math.max(1, load.waiters) ** this.waitersPower
     const priority = this.priorityFactor ** load.highestPriority
     const share = Math.max(1, load.shareUsed) ** this.sharePower
--- a/packages/load/src/policy/policy-experiment.ts
+++ b/packages/load/src/policy/policy-experiment.ts
@@ -10,7 +10,7 @@
 export const USUAL_SIZE: DeploymentSize = { engines: 13, slots: 8, loadsPerSecond: 4 }
 
 /** Length of the made traces, seconds. */
-export const USUAL_SECONDS = 240
+export const USUAL_SECONDS = 300
 
 /**
  * @param seed - of all random numbers
@@ -25,7 +25,7 @@
 /** @returns the figures of one policy on one trace */
 export function runPolicy (trace: Trace, policy: PolicyUnderTest): RunReport {
   const result = new Simulation(trace, policy.make(trace.size)).run()
-  if (trace.control === undefined) return reportOf(trace.name, policy.name, result)
+  if (trace.control === undefined) return reportOf(trace, policy.name, result)
   const control = new Simulation(trace, policy.make(trace.size), { requests: trace.control }).run()
-  return reportOf(trace.name, policy.name, result, control, trace.floodTeam)
+  return reportOf(trace, policy.name, result, control)
 }
--- a/packages/load/src/policy/results/run-report.ts
+++ b/packages/load/src/policy/results/run-report.ts
@@ -1,6 +1,8 @@
 /** The figures of one run, as the JSON document has them. */
 import type { SimulationResult } from '../simulation/simulation.js'
 import type { StepCounts } from '../simulation/simulated-engine.js'
+import type { SimulatedRequest } from '../simulation/simulated-request.js'
+import type { Trace } from '../traces/trace.js'
 import { BATCH_CAPACITY } from '../simulation/engine-timing.js'
 import { percentilesOf, round } from './percentiles.js'
 import type { Percentiles, PercentilesAndMaximum } from './percentiles.js'
@@ -47,21 +49,20 @@
 const LEAST_FAIR_TOKENS = 5_000
 
 /**
- * @param trace - name of the trace
+ * @param trace - the trace
  * @param policy - name of the policy
  * @param result - what the run counted
  * @param control - the run without the flood
- * @param floodTeam - the team that floods
  */
-export function reportOf (trace: string, policy: string, result: SimulationResult, control?: SimulationResult, floodTeam?: string): RunReport {
+export function reportOf (trace: Trace, policy: string, result: SimulationResult, control?: SimulationResult): RunReport {
   const { requests, endedAt } = result
   const count = (state: string) => requests.filter((request) => request.state === state).length
-  const { p50, p95, p99 } = percentilesOf(firstTokens(result))
+  const { p50, p95, p99 } = percentilesOf(firstTokens(trace, result))
   return {
-    trace,
+    trace: trace.name,
     policy,
     // A request that never got its adapter counts with its wait so far.
-    load_stall_ms: percentilesOf(requests.map((request) => request.stallAt(endedAt))),
+    load_stall_ms: percentilesOf(measured(trace, result).map((request) => request.stallAt(endedAt))),
     first_token_ms: { p50, p95, p99 },
     batch_efficiency: efficiency(result.steps, (counts) => counts.sequences, (counts) => counts.steps) ?? 0,
     batch_efficiency_while_waiting: efficiency(result.steps, (counts) => counts.sequencesWhileWaiting, (counts) => counts.stepsWhileWaiting),
@@ -71,14 +72,19 @@
     completed: count('completed'),
     waiting_at_end: count('waiting') + count('running'),
     lost: count('lost'),
-    fairness: fairnessOf(result, control, floodTeam)
+    fairness: fairnessOf(trace, result, control)
   }
 }
 
+function measured (trace: Trace, result: SimulationResult): SimulatedRequest[] {
+  return result.requests.filter((request) => request.enqueuedAt >= trace.measuredFromMilliseconds)
+}
+
 /** A request without a first token counts with its wait so far. */
-function firstTokens (result: SimulationResult, team?: string): number[] {
-  const requests = team === undefined ? result.requests : result.requests.filter((request) => request.team === team)
-  return requests.map((request) => {
+function firstTokens (trace: Trace, result: SimulationResult, team?: string): number[] {
+  const requests = measured(trace, result)
+  const chosen = team === undefined ? requests : requests.filter((request) => request.team === team)
+  return chosen.map((request) => {
     if (request.firstTokenAt >= 0) return request.firstTokenAt - request.enqueuedAt
     return (request.endedAt >= 0 ? request.endedAt : result.endedAt) - request.enqueuedAt
   })
@@ -90,7 +96,7 @@
   return round(steps.reduce((sum, counts) => sum + sequences(counts), 0) / (all * BATCH_CAPACITY), 4)
 }
 
-function fairnessOf (result: SimulationResult, control?: SimulationResult, floodTeam?: string): FairnessReport {
+function fairnessOf (trace: Trace, result: SimulationResult, control?: SimulationResult): FairnessReport {
   const teams = [...new Set(result.requests.map((request) => request.team))].sort()
   const backlogged = result.service.backlogged()
   const perTeam: Record<string, TeamReport> = {}
@@ -104,17 +110,17 @@
     perTeam[team] = {
       tokens: Math.round(result.service.tokensOf(team)),
       share_ratio: ratio,
-      first_token_p95_ms: percentilesOf(firstTokens(result, team)).p95,
+      first_token_p95_ms: percentilesOf(firstTokens(trace, result, team)).p95,
       completed: own.filter((request) => request.state === 'completed').length,
       refused: own.filter((request) => request.state === 'refused').length
     }
   }
-  const flood = control === undefined ? {} : { worst_first_token_ratio: floodRatio(result, control, teams, floodTeam) }
+  const flood = control === undefined ? {} : { worst_first_token_ratio: floodRatio(trace, result, control, teams) }
   return { worst_share_ratio: worst, ...flood, per_team: perTeam }
 }
 
-function floodRatio (result: SimulationResult, control: SimulationResult, teams: readonly string[], floodTeam?: string): number {
-  const ratios = teams.filter((team) => team !== floodTeam).map((team) =>
-    percentilesOf(firstTokens(result, team)).p95 / percentilesOf(firstTokens(control, team)).p95)
+function floodRatio (trace: Trace, result: SimulationResult, control: SimulationResult, teams: readonly string[]): number {
+  const ratios = teams.filter((team) => team !== trace.floodTeam).map((team) =>
+    percentilesOf(firstTokens(trace, result, team)).p95 / percentilesOf(firstTokens(trace, control, team)).p95)
   return round(Math.max(...ratios), 3)
 }
--- a/packages/load/src/policy/traces/made-traces.ts
+++ b/packages/load/src/policy/traces/made-traces.ts
@@ -27,6 +27,8 @@
 /** Today's deployments have about this many. */
 const ADAPTERS = 3_000
 const TEAMS = 30
+/** All engines begin empty; only the cold restarts are to show that, so the first part of each trace is not measured. */
+const WARM_SHARE = 0.25
 /** Generated tokens that one engine of the simulation makes in a second at a full batch, about. */
 const ENGINE_TOKENS_PER_SECOND = 500
 
@@ -43,7 +45,7 @@
     if (recent.length > 40) recent.shift()
     return name as AdapterName
   }
-  return plain('panel sitting', making, streamOf({ random, seconds: making.seconds, perSecond: 11, shape: USUAL_SHAPE, pick }))
+  return plain('panel sitting', making, streamOf({ random, seconds: making.seconds, perSecond: 14, shape: USUAL_SHAPE, pick }))
 }
 
 /** A few adapters carry most of the traffic, at two thirds of what the engines can generate. */
@@ -131,7 +133,7 @@
   const adapters = makeAdapters(random, TEAMS, ADAPTERS)
   const ranks = new ZipfRanks(ADAPTERS, 1.3)
   const pick = (): AdapterName => adapters[ranks.draw(random)] as AdapterName
-  const trace = plain('cold restarts', making, streamOf({ random, seconds: making.seconds, perSecond: 14, shape: USUAL_SHAPE, pick }))
+  const trace = plain('cold restarts', making, streamOf({ random, seconds: making.seconds, perSecond: 20, shape: USUAL_SHAPE, pick }))
   const each = making.seconds * 1_000 * 0.75 / making.size.engines
   const restarts: TraceRestart[] = Array.from({ length: making.size.engines }, (_, engine) =>
     ({ engine, atMilliseconds: Math.round(making.seconds * 1_000 * 0.2 + engine * each) }))
@@ -143,7 +145,7 @@
   [panelSitting, footballNight, deadlineCrowd, popularityFlip, tenTimesTeam, threeTimesSlots, coldRestarts]
 
 function plain (name: string, making: TraceMaking, requests: readonly TraceRequest[]): Trace {
-  return { name, size: making.size, requests, weights: new Map(), restarts: [] }
+  return { name, size: making.size, requests, weights: new Map(), restarts: [], measuredFromMilliseconds: making.seconds * 1_000 * WARM_SHARE }
 }
 
 function streamOf (stream: Stream): TraceRequest[] {
--- a/packages/load/src/policy/traces/trace-file.ts
+++ b/packages/load/src/policy/traces/trace-file.ts
@@ -33,7 +33,7 @@
     requests.push(request)
   }
   requests.sort((left, right) => left.atMilliseconds - right.atMilliseconds)
-  return ok({ name: path, size, requests, weights: new Map(), restarts: [] })
+  return ok({ name: path, size, requests, weights: new Map(), restarts: [], measuredFromMilliseconds: 0 })
 }
 
 function parseLine (line: string): TraceRequest | undefined {
--- a/packages/load/src/policy/traces/trace.ts
+++ b/packages/load/src/policy/traces/trace.ts
@@ -36,6 +36,8 @@
   /** Weights between teams; 1 for a team not named. */
   readonly weights: ReadonlyMap<string, number>
   readonly restarts: readonly TraceRestart[]
+  /** Requests before this fill the empty slots; they are run and counted as completed, but not in the percentiles. */
+  readonly measuredFromMilliseconds: number
   /** The same without the flood, for comparison of the other teams. */
   readonly control?: readonly TraceRequest[]
   /** The team whose flood the control run leaves out. */
