Pack batches by the weighting instead of against it

Cause: at the weighting 0.5 the price of spreading cancelled the price of packing, and 60 ms lost to other terms. Change: an empty place costs 250 ms times the weight; spreading costs only its longer steps.

--- a/packages/decisions/src/routing/weighted-routing-policy.ts
+++ b/packages/decisions/src/routing/weighted-routing-policy.ts
@@ -31,7 +31,10 @@
 
 const DEFAULT_ROLES: readonly string[] = ['', 'generate', 'mixed', 'decode', 'serve']
 const FAILURE_PENALTY_MILLISECONDS = 2_000
-const PACKING_MILLISECONDS = 60
+/** What an empty place in a batch is worth at a weight of 1; a request that waits for a place costs more than that. */
+const PACKING_MILLISECONDS = 250
+/** What a full batch's longer steps cost at a weight of 0. */
+const SPREADING_MILLISECONDS = 20
 const HOME_MILLISECONDS = 20
 
 /** Chooses the endpoint with the smallest expected wait. Asks only the endpoints handed in; adapters are never scanned. */
@@ -118,9 +121,9 @@
   private batchCost (view: EndpointView): number {
     const ahead = view.running + view.queued + view.sentSince
     const filled = Math.min(1, ahead / view.batchCapacity)
-    const spread = filled
-    const packed = 1 - filled
-    return PACKING_MILLISECONDS * (this.batchEfficiencyWeight * packed + (1 - this.batchEfficiencyWeight) * spread)
+    const packing = this.batchEfficiencyWeight * PACKING_MILLISECONDS * (1 - filled)
+    const spreading = (1 - this.batchEfficiencyWeight) * SPREADING_MILLISECONDS * filled
+    return packing + spreading
   }
 
   /** @returns less for an adapter's home, so that instances which route at the same moment share one load */
