Add open-loop load with histories

The promises are proved by checking histories of concurrent runs, so there has to be something that makes such runs. Requests go out at their times, however the ones before them fare, and times count from when a request was due: a closed loop would hide a stall by sending less during it.

--- /dev/null
+++ b/packages/load/src/driving/load-measures.ts
@@ -0,0 +1,92 @@
+/** What the load tool measures: times as histograms, outcomes as counts. */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import type { LoadEnd } from '../targets/load-target.js'
+
+/** Times of one kind, milliseconds. */
+export interface TimeSummary {
+  readonly count: number
+  readonly p50: number
+  readonly p95: number
+  readonly p99: number
+  readonly maximum: number
+}
+
+/** The figures of a run. */
+export interface MeasuresSummary {
+  readonly requests: number
+  readonly outcomes: Readonly<Record<string, number>>
+  /** Failures by their code. */
+  readonly codes: Readonly<Record<string, number>>
+  readonly tokens: number
+  /** By how much requests were sent later than the trace said: above a few milliseconds the load tool itself is short of time. */
+  readonly lateness: TimeSummary
+  readonly firstToken: TimeSummary
+  readonly betweenTokens: TimeSummary
+  readonly whole: TimeSummary
+}
+
+const MICROSECONDS = 1000
+const LONGEST_MICROSECONDS = 3_600_000_000
+
+/** Collects the figures of one run. */
+export class LoadMeasures {
+  private requests = 0
+  private tokens = 0
+  private readonly outcomes = new Map<string, number>()
+  private readonly codes = new Map<string, number>()
+  private readonly lateness = histogram()
+  private readonly firstToken = histogram()
+  private readonly betweenTokens = histogram()
+  private readonly whole = histogram()
+
+  /** Notes by how much a request was sent late, milliseconds. */
+  sent (late: number): void {
+    this.requests += 1
+    record(this.lateness, late)
+  }
+
+  /** Notes a token: the first one with the time since its request was due, others with the time since the one before. */
+  token (first: boolean, milliseconds: number): void {
+    this.tokens += 1
+    record(first ? this.firstToken : this.betweenTokens, milliseconds)
+  }
+
+  /** Notes an end, with the time since the request was due, milliseconds. */
+  ended (end: LoadEnd, milliseconds: number): void {
+    count(this.outcomes, end.outcome)
+    if (end.outcome === 'answered') record(this.whole, milliseconds)
+    else count(this.codes, end.code ?? 'no code')
+  }
+
+  /** @returns the figures so far */
+  summary (): MeasuresSummary {
+    return {
+      requests: this.requests,
+      outcomes: Object.fromEntries(this.outcomes),
+      codes: Object.fromEntries(this.codes),
+      tokens: this.tokens,
+      lateness: summaryOf(this.lateness),
+      firstToken: summaryOf(this.firstToken),
+      betweenTokens: summaryOf(this.betweenTokens),
+      whole: summaryOf(this.whole)
+    }
+  }
+}
+
+function histogram (): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: LONGEST_MICROSECONDS, numberOfSignificantValueDigits: 3 })
+}
+
+function record (into: Histogram, milliseconds: number): void {
+  into.recordValue(Math.min(LONGEST_MICROSECONDS, Math.max(1, Math.round(milliseconds * MICROSECONDS))))
+}
+
+function summaryOf (times: Histogram): TimeSummary {
+  const at = (percentile: number): number => times.totalCount === 0 ? 0 : times.getValueAtPercentile(percentile) / MICROSECONDS
+  return { count: times.totalCount, p50: at(50), p95: at(95), p99: at(99), maximum: at(100) }
+}
+
+function count (counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1)
+}
--- /dev/null
+++ b/packages/load/src/targets/engine-target.ts
@@ -0,0 +1,62 @@
+/** Load sent straight to a stand-in engine, to compare with. */
+import { Agent, request } from 'undici'
+import { readEvents } from './event-reader.js'
+import { CONNECTION_LOST, LoadTarget } from './load-target.js'
+import type { LoadEnd, LoadRequest } from './load-target.js'
+
+interface EngineEvent {
+  readonly text?: string
+  readonly end?: unknown
+}
+
+const PRIORITY = 5
+
+/** One engine; the adapters asked for have to be loaded there. */
+export class EngineTarget extends LoadTarget {
+  override readonly name: string
+  private readonly url: string
+  private readonly agent = new Agent({ connections: 4096, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+
+  /** @param url - the engine's URL */
+  constructor (url: string) {
+    super()
+    this.name = url
+    this.url = url
+  }
+
+  override async send (asked: LoadRequest, onText: (text: string) => void): Promise<LoadEnd> {
+    const adapter = `${asked.team}/${asked.adapter}`
+    try {
+      const response = await request(`${this.url}/generate`, {
+        method: 'POST',
+        dispatcher: this.agent,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({
+          requestId: asked.id,
+          adapter: `${adapter}@${asked.version}`,
+          prompt: asked.prompt,
+          maximumTokens: asked.maximumTokens,
+          seed: asked.seed,
+          priority: PRIORITY
+        })
+      })
+      if (response.statusCode !== 200) {
+        await response.body.dump()
+        return { outcome: 'not_run', code: `status-${response.statusCode}` }
+      }
+      let whole = false
+      await readEvents(response.body, (data) => {
+        const event = JSON.parse(data) as EngineEvent
+        if (event.text !== undefined) onText(event.text)
+        if (event.end !== undefined) whole = true
+      })
+      return whole ? { outcome: 'answered', adapter } : { outcome: 'unknown', code: CONNECTION_LOST }
+    } catch {
+      return { outcome: 'unknown', code: CONNECTION_LOST }
+    }
+  }
+
+  override async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/load/src/targets/entry-target.ts
@@ -0,0 +1,98 @@
+/** Load sent through limpetwinch. */
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { z } from 'zod'
+import { readEvents } from './event-reader.js'
+import { CONNECTION_LOST, LoadTarget } from './load-target.js'
+import type { LoadEnd, LoadRequest } from './load-target.js'
+
+const errorSchema = z.object({ error: z.object({ code: z.string(), outcome: z.enum(['not_run', 'unknown']) }) })
+
+interface Chunk {
+  readonly choices?: readonly { readonly text?: string }[]
+  readonly error?: unknown
+}
+
+/** One entry instance, asked for streamed text completions. */
+export class EntryTarget extends LoadTarget {
+  override readonly name: string
+  private readonly url: string
+  private readonly keyOf: (team: string) => string
+  private readonly agent = new Agent({ connections: 4096, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+
+  /**
+   * @param url - the instance's caller URL
+   * @param keyOf - a team's key
+   */
+  constructor (url: string, keyOf: (team: string) => string) {
+    super()
+    this.name = url
+    this.url = url
+    this.keyOf = keyOf
+  }
+
+  override async send (asked: LoadRequest, onText: (text: string) => void): Promise<LoadEnd> {
+    try {
+      const response = await this.post(asked)
+      if (response.statusCode !== 200) return failureOf(await response.body.text())
+      return await this.read(response, onText)
+    } catch (problem) {
+      return lost(problem)
+    }
+  }
+
+  override async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async post (asked: LoadRequest): Promise<Dispatcher.ResponseData> {
+    const model = `${asked.team}/${asked.adapter}${asked.version === undefined ? '' : `@${asked.version}`}`
+    return await request(`${this.url}/v1/completions`, {
+      method: 'POST',
+      dispatcher: this.agent,
+      headers: {
+        authorization: `Bearer ${this.keyOf(asked.team)}`,
+        'content-type': 'application/json',
+        'x-limpetwinch-class': asked.priorityClass,
+        ...(asked.idempotent ? {} : { 'x-limpetwinch-idempotent': 'false' }),
+        ...(asked.key === undefined ? {} : { 'idempotency-key': asked.key })
+      },
+      body: JSON.stringify({ model, prompt: asked.prompt, max_tokens: asked.maximumTokens, seed: asked.seed, stream: true })
+    })
+  }
+
+  private async read (response: Dispatcher.ResponseData, onText: (text: string) => void): Promise<LoadEnd> {
+    let whole = false
+    let failure: LoadEnd | undefined
+    await readEvents(response.body, (data) => {
+      if (data === '[DONE]') {
+        whole = true
+        return
+      }
+      const chunk = JSON.parse(data) as Chunk
+      if (chunk.error !== undefined) failure = failureOf(data)
+      const text = chunk.choices?.[0]?.text ?? ''
+      if (text !== '') onText(text)
+    })
+    if (failure !== undefined) return failure
+    // Without the end mark the answer is not whole, also when the connection ended in order.
+    if (!whole) return { outcome: 'unknown', code: CONNECTION_LOST }
+    const { 'x-limpetwinch-team': team, 'x-limpetwinch-adapter': adapter, 'x-limpetwinch-version': version } = response.headers
+    return { outcome: 'answered', adapter: `${String(team)}/${String(adapter)}`, version: String(version) }
+  }
+}
+
+function failureOf (body: string): LoadEnd {
+  try {
+    const { error } = errorSchema.parse(JSON.parse(body))
+    return { outcome: error.outcome, code: error.code }
+  } catch {
+    return { outcome: 'unknown', code: 'unreadable-error' }
+  }
+}
+
+function lost (problem: unknown): LoadEnd {
+  // Nothing can have run where no connection came to be.
+  if ((problem as { code?: string }).code === 'ECONNREFUSED') return { outcome: 'not_run', code: 'connection-refused' }
+  return { outcome: 'unknown', code: CONNECTION_LOST }
+}
