--- /dev/null
+++ b/packages/load/src/bench/path/path-phases.ts
@@ -0,0 +1,160 @@
+/** The phases of the path bench that put load on one instance. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { LimpetwinchError } from '@limpetwinch/core'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { MeasuresSummary } from '../../driving/load-measures.js'
+import type { BenchDeployment } from './bench-deployment.js'
+import { LOADED_MODELS } from './bench-settings.js'
+import { runWorkers } from './load-workers.js'
+import { solveCost } from './path-report.js'
+import type { FirstTokenComparison, HighestRate, ProcessorCost, ProcessorPhase } from './path-report.js'
+import type { WorkerResult, WorkerSpec } from './worker-spec.js'
+
+/** How much load, for how long. */
+export interface PhaseOptions {
+  readonly seconds: number
+  readonly workers: number
+  readonly outputTokens: number
+}
+
+interface MeasuredLoad {
+  readonly results: readonly WorkerResult[]
+  /** Processor microseconds of the entry process in each second of wall time. */
+  readonly microsecondsPerSecond: number
+  readonly seconds: number
+}
+
+const SEED = 1
+const PROMPT_TOKENS = 64
+const CALLERS = 128
+const WARM_SECONDS = 3
+const IDLE_SECONDS = 3
+/** Answers of the second phase are so many times longer, and as many times fewer. */
+const LONGER = 8
+const STRAIGHT_SHARE = 0.5
+const SECOND = 1_000_000
+
+/** Runs phases against a started deployment. */
+export class PathPhases {
+  private readonly deployment: BenchDeployment
+  private readonly options: PhaseOptions
+
+  /**
+   * @param deployment - started
+   * @param options - how much load
+   */
+  constructor (deployment: BenchDeployment, options: PhaseOptions) {
+    this.deployment = deployment
+    this.options = options
+  }
+
+  /** Loads the adapters and lets the compiler see the path. */
+  async warmUp (): Promise<Result<void, LimpetwinchError>> {
+    const spec = this.spec({ mode: 'closed', callers: CALLERS }, this.options.outputTokens, WARM_SECONDS)
+    return (await runWorkers([spec])).map(() => undefined)
+  }
+
+  /** @returns the rate at which as many callers as wish can be served */
+  async highestRate (): Promise<Result<HighestRate, LimpetwinchError>> {
+    const { workers, outputTokens } = this.options
+    const specs = Array.from({ length: workers }, (_, index) => ({
+      ...this.spec({ mode: 'closed', callers: Math.ceil(CALLERS / workers) }, outputTokens), seed: SEED + index
+    }))
+    return (await this.measure(specs)).map(({ results, microsecondsPerSecond }) => {
+      const summaries = results.map((result) => result.through)
+      const answered = sum(summaries, (summary) => summary.outcomes.answered ?? 0)
+      return {
+        requestsPerSecond: answered / this.options.seconds,
+        tokensPerSecond: sum(summaries, (summary) => summary.tokens) / this.options.seconds,
+        entryProcessorShare: microsecondsPerSecond / SECOND,
+        failed: sum(summaries, failedOf)
+      }
+    })
+  }
+
+  /** @returns first tokens both ways, and the processor phase that this load makes */
+  async firstToken (requestsPerSecond: number): Promise<Result<{ comparison: FirstTokenComparison, phase: ProcessorPhase }, LimpetwinchError>> {
+    const load = { mode: 'open' as const, throughRate: requestsPerSecond, straightRate: requestsPerSecond * STRAIGHT_SHARE }
+    return (await this.measure([this.spec(load, this.options.outputTokens)])).map((measured) => {
+      const through = measured.results.map((result) => result.through)
+      const [first] = measured.results
+      if (first === undefined) throw new Error('a worker gave no result')
+      const { through: limpetwinch, straight } = first
+      return {
+        phase: phaseOf(measured),
+        comparison: {
+          requestsPerSecond: limpetwinch.requests / this.options.seconds,
+          through: limpetwinch.firstToken,
+          straight: straight.firstToken,
+          added: {
+            p50: limpetwinch.firstToken.p50 - straight.firstToken.p50,
+            p99: limpetwinch.firstToken.p99 - straight.firstToken.p99
+          },
+          latenessP99: limpetwinch.lateness.p99,
+          failed: sum(through, failedOf) + failedOf(straight)
+        }
+      }
+    })
+  }
+
+  /**
+   * @param many - the phase of many short answers
+   * @returns processor time for a request and for a token
+   */
+  async processorCost (many: ProcessorPhase): Promise<Result<ProcessorCost, LimpetwinchError>> {
+    const idle = await this.idle()
+    const load = { mode: 'open' as const, throughRate: many.requestsPerSecond / LONGER, straightRate: 0 }
+    const measured = await this.measure([this.spec(load, this.options.outputTokens * LONGER)])
+    if (measured.isErr()) return err(measured.error)
+    const few = phaseOf(measured.value)
+    return ok({ ...solveCost(many, few, idle), idleShare: idle / SECOND, phases: [many, few] })
+  }
+
+  private async idle (): Promise<number> {
+    const before = await this.deployment.usage()
+    await sleep(IDLE_SECONDS * 1000)
+    const after = await this.deployment.usage()
+    return (after.processorMicroseconds - before.processorMicroseconds) / (after.at - before.at) * 1000
+  }
+
+  private async measure (specs: readonly WorkerSpec[]): Promise<Result<MeasuredLoad, LimpetwinchError>> {
+    const before = await this.deployment.usage()
+    const results = await runWorkers(specs)
+    const after = await this.deployment.usage()
+    // Workers take a moment to start, in which the instance is idle; the load itself runs for the seconds told.
+    const processor = after.processorMicroseconds - before.processorMicroseconds
+    return results.map((all) => ({ results: all, microsecondsPerSecond: processor / this.options.seconds, seconds: this.options.seconds }))
+  }
+
+  private spec (load: WorkerSpec['load'], outputTokens: number, seconds = this.options.seconds): WorkerSpec {
+    return {
+      entry: this.deployment.caller,
+      key: this.deployment.callerKey.key,
+      engines: [...this.deployment.engines],
+      models: [...LOADED_MODELS],
+      seed: SEED,
+      seconds,
+      promptTokens: PROMPT_TOKENS,
+      outputTokens,
+      load
+    }
+  }
+}
+
+function phaseOf ({ results, microsecondsPerSecond, seconds }: MeasuredLoad): ProcessorPhase {
+  const summaries = results.map((result) => result.through)
+  return {
+    requestsPerSecond: sum(summaries, (summary) => summary.requests) / seconds,
+    tokensPerSecond: sum(summaries, (summary) => summary.tokens) / seconds,
+    microsecondsPerSecond
+  }
+}
+
+function failedOf (summary: MeasuresSummary): number {
+  return summary.requests - (summary.outcomes.answered ?? 0)
+}
+
+function sum<Item> (items: readonly Item[], valueOf: (item: Item) => number): number {
+  return items.reduce((total, item) => total + valueOf(item), 0)
+}
--- /dev/null
+++ b/packages/load/src/bench/path/run-worker.ts
@@ -0,0 +1,41 @@
+/** The work of one load worker. */
+import { runClosedLoop } from '../../driving/closed-loop.js'
+import { LoadMeasures } from '../../driving/load-measures.js'
+import { runOpenLoop } from '../../driving/open-loop.js'
+import { RequestDriver } from '../../driving/request-driver.js'
+import { EngineTarget } from '../../targets/engine-target.js'
+import { EntryTarget } from '../../targets/entry-target.js'
+import { drawTrace } from '../../trace/trace.js'
+import type { TraceLine } from '../../trace/trace.js'
+import type { WorkerResult, WorkerSpec } from './worker-spec.js'
+
+const CLOSED_LOOP_LINES = 1000
+
+/** @returns what was measured */
+export async function runWorker (spec: WorkerSpec): Promise<WorkerResult> {
+  const through = new LoadMeasures()
+  const straight = new LoadMeasures()
+  const entry = new EntryTarget(spec.entry, () => spec.key)
+  const engines = spec.engines.map((url) => new EngineTarget(url))
+  const throughDriver = new RequestDriver(through, undefined)
+  if (spec.load.mode === 'closed') {
+    const { callers } = spec.load
+    const lines = trace(spec, CLOSED_LOOP_LINES, 1, spec.seed)
+    await runClosedLoop({ callers, seconds: spec.seconds, lines }, entry, throughDriver)
+  } else {
+    const { throughRate, straightRate } = spec.load
+    await Promise.all([
+      runOpenLoop(trace(spec, throughRate, spec.seconds, spec.seed), [entry], throughDriver),
+      straightRate === 0
+        ? undefined
+        : runOpenLoop(trace(spec, straightRate, spec.seconds, spec.seed + 1), engines, new RequestDriver(straight, undefined))
+    ])
+  }
+  await Promise.all([entry, ...engines].map((target) => target.close()))
+  return { through: through.summary(), straight: straight.summary() }
+}
+
+function trace (spec: WorkerSpec, requestsPerSecond: number, seconds: number, seed: number): TraceLine[] {
+  const { models, promptTokens, outputTokens } = spec
+  return drawTrace({ seed, requestsPerSecond, seconds, models, skew: 0, promptTokens, outputTokens, onceShare: 0, priorityClass: 'normal' })
+}
--- /dev/null
+++ b/packages/load/src/commands/bench/path.ts
@@ -0,0 +1,67 @@
+/** `limpetwinch-load bench path`. */
+import { availableParallelism, loadavg } from 'node:os'
+import { Command, Flags } from '@oclif/core'
+import type { LimpetwinchError } from '@limpetwinch/core'
+import type { Result } from 'neverthrow'
+import { BenchDeployment } from '../../bench/path/bench-deployment.js'
+import { measureMemory } from '../../bench/path/memory-phase.js'
+import { PathPhases } from '../../bench/path/path-phases.js'
+import { checkAims } from '../../bench/path/path-report.js'
+import type { PathReport } from '../../bench/path/path-report.js'
+
+const ENGINES = 2
+const ADAPTERS = 3_000
+
+/** Measures the request path. */
+export default class BenchPath extends Command {
+  static override description = 'Measure one instance against straight calls to the stand-in engines, in one run: first token, rate, processor, memory.'
+  static override enableJsonFlag = true
+  static override flags = {
+    seconds: Flags.integer({ default: 8, min: 2, description: 'how long each phase takes' }),
+    workers: Flags.integer({ default: 2, min: 1, description: 'processes of load that look for the highest rate' }),
+    'output-tokens': Flags.integer({ default: 16, min: 1, description: 'tokens of each answer' }),
+    memory: Flags.boolean({ default: true, allowNo: true, description: 'measure memory by adapters, which takes three more deployments' }),
+    check: Flags.boolean({ default: false, description: 'exit 1 when an aim is missed' })
+  }
+
+  override async run (): Promise<PathReport> {
+    const { flags } = await this.parse(BenchPath)
+    const options = { seconds: flags.seconds, workers: flags.workers, outputTokens: flags['output-tokens'] }
+    const loadAverage = loadavg()[0] ?? 0
+    const { highestRate, firstToken, processor } = await this.measurePath(options)
+    const memory = flags.memory ? this.unwrap(await measureMemory()) : undefined
+    const aims = checkAims(firstToken, processor, memory)
+    const machine = { processors: availableParallelism(), node: process.version, loadAverage }
+    const report = { machine, outputTokens: options.outputTokens, highestRate, firstToken, processor, memory, aims }
+    this.print(report)
+    if (flags.check && aims.some((aim) => !aim.met)) process.exitCode = 1
+    return report
+  }
+
+  private async measurePath (options: { seconds: number, workers: number, outputTokens: number }): Promise<Pick<PathReport, 'highestRate' | 'firstToken' | 'processor'>> {
+    const deployment = new BenchDeployment()
+    try {
+      this.unwrap(await deployment.start({ engines: ENGINES, adapters: ADAPTERS }))
+      const phases = new PathPhases(deployment, options)
+      this.unwrap(await phases.warmUp())
+      const highestRate = this.unwrap(await phases.highestRate())
+      const { comparison, phase } = this.unwrap(await phases.firstToken(highestRate.requestsPerSecond / 2))
+      const processor = this.unwrap(await phases.processorCost(phase))
+      return { highestRate, firstToken: comparison, processor }
+    } finally {
+      await deployment.stop()
+    }
+  }
+
+  private unwrap<Value> (result: Result<Value, LimpetwinchError>): Value {
+    return result.match((value) => value, (error) => this.error(error.message, { exit: 1 }))
+  }
+
+  private print ({ highestRate, firstToken, processor, memory, aims }: PathReport): void {
+    this.log(`highest rate ${highestRate.requestsPerSecond.toFixed(0)} requests/s, ${highestRate.tokensPerSecond.toFixed(0)} tokens/s, ${highestRate.failed} failed`)
+    this.log(`first token at ${firstToken.requestsPerSecond.toFixed(0)} requests/s: added ${firstToken.added.p50.toFixed(2)} ms p50, ${firstToken.added.p99.toFixed(2)} ms p99, ${firstToken.failed} failed`)
+    this.log(`processor ${processor.microsecondsPerRequest.toFixed(0)} microseconds/request, ${processor.microsecondsPerToken.toFixed(1)} microseconds/token`)
+    if (memory !== undefined) this.log(`memory ${memory.bytesPerAdapter.toFixed(0)} bytes/adapter`)
+    for (const aim of aims) this.log(`${aim.met ? 'met   ' : 'MISSED'} ${aim.figure}: ${aim.measured.toFixed(2)} (aim ${aim.aim})`)
+  }
+}
--- a/packages/load/src/targets/engine-target.ts
+++ b/packages/load/src/targets/engine-target.ts
@@ -11,7 +11,7 @@
 
 const PRIORITY = 5
 
-/** One engine; the adapters asked for have to be loaded there. */
+/** One engine, asked for the base model: its adapter slots are its owner's to fill, and a step costs the same either way. */
 export class EngineTarget extends LoadTarget {
   override readonly name: string
   private readonly url: string
@@ -25,7 +25,6 @@
   }
 
   override async send (asked: LoadRequest, onText: (text: string) => void): Promise<LoadEnd> {
-    const adapter = `${asked.team}/${asked.adapter}`
     try {
       const response = await request(`${this.url}/generate`, {
         method: 'POST',
@@ -33,7 +32,6 @@
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({
           requestId: asked.id,
-          adapter: `${adapter}@${asked.version}`,
           prompt: asked.prompt,
           maximumTokens: asked.maximumTokens,
           seed: asked.seed,
@@ -50,7 +48,7 @@
         if (event.text !== undefined) onText(event.text)
         if (event.end !== undefined) whole = true
       })
-      return whole ? { outcome: 'answered', adapter } : { outcome: 'unknown', code: CONNECTION_LOST }
+      return whole ? { outcome: 'answered' } : { outcome: 'unknown', code: CONNECTION_LOST }
     } catch {
       return { outcome: 'unknown', code: CONNECTION_LOST }
     }
--- a/packages/stand-ins/src/develop/deployment.ts
+++ b/packages/stand-ins/src/develop/deployment.ts
@@ -7,10 +7,10 @@
 import type { Result } from 'neverthrow'
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Logger } from '@limpetwinch/core'
-import { request } from 'undici'
 import { z } from 'zod'
 import { LaunchedProcess } from './launched-process.js'
 import { putSettings } from './put-settings.js'
+import { registerInstance } from './register-instance.js'
 import { BASE_MODEL, ENGINE_BATCH_CAPACITY, ENGINE_SLOTS, makeKey, sampleSettings } from './sample-settings.js'
 import type { DevelopmentKey, SampleEngine, SampleService } from './sample-settings.js'
 import { untilReady } from './until-ready.js'
@@ -76,7 +76,7 @@
     const services = await this.startServices()
     if (services.isErr()) return err(services.error)
     for (const endpoint of [...engines.value, ...services.value]) {
-      await register(platform.value, { id: endpoint.id, kind: 'endpoint', address: endpoint.url, dataCentre: endpoint.dataCentre })
+      await registerInstance(platform.value, { id: endpoint.id, kind: 'endpoint', address: endpoint.url, dataCentre: endpoint.dataCentre })
     }
     const entries = await this.startEntries(platform.value)
     if (entries.isErr()) return err(entries.error)
@@ -150,7 +150,7 @@
     const line = await this.startProcess(name, '../../../entry/dist/bin/limpetwinch-entry.js', ['--settings', file], entryLine)
     if (line.isErr()) return err(line.error)
     const { listening, instance } = line.value
-    await register(platform, { id: instance, kind: 'entry', address: listening.peer, dataCentre })
+    await registerInstance(platform, { id: instance, kind: 'entry', address: listening.peer, dataCentre })
     return ok({ name, caller: listening.caller, admin: listening.admin })
   }
 
@@ -181,16 +181,3 @@
     if (this.showLines) process.stderr.write(`[${name}] ${line}\n`)
   }
 }
-
-interface Registration {
-  readonly id: string
-  readonly kind: 'entry' | 'endpoint'
-  readonly address: string
-  readonly dataCentre: string
-}
-
-/** Does what a real platform does by itself: puts one line on the list of instances. */
-async function register (platform: string, line: Registration): Promise<void> {
-  const answer = await request(`${platform}/control/instances`, { method: 'PUT', body: JSON.stringify({ ...line, state: 'live' }) })
-  await answer.body.dump()
-}
--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -63,17 +63,18 @@
   /**
    * Waits for the first line.
    *
+   * @param milliseconds - how long it may take
    * @returns what it says, or `process-failed`
    */
-  async untilReady (): Promise<Result<unknown, LimpetwinchError>> {
+  async untilReady (milliseconds = START_MILLISECONDS): Promise<Result<unknown, LimpetwinchError>> {
     const timeout = new AbortController()
     const line = await Promise.race([
       this.firstLine(),
       this.ended.then(() => undefined),
-      sleep(START_MILLISECONDS, undefined, { signal: timeout.signal }).catch(() => undefined)
+      sleep(milliseconds, undefined, { signal: timeout.signal }).catch(() => undefined)
     ])
     timeout.abort()
-    if (line === undefined) return err(this.failure(this.hasEnded ? 'it ended before it listened' : 'it does not say where it listens'))
+    if (line === undefined) return err(this.failure(this.hasEnded ? 'it ended before it listened' : 'its first line does not come'))
     try {
       this.ready = JSON.parse(line)
       return ok(this.ready)
