--- a/packages/load/src/bench/path/path-report.ts
+++ b/packages/load/src/bench/path/path-report.ts
@@ -1,5 +1,6 @@
 /** What the path bench prints. */
 import type { TimeSummary } from '../../driving/load-measures.js'
+import type { Machine } from './machine.js'
 
 /** The highest rate of one instance. */
 export interface HighestRate {
@@ -54,7 +55,7 @@
 
 /** The whole document. */
 export interface PathReport {
-  readonly machine: { readonly processors: number, readonly node: string, readonly loadAverage: number }
+  readonly machine: Machine
   readonly outputTokens: number
   readonly highestRate: HighestRate
   readonly firstToken: FirstTokenComparison
--- a/packages/load/src/commands/bench/path.ts
+++ b/packages/load/src/commands/bench/path.ts
@@ -1,9 +1,9 @@
 /** `limpetwinch-load bench path`. */
-import { availableParallelism, loadavg } from 'node:os'
 import { Command, Flags } from '@oclif/core'
 import type { LimpetwinchError } from '@limpetwinch/core'
 import type { Result } from 'neverthrow'
 import { BenchDeployment } from '../../bench/path/bench-deployment.js'
+import { describeMachine } from '../../bench/path/machine.js'
 import { measureMemory } from '../../bench/path/memory-phase.js'
 import { PathPhases } from '../../bench/path/path-phases.js'
 import { checkAims } from '../../bench/path/path-report.js'
@@ -27,11 +27,10 @@
   override async run (): Promise<PathReport> {
     const { flags } = await this.parse(BenchPath)
     const options = { seconds: flags.seconds, workers: flags.workers, outputTokens: flags['output-tokens'] }
-    const loadAverage = loadavg()[0] ?? 0
+    const machine = await describeMachine()
     const { highestRate, firstToken, processor } = await this.measurePath(options)
     const memory = flags.memory ? this.unwrap(await measureMemory()) : undefined
     const aims = checkAims(firstToken, processor, memory)
-    const machine = { processors: availableParallelism(), node: process.version, loadAverage }
     const report = { machine, outputTokens: options.outputTokens, highestRate, firstToken, processor, memory, aims }
     this.print(report)
     if (flags.check && aims.some((aim) => !aim.met)) process.exitCode = 1
@@ -57,7 +56,8 @@
     return result.match((value) => value, (error) => this.error(error.message, { exit: 1 }))
   }
 
-  private print ({ highestRate, firstToken, processor, memory, aims }: PathReport): void {
+  private print ({ machine, highestRate, firstToken, processor, memory, aims }: PathReport): void {
+    this.log(`machine: ${machine.processors} processors at load ${machine.loadAverage.toFixed(1)}, ${machine.socketMicroseconds.toFixed(1)} microseconds for one small write and read`)
     this.log(`highest rate ${highestRate.requestsPerSecond.toFixed(0)} requests/s, ${highestRate.tokensPerSecond.toFixed(0)} tokens/s, ${highestRate.failed} failed`)
     this.log(`first token at ${firstToken.requestsPerSecond.toFixed(0)} requests/s: added ${firstToken.added.p50.toFixed(2)} ms p50, ${firstToken.added.p99.toFixed(2)} ms p99, ${firstToken.failed} failed`)
     this.log(`processor ${processor.microsecondsPerRequest.toFixed(0)} microseconds/request, ${processor.microsecondsPerToken.toFixed(1)} microseconds/token`)
