--- a/packages/stand-ins/src/bin/limpetwinch-develop.ts
+++ b/packages/stand-ins/src/bin/limpetwinch-develop.ts
@@ -25,9 +25,8 @@
     const shown = await Promise.race([this.demonstrate(deployment, !flags.once), interruption.happened.then((): Demonstration => 'interrupted')])
     const stays = !flags.once && shown !== 'not started'
     if (stays) await interruption.happened
-    const lost = deployment.lost.length
     await deployment.stop()
-    process.exitCode = stays || (shown === 'answered' && lost === 0) ? 0 : 1
+    process.exitCode = (stays || shown === 'answered') && deployment.lost.length === 0 ? 0 : 1
   }
 
   private async demonstrate (deployment: Deployment, stays: boolean): Promise<Demonstration> {
--- a/packages/stand-ins/src/develop/deployment.ts
+++ b/packages/stand-ins/src/develop/deployment.ts
@@ -49,7 +49,7 @@
 export class Deployment {
   readonly callerKey: DevelopmentKey = makeKey()
   readonly administratorKey: DevelopmentKey = makeKey()
-  /** Processes that ended though nobody stopped them. */
+  /** Processes that ended though nobody stopped them, or had to be killed. */
   readonly lost: string[] = []
   private readonly processes: LaunchedProcess[] = []
   private readonly logger: Logger
@@ -94,8 +94,8 @@
     this.stopping = true
     const entries = this.processes.filter((launched) => launched.name.startsWith('entry'))
     const others = this.processes.filter((launched) => !launched.name.startsWith('entry'))
-    await Promise.all(entries.map((launched) => launched.stop()))
-    await Promise.all(others.map((launched) => launched.stop()))
+    await Promise.all(entries.map((launched) => this.stopOne(launched)))
+    await Promise.all(others.map((launched) => this.stopOne(launched)))
     if (this.folder !== undefined) await rm(this.folder, { recursive: true, force: true })
   }
 
@@ -172,6 +172,12 @@
     return err(new LimpetwinchError('process-failed', { name, reason: `its first line has another form: ${z.prettifyError(parsed.error)}` }))
   }
 
+  private async stopOne (launched: LaunchedProcess): Promise<void> {
+    if (await launched.stop()) return
+    this.lost.push(launched.name)
+    this.logger.error(`Process '${launched.name}' did not end when it was asked to, and was killed.`)
+  }
+
   private reportLost (name: string, reason: string): void {
     this.lost.push(name)
     this.logger.error(`Process '${name}' ended unexpectedly with ${reason}.`)
--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -83,16 +83,22 @@
     }
   }
 
-  /** Ends it: asks first, and kills it when it does not end. */
-  async stop (): Promise<void> {
+  /**
+   * Ends it: asks first, and kills it when it does not end.
+   *
+   * @returns whether it ended by itself
+   */
+  async stop (): Promise<boolean> {
     this.stopping = true
-    if (this.hasEnded) return
+    if (this.hasEnded) return true
     this.child.kill('SIGTERM')
     const timeout = new AbortController()
     await Promise.race([this.ended, sleep(STOP_MILLISECONDS, undefined, { signal: timeout.signal }).catch(() => undefined)])
     timeout.abort()
-    if (!this.hasEnded) this.child.kill('SIGKILL')
+    const endedItself = this.hasEnded
+    if (!endedItself) this.child.kill('SIGKILL')
     await this.ended
+    return endedItself
   }
 
   private async firstLine (): Promise<string | undefined> {
