--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -63,17 +63,18 @@
   /**
    * Waits for the first line.
    *
+   * @param milliseconds - how long it may take
    * @returns what it says, or `process-failed`
    */
-  async untilReady (): Promise<Result<unknown, LimpetwinchError>> {
+  async untilReady (milliseconds = START_MILLISECONDS): Promise<Result<unknown, LimpetwinchError>> {
     const timeout = new AbortController()
     const line = await Promise.race([
       this.firstLine(),
       this.ended.then(() => undefined),
-      sleep(START_MILLISECONDS, undefined, { signal: timeout.signal }).catch(() => undefined)
+      sleep(milliseconds, undefined, { signal: timeout.signal }).catch(() => undefined)
     ])
     timeout.abort()
-    if (line === undefined) return err(this.failure(this.hasEnded ? 'it ended before it listened' : 'it does not say where it listens'))
+    if (line === undefined) return err(this.failure(this.hasEnded ? 'it ended before it listened' : 'its first line does not come'))
     try {
       this.ready = JSON.parse(line)
       return ok(this.ready)
@@ -82,16 +83,22 @@
     }
   }
 
-  /** Ends it: asks first, and kills it when it does not end. */
-  async stop (): Promise<void> {
+  /**
+   * Ends it: asks first, and kills it when it does not end.
+   *
+   * @returns whether it ended by itself
+   */
+  async stop (): Promise<boolean> {
     this.stopping = true
-    if (this.hasEnded) return
+    if (this.hasEnded) return true
     this.child.kill('SIGTERM')
     const timeout = new AbortController()
     await Promise.race([this.ended, sleep(STOP_MILLISECONDS, undefined, { signal: timeout.signal }).catch(() => undefined)])
     timeout.abort()
-    if (!this.hasEnded) this.child.kill('SIGKILL')
+    const endedItself = this.hasEnded
+    if (!endedItself) this.child.kill('SIGKILL')
     await this.ended
+    return endedItself
   }
 
   private async firstLine (): Promise<string | undefined> {
