Add fault runs over real instances, and mutants that their checks must catch

Each promise is to be checked on concurrent runs under faults. Mutants extend the product's classes.

--- /dev/null
+++ b/packages/load/src/faults/caller.ts
@@ -0,0 +1,171 @@
+/** A caller that records what it sent and what it was told. */
+import { createParser } from 'eventsource-parser'
+import { neverConnected } from '@limpetwinch/core'
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { z } from 'zod'
+import type { HistoryLog } from './history-log.js'
+
+/** One request of the load. */
+export interface LoadRequest {
+  readonly request: string
+  readonly key: string | undefined
+  readonly team: string
+  /** Undefined for a plain service. */
+  readonly adapter: string | undefined
+  readonly version: string | undefined
+  readonly idempotent: boolean
+  readonly prompt: string
+  readonly maximumTokens: number
+  readonly seed: number
+  readonly stream: boolean
+  readonly deadlineMilliseconds: number
+}
+
+/** Where and as whom requests are sent. */
+export interface CallerTarget {
+  readonly instance: string
+  readonly caller: string
+  readonly key: string
+}
+
+interface Told {
+  readonly outcome: 'answered' | 'not_run' | 'unknown'
+  readonly code?: string
+  readonly model?: string | undefined
+  readonly text?: string
+}
+
+/** The service that the load calls. */
+export const SERVICE = 'echo'
+
+const GIVE_UP_AFTER_DEADLINE_MILLISECONDS = 15_000
+const LOST: Told = { outcome: 'unknown', code: 'connection-lost' }
+
+const errorSchema = z.object({ error: z.object({ code: z.string(), outcome: z.enum(['not_run', 'unknown']) }) })
+const answerSchema = z.object({ model: z.string(), choices: z.tuple([z.object({ text: z.string() })]) })
+const echoSchema = z.object({ body: z.string() })
+
+/** Sends requests and records them. */
+export class RecordingCaller {
+  private readonly agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  private readonly log: HistoryLog
+
+  /** @param log - where to record */
+  constructor (log: HistoryLog) {
+    this.log = log
+  }
+
+  /** Sends one request; resolves when the caller was told how it ended. It is never sent again by itself. */
+  async send (load: LoadRequest, target: CallerTarget): Promise<Told['outcome']> {
+    const { request: name, key, team, adapter, version, idempotent, prompt, maximumTokens, seed } = load
+    this.log.record({
+      event: 'request-sent',
+      request: name,
+      team,
+      idempotent,
+      instance: target.instance,
+      prompt,
+      maximumTokens,
+      seed,
+      ...(key === undefined ? {} : { key }),
+      ...(adapter === undefined ? { service: SERVICE } : { adapter }),
+      ...(version === undefined ? {} : { version })
+    })
+    const told = await this.exchange(load, target)
+    const [said, saidVersion] = told.model?.split('@') ?? []
+    this.log.record({
+      event: 'request-ended',
+      request: name,
+      outcome: told.outcome,
+      ...(told.code === undefined ? {} : { code: told.code }),
+      ...(said === undefined ? {} : { adapter: said }),
+      ...(saidVersion === undefined ? {} : { version: saidVersion }),
+      ...(told.text === undefined ? {} : { text: told.text })
+    })
+    return told.outcome
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async exchange (load: LoadRequest, target: CallerTarget): Promise<Told> {
+    const signal = AbortSignal.timeout(load.deadlineMilliseconds + GIVE_UP_AFTER_DEADLINE_MILLISECONDS)
+    let response: Dispatcher.ResponseData
+    try {
+      response = await request(target.caller + pathOf(load), {
+        method: 'POST', headers: headersOf(load, target.key), body: bodyOf(load), dispatcher: this.agent, signal
+      })
+    } catch (cause) {
+      return neverConnected(cause) ? { outcome: 'not_run', code: 'connection-refused' } : LOST
+    }
+    try {
+      if (response.statusCode === 200 && load.stream) return await this.readStream(load, response)
+      return readWhole(load, response.statusCode, await response.body.text())
+    } catch {
+      return LOST
+    }
+  }
+
+  private async readStream (load: LoadRequest, response: Dispatcher.ResponseData): Promise<Told> {
+    let told: Told | undefined
+    let model: string | undefined
+    let position = 0
+    const take = (data: string): void => {
+      if (data === '[DONE]') {
+        told ??= { outcome: 'answered', model }
+        return
+      }
+      const body: unknown = JSON.parse(data)
+      const failed = errorSchema.safeParse(body)
+      if (failed.success) {
+        told ??= { outcome: failed.data.error.outcome, code: failed.data.error.code }
+        return
+      }
+      const chunk = answerSchema.parse(body)
+      model = chunk.model
+      const { text } = chunk.choices[0]
+      if (text === '') return
+      this.log.record({ event: 'request-part', request: load.request, position, text })
+      position += 1
+    }
+    const parser = createParser({ onEvent: (event) => take(event.data) })
+    const decoder = new TextDecoder('utf-8', { fatal: true })
+    for await (const chunk of response.body as AsyncIterable<Buffer>) parser.feed(decoder.decode(chunk, { stream: true }))
+    return told ?? LOST
+  }
+}
+
+function readWhole (load: LoadRequest, status: number, text: string): Told {
+  const body: unknown = JSON.parse(text)
+  if (status !== 200) {
+    const { code, outcome } = errorSchema.parse(body).error
+    return { outcome, code }
+  }
+  if (load.adapter === undefined) return { outcome: 'answered', text: echoSchema.parse(body).body }
+  const answer = answerSchema.parse(body)
+  return { outcome: 'answered', model: answer.model, text: answer.choices[0].text }
+}
+
+function pathOf (load: LoadRequest): string {
+  return load.adapter === undefined ? `/services/${SERVICE}/run` : '/v1/completions'
+}
+
+function headersOf (load: LoadRequest, key: string): Record<string, string> {
+  return {
+    authorization: `Bearer ${key}`,
+    'content-type': load.adapter === undefined ? 'text/plain' : 'application/json',
+    'x-limpetwinch-idempotent': String(load.idempotent),
+    'x-limpetwinch-deadline-ms': String(load.deadlineMilliseconds),
+    ...(load.key === undefined ? {} : { 'idempotency-key': load.key })
+  }
+}
+
+function bodyOf (load: LoadRequest): string {
+  if (load.adapter === undefined) return load.prompt
+  const version = load.version === undefined ? '' : `@${load.version}`
+  const { prompt, seed, stream } = load
+  return JSON.stringify({ model: `${load.team}/${load.adapter}${version}`, prompt, max_tokens: load.maximumTokens, seed, stream })
+}
--- /dev/null
+++ b/packages/load/src/faults/mutants/membership-mutants.ts
@@ -0,0 +1,16 @@
+/** A membership that does not see endpoints leave. */
+import { EntryParts, ListMembership } from '@limpetwinch/entry'
+import type { ListMembershipOptions } from '@limpetwinch/entry'
+
+class IgnoreLeavingMembership extends ListMembership {
+  override leavingEndpoints (): ReadonlySet<string> {
+    return new Set()
+  }
+}
+
+/** Parts that send new work to leaving endpoints. */
+export class IgnoreLeavingParts extends EntryParts {
+  override membership (options: ListMembershipOptions): ListMembership {
+    return new IgnoreLeavingMembership(options)
+  }
+}
--- /dev/null
+++ b/packages/load/src/faults/mutants/scheduling-mutants.ts
@@ -0,0 +1,33 @@
+/** An owner that evicts adapters in use. */
+import { EntryParts, OwnedEndpoints } from '@limpetwinch/entry'
+import type { OwnedEndpoint, OwnedEndpointsOptions } from '@limpetwinch/entry'
+
+class IgnorePinsOwnedEndpoints extends OwnedEndpoints {
+  private readonly changed = new WeakSet<OwnedEndpoint>()
+
+  override follow (): void {
+    super.follow()
+    for (const owned of this.all()) {
+      if (this.changed.has(owned)) continue
+      this.changed.add(owned)
+      ignorePins(owned)
+    }
+  }
+}
+
+function ignorePins (owned: OwnedEndpoint): void {
+  const { slots } = owned.scheduler
+  slots.evictable = () => slots.all()
+    .filter((slot) => slot.state === 'loaded' || slot.state === 'unverified')
+    .map((slot) => ({
+      slot,
+      view: { adapter: slot.adapter, pins: 0, loadedAt: slot.loadedAt, lastUsedAt: slot.lastUsedAt, waiting: 0, otherCopies: 0 }
+    }))
+}
+
+/** Parts that evict ignoring pins. */
+export class IgnorePinsParts extends EntryParts {
+  override ownedEndpoints (options: OwnedEndpointsOptions): OwnedEndpoints {
+    return new IgnorePinsOwnedEndpoints(options)
+  }
+}
--- /dev/null
+++ b/packages/load/src/faults/run-plan.ts
@@ -0,0 +1,91 @@
+/** What happens in one fault run; it follows from the seed alone. */
+import type { LoadRequest } from './caller.js'
+import type { DeploymentPlan } from './deployment.js'
+import type { Fault } from './fault.js'
+import { FAULTS } from './kinds/index.js'
+import { SeededRandom } from './random.js'
+import { ADAPTERS, TEAMS, VERSIONS } from './sample-deployment.js'
+
+const LOAD_MILLISECONDS = 2_500
+const MOST_FAULTS = 3
+const LARGEST_SEED = 1_000_000
+
+/** A request and when it is sent. */
+export interface PlannedRequest {
+  /** Milliseconds after the start of the load. */
+  readonly after: number
+  readonly load: LoadRequest
+  /** Sent once more under the same key so many milliseconds after the first. */
+  readonly againAfter: number | undefined
+}
+
+/** A fault and when it begins. */
+export interface PlannedFault {
+  readonly after: number
+  readonly fault: Fault
+}
+
+/** One run. */
+export interface RunPlan {
+  readonly seed: number
+  readonly deployment: DeploymentPlan
+  readonly requests: readonly PlannedRequest[]
+  readonly faults: readonly PlannedFault[]
+  /** When a team's settings are changed. */
+  readonly changes: readonly { readonly after: number, readonly team: string }[]
+}
+
+/**
+ * @param seed - of this run
+ * @param mutant - which wrong part the instances get, if any
+ * @param kinds - the kinds of faults to choose from
+ * @returns the plan
+ */
+export function planRun (seed: number, mutant: string | undefined, kinds: readonly Fault[] = FAULTS): RunPlan {
+  const random = new SeededRandom(seed)
+  const faults = planFaults(random, kinds)
+  return {
+    seed,
+    deployment: {
+      instances: random.between(2, 3),
+      fencing: [random.pick(['refuses', 'ignores']), random.pick(['refuses', 'ignores'])],
+      processes: faults.some(({ fault }) => fault.needsProcesses),
+      mutant
+    },
+    requests: Array.from({ length: random.between(24, 48) }, (_, index) => planRequest(random, index)),
+    faults,
+    changes: Array.from({ length: random.between(1, 3) }, () => ({ after: random.between(0, LOAD_MILLISECONDS), team: random.pick(TEAMS) }))
+  }
+}
+
+/** Alone, in pairs, and one kind twice. */
+function planFaults (random: SeededRandom, kinds: readonly Fault[]): PlannedFault[] {
+  if (kinds.length === 0) return []
+  const count = random.between(1, MOST_FAULTS)
+  const first = random.pick(kinds)
+  return Array.from({ length: count }, (_, index) => ({
+    after: random.between(0, LOAD_MILLISECONDS / 2),
+    fault: index === 0 || random.happens(0.2) ? first : random.pick(kinds)
+  }))
+}
+
+function planRequest (random: SeededRandom, index: number): PlannedRequest {
+  const forService = random.happens(0.2)
+  const idempotent = random.happens(0.5)
+  const key = !idempotent && random.happens(0.6) ? `key-${index}` : undefined
+  const load: LoadRequest = {
+    request: `request-${index}`,
+    key,
+    team: random.pick(TEAMS),
+    adapter: forService ? undefined : random.pick(ADAPTERS),
+    version: forService || random.happens(0.4) ? undefined : random.pick(VERSIONS),
+    idempotent,
+    prompt: `Prompt ${index} of ${random.between(0, LARGEST_SEED)}, ${'word '.repeat(random.between(0, 30))}`,
+    maximumTokens: random.happens(0.3) ? random.between(80, 160) : random.between(1, 40),
+    seed: random.between(0, LARGEST_SEED),
+    stream: random.happens(0.6),
+    deadlineMilliseconds: 6_000
+  }
+  const again = key !== undefined && random.happens(0.5)
+  return { after: random.between(0, LOAD_MILLISECONDS), load, againAfter: again ? random.between(0, 400) : undefined }
+}
