Wait before taking over from one that fell silent, and before trusting a dialler that cannot hear

Need: found by the failure tests of connections and store. An instance that was cut off from all others took over the endpoints of the first whose heartbeat it missed, as it still heard a majority for up to one interval: it now waits longer than an interval before it takes over from a lost owner. Where frames were lost in one direction alone, the end whose frames did not arrive took each new hello of the other for life: an accepted connection now counts from the dialler's second frame, which it sends only after it has read the hello. A connection that had ended was still picked for a moment. A refused dial is taken as the end of an instance for take-overs (never for evictions), so that a killed owner is replaced without waiting for its silence.

--- a/packages/entry/src/membership/list-membership.ts
+++ b/packages/entry/src/membership/list-membership.ts
@@ -177,8 +177,10 @@
   }
 
   private connected (peer: PeerIdentity): void {
+    const present = this.entries.get(peer.instance)
+    if (present !== undefined) present.evidence = undefined
     // The list's address stands where there is one: what a peer takes for its own may not be how it is reached.
-    if (!this.entries.has(peer.instance)) this.entryOf(peer.instance, peer.dataCentre, peer.address)
+    if (present === undefined) this.entryOf(peer.instance, peer.dataCentre, peer.address)
     this.judge()
   }
 
--- a/packages/entry/src/membership/member-entry.ts
+++ b/packages/entry/src/membership/member-entry.ts
@@ -28,6 +28,7 @@
   listing: Listing = 'never'
   heartbeat: HeartbeatFrame | undefined
   saidGoodbye = false
+  /** Why it is taken to have ended before its silence has lasted long. */
   evidence: EndEvidence | undefined
   /** When the read of the list began that first lacked it, after it had been listed. */
   absentSince: number | undefined
@@ -85,9 +86,8 @@
     // take over the endpoints of all others.
     const heardInTime = judgement.now - (judgement.lastHeard ?? this.firstSeen) <= judgement.suspectAfterMilliseconds
     const heard = heardInTime || (judgement.justWoken && (this.state === 'alive' || this.state === 'leaving'))
-    if (heard) {
+    if (heard && this.evidence === undefined) {
       this.suspectSince = undefined
-      this.evidence = undefined
       return this.leaving() ? 'leaving' : 'alive'
     }
     this.suspectSince ??= judgement.now
--- a/packages/entry/src/ownership/store-ownership.ts
+++ b/packages/entry/src/ownership/store-ownership.ts
@@ -19,7 +19,6 @@
 
 const TICK_MILLISECONDS = 200
 const READ_AGAIN_MILLISECONDS = 1_000
-const CHECK_STORE_MILLISECONDS = 30_000
 const GAP_MILLISECONDS = 1_500
 const PASS_ON_RANKS = 2
 
@@ -44,6 +43,14 @@
   readonly random?: () => number
   /** How much later each following rank proposes, so that a lost proposer does not block. */
   readonly rankDelayMilliseconds?: number
+  /**
+   * How long an owner must have been lost before its endpoints are taken over; longer than a heartbeat interval. One that
+   * is cut off from all others does not see their silence at the same moment: for up to an interval it seems to it that
+   * only the first has been lost.
+   */
+  readonly lostDelayMilliseconds?: number
+  /** Between looks whether the store was restored to an older state; rarer for each following rank. */
+  readonly checkStoreMilliseconds?: number
   /** How long a proof of ownership counts. */
   readonly confirmedMilliseconds?: number
 }
@@ -57,6 +64,8 @@
   private readonly clock: Clock
   private readonly random: () => number
   private readonly rankDelayMilliseconds: number
+  private readonly checkStoreMilliseconds: number
+  private readonly lostDelayMilliseconds: number
   private readonly writer: OwnershipWriter
   private readonly confirmation: Confirmation
   private readonly remote: RemoteOwnership
@@ -83,6 +92,8 @@
     this.logger = options.logger.part('ownership')
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? Math.random
+    this.lostDelayMilliseconds = options.lostDelayMilliseconds ?? 1_500
+    this.checkStoreMilliseconds = options.checkStoreMilliseconds ?? 30_000
     this.rankDelayMilliseconds = options.rankDelayMilliseconds ?? 500
     this.known = emptyOwnership(this.peers.self.dataCentre)
     this.confirmation = new Confirmation(this.clock, options.confirmedMilliseconds ?? 5_000)
@@ -199,7 +210,13 @@
     if (result.isErr()) return
     this.read = true
     this.gapSince = undefined
-    this.nextCheck = this.clock.now() + CHECK_STORE_MILLISECONDS * (0.5 + this.random()) * (1 + this.rank())
+    // The store is behind what a peer knows: it was restored, or the peer's write is open. Look again when told more.
+    if (this.saidByPeers() > this.known.sequence) return
+    this.nextCheck = this.clock.now() + this.checkStoreMilliseconds * (0.5 + this.random()) * (1 + this.rank())
+  }
+
+  private saidByPeers (): number {
+    return Math.max(0, ...this.others().map((instance) => this.lastSaid.get(instance) ?? 0))
   }
 
   private async proposeWhenNeeded (signal: AbortSignal): Promise<void> {
@@ -211,7 +228,9 @@
     }
     const now = this.clock.now()
     this.needSince ??= now
-    if (now - this.needSince < this.rank() * this.rankDelayMilliseconds) return
+    const lost = this.known.records.some((record) => this.isLost(record.owner))
+    const delay = (lost ? this.lostDelayMilliseconds : 0) + this.rank() * this.rankDelayMilliseconds
+    if (now - this.needSince < delay) return
     this.needSince = undefined
     const written = await this.writer.update((newest) => {
       const current = this.ground()
--- a/packages/entry/src/peers/connection-table.ts
+++ b/packages/entry/src/peers/connection-table.ts
@@ -36,12 +36,12 @@
 
   /** @returns the newest connection to a peer */
   newest (instance: InstanceId): PeerConnection | undefined {
-    return this.connections.get(instance)?.at(-1)
+    return this.connections.get(instance)?.findLast((connection) => !connection.ended)
   }
 
   /** @returns peers with a connection */
   peers (): readonly InstanceId[] {
-    return [...this.connections.keys()]
+    return [...this.connections.keys()].filter((instance) => this.newest(instance) !== undefined)
   }
 
   /** @returns when the last frame of a peer came in on any connection, monotonic milliseconds */
--- a/packages/entry/src/peers/handshake.ts
+++ b/packages/entry/src/peers/handshake.ts
@@ -61,8 +61,13 @@
     const first = await frames.next()
     if (first.done === true || first.value.frame.kind !== 'hello') throw new LimpetwinchError('bad-frame', { reason: 'no hello' })
     counter.received('hello', first.value.bytes)
-    if (!dialled) sendHello(socket, self, counter)
-    return ok({ hello: first.value.frame, frames })
+    if (dialled) return ok({ hello: first.value.frame, frames })
+    sendHello(socket, self, counter)
+    // The dialler speaks on only after it has read this hello. Where frames are lost in one direction alone, its own
+    // hellos would come in again and again, and it would look alive though nothing reaches it.
+    const second = await frames.next()
+    if (second.done === true) throw new LimpetwinchError('bad-frame', { reason: 'the hello was not taken up' })
+    return ok({ hello: first.value.frame, frames: startingWith(second.value, frames) })
   } catch (cause) {
     socket.destroy()
     if (cause instanceof LimpetwinchError) return err(cause)
@@ -72,6 +77,11 @@
   }
 }
 
+async function * startingWith (first: DecodedFrame, rest: AsyncGenerator<DecodedFrame, void>): AsyncGenerator<DecodedFrame, void> {
+  yield first
+  yield * rest
+}
+
 function sendHello (socket: Socket, self: PeerIdentity, counter: FrameCounter): void {
   const hello = encodeFrame({ kind: 'hello', instance: self.instance, dataCentre: self.dataCentre, address: self.address })
   if (hello.isErr()) throw hello.error
--- a/packages/entry/src/peers/peer-connection.ts
+++ b/packages/entry/src/peers/peer-connection.ts
@@ -67,6 +67,11 @@
     this.heartbeats = new HeartbeatBook(surroundings.clock)
   }
 
+  /** Whether it has ended and only waits to be taken out of the table. */
+  get ended (): boolean {
+    return this.ending.signal.aborted
+  }
+
   /** Serves the connection until it ends; what waits on it is settled then. */
   async run (): Promise<void> {
     const beating = this.beat()
--- a/packages/entry/test/support/cluster.ts
+++ b/packages/entry/test/support/cluster.ts
@@ -1,7 +1,7 @@
 /** Instances with peers, membership and ownership in one process, over real sockets. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { InstanceList, LimpetwinchError, silentLogger, SystemClock } from '@limpetwinch/core'
-import type { Clock, DataCentreId, EndpointId, EngineSettings, InstanceId, ListedInstance, Logger, ObjectStore } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, EngineSettings, InstanceId, ListedInstance, Logger } from '@limpetwinch/core'
 import { EndpointRecoveries, HandOvers, ListMembership, StoreOwnership, TcpPeerNetwork } from '@limpetwinch/entry'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { errAsync, okAsync } from 'neverthrow'
@@ -81,9 +81,8 @@
 export interface InstanceChoice {
   readonly clock?: Clock
   readonly address?: string
-  /** Another store than the cluster's, such as one that is out for this instance alone. */
-  readonly store?: ObjectStore
   readonly evenOutMilliseconds?: number
+  readonly rankDelayMilliseconds?: number
 }
 
 /** Instances on one platform. */
@@ -119,7 +118,7 @@
     this.list.add(id, address)
     const list = new RoutedList(this.list, this.relays, id)
     const membership = new ListMembership({ peers, list, logger, clock, pollMilliseconds: HEARTBEAT, suspectAfterMilliseconds: 3 * HEARTBEAT })
-    const ownership = new StoreOwnership({ peers, membership, store: choice.store ?? this.store, engines, logger, clock, rankDelayMilliseconds: 50, confirmedMilliseconds: 5 * HEARTBEAT })
+    const ownership = new StoreOwnership({ peers, membership, store: this.store, engines, logger, clock, lostDelayMilliseconds: 2 * HEARTBEAT, checkStoreMilliseconds: 10 * HEARTBEAT, rankDelayMilliseconds: choice.rankDelayMilliseconds ?? 50, confirmedMilliseconds: 5 * HEARTBEAT })
     const scheduler = new SchedulerInMemory(peers)
     const recoveries = new EndpointRecoveries({
       peers,
--- a/packages/entry/test/support/relay.ts
+++ b/packages/entry/test/support/relay.ts
@@ -6,14 +6,13 @@
 
 /** One relay. What is lost is read and thrown away, so that neither end sees an error. */
 export class Relay {
-  readonly lost = new Set<Direction>()
   /** Connections taken so far. */
   accepted = 0
   private silentBefore = 0
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
 
-  constructor (targetPort: number) {
+  constructor (targetPort: number, private readonly isLost: (direction: Direction) => boolean) {
     this.server = createServer((near) => {
       this.accepted += 1
       const number = this.accepted
@@ -40,7 +39,7 @@
 
   private join (from: Socket, to: Socket, direction: Direction, number: number): void {
     this.sockets.add(from)
-    const silent = (): boolean => number < this.silentBefore || this.lost.has(direction)
+    const silent = (): boolean => number < this.silentBefore || this.isLost(direction)
     from.on('data', (chunk) => { if (!silent()) to.write(chunk) })
     from.on('error', () => {})
     from.on('close', () => {
@@ -53,13 +52,16 @@
 /** All relays of a cluster. */
 export class Relays {
   private readonly relays = new Map<string, { relay: Relay, address: string }>()
+  /** `from to`, also for relays that are made later. */
+  private readonly cuts = new Set<string>()
 
   /** @returns the address under which the dialler reaches the target */
   async route (dialler: string, target: string, address: string): Promise<string> {
     const key = `${dialler} ${target} ${address}`
     let route = this.relays.get(key)
     if (route === undefined) {
-      const relay = new Relay(Number(address.split(':')[1]))
+      const relay = new Relay(Number(address.split(':')[1]), (direction) =>
+        this.cuts.has(direction === 'to-target' ? `${dialler} ${target}` : `${target} ${dialler}`))
       route = { relay, address: await relay.listen() }
       this.relays.set(key, route)
     }
@@ -73,13 +75,11 @@
 
   /** Loses all that one sends to the other. */
   cut (from: string, to: string): void {
-    for (const relay of this.between(from, to)) relay.lost.add('to-target')
-    for (const relay of this.between(to, from)) relay.lost.add('to-dialler')
+    this.cuts.add(`${from} ${to}`)
   }
 
   mend (from: string, to: string): void {
-    for (const relay of this.between(from, to)) relay.lost.delete('to-target')
-    for (const relay of this.between(to, from)) relay.lost.delete('to-dialler')
+    this.cuts.delete(`${from} ${to}`)
   }
 
   async close (): Promise<void> {
