End a stop whose hand-overs nobody can take

Cause: with all instances stopping at once there is no next owner, and the stop waited for one until its own deadline of 600 s; the launcher killed both instances. Change: once the last request of its own has ended an instance waits 3 s for its hand-overs; what is left is taken over as after a loss.

--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -46,6 +46,8 @@
 /** The balancer and the peers are given so long to see that this instance is not ready before it closes. */
 const LEAVING_MILLISECONDS = 1_000
 const GOODBYE_MILLISECONDS = 50
+/** After the last request of its own an instance waits so long for its hand-overs. */
+const HAND_OVER_MILLISECONDS = 3_000
 
 /** Where an instance listens. */
 export interface ListeningAt {
@@ -215,10 +217,14 @@
 
   /** New work is still taken until the balancer has had time to see that this instance is not ready any more. */
   private async drain (): Promise<void> {
-    const handedOver = this.handOvers.leave(this.supervisor.signal)
+    const enough = new AbortController()
+    const handedOver = this.handOvers.leave(AbortSignal.any([this.supervisor.signal, enough.signal]))
     await this.clock.sleep(LEAVING_MILLISECONDS)
     await Promise.allSettled([this.callerServer.close(), this.work.finished()])
+    // Nobody may be left to hand over to, as when all instances stop; what is left is taken over as after a loss.
+    const timer = setTimeout(() => enough.abort(), HAND_OVER_MILLISECONDS)
     const left = await handedOver
+    clearTimeout(timer)
     if (left.length > 0) this.logger.warn('Endpoints are left for others to take over.', { endpoints: left })
     // With this word the others need not wait for the platform's list to say that nothing runs here any more.
     this.membership.sayGoodbye()
