Test what callers are told over bad input and failures; close connections that become idle during a stop

Cause of a stop that lasted until its deadline (20 s in the test): a caller keeps its connection open after the answer, and closing the server waited for it. Idle connections are now closed every 50 ms while the server closes.

--- a/packages/entry/src/callers/http-server.ts
+++ b/packages/entry/src/callers/http-server.ts
@@ -16,6 +16,7 @@
 
 /** How long an idle connection is kept. */
 const IDLE_MILLISECONDS = 65_000
+const SWEEP_MILLISECONDS = 50
 
 /** A server that can be listened on and closed in order. */
 export class HttpServer {
@@ -45,11 +46,14 @@
     return `http://${host}:${address.port}`
   }
 
-  /** Takes no new connections; resolves when those that are busy have ended. */
+  /**
+   * Takes no new connections; resolves when those that are busy have ended. A caller keeps its connection open after
+   * the answer, and the close would wait for it, so what has become idle is closed again and again.
+   */
   async close (): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()))
-    this.server.closeIdleConnections()
-    await closed
+    const sweep = setInterval(() => this.server.closeIdleConnections(), SWEEP_MILLISECONDS)
+    await new Promise<void>((resolve) => this.server.close(() => resolve()))
+    clearInterval(sweep)
   }
 
   /** Ends all connections now. */
--- /dev/null
+++ b/packages/entry/test/callers/bad-input.test.ts
@@ -0,0 +1,127 @@
+import { connect } from 'node:net'
+import fc from 'fast-check'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { expectedAnswer } from '@limpetwinch/stand-ins'
+import { OTHER_KEY, RunningEntry } from '../support/running-entry.js'
+
+const SEED = 20_261
+
+let running: RunningEntry
+
+beforeAll(async () => {
+  running = new RunningEntry({ limits: { bodySeconds: 1 } })
+  await running.start()
+})
+
+afterAll(async () => { await running.stop() })
+
+const whole = expectedAnswer({ adapter: 'history/essays@v2', prompt: 'Why?', seed: 7 }, 8)
+
+/** Asks for a good answer, to see that nothing else was disturbed. */
+async function expectGoodAnswer (): Promise<void> {
+  const answer = await running.complete()
+  expect(answer.status).toBe(200)
+  expect(JSON.parse(answer.text)).toMatchObject({ model: 'history/essays@v2', choices: [{ text: whole }] })
+}
+
+/** Writes bytes onto a connection of its own and reads until it is closed. */
+async function raw (text: string): Promise<string> {
+  const { hostname, port } = new URL(running.url)
+  return await new Promise((resolve, reject) => {
+    const socket = connect({ host: hostname, port: Number(port) })
+    let read = ''
+    socket.on('data', (chunk) => { read += chunk.toString('utf8') })
+    socket.on('close', () => resolve(read))
+    socket.on('error', reject)
+    socket.write(text)
+  })
+}
+
+describe('bad input', () => {
+  it.each([
+    ['an unknown team', { model: 'nobody/essays' }, {}, 404, 'unknown_team'],
+    ['an unknown adapter', { model: 'history/nothing' }, {}, 404, 'unknown_adapter'],
+    ['an adapter named like a property of objects', { model: 'history/constructor' }, {}, 404, 'unknown_adapter'],
+    ['an unknown version', { model: 'history/essays@v9' }, {}, 404, 'unknown_version'],
+    ["another team's adapter", { model: 'geography/essays' }, {}, 403, 'forbidden'],
+    ["another team's key", {}, { authorization: `Bearer ${OTHER_KEY}` }, 403, 'forbidden'],
+    ['a wrong key', {}, { authorization: 'Bearer wrong' }, 401, 'unauthorized'],
+    ['a model that is not one', { model: '../../etc' }, {}, 400, 'invalid_model_name'],
+    ['too many tokens', { max_tokens: 1e300 }, {}, 400, 'invalid_request'],
+    ['a token count that is not whole', { max_tokens: 1.5 }, {}, 400, 'invalid_request'],
+    ['a negative seed', { seed: -1 }, {}, 400, 'invalid_request'],
+    ['two answers at once', { n: 2 }, {}, 400, 'invalid_request'],
+    ['a class that the team has not', {}, { 'x-limpetwinch-class': 'royal' }, 400, 'invalid_request'],
+    ['a deadline that is not a number', {}, { 'x-limpetwinch-deadline-ms': 'soon' }, 400, 'invalid_request'],
+    ['a mark that is neither true nor false', {}, { 'x-limpetwinch-idempotent': 'maybe' }, 400, 'invalid_request']
+  ])('refuses %s with an error of its own', async (_what, fields, headers, status, code) => {
+    const before = running.runs
+    const answer = await running.complete(fields, headers)
+    expect(answer.status).toBe(status)
+    expect(answer.headers['x-limpetwinch-outcome']).toBe('not_run')
+    expect(JSON.parse(answer.text)).toMatchObject({ error: { code, outcome: 'not_run', message: expect.any(String) } })
+    expect(running.runs).toBe(before)
+  })
+
+  it.each([
+    ['malformed JSON', '{"model": ', 400, 'malformed_json'],
+    ['invalid UTF-8', Buffer.from([0x7b, 0x22, 0xff, 0xfe, 0x22, 0x7d]), 400, 'malformed_json'],
+    ['an oversize body', `{"prompt": "${'x'.repeat(70_000)}"}`, 413, 'body_too_large'],
+    ['a body that is no object', '17', 400, 'invalid_request']
+  ])('refuses %s', async (_what, body, status, code) => {
+    const answer = await running.call('/v1/completions', body)
+    expect(answer.status).toBe(status)
+    expect(JSON.parse(answer.text)).toMatchObject({ error: { code, outcome: 'not_run' } })
+    await expectGoodAnswer()
+  })
+
+  // The slow caller is told that its body came too slowly, and nothing was run; others are served meanwhile.
+  // It sends the head and half of the body and then nothing. Waiting for the rest would hold its connection for ever.
+  it('gives up on a half-sent body', async () => {
+    const half = raw('POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-of-history\r\ncontent-length: 100\r\n\r\n{"model":')
+    await expectGoodAnswer()
+    const read = await half
+    expect(read).toContain('408')
+    expect(read).toContain('body_timeout')
+  })
+
+  it('refuses a head that is too large', async () => {
+    const read = await raw(`GET /v1/models HTTP/1.1\r\nhost: x\r\nx-long: ${'y'.repeat(20_000)}\r\n\r\n`)
+    expect(read).toMatch(/^HTTP\/1\.1 431/)
+  })
+
+  // Others see nothing of a caller that goes away midway: its request is cancelled at the engine and its place is free.
+  it('cancels the request of a caller that goes away', async () => {
+    const controller = new AbortController()
+    const { request } = await import('undici')
+    const response = await request(`${running.url}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: 'Bearer key-of-history', 'content-type': 'application/json' },
+      body: JSON.stringify({ model: 'history/essays', prompt: 'Long', max_tokens: 50_000, stream: true }),
+      signal: controller.signal
+    })
+    for await (const chunk of response.body) {
+      if (chunk.length > 0) break
+    }
+    controller.abort()
+    await expect.poll(() => running.engine.history.all().some((event) => event.event === 'run-ended' && event.result === 'cancelled'), { timeout: 20_000 }).toBe(true)
+    await expectGoodAnswer()
+  })
+
+  it('answers any JSON with an error or an answer, and goes on', async () => {
+    await fc.assert(fc.asyncProperty(fc.json(), async (body) => {
+      const answer = await running.call('/v1/chat/completions', body)
+      expect([400, 403, 404, 413]).toContain(answer.status)
+      expect(JSON.parse(answer.text).error.outcome).toBe('not_run')
+    }), { seed: SEED, numRuns: 100 })
+    await expectGoodAnswer()
+  })
+
+  it('answers any bytes with an error, and goes on', async () => {
+    await fc.assert(fc.asyncProperty(fc.uint8Array({ minLength: 1, maxLength: 200 }), async (bytes) => {
+      const answer = await running.call('/v1/completions', Buffer.from(bytes))
+      expect(answer.status).toBe(400)
+    }), { seed: SEED, numRuns: 100 })
+    await expectGoodAnswer()
+  })
+})
