Let the last instance of a data centre stop

It now gives up after two seconds without a successor; an instance that comes later takes over after this one's end, as after a loss.

Ruled out: giving up at once, since a peer may be suspect for a moment only.

--- a/packages/entry/src/ownership/hand-overs.ts
+++ b/packages/entry/src/ownership/hand-overs.ts
@@ -11,6 +11,8 @@
 const WRITE_MILLISECONDS = 5_000
 const RECORD_WAIT_MILLISECONDS = 1_000
 const LOOK_MILLISECONDS = 50
+/** A peer may be suspect for a moment only; one that is absent for longer takes over after this instance's end. */
+const NOBODY_MILLISECONDS = 2_000
 
 /** What hand-overs are made of. */
 export interface HandOversOptions {
@@ -55,12 +57,17 @@
    * Hands over everything, for a planned stop. The membership must say that this instance leaves.
    *
    * @param signal - gives up; what is left is taken over after this instance's end
-   * @returns endpoints that are left
+   * @returns endpoints that are left: nobody was there to take them, or the signal came
    */
   async leave (signal: AbortSignal): Promise<readonly EndpointId[]> {
+    let hopeUntil = this.clock.now() + NOBODY_MILLISECONDS
     for (;;) {
-      const left = this.options.ownership.owned().map((record) => record.endpoint)
+      const { ownership } = this.options
+      const left = ownership.owned().map((record) => record.endpoint)
       if (left.length === 0 || signal.aborted) return left
+      if (ownership.hasSuccessors()) hopeUntil = this.clock.now() + NOBODY_MILLISECONDS
+      // The last instance of a data centre would wait for a successor until its time for stopping is over.
+      if (this.clock.now() > hopeUntil) return left
       if (!await this.handOver(left, signal)) await this.clock.sleep(LOOK_MILLISECONDS, signal)
     }
   }
--- a/packages/entry/src/ownership/store-ownership.ts
+++ b/packages/entry/src/ownership/store-ownership.ts
@@ -167,6 +167,12 @@
     return surplusOf(this.known, this.peers.self.instance, ground)
   }
 
+  /** @returns whether anybody else is there to take endpoints over by plan */
+  hasSuccessors (): boolean {
+    const own = this.peers.self.instance
+    return this.ground()?.candidates.some((candidate) => candidate !== own) ?? false
+  }
+
   /**
    * Writes other owners for some of this instance's endpoints.
    *
--- a/packages/entry/test/hand-over.failure.test.ts
+++ b/packages/entry/test/hand-over.failure.test.ts
@@ -64,6 +64,19 @@
     await until(() => mayEvict(third))
   })
 
+  // The caller sees nothing; operators see an instance that does not stop. It is the last one of its data centre, so
+  // nobody can take its endpoints. Waiting for somebody would hold the stop until its whole time is over.
+  it('leaves its endpoints behind when nobody is there to take them', async () => {
+    cluster = new Cluster()
+    const [owner] = await cluster.startAll(['one']) as [TestInstance]
+    cluster.setEngines(1)
+    await until(() => owner.ownership.owned().length === 1)
+    owner.membership.startLeaving()
+    const limit = AbortSignal.timeout(30_000)
+    expect(await owner.handOvers.leave(limit)).toEqual([E0])
+    expect(limit.aborted).toBe(false)
+  })
+
   // The caller sees nothing. The store is out when an owner wants to leave: nothing is written, the owner gives orders
   // again and goes on serving until the store is back.
   it('goes on serving while the store is out', async () => {
