--- a/packages/entry/src/membership/list-membership.ts
+++ b/packages/entry/src/membership/list-membership.ts
@@ -1,9 +1,8 @@
 /** Membership from the platform's lagging list and the heartbeats of peers. */
 import { SystemClock } from '@limpetwinch/core'
 import type { Clock, DataCentreId, InstanceId, InstanceList, ListedInstance, Logger } from '@limpetwinch/core'
-import { Wake } from '../concurrency/wake.js'
 import type { PeerIdentity, PeerLinks, PeerTarget } from '../peers/peer-links.js'
-import { rendezvousRank } from '../placement/rendezvous.js'
+import { hearsMajority } from './cut-off.js'
 import { MemberEntry } from './member-entry.js'
 import { Membership } from './membership.js'
 import type { Member } from './membership.js'
@@ -12,6 +11,10 @@
 const UNLISTED_GONE_MILLISECONDS = 600_000
 const FORGET_GONE_MILLISECONDS = 3_600_000
 const REMOTE_SUSPECT_FACTOR = 5
+const TICKS_TO_SUSPECT = 12
+const PAUSED_AFTER_TICKS = 3
+/** Three tries to dial, each with its time limits and back-off, fit into so many times the time for suspicion. */
+const SETTLE_FACTOR = 4
 
 /** What the membership is made of. */
 export interface ListMembershipOptions {
@@ -42,11 +45,13 @@
   private readonly entries = new Map<InstanceId, MemberEntry>()
   private readonly goneAt = new Map<InstanceId, number>()
   private readonly listeners: (() => void)[] = []
-  private readonly wake = new Wake()
   private endpointsLeaving: ReadonlySet<string> = new Set()
   private keptRemotes: ReadonlySet<InstanceId> = new Set()
   private leavingSelf = false
   private targetsStale = false
+  private lastCutOff = -Infinity
+  private wokenUntil = -Infinity
+  private lastJudged: number
   private listRead = false
 
   /** @param options - the sources and their times */
@@ -60,6 +65,7 @@
     this.pollMilliseconds = options.pollMilliseconds ?? 2_000
     this.suspectAfterMilliseconds = options.suspectAfterMilliseconds ?? 3_000
     this.unlistedGoneMilliseconds = options.unlistedGoneMilliseconds ?? UNLISTED_GONE_MILLISECONDS
+    this.lastJudged = this.clock.now()
     this.peers.onConnected((peer) => this.connected(peer))
     this.peers.onHeartbeat((from, heartbeat) => this.heard(from, (entry) => { entry.heartbeat = heartbeat.frame }))
     this.peers.onNotice('goodbye', (from) => this.heard(from, (entry) => { entry.saidGoodbye = true }))
@@ -106,23 +112,18 @@
   }
 
   /**
-   * @param dataCentre - which members count
-   * @returns whether this instance hears so many of them that it is not itself the one cut off
+   * Whether this instance may act on the silence of others. After it was cut off it waits: those to which it has not
+   * got a new connection yet still look silent, and it would take over what they serve.
    */
-  hearsEnough (dataCentre: DataCentreId): boolean {
-    const others = [...this.entries.values()].filter((entry) => entry.dataCentre === dataCentre && entry.state !== 'gone')
-    // An instance whose address refuses connections has ended; an instance that is cut off gets no such answer.
-    const counted = others.filter((entry) => entry.state !== 'suspect' || entry.evidence === undefined)
-    const heard = 1 + counted.filter((entry) => entry.state !== 'suspect').length
-    const all = 1 + counted.length
-    if (heard * 2 !== all) return heard * 2 > all
-    const [first] = rendezvousRank('even-split', [this.peers.self.instance, ...counted.map((entry) => entry.instance)])
-    return first !== undefined && this.sides(counted).has(first)
+  hearsEnough (): boolean {
+    return this.clock.now() - this.lastCutOff > SETTLE_FACTOR * this.suspectAfterMilliseconds
   }
 
-  private sides (counted: readonly MemberEntry[]): ReadonlySet<InstanceId> {
-    const heard = counted.filter((entry) => entry.state !== 'suspect').map((entry) => entry.instance)
-    return new Set([this.peers.self.instance, ...heard])
+  private noticeCutOff (): void {
+    const others = [...this.entries.values()]
+      .filter((entry) => entry.dataCentre === this.peers.self.dataCentre && entry.state !== 'gone')
+      .map((entry) => ({ instance: entry.instance, heard: entry.state !== 'suspect', refused: entry.evidence !== undefined }))
+    if (!hearsMajority(this.peers.self.instance, others)) this.lastCutOff = this.clock.now()
   }
 
   private self (): Member {
@@ -142,10 +143,10 @@
   }
 
   private async judgeOften (signal: AbortSignal): Promise<void> {
-    const tick = this.suspectAfterMilliseconds / 12
+    const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
     while (!signal.aborted) {
       this.judge()
-      await this.wake.wait(tick, signal)
+      await this.clock.sleep(tick, signal)
     }
   }
 
@@ -176,8 +177,10 @@
   }
 
   private connected (peer: PeerIdentity): void {
+    const present = this.entries.get(peer.instance)
+    if (present !== undefined) present.evidence = undefined
     // The list's address stands where there is one: what a peer takes for its own may not be how it is reached.
-    if (!this.entries.has(peer.instance)) this.entryOf(peer.instance, peer.dataCentre, peer.address)
+    if (present === undefined) this.entryOf(peer.instance, peer.dataCentre, peer.address)
     this.judge()
   }
 
@@ -190,13 +193,26 @@
 
   /** Judges every member anew and tells what changed. */
   private judge (changedAlready = false): void {
+    this.noticePause()
     const changed = [...this.entries.values()].map((entry) => this.judgeOne(entry))
     this.forgetGone(this.clock.now())
+    this.noticeCutOff()
     if (!changed.includes(true) && !changedAlready && !this.targetsStale) return
     this.targetsStale = false
     this.changed()
   }
 
+  /**
+   * After a pause of this process all others look silent, and it would take over what they own. What they sent
+   * meanwhile waits in the sockets; a third of the time for suspicion is enough to read it.
+   */
+  private noticePause (): void {
+    const now = this.clock.now()
+    const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
+    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) this.wokenUntil = now + this.suspectAfterMilliseconds / 3
+    this.lastJudged = now
+  }
+
   /** Heartbeats come by the dozen each second; each judges its sender alone. */
   private judgeOne (entry: MemberEntry): boolean {
     const own = entry.dataCentre === this.peers.self.dataCentre
@@ -205,6 +221,7 @@
       now: this.clock.now(),
       lastHeard: this.peers.lastHeard(entry.instance),
       kept: own || this.keptRemotes.has(entry.instance),
+      justWoken: this.clock.now() < this.wokenUntil,
       suspectAfterMilliseconds: this.suspectAfterMilliseconds * (own ? 1 : REMOTE_SUSPECT_FACTOR),
       unlistedGoneMilliseconds: this.unlistedGoneMilliseconds
     })
--- a/packages/entry/src/membership/member-entry.ts
+++ b/packages/entry/src/membership/member-entry.ts
@@ -14,6 +14,8 @@
   readonly lastHeard: number | undefined
   /** Whether a connection to it is kept, so that silence says something. */
   readonly kept: boolean
+  /** Whether this process has just woken from a pause, so that what peers sent may still be unread. */
+  readonly justWoken: boolean
   readonly suspectAfterMilliseconds: number
   readonly unlistedGoneMilliseconds: number
 }
@@ -26,6 +28,7 @@
   listing: Listing = 'never'
   heartbeat: HeartbeatFrame | undefined
   saidGoodbye = false
+  /** Why it is taken to have ended before its silence has lasted long. */
   evidence: EndEvidence | undefined
   /** When the read of the list began that first lacked it, after it had been listed. */
   absentSince: number | undefined
@@ -81,10 +84,10 @@
     if (this.saidGoodbye) return 'gone'
     // A member that has just been listed has not had time to connect; taking it for silent would let a new instance
     // take over the endpoints of all others.
-    const heard = judgement.now - (judgement.lastHeard ?? this.firstSeen) <= judgement.suspectAfterMilliseconds
-    if (heard) {
+    const heardInTime = judgement.now - (judgement.lastHeard ?? this.firstSeen) <= judgement.suspectAfterMilliseconds
+    const heard = heardInTime || (judgement.justWoken && (this.state === 'alive' || this.state === 'leaving'))
+    if (heard && this.evidence === undefined) {
       this.suspectSince = undefined
-      this.evidence = undefined
       return this.leaving() ? 'leaving' : 'alive'
     }
     this.suspectSince ??= judgement.now
