Put the launcher's settings in by the command line

Sample settings were written to the store directly, past the admin API and the command line that operators use. The launcher now runs 'limpetwinch settings put' for each path against one instance and waits until both instances have them in force.

--- a/packages/stand-ins/src/develop/deployment.ts
+++ b/packages/stand-ins/src/develop/deployment.ts
@@ -8,12 +8,12 @@
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Logger } from '@limpetwinch/core'
 import { z } from 'zod'
+import { putByCommandLine } from './command-line.js'
 import { LaunchedProcess } from './launched-process.js'
-import { putSettings } from './put-settings.js'
 import { registerInstance } from './register-instance.js'
 import { BASE_MODEL, ENGINE_BATCH_CAPACITY, ENGINE_SLOTS, makeKey, sampleSettings } from './sample-settings.js'
-import type { DevelopmentKey, SampleEngine, SampleService } from './sample-settings.js'
-import { untilReady } from './until-ready.js'
+import type { DevelopmentKey, SampleEngine, SampleService, SettingsFile } from './sample-settings.js'
+import { untilInForce, untilReady } from './until-ready.js'
 
 /** An entry instance that listens. */
 export interface RunningEntry {
@@ -80,12 +80,9 @@
     }
     const entries = await this.startEntries(platform.value)
     if (entries.isErr()) return err(entries.error)
-    const put = await putSettings(platform.value, sampleSettings(this.callerKey, engines.value, services.value))
-    if (put.isErr()) return err(put.error)
-    for (const entry of entries.value) {
-      const ready = await untilReady(entry.name, entry.admin, () => this.lost.length > 0)
-      if (ready.isErr()) return err(ready.error)
-    }
+    const files = sampleSettings(this.callerKey, engines.value, services.value)
+    const settled = await this.putSettings(entries.value, files)
+    if (settled.isErr()) return err(settled.error)
     return ok({ platform: platform.value, engines: engines.value, services: services.value, entries: entries.value })
   }
 
@@ -104,6 +101,23 @@
     return this.processes.flatMap((launched) => launched.written.map((line) => `[${launched.name}] ${line}`))
   }
 
+  /** Puts settings in at one instance and waits until they are in force at all. */
+  private async putSettings (entries: readonly RunningEntry[], files: readonly SettingsFile[]): Promise<Result<void, LimpetwinchError>> {
+    const hopeless = (): boolean => this.lost.length > 0
+    for (const entry of entries) {
+      const ready = await untilReady(entry.name, entry.admin, hopeless)
+      if (ready.isErr()) return err(ready.error)
+    }
+    const { key } = this.administratorKey
+    const put = await putByCommandLine({ server: entries[0]?.admin ?? '', key }, this.folder ?? tmpdir(), files)
+    if (put.isErr()) return err(put.error)
+    for (const entry of entries) {
+      const inForce = await untilInForce(entry.name, entry.admin, key, files.length, hopeless)
+      if (inForce.isErr()) return err(inForce.error)
+    }
+    return ok()
+  }
+
   private async startEngines (platform: string): Promise<Result<SampleEngine[], LimpetwinchError>> {
     const started: SampleEngine[] = []
     for (const engine of ENGINES) {
