Cancel nothing behind a whole answer

The delivery yielded the end of the answer before it had noted it; the caller's side stops reading at the end, which ends the generators there, so the attempt took itself for cut short. The router never heard that an engine had answered, either, so outlier ejection saw failures only. The end is now yielded last of all.

The stand-in engine counts the calls that came, for it.

--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -104,7 +104,7 @@
 }
 
 /** What one attempt came to: the answer is whole, or an error which says whether it may have run. */
-type Attempt = { readonly whole: true } | { readonly whole: false, readonly error: LimpetwinchError }
+type Attempt = { readonly whole: true, readonly end: DeliveryEvent } | { readonly whole: false, readonly error: LimpetwinchError }
 
 /** The state of one request over its attempts. */
 class DeliveryRun {
@@ -132,7 +132,8 @@
       const { held, route } = admission.value
       yield { kind: 'admitted', endpoint: route.engine.endpoint, servedAs: held.loadedName, loadStall: held.grant.loadStall, queueWait: held.grant.queueWait }
       const attempt = yield * this.attempt(route, held)
-      if (attempt.whole) return
+      // Yielded last of all: a reader stops at the end, and nothing of an attempt that it cut short is run after it.
+      if (attempt.whole) return yield attempt.end
       if (!this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
       this.avoid.add(route.engine.endpoint)
     }
@@ -223,8 +224,8 @@
       } else if (event.kind === 'end') {
         held.done('answered', event.end.outputTokens)
         this.story.add('answered whole', { outputTokens: event.end.outputTokens })
-        yield { kind: 'end', finishReason: event.end.finishReason, promptTokens: event.end.promptTokens, outputTokens: event.end.outputTokens }
-        return { whole: true }
+        const { finishReason, promptTokens, outputTokens } = event.end
+        return { whole: true, end: { kind: 'end', finishReason, promptTokens, outputTokens } }
       } else {
         this.story.add('attempt failed', { kind: event.error.kind, outcome: event.error.outcome, reason: event.error.message })
         if (event.error.outcome === 'not_run') held.done('not-run', 0)
--- a/packages/entry/test/callers/promises.failure.test.ts
+++ b/packages/entry/test/callers/promises.failure.test.ts
@@ -19,6 +19,20 @@
 const answerText = (tokens: number): string => expectedAnswer({ adapter: 'history/essays@v2', prompt: 'Why?', seed: 7 }, tokens)
 
 describe('what a caller is told', () => {
+  // The caller has its whole answer, streamed or not. Nothing is left to cancel: an order to the engine for each
+  // answered request would cost as much as the request, and the router would never hear that the engine answers.
+  it('is the end of the request: nothing is cancelled behind it', async () => {
+    await start()
+    for (const stream of [true, false, true]) expect((await running.complete({ stream })).status).toBe(200)
+    const gone = new AbortController()
+    const left = running.complete({ max_tokens: 100_000 }, {}, gone.signal).catch(() => undefined)
+    await vi.waitFor(() => expect(running.runs).toBe(4), WAIT)
+    gone.abort()
+    await left
+    await vi.waitFor(() => expect(running.engine.calls.cancel).toBeGreaterThan(0), WAIT)
+    expect(running.engine.calls).toEqual({ generate: 4, resume: 0, cancel: 1 })
+  })
+
   // The caller of an idempotent request sees its whole answer, each word once.
   // The engine restarts cold in the middle. The request is run again with the same seed; what the caller has read
   // already is compared and not sent a second time.
--- a/packages/entry/test/support/running-entry.ts
+++ b/packages/entry/test/support/running-entry.ts
@@ -75,18 +75,19 @@
   }
 
   /** Calls the caller API. */
-  async call (path: string, body: string | Buffer, headers: Record<string, string> = {}): Promise<Answer> {
+  async call (path: string, body: string | Buffer, headers: Record<string, string> = {}, signal?: AbortSignal): Promise<Answer> {
     const response = await request(this.url + path, {
       method: 'POST',
       headers: { authorization: `Bearer ${KEY}`, 'content-type': 'application/json', ...headers },
-      body
+      body,
+      ...(signal === undefined ? {} : { signal })
     })
     return { status: response.statusCode, headers: response.headers, text: await response.body.text() }
   }
 
   /** Asks for a text completion. */
-  async complete (fields: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Answer> {
-    return await this.call('/v1/completions', JSON.stringify({ model: 'history/essays', prompt: 'Why?', max_tokens: 8, seed: 7, ...fields }), headers)
+  async complete (fields: Record<string, unknown> = {}, headers: Record<string, string> = {}, signal?: AbortSignal): Promise<Answer> {
+    return await this.call('/v1/completions', JSON.stringify({ model: 'history/essays', prompt: 'Why?', max_tokens: 8, seed: 7, ...fields }), headers, signal)
   }
 
   /** @returns requests that the engine began to run */
--- a/packages/stand-ins/src/engine/stand-in-engine.ts
+++ b/packages/stand-ins/src/engine/stand-in-engine.ts
@@ -23,9 +23,17 @@
 
 type Answer = Response | Promise<Response>
 
+/** Calls that came, by kind. */
+export interface EngineCalls {
+  generate: number
+  resume: number
+  cancel: number
+}
+
 /** One model engine. */
 export class StandInEngine extends StandInServer {
   readonly history: HistoryRecorder
+  readonly calls: EngineCalls = { generate: 0, resume: 0, cancel: 0 }
   private readonly options: StandInEngineOptions
   private readonly batch: Batch
   private readonly slots: AdapterSlots
@@ -107,6 +115,7 @@
       const after = Number(context.req.query('after') ?? 0) || 0
       return context.json({ events: this.cache.eventsAfter(after) })
     })
+    application.get('/control/calls', (context) => context.json(this.calls))
     application.get('/control/history', (context) => context.json({ events: this.history.all() }))
     application.post('/control/faults', async (context) => {
       const body = await readBody(context, engineFaultsSchema)
@@ -123,6 +132,7 @@
   }
 
   private async generate (context: Context<StandInEnvironment>): Promise<Response> {
+    this.calls.generate += 1
     const body = await readBody(context, generateSchema)
     if (body.isErr()) return body.error
     const { adapter } = body.value
@@ -139,6 +149,7 @@
   }
 
   private resume (context: Context<StandInEnvironment>): Answer {
+    this.calls.resume += 1
     const requestId = context.req.param('id') ?? ''
     const sequence = this.sequences.find(requestId)
     if (sequence === undefined) return refuse(context, 404, 'unknown-request', `Request '${requestId}' is not known here.`)
@@ -160,6 +171,7 @@
   }
 
   private cancel (context: Context<StandInEnvironment>): Answer {
+    this.calls.cancel += 1
     const sequence = this.sequences.find(context.req.param('id') ?? '')
     if (sequence !== undefined && !this.faults.ignoreCancel) this.batch.end(sequence, 'cancelled', 'cancelled')
     return context.json({})
