--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -1,8 +1,8 @@
 /** One entry instance: all its parts under one supervisor tree. */
 import type { HttpBindings } from '@hono/node-server'
 import type { Hono } from 'hono'
-import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, InstanceId, InstanceSettings, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
+import { HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, HttpEngineClient, InstanceId, InstanceSettings, LoadedName, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
 import { ShareRetryBudget, WeightedRoutingPolicy } from '@limpetwinch/decisions'
 import type { RetryBudget, RoutingPolicy } from '@limpetwinch/decisions'
 import { adminApi } from './admin/admin-api.js'
@@ -14,24 +14,27 @@
 import { HttpServer } from './callers/http-server.js'
 import { ServiceCalls } from './callers/service-calls.js'
 import { TeamGate } from './callers/team-gate.js'
+import { EntryParts } from './entry-parts.js'
 import { AdmissionClient } from './delivery/admission-client.js'
-import { Delivery } from './delivery/delivery.js'
 import { InFlightTable } from './delivery/in-flight-table.js'
 import { ServiceDelivery } from './delivery/service-delivery.js'
+import { ConductedLoadTurns } from './loads/conducted-load-turns.js'
 import { PacedLoadTurns } from './loads/paced-load-turns.js'
 import { ExplainLog } from './measures/explain-log.js'
 import { Measures } from './measures/measures.js'
-import { ListMembership } from './membership/list-membership.js'
-import { Claims } from './outcomes/claims.js'
-import { StoreOwnership } from './ownership/store-ownership.js'
+import type { ListMembership } from './membership/list-membership.js'
+import { EndpointRecoveries } from './ownership/endpoint-recoveries.js'
+import { HandOvers } from './ownership/hand-overs.js'
+import type { StoreOwnership } from './ownership/store-ownership.js'
 import { TcpPeerNetwork } from './peers/tcp-peer-network.js'
 import { EndpointDirectory } from './routing/endpoint-directory.js'
 import { PrefixTracker } from './routing/prefix-tracker.js'
 import { Router } from './routing/router.js'
 import { Supervisor } from './runtime/supervisor.js'
 import { WorkInProgress } from './runtime/work-in-progress.js'
-import { OwnedEndpoints } from './scheduling/owned-endpoints.js'
-import { SettingsFollower } from './settings/settings-follower.js'
+import type { OwnedEndpoints } from './scheduling/owned-endpoints.js'
+import { SchedulerHandOver } from './scheduling/scheduler-hand-over.js'
+import type { SettingsFollower } from './settings/settings-follower.js'
 import { SettingsHistory } from './settings/settings-history.js'
 import { SettingsWriter } from './settings/settings-writer.js'
 
@@ -42,6 +45,7 @@
 const OWNERS_HEARD_MILLISECONDS = 10_000
 /** The balancer and the peers are given so long to see that this instance is not ready before it closes. */
 const LEAVING_MILLISECONDS = 1_000
+const GOODBYE_MILLISECONDS = 50
 
 /** Where an instance listens. */
 export interface ListeningAt {
@@ -55,6 +59,7 @@
   readonly instance: InstanceId = newInstanceId()
   readonly dataCentre: DataCentreId
   private readonly settings: InstanceSettings
+  private readonly parts: EntryParts
   private readonly logger: Logger
   private readonly clock: Clock = new SystemClock()
   private readonly supervisor: Supervisor
@@ -73,7 +78,9 @@
   private readonly work = new WorkInProgress()
   private readonly engineClients = new Map<string, HttpEngineClient>()
   private readonly serviceClients = new Map<string, HttpServiceClient>()
+  private readonly recoveries: EndpointRecoveries
   private readonly owned: OwnedEndpoints
+  private readonly handOvers: HandOvers
   private readonly callerServer: HttpServer
   private readonly adminServer: HttpServer
   private routingPolicy: RoutingPolicy = new WeightedRoutingPolicy()
@@ -84,9 +91,11 @@
   /**
    * @param settings - the instance's own settings
    * @param logger - the process's logger
+   * @param parts - makes the parts
    */
-  constructor (settings: InstanceSettings, logger: Logger) {
+  constructor (settings: InstanceSettings, logger: Logger, parts: EntryParts = new EntryParts()) {
     this.settings = settings
+    this.parts = parts
     this.logger = logger.part('instance')
     this.dataCentre = settings.dataCentre as DataCentreId
     const { clock } = this
@@ -103,7 +112,7 @@
       clock,
       heartbeatMilliseconds: timing.heartbeatMilliseconds
     })
-    this.membership = new ListMembership({
+    this.membership = this.parts.membership({
       peers: this.network,
       list: this.instanceList,
       logger,
@@ -111,7 +120,7 @@
       pollMilliseconds: timing.instanceListMilliseconds,
       suspectAfterMilliseconds: timing.suspectMilliseconds
     })
-    this.follower = new SettingsFollower({
+    this.follower = this.parts.settings({
       store: this.store,
       network: this.network,
       membership: this.membership,
@@ -120,7 +129,7 @@
       clock,
       watchMilliseconds: timing.settingsWatchMilliseconds
     })
-    this.ownership = new StoreOwnership({
+    this.ownership = this.parts.ownership({
       peers: this.network,
       membership: this.membership,
       store: this.store,
@@ -128,7 +137,26 @@
       logger,
       clock
     })
+    this.recoveries = new EndpointRecoveries({
+      peers: this.network,
+      membership: this.membership,
+      ownership: this.ownership,
+      engines: () => this.enginesHere(),
+      clientOf: (engine) => this.engineClient(engine),
+      granted: (endpoint, requestId) => this.owned.get(endpoint)?.scheduler.running.has(requestId) ?? false,
+      longestRequestMilliseconds: () => 1000 * (this.follower.current()?.policy.longestRequestSeconds ?? Infinity),
+      logger,
+      clock
+    })
     this.owned = this.buildOwned(logger)
+    this.handOvers = new HandOvers({
+      peers: this.network,
+      ownership: this.ownership,
+      recoveries: this.recoveries,
+      source: new SchedulerHandOver(this.owned, (endpoint) => this.recoveries.earlierPins(endpoint)),
+      logger,
+      clock
+    })
     this.follower.onChange(() => this.settingsChanged())
     this.answerPinsAsks()
     this.network.onNotice('endpoint-digest', (from, frame) => { this.directory.hear(from, frame, clock.now()) })
@@ -148,6 +176,8 @@
     void this.supervisor.start('membership', async (signal) => await this.membership.run(signal))
     void this.supervisor.start('settings', async (signal) => await this.follower.run(signal))
     void this.supervisor.start('ownership', async (signal) => await this.ownership.run(signal))
+    void this.supervisor.start('recoveries', async (signal) => await this.recoveries.run(signal))
+    void this.supervisor.start('hand-overs', async (signal) => await this.handOvers.run(signal))
     void this.supervisor.start('digests', async (signal) => await this.owned.broadcast(signal))
     this.logger.info('The instance listens.', { caller, admin, peer, instance: this.instance })
     return { caller, admin, peer }
@@ -175,17 +205,26 @@
     this.logger.info('The instance is stopping.', { requestsInProgress: this.work.count })
     this.stopping = true
     this.membership.startLeaving()
-    // New work is still taken until the balancer has had time to see this instance leave.
-    await this.clock.sleep(LEAVING_MILLISECONDS)
-    const closed = Promise.allSettled([this.callerServer.close(), this.work.finished()])
-    const inTime = this.clock.sleep(1000 * this.settings.limits.stopSeconds).then(() => false)
-    const finished = await Promise.race([closed.then(() => true), inTime])
+    const inTime = this.clock.sleep(1000 * this.settings.limits.stopSeconds, this.supervisor.signal).then(() => false)
+    const finished = await Promise.race([this.drain().then(() => true), inTime])
     const cut = finished ? 0 : this.work.count
     if (cut > 0) this.logger.error('Requests are cut off, since the time for stopping is over.', { requests: cut })
     await this.end()
     return cut
   }
 
+  /** New work is still taken until the balancer has had time to see that this instance is not ready any more. */
+  private async drain (): Promise<void> {
+    const handedOver = this.handOvers.leave(this.supervisor.signal)
+    await this.clock.sleep(LEAVING_MILLISECONDS)
+    await Promise.allSettled([this.callerServer.close(), this.work.finished()])
+    const left = await handedOver
+    if (left.length > 0) this.logger.warn('Endpoints are left for others to take over.', { endpoints: left })
+    // With this word the others need not wait for the platform's list to say that nothing runs here any more.
+    this.membership.sayGoodbye()
+    await this.clock.sleep(GOODBYE_MILLISECONDS)
+  }
+
   /** Ends at once, as a crash would; for tests. */
   async kill (): Promise<void> {
     this.callerServer.destroy()
@@ -203,15 +242,22 @@
   }
 
   private buildOwned (logger: Logger): OwnedEndpoints {
-    return new OwnedEndpoints({
+    return this.parts.ownedEndpoints({
       supervisor: this.supervisor.child('scheduler'),
       network: this.network,
       membership: this.membership,
       ownership: this.ownership,
       settings: () => this.follower.current(),
       directory: this.directory,
-      loadTurns: new PacedLoadTurns(() => this.loadsPerSecondHere(), this.clock),
-      earlierPins: () => new Set(),
+      loadTurns: new ConductedLoadTurns({
+        peers: this.network,
+        membership: this.membership,
+        logger,
+        fallback: new PacedLoadTurns(() => this.loadsPerSecondHere(), this.clock),
+        scope: 'deployment',
+        clock: this.clock
+      }),
+      earlierPins: (endpoint) => this.namesInEarlierUse(endpoint),
       clientOf: (engine) => this.engineClient(engine),
       clock: this.clock,
       logger: logger.part('scheduler')
@@ -236,8 +282,8 @@
       settings: () => this.follower.current(),
       authentication: new Authentication(),
       gate: new TeamGate(this.clock, () => this.membership.members().length),
-      claims: new Claims(this.store, this.clock),
-      delivery: new Delivery({
+      claims: this.parts.claims(this.store, this.clock),
+      delivery: this.parts.delivery({
         router,
         admissions,
         directory: this.directory,
@@ -341,10 +387,15 @@
     return rate / Math.max(1, this.membership.members().length)
   }
 
+  private namesInEarlierUse (endpoint: EndpointId): ReadonlySet<LoadedName> {
+    const names = this.recoveries.earlierPins(endpoint).map((pin) => pin.loadedName)
+    return new Set(names.filter((name) => name !== undefined))
+  }
+
   private engineClient (engine: EngineSettings): EngineClient {
     const present = this.engineClients.get(engine.url)
     if (present !== undefined) return present
-    const client = new HttpEngineClient(engine.endpoint, engine.url)
+    const client = this.parts.engineClient(engine)
     this.engineClients.set(engine.url, client)
     return client
   }
--- a/packages/entry/src/scheduling/loader.ts
+++ b/packages/entry/src/scheduling/loader.ts
@@ -43,7 +43,7 @@
   private readonly options: LoaderOptions
   private readonly failures = new Map<string, Failures>()
   private wake: () => void = () => undefined
-  private stopped = false
+  private readonly stopping = new AbortController()
 
   /** @param options - what it works with */
   constructor (options: LoaderOptions) {
@@ -57,21 +57,26 @@
 
   /** Orders nothing more; an order under way is finished by {@link Loader.run}. */
   stop (): void {
-    this.stopped = true
-    this.wake()
+    this.stopping.abort()
+  }
+
+  private get stopped (): boolean {
+    return this.stopping.signal.aborted
   }
 
   /** Runs until stopped or the signal ends it; when it has returned no order is under way. */
   async run (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.stopped) {
+    const either = AbortSignal.any([signal, this.stopping.signal])
+    while (!either.aborted) {
       const wanted = this.mostUrgent()
-      if (wanted === undefined) await this.idle(signal)
-      else await this.serve(wanted, signal)
+      if (wanted === undefined) await this.idle(either)
+      else await this.serve(wanted, either)
     }
   }
 
   private async serve (wanted: WantedLoad, signal: AbortSignal): Promise<void> {
     const release = await this.turn(wanted, signal)
+    if (release === undefined) return
     try {
       // While it waited for the turn, another load may have become more urgent, or this one may not be wanted any more.
       const now = this.mostUrgent()
@@ -82,11 +87,17 @@
     }
   }
 
-  private async turn (wanted: WantedLoad, signal: AbortSignal): Promise<() => void> {
+  /** @returns what gives the turn back, or undefined when the wait was given up */
+  private async turn (wanted: WantedLoad, signal: AbortSignal): Promise<(() => void) | undefined> {
     const { scheduler, loadOrder, loadTurns, clock } = this.options
     // Confirming what the engine holds already costs the weight store nothing.
     if (scheduler.slots.usable(wanted.adapter)?.state === 'unverified') return () => undefined
-    return await loadTurns.acquire(loadOrder.urgency(wanted, clock.now()), signal)
+    try {
+      return await loadTurns.acquire(loadOrder.urgency(wanted, clock.now()), signal)
+    } catch (cause) {
+      if (signal.aborted) return undefined
+      throw cause
+    }
   }
 
   private async loadOne (wanted: WantedLoad): Promise<boolean> {
