--- a/packages/cli/src/server/admin-command.ts
+++ b/packages/cli/src/server/admin-command.ts
@@ -73,7 +73,10 @@
     if (error.details['status'] === 401) this.error(KEY_REMEDY, { exit: EXIT.keyNotAccepted, code: 'unauthorized' })
     const problems = error.details['problems']
     const lines = Array.isArray(problems) ? (problems as Problem[]).map((problem) => problemLine(problem, file)) : []
-    const message = lines.length === 0 ? error.message : `The settings were refused; nothing was changed.\n${lines.join('\n')}`
+    const summary = lines.length === 0 ? error.message : 'The settings were refused; nothing was changed.'
+    const message = this.jsonEnabled() ? [summary, ...lines].join('\n') : summary
+    // Written past oclif, which breaks lines to the terminal's width: editors then find no place in them.
+    if (!this.jsonEnabled()) for (const line of lines) this.logToStderr(line)
     this.error(message, { exit: exitOf(error), code: String(error.details['code'] ?? error.code) })
   }
 }
--- a/packages/cli/src/server/watch-stream.ts
+++ b/packages/cli/src/server/watch-stream.ts
@@ -34,18 +34,21 @@
   const known = new Map<string, number>()
   let wait = FIRST_WAIT_MILLISECONDS
   while (!signal.aborted) {
+    let error: LimpetwinchError | undefined
     const silence = new SilenceTimer(signal)
-    const opened = await client.open(`/admin/watch?prefix=${encodeURIComponent(options.prefix)}&after=${options.after}`, silence.signal)
-    if (opened.isOk()) {
-      wait = FIRST_WAIT_MILLISECONDS
-      for await (const summary of summaries(opened.value, silence)) {
+    try {
+      const opened = await client.open(`/admin/watch?prefix=${encodeURIComponent(options.prefix)}&after=${options.after}`, silence.signal)
+      if (opened.isErr()) error = opened.error
+      else wait = FIRST_WAIT_MILLISECONDS
+      for await (const summary of opened.isOk() ? summaries(opened.value, silence) : []) {
         if ((known.get(summary.path) ?? 0) >= summary.revision) continue
         known.set(summary.path, summary.revision)
         yield summary
       }
+    } finally {
+      // Also when the reader has had enough: the timer would keep the process for another half minute.
+      silence.stop()
     }
-    silence.stop()
-    const error = opened.isErr() ? opened.error : undefined
     if (signal.aborted) return
     if (error !== undefined && options.isFinal(error)) return
     options.onLost(error)
