Read accepted texts by the built-in JSON parser first

Need: every instance reads each change on the thread that relays tokens.

Ruled out: a worker thread (the parsed object would have to be copied back).

Change: JSON.parse, and the parser that knows comments only where that fails; no scan for depth there, as the parser's RangeError is caught; one parse in place of two when checking, and places made only for problems.

--- a/packages/core/src/settings/settings-text.ts
+++ b/packages/core/src/settings/settings-text.ts
@@ -1,5 +1,5 @@
 /** JSON with comments as operators write it, with the place of each value. */
-import { createScanner, findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser'
+import { createScanner, findNodeAtLocation, getNodePath, getNodeValue, parse, parseTree, printParseErrorCode } from 'jsonc-parser'
 import type { Node, ParseError } from 'jsonc-parser'
 
 /** One reason to refuse a text. */
@@ -64,9 +64,9 @@
   const errors: ParseError[] = []
   const root = parseTree(text, errors, PARSE_OPTIONS)
   if (errors.length > 0 || root === undefined) return { problems: syntaxProblems(text, errors) }
-  const doubled = doubledKeys(text, root, '')
+  const doubled = doubledKeys(text, root)
   if (doubled.length > 0) return { problems: doubled }
-  return { parsed: { value: parse(text, [], PARSE_OPTIONS), root } }
+  return { parsed: { value: getNodeValue(root), root } }
 }
 
 /**
@@ -75,10 +75,23 @@
  * @returns the value, or undefined when the text is no JSON with comments
  */
 export function parseAcceptedText (text: string): unknown {
-  if (offsetDeeperThan(text, DEEPEST) !== undefined) return undefined
+  try {
+    // Many times faster than a parser that knows comments; every instance reads each change, between tokens to relay.
+    return JSON.parse(text)
+  } catch {
+    return parseWithComments(text)
+  }
+}
+
+function parseWithComments (text: string): unknown {
   const errors: ParseError[] = []
-  const value: unknown = parse(text, errors, PARSE_OPTIONS)
-  return errors.length > 0 ? undefined : value
+  try {
+    const value: unknown = parse(text, errors, PARSE_OPTIONS)
+    return errors.length > 0 ? undefined : value
+  } catch {
+    // The parser recurses; a text of brackets alone ends its stack. What was accepted is never so deep.
+    return undefined
+  }
 }
 
 /** @returns a problem at an offset */
@@ -127,21 +140,22 @@
  * A key written twice would silently keep its last value only, and `__proto__` would set no key at all: the operator
  * would see one thing and the instances another.
  */
-function doubledKeys (text: string, node: Node, place: string): SettingsProblem[] {
+function doubledKeys (text: string, node: Node): SettingsProblem[] {
   const problems: SettingsProblem[] = []
   const seen = new Set<string>()
   for (const child of node.children ?? []) {
-    if (node.type !== 'object') {
-      problems.push(...doubledKeys(text, child, place))
-      continue
-    }
-    const [keyNode, valueNode] = child.children ?? []
-    const key = String(keyNode?.value)
-    const inside = place === '' ? key : `${place}.${key}`
-    if (key === '__proto__') problems.push(problemAt(text, child.offset, inside, "'__proto__' cannot be a key; choose another name"))
-    if (seen.has(key)) problems.push(problemAt(text, child.offset, inside, `'${key}' stands twice; remove one of them`))
-    seen.add(key)
-    if (valueNode !== undefined) problems.push(...doubledKeys(text, valueNode, inside))
+    if (node.type === 'object') problems.push(...keyProblems(text, child, seen))
+    const value = node.type === 'object' ? child.children?.[1] : child
+    if (value?.children !== undefined) problems.push(...doubledKeys(text, value))
   }
   return problems
 }
+
+function keyProblems (text: string, property: Node, seen: Set<string>): SettingsProblem[] {
+  const key = String(property.children?.[0]?.value)
+  const doubled = seen.has(key)
+  seen.add(key)
+  if (!doubled && key !== '__proto__') return []
+  const message = doubled ? `'${key}' stands twice; remove one of them` : "'__proto__' cannot be a key; choose another name"
+  return [problemAt(text, property.offset, [...getNodePath(property.parent ?? property), key].join('.'), message)]
+}
