Keep places from a team that floods; route by a team's own place in the queue

Cause: in the ten times flood others' first token waited for a request of the flood to end, and the router took the flood's queue of 200 for one that stood in everybody's way, so that all others were packed into five engines of thirteen. Copies cost each request the whole load, so one engine kept a queue of 6 s for one popular adapter (cold restarts). Change: a ledger's share among all teams of late; the last quarter of a batch (none at weighting 1) is kept from a team with more than twice its share and a long queue; EndpointView.queuedBefore, RoutingQuestion.shareUsed and a third argument of FairQueue.next, all optional; a queue shares a copy's price where the copy gets an idle place.

--- a/packages/decisions/src/fairness/fair-queue.ts
+++ b/packages/decisions/src/fairness/fair-queue.ts
@@ -27,9 +27,10 @@
    *
    * @param eligible - whether an item could run now (its adapter is loaded)
    * @param now - monotonic milliseconds
+   * @param freePlaces - places left in the engine's batch; given, a queue may keep the last ones from a team that floods
    * @returns the next eligible request, or undefined
    */
-  abstract next (eligible: (item: Item) => boolean, now: number): Item | undefined
+  abstract next (eligible: (item: Item) => boolean, now: number, freePlaces?: number): Item | undefined
 
   /** Corrects the service charged to a team, as when fewer tokens came than expected, or another owner served it. */
   abstract charge (team: string, tokens: number): void
--- a/packages/decisions/src/fairness/service-ledger.ts
+++ b/packages/decisions/src/fairness/service-ledger.ts
@@ -17,6 +17,9 @@
 }
 
 const LARGEST_SCALE = 1e100
+const CHARGES_FOR_EACH_COUNT = 100
+/** A team with less than this of the recent service counts as idle. */
+const LEAST_ACTIVE_SHARE = 1e-3
 
 /**
  * Accounts of teams, shared by all queues of one instance; service by other instances of the data centre comes in
@@ -30,9 +33,12 @@
   private scale = 1
   /** Virtual time of the team served last, for teams that arrive when nobody waits. */
   private lastVirtualTime = 0
+  private activeService = 0
+  private activeWeight = 0
+  private chargesUntilCount = 0
 
   constructor (options: ServiceLedgerOptions = {}) {
-    this.memoryTokens = options.memoryTokens ?? 100_000
+    this.memoryTokens = options.memoryTokens ?? 300_000
   }
 
   /** Sets a team's weight; the service it had stays. */
@@ -65,6 +71,7 @@
     const account = this.account(team)
     account.virtualTime += tokens / account.weight
     this.lastVirtualTime = Math.max(this.lastVirtualTime, account.virtualTime)
+    this.chargesUntilCount -= 1
     if (tokens > 0) this.grow(tokens)
     account.recent = Math.max(0, account.recent + tokens * this.scale)
   }
@@ -93,6 +100,30 @@
     return (account.recent / service) / (account.weight / weights)
   }
 
+  /**
+   * A team that floods is often the only one that waits, since the others are served at once; among those that wait it
+   * has no more than its share. Among all that were served of late it has.
+   *
+   * @returns the team's recent service over its weighted share of all teams' recent service; 1 is fair
+   */
+  shareOfActive (team: string): number {
+    if (this.chargesUntilCount <= 0) this.countActive()
+    if (this.activeService <= 0) return 1
+    const account = this.account(team)
+    return (account.recent / this.activeService) / (account.weight / this.activeWeight)
+  }
+
+  /** Goes through all teams, once for many charges. */
+  private countActive (): void {
+    this.chargesUntilCount = CHARGES_FOR_EACH_COUNT
+    this.activeService = 0
+    this.activeWeight = 0
+    for (const account of this.accounts.values()) this.activeService += account.recent
+    for (const account of this.accounts.values()) {
+      if (account.recent > this.activeService * LEAST_ACTIVE_SHARE) this.activeWeight += account.weight
+    }
+  }
+
   /** @returns the least virtual time of the teams that wait, else that of the service last given */
   private floor (): number {
     let least = Infinity
@@ -105,6 +136,7 @@
     if (this.scale < LARGEST_SCALE) return
     for (const account of this.accounts.values()) account.recent /= this.scale
     this.scale = 1
+    this.chargesUntilCount = 0
   }
 
   private account (team: string): TeamAccount {
--- a/packages/decisions/src/fairness/virtual-time-fair-queue.ts
+++ b/packages/decisions/src/fairness/virtual-time-fair-queue.ts
@@ -11,6 +11,12 @@
   readonly agingMilliseconds?: number
   /** Between teams a level of priority goes before so much service of the others, tokens for a weight of 1. */
   readonly headStartTokens?: number
+  /** Places of a batch kept from a team that floods. */
+  readonly reservedPlaces?: number
+  /** A team floods only while more of its requests than this wait. */
+  readonly floodQueue?: number
+  /** A team floods when it had so many times its share of the service of late. */
+  readonly floodShare?: number
 }
 
 const DEFAULT_AGING_MILLISECONDS = 5_000
@@ -28,6 +34,9 @@
   private readonly ledger: ServiceLedger
   private readonly agingMilliseconds: number
   private readonly headStartTokens: number
+  private readonly reservedPlaces: number
+  private readonly floodQueue: number
+  private readonly floodShare: number
   private readonly byTeam = new Map<string, Item[]>()
   private readonly byId = new Map<string, Item>()
   private readonly costByTeam = new Map<string, number>()
@@ -37,6 +46,9 @@
     this.ledger = options.ledger ?? new ServiceLedger()
     this.agingMilliseconds = options.agingMilliseconds ?? DEFAULT_AGING_MILLISECONDS
     this.headStartTokens = options.headStartTokens ?? DEFAULT_HEAD_START_TOKENS
+    this.reservedPlaces = options.reservedPlaces ?? 0
+    this.floodQueue = options.floodQueue ?? 16
+    this.floodShare = options.floodShare ?? 2
   }
 
   push (item: Item): void {
@@ -56,12 +68,13 @@
     return item
   }
 
-  next (eligible: (item: Item) => boolean, _now: number): Item | undefined {
+  next (eligible: (item: Item) => boolean, _now: number, freePlaces = Infinity): Item | undefined {
     let best: Item | undefined
     let bestTime = Infinity
     for (const [team, waiting] of this.byTeam) {
       const item = waiting.find(eligible)
       if (item === undefined) continue
+      if (freePlaces <= this.reservedPlaces && this.floods(team, waiting.length)) continue
       const time = this.ledger.virtualTime(team) - item.priority * this.headStartTokens
       if (time >= bestTime) continue
       best = item
@@ -120,6 +133,15 @@
     return this.byId.size
   }
 
+  /**
+   * A team that floods fills each place as it comes free, and others wait for one of its requests to end, however low
+   * their virtual time. With the last places kept from it, others find one at once. A popular team without a long queue
+   * takes nobody's place.
+   */
+  private floods (team: string, waiting: number): boolean {
+    return waiting > this.floodQueue && this.ledger.shareOfActive(team) > this.floodShare
+  }
+
   private take (item: Item): void {
     this.byId.delete(item.requestId)
     this.ledger.left(item.team)
--- a/packages/decisions/src/routing/routing-policy.ts
+++ b/packages/decisions/src/routing/routing-policy.ts
@@ -16,6 +16,11 @@
   readonly pinnedSlots: number
   readonly batchCapacity: number
   readonly leaving: boolean
+  /**
+   * @returns queued requests that would be served before one of this team: under fair queueing a long queue of another
+   *   team is not in its way. `queued` is taken when absent
+   */
+  readonly queuedBefore?: (team: string) => number
   /** Loads that wait or run for this engine. */
   readonly loadsAhead: number
   /** @returns whether the adapter `team/adapter@version` is loaded, or its load is under way */
@@ -36,6 +41,8 @@
   readonly promptTokens: number
   readonly maximumTokens: number
   readonly priority: number
+  /** The team's recent service over its share of all teams' service; 1 is fair, and taken when absent. */
+  readonly shareUsed?: number
   /** Endpoints that this request has already failed on. */
   readonly avoid: ReadonlySet<EndpointId>
 }
--- a/packages/decisions/src/routing/weighted-routing-policy.ts
+++ b/packages/decisions/src/routing/weighted-routing-policy.ts
@@ -27,6 +27,8 @@
 interface Surroundings {
   readonly loadsAhead: number
   readonly copies: number
+  /** The shortest queue of an endpoint that holds the adapter. */
+  readonly queuedAtCopies: number
 }
 
 const DEFAULT_ROLES: readonly string[] = ['', 'generate', 'mixed', 'decode', 'serve']
@@ -36,6 +38,10 @@
 /** What a full batch's longer steps cost at a weight of 0. */
 const SPREADING_MILLISECONDS = 20
 const HOME_MILLISECONDS = 20
+/** A team with less than this of its share has a claim that other teams' queues do not stand in the way of. */
+const HAS_SHARE = 0.6
+/** Requests of a queue that together bear half of a copy's price. */
+const SHARING_QUEUE = 4
 
 /** Chooses the endpoint with the smallest expected wait. Asks only the endpoints handed in; adapters are never scanned. */
 export class WeightedRoutingPolicy extends RoutingPolicy {
@@ -85,7 +91,7 @@
 
   /** @returns the expected wait on an endpoint and what it costs others, milliseconds */
   private cost (question: RoutingQuestion, view: EndpointView, surroundings: Surroundings, now: number): number {
-    const queue = this.queueWait(view)
+    const queue = this.queueWait(question, view, surroundings)
     const load = this.loadWait(question, view, surroundings)
     const prompt = question.promptTokens * (1 - view.cachedShare(question.prompt)) / this.promptTokensPerMillisecond
     const failures = this.ejection.penalty(view.endpoint, now) * FAILURE_PENALTY_MILLISECONDS
@@ -95,8 +101,13 @@
   }
 
   /** @returns the wait for a place in the batch; reports lag, so what was sent since the newest one counts as queued */
-  private queueWait (view: EndpointView): number {
-    const ahead = view.running + view.queued + view.sentSince
+  private queueWait (question: RoutingQuestion, view: EndpointView, surroundings: Surroundings): number {
+    // A team's turn comes sooner where it has no queue yet. For a team that has its share that is no reason for a copy:
+    // its share is one over all engines, and in an overload copies of everything would only use up the loads.
+    const copy = surroundings.copies > 0 && question.adapter !== undefined && view.holds(question.adapter) === 'absent'
+    const hasShare = (question.shareUsed ?? 1) > HAS_SHARE
+    const before = copy && hasShare ? view.queued : queuedBefore(question, view)
+    const ahead = view.running + before + view.sentSince
     const over = ahead + 1 - view.batchCapacity
     if (over <= 0) return 0
     return over / view.batchCapacity * this.serviceMilliseconds
@@ -111,8 +122,10 @@
     const oneLoad = (surroundings.loadsAhead + 1) * this.loadMilliseconds
     const stalled = view.evictionCost?.() ?? view.pinnedSlots / view.slots
     const slot = view.pinnedSlots >= view.slots || stalled === Infinity ? this.serviceMilliseconds : 0
-    // Loads run one at a time: another copy holds up each load behind it, so only a queue longer than that asks for it.
-    const copy = surroundings.copies > 0 ? oneLoad : 0
+    // Loads run one at a time: another copy holds up each load behind it, so only a queue asks for it. All who wait in
+    // that queue share its price where the copy gets an idle place; between full engines it would gain nothing.
+    const sharing = this.queueWait(question, view, surroundings) > 0 ? 0 : surroundings.queuedAtCopies / SHARING_QUEUE
+    const copy = surroundings.copies > 0 ? oneLoad / (1 + sharing) : 0
     const eviction = stalled === Infinity ? oneLoad : stalled * oneLoad
     return { wait: oneLoad + slot, price: copy + eviction }
   }
@@ -136,9 +149,16 @@
 function surroundingsOf (question: RoutingQuestion, candidates: readonly EndpointView[]): Surroundings {
   let loadsAhead = 0
   let copies = 0
+  let queuedAtCopies = Infinity
   for (const view of candidates) {
     loadsAhead += view.loadsAhead
-    if (question.adapter !== undefined && view.holds(question.adapter) !== 'absent') copies += 1
+    if (question.adapter === undefined || view.holds(question.adapter) === 'absent') continue
+    copies += 1
+    queuedAtCopies = Math.min(queuedAtCopies, queuedBefore(question, view) + view.sentSince)
   }
-  return { loadsAhead, copies }
+  return { loadsAhead, copies, queuedAtCopies }
+}
+
+function queuedBefore (question: RoutingQuestion, view: EndpointView): number {
+  return view.queuedBefore?.(question.team) ?? view.queued
 }
--- a/packages/load/src/policy/policies/policies-under-test.ts
+++ b/packages/load/src/policy/policies/policies-under-test.ts
@@ -1,6 +1,7 @@
 /** The policies in the table. */
-import { OverloadGuard, ServiceLedger, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue, WeightedRoutingPolicy } from '@limpetwinch/decisions'
+import { OverloadGuard, ServiceLedger, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue, WeightedRoutingPolicy, reservedPlacesFor } from '@limpetwinch/decisions'
 import type { EvictionPolicy } from '@limpetwinch/decisions'
+import { BATCH_CAPACITY } from '../simulation/engine-timing.js'
 import type { PolicyBundle, PolicyUnderTest } from '../simulation/policy-bundle.js'
 import type { SimulatedRequest } from '../simulation/simulated-request.js'
 import type { DeploymentSize } from '../traces/trace.js'
@@ -20,11 +21,13 @@
 /** @returns the product's decision classes as the entry instance makes them */
 function product (size: DeploymentSize, form: ProductForm): PolicyBundle {
   const ledger = new ServiceLedger()
+  const reservedPlaces = reservedPlacesFor(form.batchEfficiencyWeight, BATCH_CAPACITY)
   return {
     routing: new WeightedRoutingPolicy({ batchEfficiencyWeight: form.batchEfficiencyWeight, loadsPerSecond: size.loadsPerSecond }),
     eviction: form.eviction ?? new StallEvictionPolicy(),
     loadOrder: new StallLoadOrder(),
-    makeQueue: () => new VirtualTimeFairQueue<SimulatedRequest>({ ledger }),
+    makeQueue: () => new VirtualTimeFairQueue<SimulatedRequest>({ ledger, reservedPlaces }),
+    ledger,
     loadLedger: new ServiceLedger({ memoryTokens: LOADS_REMEMBERED }),
     guard: new OverloadGuard<SimulatedRequest>()
   }
--- a/packages/load/src/policy/simulation/engine-view.ts
+++ b/packages/load/src/policy/simulation/engine-view.ts
@@ -1,9 +1,12 @@
 /** An engine as the router sees it: counts from a report that lags, what was sent since, slots as the owner knows them. */
 import type { DataCentreId, EndpointId } from '@limpetwinch/core'
 import type { EndpointView, EvictionPolicy } from '@limpetwinch/decisions'
+import type { SimulatedRequest } from './simulated-request.js'
 import { BATCH_CAPACITY } from './engine-timing.js'
 import type { SimulatedEngine } from './simulated-engine.js'
 
+/** Stands for a usual request where only its team matters. */
+const ANY_REQUEST = { cost: 360 }
 const DATA_CENTRES = 3
 const DISTANCE_MILLISECONDS = 0.5
 
@@ -23,6 +26,8 @@
   pinnedSlots = 0
   loadsAhead = 0
   readonly evictionCost?: () => number
+  /** What a report tells of each team's place in the queue. */
+  private readonly aheadOfTeam = new Map<string, number>()
 
   /**
    * @param engine - the engine that is seen
@@ -49,6 +54,16 @@
     return this.engine.waitingByAdapter.has(adapter) ? 'loading' : 'absent'
   }
 
+  readonly queuedBefore = (team: string): number => {
+    const known = this.aheadOfTeam.get(team)
+    if (known !== undefined) return known
+    const { queue } = this.engine
+    const tokens = queue.tokensAhead?.({ ...ANY_REQUEST, team } as SimulatedRequest)
+    const ahead = tokens === undefined ? this.queued : Math.min(this.queued, tokens / ANY_REQUEST.cost)
+    this.aheadOfTeam.set(team, ahead)
+    return ahead
+  }
+
   /** Prompts have no text in a trace. */
   readonly cachedShare = (): number => 0
 
@@ -57,6 +72,7 @@
     this.queued = this.engine.queue.size
     this.running = this.engine.running.length
     this.sentSince = 0
+    this.aheadOfTeam.clear()
     this.pinnedSlots = this.engine.slots.pinned
     this.loadsAhead = loadsAhead
   }
--- a/packages/load/src/policy/simulation/policy-bundle.ts
+++ b/packages/load/src/policy/simulation/policy-bundle.ts
@@ -10,6 +10,8 @@
   readonly loadOrder: LoadOrder
   /** @returns the queue of one engine */
   readonly makeQueue: () => FairQueue<SimulatedRequest>
+  /** Accounts of tokens that the queues share; without it the router knows no shares. */
+  readonly ledger?: ServiceLedger
   /** Accounts of loads; without it a load's order knows no shares. */
   readonly loadLedger?: ServiceLedger
   /** Refuses early; without it a request is given up at its deadline. */
--- a/packages/load/src/policy/simulation/simulated-engine.ts
+++ b/packages/load/src/policy/simulation/simulated-engine.ts
@@ -122,7 +122,7 @@
 
   private admit (now: number): void {
     while (this.running.length < BATCH_CAPACITY && this.queue.size > 0) {
-      const request = this.queue.next((item) => this.slots.get(item.adapter)?.state === 'loaded', now)
+      const request = this.queue.next((item) => this.slots.get(item.adapter)?.state === 'loaded', now, BATCH_CAPACITY - this.running.length)
       if (request === undefined) return
       const slot = this.slots.get(request.adapter)
       if (slot === undefined) throw new Error('The queue gave a request whose adapter is not loaded.')
--- a/packages/load/src/policy/simulation/simulation.ts
+++ b/packages/load/src/policy/simulation/simulation.ts
@@ -110,6 +110,7 @@
       promptTokens: request.trace.promptTokens,
       maximumTokens: request.maximumTokens,
       priority: request.priority,
+      shareUsed: this.policy.ledger?.shareOfActive(request.team) ?? 1,
       avoid: NONE
     }, this.views, now)
     const index = this.views.findIndex((view) => view.endpoint === chosen)
