--- a/packages/decisions/src/routing/weighted-routing-policy.ts
+++ b/packages/decisions/src/routing/weighted-routing-policy.ts
@@ -120,7 +120,7 @@
     if (held === 'loaded') return { wait: 0, price: 0 }
     if (held === 'loading') return { wait: surroundings.loadsAhead * this.loadMilliseconds / 2, price: 0 }
     const oneLoad = (surroundings.loadsAhead + 1) * this.loadMilliseconds
-    const stalled = view.evictionCost?.() ?? view.pinnedSlots / view.slots
+    const stalled = view.evictionCost?.() ?? guessedEvictionCost(question.adapter, view)
     const slot = view.pinnedSlots >= view.slots || stalled === Infinity ? this.serviceMilliseconds : 0
     // Loads run one at a time: another copy holds up each load behind it, so only a queue asks for it. All who wait in
     // that queue share its price where the copy gets an idle place; between full engines it would gain nothing.
@@ -162,3 +162,8 @@
 function queuedBefore (question: RoutingQuestion, view: EndpointView): number {
   return view.queuedBefore?.(question.team) ?? view.queued
 }
+
+/** Without the owner's word each adapter keeps to its home, so that loads spread over the engines and their slots. */
+function guessedEvictionCost (adapter: string, view: EndpointView): number {
+  return view.pinnedSlots / view.slots + 1 - rendezvousWeight(adapter, view.endpoint)
+}
--- a/packages/load/src/commands/bench/policy.ts
+++ b/packages/load/src/commands/bench/policy.ts
@@ -1,7 +1,12 @@
 /** `limpetwinch-load bench policy`. */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { Command, Flags } from '@oclif/core'
 import { POLICIES_UNDER_TEST } from '../../policy/policies/policies-under-test.js'
 import { USUAL_SECONDS, USUAL_SIZE, makeTraces, runPolicy } from '../../policy/policy-experiment.js'
+import { optimumOf } from '../../policy/results/clairvoyant.js'
+import { markdownOf } from '../../policy/results/markdown.js'
+import { sharePlot, stallPlot } from '../../policy/results/policy-plots.js'
 import type { RunReport } from '../../policy/results/run-report.js'
 import { readTraceFile } from '../../policy/traces/trace-file.js'
 import type { Trace } from '../../policy/traces/trace.js'
@@ -24,6 +29,7 @@
     engines: Flags.integer({ default: USUAL_SIZE.engines, min: 1, description: 'Number of engines.' }),
     'loads-per-second': Flags.string({ default: String(USUAL_SIZE.loadsPerSecond), description: 'Loads a second, one at a time.' }),
     seconds: Flags.integer({ default: USUAL_SECONDS, min: 1, description: 'Length of the made traces.' }),
+    markdown: Flags.string({ description: 'Write the page of figures and its plots into this folder.' }),
     policies: Flags.string({ multiple: true, description: 'Run only policies whose name starts so.' }),
     traces: Flags.string({ multiple: true, description: 'Run only made traces whose name starts so.' })
   }
@@ -32,7 +38,8 @@
     const { flags } = await this.parse(BenchPolicy)
     const size = { engines: flags.engines, slots: flags.slots, loadsPerSecond: Number(flags['loads-per-second']) }
     const runs: RunReport[] = []
-    for (const trace of this.traces(flags.seed, size, flags.seconds, flags.trace)) {
+    const traces = this.traces(flags.seed, size, flags.seconds, flags.trace)
+    for (const trace of traces) {
       if (!chosen(flags.traces, trace.name)) continue
       for (const policy of POLICIES_UNDER_TEST) {
         if (!chosen(flags.policies, policy.name)) continue
@@ -41,9 +48,20 @@
         this.log(line(report))
       }
     }
+    if (flags.markdown !== undefined) this.writePage(flags.markdown, flags.seed, traces, runs)
     return { bench: 'policy', seed: flags.seed, runs }
   }
 
+  private writePage (folder: string, seed: number, traces: readonly Trace[], runs: readonly RunReport[]): void {
+    const optima = new Map(traces.map((trace) => [trace.name, optimumOf(trace)]))
+    const command = `npm run bench -- policy --seed ${seed} --markdown docs/measurements`
+    mkdirSync(folder, { recursive: true })
+    writeFileSync(join(folder, 'policy.md'), markdownOf({ seed, command, runs, optima }))
+    const [panel, , crowd] = traces
+    if (panel !== undefined) writeFileSync(join(folder, 'policy-stalls.svg'), stallPlot(panel))
+    if (crowd !== undefined) writeFileSync(join(folder, 'policy-shares.svg'), sharePlot(crowd))
+  }
+
   private traces (seed: number, size: Trace['size'], seconds: number, file: string | undefined): Trace[] {
     if (file === undefined) return makeTraces(seed, size, seconds)
     const trace = readTraceFile(file, size)
--- a/packages/load/src/policy/policies/policies-under-test.ts
+++ b/packages/load/src/policy/policies/policies-under-test.ts
@@ -1,11 +1,11 @@
 /** The policies in the table. */
-import { OverloadGuard, ServiceLedger, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue, WeightedRoutingPolicy, reservedPlacesFor } from '@limpetwinch/decisions'
+import { OverloadGuard, PopularityLoadAhead, ServiceLedger, StallEvictionPolicy, StallLoadOrder, VirtualTimeFairQueue, WeightedRoutingPolicy, reservedPlacesFor } from '@limpetwinch/decisions'
 import type { EvictionPolicy } from '@limpetwinch/decisions'
 import { BATCH_CAPACITY } from '../simulation/engine-timing.js'
 import type { PolicyBundle, PolicyUnderTest } from '../simulation/policy-bundle.js'
 import type { SimulatedRequest } from '../simulation/simulated-request.js'
 import type { DeploymentSize } from '../traces/trace.js'
-import { GreedyDualEviction, LeastFrequentlyUsedEviction, LeastRecentlyUsedEviction, ProductivityEviction } from './baseline-eviction.js'
+import { GlobalProductivityEviction, GreedyDualEviction, LeastFrequentlyUsedEviction, LeastRecentlyUsedEviction, ProductivityEviction } from './baseline-eviction.js'
 import { ArrivalLoadOrder } from './baseline-load-order.js'
 import { ArrivalOrderQueue } from './baseline-queue.js'
 import { LeastLoadedRouting, StickyRouting } from './baseline-routing.js'
@@ -27,6 +27,7 @@
     eviction: form.eviction ?? new StallEvictionPolicy(),
     loadOrder: new StallLoadOrder(),
     makeQueue: () => new VirtualTimeFairQueue<SimulatedRequest>({ ledger, reservedPlaces }),
+    loadAhead: new PopularityLoadAhead(),
     ledger,
     loadLedger: new ServiceLedger({ memoryTokens: LOADS_REMEMBERED }),
     guard: new OverloadGuard<SimulatedRequest>()
@@ -60,7 +61,8 @@
   variant('least recently used', () => new LeastRecentlyUsedEviction()),
   variant('least frequently used', () => new LeastFrequentlyUsedEviction()),
   variant('greedy-dual', () => new GreedyDualEviction()),
-  variant('productivity, local', () => new ProductivityEviction())
+  variant('productivity, local', () => new ProductivityEviction()),
+  variant('productivity, global', () => new GlobalProductivityEviction())
 ]
 
 /** All of them, in the order of the table. */
--- a/packages/load/src/policy/results/clairvoyant.ts
+++ b/packages/load/src/policy/results/clairvoyant.ts
@@ -16,9 +16,9 @@
 /**
  * All slots of all engines are one cache, requests need no time to run, and loads run one at a time.
  *
- * The adapter whose next use is farthest leaves. The pipeline takes the load with the most waiters (the oldest among
- * equals), and when nobody waits it loads what will be wanted next. No order of loads is proved best for a percentile,
- * so this is a reference with every advantage, not a proved bound.
+ * The adapter whose next use is farthest leaves. When nobody waits, the pipeline loads what will be wanted next. No order
+ * of loads is proved best for a percentile, so several are tried, and the whole is a reference with every advantage, not
+ * a proved bound.
  */
 class Clairvoyant {
   private readonly keys: readonly string[]
@@ -32,7 +32,11 @@
   private loading: string | undefined
   private loads = 0
 
-  constructor (private readonly trace: Trace) {
+  /**
+   * @param trace - the trace
+   * @param waitersPower - the load with the most age times waiters to this power goes first
+   */
+  constructor (private readonly trace: Trace, private readonly waitersPower: number) {
     this.keys = trace.requests.map(adapterKeyOf)
     this.times = trace.requests.map((request) => request.atMilliseconds)
     this.stalls = this.keys.map(() => 0)
@@ -93,7 +97,7 @@
     let best: string | undefined
     let most = -1
     for (const [key, indexes] of this.waiting) {
-      const urgency = indexes.length * (now - (this.times[indexes[0] as number] as number) + 1)
+      const urgency = indexes.length ** this.waitersPower * (now - (this.times[indexes[0] as number] as number) + 1)
       if (urgency <= most) continue
       best = key
       most = urgency
@@ -148,7 +152,20 @@
   }
 }
 
-/** @returns the reference for a trace */
+/** From first come, first served to nothing but the number of waiters. */
+const WAITERS_POWERS: readonly number[] = [0, 0.25, 1, 4]
+
+/** @returns the reference for a trace: for each figure the least of all orders of loads */
 export function optimumOf (trace: Trace): Optimum {
-  return new Clairvoyant(trace).run()
+  const runs = WAITERS_POWERS.map((power) => new Clairvoyant(trace, power).run())
+  const least = (figure: (run: Optimum) => number) => Math.min(...runs.map(figure))
+  return {
+    load_stall_ms: {
+      p50: least((run) => run.load_stall_ms.p50),
+      p95: least((run) => run.load_stall_ms.p95),
+      p99: least((run) => run.load_stall_ms.p99),
+      max: least((run) => run.load_stall_ms.max)
+    },
+    loads: least((run) => run.loads)
+  }
 }
--- a/packages/load/src/policy/simulation/load-pipeline.ts
+++ b/packages/load/src/policy/simulation/load-pipeline.ts
@@ -76,7 +76,23 @@
       if (this.begin(load, now)) return true
       wanted.splice(wanted.indexOf(load), 1)
     }
-    return false
+    return this.beginAhead(now)
+  }
+
+  /** Fills a free slot while nobody waits for a load. */
+  private beginAhead (now: number): boolean {
+    const { loadAhead } = this.policy
+    if (loadAhead === undefined) return false
+    let roomiest: SimulatedEngine | undefined
+    for (const engine of this.engines) {
+      if (engine.slots.free > (roomiest?.slots.free ?? 0)) roomiest = engine
+    }
+    if (roomiest === undefined) return false
+    const held = (adapter: string) => this.engines.some((engine) => engine.slots.get(adapter) !== undefined)
+    const adapter = loadAhead.suggest(held, now)
+    if (adapter === undefined) return false
+    this.transfer(roomiest, adapter, now)
+    return true
   }
 
   private wanted (): WantedLoad[] {
@@ -107,14 +123,18 @@
   private begin (load: WantedLoad, now: number): boolean {
     const engine = this.engines[Number(load.endpoint)]
     if (engine === undefined || !this.makeRoom(engine, load.adapter, now)) return false
-    engine.slots.reserve(load.adapter, engine.waitingByAdapter.get(load.adapter)?.size ?? 0, now)
-    this.counts.loads += 1
     this.policy.loadLedger?.charge(load.team, 1)
+    this.transfer(engine, load.adapter, now)
+    return true
+  }
+
+  private transfer (engine: SimulatedEngine, adapter: string, now: number): void {
+    engine.slots.reserve(adapter, engine.waitingByAdapter.get(adapter)?.size ?? 0, now)
+    this.counts.loads += 1
     const epoch = engine.epoch
-    this.store.begin(now, (at) => this.ended(engine, load, epoch, at))
+    this.store.begin(now, (at) => this.ended(engine, adapter, epoch, at))
     const end = this.store.nextEnd()
     if (end !== undefined) this.events.at(end, (at) => this.store.advance(at))
-    return true
   }
 
   private makeRoom (engine: SimulatedEngine, incoming: string, now: number): boolean {
@@ -137,25 +157,25 @@
     return copies
   }
 
-  private ended (engine: SimulatedEngine, load: WantedLoad, epoch: number, now: number): void {
+  private ended (engine: SimulatedEngine, adapter: string, epoch: number, now: number): void {
     this.dirty = true
     // The engine restarted meanwhile: the load went with all else, and its waiters want it again.
     if (engine.epoch !== epoch) return
-    const key = `${engine.index} ${load.adapter}`
-    if (this.fails(load.adapter, now)) {
+    const key = `${engine.index} ${adapter}`
+    if (this.fails(adapter, now)) {
       const failures = (this.failures.get(key)?.failures ?? 0) + 1
       this.failures.set(key, { failures, notBefore: notBeforeAfterFailure(failures, now) })
       this.counts.failedLoads += 1
-      engine.slots.evict(load.adapter)
+      engine.slots.evict(adapter)
       return
     }
     this.failures.delete(key)
-    const slot = engine.slots.get(load.adapter)
+    const slot = engine.slots.get(adapter)
     if (slot === undefined) return
     slot.state = 'loaded'
     slot.loadedAt = now
     slot.lastUsedAt = now
-    for (const request of engine.waitingByAdapter.get(load.adapter) ?? []) request.endStall(now)
+    for (const request of engine.waitingByAdapter.get(adapter) ?? []) request.endStall(now)
     this.listener.loaded(engine, now)
   }
 
--- a/packages/load/src/policy/simulation/policy-bundle.ts
+++ b/packages/load/src/policy/simulation/policy-bundle.ts
@@ -1,5 +1,5 @@
 /** Everything that decides in one run. */
-import type { EvictionPolicy, FairQueue, LoadOrder, OverloadGuard, RoutingPolicy, ServiceLedger } from '@limpetwinch/decisions'
+import type { EvictionPolicy, FairQueue, LoadAhead, LoadOrder, OverloadGuard, RoutingPolicy, ServiceLedger } from '@limpetwinch/decisions'
 import type { DeploymentSize } from '../traces/trace.js'
 import type { SimulatedRequest } from './simulated-request.js'
 
@@ -10,6 +10,8 @@
   readonly loadOrder: LoadOrder
   /** @returns the queue of one engine */
   readonly makeQueue: () => FairQueue<SimulatedRequest>
+  /** Loads into free slots what nobody waits for yet. */
+  readonly loadAhead?: LoadAhead
   /** Accounts of tokens that the queues share; without it the router knows no shares. */
   readonly ledger?: ServiceLedger
   /** Accounts of loads; without it a load's order knows no shares. */
--- a/packages/load/src/policy/simulation/simulation.ts
+++ b/packages/load/src/policy/simulation/simulation.ts
@@ -96,6 +96,7 @@
   }
 
   private arrives (request: SimulatedRequest, now: number): void {
+    this.policy.loadAhead?.used(request.adapter, now)
     this.route(request, now)
     this.loads.run(now)
   }
--- /dev/null
+++ b/packages/load/test/policy/simulation.test.ts
@@ -0,0 +1,129 @@
+import { describe, expect, it } from 'vitest'
+import { BASELINE_POLICIES, PRODUCT_POLICIES } from '../../src/policy/policies/policies-under-test.js'
+import { makeTraces, runPolicy } from '../../src/policy/policy-experiment.js'
+import { optimumOf } from '../../src/policy/results/clairvoyant.js'
+import { reportOf } from '../../src/policy/results/run-report.js'
+import { Simulation } from '../../src/policy/simulation/simulation.js'
+import type { PolicyUnderTest } from '../../src/policy/simulation/policy-bundle.js'
+import type { Trace, TraceRequest } from '../../src/policy/traces/trace.js'
+
+const SEED = 7
+const [product] = PRODUCT_POLICIES as [PolicyUnderTest]
+const [, sticky] = BASELINE_POLICIES as [PolicyUnderTest, PolicyUnderTest]
+
+function request (atMilliseconds: number, team: string, adapter: string, outputTokens = 20): TraceRequest {
+  return { atMilliseconds, team, adapter, version: '1', priorityClass: 'interactive', promptTokens: 50, outputTokens, idempotent: true }
+}
+
+function trace (requests: readonly TraceRequest[], engines = 1, slots = 2): Trace {
+  return {
+    name: 'test',
+    size: { engines, slots, loadsPerSecond: 4 },
+    requests,
+    weights: new Map(),
+    restarts: [],
+    measuredFromMilliseconds: 0
+  }
+}
+
+function steady (adapter: string, from: number, until: number, every: number, outputTokens = 20): TraceRequest[] {
+  const count = Math.floor((until - from) / every)
+  return Array.from({ length: count }, (_, index) => request(from + index * every, 'team', adapter, outputTokens))
+}
+
+function merged (...streams: readonly TraceRequest[][]): TraceRequest[] {
+  return streams.flat().sort((left, right) => left.atMilliseconds - right.atMilliseconds)
+}
+
+describe('simulation', () => {
+  it('gives the same figures for the same seed and others for another', () => {
+    const size = { engines: 3, slots: 4, loadsPerSecond: 4 }
+    const run = (seed: number) => makeTraces(seed, size, 15).map((made) => runPolicy(made, product))
+    const first = run(SEED)
+    expect(run(SEED)).toEqual(first)
+    expect(run(SEED + 1)).not.toEqual(first)
+  })
+
+  it('accounts for every request of every trace', () => {
+    const size = { engines: 3, slots: 4, loadsPerSecond: 4 }
+    for (const made of makeTraces(SEED, size, 15)) {
+      for (const policy of [product, sticky]) {
+        const report = runPolicy(made, policy)
+        const known = report.completed + report.refused + report.waiting_at_end + report.lost
+        expect(known).toBe(made.requests.length)
+      }
+    }
+  })
+
+  it('counts a request that never got its adapter with its wait so far', () => {
+    const test = trace([request(0, 'team', 'a'), request(1_000, 'team', 'b')])
+    const result = new Simulation(test, product.make(test.size), { loadFails: (adapter) => adapter.includes('/b@') }).run()
+    const report = reportOf(test, 'product', result)
+    expect(report.completed).toBe(1)
+    expect(report.load_stall_ms.max).toBeGreaterThanOrEqual(result.endedAt - 1_000)
+  })
+
+  it('gives the clairvoyant reference no more stall than the policies', () => {
+    const [panel] = makeTraces(SEED, undefined, 60) as [Trace]
+    expect(optimumOf(panel).load_stall_ms.p95).toBeLessThanOrEqual(runPolicy(panel, product).load_stall_ms.p95)
+  })
+})
+
+describe('failures', () => {
+  // The caller of another adapter is answered at once although one adapter's weights never load. Each failed try
+  // holds the one full-speed place of the weight store; tried again at once, it would hold it for ever. The backoff
+  // lets the next load go first.
+  it('lets other loads go on while one keeps failing', () => {
+    const others = Array.from({ length: 6 }, (_, index) => request(1_000 + index * 2_000, 'team', `good-${index}`))
+    const test = trace(merged(steady('bad', 0, 14_000, 500), others), 2, 4)
+    const result = new Simulation(test, product.make(test.size), { loadFails: (adapter) => adapter.includes('/bad@') }).run()
+    const good = result.requests.filter((item) => item.adapter.includes('/good-'))
+    expect(good.every((item) => item.state === 'completed')).toBe(true)
+    expect(Math.max(...good.map((item) => item.stall))).toBeLessThanOrEqual(1_000)
+    expect(result.loads.failedLoads).toBeGreaterThan(0)
+    expect(result.loads.failedLoads).toBeLessThan(12)
+  })
+
+  // The caller's stream goes on although its engine restarts cold: the request waits for its adapter again, and is
+  // answered after one more load. Without waiting anew, it would be run on an engine that does not hold its adapter.
+  it('answers requests of an engine that restarts cold', () => {
+    const test = { ...trace(steady('a', 0, 6_000, 300, 60)), restarts: [{ engine: 0, atMilliseconds: 3_000 }] }
+    const result = new Simulation(test, product.make(test.size)).run()
+    expect(result.requests.every((item) => item.state === 'completed')).toBe(true)
+    expect(result.loads.loads).toBe(2)
+  })
+
+  // A popular adapter falls silent and others take its place. Its slot has to go, or the new ones would push each other
+  // out of the slots that are left and each would be loaded again and again.
+  it('gives the slots of adapters that fell silent to those that rise', () => {
+    const before = merged(steady('old-1', 0, 30_000, 400), steady('old-2', 200, 30_000, 400))
+    const after = merged(steady('new-1', 30_000, 60_000, 400), steady('new-2', 30_200, 60_000, 400))
+    const test = trace([...before, ...after])
+    const result = new Simulation(test, product.make(test.size)).run()
+    expect(result.loads.loads).toBeLessThanOrEqual(8)
+    expect(result.requests.every((item) => item.state === 'completed')).toBe(true)
+  })
+
+  // Long requests pin every slot while another adapter is wanted. Evicting one would answer from another adapter, so
+  // the load waits until a request has ended, and then goes. A policy that evicts a pinned one makes the run throw.
+  it('waits for a pin to end when all slots are pinned', () => {
+    const test = trace([request(0, 'team', 'a', 200), request(10, 'team', 'b', 200), request(1_500, 'team', 'c')])
+    const result = new Simulation(test, product.make(test.size)).run()
+    expect(result.requests.map((item) => item.state)).toEqual(['completed', 'completed', 'completed'])
+    const [first, , last] = result.requests
+    expect(last?.stall).toBeGreaterThan((first?.endedAt ?? 0) - 1_500)
+  })
+
+  // One team sends far more than all engines can serve. The others are hardly slower: their turn comes first by virtual
+  // time, and places are kept from the team that floods.
+  it('keeps a flood of one team from the others', () => {
+    const flood = Array.from({ length: 4_000 }, (_, index) => request(index * 10, 'flood', 'f', 80))
+    const calm = Array.from({ length: 80 }, (_, index) => request(250 + index * 500, 'calm', 'c', 40))
+    const test = trace(merged(flood, calm), 2, 4)
+    const result = new Simulation(test, product.make(test.size)).run()
+    const waits = result.requests.filter((item) => item.team === 'calm').map((item) => item.firstTokenAt - item.enqueuedAt)
+    const late = waits.slice(20).filter((wait) => wait < 0 || wait > 1_000)
+    expect(late).toEqual([])
+    expect(result.requests.filter((item) => item.team === 'flood' && item.state === 'refused').length).toBeGreaterThan(0)
+  })
+})
