--- a/packages/load/src/policy/simulation/simulation.ts
+++ b/packages/load/src/policy/simulation/simulation.ts
@@ -96,6 +96,7 @@
   }
 
   private arrives (request: SimulatedRequest, now: number): void {
+    this.policy.loadAhead?.used(request.adapter, now)
     this.route(request, now)
     this.loads.run(now)
   }
@@ -110,6 +111,7 @@
       promptTokens: request.trace.promptTokens,
       maximumTokens: request.maximumTokens,
       priority: request.priority,
+      shareUsed: this.policy.ledger?.shareOfActive(request.team) ?? 1,
       avoid: NONE
     }, this.views, now)
     const index = this.views.findIndex((view) => view.endpoint === chosen)
