--- a/packages/core/src/settings/schema-problems.ts
+++ b/packages/core/src/settings/schema-problems.ts
@@ -1,7 +1,7 @@
 /** What a schema finds wrong, said with the place in the text and what to write instead. */
 import { z } from 'zod'
 import { nearestKey } from './nearest-key.js'
-import { offsetOf, problemAt } from './settings-text.js'
+import { MOST_PROBLEMS, offsetOf, problemAt } from './settings-text.js'
 import type { ParsedText, SettingsProblem } from './settings-text.js'
 
 type Issue = z.core.$ZodIssue
@@ -13,19 +13,20 @@
  * @param schema - what is allowed
  * @param text - the text, for lines and columns
  * @param parsed - the text's value and tree
- * @returns the value with defaults filled in, or every problem
+ * @returns the value with defaults filled in, or its problems, the first hundred at most
  */
 export function checkBySchema<Value> (schema: z.ZodType<Value>, text: string, parsed: ParsedText): { value: Value } | { problems: SettingsProblem[] } {
   const result = schema.safeParse(parsed.value, { reportInput: true })
   if (result.success) return { value: result.data }
-  return { problems: result.error.issues.flatMap((issue) => problemsOfIssue(schema, text, parsed, issue)) }
+  const issues = result.error.issues.slice(0, MOST_PROBLEMS)
+  return { problems: issues.flatMap((issue) => problemsOfIssue(schema, text, parsed, issue)).slice(0, MOST_PROBLEMS) }
 }
 
 function problemsOfIssue (schema: z.ZodType, text: string, parsed: ParsedText, issue: Issue): SettingsProblem[] {
   const place = issue.path.map((part) => typeof part === 'number' ? part : String(part))
   if (issue.code === 'unrecognized_keys') {
     const known = knownKeys(schema, place)
-    return issue.keys.map((key) => {
+    return issue.keys.slice(0, MOST_PROBLEMS).map((key) => {
       const offset = offsetOf(parsed.root, [...place, key], true)
       return problemAt(text, offset, [...place, key].join('.'), unknownKeyMessage(key, known))
     })
--- a/packages/core/src/settings/settings-checks.ts
+++ b/packages/core/src/settings/settings-checks.ts
@@ -9,7 +9,7 @@
 import { endpointsSettingsSchema, policySettingsSchema, sharesSettingsSchema, teamSettingsSchema } from './operator-settings.js'
 import type { OperatorSettings } from './operator-settings.js'
 import { checkBySchema } from './schema-problems.js'
-import { offsetOf, parseAcceptedText, parseSettingsText, problemAt } from './settings-text.js'
+import { MOST_PROBLEMS, offsetOf, parseAcceptedText, parseSettingsText, problemAt } from './settings-text.js'
 import type { ParsedText, SettingsProblem } from './settings-text.js'
 import { teamOfPath } from './settings-paths.js'
 
@@ -25,7 +25,7 @@
 }
 
 /**
- * Checks a text that someone wants to put under a path. All problems are found, not only the first.
+ * Checks a text that someone wants to put under a path. Problems are named together, up to a hundred of each sort.
  *
  * @param path - where it is to stand
  * @param text - JSON with comments
@@ -59,7 +59,7 @@
   const checked = checkBySchema(schemaOf(path), text, result.parsed)
   const problems = 'problems' in checked ? checked.problems : []
   const across = crossProblems(path, teamOfPath(path), result.parsed.value, inForce)
-  return [...problems, ...across.map((problem) => placed(text, result.parsed, problem))]
+  return [...problems, ...across.slice(0, MOST_PROBLEMS).map((problem) => placed(text, result.parsed, problem))]
 }
 
 function placed (text: string, parsed: ParsedText, problem: PlacedProblem): SettingsProblem {
--- a/packages/core/src/settings/settings-text.ts
+++ b/packages/core/src/settings/settings-text.ts
@@ -23,6 +23,11 @@
 const PARSE_OPTIONS = { allowTrailingComma: true, allowEmptyContent: false }
 const DEEPEST = 32
 const MOST_SYNTAX_PROBLEMS = 20
+/**
+ * Problems named at most. Each is placed by a pass over the text, so that a text with a problem in every line, a
+ * hundred kilobytes long, would keep the instance from everything else for ten seconds and more.
+ */
+export const MOST_PROBLEMS = 100
 /** Tokens by the numbers of jsonc-parser, whose own names exist only for its compiler. */
 const TOKEN = { openBrace: 1, closeBrace: 2, openBracket: 3, closeBracket: 4, end: 17 }
 
@@ -47,9 +52,13 @@
 
 /** @returns line and column of an offset, both from 1 */
 export function positionAt (text: string, offset: number): { line: number, column: number } {
-  const before = text.slice(0, offset)
-  const lines = before.split(/\r\n|\n|\r/)
-  return { line: lines.length, column: (lines.at(-1) ?? '').length + 1 }
+  let line = 1
+  let lineStart = 0
+  for (const { index, 0: end } of text.slice(0, offset).matchAll(/\r\n|\n|\r/g)) {
+    line += 1
+    lineStart = index + end.length
+  }
+  return { line, column: offset - lineStart + 1 }
 }
 
 /**
@@ -64,7 +73,8 @@
   const errors: ParseError[] = []
   const root = parseTree(text, errors, PARSE_OPTIONS)
   if (errors.length > 0 || root === undefined) return { problems: syntaxProblems(text, errors) }
-  const doubled = doubledKeys(text, root, '')
+  const doubled: SettingsProblem[] = []
+  findDoubledKeys(text, root, '', doubled)
   if (doubled.length > 0) return { problems: doubled }
   return { parsed: { value: parse(text, [], PARSE_OPTIONS), root } }
 }
@@ -127,12 +137,12 @@
  * A key written twice would silently keep its last value only, and `__proto__` would set no key at all: the operator
  * would see one thing and the instances another.
  */
-function doubledKeys (text: string, node: Node, place: string): SettingsProblem[] {
-  const problems: SettingsProblem[] = []
+function findDoubledKeys (text: string, node: Node, place: string, problems: SettingsProblem[]): void {
   const seen = new Set<string>()
   for (const child of node.children ?? []) {
+    if (problems.length >= MOST_PROBLEMS) return
     if (node.type !== 'object') {
-      problems.push(...doubledKeys(text, child, place))
+      findDoubledKeys(text, child, place, problems)
       continue
     }
     const [keyNode, valueNode] = child.children ?? []
@@ -141,7 +151,6 @@
     if (key === '__proto__') problems.push(problemAt(text, child.offset, inside, "'__proto__' cannot be a key; choose another name"))
     if (seen.has(key)) problems.push(problemAt(text, child.offset, inside, `'${key}' stands twice; remove one of them`))
     seen.add(key)
-    if (valueNode !== undefined) problems.push(...doubledKeys(text, valueNode, inside))
+    if (valueNode !== undefined) findDoubledKeys(text, valueNode, inside, problems)
   }
-  return problems
 }
