--- a/packages/load/src/faults/mutants/index.ts
+++ b/packages/load/src/faults/mutants/index.ts
@@ -1,5 +1,6 @@
 /** Wrong parts by name. Each breaks one promise, and the check of that promise has to catch it. */
-import { EntryParts } from '@limpetwinch/entry'
+import type { EntryParts } from '@limpetwinch/entry'
+import { FaultRunParts } from '../fault-run-parts.js'
 import { DropLastPartClient, MutantClientParts, ReportNotRunClient, RetryAfterSendClient, SwapStreamsClient } from './engine-client-mutants.js'
 import { ForgetClaims, ForgetClaimsParts } from './claims-mutants.js'
 import { ForeignAdapterDelivery, LastVersionDelivery, MutantDeliveryParts } from './delivery-mutants.js'
@@ -32,7 +33,7 @@
 
 /** @returns the parts of an instance, with the mutant among them if one is named */
 export function partsOf (mutant: string | undefined): EntryParts {
-  if (mutant === undefined) return new EntryParts()
+  if (mutant === undefined) return new FaultRunParts()
   const named = MUTANTS[mutant]
   if (named === undefined) throw new Error(`There is no mutant '${mutant}'; take one of ${MUTANT_NAMES.join(', ')}.`)
   return named.parts()
