--- a/packages/core/src/settings/settings-text.ts
+++ b/packages/core/src/settings/settings-text.ts
@@ -158,6 +158,7 @@
     const value = node.type === 'object' ? child.children?.[1] : child
     if (value?.children !== undefined) problems.push(...doubledKeys(text, value))
   }
+  return problems
 }
 
 function keyProblems (text: string, property: Node, seen: Set<string>): SettingsProblem[] {
