Forget the connection of a load turn that is over

Cause: each granted turn left a listener on the signal of the asker's connection, which outlives its turns; memory of the conducting instance grew with each load of a peer. Ruled out: calls under way (their listeners are taken off). Change: the listener goes with the turn; the bound of the warning is lifted for signals that many calls share by design.

--- a/packages/entry/src/loads/load-turn-conductor.ts
+++ b/packages/entry/src/loads/load-turn-conductor.ts
@@ -10,13 +10,15 @@
   readonly urgency: number
   readonly since: number
   readonly grant: (granted: boolean) => void
+  /** Listens no longer for the end of the asker's connection, which outlives its turns by far. */
+  readonly forget: () => void
 }
 
 /** Grants turns by urgency. It remembers nothing that must last: a new conductor starts empty. */
 export class LoadTurnConductor {
   private readonly clock: Clock
   private readonly waiting = new Map<string, WaitingTurn>()
-  private current: { readonly key: string, readonly timer: NodeJS.Timeout } | undefined
+  private current: { readonly key: string, readonly timer: NodeJS.Timeout, readonly forget: () => void } | undefined
 
   /** @param clock - ages what waits */
   constructor (clock: Clock) {
@@ -31,16 +33,15 @@
    */
   async ask (holder: InstanceId, turn: string, urgency: number, signal: AbortSignal): Promise<boolean> {
     const key = keyOf(holder, turn)
-    this.waiting.get(key)?.grant(false)
+    this.giveUp(key)
     const lapse = (): void => this.lapse(key)
+    const forget = (): void => signal.removeEventListener('abort', lapse)
     signal.addEventListener('abort', lapse, { once: true })
-    const granted = await new Promise<boolean>((resolve) => {
-      this.waiting.set(key, { holder, turn, urgency, since: this.clock.now(), grant: resolve })
+    return await new Promise<boolean>((resolve) => {
+      this.waiting.set(key, { holder, turn, urgency, since: this.clock.now(), grant: resolve, forget })
       if (signal.aborted) this.lapse(key)
       else this.next()
     })
-    if (!granted) signal.removeEventListener('abort', lapse)
-    return granted
   }
 
   /** Takes a turn back. */
@@ -49,21 +50,28 @@
   }
 
   private lapse (key: string): void {
-    this.waiting.get(key)?.grant(false)
-    this.waiting.delete(key)
+    this.giveUp(key)
     if (this.current?.key !== key) return
     clearTimeout(this.current.timer)
+    this.current.forget()
     this.current = undefined
     this.next()
   }
 
+  private giveUp (key: string): void {
+    const waiting = this.waiting.get(key)
+    this.waiting.delete(key)
+    waiting?.forget()
+    waiting?.grant(false)
+  }
+
   private next (): void {
     if (this.current !== undefined) return
     const [first] = [...this.waiting.entries()].sort(([, one], [, other]) => this.weight(other) - this.weight(one))
     if (first === undefined) return
     const [key, waiting] = first
     this.waiting.delete(key)
-    this.current = { key, timer: setTimeout(() => this.lapse(key), LONGEST_TURN_MILLISECONDS) }
+    this.current = { key, timer: setTimeout(() => this.lapse(key), LONGEST_TURN_MILLISECONDS), forget: waiting.forget }
     waiting.grant(true)
   }
 
--- a/packages/entry/src/peers/peer-connection.ts
+++ b/packages/entry/src/peers/peer-connection.ts
@@ -1,4 +1,5 @@
 /** One connection to one peer, from its hello to its end. */
+import { setMaxListeners } from 'node:events'
 import type { Socket } from 'node:net'
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, HelloFrame, Logger, PeerFrame } from '@limpetwinch/core'
@@ -43,7 +44,7 @@
   private readonly calls: OutstandingCalls
   private readonly heartbeats: HeartbeatBook
   private readonly intervalMilliseconds: number
-  private readonly ending = new AbortController()
+  private readonly ending = withManyListeners(new AbortController())
 
   /**
    * @param socket - the socket, hello exchanged
@@ -180,3 +181,9 @@
     yield * frames.value
   }
 }
+
+/** Each call under way listens for the end of its connection, so the usual bound for leaks does not fit. */
+function withManyListeners (controller: AbortController): AbortController {
+  setMaxListeners(0, controller.signal)
+  return controller
+}
--- a/packages/entry/src/peers/tcp-peer-network.ts
+++ b/packages/entry/src/peers/tcp-peer-network.ts
@@ -1,4 +1,5 @@
 /** The peer network over TCP: one connection to each peer of the data centre, others on demand. */
+import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { SystemClock } from '@limpetwinch/core'
@@ -22,6 +23,8 @@
 const REMOTE_INTERVALS = 5
 const LARGEST_WAITING_NOTICES = 1_000
 const NEVER = new AbortController().signal
+// Calls to oneself share it.
+setMaxListeners(0, NEVER)
 
 /** What a network is made of. */
 export interface TcpPeerNetworkOptions {
