--- a/packages/entry/src/loads/conducted-load-turns.ts
+++ b/packages/entry/src/loads/conducted-load-turns.ts
@@ -9,6 +9,7 @@
 import { LoadTurns } from './load-turns.js'
 
 const ASK_MILLISECONDS = 10_000
+const LONGEST_TURN_MILLISECONDS = 10_000
 
 /** What the turns are made of. */
 export interface ConductedLoadTurnsOptions {
@@ -20,6 +21,8 @@
   /** One conductor for each data centre, or one for the deployment, with which only one load runs at a time. */
   readonly scope: 'data-centre' | 'deployment'
   readonly clock?: Clock
+  /** A load that takes longer no longer keeps the others waiting. */
+  readonly longestTurnMilliseconds?: number
 }
 
 /** {@link LoadTurns} from a conductor, with a share of the rate as the fallback. It needs no fencing: two loads at once are slower, not wrong. */
@@ -35,7 +38,7 @@
     super()
     this.options = options
     this.clock = options.clock ?? new SystemClock()
-    this.conductor = new LoadTurnConductor(this.clock)
+    this.conductor = new LoadTurnConductor(this.clock, options.longestTurnMilliseconds ?? LONGEST_TURN_MILLISECONDS)
     const { peers } = options
     peers.onNotice('load-turn-done', (from, frame) => this.conductor.done(from, frame.turn))
     peers.onCall('load-turn-ask', async (from, frame, signal) => {
--- a/packages/entry/src/loads/load-turn-conductor.ts
+++ b/packages/entry/src/loads/load-turn-conductor.ts
@@ -1,9 +1,6 @@
 /** The side of load turns that grants them, one at a time. */
 import type { Clock, InstanceId } from '@limpetwinch/core'
 
-/** A load that takes longer no longer keeps the others waiting. */
-const LONGEST_TURN_MILLISECONDS = 10_000
-
 interface WaitingTurn {
   readonly holder: InstanceId
   readonly turn: string
@@ -15,12 +12,17 @@
 /** Grants turns by urgency. It remembers nothing that must last: a new conductor starts empty. */
 export class LoadTurnConductor {
   private readonly clock: Clock
+  private readonly longestTurnMilliseconds: number
   private readonly waiting = new Map<string, WaitingTurn>()
   private current: { readonly key: string, readonly timer: NodeJS.Timeout } | undefined
 
-  /** @param clock - ages what waits */
-  constructor (clock: Clock) {
+  /**
+   * @param clock - ages what waits
+   * @param longestTurnMilliseconds - a load that takes longer no longer keeps the others waiting
+   */
+  constructor (clock: Clock, longestTurnMilliseconds: number) {
     this.clock = clock
+    this.longestTurnMilliseconds = longestTurnMilliseconds
   }
 
   /**
@@ -63,7 +65,7 @@
     if (first === undefined) return
     const [key, waiting] = first
     this.waiting.delete(key)
-    this.current = { key, timer: setTimeout(() => this.lapse(key), LONGEST_TURN_MILLISECONDS) }
+    this.current = { key, timer: setTimeout(() => this.lapse(key), this.longestTurnMilliseconds) }
     waiting.grant(true)
   }
 
--- a/packages/entry/src/membership/list-membership.ts
+++ b/packages/entry/src/membership/list-membership.ts
@@ -204,12 +204,12 @@
 
   /**
    * After a pause of this process all others look silent, and it would take over what they own. What they sent
-   * meanwhile waits in the sockets; a third of the time for suspicion is enough to read it.
+   * meanwhile waits in the sockets; two thirds of the time for suspicion, two heartbeats, are enough to read it.
    */
   private noticePause (): void {
     const now = this.clock.now()
     const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
-    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) this.wokenUntil = now + this.suspectAfterMilliseconds / 3
+    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) this.wokenUntil = now + 2 * this.suspectAfterMilliseconds / 3
     this.lastJudged = now
   }
 
