--- a/packages/entry/test/loads/load-turn-conductor.test.ts
+++ b/packages/entry/test/loads/load-turn-conductor.test.ts
@@ -8,7 +8,7 @@
 
 describe('the conductor of load turns', () => {
   it('grants the most urgent turn next', async () => {
-    const conductor = new LoadTurnConductor(new SystemClock())
+    const conductor = new LoadTurnConductor(new SystemClock(), 10_000)
     const { signal } = new AbortController()
     await conductor.ask(HOLDER, 'first', 1, signal)
     const granted: string[] = []
@@ -25,7 +25,7 @@
   // Operators see the memory of the conducting instance grow with each load of a peer, for as long as its connection
   // lasts: each granted turn left a listener on the connection's signal. A turn that is over leaves none.
   it('keeps nothing of turns that are over', async () => {
-    const conductor = new LoadTurnConductor(new SystemClock())
+    const conductor = new LoadTurnConductor(new SystemClock(), 10_000)
     const { signal } = new AbortController()
     for (let turn = 0; turn < 20; turn += 1) {
       await conductor.ask(HOLDER, `turn-${turn}`, 1, signal)
@@ -36,7 +36,7 @@
 
   // The next load begins although the holder of the turn is gone: its connection has ended.
   it('takes a turn back when the connection of its holder ends', async () => {
-    const conductor = new LoadTurnConductor(new SystemClock())
+    const conductor = new LoadTurnConductor(new SystemClock(), 10_000)
     const lost = new AbortController()
     await conductor.ask(HOLDER, 'first', 1, lost.signal)
     const next = conductor.ask('two' as InstanceId, 'second', 1, new AbortController().signal)
