Keep the pin of a cancelled run until the engine says that it ended

Cause: when a caller left or an attempt was given up, an answered cancellation was taken for the end of the run, and the owner could evict its adapter. An engine that ends a sequence some steps later, or that missed the order, still uses it. Ruled out: waiting for the report, which lags and names no queued run. Change: after the cancellation the run's stream is resumed on a new connection until it tells its end, or that the engine knows no such run. Before: the new test fails ('unloaded athletics/essay@1 while run ...:1 used it'). After: it passes, with 115 tests of entry.

The fault runs no longer end one instance twice; that removed another from those that are looked at, and reported its settings as late.

--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -9,12 +9,12 @@
 import type { EndpointDirectory } from '../routing/endpoint-directory.js'
 import type { Route, Router } from '../routing/router.js'
 import type { AdmissionClient, HeldAdmission } from './admission-client.js'
+import { endAbandonedRun } from './abandoned-run.js'
 import { EngineAnswer } from './engine-answer.js'
 import type { StreamLimits } from './engine-answer.js'
 
 const MOST_ATTEMPTS = 4
 const ASK_AGAIN_MILLISECONDS = 50
-const LONGEST_CANCEL_PAUSE_MILLISECONDS = 5_000
 
 /** A request that has passed authentication and limits. */
 export interface DeliveryRequest {
@@ -241,13 +241,7 @@
   private async abandon (client: EngineClient, held: HeldAdmission, requestId: RequestId, outputTokens: number): Promise<void> {
     const { clock } = this.options
     const giveUpAt = clock.now() + 1000 * this.settings.policy.longestRequestSeconds
-    let pause = ASK_AGAIN_MILLISECONDS
-    while (clock.now() < giveUpAt) {
-      const cancelled = await client.cancel(requestId)
-      if (cancelled.isOk()) break
-      await clock.sleep(pause)
-      pause = Math.min(LONGEST_CANCEL_PAUSE_MILLISECONDS, 2 * pause)
-    }
+    await endAbandonedRun(client, requestId, outputTokens, clock, giveUpAt)
     held.done('failed', outputTokens)
   }
 
--- a/packages/load/src/faults/deployment.ts
+++ b/packages/load/src/faults/deployment.ts
@@ -91,8 +91,9 @@
     return entry
   }
 
-  /** Stops an instance as planned. */
+  /** Stops an instance as planned, unless it has been ended already. */
   async stopEntry (entry: RunningEntry): Promise<void> {
+    if (!this.entries.includes(entry)) return
     this.log.record({ event: 'instance-stop-asked', instance: entry.instance })
     this.remove(entry)
     await this.list(entry.instance, 'entry', entry.peer, 'leaving')
@@ -101,8 +102,9 @@
     await this.unlist(entry.instance)
   }
 
-  /** Ends an instance at once. */
+  /** Ends an instance at once, unless it has been ended already. */
   async killEntry (entry: RunningEntry): Promise<void> {
+    if (!this.entries.includes(entry)) return
     this.log.record({ event: 'instance-killed', instance: entry.instance })
     this.remove(entry)
     await entry.host.kill()
