Send edits in place of documents between peers

Need: a change was sent as its whole document.

Ruled out: compression (a large document is still tens of kilobytes); patches in the form that operators send (a put has none).

Change: the one stretch of text that differs, with the write id of the document that it was made on. A peer with another document passes it over, and the hashes of heartbeats bring the whole. The stretch never cuts a surrogate pair. The frame settings-change gains an optional `edits`, appended on the wire.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -3,6 +3,7 @@
 import type { AdapterReference } from '../ids/adapter-reference.js'
 import type { DataCentreId, EndpointId, FencingToken, InstanceId, LoadedName, RequestId, Revision, SettingsPath } from '../ids/ids.js'
 import type { SettingsDocument } from '../settings/operator-settings.js'
+import type { TextEdit } from '../settings/text-edit.js'
 
 /** First frame each way: who speaks. */
 export interface HelloFrame {
@@ -115,12 +116,20 @@
   readonly removed: readonly string[]
 }
 
+/** A document as a change of the one before it. */
+export interface SettingsEdit extends Omit<SettingsDocument, 'text'>, TextEdit {
+  /** Write id of the document that it changes. */
+  readonly base: string
+}
+
 /** Settings that the receiver has not yet, or a newer state of them. */
 export interface SettingsChangeFrame {
   readonly kind: 'settings-change'
   readonly documents: readonly SettingsDocument[]
   /** In an answer to `settings-revisions`: all that is newer, a part of it, or nothing as the sender has no whole state. */
   readonly answer?: 'whole' | 'more' | 'unready' | undefined
+  /** Changes of documents that the receiver is expected to have. */
+  readonly edits?: readonly SettingsEdit[] | undefined
 }
 
 /** Sent when hashes differ: the sender's revisions; the receiver answers with what is newer there. */
--- /dev/null
+++ b/packages/core/test/settings/text-edit.test.ts
@@ -0,0 +1,21 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { textEditBetween, withTextEdit } from '@limpetwinch/core'
+
+const text = fc.string({ unit: fc.constantFrom('a', 'b', '\n', '\u{1F4DC}', '\u{1F4DD}', '\u{10FFFF}', 'é'), maxLength: 30 })
+
+describe('text edit', () => {
+  it('makes one text of the other, also after the way over the wire', () => {
+    // Emoji that differ in their second half only must not be cut in two: UTF-8 has no halves.
+    fc.assert(fc.property(text, text, (before, after) => {
+      const edit = textEditBetween(before, after)
+      const insert = Buffer.from(edit.insert, 'utf8').toString('utf8')
+      expect(withTextEdit(before, { ...edit, insert })).toBe(after)
+    }), { seed: 20_261_202, numRuns: 1_000 })
+  })
+
+  it('is as long as what differs', () => {
+    expect(textEditBetween('one two three', 'one 2 three')).toEqual({ start: 4, end: 7, insert: '2' })
+    expect(textEditBetween('same', 'same')).toEqual({ start: 4, end: 4, insert: '' })
+  })
+})
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -82,7 +82,18 @@
       acceptedAt: z.number(),
       author: z.string()
     })),
-    answer: z.enum(['whole', 'more', 'unready']).optional()
+    answer: z.enum(['whole', 'more', 'unready']).optional(),
+    edits: z.array(z.object({
+      path: id,
+      revision: count,
+      writeId: id,
+      acceptedAt: z.number(),
+      author: z.string(),
+      base: id,
+      start: count,
+      end: count,
+      insert: z.string()
+    })).optional()
   }),
   'settings-revisions': z.object({ revisions: z.array(z.object({ path: id, revision: count, writeId: id, acceptedAt: z.number() })) }),
   ownership: z.object({ version: count, value: z.unknown() }),
--- a/packages/entry/src/settings/settings-exchange.ts
+++ b/packages/entry/src/settings/settings-exchange.ts
@@ -3,6 +3,8 @@
 import type { Clock, FrameOf, InstanceId, Logger, SettingsDocument } from '@limpetwinch/core'
 import type { Membership } from '../membership/membership.js'
 import type { PeerNetwork } from '../peers/peer-network.js'
+import { documentOfEdit, editOf } from './settings-edit.js'
+import type { AppliedChange } from './settings-edit.js'
 import type { SettingsState } from './settings-state.js'
 
 /** What the exchange needs of its instance. */
@@ -57,15 +59,19 @@
   }
 
   /**
-   * Sends documents to peers.
+   * Sends changes to peers.
    *
-   * @param documents - what is new
+   * @param changes - what is new
    * @param to - the peers; all of the data centre unless given
    */
-  push (documents: readonly SettingsDocument[], to: readonly InstanceId[] = this.peers()): void {
-    if (documents.length === 0) return
-    for (const part of inFrames(documents)) {
-      for (const peer of to) this.parts.network.notify(peer, { kind: 'settings-change', documents: part })
+  push (changes: readonly AppliedChange[], to: readonly InstanceId[] = this.peers()): void {
+    const edits = changes.flatMap((change) => editOf(change) ?? [])
+    const whole = changes.filter((change) => editOf(change) === undefined).map((change) => change.document)
+    const frames: FrameOf<'settings-change'>[] = []
+    if (edits.length > 0) frames.push({ kind: 'settings-change', documents: [], edits })
+    if (whole.length > 0) frames.push(...inFrames(whole).map((documents) => ({ kind: 'settings-change', documents }) as const))
+    for (const frame of frames) {
+      for (const peer of to) this.parts.network.notify(peer, frame)
     }
   }
 
@@ -138,7 +144,9 @@
   }
 
   private takeChange (from: InstanceId, frame: FrameOf<'settings-change'>): void {
-    this.parts.take(from, frame.documents)
+    const { state } = this.parts
+    const edited = (frame.edits ?? []).flatMap((edit) => documentOfEdit(edit, state.document(edit.path)) ?? [])
+    this.parts.take(from, [...frame.documents, ...edited])
     if (frame.answer === undefined) return
     if (frame.answer === 'more') this.ask(from)
     for (const listener of this.answerListeners) listener(from, frame.answer)
--- a/packages/entry/src/settings/settings-follower.ts
+++ b/packages/entry/src/settings/settings-follower.ts
@@ -3,6 +3,7 @@
 import { Backoff } from '../concurrency/backoff.js'
 import type { Membership } from '../membership/membership.js'
 import type { PeerNetwork } from '../peers/peer-network.js'
+import type { AppliedChange } from './settings-edit.js'
 import { SettingsExchange } from './settings-exchange.js'
 import { takeFromPeers } from './settings-start.js'
 import { SettingsState } from './settings-state.js'
@@ -182,8 +183,11 @@
     this.logger.warn('The store holds an older revision; the newer one stays in force.', { path: document.path, stored: document.revision, inForce: known.revision })
   }
 
-  private apply (documents: readonly SettingsDocument[]): SettingsDocument[] {
-    const changed = documents.filter((document) => this.state.apply(document))
+  private apply (documents: readonly SettingsDocument[]): AppliedChange[] {
+    const changed = documents.flatMap((document) => {
+      const former = this.state.document(document.path)
+      return this.state.apply(document) ? [{ document, former }] : []
+    })
     if (changed.length > 0 && this.ready) this.tellListeners()
     return changed
   }
--- a/packages/entry/test/settings/deployment.ts
+++ b/packages/entry/test/settings/deployment.ts
@@ -92,6 +92,11 @@
     }))
   }
 
+  /** @returns bytes sent so far in frames of one kind */
+  bytesSent (kind: NoticeFrame['kind']): number {
+    return this.sent.filter(({ frame }) => frame.kind === kind).reduce((bytes, { frame }) => bytes + encodeFrame(frame)._unsafeUnwrap().length, 0)
+  }
+
   /** Carries a frame over in a later turn. */
   deliver (from: InstanceId, to: InstanceId, frame: NoticeFrame): void {
     if (!this.connects(from, to) || this.drop(frame)) return
--- a/packages/entry/test/settings/settings-follower.test.ts
+++ b/packages/entry/test/settings/settings-follower.test.ts
@@ -117,6 +117,29 @@
     expect(two.follower.current()?.teams.size).toBe(paths.length)
   })
 
+  it('sends an edit in place of a large document, and never makes one on another text', async () => {
+    // A team's document of 100 KB changes in one version. Sent whole to each peer it would use up the bytes for control;
+    // sent as an edit, it must not be made on a peer that lost the change before: the text would be one that nobody wrote.
+    const store = new MemoryObjectStore()
+    const one = await deployment.start('one', store)
+    const two = await deployment.start('two', store)
+    const padding = `// ${'x'.repeat(100_000)} \u{1F4DC}\n`
+    await put(one.writer, padding + teamText('v1'), 0)
+    await until(() => versionAt(two) === 'v1')
+    deployment.sent.length = 0
+    store.faults.outage = true
+    one.follower.accepted({ ...document(2, 'v2'), text: padding + teamText('v2') })
+    await until(() => versionAt(two) === 'v2')
+    expect(deployment.bytesSent('settings-change')).toBeLessThan(1_000)
+    deployment.drop = (frame) => frame.kind === 'settings-change'
+    one.follower.accepted({ ...document(3, 'v3'), text: `// one line more\n${padding}${teamText('v3')}` })
+    deployment.drop = () => false
+    one.follower.accepted({ ...document(4, 'v1'), text: `// one line more\n${padding}${teamText('v1')}` })
+    await until(() => two.follower.document(PATH)?.revision === 4)
+    expect(two.follower.document(PATH)).toEqual(one.follower.document(PATH))
+    expect(versionAt(two)).toBe('v1')
+  })
+
   it('closes a gap that the hashes of heartbeats show', async () => {
     // Two peers lose the frame that carries a change, and neither watches the store. Their next heartbeats differ from
     // the others'; without an exchange they would serve the former version until a restart.
