--- /dev/null
+++ b/packages/decisions/test/routing.test.ts
@@ -0,0 +1,111 @@
+import { describe, expect, it } from 'vitest'
+import type { DataCentreId, EndpointId } from '@limpetwinch/core'
+import { WeightedRoutingPolicy } from '@limpetwinch/decisions'
+import type { EndpointView, RoutingQuestion } from '@limpetwinch/decisions'
+
+type HeldState = ReturnType<EndpointView['holds']>
+
+function view (name: string, rest: Partial<EndpointView> & { readonly held?: HeldState } = {}): EndpointView {
+  const { held = 'absent', ...given } = rest
+  return {
+    endpoint: name as EndpointId,
+    dataCentre: 'here' as DataCentreId,
+    distance: 0,
+    baseModel: 'base',
+    role: 'generate',
+    queued: 0,
+    running: 0,
+    sentSince: 0,
+    slots: 8,
+    pinnedSlots: 0,
+    batchCapacity: 16,
+    leaving: false,
+    loadsAhead: 0,
+    holds: () => held,
+    cachedShare: () => 0,
+    evictionCost: () => 0,
+    ...given
+  }
+}
+
+const question: RoutingQuestion = {
+  adapter: 'team/adapter@1',
+  team: 'team',
+  baseModel: 'base',
+  prompt: 'text',
+  promptTokens: 1_000,
+  maximumTokens: 100,
+  priority: 5,
+  avoid: new Set()
+}
+
+function choose (views: readonly EndpointView[], given: Partial<RoutingQuestion> = {}, policy = new WeightedRoutingPolicy()): string | undefined {
+  return policy.choose({ ...question, ...given }, views, 0)
+}
+
+describe('weighted routing', () => {
+  it('never takes a leaving endpoint or one of another base model or role', () => {
+    const none = [view('a', { leaving: true }), view('b', { baseModel: 'other' }), view('c', { role: 'embed' })]
+    expect(choose(none)).toBeUndefined()
+    expect(choose([...none, view('d', { queued: 400 })])).toBe('d')
+  })
+
+  it('prefers a loaded adapter to an idle engine, and an idle engine to a long queue', () => {
+    expect(choose([view('idle'), view('holder', { held: 'loaded', running: 10 })])).toBe('holder')
+    expect(choose([view('idle'), view('holder', { held: 'loaded', running: 16, queued: 64 })])).toBe('idle')
+  })
+
+  it('asks for no copy of a queued adapter while a load would take longer', () => {
+    expect(choose([view('idle', { loadsAhead: 60 }), view('holder', { held: 'loaded', running: 16, queued: 32 })])).toBe('holder')
+    // The copy alone would come a little sooner, but each load behind it would wait.
+    expect(choose([view('idle', { loadsAhead: 6 }), view('holder', { held: 'loaded', running: 16, queued: 16 })])).toBe('holder')
+  })
+
+  it('joins a load under way before it asks for another', () => {
+    expect(choose([view('a'), view('b', { held: 'loading', loadsAhead: 1 })])).toBe('b')
+  })
+
+  it('counts what was sent since the newest report', () => {
+    const sent = { held: 'loaded', running: 15, sentSince: 20 } as const
+    const quiet = { held: 'loaded', running: 15 } as const
+    expect(choose([view('a', sent), view('b', quiet)])).toBe('b')
+    expect(choose([view('a', quiet), view('b', sent)])).toBe('a')
+  })
+
+  it('takes the engine where the eviction stalls least', () => {
+    expect(choose([view('a', { evictionCost: () => 2 }), view('b', { evictionCost: () => 0.1 })])).toBe('b')
+  })
+
+  it('prefers a cached prefix and a near engine among equals', () => {
+    expect(choose([view('a', { held: 'loaded' }), view('b', { held: 'loaded', cachedShare: () => 0.9 })])).toBe('b')
+    expect(choose([view('a', { held: 'loaded', distance: 40 }), view('b', { held: 'loaded' })])).toBe('b')
+  })
+
+  it('fills a batch or spreads by the weighting', () => {
+    const views = [view('empty', { held: 'loaded' }), view('half', { held: 'loaded', running: 8 })]
+    expect(choose(views, {}, new WeightedRoutingPolicy({ batchEfficiencyWeight: 1 }))).toBe('half')
+    expect(choose(views, {}, new WeightedRoutingPolicy({ batchEfficiencyWeight: 0 }))).toBe('empty')
+  })
+
+  it('looks past the queue of a team that floods', () => {
+    const flooded = view('a', { held: 'loaded', running: 12, queued: 200, queuedBefore: () => 1 })
+    expect(choose([flooded, view('b', { loadsAhead: 8 })])).toBe('a')
+  })
+
+  it('avoids where the request failed, unless nothing else is left', () => {
+    const avoid = new Set(['a' as EndpointId])
+    expect(choose([view('a', { held: 'loaded' }), view('b')], { avoid })).toBe('b')
+    expect(choose([view('a', { held: 'loaded' })], { avoid })).toBe('a')
+  })
+
+  it('ejects an endpoint that fails and takes it back gently', () => {
+    const policy = new WeightedRoutingPolicy({ ejection: { ejectionMilliseconds: 1_000, returnMilliseconds: 10_000 } })
+    const views = [view('a', { held: 'loaded' }), view('b', { held: 'loaded', running: 16, queued: 2 })]
+    const at = (now: number, queued: number) => policy.choose(question, [view('a', { held: 'loaded' }), view('b', { held: 'loaded', running: 16, queued })], now)
+    for (let count = 0; count < 3; count++) policy.observe('a' as EndpointId, 'failed', 0)
+    expect(policy.choose(question, views, 500)).toBe('b')
+    expect(at(1_500, 2)).toBe('b')
+    expect(at(1_500, 60)).toBe('a')
+    expect(at(12_000, 2)).toBe('a')
+  })
+})
