--- a/packages/load/src/commands/bench/policy.ts
+++ b/packages/load/src/commands/bench/policy.ts
@@ -5,6 +5,7 @@
 import { POLICIES_UNDER_TEST } from '../../policy/policies/policies-under-test.js'
 import { USUAL_SECONDS, USUAL_SIZE, makeTraces, runPolicy } from '../../policy/policy-experiment.js'
 import { optimumOf } from '../../policy/results/clairvoyant.js'
+import type { Optimum } from '../../policy/results/clairvoyant.js'
 import { markdownOf } from '../../policy/results/markdown.js'
 import { sharePlot, stallPlot } from '../../policy/results/policy-plots.js'
 import type { RunReport } from '../../policy/results/run-report.js'
@@ -16,6 +17,8 @@
   readonly bench: 'policy'
   readonly seed: number
   readonly runs: readonly RunReport[]
+  /** The clairvoyant reference of each trace, when asked for. */
+  readonly optima?: Readonly<Record<string, Optimum>>
 }
 
 /** Replays traces on small engines with the product's decision classes and with others. */
@@ -29,6 +32,7 @@
     engines: Flags.integer({ default: USUAL_SIZE.engines, min: 1, description: 'Number of engines.' }),
     'loads-per-second': Flags.string({ default: String(USUAL_SIZE.loadsPerSecond), description: 'Loads a second, one at a time.' }),
     seconds: Flags.integer({ default: USUAL_SECONDS, min: 1, description: 'Length of the made traces.' }),
+    optimum: Flags.boolean({ default: false, description: 'Add the clairvoyant reference of each trace.' }),
     markdown: Flags.string({ description: 'Write the page of figures and its plots into this folder.' }),
     policies: Flags.string({ multiple: true, description: 'Run only policies whose name starts so.' }),
     traces: Flags.string({ multiple: true, description: 'Run only made traces whose name starts so.' })
@@ -49,7 +53,9 @@
       }
     }
     if (flags.markdown !== undefined) this.writePage(flags.markdown, flags.seed, traces, runs)
-    return { bench: 'policy', seed: flags.seed, runs }
+    const document = { bench: 'policy', seed: flags.seed, runs } as const
+    if (!flags.optimum) return document
+    return { ...document, optima: Object.fromEntries(traces.map((trace) => [trace.name, optimumOf(trace)])) }
   }
 
   private writePage (folder: string, seed: number, traces: readonly Trace[], runs: readonly RunReport[]): void {
