--- a/packages/core/src/endpoints/http-engine-client.ts
+++ b/packages/core/src/endpoints/http-engine-client.ts
@@ -8,18 +8,21 @@
 import { ERRORS } from '../errors/errors-data.js'
 import type { ErrorName } from '../errors/errors-data.js'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import { OversizeAnswer, readBoundedText } from '../http/bounded-text.js'
 import { formatAdapter } from '../ids/adapter-reference.js'
 import type { AdapterReference } from '../ids/adapter-reference.js'
 import type { EndpointId, FencingToken, RequestId } from '../ids/ids.js'
 import { neverConnected } from '../platform/http-object-store.js'
 import { EngineClient } from './engine-client.js'
-import type { AdapterOrder, CacheEvent, EngineReport, GenerateRequest, GenerationEventResult } from './engine-client.js'
+import type { AdapterOrder, CacheEvent, EngineReport, GeneratedPart, GenerateRequest, GenerationEventResult } from './engine-client.js'
 
 const ORDER_MILLISECONDS = 60_000
 const QUICK_MILLISECONDS = 5_000
+const MOST_ANSWER_BYTES = 16 * 1024 * 1024
+const MOST_REFUSAL_BYTES = 64 * 1024
+const MOST_EVENT_CHARACTERS = 1024 * 1024
 const REFUSALS: ReadonlySet<string> = new Set(['adapter-not-loaded', 'stale-fencing-token', 'no-free-slot', 'load-failed'])
 
-const partSchema = z.object({ position: z.int().min(0), text: z.string() })
 const endSchema = z.object({
   end: z.object({
     finishReason: z.string(),
@@ -67,7 +70,7 @@
   }
 
   override resume (requestId: RequestId, position: number, signal: AbortSignal): AsyncIterable<GenerationEventResult> {
-    return this.stream('GET', `/generate/${requestId}?from=${position}`, undefined, signal)
+    return unproved(this.stream('GET', `/generate/${requestId}?from=${position}`, undefined, signal))
   }
 
   override cancel (requestId: RequestId): ResultAsync<void, LimpetwinchError> {
@@ -108,28 +111,38 @@
     try {
       response = await this.send(method, target, body, signal)
       if (response.statusCode !== 200) {
-        yield { ok: false, error: this.refusal(response.statusCode, await response.body.text(), undefined) }
+        yield { ok: false, error: this.refusal(response.statusCode, await readBoundedText(response.body, MOST_REFUSAL_BYTES), undefined) }
         return
       }
     } catch (cause) {
       yield { ok: false, error: this.failure(cause) }
       return
     }
-    yield * this.events(response)
+    yield * this.events(response.body)
   }
 
-  private async * events (response: Dispatcher.ResponseData): AsyncIterable<GenerationEventResult> {
+  private async * events (body: Dispatcher.ResponseData['body']): AsyncIterable<GenerationEventResult> {
+    const events = new EventBuffer()
+    let ended = false
+    body.on('error', ignore)
     try {
-      for await (const data of eventData(response.body)) {
-        const event = this.parseEvent(data)
-        yield event
-        if (!event.ok || event.event.kind === 'end') return
+      for await (const chunk of body.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+        for (const data of events.feed(chunk)) {
+          const event = this.parseEvent(data)
+          ended = event.ok && event.event.kind === 'end'
+          yield event
+          if (!event.ok || ended) return
+        }
       }
+      yield { ok: false, error: this.failedAfterSend('the stream ended early') }
     } catch (cause) {
       yield { ok: false, error: this.failure(cause) }
-      return
+    } finally {
+      // After a whole answer only the end of the body is to come; read to there, the connection serves the next
+      // request, while a destroyed one would cost each request a new connection.
+      if (ended) body.dump().catch(ignore)
+      else body.destroy()
     }
-    yield { ok: false, error: this.failedAfterSend('the stream ended early') }
   }
 
   private parseEvent (data: string): GenerationEventResult {
@@ -139,8 +152,7 @@
     } catch (cause) {
       return { ok: false, error: this.failedAfterSend('an event that is not JSON', cause) }
     }
-    const part = partSchema.safeParse(body)
-    if (part.success) return { ok: true, event: { kind: 'part', part: part.data } }
+    if (isPart(body)) return { ok: true, event: { kind: 'part', part: body } }
     const end = endSchema.safeParse(body)
     if (end.success) return { ok: true, event: { kind: 'end', end: { ...end.data.end, adapter: end.data.end.adapter } } }
     const reason = (body as { error?: unknown } | null)?.error
@@ -154,7 +166,7 @@
   private async answer (method: 'GET' | 'POST', target: string, body: unknown, milliseconds: number, adapter?: string): Promise<Result<unknown, LimpetwinchError>> {
     try {
       const response = await this.send(method, target, body, AbortSignal.timeout(milliseconds))
-      const text = await response.body.text()
+      const text = await readBoundedText(response.body, MOST_ANSWER_BYTES)
       if (response.statusCode !== 200) return err(this.refusal(response.statusCode, text, adapter))
       return ok(text === '' ? undefined : JSON.parse(text))
     } catch (cause) {
@@ -199,19 +211,51 @@
   }
 }
 
-/** Reads server-sent events as they come. */
-async function * eventData (body: AsyncIterable<Buffer>): AsyncIterable<string> {
-  const decoder = new TextDecoder()
-  let waiting: string[] = []
-  const parser = createParser({ onEvent: (event) => { waiting.push(event.data) } })
-  for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }))
-    const ready = waiting
-    waiting = []
-    yield * ready
+/**
+ * Takes a failed resume for no proof of anything: the request was sent before, so an engine that no longer knows it, or
+ * does not listen any more, may have run it all the same. Told as not run, its caller would run it twice.
+ */
+async function * unproved (results: AsyncIterable<GenerationEventResult>): AsyncIterable<GenerationEventResult> {
+  for await (const result of results) {
+    if (result.ok) yield result
+    else yield { ok: false, error: new LimpetwinchError(result.error.kind, { ...result.error.details }, { outcome: 'unknown', cause: result.error }) }
   }
 }
 
+/**
+ * Reads server-sent events as they come. Bytes that are no UTF-8 end the stream: replaced by a sign, they would reach
+ * the caller as text that the engine never wrote. So does an event without end, which would fill the memory.
+ */
+/** Takes server-sent events out of chunks as they come. */
+class EventBuffer {
+  private readonly decoder = new TextDecoder('utf-8', { fatal: true })
+  private waiting: string[] = []
+  private oversize = false
+  private readonly parser = createParser({
+    maxBufferSize: MOST_EVENT_CHARACTERS,
+    onEvent: (event) => { this.waiting.push(event.data) },
+    onError: (error) => { this.oversize ||= error.type === 'max-buffer-size-exceeded' }
+  })
+
+  /** @returns the data of the events that are whole now */
+  feed (chunk: Buffer): string[] {
+    this.parser.feed(this.decoder.decode(chunk, { stream: true }))
+    if (this.oversize) throw new OversizeAnswer(MOST_EVENT_CHARACTERS)
+    const ready = this.waiting
+    this.waiting = []
+    return ready
+  }
+}
+
+/** Checked by hand and not by a schema: this runs for each token. */
+function isPart (body: unknown): body is GeneratedPart {
+  if (typeof body !== 'object' || body === null) return false
+  const { position, text } = body as Partial<GeneratedPart>
+  return typeof text === 'string' && Number.isSafeInteger(position) && (position as number) >= 0
+}
+
+function ignore (): void {}
+
 function safeJson (text: string): unknown {
   try {
     return JSON.parse(text)
--- /dev/null
+++ b/packages/entry/src/membership/list-membership.ts
@@ -0,0 +1,259 @@
+/** Membership from the platform's lagging list and the heartbeats of peers. */
+import { SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, InstanceId, InstanceList, ListedInstance, Logger } from '@limpetwinch/core'
+import type { PeerIdentity, PeerLinks, PeerTarget } from '../peers/peer-links.js'
+import { hearsMajority } from './cut-off.js'
+import { MemberEntry } from './member-entry.js'
+import { Membership } from './membership.js'
+import type { Member } from './membership.js'
+import { chooseRemotes } from './remote-choice.js'
+
+const UNLISTED_GONE_MILLISECONDS = 600_000
+const FORGET_GONE_MILLISECONDS = 3_600_000
+const REMOTE_SUSPECT_FACTOR = 5
+const TICKS_TO_SUSPECT = 12
+const PAUSED_AFTER_TICKS = 3
+/** Three tries to dial, each with its time limits and back-off, fit into so many times the time for suspicion. */
+const SETTLE_FACTOR = 4
+
+/** What the membership is made of. */
+export interface ListMembershipOptions {
+  readonly peers: PeerLinks
+  readonly list: InstanceList
+  readonly logger: Logger
+  readonly clock?: Clock
+  /** Uniform in 0 to 1. */
+  readonly random?: () => number
+  /** Mean time between reads of the list. */
+  readonly pollMilliseconds?: number
+  /** Silence after which a member of this data centre is suspect. */
+  readonly suspectAfterMilliseconds?: number
+  /** Longer than the list ever lags: an instance silent and never listed for so long has ended. */
+  readonly unlistedGoneMilliseconds?: number
+}
+
+/** A {@link Membership} that merges list and heartbeats. The list alone never removes a member that is heard. */
+export class ListMembership extends Membership {
+  private readonly peers: PeerLinks
+  private readonly list: InstanceList
+  private readonly logger: Logger
+  private readonly clock: Clock
+  private readonly random: () => number
+  private readonly pollMilliseconds: number
+  private readonly suspectAfterMilliseconds: number
+  private readonly unlistedGoneMilliseconds: number
+  private readonly entries = new Map<InstanceId, MemberEntry>()
+  private readonly goneAt = new Map<InstanceId, number>()
+  private readonly listeners: (() => void)[] = []
+  private endpointsLeaving: ReadonlySet<string> = new Set()
+  private keptRemotes: ReadonlySet<InstanceId> = new Set()
+  private leavingSelf = false
+  private targetsStale = false
+  private lastCutOff = -Infinity
+  private wokenUntil = -Infinity
+  private lastJudged: number
+  private listRead = false
+
+  /** @param options - the sources and their times */
+  constructor (options: ListMembershipOptions) {
+    super()
+    this.peers = options.peers
+    this.list = options.list
+    this.logger = options.logger.part('membership')
+    this.clock = options.clock ?? new SystemClock()
+    this.random = options.random ?? Math.random
+    this.pollMilliseconds = options.pollMilliseconds ?? 2_000
+    this.suspectAfterMilliseconds = options.suspectAfterMilliseconds ?? 3_000
+    this.unlistedGoneMilliseconds = options.unlistedGoneMilliseconds ?? UNLISTED_GONE_MILLISECONDS
+    this.lastJudged = this.clock.now()
+    this.peers.onConnected((peer) => this.connected(peer))
+    this.peers.onHeartbeat((from, heartbeat) => this.heard(from, (entry) => { entry.heartbeat = heartbeat.frame }))
+    this.peers.onNotice('goodbye', (from) => this.heard(from, (entry) => { entry.saidGoodbye = true }))
+    this.peers.onEndEvidence((instance, evidence) => this.heard(instance, (entry) => { entry.evidence = evidence }))
+  }
+
+  /** Follows list and heartbeats until the signal ends it. */
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all([this.poll(signal), this.judgeOften(signal)])
+  }
+
+  /** Marks this instance as leaving; heartbeats are to say so as well. */
+  startLeaving (): void {
+    this.leavingSelf = true
+    this.changed()
+  }
+
+  /** Tells all peers that this instance ends now; nothing may be ordered or run by it after this. */
+  sayGoodbye (): void {
+    for (const instance of this.peers.connected()) this.peers.notify(instance, { kind: 'goodbye' })
+  }
+
+  /** @returns whether the list has been read at least once */
+  ready (): boolean {
+    return this.listRead
+  }
+
+  override members (): readonly Member[] {
+    const others = [...this.entries.values()].filter((entry) => entry.state !== 'gone').map((entry) => entry.view())
+    return [this.self(), ...others]
+  }
+
+  override member (instance: InstanceId): Member | undefined {
+    if (instance === this.peers.self.instance) return this.self()
+    return this.entries.get(instance)?.view()
+  }
+
+  override leavingEndpoints (): ReadonlySet<string> {
+    return this.endpointsLeaving
+  }
+
+  override onChange (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
+  /**
+   * Whether this instance may act on the silence of others. After it was cut off it waits: those to which it has not
+   * got a new connection yet still look silent, and it would take over what they serve.
+   */
+  hearsEnough (): boolean {
+    return this.clock.now() - this.lastCutOff > SETTLE_FACTOR * this.suspectAfterMilliseconds
+  }
+
+  private noticeCutOff (): void {
+    const others = [...this.entries.values()]
+      .filter((entry) => entry.dataCentre === this.peers.self.dataCentre && entry.state !== 'gone')
+      .map((entry) => ({ instance: entry.instance, heard: entry.state !== 'suspect', refused: entry.evidence !== undefined }))
+    if (!hearsMajority(this.peers.self.instance, others)) this.lastCutOff = this.clock.now()
+  }
+
+  private self (): Member {
+    const { instance, dataCentre, address } = this.peers.self
+    return { instance, dataCentre, address, state: this.leavingSelf ? 'leaving' : 'alive', storeReachable: true }
+  }
+
+  private async poll (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const began = this.clock.now()
+      const read = await this.list.read()
+      if (read.isOk()) this.takeList(read.value, began)
+      // Through an outage the last list stays: that the platform does not answer says nothing about members.
+      else this.logger.debug('The instance list cannot be read.', { reason: read.error.message })
+      await this.clock.sleep(this.pollMilliseconds * (0.5 + this.random()), signal)
+    }
+  }
+
+  private async judgeOften (signal: AbortSignal): Promise<void> {
+    const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
+    while (!signal.aborted) {
+      this.judge()
+      await this.clock.sleep(tick, signal)
+    }
+  }
+
+  private takeList (list: readonly ListedInstance[], began: number): void {
+    this.listRead = true
+    const entries = new Map(list.filter((line) => line.kind === 'entry').map((line) => [line.id as InstanceId, line]))
+    for (const [instance, line] of entries) {
+      if (instance !== this.peers.self.instance) this.entryOf(instance, line.dataCentre, line.address)
+    }
+    for (const entry of this.entries.values()) entry.listed(entries.get(entry.instance)?.state, began)
+    const leaving = list.filter((line) => line.kind === 'endpoint' && line.state === 'leaving').map((line) => line.id)
+    const same = leaving.length === this.endpointsLeaving.size && leaving.every((endpoint) => this.endpointsLeaving.has(endpoint))
+    this.endpointsLeaving = new Set(leaving)
+    this.judge(!same)
+  }
+
+  private entryOf (instance: InstanceId, dataCentre: DataCentreId, address: string): MemberEntry {
+    const present = this.entries.get(instance)
+    if (present !== undefined) {
+      this.targetsStale ||= present.address !== address
+      present.address = address
+      return present
+    }
+    const entry = new MemberEntry(instance, dataCentre, address, this.clock.now())
+    this.entries.set(instance, entry)
+    this.targetsStale = true
+    return entry
+  }
+
+  private connected (peer: PeerIdentity): void {
+    const present = this.entries.get(peer.instance)
+    if (present !== undefined) present.evidence = undefined
+    // The list's address stands where there is one: what a peer takes for its own may not be how it is reached.
+    if (present === undefined) this.entryOf(peer.instance, peer.dataCentre, peer.address)
+    this.judge()
+  }
+
+  private heard (instance: InstanceId, take: (entry: MemberEntry) => void): void {
+    const entry = this.entries.get(instance)
+    if (entry === undefined) return
+    take(entry)
+    if (this.judgeOne(entry)) this.changed()
+  }
+
+  /** Judges every member anew and tells what changed. */
+  private judge (changedAlready = false): void {
+    this.noticePause()
+    const changed = [...this.entries.values()].map((entry) => this.judgeOne(entry))
+    this.forgetGone(this.clock.now())
+    this.noticeCutOff()
+    if (!changed.includes(true) && !changedAlready && !this.targetsStale) return
+    this.targetsStale = false
+    this.changed()
+  }
+
+  /**
+   * After a pause of this process all others look silent, and it would take over what they own. What they sent
+   * meanwhile waits in the sockets; a third of the time for suspicion is enough to read it.
+   */
+  private noticePause (): void {
+    const now = this.clock.now()
+    const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
+    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) this.wokenUntil = now + this.suspectAfterMilliseconds / 3
+    this.lastJudged = now
+  }
+
+  /** Heartbeats come by the dozen each second; each judges its sender alone. */
+  private judgeOne (entry: MemberEntry): boolean {
+    const own = entry.dataCentre === this.peers.self.dataCentre
+    const before = entry.state
+    const changed = entry.judge({
+      now: this.clock.now(),
+      lastHeard: this.peers.lastHeard(entry.instance),
+      kept: own || this.keptRemotes.has(entry.instance),
+      justWoken: this.clock.now() < this.wokenUntil,
+      suspectAfterMilliseconds: this.suspectAfterMilliseconds * (own ? 1 : REMOTE_SUSPECT_FACTOR),
+      unlistedGoneMilliseconds: this.unlistedGoneMilliseconds
+    })
+    if (changed) this.logger.info('A member changed its state.', { instance: entry.instance, before, state: entry.state })
+    return changed
+  }
+
+  private forgetGone (now: number): void {
+    for (const entry of this.entries.values()) {
+      if (entry.state !== 'gone') this.goneAt.delete(entry.instance)
+      else if (!this.goneAt.has(entry.instance)) this.goneAt.set(entry.instance, now)
+      else if (now - (this.goneAt.get(entry.instance) ?? now) > FORGET_GONE_MILLISECONDS) {
+        this.entries.delete(entry.instance)
+        this.goneAt.delete(entry.instance)
+      }
+    }
+  }
+
+  private changed (): void {
+    this.updateTargets()
+    for (const listener of this.listeners) listener()
+  }
+
+  private updateTargets (): void {
+    const { instance, dataCentre } = this.peers.self
+    const entries = [...this.entries.values()].filter((entry) => entry.state !== 'gone')
+    this.keptRemotes = chooseRemotes(instance, dataCentre, entries)
+    this.peers.setTargets(entries.map((entry): PeerTarget => ({
+      instance: entry.instance,
+      dataCentre: entry.dataCentre,
+      address: entry.address,
+      keep: entry.dataCentre === dataCentre || this.keptRemotes.has(entry.instance)
+    })))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings/watch-rank.ts
@@ -0,0 +1,42 @@
+/** Which instances of a data centre watch the store: one and a spare. */
+import type { InstanceId } from '@limpetwinch/core'
+import type { Member, Membership } from '../membership/membership.js'
+import type { PeerNetwork } from '../peers/peer-network.js'
+import { rendezvousRank } from '../placement/rendezvous.js'
+
+const WATCHERS = 2
+/** The key of the ranking. */
+export const RANKED_FOR = 'settings-watch'
+
+/** @returns the watcher and its spare, as seen here */
+export function rendezvousRankOfWatchers (network: PeerNetwork, membership: Membership): InstanceId[] {
+  return watchersAmong([network.self.instance, ...livePeers(network, membership).map((member) => member.instance)])
+}
+
+/**
+ * @param network - tells which peers are connected
+ * @param membership - tells who is alive
+ * @param storeReachable - whether the store answers this instance
+ * @returns whether this instance watches the store now
+ */
+export function watchesHere (network: PeerNetwork, membership: Membership, storeReachable: boolean): boolean {
+  const { instance } = network.self
+  const watchers = rendezvousRankOfWatchers(network, membership)
+  if (watchers.includes(instance)) return true
+  const connected = network.connected()
+  if (!watchers.some((watcher) => connected.includes(watcher))) return true
+  // The watchers may be cut off from the store while others reach it; then the two best of those watch as well. In an
+  // outage for all, each instance leaves this list after its first failure, so that no more than the two go on trying.
+  const reaching = livePeers(network, membership).filter((member) => member.storeReachable).map((member) => member.instance)
+  if (!storeReachable || watchers.some((watcher) => reaching.includes(watcher))) return false
+  return watchersAmong([instance, ...reaching]).includes(instance)
+}
+
+function livePeers (network: PeerNetwork, membership: Membership): Member[] {
+  const { instance, dataCentre } = network.self
+  return membership.members().filter((member) => member.dataCentre === dataCentre && member.state === 'alive' && member.instance !== instance)
+}
+
+function watchersAmong (instances: readonly InstanceId[]): InstanceId[] {
+  return rendezvousRank(RANKED_FOR, instances).slice(0, WATCHERS)
+}
