Measure a bare relay beside limpetwinch in the path bench

The aim of 15 processor microseconds a token can't be judged without knowing what the machine itself takes. A process that only passes bytes on now gets the same load in the same run.

--- a/packages/load/src/bench/path/bench-deployment.ts
+++ b/packages/load/src/bench/path/bench-deployment.ts
@@ -10,6 +10,7 @@
 import type { Result } from 'neverthrow'
 import { request } from 'undici'
 import { z } from 'zod'
+import { USAGE_PATH } from './bare-relay.js'
 import { BASE_MODEL, BATCH_CAPACITY, benchSettings, ENGINE_SLOTS } from './bench-settings.js'
 
 /** Processor time and memory of the entry process. */
@@ -30,6 +31,7 @@
 const START_MILLISECONDS = 60_000
 const STEP_MILLISECONDS = 2
 
+const relayUsageSchema = z.object({ processorMicroseconds: z.number() })
 const listeningLine = z.object({ listening: z.string() })
 const entryLine = z.object({ listening: z.object({ caller: z.string(), admin: z.string(), peer: z.string() }), instance: z.string() })
 const statusSchema = z.object({
@@ -68,6 +70,23 @@
     }
   }
 
+  /**
+   * Starts a relay that only passes bytes on to the first engine.
+   *
+   * @returns its URL and usage
+   */
+  async startRelay (): Promise<Result<{ url: string, usage: () => Promise<Pick<ProcessUsage, 'at' | 'processorMicroseconds'>> }, LimpetwinchError>> {
+    const relay = await this.launch('relay', '@limpetwinch/load', 'limpetwinch-load', ['bench', 'relay', '--engine', this.engines[0] ?? ''], listeningLine)
+    return relay.map(({ listening: url }) => ({
+      url,
+      usage: async () => {
+        const answer = await request(url + USAGE_PATH)
+        const { processorMicroseconds } = relayUsageSchema.parse(await answer.body.json())
+        return { at: performance.now(), processorMicroseconds }
+      }
+    }))
+  }
+
   /** Ends all processes. */
   async stop (): Promise<void> {
     for (const launched of [...this.processes].reverse()) await launched.stop()
--- a/packages/load/src/bench/path/path-phases.ts
+++ b/packages/load/src/bench/path/path-phases.ts
@@ -18,9 +18,12 @@
   readonly outputTokens: number
 }
 
+/** Tells how much processor time a process has used. */
+type UsageOf = () => Promise<{ readonly at: number, readonly processorMicroseconds: number }>
+
 interface MeasuredLoad {
   readonly results: readonly WorkerResult[]
-  /** Processor microseconds of the entry process in each second of wall time. */
+  /** Processor microseconds of the measured process in each second of wall time. */
   readonly microsecondsPerSecond: number
   readonly seconds: number
 }
@@ -111,18 +114,41 @@
     return ok({ ...solveCost(many, few, idle), idleShare: idle / SECOND, phases: [many, few] })
   }
 
-  private async idle (): Promise<number> {
-    const before = await this.deployment.usage()
+  /**
+   * Puts the same load on a relay that only passes bytes on.
+   *
+   * @param relay - a started relay
+   * @param many - the phase of many short answers that limpetwinch had
+   * @returns its processor time for a request and for a token
+   */
+  async relayCost (relay: { readonly url: string, readonly usage: UsageOf }, many: ProcessorPhase): Promise<Result<ProcessorCost, LimpetwinchError>> {
+    const { outputTokens } = this.options
+    const idle = await this.idle(relay.usage)
+    const phases: ProcessorPhase[] = []
+    for (const longer of [1, LONGER]) {
+      const load = { mode: 'open' as const, throughRate: 0, straightRate: many.requestsPerSecond / longer }
+      const measured = await this.measure([{ ...this.spec(load, outputTokens * longer), engines: [relay.url] }], relay.usage)
+      if (measured.isErr()) return err(measured.error)
+      phases.push(phaseOf(measured.value, 'straight'))
+    }
+    const [short, long] = phases as [ProcessorPhase, ProcessorPhase]
+    return ok({ ...solveCost(short, long, idle), idleShare: idle / SECOND, phases })
+  }
+
+  private readonly entryUsage: UsageOf = async () => await this.deployment.usage()
+
+  private async idle (usage = this.entryUsage): Promise<number> {
+    const before = await usage()
     await sleep(IDLE_SECONDS * 1000)
-    const after = await this.deployment.usage()
+    const after = await usage()
     return (after.processorMicroseconds - before.processorMicroseconds) / (after.at - before.at) * 1000
   }
 
-  private async measure (specs: readonly WorkerSpec[]): Promise<Result<MeasuredLoad, LimpetwinchError>> {
-    const before = await this.deployment.usage()
+  private async measure (specs: readonly WorkerSpec[], usage = this.entryUsage): Promise<Result<MeasuredLoad, LimpetwinchError>> {
+    const before = await usage()
     const results = await runWorkers(specs)
-    const after = await this.deployment.usage()
-    // Workers take a moment to start, in which the instance is idle; the load itself runs for the seconds told.
+    const after = await usage()
+    // Workers take a moment to start, in which the process is idle; the load itself runs for the seconds told.
     const processor = after.processorMicroseconds - before.processorMicroseconds
     return results.map((all) => ({ results: all, microsecondsPerSecond: processor / this.options.seconds, seconds: this.options.seconds }))
   }
@@ -142,8 +168,8 @@
   }
 }
 
-function phaseOf ({ results, microsecondsPerSecond, seconds }: MeasuredLoad): ProcessorPhase {
-  const summaries = results.map((result) => result.through)
+function phaseOf ({ results, microsecondsPerSecond, seconds }: MeasuredLoad, way: keyof WorkerResult = 'through'): ProcessorPhase {
+  const summaries = results.map((result) => result[way])
   return {
     requestsPerSecond: sum(summaries, (summary) => summary.requests) / seconds,
     tokensPerSecond: sum(summaries, (summary) => summary.tokens) / seconds,
--- a/packages/load/src/bench/path/path-report.ts
+++ b/packages/load/src/bench/path/path-report.ts
@@ -23,7 +23,7 @@
   readonly failed: number
 }
 
-/** Processor time of the entry process. */
+/** Processor time of one process. */
 export interface ProcessorCost {
   readonly microsecondsPerRequest: number
   readonly microsecondsPerToken: number
@@ -60,6 +60,8 @@
   readonly highestRate: HighestRate
   readonly firstToken: FirstTokenComparison
   readonly processor: ProcessorCost
+  /** The same of a relay that only passes bytes on, under the same load in the same run: the machine's own share. */
+  readonly bareRelay: ProcessorCost
   readonly memory: MemorySlope | undefined
   readonly aims: readonly AimCheck[]
 }
--- a/packages/load/src/bench/path/run-worker.ts
+++ b/packages/load/src/bench/path/run-worker.ts
@@ -25,7 +25,9 @@
   } else {
     const { throughRate, straightRate } = spec.load
     await Promise.all([
-      runOpenLoop(trace(spec, throughRate, spec.seconds, spec.seed), [entry], throughDriver),
+      throughRate === 0
+        ? undefined
+        : runOpenLoop(trace(spec, throughRate, spec.seconds, spec.seed), [entry], throughDriver),
       straightRate === 0
         ? undefined
         : runOpenLoop(trace(spec, straightRate, spec.seconds, spec.seed + 1), engines, new RequestDriver(straight, undefined))
--- a/packages/load/src/bench/path/worker-spec.ts
+++ b/packages/load/src/bench/path/worker-spec.ts
@@ -16,7 +16,7 @@
     /** So many callers, each sending its next request after its last. */
     z.object({ mode: z.literal('closed'), callers: z.int().positive() }),
     /** Requests a second through the instance and straight to the engines, both at once. */
-    z.object({ mode: z.literal('open'), throughRate: z.number().positive(), straightRate: z.number().min(0) })
+    z.object({ mode: z.literal('open'), throughRate: z.number().min(0), straightRate: z.number().min(0) })
   ])
 })
 
--- a/packages/load/src/commands/bench/path.ts
+++ b/packages/load/src/commands/bench/path.ts
@@ -28,16 +28,16 @@
     const { flags } = await this.parse(BenchPath)
     const options = { seconds: flags.seconds, workers: flags.workers, outputTokens: flags['output-tokens'] }
     const machine = await describeMachine()
-    const { highestRate, firstToken, processor } = await this.measurePath(options)
+    const { highestRate, firstToken, processor, bareRelay } = await this.measurePath(options)
     const memory = flags.memory ? this.unwrap(await measureMemory()) : undefined
     const aims = checkAims(firstToken, processor, memory)
-    const report = { machine, outputTokens: options.outputTokens, highestRate, firstToken, processor, memory, aims }
+    const report = { machine, outputTokens: options.outputTokens, highestRate, firstToken, processor, bareRelay, memory, aims }
     this.print(report)
     if (flags.check && aims.some((aim) => !aim.met)) process.exitCode = 1
     return report
   }
 
-  private async measurePath (options: { seconds: number, workers: number, outputTokens: number }): Promise<Pick<PathReport, 'highestRate' | 'firstToken' | 'processor'>> {
+  private async measurePath (options: { seconds: number, workers: number, outputTokens: number }): Promise<Pick<PathReport, 'highestRate' | 'firstToken' | 'processor' | 'bareRelay'>> {
     const deployment = new BenchDeployment()
     try {
       this.unwrap(await deployment.start({ engines: ENGINES, adapters: ADAPTERS }))
@@ -46,7 +46,8 @@
       const highestRate = this.unwrap(await phases.highestRate())
       const { comparison, phase } = this.unwrap(await phases.firstToken(highestRate.requestsPerSecond / 2))
       const processor = this.unwrap(await phases.processorCost(phase))
-      return { highestRate, firstToken: comparison, processor }
+      const bareRelay = this.unwrap(await phases.relayCost(this.unwrap(await deployment.startRelay()), phase))
+      return { highestRate, firstToken: comparison, processor, bareRelay }
     } finally {
       await deployment.stop()
     }
@@ -56,11 +57,12 @@
     return result.match((value) => value, (error) => this.error(error.message, { exit: 1 }))
   }
 
-  private print ({ machine, highestRate, firstToken, processor, memory, aims }: PathReport): void {
+  private print ({ machine, highestRate, firstToken, processor, bareRelay, memory, aims }: PathReport): void {
     this.log(`machine: ${machine.processors} processors at load ${machine.loadAverage.toFixed(1)}, ${machine.socketMicroseconds.toFixed(1)} microseconds for one small write and read`)
     this.log(`highest rate ${highestRate.requestsPerSecond.toFixed(0)} requests/s, ${highestRate.tokensPerSecond.toFixed(0)} tokens/s, ${highestRate.failed} failed`)
     this.log(`first token at ${firstToken.requestsPerSecond.toFixed(0)} requests/s: added ${firstToken.added.p50.toFixed(2)} ms p50, ${firstToken.added.p99.toFixed(2)} ms p99, ${firstToken.failed} failed`)
     this.log(`processor ${processor.microsecondsPerRequest.toFixed(0)} microseconds/request, ${processor.microsecondsPerToken.toFixed(1)} microseconds/token`)
+    this.log(`  a bare relay: ${bareRelay.microsecondsPerRequest.toFixed(0)} microseconds/request, ${bareRelay.microsecondsPerToken.toFixed(1)} microseconds/token`)
     if (memory !== undefined) this.log(`memory ${memory.bytesPerAdapter.toFixed(0)} bytes/adapter`)
     for (const aim of aims) this.log(`${aim.met ? 'met   ' : 'MISSED'} ${aim.figure}: ${aim.measured.toFixed(2)} (aim ${aim.aim})`)
   }
