--- a/packages/load/src/trace/trace.ts
+++ b/packages/load/src/trace/trace.ts
@@ -3,9 +3,8 @@
 import { createInterface } from 'node:readline'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
-import type { RandomGenerator } from 'pure-rand'
 import { z } from 'zod'
+import { Random, ZipfRanks } from '../policy/traces/random.js'
 
 const traceLineSchema = z.object({
   at_ms: z.number().min(0),
@@ -37,7 +36,7 @@
   readonly priorityClass: string
 }
 
-const RANDOM_STEPS = 2 ** 30
+const MILLISECONDS = 1000
 
 /**
  * Reads a trace.
@@ -72,12 +71,13 @@
 
 /** @returns a trace drawn from a seed: Poisson arrivals, skewed popularity; the same seed gives the same trace */
 export function drawTrace (draw: TraceDraw): TraceLine[] {
-  const random = xoroshiro128plus(draw.seed)
-  const chooseModel = modelChooser(draw)
+  const random = new Random(draw.seed, 'load')
+  const ranks = new ZipfRanks(draw.models.length, draw.skew)
+  const meanGap = MILLISECONDS / draw.requestsPerSecond
   const lines: TraceLine[] = []
-  let at = nextGap(random, draw.requestsPerSecond)
-  while (at < draw.seconds * 1000) {
-    const [team = '', adapter = '', version] = chooseModel(uniform(random)).split(/[/@]/)
+  let at = random.exponential(meanGap)
+  while (at < draw.seconds * MILLISECONDS) {
+    const [team = '', adapter = '', version] = (draw.models[ranks.draw(random)] ?? '').split(/[/@]/)
     lines.push({
       at_ms: at,
       team,
@@ -86,31 +86,9 @@
       class: draw.priorityClass,
       prompt_tokens: draw.promptTokens,
       output_tokens: draw.outputTokens,
-      idempotent: uniform(random) >= draw.onceShare
+      idempotent: random.unit() >= draw.onceShare
     })
-    at += nextGap(random, draw.requestsPerSecond)
+    at += random.exponential(meanGap)
   }
   return lines
 }
-
-function modelChooser (draw: TraceDraw): (share: number) => string {
-  const weights = draw.models.map((_, index) => 1 / (index + 1) ** draw.skew)
-  const total = weights.reduce((sum, weight) => sum + weight, 0)
-  return (share) => {
-    let left = share * total
-    const found = weights.findIndex((weight) => {
-      left -= weight
-      return left < 0
-    })
-    return draw.models.at(found) ?? ''
-  }
-}
-
-function nextGap (random: RandomGenerator, perSecond: number): number {
-  return -Math.log(1 - uniform(random)) * 1000 / perSecond
-}
-
-/** @returns a number from 0 to below 1 */
-function uniform (random: RandomGenerator): number {
-  return unsafeUniformIntDistribution(0, RANDOM_STEPS - 1, random) / RANDOM_STEPS
-}
--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -16,8 +16,8 @@
   readonly scriptArguments: readonly string[]
 }
 
-const START_MILLISECONDS = 20_000
-const STOP_MILLISECONDS = 15_000
+const START_MILLISECONDS = 60_000
+const STOP_MILLISECONDS = 30_000
 const KEPT_LINES = 40
 
 /** A running process; its first line on standard output is JSON and tells where it listens. */
--- a/packages/stand-ins/src/develop/until-ready.ts
+++ b/packages/stand-ins/src/develop/until-ready.ts
@@ -8,7 +8,7 @@
 
 const READY_PATH = '/ready'
 const STATUS_PATH = '/admin/status'
-const WAIT_MILLISECONDS = 30_000
+const WAIT_MILLISECONDS = 60_000
 const PAUSE_MILLISECONDS = 50
 
 const statusSchema = z.object({ settings: z.object({ paths: z.number() }) })
