Let each test instance read the list before one is replaced

Cause of the test that timed out ('never brings what was meant', 2 of 12 runs of its file side by side): the instance was replaced before the other had read the list with it on. Never listed, it rightly counts as too new for the list and not as ended, for ten minutes. The cluster now waits for five heartbeats of each peer, several reads of the list.

--- a/packages/entry/test/support/cluster.ts
+++ b/packages/entry/test/support/cluster.ts
@@ -149,6 +149,9 @@
   async startAll (ids: readonly string[], choice: InstanceChoice = {}): Promise<TestInstance[]> {
     const started = await Promise.all(ids.map(async (id) => await this.start(id, choice)))
     await until(() => started.every((instance) => instance.peers.connected().length === ids.length - 1))
+    // Each has read the list with all on it by then; one that was never seen there counts as too new for it.
+    const beats = (instance: TestInstance): number => instance.peers.counts().heartbeat?.received ?? 0
+    await until(() => started.every((instance) => beats(instance) >= 5 * (ids.length - 1)))
     return started
   }
 
