--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -7,6 +7,7 @@
 import type { ExplainLog, RequestStory } from '../measures/explain-log.js'
 import type { PrefixTracker } from '../routing/prefix-tracker.js'
 import type { EndpointDirectory } from '../routing/endpoint-directory.js'
+import { LinkedAbort } from '../runtime/linked-abort.js'
 import type { Route, Router } from '../routing/router.js'
 import type { AdmissionClient, HeldAdmission } from './admission-client.js'
 import { EngineAnswer } from './engine-answer.js'
@@ -71,9 +72,9 @@
    * @returns events; the last is an end or an error
    */
   async * deliver (request: DeliveryRequest, settings: OperatorSettings, signal: AbortSignal): AsyncGenerator<DeliveryEvent> {
-    const deadline = new Deadline(request.deadlineAt - this.options.clock.now())
+    const deadline = new Deadline(signal, request.deadlineAt - this.options.clock.now())
     try {
-      const run = new DeliveryRun(this.options, request, settings, AbortSignal.any([signal, deadline.signal]), deadline)
+      const run = new DeliveryRun(this.options, request, settings, deadline.signal, deadline)
       yield * run.events()
     } finally {
       deadline.stop()
@@ -81,30 +82,33 @@
   }
 }
 
-/** A timer that is stopped with its request, where AbortSignal.timeout would stay until it ends. */
+/** Ends the request when its time is over or its caller is gone. */
 class Deadline {
-  private readonly controller = new AbortController()
+  private readonly link: LinkedAbort
   private readonly timer: NodeJS.Timeout
+  passed = false
 
-  constructor (milliseconds: number) {
-    this.timer = setTimeout(() => this.controller.abort(), Math.max(0, milliseconds))
+  constructor (gone: AbortSignal, milliseconds: number) {
+    this.link = new LinkedAbort(gone)
+    // A timer of its own, stopped with the request, where AbortSignal.timeout would stay until it ends.
+    this.timer = setTimeout(() => {
+      this.passed = true
+      this.link.abort()
+    }, Math.max(0, milliseconds))
   }
 
   get signal (): AbortSignal {
-    return this.controller.signal
-  }
-
-  get passed (): boolean {
-    return this.controller.signal.aborted
+    return this.link.signal
   }
 
   stop (): void {
     clearTimeout(this.timer)
+    this.link.unlink()
   }
 }
 
 /** What one attempt came to: the answer is whole, or an error which says whether it may have run. */
-type Attempt = { readonly whole: true } | { readonly whole: false, readonly error: LimpetwinchError }
+type Attempt = { readonly whole: true, readonly end: DeliveryEvent } | { readonly whole: false, readonly error: LimpetwinchError }
 
 /** The state of one request over its attempts. */
 class DeliveryRun {
@@ -132,7 +136,8 @@
       const { held, route } = admission.value
       yield { kind: 'admitted', endpoint: route.engine.endpoint, servedAs: held.loadedName, loadStall: held.grant.loadStall, queueWait: held.grant.queueWait }
       const attempt = yield * this.attempt(route, held)
-      if (attempt.whole) return
+      // Yielded last of all: a reader stops at the end, and nothing of an attempt that it cut short is run after it.
+      if (attempt.whole) return yield attempt.end
       if (!this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
       this.avoid.add(route.engine.endpoint)
     }
@@ -223,8 +228,8 @@
       } else if (event.kind === 'end') {
         held.done('answered', event.end.outputTokens)
         this.story.add('answered whole', { outputTokens: event.end.outputTokens })
-        yield { kind: 'end', finishReason: event.end.finishReason, promptTokens: event.end.promptTokens, outputTokens: event.end.outputTokens }
-        return { whole: true }
+        const { finishReason, promptTokens, outputTokens } = event.end
+        return { whole: true, end: { kind: 'end', finishReason, promptTokens, outputTokens } }
       } else {
         this.story.add('attempt failed', { kind: event.error.kind, outcome: event.error.outcome, reason: event.error.message })
         if (event.error.outcome === 'not_run') held.done('not-run', 0)
--- a/packages/load/src/commands/check-history.ts
+++ b/packages/load/src/commands/check-history.ts
@@ -18,7 +18,7 @@
     mutant: Flags.string({ options: [...MUTANT_NAMES], description: 'put this wrong part into every instance, and stop when it is caught' }),
     fault: Flags.string({ multiple: true, options: FAULTS.map((fault) => fault.kind), description: 'only faults of this kind; may be given again' }),
     'no-faults': Flags.boolean({ description: 'let nothing go wrong' }),
-    keep: Flags.string({ description: 'folder for the histories with violations' })
+    keep: Flags.string({ description: 'folder for the histories, for limpetwinch-load check' })
   }
 
   override async run (): Promise<CampaignReport> {
@@ -56,8 +56,7 @@
   return report.violations.some(({ promise }) => promise === promiseBrokenBy(mutant))
 }
 
-function keep (folder: string, { seed, events, violations }: FinishedRun): void {
-  if (violations.length === 0) return
+function keep (folder: string, { seed, events }: FinishedRun): void {
   mkdirSync(folder, { recursive: true })
   writeFileSync(join(folder, `history-${seed}.jsonl`), events.map((event) => `${JSON.stringify(event)}\n`).join(''))
 }
--- a/packages/load/src/faults/mutants/claims-mutants.ts
+++ b/packages/load/src/faults/mutants/claims-mutants.ts
@@ -2,13 +2,14 @@
 import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock, IdempotencyKey, LimpetwinchError, ObjectStore, RequestId, TeamId } from '@limpetwinch/core'
-import { Claims, EntryParts } from '@limpetwinch/entry'
+import { Claims } from '@limpetwinch/entry'
 import type { HeldClaim } from '@limpetwinch/entry'
+import { FaultRunParts } from '../fault-run-parts.js'
 
 type ClaimsClass = new (store: ObjectStore, clock: Clock) => Claims
 
 /** Parts with other claims. */
-export class ForgetClaimsParts extends EntryParts {
+export class ForgetClaimsParts extends FaultRunParts {
   private readonly ClaimsClass: ClaimsClass
 
   /** @param claimsClass - the class of the claims */
--- a/packages/load/src/faults/mutants/delivery-mutants.ts
+++ b/packages/load/src/faults/mutants/delivery-mutants.ts
@@ -1,13 +1,14 @@
 /** Deliveries that serve a request by another adapter than it was addressed to. */
 import { formatAdapter } from '@limpetwinch/core'
 import type { AdapterReference, OperatorSettings } from '@limpetwinch/core'
-import { Delivery, EntryParts } from '@limpetwinch/entry'
+import { Delivery } from '@limpetwinch/entry'
 import type { DeliveryEvent, DeliveryOptions, DeliveryRequest } from '@limpetwinch/entry'
+import { FaultRunParts } from '../fault-run-parts.js'
 
 type DeliveryClass = new (options: DeliveryOptions) => Delivery
 
 /** Parts with another delivery. */
-export class MutantDeliveryParts extends EntryParts {
+export class MutantDeliveryParts extends FaultRunParts {
   private readonly DeliveryClass: DeliveryClass
 
   /** @param deliveryClass - the class of the delivery */
