--- a/packages/load/src/commands/check-history.ts
+++ b/packages/load/src/commands/check-history.ts
@@ -7,6 +7,8 @@
 import { FAULTS } from '../faults/kinds/index.js'
 import { MUTANT_NAMES, promiseBrokenBy } from '../faults/mutants/index.js'
 
+const LINGER_MILLISECONDS = 1_000
+
 /** Runs real parts under faults and checks their histories. */
 export default class CheckHistory extends Command {
   static override description = 'Run deployments under faults and check their histories; exits 1 on a violation, which with --mutant is what should be, and 3 when a run came to no history.'
@@ -36,6 +38,8 @@
     this.print(report)
     if (flags.mutant !== undefined) this.log(`mutant ${flags.mutant}: ${caught(report, flags.mutant) ? 'caught' : 'not caught'}`)
     process.exitCode = exitCodeOf(report)
+    // Instances that were killed inside this process leave tasks that wait for engines which are gone.
+    setTimeout(() => process.exit(), LINGER_MILLISECONDS).unref()
     return report
   }
 
