Space watch calls, and stand in for the watchers only after a second

Need: a watch that something between instance and platform answers at once would be asked without end; and at a start, before peers are connected, every instance took itself for cut off and watched.

Change: 50 ms at least between the beginnings of two calls; an instance that is no watcher stands in after a second. Operators get Retry-After with each 503. Tests: no call without end; a document that this release cannot read leaves what was in force.

--- a/packages/entry/src/admin/settings-answers.ts
+++ b/packages/entry/src/admin/settings-answers.ts
@@ -1,6 +1,8 @@
 /** What operators are told. */
 import type { LimpetwinchError, SettingsDocument, SettingsProblem } from '@limpetwinch/core'
 
+const UNAVAILABLE_RETRY_SECONDS = 2
+
 /** A document without its text, for lists and answers to writes. */
 export interface SettingsSummary {
   readonly path: string
@@ -44,7 +46,8 @@
     ...(newest === undefined ? {} : { newest, text })
   }
   const headers: Record<string, string> = {}
-  if (error.retryAfterSeconds !== undefined) headers['retry-after'] = String(error.retryAfterSeconds)
+  const retryAfter = error.retryAfterSeconds ?? (error.status === 503 ? UNAVAILABLE_RETRY_SECONDS : undefined)
+  if (retryAfter !== undefined) headers['retry-after'] = String(retryAfter)
   if (typeof newest === 'number') headers['etag'] = `"${newest}"`
   return Response.json({ error: body }, { status: error.status, headers })
 }
--- a/packages/entry/src/settings/settings-follower.ts
+++ b/packages/entry/src/settings/settings-follower.ts
@@ -9,7 +9,7 @@
 import { SettingsState } from './settings-state.js'
 import { SettingsView } from './settings-view.js'
 import { SettingsWatch, STORE_WAITS } from './settings-watch.js'
-import { rendezvousRankOfWatchers, watchesHere } from './watch-rank.js'
+import { isWatcher, rendezvousRankOfWatchers, standsIn } from './watch-rank.js'
 
 /** What the follower needs of its instance. */
 export interface SettingsFollowerParts {
@@ -63,7 +63,8 @@
       logger: this.logger,
       random: this.random,
       watchMilliseconds: parts.watchMilliseconds ?? WATCH_MILLISECONDS,
-      watchesHere: () => watchesHere(network, membership, this.watch.storeReachable()),
+      isWatcher: () => isWatcher(network, membership),
+      standsIn: () => standsIn(network, membership, this.watch.storeReachable()),
       take: (documents) => { this.takeFromStore(documents) }
     })
   }
--- a/packages/entry/src/settings/settings-watch.ts
+++ b/packages/entry/src/settings/settings-watch.ts
@@ -12,8 +12,10 @@
   readonly random: () => number
   /** How long the store may hold one watch call. */
   readonly watchMilliseconds: number
-  /** Whether this instance is to watch now. */
-  readonly watchesHere: () => boolean
+  /** Whether this instance is the watcher of its data centre or the spare. */
+  readonly isWatcher: () => boolean
+  /** Whether it is to watch although it is neither. */
+  readonly standsIn: () => boolean
   /** Takes documents that the store holds. */
   readonly take: (documents: readonly SettingsDocument[]) => void
 }
@@ -21,6 +23,8 @@
 /** Waits between calls while the store does not answer; jittered, or all would come back in the same moment. */
 export const STORE_WAITS = { first: 100, largest: 5_000 }
 const ROLE_CHECK_MILLISECONDS = 250
+const STAND_IN_AFTER_MILLISECONDS = 1_000
+const CALL_SPACING_MILLISECONDS = 50
 const LIST_AGAIN_MILLISECONDS = 300_000
 const REACHABLE_AGAIN_MILLISECONDS = 30_000
 
@@ -31,6 +35,7 @@
   private cursor: number | undefined
   private listAgainAt = 0
   private failedAt: number | undefined
+  private standInSince: number | undefined
 
   /** @param parts - what it works with */
   constructor (parts: SettingsWatchParts) {
@@ -58,15 +63,31 @@
   /** Watches for as long as this instance is to, until the signal. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (!this.parts.watchesHere()) {
+      if (!this.watchesNow()) {
         await this.parts.clock.sleep(ROLE_CHECK_MILLISECONDS, signal)
         continue
       }
-      const answered = this.cursor === undefined || this.parts.clock.now() >= this.listAgainAt ? await this.list() : await this.step(this.cursor, signal)
-      if (!answered) await this.parts.clock.sleep(this.backoff.next(), signal)
+      const began = this.parts.clock.now()
+      const answered = this.cursor === undefined || began >= this.listAgainAt ? await this.list() : await this.step(this.cursor, signal)
+      // A watch that is answered at once, without a wait, would be asked as fast as the network carries it.
+      const early = CALL_SPACING_MILLISECONDS - (this.parts.clock.now() - began)
+      const wait = answered ? early : this.backoff.next()
+      if (wait > 0) await this.parts.clock.sleep(wait, signal)
     }
   }
 
+  /** Standing in waits a moment: at a start, and while a connection is replaced, nobody is connected for a while. */
+  private watchesNow (): boolean {
+    if (this.parts.isWatcher()) return true
+    if (!this.parts.standsIn()) {
+      this.standInSince = undefined
+      return false
+    }
+    const now = this.parts.clock.now()
+    this.standInSince ??= now
+    return now - this.standInSince >= STAND_IN_AFTER_MILLISECONDS
+  }
+
   private async step (cursor: number, signal: AbortSignal): Promise<boolean> {
     const step = await this.parts.store.watch(SETTINGS_LIST_PREFIX, cursor, this.parts.watchMilliseconds, signal)
     if (signal.aborted) return true
--- a/packages/entry/src/settings/watch-rank.ts
+++ b/packages/entry/src/settings/watch-rank.ts
@@ -13,16 +13,24 @@
   return watchersAmong([network.self.instance, ...livePeers(network, membership).map((member) => member.instance)])
 }
 
+/**
+ * @param network - tells which peers are connected
+ * @param membership - tells who is alive
+ * @returns whether this instance is the watcher or its spare
+ */
+export function isWatcher (network: PeerNetwork, membership: Membership): boolean {
+  return rendezvousRankOfWatchers(network, membership).includes(network.self.instance)
+}
+
 /**
  * @param network - tells which peers are connected
  * @param membership - tells who is alive
  * @param storeReachable - whether the store answers this instance
- * @returns whether this instance watches the store now
+ * @returns whether this instance, which is not a watcher, would hear of no change if it did not watch as well
  */
-export function watchesHere (network: PeerNetwork, membership: Membership, storeReachable: boolean): boolean {
+export function standsIn (network: PeerNetwork, membership: Membership, storeReachable: boolean): boolean {
   const { instance } = network.self
   const watchers = rendezvousRankOfWatchers(network, membership)
-  if (watchers.includes(instance)) return true
   const connected = network.connected()
   if (!watchers.some((watcher) => connected.includes(watcher))) return true
   // The watchers may be cut off from the store while others reach it; then the two best of those watch as well. In an
--- a/packages/entry/test/settings/settings-watch.test.ts
+++ b/packages/entry/test/settings/settings-watch.test.ts
@@ -1,10 +1,11 @@
 import { afterEach, describe, expect, it } from 'vitest'
+import { silentLogger, SystemClock } from '@limpetwinch/core'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { Backoff } from '../../src/concurrency/backoff.js'
 import { rendezvousRank } from '../../src/placement/rendezvous.js'
-import { STORE_WAITS } from '../../src/settings/settings-watch.js'
+import { SettingsWatch, STORE_WAITS } from '../../src/settings/settings-watch.js'
 import { RANKED_FOR } from '../../src/settings/watch-rank.js'
-import { InterceptedStore, put, SettingsDeployment, teamText, until, versionAt } from './deployment.js'
+import { document, InterceptedStore, PATH, put, SettingsDeployment, teamText, until, versionAt } from './deployment.js'
 import type { SettingsInstance } from './deployment.js'
 
 const NAMES = ['one', 'two', 'three', 'four', 'five', 'six']
@@ -94,6 +95,46 @@
     expect(ways.map((way) => way.calls.lists)).toEqual(atReturn)
   })
 
+  it('does not call without end when watches are answered at once', async () => {
+    // A proxy between instance and platform answers every watch at once with nothing. Without a space between calls the
+    // instance would use up the platform's rate by itself, and a core with it.
+    const slept: number[] = []
+    const ending = new AbortController()
+    const clock = new class extends SystemClock {
+      override now (): number {
+        return 0
+      }
+
+      override async sleep (milliseconds: number): Promise<void> {
+        slept.push(milliseconds)
+        if (slept.length === 20) ending.abort()
+      }
+    }()
+    const store = new InterceptedStore(new MemoryObjectStore())
+    store.watchFinds = (step) => {
+      if (store.calls.watches === 100) ending.abort()
+      return step
+    }
+    const parts = { store, clock, logger: silentLogger(), random: () => 0.5, watchMilliseconds: 0, isWatcher: () => true, standsIn: () => false, take: () => undefined }
+    await new SettingsWatch(parts).run(ending.signal)
+    expect(store.calls.watches + store.calls.lists).toBe(slept.length)
+    expect(slept.every((milliseconds) => milliseconds > 0)).toBe(true)
+  })
+
+  it('keeps what is in force when a document cannot be read here', async () => {
+    // During a rolling replacement a newer release accepts a key that this one does not know. Dropping the team would
+    // refuse all its requests; its former settings are nearer to what was meant.
+    const store = new MemoryObjectStore()
+    const one = await deployment.start('one', store)
+    await put(one.writer, teamText('v1'), 0)
+    one.follower.accepted({ ...document(2, 'v2'), text: '{ "newKey": 1 }' })
+    expect(versionAt(one)).toBe('v1')
+    expect(one.follower.revisions().get(PATH)).toBe(1)
+    expect(one.follower.document(PATH)?.revision).toBe(2)
+    one.follower.accepted(document(3, 'v3'))
+    expect(versionAt(one)).toBe('v3')
+  })
+
   it('waits longer after each failure, and not the same on each instance', () => {
     const low = new Backoff(STORE_WAITS, () => 0)
     const high = new Backoff(STORE_WAITS, () => 0.999)
