--- a/packages/core/src/settings/settings-text.ts
+++ b/packages/core/src/settings/settings-text.ts
@@ -23,6 +23,11 @@
 const PARSE_OPTIONS = { allowTrailingComma: true, allowEmptyContent: false }
 const DEEPEST = 32
 const MOST_SYNTAX_PROBLEMS = 20
+/**
+ * Problems named at most. Each is placed by a pass over the text, so that a text with a problem in every line, a
+ * hundred kilobytes long, would keep the instance from everything else for ten seconds and more.
+ */
+export const MOST_PROBLEMS = 100
 /** Tokens by the numbers of jsonc-parser, whose own names exist only for its compiler. */
 const TOKEN = { openBrace: 1, closeBrace: 2, openBracket: 3, closeBracket: 4, end: 17 }
 
@@ -47,9 +52,13 @@
 
 /** @returns line and column of an offset, both from 1 */
 export function positionAt (text: string, offset: number): { line: number, column: number } {
-  const before = text.slice(0, offset)
-  const lines = before.split(/\r\n|\n|\r/)
-  return { line: lines.length, column: (lines.at(-1) ?? '').length + 1 }
+  let line = 1
+  let lineStart = 0
+  for (const { index, 0: end } of text.slice(0, offset).matchAll(/\r\n|\n|\r/g)) {
+    line += 1
+    lineStart = index + end.length
+  }
+  return { line, column: offset - lineStart + 1 }
 }
 
 /**
@@ -144,6 +153,7 @@
   const problems: SettingsProblem[] = []
   const seen = new Set<string>()
   for (const child of node.children ?? []) {
+    if (problems.length >= MOST_PROBLEMS) return problems
     if (node.type === 'object') problems.push(...keyProblems(text, child, seen))
     const value = node.type === 'object' ? child.children?.[1] : child
     if (value?.children !== undefined) problems.push(...doubledKeys(text, value))
--- a/packages/load/src/faults/mutants/ownership-mutants.ts
+++ b/packages/load/src/faults/mutants/ownership-mutants.ts
@@ -1,6 +1,7 @@
 /** An owner that trusts what it once knew. */
-import { EntryParts, StoreOwnership } from '@limpetwinch/entry'
+import { StoreOwnership } from '@limpetwinch/entry'
 import type { OwnerRights, StoreOwnershipOptions } from '@limpetwinch/entry'
+import { FaultRunParts } from '../fault-run-parts.js'
 
 class LapsedLeaseOwnership extends StoreOwnership {
   override rights (): OwnerRights {
@@ -9,7 +10,7 @@
 }
 
 /** Parts that take every ownership for confirmed and recovered. */
-export class LapsedLeaseParts extends EntryParts {
+export class LapsedLeaseParts extends FaultRunParts {
   override ownership (options: StoreOwnershipOptions): StoreOwnership {
     return new LapsedLeaseOwnership(options)
   }
