--- a/packages/cli/src/show/status-tables.ts
+++ b/packages/cli/src/show/status-tables.ts
@@ -38,7 +38,7 @@
 }
 
 function endpointTable ({ endpoints, leavingEndpoints }: InstanceStatus): string {
-  return table(['ENDPOINT', 'DATA CENTRE', 'MODEL', 'STATE', 'OWNER', 'TOKEN', 'QUEUED', 'RUNNING', 'SLOTS USED', 'BATCH'], endpoints.map((endpoint) => [
+  return table(['ENDPOINT', 'DATA CENTRE', 'MODEL', 'STATE', 'OWNER', 'TOKEN', 'QUEUED', 'RUNNING', 'SLOTS USED', 'BATCH', 'RUNNING BY TEAM'], endpoints.map((endpoint) => [
     endpoint.endpoint,
     endpoint.dataCentre,
     endpoint.baseModel,
@@ -48,10 +48,18 @@
     endpoint.queued.toString(),
     endpoint.running.toString(),
     `${endpoint.adapters.length} of ${endpoint.slots}`,
-    endpoint.owned?.batchFill === undefined ? '-' : `${Math.round(100 * endpoint.owned.batchFill)}%`
+    endpoint.owned?.batchFill === undefined ? '-' : `${Math.round(100 * endpoint.owned.batchFill)}%`,
+    byTeam(endpoint)
   ]))
 }
 
+/** Only its owner knows whose requests run on an endpoint. */
+function byTeam ({ owned }: Endpoint): string {
+  if (owned === undefined) return '?'
+  const teams = Object.entries(owned.runningByTeam).map(([team, running]) => `${team} ${running}`)
+  return teams.length === 0 ? '-' : teams.join(', ')
+}
+
 /** Only its owner knows which requests use an adapter; elsewhere that is left open. */
 function adapterTable ({ endpoints }: InstanceStatus): string {
   const rows = endpoints.flatMap((endpoint) => endpoint.owned === undefined
