--- a/packages/load/src/bench/path/path-phases.ts
+++ b/packages/load/src/bench/path/path-phases.ts
@@ -31,7 +31,8 @@
 const SEED = 1
 const PROMPT_TOKENS = 64
 const CALLERS = 128
-const WARM_SECONDS = 3
+/** The compiler takes so long to see the whole path: figures of a young process are several times worse. */
+const WARM_SECONDS = 8
 const IDLE_SECONDS = 3
 /** Answers of the second phase are so many times longer, and as many times fewer. */
 const LONGER = 8
@@ -123,6 +124,9 @@
    */
   async relayCost (relay: { readonly url: string, readonly usage: UsageOf }, many: ProcessorPhase): Promise<Result<ProcessorCost, LimpetwinchError>> {
     const { outputTokens } = this.options
+    const warm = { mode: 'open' as const, throughRate: 0, straightRate: many.requestsPerSecond }
+    const warmed = await runWorkers([{ ...this.spec(warm, outputTokens, WARM_SECONDS), engines: [relay.url] }])
+    if (warmed.isErr()) return err(warmed.error)
     const idle = await this.idle(relay.usage)
     const phases: ProcessorPhase[] = []
     for (const longer of [1, LONGER]) {
