--- a/packages/entry/test/settings/deployment.ts
+++ b/packages/entry/test/settings/deployment.ts
@@ -186,6 +186,10 @@
   watchFinds: ((step: WatchStep) => WatchStep) | undefined
   /** What a read of one object finds, in place of the truth. */
   getFinds: ((object: StoredObject | undefined) => StoredObject | undefined) | undefined
+  /** Writes on their way: each was given up as lost before it reached the store. */
+  readonly delayed: ConditionalWrite[] = []
+  /** So many of the next writes are given up as lost before they reach the store. */
+  delayNext = 0
   private readonly inner: ObjectStore
 
   constructor (inner: ObjectStore) {
@@ -205,7 +209,10 @@
   }
 
   override put (write: ConditionalWrite): ResultAsync<number, LimpetwinchError> {
-    return this.inner.put(write)
+    if (this.delayNext === 0) return this.inner.put(write)
+    this.delayNext -= 1
+    this.delayed.push(write)
+    return errAsync(new LimpetwinchError('store-answer-lost', { path: write.path }))
   }
 
   override watch (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): ResultAsync<WatchStep, LimpetwinchError> {
--- a/packages/entry/test/settings/settings-writer.test.ts
+++ b/packages/entry/test/settings/settings-writer.test.ts
@@ -50,6 +50,35 @@
     expect(versionAt(one)).toBe('v1')
   })
 
+  it('settles a write that is still on its way when its answer is given up', async () => {
+    // The connection is lost before the write has reached the store, and a read back shows nothing. Called accepted, the
+    // change would be in force nowhere else; called refused, it would still arrive. The same write again decides: the
+    // late copy names a version that is gone.
+    const store = new MemoryObjectStore()
+    const slow = new InterceptedStore(store)
+    const one = await deployment.start('one', slow)
+    slow.delayNext = 1
+    expect((await put(one.writer, teamText('v1'), 0))._unsafeUnwrap().revision).toBe(1)
+    expect(store.snapshot().map((object) => object.value)).toMatchObject([{ revision: 1, text: teamText('v1') }])
+    await put(one.writer, teamText('v2'), 1)
+    const [late] = slow.delayed
+    expect((await store.put(late!))._unsafeUnwrapErr().kind).toBe('version-conflict')
+    expect(store.snapshot().find((object) => object.path.endsWith(`/settings${PATH}`))?.value).toMatchObject({ revision: 2, text: teamText('v2') })
+  })
+
+  it('says that it does not know when nothing can be read back', async () => {
+    // The answer is lost and the store goes out in the same moment. The change may have been accepted: neither answer
+    // would be true, and it must not be in force here on a guess.
+    const store = new MemoryObjectStore()
+    const slow = new InterceptedStore(store)
+    const one = await deployment.start('one', slow)
+    slow.delayNext = 1
+    slow.beforeGet = async () => { store.faults.outage = slow.delayed.length > 0 }
+    const unknown = (await put(one.writer, teamText('v1'), 0))._unsafeUnwrapErr()
+    expect(unknown).toMatchObject({ kind: 'store-answer-lost', outcome: 'unknown' })
+    expect(versionAt(one)).toBe(undefined)
+  })
+
   it('finds a write whose answer was lost also when another has replaced it since', async () => {
     // The answer to one operator's write is lost, and before it is read back a second operator writes on top. The store
     // shows only the second write; the history, kept before each replacement, shows that the first was accepted.
