--- a/packages/load/src/faults/caller.ts
+++ b/packages/load/src/faults/caller.ts
@@ -39,7 +39,7 @@
 /** The service that the load calls. */
 export const SERVICE = 'echo'
 
-const GIVE_UP_AFTER_DEADLINE_MILLISECONDS = 15_000
+const GIVE_UP_AFTER_DEADLINE_MILLISECONDS = 10_000
 const LOST: Told = { outcome: 'unknown', code: 'connection-lost' }
 
 const errorSchema = z.object({ error: z.object({ code: z.string(), outcome: z.enum(['not_run', 'unknown']) }) })
@@ -56,8 +56,11 @@
     this.log = log
   }
 
-  /** Sends one request; resolves when the caller was told how it ended. It is never sent again by itself. */
-  async send (load: LoadRequest, target: CallerTarget): Promise<Told['outcome']> {
+  /**
+   * Sends one request; resolves when the caller was told how it ended, or has waited far beyond its deadline. The end
+   * of a request that nobody told of is not recorded, so that it is found as lost. Nothing is sent again by itself.
+   */
+  async send (load: LoadRequest, target: CallerTarget): Promise<void> {
     const { request: name, key, team, adapter, version, idempotent, prompt, maximumTokens, seed } = load
     this.log.record({
       event: 'request-sent',
@@ -73,6 +76,7 @@
       ...(version === undefined ? {} : { version })
     })
     const told = await this.exchange(load, target)
+    if (told === undefined) return
     const [said, saidVersion] = told.model?.split('@') ?? []
     this.log.record({
       event: 'request-ended',
@@ -83,7 +87,6 @@
       ...(saidVersion === undefined ? {} : { version: saidVersion }),
       ...(told.text === undefined ? {} : { text: told.text })
     })
-    return told.outcome
   }
 
   /** Closes the connections. */
@@ -91,7 +94,7 @@
     await this.agent.destroy()
   }
 
-  private async exchange (load: LoadRequest, target: CallerTarget): Promise<Told> {
+  private async exchange (load: LoadRequest, target: CallerTarget): Promise<Told | undefined> {
     const signal = AbortSignal.timeout(load.deadlineMilliseconds + GIVE_UP_AFTER_DEADLINE_MILLISECONDS)
     let response: Dispatcher.ResponseData
     try {
@@ -99,13 +102,14 @@
         method: 'POST', headers: headersOf(load, target.key), body: bodyOf(load), dispatcher: this.agent, signal
       })
     } catch (cause) {
+      if (signal.aborted) return undefined
       return neverConnected(cause) ? { outcome: 'not_run', code: 'connection-refused' } : LOST
     }
     try {
       if (response.statusCode === 200 && load.stream && load.adapter !== undefined) return await this.readStream(load, response)
       return readWhole(load, response.statusCode, await response.body.text())
     } catch {
-      return LOST
+      return signal.aborted ? undefined : LOST
     }
   }
 
--- a/packages/load/src/faults/deployment.ts
+++ b/packages/load/src/faults/deployment.ts
@@ -2,8 +2,7 @@
 import { createHash } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { DataCentreId, InstanceSettings, Revision, SettingsDocument, SettingsPath } from '@limpetwinch/core'
-import { SETTINGS_PREFIX, silentLogger } from '@limpetwinch/core'
-import { EntryInstance } from '@limpetwinch/entry'
+import { SETTINGS_PREFIX } from '@limpetwinch/core'
 import { StandInEngine, StandInPlatform, StandInService } from '@limpetwinch/stand-ins'
 import { request } from 'undici'
 import type { HistoryEvent } from '../history/index.js'
@@ -11,7 +10,7 @@
 import type { EntryHost, HostedEntry } from './entry-host.js'
 import { LocalEntryHost } from './entry-host.js'
 import { HistoryLog } from './history-log.js'
-import { partsOf } from './mutants/index.js'
+import { entryFor } from './mutants/index.js'
 import { ProcessEntryHost } from './process-entry-host.js'
 import { CALLER_KEY, endpointsText, keyOf, MARKER, markerOf, teamText, TEAMS } from './sample-deployment.js'
 
@@ -80,7 +79,7 @@
     const { mutant, processes } = this.plan
     const host = processes
       ? new ProcessEntryHost(settings, mutant)
-      : new LocalEntryHost(new EntryInstance(settings, silentLogger(), partsOf(mutant)))
+      : new LocalEntryHost(entryFor(settings, mutant))
     const hosted = await host.start()
     const entry: RunningEntry = { ...hosted, host, link, inBalancer: false }
     this.entries.push(entry)
--- a/packages/load/src/faults/mutants/delivery-mutants.ts
+++ b/packages/load/src/faults/mutants/delivery-mutants.ts
@@ -41,6 +41,16 @@
   }
 }
 
+/** Tells the caller nothing when its request fails. */
+export class SilentFailureDelivery extends Delivery {
+  override async * deliver (request: DeliveryRequest, settings: OperatorSettings, signal: AbortSignal): AsyncGenerator<DeliveryEvent> {
+    for await (const event of super.deliver(request, settings, signal)) {
+      if (event.kind === 'error') await new Promise(() => {})
+      yield event
+    }
+  }
+}
+
 function redirected (request: DeliveryRequest, adapter: AdapterReference): DeliveryRequest {
   return { ...request, adapter, adapterName: formatAdapter(adapter) }
 }
