Measure control among instances with real processes: bench control

Need: the budget of 4 KB/s and the times of detection are to be measured, not computed. Change: limpetwinch-load bench control starts a platform, engines and N entry instances, lets owners even out, then measures bytes by kind, processor and store calls at rest, the time until a stopped process is suspect everywhere, and the time until a killed owner's endpoints are served by others. Left: 32 instances, settings in force, refusals during a planned hand-over.

--- /dev/null
+++ b/packages/load/src/commands/bench/control.ts
@@ -0,0 +1,63 @@
+/** `limpetwinch-load bench control`. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Command, Flags } from '@oclif/core'
+import { ControlDeployment } from '../../bench/control/control-deployment.js'
+import { measureKilledOwner, measureRest, measureSilence } from '../../bench/control/control-phases.js'
+import type { RestFigures } from '../../bench/control/control-phases.js'
+import { describeMachine } from '../../bench/path/machine.js'
+import type { Machine } from '../../bench/path/machine.js'
+
+/** What was measured with one number of instances. */
+interface SizeFigures {
+  readonly instances: number
+  readonly rest: RestFigures
+  /** Milliseconds; absent when it did not come to pass within a minute. */
+  readonly silentPeer: number | undefined
+  readonly killedOwner: number | undefined
+}
+
+/** Measures the control traffic between instances. */
+export default class BenchControl extends Command {
+  static override description = 'Measure instances among themselves, with real processes: bytes, processor and store calls at rest, and how soon a silent or dead one is replaced.'
+  static override enableJsonFlag = true
+  static override flags = {
+    instances: Flags.string({ default: '2,4,8', description: 'numbers of instances, one deployment each' }),
+    engines: Flags.integer({ default: 4, min: 1, description: 'engines of each deployment' }),
+    settle: Flags.integer({ default: 15, min: 0, description: 'seconds before the time at rest, in which owners are evened out' }),
+    seconds: Flags.integer({ default: 10, min: 2, description: 'how long the time at rest is' })
+  }
+
+  override async run (): Promise<{ machine: Machine, engines: number, sizes: SizeFigures[] }> {
+    const { flags } = await this.parse(BenchControl)
+    const machine = await describeMachine()
+    const sizes: SizeFigures[] = []
+    for (const text of flags.instances.split(',')) {
+      const figures = await this.measure(Number(text), flags.engines, flags.settle, flags.seconds)
+      this.print(figures)
+      sizes.push(figures)
+    }
+    return { machine, engines: flags.engines, sizes }
+  }
+
+  private async measure (instances: number, engines: number, settle: number, seconds: number): Promise<SizeFigures> {
+    const deployment = new ControlDeployment()
+    try {
+      const started = await deployment.start(instances, engines)
+      if (started.isErr()) this.error(started.error.message, { exit: 1 })
+      await sleep(1_000 * settle)
+      const rest = await measureRest(deployment, seconds)
+      const silentPeer = await measureSilence(deployment)
+      const killedOwner = await measureKilledOwner(deployment)
+      return { instances, rest, silentPeer, killedOwner }
+    } finally {
+      await deployment.stop()
+    }
+  }
+
+  private print ({ instances, rest, silentPeer, killedOwner }: SizeFigures): void {
+    const { bytesPerSecond, processorShare, storeReadsPerSecond, storeWritesPerSecond, storeWatchesPerSecond } = rest
+    this.log(`${instances} instances at rest: ${bytesPerSecond.toFixed(0)} bytes/s and ${(100 * processorShare).toFixed(2)}% of a core each`)
+    this.log(`  store calls/s of all: ${storeReadsPerSecond.toFixed(2)} reads, ${storeWritesPerSecond.toFixed(2)} writes, ${storeWatchesPerSecond.toFixed(2)} watches`)
+    this.log(`  silent peer suspect after ${silentPeer?.toFixed(0) ?? 'more than 60000'} ms, killed owner replaced after ${killedOwner?.toFixed(0) ?? 'more than 60000'} ms`)
+  }
+}
