--- a/packages/core/src/settings/instance-settings.ts
+++ b/packages/core/src/settings/instance-settings.ts
@@ -37,10 +37,12 @@
     stopSeconds: seconds.default(600)
   }).prefault({}),
   timing: z.strictObject({
-    heartbeatMilliseconds: milliseconds.default(500),
+    /** With 36 peers a heartbeat costs about 2.8 KB a second at 800 ms; a silent peer is suspect after three. */
+    heartbeatMilliseconds: milliseconds.default(800),
     /** A peer that is silent for so long is suspect. */
-    suspectMilliseconds: milliseconds.default(2_000),
-    instanceListMilliseconds: milliseconds.default(1_000),
+    suspectMilliseconds: milliseconds.default(2_400),
+    /** Every instance reads the list so often; each read counts against the platform's rate. */
+    instanceListMilliseconds: milliseconds.default(3_000),
     settingsWatchMilliseconds: milliseconds.default(5_000)
   }).prefault({})
 })
