Drop pins whose end was lost, and keep those of an ended instance until a report made afterwards

Cause, found by reading: (1) the notice that a request is done is lost when its connection breaks, and its pin held a slot until the longest request time of 600 s; (2) the pin of an ended instance was dropped by a report that was made after the grant but perhaps before the instance sent its request, with its last breath; an engine's queue, which has no names, was not looked at either. Ruled out: acknowledging each notice (a frame more for each request). Change: holders of pins older than 20 s are asked every 10 s, with the question that recovery asks; a report counts only when made 2 s after the instance was known to have ended, with nothing queued. Tests: the two new ones fail on the former conditions (a report by the grant's time, no question) and pass now.

--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -1,10 +1,10 @@
 /** One entry instance: all its parts under one supervisor tree. */
 import type { HttpBindings } from '@hono/node-server'
 import type { Hono } from 'hono'
-import { HttpInstanceList, HttpObjectStore, HttpServiceClient, newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, DataCentreId, EndpointId, EngineClient, EngineSettings, HttpEngineClient, InstanceId, InstanceSettings, LoadedName, Logger, OperatorSettings, ServiceClient } from '@limpetwinch/core'
-import { ShareRetryBudget, WeightedRoutingPolicy } from '@limpetwinch/decisions'
-import type { RetryBudget, RoutingPolicy } from '@limpetwinch/decisions'
+import { HttpInstanceList, HttpObjectStore, newInstanceId, SystemClock } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, EngineSettings, InstanceId, InstanceSettings, LoadedName, Logger } from '@limpetwinch/core'
+import { ShareRetryBudget } from '@limpetwinch/decisions'
+import type { RetryBudget } from '@limpetwinch/decisions'
 import { adminApi } from './admin/admin-api.js'
 import { settingsRoutes } from './admin/settings-routes.js'
 import { Authentication } from './callers/authentication.js'
@@ -18,6 +18,7 @@
 import { AdmissionClient } from './delivery/admission-client.js'
 import { InFlightTable } from './delivery/in-flight-table.js'
 import { ServiceDelivery } from './delivery/service-delivery.js'
+import { EndpointClients } from './endpoints/endpoint-clients.js'
 import { ConductedLoadTurns } from './loads/conducted-load-turns.js'
 import { PacedLoadTurns } from './loads/paced-load-turns.js'
 import { ExplainLog } from './measures/explain-log.js'
@@ -30,6 +31,7 @@
 import { EndpointDirectory } from './routing/endpoint-directory.js'
 import { PrefixTracker } from './routing/prefix-tracker.js'
 import { Router } from './routing/router.js'
+import { RoutingInForce } from './routing/routing-in-force.js'
 import { Supervisor } from './runtime/supervisor.js'
 import { WorkInProgress } from './runtime/work-in-progress.js'
 import type { OwnedEndpoints } from './scheduling/owned-endpoints.js'
@@ -78,15 +80,13 @@
   private readonly measures: Measures
   private readonly retryBudget: RetryBudget = new ShareRetryBudget()
   private readonly work = new WorkInProgress()
-  private readonly engineClients = new Map<string, HttpEngineClient>()
-  private readonly serviceClients = new Map<string, HttpServiceClient>()
+  private readonly clients: EndpointClients
+  private readonly routing = new RoutingInForce()
   private readonly recoveries: EndpointRecoveries
   private readonly owned: OwnedEndpoints
   private readonly handOvers: HandOvers
   private readonly callerServer: HttpServer
   private readonly adminServer: HttpServer
-  private routingPolicy: RoutingPolicy = new WeightedRoutingPolicy()
-  private policySettings: OperatorSettings['policy'] | undefined
   private stopping = false
   private settingsSince: number | undefined
 
@@ -98,6 +98,7 @@
   constructor (settings: InstanceSettings, logger: Logger, parts: EntryParts = new EntryParts()) {
     this.settings = settings
     this.parts = parts
+    this.clients = new EndpointClients((engine) => parts.engineClient(engine))
     this.logger = logger.part('instance')
     this.dataCentre = settings.dataCentre as DataCentreId
     const { clock } = this
@@ -144,7 +145,7 @@
       membership: this.membership,
       ownership: this.ownership,
       engines: () => this.enginesHere(),
-      clientOf: (engine) => this.engineClient(engine),
+      clientOf: (engine) => this.clients.engine(engine),
       granted: (endpoint, requestId) => this.owned.get(endpoint)?.scheduler.running.has(requestId) ?? false,
       longestRequestMilliseconds: () => 1000 * (this.follower.current()?.policy.longestRequestSeconds ?? Infinity),
       times: this.parts.recoveryTimes(),
@@ -243,8 +244,7 @@
     this.callerServer.destroy()
     this.adminServer.destroy()
     this.measures.close()
-    const clients = [...this.engineClients.values(), ...this.serviceClients.values()]
-    await Promise.allSettled([this.store.close(), this.instanceList.close(), ...clients.map(async (client) => await client.close())])
+    await Promise.allSettled([this.store.close(), this.instanceList.close(), this.clients.close()])
     this.logger.info('The instance has stopped.')
   }
 
@@ -265,7 +265,7 @@
         clock: this.clock
       }),
       earlierPins: (endpoint) => this.namesInEarlierUse(endpoint),
-      clientOf: (engine) => this.engineClient(engine),
+      clientOf: (engine) => this.clients.engine(engine),
       clock: this.clock,
       logger: logger.part('scheduler')
     })
@@ -277,7 +277,7 @@
       directory: this.directory,
       prefixes: this.prefixes,
       membership: this.membership,
-      policy: () => this.routingPolicy,
+      policy: () => this.routing.current(),
       clock: this.clock
     })
   }
@@ -295,8 +295,8 @@
         admissions,
         directory: this.directory,
         prefixes: this.prefixes,
-        clientOf: (engine) => this.engineClient(engine),
-        policy: () => this.routingPolicy,
+        clientOf: (engine) => this.clients.engine(engine),
+        policy: () => this.routing.current(),
         retryBudget: this.retryBudget,
         explain: this.explain,
         shareUsed: (team) => this.owned.shareUsed(team),
@@ -310,7 +310,7 @@
     const services = new ServiceDelivery({
       dataCentre: this.dataCentre,
       membership: this.membership,
-      clientOf: (endpoint, url) => this.serviceClient(endpoint, url),
+      clientOf: (endpoint, url) => this.clients.service(endpoint, url),
       retryBudget: this.retryBudget,
       explain: this.explain,
       clock: this.clock
@@ -374,13 +374,7 @@
     const settings = this.follower.current()
     if (settings === undefined) return
     this.settingsSince ??= this.clock.now()
-    if (this.policySettings !== settings.policy) {
-      this.policySettings = settings.policy
-      this.routingPolicy = new WeightedRoutingPolicy({
-        batchEfficiencyWeight: settings.policy.batchEfficiencyWeight,
-        loadsPerSecond: settings.policy.loadsPerSecond
-      })
-    }
+    this.routing.follow(settings.policy)
     this.ownership.look()
     this.owned.follow()
   }
@@ -399,20 +393,4 @@
     const names = this.recoveries.earlierPins(endpoint).map((pin) => pin.loadedName)
     return new Set(names.filter((name) => name !== undefined))
   }
-
-  private engineClient (engine: EngineSettings): EngineClient {
-    const present = this.engineClients.get(engine.url)
-    if (present !== undefined) return present
-    const client = this.parts.engineClient(engine)
-    this.engineClients.set(engine.url, client)
-    return client
-  }
-
-  private serviceClient (endpoint: EndpointId, url: string): ServiceClient {
-    const present = this.serviceClients.get(url)
-    if (present !== undefined) return present
-    const client = new HttpServiceClient(endpoint, url)
-    this.serviceClients.set(url, client)
-    return client
-  }
 }
--- a/packages/entry/src/scheduling/endpoint-scheduler.ts
+++ b/packages/entry/src/scheduling/endpoint-scheduler.ts
@@ -14,6 +14,8 @@
 
 /** Requests granted beyond the engine's batch, so that a finished sequence is replaced in the next step. */
 const GRANTED_BEYOND_BATCH = 2
+/** Clocks of engines and instances may differ by so much. */
+const REPORT_MARGIN_MILLISECONDS = 2_000
 
 /** A granted request. */
 export interface Running {
@@ -165,16 +167,45 @@
     this.options.onWanted()
   }
 
-  /** Drops pins of instances that are gone, as soon as a report made afterwards says that the request ended. */
-  dropEnded (isGone: (instance: InstanceId) => boolean, report: EngineReport, margin: number, wallTime: number, longestRequest: number): void {
+  /**
+   * Drops pins of instances that have ended, and of requests that are older than any can be.
+   *
+   * An instance can send its request long after the grant, with its last breath, and an engine's queue has no names. So
+   * only a report counts that was made after the instance was known to have ended, with nothing queued.
+   *
+   * @param endedAt - when an instance was known to have ended, wall time in milliseconds; undefined while it may live
+   * @param report - the engine's newest
+   * @param longestRequest - milliseconds
+   */
+  dropEnded (endedAt: (instance: InstanceId) => number | undefined, report: EngineReport, longestRequest: number): void {
     const now = this.options.clock.now()
     const running = new Set(report.running.map((entry) => entry.requestId as string))
     for (const [requestId, entry] of this.running) {
-      const age = now - entry.grantedAt
-      // A report made before the grant, or close to it, says nothing of this request.
-      const madeAfter = report.madeAt > wallTime - age + margin
-      const ended = isGone(entry.ask.from) && madeAfter && !running.has(requestId)
-      if (ended || age > longestRequest) this.done(requestId, 'failed', 0)
+      const ended = endedAt(entry.ask.from)
+      const told = ended !== undefined && report.queued === 0 && report.madeAt > ended + REPORT_MARGIN_MILLISECONDS
+      const over = now - entry.grantedAt > longestRequest
+      if (over || (told && !running.has(requestId))) this.done(requestId, 'failed', 0)
+    }
+  }
+
+  /** @returns instances whose grants are older than so many milliseconds */
+  holdersSince (milliseconds: number): ReadonlySet<InstanceId> {
+    const now = this.options.clock.now()
+    const old = [...this.running.values()].filter((entry) => now - entry.grantedAt > milliseconds)
+    return new Set(old.map((entry) => entry.ask.from))
+  }
+
+  /**
+   * Drops the pins of an instance that it does not hold: the word that they ended was lost with a connection.
+   *
+   * @param from - the instance
+   * @param held - all of its requests here by its own word, those that it has asked for among them
+   * @param grantedBefore - when it was asked, monotonic milliseconds; later grants are not in its answer
+   */
+  keepOnly (from: InstanceId, held: ReadonlySet<string>, grantedBefore: number): void {
+    for (const [requestId, entry] of this.running) {
+      const forgotten = entry.ask.from === from && entry.grantedAt < grantedBefore && !held.has(requestId)
+      if (forgotten) this.done(requestId, 'failed', 0)
     }
   }
 
--- a/packages/entry/src/scheduling/owned-endpoints.ts
+++ b/packages/entry/src/scheduling/owned-endpoints.ts
@@ -14,11 +14,10 @@
 import { DigestMaker } from './digest.js'
 import { EndpointScheduler } from './endpoint-scheduler.js'
 import { Loader } from './loader.js'
+import { PinAudit } from './pin-audit.js'
 
 const REPORT_MILLISECONDS = 500
 const MOST_QUEUED = 2_000
-/** A report must be so much younger than a grant before it says anything of it: clocks differ and reports lag. */
-const REPORT_MARGIN_MILLISECONDS = 2_000
 const FULL_DIGEST_EVERY = 20
 const REPORTS_MISSED_BEFORE_UNHEALTHY = 4
 /** Digests are sent to each member, so their pace falls with the number of members: bytes stay within the budget. */
@@ -71,12 +70,14 @@
   private readonly loadAhead: LoadAhead = new PopularityLoadAhead()
   private readonly guard = new OverloadGuard<WaitingRequest>({ mostQueued: MOST_QUEUED })
   private readonly service: ShareServiceLedger
+  private readonly audit: PinAudit
   private digestRound = 0
 
   /** @param options - what it works with */
   constructor (options: OwnedEndpointsOptions) {
     this.options = options
     this.service = new ShareServiceLedger(options.network, options.membership)
+    this.audit = new PinAudit(options.network, options.membership, options.clock)
     options.network.onCall('admission-ask', async (from, frame, signal) => await this.admit(from, frame, signal))
     options.network.onNotice('admission-done', (_from, frame) => this.done(frame))
     options.network.onNotice('team-service', (from, frame) => this.service.hear(from, frame))
@@ -230,19 +231,19 @@
       const report = await owned.client.report()
       if (report.isOk()) this.takeReport(owned, report.value)
       else owned.missedReports += 1
+      await this.audit.look(owned.scheduler)
       await this.options.clock.sleep(REPORT_MILLISECONDS, signal)
     }
   }
 
   private takeReport (owned: OwnedEndpoint, report: EngineReport): void {
-    const { membership, clock, settings } = this.options
+    const { settings } = this.options
     owned.missedReports = 0
     owned.latestReport = report
     owned.scheduler.takeReport(report)
     owned.scheduler.expire()
     const longestRequest = 1000 * (settings()?.policy.longestRequestSeconds ?? Infinity)
-    const isGone = (instance: InstanceId): boolean => membership.member(instance)?.state === 'gone'
-    owned.scheduler.dropEnded(isGone, report, REPORT_MARGIN_MILLISECONDS, clock.wallTime(), longestRequest)
+    owned.scheduler.dropEnded((instance) => this.audit.endedAt(instance), report, longestRequest)
   }
 
   private tell (owned: OwnedEndpoint, full: boolean): void {
--- /dev/null
+++ b/packages/entry/src/scheduling/pin-audit.ts
@@ -0,0 +1,58 @@
+/** Finds pins that nobody holds any more, whose end was never told. */
+import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
+import type { Membership } from '../membership/membership.js'
+import type { PeerNetwork } from '../peers/peer-network.js'
+import type { EndpointScheduler } from './endpoint-scheduler.js'
+
+const AUDIT_MILLISECONDS = 10_000
+const OLD_MILLISECONDS = 20_000
+const ANSWER_MILLISECONDS = 2_000
+
+/**
+ * A notice that a request is done is lost when its connection breaks. Its pin would keep the adapter's slot until the
+ * longest request time has passed, and loads would stall for want of a slot; so whoever holds old pins is asked.
+ */
+export class PinAudit {
+  private readonly network: PeerNetwork
+  private readonly membership: Membership
+  private readonly clock: Clock
+  private readonly goneSince = new Map<InstanceId, number>()
+  private readonly nextAt = new Map<EndpointId, number>()
+
+  /**
+   * @param network - asks the holders
+   * @param membership - who has ended
+   * @param clock - time
+   */
+  constructor (network: PeerNetwork, membership: Membership, clock: Clock) {
+    this.network = network
+    this.membership = membership
+    this.clock = clock
+  }
+
+  /** @returns when an instance was first seen as gone, wall time; undefined while it may live */
+  endedAt (instance: InstanceId): number | undefined {
+    if (this.membership.member(instance)?.state !== 'gone') return undefined
+    const since = this.goneSince.get(instance) ?? this.clock.wallTime()
+    this.goneSince.set(instance, since)
+    return since
+  }
+
+  /** Asks the holders of old pins of one endpoint, now and then. */
+  async look (scheduler: EndpointScheduler): Promise<void> {
+    const { endpoint } = scheduler.engine
+    const now = this.clock.now()
+    if (now < (this.nextAt.get(endpoint) ?? 0)) return
+    this.nextAt.set(endpoint, now + AUDIT_MILLISECONDS)
+    const holders = [...scheduler.holdersSince(OLD_MILLISECONDS)]
+    await Promise.all(holders.map(async (holder) => await this.ask(holder, scheduler)))
+  }
+
+  private async ask (holder: InstanceId, scheduler: EndpointScheduler): Promise<void> {
+    const asked = this.clock.now()
+    const { engine, token } = scheduler
+    const answer = await this.network.call(holder, { kind: 'pins-ask', endpoint: engine.endpoint, token }, ANSWER_MILLISECONDS)
+    if (answer.isErr() || answer.value.kind !== 'pins-report') return
+    scheduler.keepOnly(holder, new Set(answer.value.pins.map((pin) => pin.requestId as string)), asked)
+  }
+}
--- a/packages/entry/test/scheduling/owned-engine.test.ts
+++ b/packages/entry/test/scheduling/owned-engine.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { HttpEngineClient, LimpetwinchError } from '@limpetwinch/core'
-import type { AdapterOrder, EndpointId, LoadedName } from '@limpetwinch/core'
+import type { AdapterOrder, EndpointId, InstanceId, LoadedName } from '@limpetwinch/core'
 import { errAsync } from 'neverthrow'
 import type { ResultAsync } from 'neverthrow'
 import { OwnedEngine, plainName } from './owned-engine.js'
@@ -145,6 +145,35 @@
     expect((await engine.report()).loaded).toContain(again.loadedName)
   })
 
+  // Callers of other adapters are served again after a few seconds, and the running request of the lost instance ends
+  // whole. The instance sent its request just before it ended: the newest report was made before that and does not
+  // name it. Believed, it would free the pin, and the adapter could be evicted under the run.
+  it('keeps the pin of an ended instance until a report made afterwards', async () => {
+    const engine = await start()
+    expect((await engine.ask('essays')).isOk()).toBe(true)
+    const report = await engine.report()
+    const endedAt = report.madeAt + 500
+    engine.scheduler.dropEnded(() => endedAt, { ...report, madeAt: endedAt + 1_000 }, 600_000)
+    expect(engine.scheduler.slots.pinnedCount).toBe(1)
+    engine.scheduler.dropEnded(() => endedAt, { ...report, madeAt: endedAt + 3_000, queued: 1 }, 600_000)
+    expect(engine.scheduler.slots.pinnedCount).toBe(1)
+    engine.scheduler.dropEnded(() => endedAt, { ...report, madeAt: endedAt + 3_000 }, 600_000)
+    expect(engine.scheduler.slots.pinnedCount).toBe(0)
+  })
+
+  // Callers of other adapters get the slot. The word that a request is done was lost with a connection; its instance
+  // lives and, asked later, does not name it. A grant made after the question stays, since the answer cannot name it.
+  it('drops pins that their instance does not hold any more', async () => {
+    const engine = await start()
+    expect((await engine.ask('essays')).isOk()).toBe(true)
+    expect((await engine.ask('poems')).isOk()).toBe(true)
+    const [holder] = engine.scheduler.holdersSince(-1)
+    engine.scheduler.keepOnly(holder as InstanceId, new Set(['request-2']), performance.now() - 60_000)
+    expect(engine.scheduler.slots.pinnedCount).toBe(2)
+    engine.scheduler.keepOnly(holder as InstanceId, new Set(['request-2']), performance.now() + 1)
+    expect(engine.scheduler.slots.pinnedCount).toBe(1)
+  })
+
   // The caller over the bound is refused at once, with the time to come back, and not held until its deadline.
   it('refuses at once when the queue is full', async () => {
     const engine = await start({ mostQueued: 1, slots: 1, mayEvict: false })
