Pause between asks when no owner answers

Each ask failed at once, so the loop kept the process from its timers and sockets, and every request of that instance hung. Ruled out: the hand-over.

--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -155,7 +155,8 @@
       if (this.signal.aborted) return err(this.ended('not_run'))
       const route = this.options.router.route({ ...this.question(), avoid: new Set([...this.avoid, ...silent]) }, this.settings)
       if (route.isErr() && silent.size === 0) return err(route.error)
-      if (route.isErr()) {
+      if (route.isErr() || silent.has(route.value.engine.endpoint)) {
+        // All that could serve it were asked. Without a pause this would keep the event loop from every timer and socket.
         silent.clear()
         await this.options.clock.sleep(ASK_AGAIN_MILLISECONDS, this.signal)
         continue
