--- a/packages/entry/src/delivery/admission-client.ts
+++ b/packages/entry/src/delivery/admission-client.ts
@@ -26,7 +26,7 @@
 export class HeldAdmission {
   readonly grant: Grant
   private readonly owner: InstanceId
-  private readonly endpoint: EndpointId
+  readonly endpoint: EndpointId
   private readonly requestId: RequestId
   private readonly client: AdmissionClient
 
--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -236,7 +236,7 @@
             yield { kind: 'text', text }
           } else if (known !== text) {
             // A second run that says something else cannot be joined to what the caller has read of the first.
-            return { whole: false, error: this.failed('a repeated run gave another answer') }
+            return { whole: false, error: new LimpetwinchError('endpoint-failed', { endpoint: held.endpoint, reason: 'a repeated run gave another answer' }) }
           }
           position += 1
         }
@@ -288,10 +288,6 @@
     return new LimpetwinchError(this.deadline.passed ? 'deadline-passed' : 'request-ended-early', {}, { outcome, retryAfterSeconds: 1 })
   }
 
-  private failed (reason: string): LimpetwinchError {
-    return new LimpetwinchError('endpoint-failed', { endpoint: 'engine', reason })
-  }
-
   /** Each attempt has an id of its own: an engine knows requests by id, and a late first attempt is not the second. */
   private attemptId (): RequestId {
     return (this.attempts === 0 ? this.request.requestId : `${this.request.requestId}~${this.attempts + 1}`) as RequestId
