Remove code that nothing reaches

Found by reading the whole change: the caller API's refusal while stopping (its condition was always false, since the server closes instead), a type without a user, and a forgetting of cached prefixes that nobody called. Behaviour is as it was. Seen: types, formatter and linter clean; 54 tests of callers, delivery and scheduling pass.

--- a/packages/entry/src/callers/caller-api.ts
+++ b/packages/entry/src/callers/caller-api.ts
@@ -14,7 +14,6 @@
 export interface CallerApiOptions extends CompletionsOptions {
   readonly completions: Completions
   readonly serviceCalls: ServiceCalls
-  readonly isStopping: () => boolean
   /** Tells of each request that begins and ends, for the graceful stop. */
   readonly track: (work: Promise<void>) => Promise<void>
 }
@@ -30,8 +29,7 @@
   const app = new Hono<{ Bindings: HttpBindings }>()
   const serve = (handler: Serve) => async (context: CallerContext): Promise<Response> => {
     const { incoming, outgoing } = context.env
-    if (options.isStopping()) refuse(outgoing, new LimpetwinchError('stopping', {}, { retryAfterSeconds: 1 }), newRequestId())
-    else await options.track(handler(incoming, outgoing))
+    await options.track(handler(incoming, outgoing))
     return RESPONSE_ALREADY_SENT
   }
   app.post('/v1/chat/completions', serve(async (message, response) => await options.completions.serve('chat', message, response)))
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -319,7 +319,6 @@
       ...common,
       completions: new Completions(common),
       serviceCalls: new ServiceCalls(common, services),
-      isStopping: () => false,
       track: async (work) => await this.work.track(work)
     }), limits)
   }
--- a/packages/entry/src/routing/prefix-tracker.ts
+++ b/packages/entry/src/routing/prefix-tracker.ts
@@ -24,13 +24,6 @@
     while (found < keys.length && this.cached.get(keys[found] ?? '') === true) found += 1
     return found / keys.length
   }
-
-  /** Forgets what was cached on an endpoint that was restarted. */
-  forget (endpoint: EndpointId): void {
-    for (const key of [...this.cached.keys()]) {
-      if (key.startsWith(`${endpoint} `)) this.cached.delete(key)
-    }
-  }
 }
 
 /** A cached prefix belongs to one adapter: another adapter's states for the same text differ. */
--- a/packages/entry/src/scheduling/slot-table.ts
+++ b/packages/entry/src/scheduling/slot-table.ts
@@ -1,6 +1,6 @@
 /** What an owner knows of the adapter slots of one engine. */
 import { splitLoadedName } from '@limpetwinch/core'
-import type { AdapterReference, LoadedName } from '@limpetwinch/core'
+import type { LoadedName } from '@limpetwinch/core'
 import type { SlotView } from '@limpetwinch/decisions'
 
 /**
@@ -101,6 +101,3 @@
       }))
   }
 }
-
-/** @returns the adapter that a wanted load stands for */
-export type ReferenceOf = (adapter: string) => AdapterReference | undefined
