--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 export default [
   ...neostandard({ ts: true, noJsx: true, noStyle: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: { tsdoc, '@typescript-eslint': plugins['typescript-eslint'].plugin },
     rules: {
       // As Standard has it for TypeScript: `void` marks a promise that nobody waits for.
--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -90,6 +90,30 @@
     outcome: 'not_run',
     message: ({ service }) => `There is no service '${service}'. Ask the operators to add it under /endpoints.`
   },
+  'unknown-route': {
+    title: 'No route takes the request.',
+    status: 404,
+    outcome: 'not_run',
+    message: ({ host, path }) => `No route of host '${host}' takes the path '${path}'. Ask the operators which routes are in force.`
+  },
+  'headers-too-large': {
+    title: 'The headers are too large.',
+    status: 431,
+    outcome: 'not_run',
+    message: ({ limit }) => `The headers are larger than ${limit} bytes. Send fewer or shorter ones.`
+  },
+  'not-configured': {
+    title: 'This instance has no configuration yet.',
+    status: 503,
+    outcome: 'not_run',
+    message: () => 'This instance has not read its configuration yet. Come back after the time in Retry-After.'
+  },
+  'adapter-not-ready': {
+    title: 'The adapter could not be made ready in time.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ adapter, reason }) => `Adapter '${adapter}' could not be made ready in time (${reason}). Come back after the time in Retry-After.`
+  },
   'unknown-path': {
     title: 'Nothing is served under this path.',
     status: 404,
@@ -228,6 +252,12 @@
     outcome: 'unknown',
     message: ({ path }) => `The answer to the write of '${path}' was lost and could not be read back. Read it before you write again.`
   },
+  'history-lost': {
+    title: 'The store no longer has the changes since then.',
+    status: 410,
+    outcome: 'not_run',
+    message: ({ path }) => `The changes of '${path}' since the cursor are no longer kept. List it again and watch from there.`
+  },
   'version-conflict': {
     title: 'The object has another version.',
     status: 409,
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -182,6 +182,79 @@
   readonly tokens: readonly { readonly team: string, readonly tokens: number }[]
 }
 
+/** How new the sender's beliefs are; each number grows. A peer that is behind and cannot reach the store asks for them. */
+export interface BeliefsOfferFrame {
+  readonly kind: 'beliefs-offer'
+  readonly configuration: number
+  readonly endpoints: number
+  readonly announcements: number
+}
+
+/** Asks for what is newer than this. */
+export interface BeliefsAskFrame {
+  readonly kind: 'beliefs-ask'
+  readonly configuration: number
+  readonly endpoints: number
+  readonly announcements: number
+}
+
+/** What the store said at a revision, decoded; absent parts are not newer. */
+export interface BeliefsFrame {
+  readonly kind: 'beliefs'
+  readonly configuration?: { readonly revision: number, readonly value: unknown } | undefined
+  readonly endpoints?: { readonly revision: number, readonly value: unknown } | undefined
+  readonly announcements?: { readonly revision: number, readonly value: unknown } | undefined
+}
+
+/** What one endpoint has in hand from the sender, as told to its peers. */
+export interface RelayedLoad {
+  readonly endpoint: EndpointId
+  readonly requests: number
+  /** Prompt tokens sent there that have not led to a first event yet. */
+  readonly prefillTokens: number
+  readonly memoryTokens: number
+  /** Adapters by key: requests that run now, and requests sent since the last digest. */
+  readonly adapters: readonly (readonly [key: string, running: number, sent: number])[]
+}
+
+/** The sender's own work on all endpoints; endpoints that are not named have none. */
+export interface RelayLoadFrame {
+  readonly kind: 'relay-load'
+  readonly loads: readonly RelayedLoad[]
+}
+
+/** The adapters of an endpoint as the one that orders its loads knows them. */
+export interface AdaptersHeldFrame {
+  readonly kind: 'adapters-held'
+  readonly endpoint: EndpointId
+  /** The endpoint's life. */
+  readonly born: number
+  readonly token: FencingToken
+  /** Grows with each such frame of one token. */
+  readonly sequence: number
+  readonly held: readonly (readonly [key: string, version: number])[]
+  readonly coming: readonly string[]
+}
+
+/** Asks the one that orders an endpoint's loads for an adapter. */
+export interface LoadAskFrame {
+  readonly kind: 'load-ask'
+  readonly endpoint: EndpointId
+  readonly key: string
+  /** The least version that is of use. */
+  readonly version: number
+  /** Whether requests wait for it, or it is a further copy. */
+  readonly waiting: boolean
+}
+
+/** The load was not ordered; the asker looks for another endpoint. */
+export interface LoadRefusedFrame {
+  readonly kind: 'load-refused'
+  readonly endpoint: EndpointId
+  readonly key: string
+  readonly reason: string
+}
+
 /** A plain yes to a call. */
 export interface AcceptedFrame {
   readonly kind: 'accepted'
@@ -213,6 +286,13 @@
   | LoadTurnAskFrame
   | LoadTurnDoneFrame
   | TeamServiceFrame
+  | BeliefsOfferFrame
+  | BeliefsAskFrame
+  | BeliefsFrame
+  | RelayLoadFrame
+  | AdaptersHeldFrame
+  | LoadAskFrame
+  | LoadRefusedFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/core/src/logger/logger.ts
+++ b/packages/core/src/logger/logger.ts
@@ -1,5 +1,7 @@
 /** The one logger: short sentences, with the label of the part that speaks as a fixed prefix. */
 import winston from 'winston'
+import Transport from 'winston-transport'
+import type { LineRank, LineSink } from './line-sink.js'
 
 /** How log lines are written. */
 export type LogFormat = 'text' | 'json'
@@ -48,6 +50,41 @@
   return wrap(target, 'process')
 }
 
+const RANK_OF_LEVEL: Readonly<Record<string, LineRank>> = { error: 'fault', warn: 'fault', info: 'outcome', debug: 'step' }
+/** Where winston keeps a line's text. */
+const MESSAGE = Symbol.for('message')
+
+/** A winston transport before a {@link LineSink}. */
+class LineSinkTransport extends Transport {
+  private readonly sink: LineSink
+
+  constructor (sink: LineSink) {
+    super()
+    this.sink = sink
+  }
+
+  override log (entry: Record<string | symbol, unknown>, next: () => void): void {
+    this.sink.add(String(entry[MESSAGE]), RANK_OF_LEVEL[String(entry.level)] ?? 'outcome')
+    next()
+  }
+}
+
+/**
+ * Makes the logger of a process whose log is its only witness: JSON lines, none of which ever blocks.
+ *
+ * @param sink - takes the lines
+ * @param level - the least severe level written
+ * @returns a logger labelled `process`
+ */
+export function createStructuredLogger (sink: LineSink, level: LogLevel): Logger {
+  const target = winston.createLogger({
+    level,
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    transports: [new LineSinkTransport(sink)]
+  })
+  return wrap(target, 'process')
+}
+
 /** @returns a logger that writes nothing, for tests */
 export function silentLogger (): Logger {
   return wrap(winston.createLogger({ silent: true, transports: [new winston.transports.Console()] }), 'silent')
--- a/packages/core/src/platform/object-store.ts
+++ b/packages/core/src/platform/object-store.ts
@@ -8,6 +8,8 @@
   /** The object's own version; it grows with every write. */
   readonly version: number
   readonly value: unknown
+  /** True in a watch step for an object that is no longer there; `value` is its last state then. */
+  readonly removed?: boolean
 }
 
 /** One step of a watch. */
@@ -28,7 +30,7 @@
 /**
  * The platform's object API. Each call counts against its rate, a waiting watch as one.
  *
- * Errors: `store-unavailable` (nothing happened), `store-answer-lost` (a write may have taken effect),
+ * Errors: `store-unavailable` (nothing happened), `history-lost` (a watch cannot go on from its cursor; list again), `store-answer-lost` (a write may have taken effect),
  * `version-conflict` with `details.version` and `details.value` (the object's present state).
  */
 export abstract class ObjectStore {
@@ -52,3 +54,14 @@
    */
   abstract watch (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): ResultAsync<WatchStep, LimpetwinchError>
 }
+
+/** An {@link ObjectStore} whose objects can be deleted, so that what an instance left behind can be cleaned up. */
+export abstract class DeletingObjectStore extends ObjectStore {
+  /**
+   * Deletes an object.
+   *
+   * @param path - which
+   * @param ifVersion - only while it is at this version
+   */
+  abstract remove (path: string, ifVersion: number): ResultAsync<void, LimpetwinchError>
+}
--- a/packages/decisions/src/retries/share-retry-budget.ts
+++ b/packages/decisions/src/retries/share-retry-budget.ts
@@ -6,7 +6,7 @@
   /** Retries for each first attempt. */
   readonly share?: number
   /** Retries allowed in a window whatever the number of first attempts, so that a quiet team can retry at all. */
-  readonly least?: number
+  readonly least?: number | (() => number)
   readonly windowMilliseconds?: number
 }
 
@@ -21,14 +21,15 @@
 /** In any window, retries are at most `least + share × first attempts`. */
 export class ShareRetryBudget extends RetryBudget {
   private readonly share: number
-  private readonly least: number
+  private readonly least: () => number
   private readonly bucketMilliseconds: number
   private readonly buckets: Bucket[] = []
 
   constructor (options: ShareRetryBudgetOptions = {}) {
     super()
     this.share = options.share ?? 0.1
-    this.least = options.least ?? 3
+    const { least = 3 } = options
+    this.least = typeof least === 'number' ? () => least : least
     this.bucketMilliseconds = (options.windowMilliseconds ?? 10_000) / BUCKETS
   }
 
@@ -45,7 +46,7 @@
       retries += bucket.retries
     }
     // A retry is paid by first attempts only: were retries counted as attempts, each would pay for the next.
-    if (retries + 1 > this.least + this.share * attempts) return false
+    if (retries + 1 > this.least() + this.share * attempts) return false
     current.retries += 1
     return true
   }
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -17,6 +17,9 @@
   retryAfterSeconds: z.number().optional()
 }
 
+const beliefRevisions = { configuration: count, endpoints: count, announcements: count }
+const belief = z.object({ revision: count, value: z.unknown() }).optional()
+
 const pin = { requestId: id, loadedName: z.string().max(400).optional(), team: id }
 
 /** Schemas by kind, without `kind` itself; kinds are numbered on the wire in this order: append only. */
@@ -110,7 +113,29 @@
   'load-turn-done': z.object({ turn: id }),
   'team-service': z.object({ tokens: z.array(z.object({ team: id, tokens: z.number() })) }),
   accepted: z.object({ call: count }),
-  refused: z.object({ call: count, ...errorBody })
+  refused: z.object({ call: count, ...errorBody }),
+  'beliefs-offer': z.object(beliefRevisions),
+  'beliefs-ask': z.object(beliefRevisions),
+  beliefs: z.object({ configuration: belief, endpoints: belief, announcements: belief }),
+  'relay-load': z.object({
+    loads: z.array(z.object({
+      endpoint: id,
+      requests: count,
+      prefillTokens: count,
+      memoryTokens: count,
+      adapters: z.array(z.tuple([z.string().max(400), count, count]))
+    }))
+  }),
+  'adapters-held': z.object({
+    endpoint: id,
+    born: count,
+    token: count,
+    sequence: count,
+    held: z.array(z.tuple([z.string().max(400), count])),
+    coming: z.array(z.string().max(400))
+  }),
+  'load-ask': z.object({ endpoint: id, key: z.string().max(400), version: count, waiting: z.boolean() }),
+  'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds by their number on the wire. */
--- a/packages/entry/src/peers/tcp-peer-network.ts
+++ b/packages/entry/src/peers/tcp-peer-network.ts
@@ -19,8 +19,8 @@
 import type { EndEvidence, HeardHeartbeat, HeartbeatBody, PeerIdentity, PeerTarget } from './peer-links.js'
 import type { CallBody, CallFrame, FrameCounts, NoticeFrame, ReplyBody, ReplyFrame } from './peer-network.js'
 
-/** Heartbeats to another data centre are this much rarer: nobody there takes this instance's endpoints over. */
-const REMOTE_INTERVALS = 5
+/** Heartbeats to another data centre are this much rarer by default: nobody there takes this instance's endpoints over. */
+const DEFAULT_REMOTE_INTERVALS = 5
 const LARGEST_WAITING_NOTICES = 1_000
 const NEVER = new AbortController().signal
 // Calls to oneself share it.
@@ -38,6 +38,8 @@
   readonly random?: () => number
   /** Between heartbeats inside the data centre; a connection is silent after three. */
   readonly heartbeatMilliseconds?: number
+  /** How many times rarer heartbeats to other data centres are; 1 where they may take duties over from each other. */
+  readonly remoteIntervals?: number
 }
 
 const NOTHING_TO_SAY: HeartbeatBody = { leaving: false, settingsHash: '', ownershipVersion: 0, storeReachable: true }
@@ -50,6 +52,7 @@
   private readonly logger: Logger
   private readonly random: () => number
   private readonly heartbeatMilliseconds: number
+  private readonly remoteIntervals: number
   private readonly dispatcher: FrameDispatcher
   private readonly table = new ConnectionTable()
   private readonly diallers = new Map<InstanceId, PeerDialler>()
@@ -74,6 +77,7 @@
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? Math.random
     this.heartbeatMilliseconds = options.heartbeatMilliseconds ?? 1_000
+    this.remoteIntervals = options.remoteIntervals ?? DEFAULT_REMOTE_INTERVALS
     this.dispatcher = new FrameDispatcher(this.logger)
     this.tasks = new TaskGroup(this.logger)
     this.ownCalls = new OutstandingCalls(options.instance)
@@ -266,7 +270,7 @@
   }
 
   private intervalFor (dataCentre: DataCentreId): number {
-    return dataCentre === this.self.dataCentre ? this.heartbeatMilliseconds : REMOTE_INTERVALS * this.heartbeatMilliseconds
+    return dataCentre === this.self.dataCentre ? this.heartbeatMilliseconds : this.remoteIntervals * this.heartbeatMilliseconds
   }
 
   private async askSelf (body: CallBody, timeoutMilliseconds: number, signal: AbortSignal | undefined): Promise<CallResult> {
--- /dev/null
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -0,0 +1,329 @@
+/** Orders the loads of one engine: which adapters come, which make way, one order after the other. */
+import type { Clock, EndpointId, FencingToken, InstanceId, Logger } from '@limpetwinch/core'
+import type { EvictionPolicy, SlotView } from '@limpetwinch/decisions'
+import { Wake } from '@limpetwinch/entry'
+import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
+import type { LoadBoard } from '../routing/load-board.js'
+import type { AdapterLocations } from './adapter-locations.js'
+import type { EngineControl, EngineOrder, OrderAnswer } from './engine-control.js'
+import type { ModelLoadPace } from './model-load-pace.js'
+import { SlotLedger } from './slot-ledger.js'
+
+/** Adapters that may be on their way to one engine; the engine takes no more at once. */
+const MOST_COMING = 4
+/** Adapters on their way to all engines before each takes longer; beyond it loads wait for their turn here. */
+const MOST_TRAVELLING = 8
+/** A load from the weight store takes so long at best; one that lies at hand a tenth of it. */
+const TRAVEL_MILLISECONDS = 250
+const AT_HAND_MILLISECONDS = 25
+/** Evicted adapters that an engine keeps at hand. */
+const MOST_AT_HAND = 40
+/** After the load's time, the engine is asked this often whether it holds the adapter. */
+const CONFIRM_MILLISECONDS = 40
+/** A load that is not confirmed in this time was lost. */
+const LOST_LOAD_MILLISECONDS = 3_000
+/** Peers hear within this that an adapter leaves; a request that was on its way before has begun by then. */
+const LEAVING_NOTICE_MILLISECONDS = 30
+/** A want that was not met in this time has no waiter any more. */
+const WANT_MILLISECONDS = 3_000
+/** Reports are some hundred milliseconds old; one taken after this shows the last order. */
+const REPORT_LAG_MILLISECONDS = 250
+const LOOK_MILLISECONDS = 500
+/** Between questions whether a whole model has come. */
+const MODEL_LOOK_MILLISECONDS = 200
+
+/** What a loader needs. */
+export interface LoaderSurroundings {
+  readonly control: EngineControl
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly locations: AdapterLocations
+  readonly board: LoadBoard
+  readonly policy: EvictionPolicy
+  readonly pace: ModelLoadPace
+  /** This instance's machine. */
+  readonly holder: string
+  /** @returns the newest announced version; 0 for none */
+  readonly newestVersion: (key: AdapterKey) => number
+  /** @returns whether orders may be given now */
+  readonly mayOrder: (endpoint: EndpointId) => boolean
+  /** Tells all instances what the engine holds. */
+  readonly publish: (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>) => void
+  readonly refuse: (to: InstanceId, endpoint: EndpointId, key: AdapterKey, reason: string) => void
+  /** Someone else orders this engine, or another one listens at its address. */
+  readonly onLost: (endpoint: EndpointId, reason: OrderAnswer) => void
+}
+
+interface Want {
+  version: number
+  waiting: boolean
+  readonly askedAt: number
+  readonly askers: Set<InstanceId>
+}
+
+/** The loads of one engine in one life, under one token. */
+export class EndpointLoader {
+  readonly endpoint: Endpoint
+  readonly token: FencingToken
+  private readonly shape: EngineShape
+  private readonly around: LoaderSurroundings
+  private readonly ledger: SlotLedger
+  private readonly wants = new Map<AdapterKey, Want>()
+  private readonly hidden = new Set<AdapterKey>()
+  private readonly wake = new Wake()
+  private published = 0
+
+  constructor (endpoint: Endpoint, token: FencingToken, shape: EngineShape, around: LoaderSurroundings) {
+    this.endpoint = endpoint
+    this.token = token
+    this.shape = shape
+    this.around = around
+    this.ledger = new SlotLedger(shape.adapterSlots, MOST_AT_HAND)
+  }
+
+  /** Asks for an adapter. */
+  want (key: AdapterKey, version: number, waiting: boolean, asker: InstanceId): void {
+    const known = this.wants.get(key)
+    if (known === undefined) {
+      this.wants.set(key, { version, waiting, askedAt: this.around.clock.now(), askers: new Set([asker]) })
+    } else {
+      known.version = Math.max(known.version, version)
+      known.waiting ||= waiting
+      known.askers.add(asker)
+    }
+    this.wake.notify()
+  }
+
+  /** A newer version was announced: a copy held here is replaced. */
+  newer (key: AdapterKey, version: number, self: InstanceId): void {
+    if (this.ledger.held.has(key) && !this.ledger.holds(key, version)) this.want(key, version, true, self)
+  }
+
+  /**
+   * Gives orders until the signal ends it.
+   *
+   * @param notBefore - monotonic time before which another instance's orders may still arrive
+   */
+  async run (notBefore: number, signal: AbortSignal): Promise<void> {
+    await this.around.clock.sleep(Math.max(0, notBefore - this.around.clock.now()), signal)
+    while (!signal.aborted && !await this.reconcile(signal)) await this.around.clock.sleep(LOOK_MILLISECONDS, signal)
+    this.replaceOldVersions()
+    while (!signal.aborted) {
+      await this.confirmArrivals(signal)
+      if (signal.aborted) return
+      if (await this.step(signal)) continue
+      await this.wake.wait(this.nextLook(), signal)
+    }
+  }
+
+  private replaceOldVersions (): void {
+    for (const [key, slot] of this.ledger.held) {
+      const newest = this.around.newestVersion(key)
+      if (newest > slot.version) this.wants.set(key, { version: newest, waiting: true, askedAt: this.around.clock.now(), askers: new Set() })
+    }
+  }
+
+  private nextLook (): number {
+    const now = this.around.clock.now()
+    let earliest = now + LOOK_MILLISECONDS
+    for (const [key, { orderedAt }] of this.ledger.coming) {
+      const due = orderedAt + this.travelTime(key)
+      earliest = Math.min(earliest, due > now ? due : now + CONFIRM_MILLISECONDS)
+    }
+    if (this.wants.size > 0) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
+    return Math.max(1, earliest - now)
+  }
+
+  private travelTime (key: AdapterKey): number {
+    if (this.ledger.atHand.has(key)) return AT_HAND_MILLISECONDS
+    return TRAVEL_MILLISECONDS * Math.max(1, this.around.locations.travelling() / MOST_TRAVELLING)
+  }
+
+  /** @returns whether something was done */
+  private async step (signal: AbortSignal): Promise<boolean> {
+    const model = this.missingModel()
+    if (model !== undefined) return await this.loadModel(model, signal)
+    const next = this.nextWant()
+    if (next === undefined) return false
+    const [key, want] = next
+    if (this.ledger.holds(key, want.version) && !this.hidden.has(key)) {
+      this.wants.delete(key)
+      this.publish()
+      return true
+    }
+    if (!this.around.mayOrder(this.endpoint.id)) return false
+    if (this.ledger.held.has(key)) return await this.replace(key, want, signal)
+    if (!this.ledger.hasFree) return await this.makeRoom(key, want, signal)
+    return await this.load(key, want, signal)
+  }
+
+  private missingModel (): ModelName | undefined {
+    if (this.ledger.models.length > 0) return undefined
+    const fitting = this.shape.models.filter((model) => model.megabytes <= this.shape.megabytes)
+    // Engines that come empty take up the models in turn, by what waits for them first.
+    const wanted = [...this.wants.keys()].map((key) => modelOf(key))
+    return (fitting.find((model) => wanted.includes(model.name)) ?? fitting[0])?.name
+  }
+
+  private nextWant (): [AdapterKey, Want] | undefined {
+    const now = this.around.clock.now()
+    let best: [AdapterKey, Want] | undefined
+    for (const [key, want] of this.wants) {
+      if (now - want.askedAt > WANT_MILLISECONDS) {
+        this.wants.delete(key)
+        continue
+      }
+      if (this.ledger.coming.has(key)) continue
+      if (best === undefined || (want.waiting && !best[1].waiting)) best = [key, want]
+    }
+    const room = this.ledger.coming.size < MOST_COMING && this.around.locations.travelling() < MOST_TRAVELLING
+    return room || best === undefined || this.ledger.atHand.has(best[0]) ? best : undefined
+  }
+
+  private async load (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
+    const version = Math.max(want.version, this.around.newestVersion(key))
+    const answer = await this.order('load', key, version === 0 ? undefined : version, signal)
+    if (answer === 'accepted') {
+      this.ledger.ordered(key, version, this.around.clock.now())
+      this.wants.delete(key)
+      this.publish()
+      return true
+    }
+    if (answer === 'holds') {
+      this.arrived(key)
+      return true
+    }
+    return false
+  }
+
+  /** Requests that reach the engine while it replaces an adapter are refused there; peers hear of it before. */
+  private async replace (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
+    if (!this.hidden.has(key)) {
+      this.hidden.add(key)
+      this.publish()
+      await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
+    }
+    return await this.load(key, want, signal)
+  }
+
+  private async makeRoom (incoming: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
+    const victim = this.around.policy.victim(this.slotViews(), incoming, this.around.clock.now()) as AdapterKey | undefined
+    if (victim === undefined) {
+      this.wants.delete(incoming)
+      for (const asker of want.askers) this.around.refuse(asker, this.endpoint.id, incoming, 'every slot is in use')
+      return true
+    }
+    this.hidden.add(victim)
+    this.publish()
+    await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
+    if (this.around.board.running(this.endpoint.id, victim, this.around.clock.now()) > 0) {
+      // A request was on its way when the notice went out. An engine would let it end first, and its slot would block
+      // the load for as long; another adapter makes way sooner.
+      this.hidden.delete(victim)
+      this.publish()
+      return false
+    }
+    const answer = await this.order('unload', victim, undefined, signal)
+    this.hidden.delete(victim)
+    if (answer === 'holds') this.ledger.unloaded(victim)
+    else if (answer === 'accepted') await this.reconcile(signal)
+    this.publish()
+    return answer === 'holds' || answer === 'accepted'
+  }
+
+  private slotViews (): SlotView[] {
+    const now = this.around.clock.now()
+    return [...this.ledger.held].filter(([key]) => !this.hidden.has(key)).map(([key, slot]) => ({
+      adapter: key,
+      pins: this.around.board.running(this.endpoint.id, key, now),
+      loadedAt: slot.loadedAt,
+      lastUsedAt: slot.lastUsedAt,
+      waiting: this.wants.has(key) ? 1 : 0,
+      otherCopies: Math.max(0, this.around.locations.holders(key).size - 1)
+    }))
+  }
+
+  private async loadModel (model: ModelName, signal: AbortSignal): Promise<boolean> {
+    if (!this.around.mayOrder(this.endpoint.id) || !this.around.pace.take(this.shape.modelLoadsPerSecond)) return false
+    const order: EngineOrder = { operation: 'load', model, adapter: undefined, version: undefined, ifSequence: this.ledger.sequence }
+    const answer = await this.send(order, signal)
+    if (answer === 'accepted') this.ledger.sequence += 1
+    while (!signal.aborted && await this.reconcile(signal) && this.ledger.models.length === 0 && answer === 'accepted') {
+      await this.around.clock.sleep(MODEL_LOOK_MILLISECONDS, signal)
+    }
+    return false
+  }
+
+  /** Asks for what should have come by now: an engine that holds the adapter says so at once, a report would be late. */
+  private async confirmArrivals (signal: AbortSignal): Promise<void> {
+    const now = this.around.clock.now()
+    for (const [key, coming] of [...this.ledger.coming]) {
+      if (signal.aborted || now < coming.orderedAt + this.travelTime(key)) continue
+      if (now - coming.orderedAt > LOST_LOAD_MILLISECONDS) {
+        await this.reconcile(signal)
+        return
+      }
+      if (!this.around.mayOrder(this.endpoint.id)) return
+      const answer = await this.order('load', key, coming.version === 0 ? undefined : coming.version, signal)
+      if (answer === 'holds') this.arrived(key)
+      else if (answer === 'accepted') this.ledger.sequence += 1
+    }
+  }
+
+  private arrived (key: AdapterKey): void {
+    this.ledger.completed(key, this.around.clock.now())
+    this.hidden.delete(key)
+    const want = this.wants.get(key)
+    if (want !== undefined && this.ledger.holds(key, want.version)) this.wants.delete(key)
+    this.publish()
+  }
+
+  private async order (operation: 'load' | 'unload', key: AdapterKey, version: number | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    const slash = key.indexOf('/')
+    return await this.send({
+      operation, model: modelOf(key), adapter: key.slice(slash + 1), version, ifSequence: this.ledger.sequence
+    }, signal)
+  }
+
+  /** @returns the engine's answer; undefined when it gave none and what it holds was read anew */
+  private async send (order: EngineOrder, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    const { control, holder, logger } = this.around
+    const target = { endpoint: this.endpoint.id, address: this.endpoint.address, holder, token: this.token }
+    const result = await control.order(target, order)
+    const { operation, adapter, version, ifSequence } = order
+    const outcome = result.isOk() ? result.value : result.error.kind
+    logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome })
+    if (result.isErr()) {
+      await this.reconcile(signal)
+      return undefined
+    }
+    if (result.value === 'stale-token' || result.value === 'other-endpoint') this.around.onLost(this.endpoint.id, result.value)
+    if (result.value === 'conflict' || result.value === 'refused') await this.reconcile(signal)
+    return result.value
+  }
+
+  /** Reads what the engine holds, late enough that the report shows the last order. @returns whether it was read */
+  private async reconcile (signal: AbortSignal): Promise<boolean> {
+    await this.around.clock.sleep(REPORT_LAG_MILLISECONDS, signal)
+    if (signal.aborted) return false
+    const report = await this.around.control.report(this.endpoint.id, this.endpoint.address)
+    if (report.isErr()) {
+      this.around.logger.warn('An engine does not report.', { endpoint: this.endpoint.id, reason: report.error.message })
+      return false
+    }
+    this.ledger.adopt(report.value, this.around.clock.now())
+    for (const key of [...this.hidden]) if (!this.ledger.coming.has(key)) this.hidden.delete(key)
+    this.publish()
+    return true
+  }
+
+  private publish (): void {
+    this.published += 1
+    this.around.publish(this.endpoint, this.token, this.published, this.ledger, this.hidden)
+  }
+}
+
+function modelOf (key: AdapterKey): ModelName {
+  const slash = key.indexOf('/')
+  return (slash === -1 ? key : key.slice(0, slash)) as string as ModelName
+}
--- /dev/null
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -0,0 +1,239 @@
+/** Decides which engines' loads this instance orders, claims them in the store, and runs a loader for each. */
+import type { Clock, DeletingObjectStore, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
+import { rendezvousWeight } from '@limpetwinch/decisions'
+import type { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
+import type { StoreHealth } from '../beliefs/store-health.js'
+import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import { holderPath } from '../members/cluster-objects.js'
+import type { LoadHolder } from '../members/cluster-objects.js'
+import type { MemberList } from '../members/member-list.js'
+import type { AdapterKey, Endpoint, EngineShape } from '../routes/configuration.js'
+import { EndpointLoader } from './endpoint-loader.js'
+import type { LoaderSurroundings } from './endpoint-loader.js'
+
+const LOOK_MILLISECONDS = 300
+/** Instances find each other in this time after the first is listed; claims made before would go to whoever came first. */
+const SETTLE_MILLISECONDS = 1_500
+/** Added to the lease: how late the holder before may have heard that it holds no more. */
+const LEASE_MARGIN_MILLISECONDS = 800
+/** A claim this old was made long before the lease, whatever the clocks of two machines say. */
+const CERTAINLY_OLD_MILLISECONDS = 30_000
+/** Holder objects of engines that are gone are deleted after this; an engine may come back under its id before. */
+const FORGET_MILLISECONDS = 20_000
+/** Where endpoints do not check tokens, an instance that has heard nothing from the store for this part of a lease stops. */
+const SHARE_OF_LEASE_UNHEARD = 0.5
+
+/** What the duty needs. */
+export interface LoadDutyParts {
+  readonly store: DeletingObjectStore
+  readonly health: StoreHealth
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly members: MemberList
+  readonly directory: EndpointDirectory
+  readonly configuration: AcceptedConfiguration
+  readonly leaseMilliseconds: number
+  readonly fencedEndpoints: boolean
+}
+
+interface Running {
+  readonly loader: EndpointLoader
+  readonly ending: AbortController
+}
+
+/** The engines whose loads this instance orders. */
+export class LoadDuty {
+  private readonly parts: LoadDutyParts
+  private readonly surroundings: Omit<LoaderSurroundings, 'mayOrder' | 'onLost' | 'holder'>
+  private readonly holders = new Map<EndpointId, LoadHolder>()
+  private readonly running = new Map<EndpointId, Running>()
+  private readonly missingSince = new Map<EndpointId, number>()
+  private pausedUntil = -Infinity
+  private readyAt: number | undefined
+  private stopping = false
+
+  constructor (parts: LoadDutyParts, surroundings: Omit<LoaderSurroundings, 'mayOrder' | 'onLost' | 'holder'>) {
+    this.parts = parts
+    this.surroundings = surroundings
+    parts.directory.onChange((endpoint, change) => {
+      if (change === 'restarted' || change === 'gone' || change === 'leaving') this.stopLoader(endpoint.id)
+    })
+  }
+
+  /** Takes the holders as the store lists them. */
+  apply (holders: readonly LoadHolder[]): void {
+    const listed = new Map(holders.map((holder) => [holder.endpoint, holder]))
+    for (const id of [...this.holders.keys()]) if (!listed.has(id)) this.holders.delete(id)
+    for (const [id, holder] of listed) {
+      const known = this.holders.get(id)
+      if (known !== undefined && known.token > holder.token) continue
+      this.holders.set(id, holder)
+      if (known?.token !== holder.token) this.holderChanged(holder)
+    }
+  }
+
+  /** @returns who orders the loads of an engine; undefined when nobody does or it is not heard */
+  holderOf (endpoint: EndpointId): InstanceId | undefined {
+    const holder = this.holders.get(endpoint)
+    if (holder === undefined || !this.parts.members.isLive(holder.holder)) return undefined
+    if (holder.holder === this.parts.members.self.name) return this.parts.members.self.instance
+    return this.parts.members.find(holder.holder)?.instance
+  }
+
+  /** @returns the loader of an engine that this instance orders */
+  loader (endpoint: EndpointId): EndpointLoader | undefined {
+    return this.running.get(endpoint)?.loader
+  }
+
+  /** A newer version of an adapter was announced. */
+  newer (key: AdapterKey, version: number): void {
+    for (const { loader } of this.running.values()) loader.newer(key, version, this.parts.members.self.instance)
+  }
+
+  /** Gives no order until the time: after a pause of the process another may hold what this one believes to hold. */
+  pauseUntil (time: number): void {
+    this.pausedUntil = Math.max(this.pausedUntil, time)
+  }
+
+  /** Gives no order from now on. */
+  stop (): void {
+    this.stopping = true
+    for (const id of [...this.running.keys()]) this.stopLoader(id)
+  }
+
+  /** Looks after the duty until the signal ends it. */
+  async run (signal: AbortSignal): Promise<void> {
+    const { clock, members } = this.parts
+    while (!signal.aborted) {
+      await clock.sleep(LOOK_MILLISECONDS, signal)
+      if (!members.known || this.stopping) continue
+      this.readyAt ??= clock.now() + SETTLE_MILLISECONDS
+      if (clock.now() < this.readyAt) continue
+      for (const endpoint of this.parts.directory.all()) {
+        const shape = this.shapeOf(endpoint)
+        if (shape !== undefined && !endpoint.leaving) await this.look(endpoint, shape)
+      }
+      await this.forgetGone()
+    }
+    this.stop()
+  }
+
+  private shapeOf (endpoint: Endpoint): EngineShape | undefined {
+    const shape = this.parts.configuration.current?.services.get(endpoint.service)?.engine
+    return shape !== undefined && shape.adapterSlots > 0 ? shape : undefined
+  }
+
+  private async look (endpoint: Endpoint, shape: EngineShape): Promise<void> {
+    const { members } = this.parts
+    const holder = this.holders.get(endpoint.id)
+    if (holder?.holder === members.self.name) return this.startLoader(endpoint, holder, shape)
+    if (holder !== undefined && members.isLive(holder.holder)) return
+    if (this.successor(endpoint) !== members.self.name) return
+    await this.claim(endpoint, holder)
+  }
+
+  /** The instances of the engine's own data centre come first: they can still order it when data centres are apart. */
+  private successor (endpoint: Endpoint): string | undefined {
+    const live = this.parts.members.live()
+    const near = live.filter((member) => member.dataCentre === endpoint.dataCentre)
+    const candidates = near.length > 0 ? near : live
+    let best: string | undefined
+    let bestWeight = -1
+    for (const { name } of candidates) {
+      const weight = rendezvousWeight(endpoint.id, name)
+      if (weight <= bestWeight) continue
+      best = name
+      bestWeight = weight
+    }
+    return best
+  }
+
+  private async claim (endpoint: Endpoint, before: LoadHolder | undefined): Promise<void> {
+    const { store, members, logger } = this.parts
+    const value = { holder: members.self.name, ...(before === undefined ? {} : { previous: before.holder }), claimedAt: Date.now() }
+    const written = await store.put({ path: holderPath(endpoint.id), ifVersion: before?.token ?? 0, value })
+    const outcome = written.isOk() ? 'done' : written.error.kind
+    logger.info('The loads of an engine were claimed.', { endpoint: endpoint.id, previous: before?.holder, token: written.isOk() ? written.value : undefined, outcome })
+    if (written.isErr()) return
+    const holder: LoadHolder = { endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, token: written.value as LoadHolder['token'] }
+    const known = this.holders.get(endpoint.id)
+    if (known !== undefined && known.token > holder.token) return
+    this.holders.set(endpoint.id, holder)
+  }
+
+  private startLoader (endpoint: Endpoint, holder: LoadHolder, shape: EngineShape): void {
+    const present = this.running.get(endpoint.id)
+    if (present !== undefined) {
+      if (present.loader.token === holder.token && present.loader.endpoint.born === endpoint.born) return
+      this.stopLoader(endpoint.id)
+    }
+    const { clock, logger } = this.parts
+    const loader = new EndpointLoader(endpoint, holder.token, shape, {
+      ...this.surroundings,
+      holder: this.parts.members.self.name,
+      mayOrder: () => this.mayOrder(holder),
+      onLost: (id, reason) => {
+        logger.warn('An engine took no order from this instance.', { endpoint: id, token: holder.token, reason })
+        this.stopLoader(id)
+        if (reason === 'stale-token') this.holders.delete(id)
+      }
+    })
+    const ending = new AbortController()
+    this.running.set(endpoint.id, { loader, ending })
+    const notBefore = this.notBefore(holder)
+    logger.info('This instance orders the loads of an engine.', { endpoint: endpoint.id, token: holder.token, inMilliseconds: Math.max(0, Math.round(notBefore - clock.now())) })
+    void loader.run(notBefore, ending.signal).catch((cause: unknown) => {
+      logger.error('The loads of an engine stopped and start again.', { endpoint: endpoint.id, reason: cause instanceof Error ? cause.stack : String(cause) })
+      this.stopLoader(endpoint.id)
+    })
+  }
+
+  /**
+   * The holder before may have been cut off or paused and have orders on the way. It hears of its loss within the
+   * margin, and nobody orders for a lease after that: two instances never take turns within one lease.
+   */
+  private notBefore (holder: LoadHolder): number {
+    const { clock, members, leaseMilliseconds } = this.parts
+    if (holder.previous === undefined || holder.previous === members.self.name) return clock.now()
+    if (Math.abs(Date.now() - holder.claimedAt) > CERTAINLY_OLD_MILLISECONDS) return clock.now()
+    return clock.now() + leaseMilliseconds + LEASE_MARGIN_MILLISECONDS
+  }
+
+  private mayOrder (holder: LoadHolder): boolean {
+    const { clock, health, fencedEndpoints, leaseMilliseconds } = this.parts
+    const now = clock.now()
+    if (this.stopping || now < this.pausedUntil || this.holders.get(holder.endpoint)?.token !== holder.token) return false
+    // An endpoint that checks tokens refuses a holder that has lost its place without knowing. One that does not must
+    // not hear from it at all, so it stops before anybody else may begin.
+    return fencedEndpoints || health.silence(now) < leaseMilliseconds * SHARE_OF_LEASE_UNHEARD
+  }
+
+  private holderChanged (holder: LoadHolder): void {
+    const present = this.running.get(holder.endpoint)
+    if (present === undefined || present.loader.token === holder.token) return
+    this.parts.logger.info('Another instance orders the loads of an engine.', { endpoint: holder.endpoint, holder: holder.holder, token: holder.token })
+    this.stopLoader(holder.endpoint)
+  }
+
+  private stopLoader (id: EndpointId): void {
+    this.running.get(id)?.ending.abort()
+    this.running.delete(id)
+  }
+
+  private async forgetGone (): Promise<void> {
+    const now = this.parts.clock.now()
+    for (const holder of [...this.holders.values()]) {
+      if (this.parts.directory.find(holder.endpoint) !== undefined) {
+        this.missingSince.delete(holder.endpoint)
+        continue
+      }
+      const since = this.missingSince.get(holder.endpoint) ?? now
+      this.missingSince.set(holder.endpoint, since)
+      if (holder.holder !== this.parts.members.self.name || now - since < FORGET_MILLISECONDS) continue
+      const removed = await this.parts.store.remove(holderPath(holder.endpoint), holder.token)
+      if (removed.isErr()) continue
+      this.holders.delete(holder.endpoint)
+      this.missingSince.delete(holder.endpoint)
+    }
+  }
+}
--- /dev/null
+++ b/packages/ingress/src/index.ts
@@ -0,0 +1,6 @@
+/** Routed requests before shared endpoints: the ingress instance and what a platform lends it. */
+export * from './routes/configuration.js'
+export * from './relay/request-codec.js'
+export * from './adapters/engine-control.js'
+export * from './runtime/ingress-settings.js'
+export * from './runtime/ingress-instance.js'
--- /dev/null
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -0,0 +1,64 @@
+/** The product's own objects in the platform's store: one for each instance, one for each engine's holder of orders. */
+import type { DataCentreId, EndpointId, FencingToken, InstanceId, StoredObject } from '@limpetwinch/core'
+import { z } from 'zod'
+
+/** One kind for all, so that one watch follows them. */
+export const CLUSTER_KIND = 'limpetwinch-cluster'
+
+const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string() })
+const holderSchema = z.object({ holder: z.string(), previous: z.string().optional(), claimedAt: z.number() })
+
+/** An instance, as it wrote itself down at its start. */
+export interface Member {
+  /** The machine's name; it outlives the process. */
+  readonly name: string
+  /** The process. */
+  readonly instance: InstanceId
+  /** `host:port` for peers. */
+  readonly address: string
+  readonly dataCentre: DataCentreId
+  readonly version: number
+}
+
+/** Who orders an engine's loads. */
+export interface LoadHolder {
+  readonly endpoint: EndpointId
+  /** Name of the member. */
+  readonly holder: string
+  /** Who held it before; undefined when nobody did. */
+  readonly previous: string | undefined
+  /** Wall clock of the claim, milliseconds. */
+  readonly claimedAt: number
+  /** The object's version: the store hands each out once and in growing order, which is what a fencing token needs. */
+  readonly token: FencingToken
+}
+
+/** One object of the kind. */
+export type ClusterObject = { readonly kind: 'member', readonly member: Member } | { readonly kind: 'holder', readonly holder: LoadHolder }
+
+/** @returns the path of a member's object */
+export function memberPath (name: string): string {
+  return `${CLUSTER_KIND}/member.${name}`
+}
+
+/** @returns the path of an engine's holder object */
+export function holderPath (endpoint: EndpointId): string {
+  return `${CLUSTER_KIND}/holder.${endpoint}`
+}
+
+/** @returns the object's meaning, or undefined when it has none */
+export function decodeClusterObject (object: StoredObject): ClusterObject | undefined {
+  const name = object.path.slice(CLUSTER_KIND.length + 1)
+  const dot = name.indexOf('.')
+  const subject = name.slice(dot + 1)
+  if (name.startsWith('member.')) {
+    const decoded = memberSchema.safeParse(object.value)
+    if (!decoded.success) return undefined
+    const { instance, address, dataCentre } = decoded.data
+    return { kind: 'member', member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, version: object.version } }
+  }
+  const decoded = holderSchema.safeParse(object.value)
+  if (!decoded.success) return undefined
+  const { holder, previous, claimedAt } = decoded.data
+  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, token: object.version as FencingToken } }
+}
--- /dev/null
+++ b/packages/ingress/src/members/member-list.ts
@@ -0,0 +1,151 @@
+/** Who else is here: written in the store at the start and at the end, kept alive by heartbeats between instances. */
+import type { Clock, DataCentreId, DeletingObjectStore, InstanceId, Logger } from '@limpetwinch/core'
+import type { HeardHeartbeat, PeerLinks } from '@limpetwinch/entry'
+import { memberPath } from './cluster-objects.js'
+import type { Member } from './cluster-objects.js'
+
+/** Without any frame for so long a member counts as gone: several heartbeats are missing. */
+export const SUSPECT_MILLISECONDS = 2_000
+/** A member that was not heard for so long has left without a word; its object is deleted. */
+const FORGET_MILLISECONDS = 60_000
+const LOOK_MILLISECONDS = 1_000
+
+/** This instance, as its peers see it. */
+export interface SelfDescription {
+  readonly name: string
+  readonly instance: InstanceId
+  readonly address: string
+  readonly dataCentre: DataCentreId
+}
+
+/** The members as the store lists them and heartbeats confirm them. */
+export class MemberList {
+  readonly self: SelfDescription
+  private readonly store: DeletingObjectStore
+  private readonly network: PeerLinks
+  private readonly clock: Clock
+  private readonly logger: Logger
+  private readonly members = new Map<string, Member>()
+  private readonly firstSeen = new Map<InstanceId, number>()
+  private readonly leaving = new Set<InstanceId>()
+  private readonly believedLive = new Set<string>()
+  private listed = false
+  private stopping = false
+
+  constructor (self: SelfDescription, store: DeletingObjectStore, network: PeerLinks, clock: Clock, logger: Logger) {
+    this.self = self
+    this.store = store
+    this.network = network
+    this.clock = clock
+    this.logger = logger
+    network.onHeartbeat((from, heartbeat: HeardHeartbeat) => {
+      if (heartbeat.frame.leaving) this.leaving.add(from)
+    })
+  }
+
+  /** Whether the store has listed the members in this life. */
+  get known (): boolean {
+    return this.listed
+  }
+
+  /** @returns the number of members written down, living or not; at least one */
+  get count (): number {
+    return Math.max(1, this.members.size + (this.members.has(this.self.name) ? 0 : 1))
+  }
+
+  /** Takes the members as the store lists them. */
+  apply (members: readonly Member[]): void {
+    this.listed = true
+    const now = this.clock.now()
+    this.members.clear()
+    for (const member of members) {
+      this.members.set(member.name, member)
+      if (!this.firstSeen.has(member.instance)) this.firstSeen.set(member.instance, now)
+    }
+    const targets = members.filter((member) => member.instance !== this.self.instance)
+      .map(({ instance, address, dataCentre }) => ({ instance, address, dataCentre, keep: true }))
+    this.network.setTargets(targets)
+  }
+
+  /** @returns the member of a name */
+  find (name: string): Member | undefined {
+    return this.members.get(name)
+  }
+
+  /** @returns whether the member of this name is heard and takes duties */
+  isLive (name: string): boolean {
+    if (name === this.self.name) return !this.stopping
+    const member = this.members.get(name)
+    return member !== undefined && !this.leaving.has(member.instance) && this.silence(member) < SUSPECT_MILLISECONDS
+  }
+
+  /** @returns names of all members that are heard, this one included */
+  live (): { readonly name: string, readonly dataCentre: DataCentreId }[] {
+    const others = [...this.members.values()].filter((member) => member.name !== this.self.name && this.isLive(member.name))
+    return this.stopping ? others : [...others, this.self]
+  }
+
+  /** Writes this instance down until it stands there, and looks after the objects of members that are gone. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.listed && !this.stopping) await this.register()
+      this.noteChanges()
+      await this.forgetLost()
+      await this.clock.sleep(this.members.has(this.self.name) ? LOOK_MILLISECONDS : 100, signal)
+    }
+  }
+
+  /** Takes no duties from now on. */
+  leave (): void {
+    this.stopping = true
+  }
+
+  /** Removes this instance's object. */
+  async unregister (): Promise<void> {
+    const own = this.members.get(this.self.name)
+    if (own?.instance !== this.self.instance) return
+    const removed = await this.store.remove(memberPath(own.name), own.version)
+    if (removed.isErr()) this.logger.warn('The own member object stays behind.', { reason: removed.error.message })
+  }
+
+  private async register (): Promise<void> {
+    const { name, instance, address, dataCentre } = this.self
+    const present = this.members.get(name)
+    if (present?.instance === instance) return
+    const written = await this.store.put({ path: memberPath(name), ifVersion: present?.version ?? 0, value: { instance, address, dataCentre } })
+    if (written.isOk()) {
+      this.members.set(name, { name, instance, address, dataCentre, version: written.value })
+      this.logger.info('This instance is written down.', { name, revision: written.value })
+      return
+    }
+    // A conflict or a lost answer shows in the next step of the watch, which this loop reads.
+    this.logger.warn('This instance could not be written down yet.', { name, reason: written.error.message })
+  }
+
+  private silence (member: Member): number {
+    const heard = this.network.lastHeard(member.instance) ?? this.firstSeen.get(member.instance) ?? -Infinity
+    const connected = this.network.connected().includes(member.instance)
+    // A connection that ended says more than the time since its last frame: the process is gone or cannot be reached.
+    const sinceHeard = this.clock.now() - heard
+    return connected ? 0 : sinceHeard
+  }
+
+  private noteChanges (): void {
+    for (const { name } of this.members.values()) {
+      const live = this.isLive(name)
+      if (live === this.believedLive.has(name)) continue
+      if (live) this.believedLive.add(name)
+      else this.believedLive.delete(name)
+      this.logger.info(live ? 'A member is heard.' : 'A member is not heard any more.', { name, instance: this.members.get(name)?.instance })
+    }
+  }
+
+  private async forgetLost (): Promise<void> {
+    for (const member of [...this.members.values()]) {
+      if (member.name === this.self.name || this.silence(member) < FORGET_MILLISECONDS) continue
+      const removed = await this.store.remove(memberPath(member.name), member.version)
+      if (removed.isOk()) this.members.delete(member.name)
+      this.logger.info('The object of a lost member is deleted.', { name: member.name, outcome: removed.isOk() ? 'done' : removed.error.kind })
+    }
+  }
+}
--- /dev/null
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -0,0 +1,100 @@
+/** Counters and histograms of an instance, served as text. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds around the objectives of interactive work, seconds. */
+const SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 20]
+/** Names of routes and services come from operators; beyond so many they share one label, so that memory stays bounded. */
+const MOST_LABELS = 200
+
+/** Ages and counts read when metrics are asked for. */
+export interface GaugeReadings {
+  readonly configurationVersion: number
+  readonly storeSilenceSeconds: number
+  readonly members: number
+  readonly servableEndpoints: number
+  readonly droppedLogLines: number
+  readonly requestsInProgress: number
+}
+
+/** The metrics of one instance. */
+export class IngressMetrics {
+  private readonly registry = new Registry()
+  private readonly labels = new Set<string>()
+  private readonly requests = this.counter('limpetwinch_requests_total', 'Requests by route, outcome and reason', ['route', 'outcome', 'reason'])
+  private readonly attempts = this.counter('limpetwinch_attempts_total', 'Tries on endpoints by service and end', ['service', 'end'])
+  private readonly storeCalls = this.counter('limpetwinch_store_calls_total', 'Calls to the platform store', ['kind', 'outcome'])
+  private readonly orders = this.counter('limpetwinch_adapter_notices_total', 'Statements on held adapters, sent or taken', ['direction'])
+  private readonly ejections = this.counter('limpetwinch_ejections_total', 'Endpoints that were kept from new work after failures', [])
+  private readonly whole = this.histogram('limpetwinch_request_seconds', 'From the request to the end of its answer', ['route', 'outcome'])
+  private readonly firstEvent = this.histogram('limpetwinch_first_event_seconds', 'From the request to its first event', ['route'])
+  private readonly loadStall = this.histogram('limpetwinch_load_stall_seconds', 'Waiting for an adapter to be loaded', ['route'])
+  private readonly storeSeconds = this.histogram('limpetwinch_store_call_seconds', 'Calls to the platform store, watches left out', ['kind'])
+
+  /** @param read - called for each scrape */
+  constructor (read: () => GaugeReadings) {
+    this.gauge('limpetwinch_configuration_version', 'Version in force', () => read().configurationVersion)
+    this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
+    this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
+    this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
+    this.gauge('limpetwinch_dropped_log_lines', 'Log lines dropped since the start', () => read().droppedLogLines)
+    this.gauge('limpetwinch_requests_in_progress', 'Requests in progress', () => read().requestsInProgress)
+  }
+
+  /** Counts a request's end. */
+  requestEnded (route: string, outcome: string, reason: string, milliseconds: number): void {
+    const label = this.bounded(route)
+    this.requests.inc({ route: label, outcome, reason })
+    this.whole.observe({ route: label, outcome }, milliseconds / 1_000)
+  }
+
+  /** Records a stream's first event. */
+  firstEventCame (route: string, milliseconds: number, stallMilliseconds: number): void {
+    this.firstEvent.observe({ route: this.bounded(route) }, milliseconds / 1_000)
+    if (stallMilliseconds > 0) this.loadStall.observe({ route: this.bounded(route) }, stallMilliseconds / 1_000)
+  }
+
+  /** Counts a try on an endpoint. */
+  attemptEnded (service: string, end: string): void {
+    this.attempts.inc({ service: this.bounded(service), end })
+  }
+
+  /** Counts an ejection. */
+  ejected (): void {
+    this.ejections.inc()
+  }
+
+  /** Counts a call to the store. */
+  storeCall (kind: string, outcome: string, milliseconds: number): void {
+    this.storeCalls.inc({ kind, outcome })
+    if (kind !== 'watch') this.storeSeconds.observe({ kind }, milliseconds / 1_000)
+  }
+
+  /** Counts a statement on held adapters. */
+  adapterNotice (direction: 'sent' | 'taken'): void {
+    this.orders.inc({ direction })
+  }
+
+  /** @returns all metrics as Prometheus text */
+  async text (): Promise<string> {
+    return await this.registry.metrics()
+  }
+
+  private bounded (label: string): string {
+    if (this.labels.has(label)) return label
+    if (this.labels.size >= MOST_LABELS) return 'other'
+    this.labels.add(label)
+    return label
+  }
+
+  private counter<Name extends string> (name: string, help: string, labelNames: readonly Name[]): Counter<Name> {
+    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] })
+  }
+
+  private histogram<Name extends string> (name: string, help: string, labelNames: readonly Name[]): Histogram<Name> {
+    return new Histogram({ name, help, labelNames: [...labelNames], buckets: SECONDS, registers: [this.registry] })
+  }
+
+  private gauge (name: string, help: string, read: () => number): void {
+    const gauge = new Gauge({ name, help, registers: [this.registry], collect: () => { gauge.set(read()) } })
+  }
+}
--- /dev/null
+++ b/packages/ingress/src/relay/attempt.ts
@@ -0,0 +1,145 @@
+/** One try of a request on one endpoint. */
+import type { Dispatcher } from 'undici'
+import type { AnswerFacts, RequestCodec } from './request-codec.js'
+import type { EndpointConnection } from './endpoint-connections.js'
+
+/** What is sent. */
+export interface AttemptRequest {
+  readonly requestId: string | undefined
+  readonly method: string
+  /** Path and query. */
+  readonly target: string
+  /** Names and values in turn. */
+  readonly headers: readonly string[]
+  readonly body: Buffer | undefined
+}
+
+/** The start of an answer. */
+export interface AnswerHead {
+  readonly status: number
+  readonly headers: Record<string, string | string[] | undefined>
+  readonly facts: AnswerFacts
+}
+
+/** Takes an answer as it comes. */
+export interface AttemptSink {
+  /** The answer has begun and is this request's own. */
+  head: (head: AnswerHead) => void
+  /** Bytes of the body, in order. */
+  data: (chunk: Buffer) => void
+}
+
+/** How a try ended. */
+export type AttemptEnd =
+  /** The answer came to its end. */
+  | { readonly kind: 'whole' }
+  /** Nothing was sent: the endpoint cannot have run it. */
+  | { readonly kind: 'not-sent', readonly reason: string }
+  /** It was sent, and the answer is missing, cut or not this request's. */
+  | { readonly kind: 'broken', readonly reason: string }
+  /** This instance gave it up. */
+  | { readonly kind: 'abandoned', readonly reason: string }
+
+/** Runs one try. */
+export class Attempt {
+  private readonly connection: EndpointConnection
+  private readonly codec: RequestCodec
+  private sent = false
+  private head: AnswerHead | undefined
+  private abandonedFor: string | undefined
+  private controller: Dispatcher.DispatchController | undefined
+  private settle: (end: AttemptEnd) => void = () => {}
+
+  /**
+   * @param connection - nobody else uses it meanwhile
+   * @param codec - reads the answer's headers
+   */
+  constructor (connection: EndpointConnection, codec: RequestCodec) {
+    this.connection = connection
+    this.codec = codec
+  }
+
+  /** Whether the connection may carry another request. */
+  get reusable (): boolean {
+    return this.head !== undefined && this.abandonedFor === undefined && String(this.head.headers.connection ?? '').toLowerCase() !== 'close'
+  }
+
+  /** Whether any byte may have reached the endpoint. */
+  get wasSent (): boolean {
+    return this.sent
+  }
+
+  /** Gives the try up: the connection ends, and the endpoint drops the request. */
+  abandon (reason: string): void {
+    if (this.abandonedFor !== undefined) return
+    this.abandonedFor = reason
+    this.connection.destroy()
+    this.settle(this.sent ? { kind: 'abandoned', reason } : { kind: 'not-sent', reason })
+  }
+
+  /** Holds the body back while its reader is slower. */
+  pause (): void {
+    this.controller?.pause()
+  }
+
+  /** Lets the body come again. */
+  resume (): void {
+    this.controller?.resume()
+  }
+
+  /** Sends the request and hands the answer to the sink. @returns how it ended; it never rejects */
+  async run (request: AttemptRequest, sink: AttemptSink): Promise<AttemptEnd> {
+    return await new Promise<AttemptEnd>((resolve) => {
+      this.settle = resolve
+      this.connection.client.dispatch({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.target,
+        headers: [...request.headers],
+        body: request.body ?? null
+      }, this.handler(request, sink))
+    })
+  }
+
+  private handler (request: AttemptRequest, sink: AttemptSink): Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (controller) => {
+        // After a connection ends in a way that undici takes for harmless it sends what was under way once more. The
+        // endpoint may have begun with the first; only this class's callers know whether it may be repeated.
+        if (this.sent) return controller.abort(new Error('it would have been sent twice'))
+        this.sent = true
+        this.controller = controller
+      },
+      onResponseStart: (_controller, status, headers) => {
+        if (status < 200) return
+        const facts = this.codec.readAnswer(status, headers)
+        this.head = { status, headers, facts }
+        const foreign = request.requestId !== undefined && facts.requestId !== undefined && facts.requestId !== request.requestId
+        if (foreign) return this.fail('the answer belongs to another request')
+        if (facts.encoded) return this.fail('the answer was encoded on its way')
+        sink.head(this.head)
+      },
+      onResponseData: (_controller, chunk) => {
+        if (this.abandonedFor === undefined) sink.data(chunk)
+      },
+      onResponseEnd: () => {
+        if (this.abandonedFor !== undefined) return
+        if (this.connection.broken && !isFramed(this.head)) return this.settle({ kind: 'broken', reason: 'the connection was reset before the end of an answer without a length' })
+        this.settle({ kind: 'whole' })
+      },
+      onResponseError: (_controller, error) => {
+        if (this.abandonedFor !== undefined) return
+        this.settle(this.sent ? { kind: 'broken', reason: error.message } : { kind: 'not-sent', reason: error.message })
+      }
+    }
+  }
+
+  private fail (reason: string): void {
+    this.abandonedFor = reason
+    this.connection.destroy()
+    this.settle({ kind: 'broken', reason })
+  }
+}
+
+function isFramed (head: AnswerHead | undefined): boolean {
+  return head?.headers['content-length'] !== undefined || head?.headers['transfer-encoding'] !== undefined
+}
--- /dev/null
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -0,0 +1,135 @@
+/** One request of a caller: its body, its answer, and whether the caller is still there. */
+import { once } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { LimpetwinchError } from '@limpetwinch/core'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { AnswerHead } from './attempt.js'
+
+/** Headers that concern one connection only, in either direction. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length', 'http2-settings'
+])
+/** A request that was refused is best sent again after a moment; whoever refuses may know better. */
+const RETRY_AFTER_SECONDS = 0.5
+
+/** The exchange with one caller. */
+export class CallerExchange {
+  readonly incoming: IncomingMessage
+  private readonly outgoing: ServerResponse
+  private readonly leaving = new AbortController()
+
+  constructor (incoming: IncomingMessage, outgoing: ServerResponse) {
+    this.incoming = incoming
+    this.outgoing = outgoing
+    outgoing.on('close', () => { if (!outgoing.writableFinished) this.leaving.abort() })
+    // A caller that resets its connection is a caller that left; the close above says so.
+    outgoing.on('error', () => { this.leaving.abort() })
+  }
+
+  /** Ends when the caller has gone away before its answer was whole. */
+  get left (): AbortSignal {
+    return this.leaving.signal
+  }
+
+  /** Whether the answer has begun. */
+  get started (): boolean {
+    return this.outgoing.headersSent
+  }
+
+  /**
+   * Reads the body.
+   *
+   * @param mostBytes - largest body taken
+   * @returns the body, undefined when there is none; `body-too-large`, or `request-ended-early`
+   */
+  async readBody (mostBytes: number): Promise<Result<Buffer | undefined, LimpetwinchError>> {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    try {
+      for await (const chunk of this.incoming) {
+        bytes += (chunk as Buffer).length
+        if (bytes > mostBytes) return err(new LimpetwinchError('body-too-large', { limit: mostBytes }))
+        chunks.push(chunk as Buffer)
+      }
+    } catch (cause) {
+      return err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run', cause }))
+    }
+    return ok(bytes === 0 ? undefined : Buffer.concat(chunks))
+  }
+
+  /**
+   * The caller's headers for an endpoint, names and values in turn.
+   *
+   * @param isSystemHeader - headers that are not passed on as they came
+   */
+  headersToSend (isSystemHeader: (name: string) => boolean): string[] {
+    const { rawHeaders } = this.incoming
+    const named = new Set(String(this.incoming.headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim()))
+    const headers: string[] = []
+    for (let at = 0; at < rawHeaders.length; at += 2) {
+      const name = rawHeaders[at] ?? ''
+      const lower = name.toLowerCase()
+      if (CONNECTION_HEADERS.has(lower) || named.has(lower) || isSystemHeader(lower)) continue
+      headers.push(name, rawHeaders[at + 1] ?? '')
+    }
+    return headers
+  }
+
+  /** Sends a whole answer of an endpoint. */
+  answer (head: AnswerHead, body: Buffer): void {
+    if (this.outgoing.destroyed || this.started) return
+    this.outgoing.writeHead(head.status, { ...headersToCaller(head), 'content-length': body.length })
+    this.outgoing.end(body)
+  }
+
+  /** Begins an answer whose body follows in parts. */
+  begin (head: AnswerHead): void {
+    if (this.outgoing.destroyed || this.started) return
+    this.outgoing.writeHead(head.status, headersToCaller(head))
+    this.outgoing.flushHeaders()
+  }
+
+  /** @returns whether the caller takes more at once; else wait for {@link drained} */
+  write (bytes: Buffer): boolean {
+    return this.outgoing.destroyed || this.outgoing.write(bytes)
+  }
+
+  /** Resolves when the caller has read what was written, or has left. */
+  async drained (): Promise<void> {
+    if (this.left.aborted || !this.outgoing.writableNeedDrain) return
+    await once(this.outgoing, 'drain', { signal: this.left }).catch(() => {
+      // The caller left; whoever writes next sees it by the signal.
+    })
+  }
+
+  /** The answer is whole. */
+  end (): void {
+    this.outgoing.end()
+  }
+
+  /** Cuts an answer that has begun, so that it cannot look whole. */
+  cut (): void {
+    this.outgoing.destroy()
+  }
+
+  /** Answers with an error of this instance. */
+  refuse (error: LimpetwinchError): void {
+    if (this.outgoing.destroyed) return
+    if (this.started) return this.cut()
+    const body = JSON.stringify({ error: { code: error.code, message: error.message, outcome: error.outcome } })
+    const retryAfter = error.status === 503 || error.status === 429 ? { 'retry-after': String(error.retryAfterSeconds ?? RETRY_AFTER_SECONDS) } : {}
+    // The rest of a body that nobody reads would be taken for the next request.
+    const unread = this.incoming.complete ? {} : { connection: 'close' }
+    this.outgoing.writeHead(error.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...retryAfter, ...unread })
+    this.outgoing.end(body)
+  }
+}
+
+function headersToCaller (head: AnswerHead): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {}
+  for (const [name, value] of Object.entries(head.headers)) {
+    if (value !== undefined && !CONNECTION_HEADERS.has(name)) headers[name] = value
+  }
+  return headers
+}
--- /dev/null
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -0,0 +1,204 @@
+/** Takes requests from callers, finds their route and hands them to a relay. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { Clock, Logger } from '@limpetwinch/core'
+import type { AcceptedConfiguration, ConfigurationInForce } from '../beliefs/accepted-configuration.js'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { RepeatBudgets } from '../retries/repeat-budgets.js'
+import { pickTarget } from '../routes/route-table.js'
+import type { Route, Service } from '../routes/configuration.js'
+import { CallerExchange } from './caller-exchange.js'
+import type { RelayOutcome } from './relay-outcome.js'
+import type { RequestCodec } from './request-codec.js'
+import type { RoutedRequest } from './routed-request.js'
+
+/** Headers are read whole before a configuration is asked; its own bound is checked then. */
+const MOST_HEADER_BYTES = 64 * 1024
+/** Waiting connections: a crowd that comes at once must not be dropped by the system and come again seconds later. */
+const BACKLOG = 1_024
+/** A connection is kept longer than callers rely on, so that a request never crosses its close. */
+const IDLE_MARGIN_MILLISECONDS = 1_000
+/** A body may take so long; routes end their requests sooner as a rule. */
+const BODY_MILLISECONDS = 60_000
+
+/** Serves one routed request to its end. */
+export interface RequestRelay {
+  relay: (request: RoutedRequest) => Promise<RelayOutcome>
+}
+
+/** What the listener needs. */
+export interface RoutedListenerParts {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly codec: RequestCodec
+  readonly configuration: AcceptedConfiguration
+  readonly budgets: RepeatBudgets
+  readonly metrics: IngressMetrics
+  readonly random: () => number
+  readonly streams: RequestRelay
+  readonly services: RequestRelay
+}
+
+/** The listener for callers. */
+export class RoutedListener {
+  private readonly parts: RoutedListenerParts
+  private readonly server: Server
+  private inProgress = 0
+  private stopping = false
+
+  constructor (parts: RoutedListenerParts) {
+    this.parts = parts
+    // The library's request listener would read and write bodies through web streams; a relay passes bytes, and
+    // headers as they came, so it takes the server's own objects.
+    this.server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, requestTimeout: BODY_MILLISECONDS, noDelay: true }, (incoming, outgoing) => {
+      void this.serve(incoming, outgoing)
+    })
+    parts.configuration.onChange(({ configuration }) => {
+      this.server.headersTimeout = configuration.limits.headerMilliseconds + IDLE_MARGIN_MILLISECONDS
+      this.server.keepAliveTimeout = configuration.limits.idleMilliseconds + IDLE_MARGIN_MILLISECONDS
+    })
+  }
+
+  /** Requests that are not answered yet. */
+  get requestsInProgress (): number {
+    return this.inProgress
+  }
+
+  /** Starts to take requests. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen({ host, port, backlog: BACKLOG }, () => resolve())
+    })
+  }
+
+  /** Every answer from now on asks its caller to take another connection. */
+  startStopping (): void {
+    this.stopping = true
+  }
+
+  /** Takes no new connections and closes idle ones. */
+  closeIdle (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  /** Ends all connections. */
+  destroy (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const cameAt = this.parts.clock.now()
+    this.inProgress += 1
+    if (this.stopping) outgoing.setHeader('connection', 'close')
+    const exchange = new CallerExchange(incoming, outgoing)
+    try {
+      await this.route(exchange, cameAt)
+    } catch (cause) {
+      this.parts.logger.error('A request failed by a fault of this program.', { request: incoming.headers['x-request-id'], reason: cause instanceof Error ? cause.stack : String(cause) })
+      exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
+    } finally {
+      this.inProgress -= 1
+    }
+  }
+
+  private async route (exchange: CallerExchange, cameAt: number): Promise<void> {
+    const { configuration, codec } = this.parts
+    const { incoming } = exchange
+    const facts = codec.read(incoming.headers)
+    const inForce = configuration.current
+    const target = incoming.url ?? '/'
+    if (inForce === undefined) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('not-configured'))
+    const { limits } = inForce.configuration
+    if (headerBytes(incoming) > limits.headerBytes) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('headers-too-large', { limit: limits.headerBytes }))
+    const host = incoming.headers.host ?? ''
+    const route = inForce.table.match(host, target)
+    if (route === undefined) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('unknown-route', { host, path: target.slice(0, 100) }))
+    const service = this.serviceOf(route, inForce)
+    if (service === undefined) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('no-endpoint', { reason: `the route ${route.name} names no known service` }))
+    const endsAt = cameAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity)
+    const ending = new AbortController()
+    const timer = setTimeout(() => ending.abort(), Math.max(1, endsAt - cameAt))
+    exchange.left.addEventListener('abort', () => ending.abort(), { once: true })
+    try {
+      const body = await exchange.readBody(limits.bodyBytes)
+      if (body.isErr()) return this.refuseUnrouted(exchange, facts.requestId, body.error)
+      await this.relay({
+        exchange,
+        facts,
+        route,
+        service,
+        configurationVersion: inForce.configuration.version,
+        method: incoming.method ?? 'GET',
+        target,
+        headers: exchange.headersToSend((name) => codec.isSystemHeader(name)),
+        body: body.value,
+        cameAt,
+        endsAt,
+        signal: ending.signal
+      })
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  private async relay (request: RoutedRequest): Promise<void> {
+    const { budgets, clock, streams, services } = this.parts
+    budgets.request(request.service.name, clock.now())
+    const relay = request.route.kind === 'stream' ? streams : services
+    const outcome = await relay.relay(request)
+    this.note(request, outcome)
+  }
+
+  private serviceOf (route: Route, inForce: ConfigurationInForce): Service | undefined {
+    const target = pickTarget(route.targets, this.parts.random())
+    return target === undefined ? undefined : inForce.services.get(target.service)
+  }
+
+  private refuseUnrouted (exchange: CallerExchange, request: string | undefined, error: LimpetwinchError): void {
+    exchange.refuse(error)
+    this.parts.metrics.requestEnded('none', 'refused', error.kind, 0)
+    this.parts.logger.info('A request was refused before it had a route.', { request, error: error.code, configuration: this.parts.configuration.version, ...error.details })
+  }
+
+  private note (request: RoutedRequest, outcome: RelayOutcome): void {
+    const { clock, logger, metrics } = this.parts
+    const milliseconds = clock.now() - request.cameAt
+    const { route, facts } = request
+    metrics.requestEnded(route.name, outcome.outcome, outcome.error?.kind ?? 'none', milliseconds)
+    if (outcome.firstEventMilliseconds !== undefined) metrics.firstEventCame(route.name, outcome.firstEventMilliseconds, outcome.loadStallMilliseconds ?? 0)
+    logger.info(SENTENCES[outcome.outcome], {
+      request: facts.requestId,
+      route: route.name,
+      status: outcome.error?.status ?? outcome.status,
+      error: outcome.error?.code,
+      reason: outcome.error?.details.reason,
+      tries: outcome.tries,
+      milliseconds: Math.round(milliseconds),
+      firstEvent: rounded(outcome.firstEventMilliseconds),
+      loadStall: rounded(outcome.loadStallMilliseconds),
+      millisecondsLeft: Math.round(request.endsAt - clock.now())
+    })
+  }
+}
+
+const SENTENCES: Readonly<Record<RelayOutcome['outcome'], string>> = {
+  answered: 'A request was answered.',
+  refused: 'A request was refused.',
+  cut: 'An answer was cut.',
+  'caller-left': 'A caller left before its answer was whole.'
+}
+
+function rounded (milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds)
+}
+
+function headerBytes (incoming: IncomingMessage): number {
+  let bytes = 0
+  // Each header adds a colon, a blank and the end of its line, two for a name and a value.
+  for (const text of incoming.rawHeaders) bytes += text.length + 2
+  return bytes
+}
--- /dev/null
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -0,0 +1,140 @@
+/** Relays requests to plain services: the answer is read whole before the caller gets any of it. */
+import type { Clock, EndpointId } from '@limpetwinch/core'
+import type { RepeatBudgets } from '../retries/repeat-budgets.js'
+import type { Endpoint } from '../routes/configuration.js'
+import type { LoadBoard } from '../routing/load-board.js'
+import type { ServiceRouter } from '../routing/service-router.js'
+import type { AnswerHead, AttemptEnd } from './attempt.js'
+import type { EndpointSenders } from './endpoint-senders.js'
+import { TryRecord } from './final-errors.js'
+import type { RelayOutcome } from './relay-outcome.js'
+import type { RoutedRequest } from './routed-request.js'
+
+/** Answers are held in memory until they are whole, since a cut one must not reach the caller. */
+const MOST_ANSWER_BYTES = 8 * 1024 * 1024
+/** Tries that prove that nothing ran still cost their time; after so many the service is taken to be full. */
+const MOST_SENDS = 4
+/** A safe request that has no answer after this part of its objective is tried elsewhere while that still helps. */
+const SHARE_OF_OBJECTIVE = 0.9
+/** Places come free within a fraction of a second. */
+const RETRY_AFTER_SECONDS = 0.25
+const FIRST_SERVER_ERROR = 500
+
+/** What the relay needs. */
+export interface ServiceRelayParts {
+  readonly clock: Clock
+  readonly router: ServiceRouter
+  readonly board: LoadBoard
+  readonly senders: EndpointSenders
+  readonly budgets: RepeatBudgets
+  readonly random: () => number
+}
+
+interface TryResult {
+  readonly end: AttemptEnd
+  readonly head: AnswerHead | undefined
+  readonly body: Buffer
+}
+
+/** Relays one request at a time for each call of `relay`. */
+export class ServiceRelay {
+  private readonly parts: ServiceRelayParts
+
+  constructor (parts: ServiceRelayParts) {
+    this.parts = parts
+  }
+
+  /** Serves the request to its end. @returns how it ended, for the log */
+  async relay (request: RoutedRequest): Promise<RelayOutcome> {
+    const { clock, router, budgets, random } = this.parts
+    const { route, service, exchange, signal } = request
+    const tried = new Set<EndpointId>()
+    const record = new TryRecord()
+    let runs = 0
+    let kept: TryResult | undefined
+    for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
+      const endpoint = router.choose(service.name, tried, random, clock.now())
+      if (endpoint === undefined) break
+      if (sends > 0 && !budgets.repeat(service.name, clock.now())) break
+      tried.add(endpoint.id)
+      const result = await this.tryOn(endpoint, request, sends, runs)
+      if (exchange.left.aborted) break
+      const verdict = this.judge(result, endpoint, record)
+      if (verdict === 'deliver' || (verdict === 'server-error' && route.kind !== 'safe')) return deliver(request, result, sends + 1)
+      if (verdict === 'server-error') kept = result
+      if (verdict !== 'not-run') runs += 1
+      if (verdict !== 'not-run' && (route.kind !== 'safe' || runs >= route.mostAttempts)) break
+    }
+    if (exchange.left.aborted) return { outcome: 'caller-left', tries: tried.size }
+    // A failure that the endpoint itself tells is an answer, and says more than this instance could.
+    if (kept !== undefined) return deliver(request, kept, tried.size)
+    const error = signal.aborted ? record.timeoutError(RETRY_AFTER_SECONDS) : record.finalError(RETRY_AFTER_SECONDS)
+    exchange.refuse(error)
+    return { outcome: 'refused', error, tries: tried.size }
+  }
+
+  private async tryOn (endpoint: Endpoint, request: RoutedRequest, sends: number, runs: number): Promise<TryResult> {
+    const { clock, board, senders } = this.parts
+    const ticket = board.begin(endpoint.id, { prefillTokens: 0, memoryTokens: 0, adapter: undefined })
+    const chunks: Buffer[] = []
+    let bytes = 0
+    let head: AnswerHead | undefined
+    const inHand = board.inHand(endpoint.id, clock.now()).requests
+    const sending = senders.send(request, { endpoint, lastEventId: undefined, adapterVersion: undefined, earlierTries: sends, grounds: { inHand } }, {
+      head: (answer) => { head = answer },
+      data: (chunk) => {
+        bytes += chunk.length
+        if (bytes > MOST_ANSWER_BYTES) return sending.attempt.abandon('the answer is too large')
+        chunks.push(chunk)
+      }
+    })
+    const patience = this.patience(request, runs)
+    const timer = patience === undefined ? undefined : setTimeout(() => sending.attempt.abandon('no answer within the objective'), patience)
+    const end = await sending.ended
+    clearTimeout(timer)
+    ticket.ended()
+    return { end, head, body: Buffer.concat(chunks) }
+  }
+
+  /** @returns how long to wait before trying elsewhere, milliseconds; undefined to wait to the end */
+  private patience (request: RoutedRequest, runs: number): number | undefined {
+    const { route, cameAt } = request
+    if (route.kind !== 'safe' || runs + 1 >= route.mostAttempts) return undefined
+    const left = cameAt + route.objectiveMilliseconds * SHARE_OF_OBJECTIVE - this.parts.clock.now()
+    return Math.max(route.objectiveMilliseconds / 2, left)
+  }
+
+  private judge ({ end, head }: TryResult, endpoint: Endpoint, record: TryRecord): 'deliver' | 'server-error' | 'not-run' | 'unknown' {
+    const { senders } = this.parts
+    if (end.kind === 'not-sent') {
+      senders.observe(endpoint.id, 'failed', end.reason)
+      record.notRun(endpoint.id, end.reason)
+      return 'not-run'
+    }
+    if (head?.facts.notRun === true) {
+      record.notRun(endpoint.id, `status ${head.status}`)
+      return 'not-run'
+    }
+    if (end.kind !== 'whole' || head === undefined || (!head.facts.signed && head.status < FIRST_SERVER_ERROR)) {
+      const reason = end.kind === 'whole' ? 'an answer that the endpoint did not sign' : end.reason
+      if (reason !== CALLER_LEFT) senders.observe(endpoint.id, 'failed', reason)
+      record.unknown(endpoint.id, reason)
+      return 'unknown'
+    }
+    if (head.status >= FIRST_SERVER_ERROR) {
+      senders.observe(endpoint.id, 'failed', `status ${head.status}`)
+      record.unknown(endpoint.id, `status ${head.status}`)
+      return 'server-error'
+    }
+    senders.observe(endpoint.id, 'answered')
+    return 'deliver'
+  }
+}
+
+const CALLER_LEFT = 'the caller left'
+
+function deliver (request: RoutedRequest, result: TryResult, tries: number): RelayOutcome {
+  if (result.head === undefined) return { outcome: 'caller-left', tries }
+  request.exchange.answer(result.head, result.body)
+  return { outcome: 'answered', status: result.head.status, tries }
+}
--- /dev/null
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -0,0 +1,156 @@
+/** One try of a stream on one engine: hands whole events to the caller and watches for silence. */
+import type { Clock } from '@limpetwinch/core'
+import type { AnswerHead, AttemptSink } from './attempt.js'
+import type { CallerExchange } from './caller-exchange.js'
+import type { Sending } from './endpoint-senders.js'
+import { EventSplitter } from './event-splitter.js'
+
+/** Engines make an event every few milliseconds; a stream that stands still for so long has lost its engine. */
+const GAP_MILLISECONDS = 1_500
+/** An answer that is no stream is a short message. */
+const MOST_OTHER_BYTES = 1_048_576
+const OK = 200
+const MULTIPLE_CHOICES = 300
+
+/** How far a stream has come, over all its tries. */
+export interface StreamProgress {
+  /** Id of the last event that the caller was given. */
+  lastEventId: string | undefined
+  firstEventAt: number | undefined
+}
+
+/** How a try ended. */
+export type StreamTryResult =
+  | { readonly kind: 'whole' }
+  /** The engine answered with something else than a stream. */
+  | { readonly kind: 'other-answer', readonly head: AnswerHead, readonly body: Buffer }
+  | { readonly kind: 'not-sent', readonly reason: string }
+  | { readonly kind: 'broken', readonly reason: string }
+
+/** One try. */
+export class StreamTry {
+  private readonly exchange: CallerExchange
+  private readonly progress: StreamProgress
+  private readonly patience: number | undefined
+  private readonly clock: Clock
+  private readonly onFirstEvent: () => void
+  private readonly splitter = new EventSplitter()
+  private readonly otherBody: Buffer[] = []
+  private otherBytes = 0
+  private head: AnswerHead | undefined
+  private sending: Sending | undefined
+  private watchdog: NodeJS.Timeout | undefined
+  private hasEvents = false
+  private fault: string | undefined
+
+  /**
+   * @param exchange - the caller
+   * @param progress - carried on from earlier tries
+   * @param patience - how long to wait for the first event before the engine is given up, milliseconds; undefined: to the end
+   * @param clock - for the time of the first event
+   * @param onFirstEvent - called once
+   */
+  constructor (exchange: CallerExchange, progress: StreamProgress, patience: number | undefined, clock: Clock, onFirstEvent: () => void) {
+    this.exchange = exchange
+    this.progress = progress
+    this.patience = patience
+    this.clock = clock
+    this.onFirstEvent = onFirstEvent
+  }
+
+  /**
+   * @param send - sends the request
+   * @returns how it ended
+   */
+  async run (send: (sink: AttemptSink) => Sending): Promise<StreamTryResult> {
+    this.sending = send({ head: (head) => { this.head = head }, data: (chunk) => this.take(chunk) })
+    if (this.patience !== undefined) this.watch(this.patience)
+    const end = await this.sending.ended
+    clearTimeout(this.watchdog)
+    if (end.kind === 'not-sent') return { kind: 'not-sent', reason: end.reason }
+    if (this.fault !== undefined) return { kind: 'broken', reason: this.fault }
+    if (end.kind !== 'whole') return { kind: 'broken', reason: end.reason }
+    return this.finish()
+  }
+
+  private get isStream (): boolean {
+    const { head } = this
+    return head !== undefined && head.facts.signed && head.status >= OK && head.status < MULTIPLE_CHOICES
+  }
+
+  private finish (): StreamTryResult {
+    const { head } = this
+    if (head === undefined) return { kind: 'broken', reason: 'an answer without a beginning' }
+    if (!this.isStream) {
+      if (!head.facts.signed && !head.facts.notRun) return { kind: 'broken', reason: 'an answer that the engine did not sign' }
+      return { kind: 'other-answer', head, body: Buffer.concat(this.otherBody) }
+    }
+    // An end in the middle of an event is a cut, whatever the framing says.
+    if (!this.splitter.isBetweenEvents) return { kind: 'broken', reason: 'the stream ended within an event' }
+    this.exchange.begin(head)
+    this.exchange.end()
+    return { kind: 'whole' }
+  }
+
+  private take (chunk: Buffer): void {
+    if (!this.isStream) return this.takeOther(chunk)
+    const events = this.splitter.take(chunk)
+    if (this.splitter.isOverfull) return this.giveUp('an event without an end')
+    if (events.length === 0) return
+    if (!this.hasEvents) this.firstEvent()
+    let takesMore = true
+    for (const event of events) {
+      // A resumed run that begins before the last event would give the caller a part twice.
+      if (event.id !== undefined && this.isOld(event.id)) continue
+      takesMore = this.exchange.write(event.bytes)
+      if (event.id !== undefined) this.progress.lastEventId = event.id
+    }
+    if (!takesMore) this.waitForCaller()
+    else if (this.patience !== undefined) this.watch(GAP_MILLISECONDS)
+  }
+
+  private firstEvent (): void {
+    this.hasEvents = true
+    this.progress.firstEventAt ??= this.clock.now()
+    if (this.head !== undefined) this.exchange.begin(this.head)
+    this.onFirstEvent()
+  }
+
+  private isOld (id: string): boolean {
+    const last = Number(this.progress.lastEventId ?? Number.NaN)
+    return Number(id) <= last
+  }
+
+  private takeOther (chunk: Buffer): void {
+    this.otherBytes += chunk.length
+    if (this.otherBytes > MOST_OTHER_BYTES) return this.giveUp('the answer is too large')
+    this.otherBody.push(chunk)
+  }
+
+  /** A caller that reads slowly holds its own stream back; the engine is not to blame for the pause. */
+  private waitForCaller (): void {
+    clearTimeout(this.watchdog)
+    this.sending?.attempt.pause()
+    void this.exchange.drained().then(() => {
+      this.sending?.attempt.resume()
+      if (this.patience !== undefined) this.watch(GAP_MILLISECONDS)
+    })
+  }
+
+  private watch (milliseconds: number): void {
+    if (this.watchdog !== undefined && this.watchdogMilliseconds === milliseconds) {
+      this.watchdog.refresh()
+      return
+    }
+    clearTimeout(this.watchdog)
+    this.watchdogMilliseconds = milliseconds
+    this.watchdog = setTimeout(() => this.giveUp('the engine fell silent'), milliseconds)
+  }
+
+  private watchdogMilliseconds = 0
+
+  private giveUp (reason: string): void {
+    this.fault = reason
+    this.sending?.attempt.abandon(reason)
+  }
+}
--- /dev/null
+++ b/packages/ingress/src/routing/first-event-forecast.ts
@@ -0,0 +1,49 @@
+/** Forecasts how long an engine takes to the first event of a request, from the work that it has in hand. */
+import type { EndpointId } from '@limpetwinch/core'
+import type { EngineShape } from '../routes/configuration.js'
+import type { WorkInHand } from './load-board.js'
+
+/** Prompt tokens that engines read in a millisecond where nothing else is known yet; corrected by what is observed. */
+const TOKENS_PER_MILLISECOND = 38
+/** Taking up a request, the first step of the batch and the way back. */
+const LEAST_MILLISECONDS = 60
+/** A request that finds the batch or the memory full waits about as long as a running one still takes. */
+const FULL_MILLISECONDS = 600
+/** Part of the memory that may be filled before new requests are taken to wait. */
+const FULL_MEMORY_SHARE = 0.92
+/** Weight of the newest observation. */
+const SMOOTHING = 0.15
+const SLOWEST = 10
+const FASTEST = 0.5
+
+/** Forecasts for all engines. */
+export class FirstEventForecast {
+  private readonly slowness = new Map<EndpointId, number>()
+
+  /**
+   * @param endpoint - which engine
+   * @param shape - what its service's engines are
+   * @param inHand - work of all instances there
+   * @param uncachedTokens - of this prompt
+   * @param memoryTokens - that the request takes
+   * @returns milliseconds to the first event
+   */
+  milliseconds (endpoint: EndpointId, shape: EngineShape, inHand: WorkInHand, uncachedTokens: number, memoryTokens: number): number {
+    const reading = (inHand.prefillTokens + uncachedTokens) / TOKENS_PER_MILLISECOND
+    const full = inHand.requests >= shape.batchSlots || inHand.memoryTokens + memoryTokens > shape.memoryTokens * FULL_MEMORY_SHARE
+    const expected = LEAST_MILLISECONDS + reading + (full ? FULL_MILLISECONDS : 0)
+    return expected * (this.slowness.get(endpoint) ?? 1)
+  }
+
+  /** Compares a forecast with what came. */
+  observe (endpoint: EndpointId, forecast: number, observed: number): void {
+    const before = this.slowness.get(endpoint) ?? 1
+    const ratio = Math.min(SLOWEST, Math.max(FASTEST, observed / Math.max(1, forecast / before)))
+    this.slowness.set(endpoint, before + SMOOTHING * (ratio - before))
+  }
+
+  /** The engine is gone or started again. */
+  forget (endpoint: EndpointId): void {
+    this.slowness.delete(endpoint)
+  }
+}
--- /dev/null
+++ b/packages/ingress/src/routing/load-board.ts
@@ -0,0 +1,154 @@
+/** Work in hand on each endpoint: this instance's own, exactly, and that of its peers, as told some hundred milliseconds ago. */
+import type { EndpointId, InstanceId, RelayedLoad } from '@limpetwinch/core'
+import type { AdapterKey } from '../routes/configuration.js'
+
+/** A peer's word counts for so long; one that stopped speaking must not weigh on an endpoint for ever. */
+const PEER_WORD_MILLISECONDS = 3_000
+
+/** What an endpoint has in hand. */
+export interface WorkInHand {
+  readonly requests: number
+  /** Prompt tokens that wait to be read. */
+  readonly prefillTokens: number
+  /** Memory taken by prompts and output, tokens. */
+  readonly memoryTokens: number
+}
+
+/** One request's share of an endpoint's work. */
+export interface RequestWork {
+  readonly prefillTokens: number
+  readonly memoryTokens: number
+  readonly adapter: AdapterKey | undefined
+}
+
+interface OwnWork {
+  requests: number
+  prefillTokens: number
+  memoryTokens: number
+  readonly running: Map<AdapterKey, number>
+  readonly sent: Map<AdapterKey, number>
+}
+
+interface PeerWord {
+  readonly heardAt: number
+  readonly loads: ReadonlyMap<EndpointId, RelayedLoad>
+}
+
+/** A request's work on an endpoint, to be told of its progress and its end. */
+export interface WorkTicket {
+  /** The prompt is read: the first event has come. */
+  prefilled: () => void
+  /** The request no longer runs there. */
+  ended: () => void
+}
+
+/** Work in hand by endpoint. */
+export class LoadBoard {
+  private readonly own = new Map<EndpointId, OwnWork>()
+  private readonly peers = new Map<InstanceId, PeerWord>()
+  private readonly useListeners: ((endpoint: EndpointId, key: AdapterKey, uses: number) => void)[] = []
+
+  /** Calls the listener with uses of adapters, own and those told by peers. */
+  onUse (listener: (endpoint: EndpointId, key: AdapterKey, uses: number) => void): void {
+    this.useListeners.push(listener)
+  }
+
+  /** Counts a request on an endpoint. */
+  begin (endpoint: EndpointId, work: RequestWork): WorkTicket {
+    const own = this.ownWork(endpoint)
+    own.requests += 1
+    own.prefillTokens += work.prefillTokens
+    own.memoryTokens += work.memoryTokens
+    if (work.adapter !== undefined) {
+      own.running.set(work.adapter, (own.running.get(work.adapter) ?? 0) + 1)
+      own.sent.set(work.adapter, (own.sent.get(work.adapter) ?? 0) + 1)
+      for (const listener of this.useListeners) listener(endpoint, work.adapter, 1)
+    }
+    let reading = true
+    let running = true
+    const prefilled = (): void => {
+      if (!reading) return
+      reading = false
+      own.prefillTokens -= work.prefillTokens
+    }
+    const ended = (): void => {
+      if (!running) return
+      running = false
+      prefilled()
+      own.requests -= 1
+      own.memoryTokens -= work.memoryTokens
+      if (work.adapter !== undefined) decrement(own.running, work.adapter)
+    }
+    return { prefilled, ended }
+  }
+
+  /** @returns the work of all instances on an endpoint */
+  inHand (endpoint: EndpointId, now: number): WorkInHand {
+    const own = this.own.get(endpoint)
+    let requests = own?.requests ?? 0
+    let prefillTokens = own?.prefillTokens ?? 0
+    let memoryTokens = own?.memoryTokens ?? 0
+    for (const word of this.peers.values()) {
+      const load = now - word.heardAt < PEER_WORD_MILLISECONDS ? word.loads.get(endpoint) : undefined
+      if (load === undefined) continue
+      requests += load.requests
+      prefillTokens += load.prefillTokens
+      memoryTokens += load.memoryTokens
+    }
+    return { requests, prefillTokens, memoryTokens }
+  }
+
+  /** @returns requests of all instances that use the adapter on the endpoint now */
+  running (endpoint: EndpointId, key: AdapterKey, now: number): number {
+    let sum = this.own.get(endpoint)?.running.get(key) ?? 0
+    for (const word of this.peers.values()) {
+      if (now - word.heardAt >= PEER_WORD_MILLISECONDS) continue
+      const told = word.loads.get(endpoint)?.adapters.find(([name]) => name === key)
+      sum += told?.[1] ?? 0
+    }
+    return sum
+  }
+
+  /** Takes a peer's digest. */
+  take (from: InstanceId, loads: readonly RelayedLoad[], now: number): void {
+    this.peers.set(from, { heardAt: now, loads: new Map(loads.map((load) => [load.endpoint, load])) })
+    for (const load of loads) {
+      for (const [key, , sent] of load.adapters) {
+        if (sent > 0) for (const listener of this.useListeners) listener(load.endpoint, key as AdapterKey, sent)
+      }
+    }
+  }
+
+  /** Forgets a peer that is gone. */
+  forgetPeer (instance: InstanceId): void {
+    this.peers.delete(instance)
+  }
+
+  /** @returns the own work for peers; what was sent since the last digest is counted once */
+  digest (): RelayedLoad[] {
+    const loads: RelayedLoad[] = []
+    for (const [endpoint, own] of this.own) {
+      if (own.requests === 0 && own.sent.size === 0) continue
+      const keys = new Set([...own.running.keys(), ...own.sent.keys()])
+      const adapters = [...keys].map((key): [string, number, number] => [key, own.running.get(key) ?? 0, own.sent.get(key) ?? 0])
+      own.sent.clear()
+      loads.push({ endpoint, requests: own.requests, prefillTokens: Math.round(own.prefillTokens), memoryTokens: Math.round(own.memoryTokens), adapters })
+    }
+    return loads
+  }
+
+  private ownWork (endpoint: EndpointId): OwnWork {
+    let own = this.own.get(endpoint)
+    if (own === undefined) {
+      own = { requests: 0, prefillTokens: 0, memoryTokens: 0, running: new Map(), sent: new Map() }
+      this.own.set(endpoint, own)
+    }
+    return own
+  }
+}
+
+function decrement (counts: Map<AdapterKey, number>, key: AdapterKey): void {
+  const left = (counts.get(key) ?? 0) - 1
+  if (left > 0) counts.set(key, left)
+  else counts.delete(key)
+}
--- /dev/null
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -0,0 +1,387 @@
+/** One ingress instance: builds the parts, runs their tasks, stops them in order. */
+import type { Server } from 'node:http'
+import { newInstanceId, SystemClock } from '@limpetwinch/core'
+import type { AdaptersHeldFrame, Clock, DeletingObjectStore, EndpointId, FencingToken, LineSink, LoadAskFrame, Logger, StoredObject } from '@limpetwinch/core'
+import { OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
+import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
+import { AdapterLocations } from '../adapters/adapter-locations.js'
+import { AdapterSeeker } from '../adapters/adapter-seeker.js'
+import type { EngineControl } from '../adapters/engine-control.js'
+import { LoadDuty } from '../adapters/load-duty.js'
+import { ModelLoadPace } from '../adapters/model-load-pace.js'
+import type { SlotLedger } from '../adapters/slot-ledger.js'
+import { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
+import { AdapterVersions } from '../beliefs/adapter-versions.js'
+import { BeliefExchange } from '../beliefs/belief-exchange.js'
+import { StoreFollower } from '../beliefs/store-follower.js'
+import { StoreHealth } from '../beliefs/store-health.js'
+import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import { CLUSTER_KIND, decodeClusterObject } from '../members/cluster-objects.js'
+import type { ClusterObject } from '../members/cluster-objects.js'
+import { MemberList } from '../members/member-list.js'
+import { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { GaugeReadings } from '../observability/ingress-metrics.js'
+import { EndpointSenders } from '../relay/endpoint-senders.js'
+import type { RequestCodec } from '../relay/request-codec.js'
+import { RoutedListener } from '../relay/routed-listener.js'
+import { ServiceRelay } from '../relay/service-relay.js'
+import { StreamRelay } from '../relay/stream-relay.js'
+import { RepeatBudgets } from '../retries/repeat-budgets.js'
+import type { AdapterAnnouncement, AdapterKey, Configuration, Endpoint } from '../routes/configuration.js'
+import { EngineRouter } from '../routing/engine-router.js'
+import { FirstEventForecast } from '../routing/first-event-forecast.js'
+import { LoadBoard } from '../routing/load-board.js'
+import { PrefixMemory } from '../routing/prefix-memory.js'
+import { ServiceRouter } from '../routing/service-router.js'
+import type { IngressSettings } from './ingress-settings.js'
+import { watchForPauses } from './pause-watch.js'
+import { listenAt, metricsApplication, readinessApplication } from './side-listeners.js'
+import { stopInOrder } from './stop-in-order.js'
+
+/** A silent peer is noticed within three of these. */
+const HEARTBEAT_MILLISECONDS = 500
+/** Digests of work in hand: routing by peers' work is this old. */
+const DIGEST_MILLISECONDS = 150
+const HOUSEKEEPING_MILLISECONDS = 250
+/** A watch bounds how late a store that fell silent is noticed; each one is a call that the platform counts. */
+const ENDPOINT_WATCH_MILLISECONDS = 2_500
+const OTHER_WATCH_MILLISECONDS = 8_000
+/** Endpoints write many small changes; a leaving one must still be seen within two seconds. */
+const ENDPOINT_PACE_MILLISECONDS = 500
+const OTHER_PACE_MILLISECONDS = 50
+/** After a pause no order is given until the store has been read again. */
+const ORDER_PAUSE_MILLISECONDS = 1_000
+/** Ejections here are short: an endpoint that comes back is needed at once, and one that fails again is ejected longer. */
+const EJECTION = { failuresToEject: 3, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, returnMilliseconds: 4_000 }
+
+/** Where the platform's objects lie, and how they are read. */
+export interface PlatformForms {
+  readonly configurationKind: string
+  readonly endpointKind: string
+  readonly announcementKind: string
+  readonly decodeConfiguration: (object: StoredObject) => Configuration | undefined
+  readonly decodeEndpoint: (object: StoredObject) => Endpoint | undefined
+  readonly decodeAnnouncement: (object: StoredObject) => AdapterAnnouncement | undefined
+}
+
+/** What a platform lends to an instance. */
+export interface IngressPlatform {
+  readonly store: DeletingObjectStore
+  readonly control: EngineControl
+  readonly codec: RequestCodec
+  readonly forms: PlatformForms
+  /** Closes the connections to the platform. */
+  readonly close: () => Promise<void>
+}
+
+/** One instance. */
+export class IngressInstance {
+  readonly instance = newInstanceId()
+  readonly metrics: IngressMetrics
+  private readonly settings: IngressSettings
+  private readonly platform: IngressPlatform
+  private readonly logger: Logger
+  private readonly sink: LineSink
+  private readonly clock: Clock = new SystemClock()
+  private readonly supervisor: Supervisor
+  private readonly network: TcpPeerNetwork
+  private readonly members: MemberList
+  private readonly health: StoreHealth
+  private readonly configuration: AcceptedConfiguration
+  private readonly directory: EndpointDirectory
+  private readonly versions: AdapterVersions
+  private readonly locations = new AdapterLocations()
+  private readonly board = new LoadBoard()
+  private readonly forecast = new FirstEventForecast()
+  private readonly prefixes = new PrefixMemory()
+  private readonly ejection = new OutlierEjection(EJECTION)
+  private readonly policy = new StallEvictionPolicy({ leastResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
+  private readonly duty: LoadDuty
+  private readonly seeker: AdapterSeeker
+  private readonly senders: EndpointSenders
+  private readonly listener: RoutedListener
+  private readonly followers: readonly StoreFollower<unknown>[]
+  private readonly sideServers: Server[] = []
+  private stopping = false
+
+  /**
+   * @param settings - of this instance
+   * @param platform - what it runs on
+   * @param logger - for all parts
+   * @param sink - where the lines go; asked for its count of dropped ones
+   */
+  constructor (settings: IngressSettings, platform: (onStoreCall: IngressMetrics['storeCall']) => IngressPlatform, logger: Logger, sink: LineSink) {
+    this.settings = settings
+    this.logger = logger
+    this.sink = sink
+    this.metrics = new IngressMetrics(() => this.readGauges())
+    this.platform = platform((kind, outcome, milliseconds) => this.metrics.storeCall(kind, outcome, milliseconds))
+    this.supervisor = new Supervisor(logger.part('supervisor'), this.clock)
+    this.network = new TcpPeerNetwork({
+      instance: this.instance,
+      dataCentre: settings.dataCentre,
+      address: settings.peerAddress,
+      logger,
+      clock: this.clock,
+      heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
+      remoteIntervals: 1
+    })
+    this.health = new StoreHealth(logger.part('store'))
+    this.members = new MemberList({ name: settings.name, instance: this.instance, address: settings.peerAddress, dataCentre: settings.dataCentre }, this.platform.store, this.network, this.clock, logger.part('members'))
+    this.configuration = new AcceptedConfiguration(logger.part('configuration'))
+    this.directory = new EndpointDirectory(logger.part('endpoints'))
+    this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
+    this.duty = this.makeDuty()
+    const router = new EngineRouter({
+      directory: this.directory,
+      locations: this.locations,
+      board: this.board,
+      forecast: this.forecast,
+      prefixes: this.prefixes,
+      ejection: this.ejection,
+      dataCentre: settings.dataCentre,
+      leastVersion: (key, now) => this.versions.leastUsable(key, now),
+      isOrdered: (endpoint) => this.duty.holderOf(endpoint) !== undefined
+    })
+    this.seeker = new AdapterSeeker({
+      clock: this.clock,
+      router,
+      locations: this.locations,
+      holderOf: (endpoint) => this.duty.holderOf(endpoint),
+      ask: (to, frame) => this.network.notify(to, frame),
+      leastVersion: (facts, now) => facts.adapter === undefined ? 0 : this.versions.leastUsable(facts.adapter.key, now)
+    })
+    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics)
+    this.listener = this.makeListener()
+    this.followers = this.makeFollowers()
+    this.connectParts()
+  }
+
+  /** Starts to listen and to follow the store. */
+  async start (): Promise<void> {
+    const { settings, logger } = this
+    const answers = { isReady: () => this.isReady(), metrics: async () => await this.metrics.text() }
+    this.sideServers.push(await listenAt(settings.readinessAddress, readinessApplication(answers)))
+    this.sideServers.push(await listenAt(settings.metricsAddress, metricsApplication(answers)))
+    await this.listenForCallers()
+    const { supervisor, network } = this
+    void supervisor.start('peers', async (signal) => { await network.run(signal) })
+    for (const [index, follower] of this.followers.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await follower.run(signal) })
+    void supervisor.start('members', async (signal) => { await this.members.run(signal) })
+    void supervisor.start('load duty', async (signal) => { await this.duty.run(signal) })
+    const exchange = new BeliefExchange(network, { configuration: this.configuration, directory: this.directory, versions: this.versions, health: this.health }, this.clock)
+    void supervisor.start('beliefs', async (signal) => { await exchange.run(signal) })
+    void supervisor.start('digests', async (signal) => { await this.tellDigests(signal) })
+    void supervisor.start('housekeeping', async (signal) => { await this.keepHouse(signal) })
+    void supervisor.start('pauses', async (signal) => { await watchForPauses(this.clock, logger.part('clock'), () => this.afterPause(), signal) })
+    logger.info('This instance has started.', { instance: this.instance, ...settings })
+  }
+
+  /** Stops without cutting anything off. */
+  async stop (): Promise<void> {
+    if (this.stopping) return
+    this.stopping = true
+    this.members.leave()
+    this.duty.stop()
+    await stopInOrder({ listener: this.listener, clock: this.clock, logger: this.logger.part('stop'), graceMilliseconds: this.settings.stopMilliseconds })
+    await this.members.unregister()
+    await this.supervisor.stop()
+    for (const server of this.sideServers) server.close()
+    this.senders.close()
+    await this.platform.close()
+    this.logger.info('This instance has stopped.', { instance: this.instance })
+  }
+
+  private isReady (): boolean {
+    return !this.stopping && this.configuration.current !== undefined && this.directory.revision > 0
+  }
+
+  private async listenForCallers (): Promise<void> {
+    const { callerAddress } = this.settings
+    const at = callerAddress.lastIndexOf(':')
+    await this.listener.listen(callerAddress.slice(0, at), Number(callerAddress.slice(at + 1)))
+  }
+
+  private makeDuty (): LoadDuty {
+    const parts = {
+      store: this.platform.store,
+      health: this.health,
+      clock: this.clock,
+      logger: this.logger.part('loads'),
+      members: this.members,
+      directory: this.directory,
+      configuration: this.configuration,
+      leaseMilliseconds: this.settings.leaseMilliseconds,
+      fencedEndpoints: this.settings.fencedEndpoints
+    }
+    return new LoadDuty(parts, {
+      control: this.platform.control,
+      clock: this.clock,
+      logger: this.logger.part('loads'),
+      locations: this.locations,
+      board: this.board,
+      policy: this.policy,
+      pace: new ModelLoadPace(this.clock, () => this.members.count),
+      newestVersion: (key) => this.versions.newest(key) ?? 0,
+      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden),
+      refuse: (to, endpoint, key, reason) => this.network.notify(to, { kind: 'load-refused', endpoint, key, reason })
+    })
+  }
+
+  private makeListener (): RoutedListener {
+    const { clock, board, senders, metrics } = this
+    const budgets = new RepeatBudgets(this.settings.repeats, () => this.members.count)
+    const services = new ServiceRelay({
+      clock,
+      board,
+      senders,
+      budgets,
+      random: Math.random,
+      router: new ServiceRouter(this.directory, board, this.ejection, this.settings.dataCentre)
+    })
+    const streams = new StreamRelay({
+      clock,
+      board,
+      senders,
+      budgets,
+      seeker: this.seeker,
+      locations: this.locations,
+      forecast: this.forecast,
+      prefixes: this.prefixes,
+      expectedVersion: ({ facts }, now) => this.expectedVersion(facts.adapter?.key, now)
+    })
+    return new RoutedListener({ clock, logger: this.logger.part('relay'), codec: this.platform.codec, configuration: this.configuration, budgets, metrics, random: Math.random, streams, services })
+  }
+
+  /** Engines check the version once only the newest may be used; before, any copy will do. */
+  private expectedVersion (key: AdapterKey | undefined, now: number): number | undefined {
+    if (key === undefined) return undefined
+    const newest = this.versions.newest(key)
+    return newest !== undefined && this.versions.leastUsable(key, now) === newest ? newest : undefined
+  }
+
+  private makeFollowers (): StoreFollower<unknown>[] {
+    const { forms } = this.platform
+    return [
+      this.follower(forms.configurationKind, forms.decodeConfiguration, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => {
+        for (const configuration of objects.values()) this.configuration.apply(configuration, 'store')
+      }),
+      this.follower(forms.endpointKind, forms.decodeEndpoint, ENDPOINT_WATCH_MILLISECONDS, ENDPOINT_PACE_MILLISECONDS, (objects, revision) => {
+        const now = this.clock.now()
+        this.directory.apply({ revision, endpoints: [...objects.values()] }, this.health.outageEndedAt(now), now)
+        this.takeStatements()
+      }),
+      this.follower(forms.announcementKind, forms.decodeAnnouncement, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => {
+        this.versions.apply(objects.values(), 'store', this.clock.now())
+      }),
+      this.follower(CLUSTER_KIND, decodeClusterObject, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => this.applyCluster(objects.values()))
+    ]
+  }
+
+  private follower<Decoded> (kind: string, decode: (object: StoredObject) => Decoded | undefined, watchMilliseconds: number, paceMilliseconds: number, apply: (objects: ReadonlyMap<string, Decoded>, revision: number) => void): StoreFollower<unknown> {
+    const { store } = this.platform
+    return new StoreFollower<Decoded>({ store, health: this.health, clock: this.clock, logger: this.logger.part('store'), kind, decode, apply, watchMilliseconds, paceMilliseconds }) as StoreFollower<unknown>
+  }
+
+  private applyCluster (objects: Iterable<ClusterObject>): void {
+    const all = [...objects]
+    this.members.apply(all.flatMap((object) => object.kind === 'member' ? [object.member] : []))
+    this.duty.apply(all.flatMap((object) => object.kind === 'holder' ? [object.holder] : []))
+  }
+
+  private connectParts (): void {
+    this.network.describeHeartbeat(() => ({
+      leaving: this.stopping, settingsHash: '', ownershipVersion: 0, storeReachable: this.health.reachable
+    }))
+    this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
+    this.versions.onNewer((key, version) => this.duty.newer(key, version))
+    this.board.onUse((_endpoint, key) => this.policy.used(key, '', 1, this.clock.now()))
+    this.network.onNotice('relay-load', (from, frame) => this.board.take(from, frame.loads, this.clock.now()))
+    this.network.onNotice('adapters-held', (_from, frame) => {
+      this.metrics.adapterNotice('taken')
+      this.locations.takeNotice(frame)
+    })
+    this.network.onNotice('load-ask', (from, frame: LoadAskFrame) => {
+      const loader = this.duty.loader(frame.endpoint)
+      if (loader === undefined) return this.network.notify(from, { kind: 'load-refused', endpoint: frame.endpoint, key: frame.key, reason: 'this instance does not order its loads' })
+      loader.want(frame.key as AdapterKey, frame.version, frame.waiting, from)
+    })
+    this.network.onNotice('load-refused', (_from, frame) => this.seeker.refused(frame.endpoint, frame.key))
+    this.network.onConnected(() => this.retellHeld())
+  }
+
+  private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
+    if (change === 'leaving') return
+    if (change === 'gone') {
+      this.locations.remove(endpoint.id)
+      this.senders.forget(endpoint.id)
+    }
+    if (change !== 'arrived') {
+      this.prefixes.forget(endpoint.id)
+      this.forecast.forget(endpoint.id)
+    }
+  }
+
+  private takeStatements (): void {
+    for (const endpoint of this.directory.all()) this.locations.takeStatement(endpoint)
+  }
+
+  private readonly lastHeld = new Map<EndpointId, AdaptersHeldFrame>()
+
+  private publishHeld (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>): void {
+    const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
+    const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, coming: [...ledger.coming.keys()] }
+    this.lastHeld.set(endpoint.id, frame)
+    this.locations.takeNotice(frame)
+    for (const peer of this.network.connected()) {
+      this.metrics.adapterNotice('sent')
+      this.network.notify(peer, frame)
+    }
+  }
+
+  /** A peer that has just connected has heard nothing; what it believes would otherwise be as old as engines' statements. */
+  private retellHeld (): void {
+    for (const [id, frame] of this.lastHeld) {
+      if (this.duty.loader(id) === undefined) {
+        this.lastHeld.delete(id)
+        continue
+      }
+      for (const peer of this.network.connected()) this.network.notify(peer, frame)
+    }
+  }
+
+  private async tellDigests (signal: AbortSignal): Promise<void> {
+    let wasEmpty = true
+    while (!signal.aborted) {
+      await this.clock.sleep(DIGEST_MILLISECONDS, signal)
+      const loads = this.board.digest()
+      if (loads.length === 0 && wasEmpty) continue
+      wasEmpty = loads.length === 0
+      for (const peer of this.network.connected()) this.network.notify(peer, { kind: 'relay-load', loads })
+    }
+  }
+
+  private async keepHouse (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
+      this.directory.expire(this.clock.now())
+      this.senders.prune()
+    }
+  }
+
+  private afterPause (): void {
+    this.duty.pauseUntil(this.clock.now() + ORDER_PAUSE_MILLISECONDS)
+    for (const follower of this.followers) follower.refresh()
+  }
+
+  private readGauges (): GaugeReadings {
+    return {
+      configurationVersion: this.configuration.version,
+      storeSilenceSeconds: this.health.silence(this.clock.now()) / 1_000,
+      members: this.members.live().length,
+      servableEndpoints: this.directory.all().filter((endpoint) => !endpoint.leaving).length,
+      droppedLogLines: this.sink.dropped,
+      requestsInProgress: this.listener.requestsInProgress
+    }
+  }
+}
