Load adapters where they lie at hand and a slot is idle; let no report hold up an engine's loads

Homes moved with each refusal, so the weight store's thirty adapters a second were spent on copies; each repeated load was counted as an order that the engine had not counted, and the conflict that followed held the engine's loads up for a report. Ruled out: prompt reading (31% of what the engines can) and kept prompts (6% of tokens are read again).

--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -8,11 +8,15 @@
   readonly sequence: number
 }
 
+/** Evicted adapters that an engine keeps at hand, of which all are taken to be there still. */
+const MOST_AT_HAND = 40
+
 /** Where adapters lie. */
 export class AdapterLocations {
   private readonly byAdapter = new Map<AdapterKey, Map<EndpointId, number>>()
   private readonly byEndpoint = new Map<EndpointId, Map<AdapterKey, number>>()
   private readonly coming = new Map<EndpointId, readonly string[]>()
+  private readonly atHand = new Map<EndpointId, Set<AdapterKey>>()
   private readonly told = new Map<EndpointId, Told>()
   private readonly waiting = new Map<AdapterKey, Set<() => void>>()
 
@@ -26,6 +30,16 @@
     return this.coming.get(endpoint)?.includes(key) ?? false
   }
 
+  /** @returns whether the engine held the adapter lately and so loads it without the weight store */
+  isAtHand (endpoint: EndpointId, key: AdapterKey): boolean {
+    return this.atHand.get(endpoint)?.has(key) ?? false
+  }
+
+  /** @returns adapters on their way to the engine */
+  comingTo (endpoint: EndpointId): number {
+    return this.coming.get(endpoint)?.length ?? 0
+  }
+
   /** @returns adapters on their way to all engines */
   travelling (): number {
     let sum = 0
@@ -33,11 +47,6 @@
     return sum
   }
 
-  /** @returns the number of adapters that the engine holds or waits for */
-  occupied (endpoint: EndpointId): number {
-    return (this.byEndpoint.get(endpoint)?.size ?? 0) + (this.coming.get(endpoint)?.length ?? 0)
-  }
-
   /** Takes what the one that orders an engine's loads says; words of an earlier life, token or moment change nothing. */
   takeNotice (frame: AdaptersHeldFrame): void {
     const before = this.told.get(frame.endpoint)
@@ -67,6 +76,7 @@
     this.replace(endpoint, [])
     this.told.delete(endpoint)
     this.coming.delete(endpoint)
+    this.atHand.delete(endpoint)
     this.byEndpoint.delete(endpoint)
   }
 
@@ -104,7 +114,11 @@
     const before = this.byEndpoint.get(endpoint) ?? new Map<AdapterKey, number>()
     const after = new Map(held.map(({ key, version }) => [key, version]))
     this.byEndpoint.set(endpoint, after)
-    for (const key of before.keys()) if (!after.has(key)) this.takeOut(endpoint, key)
+    for (const key of before.keys()) {
+      if (after.has(key)) continue
+      this.takeOut(endpoint, key)
+      this.keepAtHand(endpoint, key)
+    }
     for (const [key, version] of after) {
       const holders = this.byAdapter.get(key) ?? new Map<EndpointId, number>()
       holders.set(endpoint, version)
@@ -113,6 +127,15 @@
     }
   }
 
+  private keepAtHand (endpoint: EndpointId, key: AdapterKey): void {
+    const kept = this.atHand.get(endpoint) ?? new Set()
+    this.atHand.set(endpoint, kept)
+    kept.delete(key)
+    kept.add(key)
+    const oldest = kept.values().next().value
+    if (kept.size > MOST_AT_HAND && oldest !== undefined) kept.delete(oldest)
+  }
+
   private takeOut (endpoint: EndpointId, key: AdapterKey): void {
     const holders = this.byAdapter.get(key)
     holders?.delete(endpoint)
--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -5,8 +5,10 @@
 import type { EngineChoice, EngineRouter } from '../routing/engine-router.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
-/** A load takes a quarter of a second, a busy engine's turn about as long; after this another engine is asked. */
-const ASK_MILLISECONDS = 900
+/** Between askings: a want that is not repeated is dropped, and another engine may have room by now. */
+const ASK_MILLISECONDS = 300
+/** A refusal says that the holder has changed; the news of it comes within this. */
+const REFUSAL_MILLISECONDS = 500
 /** Between looks while no engine can be asked at all. */
 const NOBODY_MILLISECONDS = 100
 
@@ -54,7 +56,7 @@
   async seek (service: Service, facts: RequestFacts, tried: ReadonlySet<EndpointId>, until: number, signal: AbortSignal): Promise<FoundEngine | undefined> {
     const { clock, router } = this.parts
     const startedAt = clock.now()
-    const asked = new Set<EndpointId>(tried)
+    let asked: EndpointId | undefined
     while (!signal.aborted) {
       const now = clock.now()
       const choice = router.choose(service, facts, tried, now)
@@ -63,28 +65,35 @@
         return { ...choice, stallMilliseconds: now - startedAt }
       }
       if (now >= until || facts.adapter?.name === undefined) return undefined
-      await this.haveLoaded(service, facts, asked, until, signal)
+      asked = await this.haveLoaded(service, facts, asked, until, signal)
     }
     return undefined
   }
 
-  private async haveLoaded (service: Service, facts: RequestFacts, asked: Set<EndpointId>, until: number, signal: AbortSignal): Promise<void> {
+  /** Asks the best engine for the adapter and waits a while. @returns the engine asked, if any */
+  private async haveLoaded (service: Service, facts: RequestFacts, asked: EndpointId | undefined, until: number, signal: AbortSignal): Promise<EndpointId | undefined> {
     const { clock, router, locations } = this.parts
     const { adapter } = facts
-    if (adapter === undefined) return
+    if (adapter === undefined) return undefined
     const now = clock.now()
-    const load = router.chooseForLoad(service, adapter.key, adapter.model, asked, now)
+    const load = router.chooseForLoad(service, adapter.key, adapter.model, this.refusing(adapter.key, now), asked, now)
     if (load === undefined) {
-      // All have been asked in turn: the first may have room by now.
-      asked.clear()
-      return await locations.arrival(adapter.key, Math.min(NOBODY_MILLISECONDS, until - now), signal)
+      await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
+      return undefined
     }
     this.askFor(load.endpoint, facts, true, now)
     await locations.arrival(adapter.key, Math.max(1, Math.min(ASK_MILLISECONDS, until - now)), signal)
-    const waited = clock.now() - now
-    const refusedAt = this.refusals.get(`${load.endpoint.id} ${adapter.key}`) ?? -Infinity
-    if (waited >= ASK_MILLISECONDS || refusedAt >= now) asked.add(load.endpoint.id)
-    this.refusals.delete(`${load.endpoint.id} ${adapter.key}`)
+    return load.endpoint.id
+  }
+
+  /** Engines whose loads the asked instance does not order; the holder that it believed in has changed. */
+  private refusing (key: string, now: number): Set<EndpointId> {
+    const engines = new Set<EndpointId>()
+    for (const [what, refusedAt] of this.refusals) {
+      if (now - refusedAt > REFUSAL_MILLISECONDS) this.refusals.delete(what)
+      else if (what.endsWith(` ${key}`)) engines.add(what.slice(0, what.indexOf(' ')) as EndpointId)
+    }
+    return engines
   }
 
   private askForCopy (service: Service, facts: RequestFacts, choice: EngineChoice, now: number): void {
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -1,5 +1,5 @@
 /** Orders the loads of one engine: which adapters come, which make way, one order after the other. */
-import type { Clock, EndpointId, FencingToken, InstanceId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, FencingToken, Logger } from '@limpetwinch/core'
 import type { EvictionPolicy, SlotView } from '@limpetwinch/decisions'
 import { Wake } from '@limpetwinch/entry'
 import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
@@ -24,8 +24,10 @@
 const LOST_LOAD_MILLISECONDS = 3_000
 /** Peers hear within this that an adapter leaves; a request that was on its way before has begun by then. */
 const LEAVING_NOTICE_MILLISECONDS = 30
-/** A want that was not met in this time has no waiter any more. */
-const WANT_MILLISECONDS = 3_000
+/** Whoever waits asks again and again; a want that was not repeated in this time has no waiter any more. */
+const WANT_MILLISECONDS = 800
+/** A load is for requests that wait; until peers have told that they run, nothing else may take its slot. */
+const SETTLE_MILLISECONDS = 500
 /** Reports are some hundred milliseconds old; one taken after this shows the last order. */
 const REPORT_LAG_MILLISECONDS = 250
 const LOOK_MILLISECONDS = 500
@@ -49,7 +51,6 @@
   readonly mayOrder: (endpoint: EndpointId) => boolean
   /** Tells all instances what the engine holds. */
   readonly publish: (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>) => void
-  readonly refuse: (to: InstanceId, endpoint: EndpointId, key: AdapterKey, reason: string) => void
   /** Someone else orders this engine, or another one listens at its address. */
   readonly onLost: (endpoint: EndpointId, reason: OrderAnswer) => void
 }
@@ -57,8 +58,7 @@
 interface Want {
   version: number
   waiting: boolean
-  readonly askedAt: number
-  readonly askers: Set<InstanceId>
+  askedAt: number
 }
 
 /** The loads of one engine in one life, under one token. */
@@ -81,22 +81,22 @@
     this.ledger = new SlotLedger(shape.adapterSlots, MOST_AT_HAND)
   }
 
-  /** Asks for an adapter. */
-  want (key: AdapterKey, version: number, waiting: boolean, asker: InstanceId): void {
+  /** Asks for an adapter, or says that it is still wanted. */
+  want (key: AdapterKey, version: number, waiting: boolean): void {
     const known = this.wants.get(key)
     if (known === undefined) {
-      this.wants.set(key, { version, waiting, askedAt: this.around.clock.now(), askers: new Set([asker]) })
+      this.wants.set(key, { version, waiting, askedAt: this.around.clock.now() })
     } else {
       known.version = Math.max(known.version, version)
       known.waiting ||= waiting
-      known.askers.add(asker)
+      known.askedAt = this.around.clock.now()
     }
     this.wake.notify()
   }
 
   /** A newer version was announced: a copy held here is replaced. */
-  newer (key: AdapterKey, version: number, self: InstanceId): void {
-    if (this.ledger.held.has(key) && !this.ledger.holds(key, version)) this.want(key, version, true, self)
+  newer (key: AdapterKey, version: number): void {
+    if (this.ledger.held.has(key) && !this.ledger.holds(key, version)) this.want(key, version, true)
   }
 
   /**
@@ -119,7 +119,7 @@
   private replaceOldVersions (): void {
     for (const [key, slot] of this.ledger.held) {
       const newest = this.around.newestVersion(key)
-      if (newest > slot.version) this.wants.set(key, { version: newest, waiting: true, askedAt: this.around.clock.now(), askers: new Set() })
+      if (newest > slot.version) this.want(key, newest, true)
     }
   }
 
@@ -153,7 +153,7 @@
     }
     if (!this.around.mayOrder(this.endpoint.id)) return false
     if (this.ledger.held.has(key)) return await this.replace(key, want, signal)
-    if (!this.ledger.hasFree) return await this.makeRoom(key, want, signal)
+    if (!this.ledger.hasFree) return await this.makeRoom(key, signal)
     return await this.load(key, want, signal)
   }
 
@@ -174,12 +174,19 @@
         continue
       }
       if (this.ledger.coming.has(key)) continue
-      if (best === undefined || (want.waiting && !best[1].waiting)) best = [key, want]
+      if (this.ledger.departing.has(key)) continue
+      if (best === undefined || this.isMoreUrgent([key, want], best)) best = [key, want]
     }
     const room = this.ledger.coming.size < MOST_COMING && this.around.locations.travelling() < MOST_TRAVELLING
     return room || best === undefined || this.ledger.atHand.has(best[0]) ? best : undefined
   }
 
+  /** What requests wait for goes first; of these, what lies at hand, since it takes a tenth of the time. */
+  private isMoreUrgent ([key, want]: [AdapterKey, Want], [otherKey, other]: [AdapterKey, Want]): boolean {
+    if (want.waiting !== other.waiting) return want.waiting
+    return this.ledger.atHand.has(key) && !this.ledger.atHand.has(otherKey)
+  }
+
   private async load (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
     const version = Math.max(want.version, this.around.newestVersion(key))
     const answer = await this.order('load', key, version === 0 ? undefined : version, signal)
@@ -206,13 +213,10 @@
     return await this.load(key, want, signal)
   }
 
-  private async makeRoom (incoming: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
+  private async makeRoom (incoming: AdapterKey, signal: AbortSignal): Promise<boolean> {
     const victim = this.around.policy.victim(this.slotViews(), incoming, this.around.clock.now()) as AdapterKey | undefined
-    if (victim === undefined) {
-      this.wants.delete(incoming)
-      for (const asker of want.askers) this.around.refuse(asker, this.endpoint.id, incoming, 'every slot is in use')
-      return true
-    }
+    // Every slot is in use or on its way out; the want stays and is looked at again when a run ends.
+    if (victim === undefined) return false
     this.hidden.add(victim)
     this.publish()
     await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
@@ -224,18 +228,18 @@
       return false
     }
     const answer = await this.order('unload', victim, undefined, signal)
-    this.hidden.delete(victim)
-    if (answer === 'holds') this.ledger.unloaded(victim)
-    else if (answer === 'accepted') await this.reconcile(signal)
+    if (answer === 'holds') this.ledger.unloaded(victim, true)
+    if (answer === 'accepted') this.ledger.willUnload(victim)
+    else this.hidden.delete(victim)
     this.publish()
-    return answer === 'holds' || answer === 'accepted'
+    return answer === 'holds'
   }
 
   private slotViews (): SlotView[] {
     const now = this.around.clock.now()
     return [...this.ledger.held].filter(([key]) => !this.hidden.has(key)).map(([key, slot]) => ({
       adapter: key,
-      pins: this.around.board.running(this.endpoint.id, key, now),
+      pins: this.around.board.running(this.endpoint.id, key, now) + (now - slot.loadedAt < SETTLE_MILLISECONDS ? 1 : 0),
       loadedAt: slot.loadedAt,
       lastUsedAt: slot.lastUsedAt,
       waiting: this.wants.has(key) ? 1 : 0,
@@ -265,8 +269,20 @@
       }
       if (!this.around.mayOrder(this.endpoint.id)) return
       const answer = await this.order('load', key, coming.version === 0 ? undefined : coming.version, signal)
+      // While a load is on its way the engine accepts its repetition without counting it.
       if (answer === 'holds') this.arrived(key)
-      else if (answer === 'accepted') this.ledger.sequence += 1
+    }
+    await this.confirmDepartures(signal)
+  }
+
+  private async confirmDepartures (signal: AbortSignal): Promise<void> {
+    for (const key of [...this.ledger.departing]) {
+      if (signal.aborted || !this.around.mayOrder(this.endpoint.id)) return
+      if (this.around.board.running(this.endpoint.id, key, this.around.clock.now()) > 0) continue
+      if (await this.order('unload', key, undefined, signal) !== 'holds') continue
+      this.ledger.unloaded(key, false)
+      this.hidden.delete(key)
+      this.publish()
     }
   }
 
@@ -285,7 +301,7 @@
     }, signal)
   }
 
-  /** @returns the engine's answer; undefined when it gave none and what it holds was read anew */
+  /** @returns the engine's answer; undefined when it gave none */
   private async send (order: EngineOrder, signal: AbortSignal): Promise<OrderAnswer | undefined> {
     const { control, holder, logger } = this.around
     const target = { endpoint: this.endpoint.id, address: this.endpoint.address, holder, token: this.token }
@@ -293,10 +309,9 @@
     const { operation, adapter, version, ifSequence } = order
     const outcome = result.isOk() ? result.value : result.error.kind
     logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome })
-    if (result.isErr()) {
-      await this.reconcile(signal)
-      return undefined
-    }
+    // An order without an answer may have been carried out, or may be later. The next one bears the same condition: if
+    // it is accepted, this one can no longer take effect; if it meets a conflict, what the engine holds is read anew.
+    if (result.isErr()) return undefined
     if (result.value === 'stale-token' || result.value === 'other-endpoint') this.around.onLost(this.endpoint.id, result.value)
     if (result.value === 'conflict' || result.value === 'refused') await this.reconcile(signal)
     return result.value
@@ -312,7 +327,7 @@
       return false
     }
     this.ledger.adopt(report.value, this.around.clock.now())
-    for (const key of [...this.hidden]) if (!this.ledger.coming.has(key)) this.hidden.delete(key)
+    for (const key of [...this.hidden]) if (!this.ledger.coming.has(key) && !this.ledger.departing.has(key)) this.hidden.delete(key)
     this.publish()
     return true
   }
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -87,7 +87,7 @@
 
   /** A newer version of an adapter was announced. */
   newer (key: AdapterKey, version: number): void {
-    for (const { loader } of this.running.values()) loader.newer(key, version, this.parts.members.self.instance)
+    for (const { loader } of this.running.values()) loader.newer(key, version)
   }
 
   /** Gives no order until the time: after a pause of the process another may hold what this one believes to hold. */
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -23,6 +23,8 @@
 export class SlotLedger {
   readonly held = new Map<AdapterKey, HeldSlot>()
   readonly coming = new Map<AdapterKey, ComingSlot>()
+  /** Adapters that leave once their last run has ended; they keep their slots until then. */
+  readonly departing = new Set<AdapterKey>()
   /** Adapters evicted of late: engines keep them at hand and load them in a tenth of the time. */
   readonly atHand = new Set<AdapterKey>()
   models: readonly ModelName[] = []
@@ -71,10 +73,17 @@
     this.held.set(key, { version: coming?.version ?? 0, loadedAt: now, lastUsedAt: now })
   }
 
-  /** An adapter left. */
-  unloaded (key: AdapterKey): void {
+  /** An order to unload was accepted; the adapter leaves when its runs have ended. */
+  willUnload (key: AdapterKey): void {
     this.sequence += 1
+    this.departing.add(key)
+  }
+
+  /** An adapter left. @param counted - whether the engine counted the order that said so */
+  unloaded (key: AdapterKey, counted: boolean): void {
+    if (counted) this.sequence += 1
     this.held.delete(key)
+    this.departing.delete(key)
     this.atHand.delete(key)
     this.atHand.add(key)
     const oldest = this.atHand.values().next().value
@@ -93,6 +102,7 @@
   private replaceHeld (held: readonly HeldAdapter[], now: number): void {
     const before = new Map(this.held)
     this.held.clear()
+    for (const key of [...this.departing]) if (!held.some((adapter) => adapter.key === key)) this.departing.delete(key)
     for (const { key, version } of held) {
       const known = before.get(key)
       this.held.set(key, { version, loadedAt: known?.loadedAt ?? now, lastUsedAt: known?.lastUsedAt ?? now })
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -17,7 +17,7 @@
 /** Tries that prove that nothing ran still cost their time; after so many the engines are taken to be full. */
 const MOST_SENDS = 4
 /** Part of a request's time for which it waits for an engine; what is refused later helps its caller less. */
-const SHARE_OF_TIME_TO_WAIT = 0.4
+const SHARE_OF_TIME_TO_WAIT = 0.25
 /** A slot or a load comes free in about this time. */
 const RETRY_AFTER_SECONDS = 0.4
 /** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -14,9 +14,24 @@
 const REMOTE_MILLISECONDS = 12
 /** An engine that has just failed is taken up again slowly. */
 const PENALTY_MILLISECONDS = 300
-/** A further copy is asked for when the best holder is this slow and another engine, load included, is faster. */
-const COPY_ABOVE_MILLISECONDS = 300
+/** A load from the weight store, and one of what lies at hand. */
 const LOAD_MILLISECONDS = 270
+const AT_HAND_MILLISECONDS = 40
+/**
+ * What a load from the weight store costs beyond its time: the store hands out some thirty adapters a second to all
+ * engines, and each is priced at about half a request. An engine that has the adapter at hand is worth waiting for.
+ */
+const STORE_LOAD_WORTH_MILLISECONDS = 400
+/** An engine whose slots are all in use frees one in about this time. */
+const BUSY_SLOTS_MILLISECONDS = 600
+/** Loads that are on their way to an engine already. */
+const COMING_MILLISECONDS = 60
+/** Spreads adapters that lie nowhere yet, the same way on all instances. */
+const HOME_MILLISECONDS = 150
+/** An engine that was asked and has not answered yet keeps its turn unless another is much better. */
+const ASKED_MILLISECONDS = 300
+/** A further copy takes a slot and a load: it is asked for only when it saves a request this much. */
+const COPY_GAIN_MILLISECONDS = 400
 /** Further copies of one adapter are asked for at most so often: the last one shows its effect before. */
 const COPY_PAUSE_MILLISECONDS = 500
 /** Adapters with a copy asked for that are remembered. */
@@ -32,6 +47,7 @@
 /** An engine that should load an adapter. */
 export interface LoadChoice {
   readonly endpoint: Endpoint
+  readonly costMilliseconds: number
 }
 
 /** What the router looks at. */
@@ -79,20 +95,19 @@
    * Picks the engine that should load the adapter. All instances pick the same one while they believe the same, so
    * that requests that come to several instances share one load.
    */
-  chooseForLoad (service: Service, key: AdapterKey, model: string, excluded: ReadonlySet<EndpointId>, now: number): LoadChoice | undefined {
+  chooseForLoad (service: Service, key: AdapterKey, model: string, excluded: ReadonlySet<EndpointId>, asked: EndpointId | undefined, now: number): LoadChoice | undefined {
     const { locations, isOrdered } = this.parts
+    const shape = service.engine
+    if (shape === undefined) return undefined
     const usable = this.usableEngines(service, excluded, now)
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
-    let best: Endpoint | undefined
-    let bestWeight = -Infinity
-    for (const entry of usable) {
-      if (locations.isComing(entry.id, key)) return { endpoint: entry }
-      const weight = this.loadWeight(entry, service, key, now)
-      if (weight <= bestWeight) continue
-      best = entry
-      bestWeight = weight
+    let best: LoadChoice | undefined
+    for (const endpoint of usable) {
+      if (locations.isComing(endpoint.id, key)) return { endpoint, costMilliseconds: 0 }
+      const costMilliseconds = this.loadCost(endpoint, shape, key, now) - (endpoint.id === asked ? ASKED_MILLISECONDS : 0)
+      if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
-    return best === undefined ? undefined : { endpoint: best }
+    return best
   }
 
   /** @returns an engine for a further copy when the best holder is slow and another would be faster; undefined mostly */
@@ -100,12 +115,12 @@
     const { adapter } = facts
     const shape = service.engine
     if (adapter === undefined || adapter.name === undefined || shape === undefined) return undefined
-    if (best.forecastMilliseconds < COPY_ABOVE_MILLISECONDS) return undefined
+    if (best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + LOAD_MILLISECONDS) return undefined
     if (now - (this.copiesAsked.get(adapter.key) ?? -Infinity) < COPY_PAUSE_MILLISECONDS) return undefined
-    const load = this.chooseForLoad(service, adapter.key, adapter.model, NONE, now)
+    const load = this.chooseForLoad(service, adapter.key, adapter.model, NONE, undefined, now)
     if (load === undefined) return undefined
     const there = this.weigh(load.endpoint, shape, facts, now).forecastMilliseconds + LOAD_MILLISECONDS
-    if (there >= best.forecastMilliseconds) return undefined
+    if (there + COPY_GAIN_MILLISECONDS > best.forecastMilliseconds) return undefined
     if (this.copiesAsked.size > MOST_COPY_TIMES) this.copiesAsked.clear()
     this.copiesAsked.set(adapter.key, now)
     return load
@@ -141,14 +156,18 @@
     return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
   }
 
-  /** The home by rendezvous, unless it has much more to read than others. */
-  private loadWeight (endpoint: Endpoint, service: Service, key: AdapterKey, now: number): number {
-    const { board, forecast } = this.parts
-    const shape = service.engine
-    if (shape === undefined) return -Infinity
-    const wait = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
-    const steps = Math.floor(wait / COPY_ABOVE_MILLISECONDS)
-    return rendezvousWeight(key, endpoint.id) - steps
+  /** @returns milliseconds until the adapter could be used there, with what the load takes from others on top */
+  private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, now: number): number {
+    const { board, forecast, locations, dataCentre, ejection } = this.parts
+    const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
+    const travel = locations.isAtHand(endpoint.id, key) ? AT_HAND_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
+    const coming = locations.comingTo(endpoint.id)
+    const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - coming
+    const slots = idleSlots > 0 ? 0 : BUSY_SLOTS_MILLISECONDS * (1 - idleSlots)
+    const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
+    const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
+    const home = HOME_MILLISECONDS * (1 - rendezvousWeight(key, endpoint.id))
+    return reading + travel + slots + coming * COMING_MILLISECONDS + remote + penalty + home
   }
 }
 
--- a/packages/ingress/src/routing/load-board.ts
+++ b/packages/ingress/src/routing/load-board.ts
@@ -109,6 +109,16 @@
     return sum
   }
 
+  /** @returns the number of adapters that requests of any instance use on the endpoint now */
+  adaptersInUse (endpoint: EndpointId, now: number): number {
+    const keys = new Set<string>(this.own.get(endpoint)?.running.keys())
+    for (const word of this.peers.values()) {
+      if (now - word.heardAt >= PEER_WORD_MILLISECONDS) continue
+      for (const [key, running] of word.loads.get(endpoint)?.adapters ?? []) if (running > 0) keys.add(key)
+    }
+    return keys.size
+  }
+
   /** Takes a peer's digest. */
   take (from: InstanceId, loads: readonly RelayedLoad[], now: number): void {
     this.peers.set(from, { heardAt: now, loads: new Map(loads.map((load) => [load.endpoint, load])) })
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -223,8 +223,7 @@
       policy: this.policy,
       pace: new ModelLoadPace(this.clock, () => this.members.count),
       newestVersion: (key) => this.versions.newest(key) ?? 0,
-      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden),
-      refuse: (to, endpoint, key, reason) => this.network.notify(to, { kind: 'load-refused', endpoint, key, reason })
+      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden)
     })
   }
 
@@ -304,7 +303,7 @@
     this.network.onNotice('load-ask', (from, frame: LoadAskFrame) => {
       const loader = this.duty.loader(frame.endpoint)
       if (loader === undefined) return this.network.notify(from, { kind: 'load-refused', endpoint: frame.endpoint, key: frame.key, reason: 'this instance does not order its loads' })
-      loader.want(frame.key as AdapterKey, frame.version, frame.waiting, from)
+      loader.want(frame.key as AdapterKey, frame.version, frame.waiting)
     })
     this.network.onNotice('load-refused', (_from, frame) => this.seeker.refused(frame.endpoint, frame.key))
     this.network.onConnected(() => this.retellHeld())
--- a/packages/ingress/src/runtime/stop-in-order.ts
+++ b/packages/ingress/src/runtime/stop-in-order.ts
@@ -2,8 +2,11 @@
 import type { Clock, Logger } from '@limpetwinch/core'
 import type { RoutedListener } from '../relay/routed-listener.js'
 
-/** The balancer asks once a second and takes an instance out after two refusals; connections come until then. */
-const ROTATION_MILLISECONDS = 3_200
+/**
+ * The balancer asks once a second and takes an instance out after two refusals; connections come until then. What is
+ * taken much later may not end within the grace.
+ */
+const ROTATION_MILLISECONDS = 2_600
 /** Left of the grace for the last words: the member object, log lines, the exit itself. */
 const LAST_WORDS_MILLISECONDS = 700
 const LOOK_MILLISECONDS = 25
