--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -10,12 +10,15 @@
 
 /** Evicted adapters that an engine keeps at hand, of which all are taken to be there still. */
 const MOST_AT_HAND = 40
+/** A load takes a quarter of a second, some times as long in a crowd. */
+const LONGEST_TRAVEL_MILLISECONDS = 1_000
 
 /** Where adapters lie. */
 export class AdapterLocations {
   private readonly byAdapter = new Map<AdapterKey, Map<EndpointId, number>>()
   private readonly byEndpoint = new Map<EndpointId, Map<AdapterKey, number>>()
-  private readonly coming = new Map<EndpointId, readonly string[]>()
+  /** Adapters on their way, with the time at which this instance heard of each. */
+  private readonly coming = new Map<EndpointId, ReadonlyMap<string, number>>()
   private readonly atHand = new Map<EndpointId, Set<AdapterKey>>()
   private readonly told = new Map<EndpointId, Told>()
   private readonly waiting = new Map<AdapterKey, Set<() => void>>()
@@ -27,7 +30,7 @@
 
   /** @returns whether the adapter is on its way to the engine */
   isComing (endpoint: EndpointId, key: AdapterKey): boolean {
-    return this.coming.get(endpoint)?.includes(key) ?? false
+    return this.coming.get(endpoint)?.has(key) ?? false
   }
 
   /** @returns whether the engine held the adapter lately and so loads it without the weight store */
@@ -37,22 +40,30 @@
 
   /** @returns adapters on their way to the engine */
   comingTo (endpoint: EndpointId): number {
-    return this.coming.get(endpoint)?.length ?? 0
+    return this.coming.get(endpoint)?.size ?? 0
   }
 
-  /** @returns adapters on their way to all engines */
-  travelling (): number {
+  /**
+   * Loads that an engine took with it when it ended stay among those on their way until it is known to be gone. Counted
+   * for so long, the end of three engines would hold up all loads of the others for seconds.
+   *
+   * @returns adapters on their way to all engines, those left out that are on it for longer than any load takes
+   */
+  travelling (now: number): number {
     let sum = 0
-    for (const keys of this.coming.values()) sum += keys.length
+    for (const keys of this.coming.values()) {
+      for (const heardAt of keys.values()) if (now - heardAt < LONGEST_TRAVEL_MILLISECONDS) sum += 1
+    }
     return sum
   }
 
   /** Takes what the one that orders an engine's loads says; words of an earlier life, token or moment change nothing. */
-  takeNotice (frame: AdaptersHeldFrame): void {
+  takeNotice (frame: AdaptersHeldFrame, now: number): void {
     const before = this.told.get(frame.endpoint)
     if (before !== undefined && !isNewer(frame, before)) return
     this.told.set(frame.endpoint, { born: frame.born, token: frame.token, sequence: frame.sequence })
-    this.coming.set(frame.endpoint, frame.coming)
+    const coming = this.coming.get(frame.endpoint)
+    this.coming.set(frame.endpoint, new Map(frame.coming.map((key) => [key, coming?.get(key) ?? now])))
     this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
   }
 
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -2,6 +2,7 @@
 import type { Clock, EndpointId, FencingToken, Logger } from '@limpetwinch/core'
 import type { EvictionPolicy, SlotView } from '@limpetwinch/decisions'
 import { Wake } from '@limpetwinch/entry'
+import { adapterKey } from '../routes/configuration.js'
 import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
 import type { LoadBoard } from '../routing/load-board.js'
 import type { AdapterLocations } from './adapter-locations.js'
@@ -11,8 +12,11 @@
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
 const MOST_COMING = 4
-/** Adapters on their way to all engines before each takes longer; beyond it loads wait for their turn here. */
-const MOST_TRAVELLING = 8
+/**
+ * Adapters on their way to all engines before each takes longer; beyond it loads wait for their turn here. Two more than
+ * the store takes at full speed: what peers tell is some milliseconds old, and an idle store would be lost time.
+ */
+const MOST_TRAVELLING = 10
 /** A load from the weight store takes so long at best; one that lies at hand a tenth of it. */
 const TRAVEL_MILLISECONDS = 250
 const AT_HAND_MILLISECONDS = 25
@@ -31,6 +35,8 @@
 /** Reports are some hundred milliseconds old; one taken after this shows the last order. */
 const REPORT_LAG_MILLISECONDS = 250
 const LOOK_MILLISECONDS = 500
+/** An engine that could not be connected to is left in peace for this. */
+const SILENT_MILLISECONDS = 300
 /** Between questions whether a whole model has come. */
 const MODEL_LOOK_MILLISECONDS = 200
 
@@ -53,12 +59,17 @@
   readonly publish: (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>) => void
   /** Someone else orders this engine, or another one listens at its address. */
   readonly onLost: (endpoint: EndpointId, reason: OrderAnswer) => void
+  /** The engine could not be reached. */
+  readonly onSilent: (endpoint: EndpointId, reason: string) => void
 }
 
 interface Want {
   version: number
   waiting: boolean
+  readonly firstAskedAt: number
   askedAt: number
+  /** What it waited for last; for the log. */
+  heldUpBy: 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine'
 }
 
 /** The loads of one engine in one life, under one token. */
@@ -85,7 +96,8 @@
   want (key: AdapterKey, version: number, waiting: boolean): void {
     const known = this.wants.get(key)
     if (known === undefined) {
-      this.wants.set(key, { version, waiting, askedAt: this.around.clock.now() })
+      const now = this.around.clock.now()
+      this.wants.set(key, { version, waiting, firstAskedAt: now, askedAt: now, heldUpBy: 'nothing' })
     } else {
       known.version = Math.max(known.version, version)
       known.waiting ||= waiting
@@ -136,7 +148,7 @@
 
   private travelTime (key: AdapterKey): number {
     if (this.ledger.atHand.has(key)) return AT_HAND_MILLISECONDS
-    return TRAVEL_MILLISECONDS * Math.max(1, this.around.locations.travelling() / MOST_TRAVELLING)
+    return TRAVEL_MILLISECONDS * Math.max(1, this.around.locations.travelling(this.around.clock.now()) / MOST_TRAVELLING)
   }
 
   /** @returns whether something was done */
@@ -153,7 +165,7 @@
     }
     if (!this.around.mayOrder(this.endpoint.id)) return false
     if (this.ledger.held.has(key)) return await this.replace(key, want, signal)
-    if (!this.ledger.hasFree) return await this.makeRoom(key, signal)
+    if (!this.ledger.hasFree) return await this.makeRoom(key, want, signal)
     return await this.load(key, want, signal)
   }
 
@@ -177,8 +189,10 @@
       if (this.ledger.departing.has(key)) continue
       if (best === undefined || this.isMoreUrgent([key, want], best)) best = [key, want]
     }
-    const room = this.ledger.coming.size < MOST_COMING && this.around.locations.travelling() < MOST_TRAVELLING
-    return room || best === undefined || this.ledger.atHand.has(best[0]) ? best : undefined
+    if (best === undefined || this.ledger.atHand.has(best[0])) return best
+    if (this.ledger.coming.size < MOST_COMING && this.around.locations.travelling(now) < MOST_TRAVELLING) return best
+    best[1].heldUpBy = 'travelling loads'
+    return undefined
   }
 
   /** What requests wait for goes first; of these, what lies at hand, since it takes a tenth of the time. */
@@ -213,10 +227,13 @@
     return await this.load(key, want, signal)
   }
 
-  private async makeRoom (incoming: AdapterKey, signal: AbortSignal): Promise<boolean> {
+  private async makeRoom (incoming: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
     const victim = this.around.policy.victim(this.slotViews(), incoming, this.around.clock.now()) as AdapterKey | undefined
     // Every slot is in use or on its way out; the want stays and is looked at again when a run ends.
-    if (victim === undefined) return false
+    if (victim === undefined) {
+      want.heldUpBy = 'slots in use'
+      return false
+    }
     this.hidden.add(victim)
     this.publish()
     await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
@@ -308,10 +325,19 @@
     const result = await control.order(target, order)
     const { operation, adapter, version, ifSequence } = order
     const outcome = result.isOk() ? result.value : result.error.kind
-    logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome })
+    const want = adapter === undefined ? undefined : this.wants.get(adapterKey(order.model, adapter))
+    const waited = want === undefined ? undefined : Math.round(this.around.clock.now() - want.firstAskedAt)
+    logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome, waited, heldUpBy: want?.heldUpBy })
     // An order without an answer may have been carried out, or may be later. The next one bears the same condition: if
     // it is accepted, this one can no longer take effect; if it meets a conflict, what the engine holds is read anew.
-    if (result.isErr()) return undefined
+    if (result.isErr()) {
+      if (want !== undefined) want.heldUpBy = 'a silent engine'
+      if (result.error.outcome === 'not_run') {
+        this.around.onSilent(target.endpoint, result.error.message)
+        await this.around.clock.sleep(SILENT_MILLISECONDS, signal)
+      }
+      return undefined
+    }
     if (result.value === 'stale-token' || result.value === 'other-endpoint') this.around.onLost(this.endpoint.id, result.value)
     if (result.value === 'conflict' || result.value === 'refused') await this.reconcile(signal)
     return result.value
--- a/packages/ingress/src/relay/relay-outcome.ts
+++ b/packages/ingress/src/relay/relay-outcome.ts
@@ -12,4 +12,6 @@
   readonly firstEventMilliseconds?: number | undefined
   /** Of these, waiting for a load. */
   readonly loadStallMilliseconds?: number | undefined
+  /** Between two events of a stream. */
+  readonly longestGapMilliseconds?: number | undefined
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -180,6 +180,7 @@
       milliseconds: Math.round(milliseconds),
       firstEvent: rounded(outcome.firstEventMilliseconds),
       loadStall: rounded(outcome.loadStallMilliseconds),
+      longestGap: rounded(outcome.longestGapMilliseconds),
       millisecondsLeft: Math.round(request.endsAt - clock.now())
     })
   }
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -54,7 +54,7 @@
     const { service, exchange, signal, facts } = request
     const tried = new Set<EndpointId>()
     const record = new TryRecord()
-    const progress: StreamProgress = { lastEventId: facts.lastEventId, firstEventAt: undefined }
+    const progress: StreamProgress = { lastEventId: facts.lastEventId, firstEventAt: undefined, lastEventAt: undefined, longestGap: 0 }
     let runs = 0
     let stall = 0
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
@@ -137,7 +137,7 @@
   }
 
   private answered (request: RoutedRequest, progress: StreamProgress, tries: number, stall: number): RelayOutcome {
-    return { outcome: 'answered', status: 200, tries, firstEventMilliseconds: sinceStart(request, progress), loadStallMilliseconds: stall }
+    return { outcome: 'answered', status: 200, tries, firstEventMilliseconds: sinceStart(request, progress), loadStallMilliseconds: stall, longestGapMilliseconds: progress.longestGap }
   }
 
   private passOn (request: RoutedRequest, result: Extract<StreamTryResult, { kind: 'other-answer' }>, tries: number): RelayOutcome {
@@ -148,7 +148,7 @@
 
   private giveUp (request: RoutedRequest, progress: StreamProgress, record: TryRecord, tries: number, stall: number): RelayOutcome {
     const { exchange, signal } = request
-    const common = { tries, firstEventMilliseconds: sinceStart(request, progress), loadStallMilliseconds: stall }
+    const common = { tries, firstEventMilliseconds: sinceStart(request, progress), loadStallMilliseconds: stall, longestGapMilliseconds: progress.longestGap }
     if (exchange.left.aborted) return { outcome: 'caller-left', ...common }
     const error = signal.aborted ? record.timeoutError(RETRY_AFTER_SECONDS) : this.finalError(request, record)
     const wasStarted = exchange.started
--- a/packages/ingress/src/relay/stream-try.ts
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -17,6 +17,9 @@
   /** Id of the last event that the caller was given. */
   lastEventId: string | undefined
   firstEventAt: number | undefined
+  lastEventAt: number | undefined
+  /** Between two events of the stream, milliseconds. */
+  longestGap: number
 }
 
 /** How a try ended. */
@@ -40,6 +43,7 @@
   private head: AnswerHead | undefined
   private sending: Sending | undefined
   private watchdog: NodeJS.Timeout | undefined
+  private watchdogMilliseconds = 0
   private hasEvents = false
   private fault: string | undefined
 
@@ -97,6 +101,7 @@
     const events = this.splitter.take(chunk)
     if (this.splitter.isOverfull) return this.giveUp('an event without an end')
     if (events.length === 0) return
+    this.noteGap()
     if (!this.hasEvents) this.firstEvent()
     let takesMore = true
     for (const event of events) {
@@ -109,6 +114,13 @@
     else if (this.patience !== undefined) this.watch(GAP_MILLISECONDS)
   }
 
+  private noteGap (): void {
+    const now = this.clock.now()
+    const { lastEventAt } = this.progress
+    if (lastEventAt !== undefined) this.progress.longestGap = Math.max(this.progress.longestGap, now - lastEventAt)
+    this.progress.lastEventAt = now
+  }
+
   private firstEvent (): void {
     this.hasEvents = true
     this.progress.firstEventAt ??= this.clock.now()
@@ -147,8 +159,6 @@
     this.watchdog = setTimeout(() => this.giveUp('the engine fell silent'), milliseconds)
   }
 
-  private watchdogMilliseconds = 0
-
   private giveUp (reason: string): void {
     this.fault = reason
     this.sending?.attempt.abandon(reason)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -223,7 +223,8 @@
       policy: this.policy,
       pace: new ModelLoadPace(this.clock, () => this.members.count),
       newestVersion: (key) => this.versions.newest(key) ?? 0,
-      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden)
+      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden),
+      onSilent: (endpoint, reason) => this.senders.observe(endpoint, 'failed', reason)
     })
   }
 
@@ -298,7 +299,7 @@
     this.network.onNotice('relay-load', (from, frame) => this.board.take(from, frame.loads, this.clock.now()))
     this.network.onNotice('adapters-held', (_from, frame) => {
       this.metrics.adapterNotice('taken')
-      this.locations.takeNotice(frame)
+      this.locations.takeNotice(frame, this.clock.now())
     })
     this.network.onNotice('load-ask', (from, frame: LoadAskFrame) => {
       const loader = this.duty.loader(frame.endpoint)
@@ -331,7 +332,7 @@
     const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
     const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, coming: [...ledger.coming.keys()] }
     this.lastHeld.set(endpoint.id, frame)
-    this.locations.takeNotice(frame)
+    this.locations.takeNotice(frame, this.clock.now())
     for (const peer of this.network.connected()) {
       this.metrics.adapterNotice('sent')
       this.network.notify(peer, frame)
