Take an answer without a length for whole only when its connection ended on purpose

Cause: a reset that arrives behind the last bytes is read as an orderly end; 9 of 13 such ends were resets, and only a write after the end tells them apart (refused on 9, taken on 4). Change: such an end is proved by an empty line; each try's end is logged.

--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -69,6 +69,13 @@
     return this.sent
   }
 
+  /** What the log says of the answer. */
+  get traits (): { readonly status: number | undefined, readonly framing: string, readonly connection: string } {
+    const headers = this.head?.headers
+    const framing = headers?.['content-length'] !== undefined ? 'length' : headers?.['transfer-encoding'] !== undefined ? 'chunks' : 'end'
+    return { status: this.head?.status, framing, connection: this.connection.ended }
+  }
+
   /** Gives the try up: the connection ends, and the endpoint drops the request. */
   abandon (reason: string): void {
     if (this.abandonedFor !== undefined) return
@@ -116,6 +123,7 @@
         const foreign = request.requestId !== undefined && facts.requestId !== undefined && facts.requestId !== request.requestId
         if (foreign) return this.fail('the answer belongs to another request')
         if (facts.encoded) return this.fail('the answer was encoded on its way')
+        this.connection.awaitsEnd = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
         sink.head(this.head)
       },
       onResponseData: (_controller, chunk) => {
@@ -123,8 +131,7 @@
       },
       onResponseEnd: () => {
         if (this.abandonedFor !== undefined) return
-        if (this.connection.broken && !isFramed(this.head)) return this.settle({ kind: 'broken', reason: 'the connection was reset before the end of an answer without a length' })
-        this.settle({ kind: 'whole' })
+        void this.endOfAnswer().then((end) => this.settle(end))
       },
       onResponseError: (_controller, error) => {
         if (this.abandonedFor !== undefined) return
@@ -133,13 +140,17 @@
     }
   }
 
+  /** An answer whose end was read before its connection ended is whole; one that ended with it only if it may. */
+  private async endOfAnswer (): Promise<AttemptEnd> {
+    const { ended, awaitsEnd } = this.connection
+    if (ended === 'not') return { kind: 'whole' }
+    const whole = awaitsEnd && await this.connection.endedOnPurpose()
+    return whole ? { kind: 'whole' } : { kind: 'broken', reason: 'the connection was cut before the end of the answer' }
+  }
+
   private fail (reason: string): void {
     this.abandonedFor = reason
     this.connection.destroy()
     this.settle({ kind: 'broken', reason })
   }
 }
-
-function isFramed (head: AnswerHead | undefined): boolean {
-  return head?.headers['content-length'] !== undefined || head?.headers['transfer-encoding'] !== undefined
-}
--- a/packages/ingress/src/relay/endpoint-connections.ts
+++ b/packages/ingress/src/relay/endpoint-connections.ts
@@ -15,8 +15,11 @@
 /** One connection. */
 export class EndpointConnection {
   readonly client: Client
-  /** Whether the present socket ended by an error, such as a reset, and not by an orderly end. */
-  broken = false
+  /** How the present socket ended: by an error such as a reset, or in order by the endpoint. */
+  ended: 'not' | 'in-order' | 'by-error' = 'not'
+  /** The answer under way has no length: the end of the connection is its end. */
+  awaitsEnd = false
+  private orderlyEnd: Promise<boolean> | undefined
 
   /** @param address - `host:port` */
   constructor (address: string) {
@@ -27,18 +30,31 @@
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveMaxTimeout: IDLE_MILLISECONDS,
       connect: (options, callback) => {
-        this.broken = false
+        this.ended = 'not'
+        this.awaitsEnd = false
+        this.orderlyEnd = undefined
         connectSocket(options, (error, socket) => {
           if (error !== null) return callback(error, null)
-          // Undici takes a reset for the end of an answer that has no length. What was cut would look whole; this
-          // listener runs before undici's and remembers the reset.
-          ;(socket as Socket).prependListener('error', () => { this.broken = true })
-          callback(null, socket as Socket)
+          // On a connection that the endpoint will close, undici takes its end for the end of the answer, also a reset
+          // and also when the last chunk is missing. What was cut would look whole; these listeners run before
+          // undici's and remember how it ended.
+          const plain = socket as Socket
+          plain.prependListener('error', () => { this.ended = 'by-error' })
+          plain.prependListener('end', () => {
+            this.ended = 'in-order'
+            if (this.awaitsEnd) this.orderlyEnd = provesOrderlyEnd(plain)
+          })
+          callback(null, plain)
         })
       }
     })
   }
 
+  /** @returns whether the endpoint ended the connection on purpose, so that an answer without a length is whole */
+  async endedOnPurpose (): Promise<boolean> {
+    return this.ended === 'in-order' && await this.orderlyEnd === true
+  }
+
   /** Ends the connection at once; the endpoint drops what it does for it. */
   destroy (): void {
     void this.client.destroy().catch(() => {
@@ -47,6 +63,17 @@
   }
 }
 
+/**
+ * A reset that arrives behind the last bytes is read as an orderly end, and an answer that was cut there would look
+ * whole. The system tells it only to a writer: an empty line, which endpoints pass over, is refused on a connection that
+ * was reset and taken on one that was ended.
+ */
+async function provesOrderlyEnd (socket: Socket): Promise<boolean> {
+  return await new Promise((resolve) => {
+    socket.write('\r\n', (error) => resolve(error === null || error === undefined))
+  })
+}
+
 /** Idle and busy connections to one endpoint. */
 export class EndpointConnections {
   private readonly address: string
@@ -70,7 +97,7 @@
   take (now: number): EndpointConnection {
     this.busy += 1
     for (let kept = this.idle.pop(); kept !== undefined; kept = this.idle.pop()) {
-      if (now - kept.since < IDLE_MILLISECONDS && !kept.connection.broken && !kept.connection.client.destroyed) return kept.connection
+      if (now - kept.since < IDLE_MILLISECONDS && kept.connection.ended !== 'by-error' && !kept.connection.client.destroyed) return kept.connection
       kept.connection.destroy()
     }
     return new EndpointConnection(this.address)
@@ -83,7 +110,7 @@
    */
   giveBack (connection: EndpointConnection, reusable: boolean, now: number): void {
     this.busy -= 1
-    if (reusable && !connection.broken) this.idle.push({ connection, since: now })
+    if (reusable && connection.ended !== 'by-error') this.idle.push({ connection, since: now })
     else connection.destroy()
   }
 
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -83,6 +83,9 @@
       request.signal.removeEventListener('abort', onSignal)
       pool.giveBack(connection, end.kind === 'whole' && attempt.reusable, this.clock.now())
       this.metrics.attemptEnded(request.service.name, end.kind)
+      this.logger.debug('A try ended.', {
+        request: request.facts.requestId, endpoint: order.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.traits
+      })
       return end
     })
     request.signal.addEventListener('abort', onSignal)
--- a/packages/ingress/test/attempt.failure.test.ts
+++ b/packages/ingress/test/attempt.failure.test.ts
@@ -53,6 +53,23 @@
     expect((await tryOn(connection)).kind).toBe('broken')
   })
 
+  it('is broken when an answer without a length ends, and its connection is reset behind the end', async () => {
+    const connection = await connectionTo((socket) => {
+      socket.end(`${HEAD}Connection: close\r\n\r\nhel`, () => { socket.resetAndDestroy() })
+    })
+    expect((await tryOn(connection)).kind).toBe('broken')
+  })
+
+  it('is broken when a chunked answer on its last connection ends or is reset before its last chunk', async () => {
+    const head = `${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`
+    const ends = await connectionTo((socket) => { socket.end(`${head}3\r\nhel\r\n`) })
+    const resets = await connectionTo((socket) => {
+      socket.write(`${head}3\r\nhel\r\n`, () => setTimeout(() => socket.resetAndDestroy(), 30))
+    })
+    const whole = await connectionTo((socket) => { socket.end(`${head}3\r\nhel\r\n0\r\n\r\n`) })
+    expect([(await tryOn(ends)).kind, (await tryOn(resets)).kind, (await tryOn(whole)).kind]).toEqual(['broken', 'broken', 'whole'])
+  })
+
   it('is broken when the answer ends before its length', async () => {
     const connection = await connectionTo((socket) => { socket.end(`${HEAD}Content-Length: 9\r\n\r\nhel`) })
     expect((await tryOn(connection)).kind).toBe('broken')
