--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,7 +1,9 @@
 /** `limpetwinch explain REQUEST`. */
-import { Args } from '@oclif/core'
+import { readFileSync } from 'node:fs'
+import { Args, Flags } from '@oclif/core'
 import { z } from 'zod'
-import { AdminCommand } from '../server/admin-command.js'
+import { requestStory } from '../logs/request-story.js'
+import { AdminCommand, EXIT } from '../server/admin-command.js'
 import { table } from '../show/table.js'
 
 const storySchema = z.object({
@@ -12,12 +14,17 @@
 
 /** Shows what was decided for one request, and why. */
 export default class Explain extends AdminCommand {
-  static override description = 'Shows what was decided for one request, and why. Ask the instance that took the request; it remembers the latest ones.'
+  static override description = 'Shows what was decided for one request, and why. Ask the instance that took the request; it remembers the latest ones. With --logs no instance is asked: the lines that instances wrote are read.'
 
   static override args = { request: Args.string({ required: true, description: 'the request id, as the answer named it' }) }
 
+  static override flags = {
+    logs: Flags.string({ multiple: true, description: 'a file of log lines, of one instance or of several; may be given again' })
+  }
+
   override async run (): Promise<unknown> {
     const { args, flags } = await this.parse(Explain)
+    if (flags.logs !== undefined) return this.fromLogs(args.request, flags.logs)
     const answer = await this.must(this.client(flags).ask({ method: 'GET', target: `/admin/explain/${encodeURIComponent(args.request)}` }))
     if (this.jsonEnabled()) return JSON.parse(answer.text)
     const story = this.bodyOf(storySchema, answer)
@@ -26,6 +33,28 @@
     this.log(table(['AT', 'WHAT', 'WHY'], story.steps.map(({ at, what, fields }) => [`+${Math.round(at - start)} ms`, what, fieldsText(fields)])))
     return undefined
   }
+
+  private fromLogs (request: string, files: readonly string[]): unknown {
+    const steps = requestStory(files.flatMap((file) => this.readLines(file)), request)
+    if (steps.length === 0) this.error(`No line names request ${request}. Give the logs of all instances that it may have reached.`, { exit: EXIT.notFound })
+    if (this.jsonEnabled()) return { request, steps }
+    const start = steps.find((step) => step.own)?.at ?? 0
+    const rows = steps.map(({ at, part, what, fields, own }) => [`${own ? '' : '  '}${signed(Math.round(at - start))} ms`, part, what, fieldsText(fields)])
+    this.log(table(['AT', 'PART', 'WHAT', 'WHY'], rows))
+    return undefined
+  }
+
+  private readLines (file: string): string[] {
+    try {
+      return readFileSync(file, 'utf8').split('\n')
+    } catch (cause) {
+      this.error(`${file} cannot be read (${cause instanceof Error ? cause.message : String(cause)}). Give a file that exists.`, { exit: EXIT.usage })
+    }
+  }
+}
+
+function signed (milliseconds: number): string {
+  return milliseconds < 0 ? String(milliseconds) : `+${milliseconds}`
 }
 
 function fieldsText (fields: Readonly<Record<string, unknown>>): string {
--- /dev/null
+++ b/packages/cli/src/logs/request-story.ts
@@ -0,0 +1,75 @@
+/** The story of one request, from the JSON lines that instances wrote. */
+
+/** One line that bears on a request. */
+export interface StoryStep {
+  /** Unix milliseconds, by the clock of the instance that wrote it. */
+  readonly at: number
+  readonly part: string
+  readonly what: string
+  readonly fields: Readonly<Record<string, unknown>>
+  /** Whether the line names the request itself; else it tells of an endpoint or an adapter that the request met. */
+  readonly own: boolean
+}
+
+/** Lines on endpoints and adapters count from so long before the request: what it met was decided then. */
+const BEFORE_MILLISECONDS = 3_000
+/** What is known of a line without being worth a column. */
+const HIDDEN_FIELDS: ReadonlySet<string> = new Set(['timestamp', 'level', 'label', 'message', 'request'])
+/** Lines of other requests say nothing about this one. */
+const REQUEST_PART = 'relay'
+
+interface LogLine {
+  readonly at: number
+  readonly part: string
+  readonly message: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
+/**
+ * Picks what bears on a request.
+ *
+ * @param lines - of any number of instances, in any order; a line may have text before its JSON, others are passed over
+ * @param request - the id
+ * @returns the steps by time; empty when no line names the request
+ */
+export function requestStory (lines: Iterable<string>, request: string): StoryStep[] {
+  const parsed = [...lines].flatMap((line) => parseLine(line))
+  const own = parsed.filter((line) => line.fields.request === request)
+  if (own.length === 0) return []
+  const first = Math.min(...own.map((line) => line.at))
+  const last = Math.max(...own.map((line) => line.at))
+  const endpoints = new Set<unknown>(own.map((line) => line.fields.endpoint).filter((id) => id !== undefined))
+  const adapters = new Set(own.map((line) => nameOf(line.fields.adapter)).filter((name) => name !== undefined))
+  const around = parsed.filter((line) => {
+    if (line.part === REQUEST_PART || line.at < first - BEFORE_MILLISECONDS || line.at > last) return false
+    const adapter = nameOf(line.fields.adapter)
+    return adapter === undefined ? endpoints.has(line.fields.endpoint) : adapters.has(adapter)
+  })
+  const steps = [...own.map((line) => step(line, true)), ...around.map((line) => step(line, false))]
+  return steps.sort((one, other) => one.at - other.at)
+}
+
+function step (line: LogLine, own: boolean): StoryStep {
+  const fields = Object.fromEntries(Object.entries(line.fields).filter(([name]) => !HIDDEN_FIELDS.has(name)))
+  return { at: line.at, part: line.part, what: line.message, fields, own }
+}
+
+function parseLine (line: string): LogLine[] {
+  const start = line.indexOf('{')
+  if (start === -1) return []
+  try {
+    const fields = JSON.parse(line.slice(start)) as Record<string, unknown>
+    const at = Date.parse(String(fields.timestamp))
+    if (typeof fields.message !== 'string' || Number.isNaN(at)) return []
+    return [{ at, part: String(fields.label ?? ''), message: fields.message, fields }]
+  } catch {
+    // Other programs write to the same place; what is no JSON is not ours.
+    return []
+  }
+}
+
+/** Requests name an adapter with its model, orders without it. */
+function nameOf (adapter: unknown): string | undefined {
+  if (typeof adapter !== 'string') return undefined
+  return adapter.slice(adapter.lastIndexOf('/') + 1)
+}
--- /dev/null
+++ b/packages/cli/test/logs/request-story.test.ts
@@ -0,0 +1,28 @@
+import { describe, expect, it } from 'vitest'
+import { requestStory } from '../../src/logs/request-story.js'
+
+const line = (second: number, label: string, message: string, fields: Record<string, unknown>): string =>
+  JSON.stringify({ timestamp: new Date(1_772_000_000_000 + second * 1_000).toISOString(), level: 'info', label, message, ...fields })
+
+const LINES = [
+  line(10.4, 'relay', 'A request was refused.', { request: 'r1', error: 'adapter_not_ready', status: 503 }),
+  'not a line of ours',
+  `front-1 ${line(9.9, 'relay', 'A request was sent.', { request: 'r1', endpoint: 'e1', adapter: 'base/poem' })}`,
+  line(9.5, 'loads', 'An order was given.', { endpoint: 'e1', adapter: 'poem', outcome: 'accepted' }),
+  line(9.6, 'loads', 'An order was given.', { endpoint: 'e1', adapter: 'other', outcome: 'accepted' }),
+  line(9.7, 'endpoints', 'An endpoint is leaving.', { endpoint: 'e1' }),
+  line(9.8, 'endpoints', 'An endpoint is leaving.', { endpoint: 'e2' }),
+  line(9.9, 'relay', 'A request was sent.', { request: 'r2', endpoint: 'e1' }),
+  line(2, 'endpoints', 'An endpoint arrived.', { endpoint: 'e1' }),
+  '{"half a line'
+]
+
+describe('the story of a request', () => {
+  it('holds its own lines, and those on the endpoints and adapters that it met shortly before, by time', () => {
+    expect(requestStory(LINES, 'r1').map(({ part, what, own, fields }) => ({ part, what, own, fields }))).toMatchSnapshot()
+  })
+
+  it('is empty for a request that no line names', () => {
+    expect(requestStory(LINES, 'r9')).toEqual([])
+  })
+})
--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -1,8 +1,8 @@
 /** Finds an engine for a request, and has the adapter loaded where none holds it. */
-import type { Clock, EndpointId, InstanceId, LoadAskFrame } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LoadAskFrame, Logger } from '@limpetwinch/core'
 import type { RequestFacts } from '../relay/request-codec.js'
-import type { Endpoint, Service } from '../routes/configuration.js'
-import type { EngineChoice, EngineRouter } from '../routing/engine-router.js'
+import type { Service } from '../routes/configuration.js'
+import type { EngineChoice, EngineRouter, LoadChoice } from '../routing/engine-router.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
 /** Between askings: a want that is not repeated is dropped, and another engine may have room by now. */
@@ -15,6 +15,7 @@
 /** What the seeker needs. */
 export interface AdapterSeekerParts {
   readonly clock: Clock
+  readonly logger: Logger
   readonly router: EngineRouter
   readonly locations: AdapterLocations
   /** @returns who orders the engine's loads */
@@ -81,7 +82,7 @@
       await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
       return undefined
     }
-    this.askFor(load.endpoint, facts, true, now)
+    this.askFor(load, facts, true, now)
     await locations.arrival(adapter.key, Math.max(1, Math.min(ASK_MILLISECONDS, until - now)), signal)
     return load.endpoint.id
   }
@@ -98,13 +99,16 @@
 
   private askForCopy (service: Service, facts: RequestFacts, choice: EngineChoice, now: number): void {
     const copy = this.parts.router.chooseForCopy(service, facts, choice, now)
-    if (copy !== undefined) this.askFor(copy.endpoint, facts, false, now)
+    if (copy !== undefined) this.askFor(copy, facts, false, now)
   }
 
-  private askFor (endpoint: Endpoint, facts: RequestFacts, waiting: boolean, now: number): void {
+  private askFor ({ endpoint, costMilliseconds }: LoadChoice, facts: RequestFacts, waiting: boolean, now: number): void {
     const holder = this.parts.holderOf(endpoint.id)
     if (holder === undefined || facts.adapter === undefined) return
     const version = this.parts.leastVersion(facts, now)
+    this.parts.logger.debug('A load was asked for.', {
+      request: facts.requestId, adapter: facts.adapter.key, endpoint: endpoint.id, of: holder, version, waiting, costMilliseconds: Math.round(costMilliseconds)
+    })
     this.parts.ask(holder, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting })
   }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -145,6 +145,7 @@
     })
     this.seeker = new AdapterSeeker({
       clock: this.clock,
+      logger: logger.part('relay'),
       router,
       locations: this.locations,
       holderOf: (endpoint) => this.duty.holderOf(endpoint),
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -68,7 +68,7 @@
     const budgets = new RepeatBudgets({ share: 0, slack: (behind.repeats ?? 100) / 0.8, windowMilliseconds: 10_000 }, () => 1)
     const router = new EngineRouter({ directory, locations, board, forecast, prefixes, ejection, dataCentre: 'here', leastVersion: () => 0, isOrdered: () => true })
     const seeker = new AdapterSeeker({
-      clock, router, locations, holderOf: () => 'holder' as InstanceId, ask: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
+      clock, logger, router, locations, holderOf: () => 'holder' as InstanceId, ask: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
     })
     const services = new ServiceRelay({ clock, board, senders, budgets, random, router: new ServiceRouter(directory, board, ejection, 'here') })
     const streams = new StreamRelay({ clock, board, senders, budgets, seeker, locations, forecast, prefixes, expectedVersion: () => undefined })
