--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -19,7 +19,8 @@
   private readonly byEndpoint = new Map<EndpointId, Map<AdapterKey, number>>()
   /** Adapters on their way, with the time at which this instance heard of each. */
   private readonly coming = new Map<EndpointId, ReadonlyMap<string, number>>()
-  private readonly atHand = new Map<EndpointId, Set<AdapterKey>>()
+  /** Evicted adapters, the last one last, with the version that was held. */
+  private readonly atHand = new Map<EndpointId, Map<AdapterKey, number>>()
   private readonly told = new Map<EndpointId, Told>()
   private readonly waiting = new Map<AdapterKey, Set<() => void>>()
 
@@ -28,14 +29,15 @@
     return this.byAdapter.get(key) ?? NOBODY
   }
 
-  /** @returns whether the adapter is on its way to the engine */
-  isComing (endpoint: EndpointId, key: AdapterKey): boolean {
-    return this.coming.get(endpoint)?.has(key) ?? false
+  /** @returns whether the adapter is on its way to the engine, and for no longer than a load takes */
+  isComing (endpoint: EndpointId, key: AdapterKey, now: number): boolean {
+    const heardAt = this.coming.get(endpoint)?.get(key)
+    return heardAt !== undefined && now - heardAt < LONGEST_TRAVEL_MILLISECONDS
   }
 
-  /** @returns whether the engine held the adapter lately and so loads it without the weight store */
-  isAtHand (endpoint: EndpointId, key: AdapterKey): boolean {
-    return this.atHand.get(endpoint)?.has(key) ?? false
+  /** @returns whether the engine held the adapter lately, not older than this, and so loads it without the weight store */
+  isAtHand (endpoint: EndpointId, key: AdapterKey, leastVersion: number): boolean {
+    return (this.atHand.get(endpoint)?.get(key) ?? -1) >= leastVersion
   }
 
   /** @returns adapters on their way to the engine */
@@ -128,7 +130,7 @@
     for (const key of before.keys()) {
       if (after.has(key)) continue
       this.takeOut(endpoint, key)
-      this.keepAtHand(endpoint, key)
+      this.keepAtHand(endpoint, key, before.get(key) ?? 0)
     }
     for (const [key, version] of after) {
       const holders = this.byAdapter.get(key) ?? new Map<EndpointId, number>()
@@ -138,12 +140,12 @@
     }
   }
 
-  private keepAtHand (endpoint: EndpointId, key: AdapterKey): void {
-    const kept = this.atHand.get(endpoint) ?? new Set()
+  private keepAtHand (endpoint: EndpointId, key: AdapterKey, version: number): void {
+    const kept = this.atHand.get(endpoint) ?? new Map<AdapterKey, number>()
     this.atHand.set(endpoint, kept)
     kept.delete(key)
-    kept.add(key)
-    const oldest = kept.values().next().value
+    kept.set(key, version)
+    const oldest = kept.keys().next().value
     if (kept.size > MOST_AT_HAND && oldest !== undefined) kept.delete(oldest)
   }
 
--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -7,6 +7,11 @@
 
 /** Between askings: a want that is not repeated is dropped, and another engine may have room by now. */
 const ASK_MILLISECONDS = 300
+/** An engine that was asked keeps its turn at first: another one would need a load of its own. */
+const ASKED_ONCE_MILLISECONDS = -300
+/** One that did not bring the adapter after two askings has no slot, or nobody who orders its loads any more. */
+const ASKED_AGAIN_MILLISECONDS = 500
+const PATIENT_ASKINGS = 2
 /** A refusal says that the holder has changed; the news of it comes within this. */
 const REFUSAL_MILLISECONDS = 500
 /** Between looks while no engine can be asked at all. */
@@ -57,7 +62,7 @@
   async seek (service: Service, facts: RequestFacts, tried: ReadonlySet<EndpointId>, until: number, signal: AbortSignal): Promise<FoundEngine | undefined> {
     const { clock, router } = this.parts
     const startedAt = clock.now()
-    let asked: EndpointId | undefined
+    const asked = new Map<EndpointId, number>()
     while (!signal.aborted) {
       const now = clock.now()
       const choice = router.choose(service, facts, tried, now)
@@ -66,25 +71,22 @@
         return { ...choice, stallMilliseconds: now - startedAt }
       }
       if (now >= until || facts.adapter?.name === undefined) return undefined
-      asked = await this.haveLoaded(service, facts, asked, until, signal)
+      await this.haveLoaded(service, facts, asked, until, signal)
     }
     return undefined
   }
 
-  /** Asks the best engine for the adapter and waits a while. @returns the engine asked, if any */
-  private async haveLoaded (service: Service, facts: RequestFacts, asked: EndpointId | undefined, until: number, signal: AbortSignal): Promise<EndpointId | undefined> {
+  /** Asks the best engine for the adapter and waits a while. */
+  private async haveLoaded (service: Service, facts: RequestFacts, asked: Map<EndpointId, number>, until: number, signal: AbortSignal): Promise<void> {
     const { clock, router, locations } = this.parts
     const { adapter } = facts
-    if (adapter === undefined) return undefined
+    if (adapter === undefined) return
     const now = clock.now()
-    const load = router.chooseForLoad(service, adapter.key, adapter.model, this.refusing(adapter.key, now), asked, now)
-    if (load === undefined) {
-      await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
-      return undefined
-    }
+    const load = router.chooseForLoad(service, adapter.key, adapter.model, this.refusing(adapter.key, now), (endpoint) => biasOf(asked.get(endpoint) ?? 0), now)
+    if (load === undefined) return await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
+    asked.set(load.endpoint.id, (asked.get(load.endpoint.id) ?? 0) + 1)
     this.askFor(load, facts, true, now)
     await locations.arrival(adapter.key, Math.max(1, Math.min(ASK_MILLISECONDS, until - now)), signal)
-    return load.endpoint.id
   }
 
   /** Engines whose loads the asked instance does not order; the holder that it believed in has changed. */
@@ -112,3 +114,8 @@
     this.parts.ask(holder, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting })
   }
 }
+
+function biasOf (askings: number): number {
+  if (askings === 0) return 0
+  return askings < PATIENT_ASKINGS ? ASKED_ONCE_MILLISECONDS : ASKED_AGAIN_MILLISECONDS * (askings - 1)
+}
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -69,7 +69,7 @@
   readonly firstAskedAt: number
   askedAt: number
   /** What it waited for last; for the log. */
-  heldUpBy: 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine'
+  heldUpBy: 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine' | 'runs of the old version'
 }
 
 /** The loads of one engine in one life, under one token. */
@@ -217,13 +217,21 @@
     return false
   }
 
-  /** Requests that reach the engine while it replaces an adapter are refused there; peers hear of it before. */
+  /**
+   * Requests that reach the engine while it replaces an adapter are refused there; peers hear of it before. While the
+   * old version still runs, the order waits as well: it would hold up the adapter until the last of those runs ended,
+   * and new requests are sooner served by a copy on another engine.
+   */
   private async replace (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
     if (!this.hidden.has(key)) {
       this.hidden.add(key)
       this.publish()
       await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
     }
+    if (this.around.board.running(this.endpoint.id, key, this.around.clock.now()) > 0) {
+      want.heldUpBy = 'runs of the old version'
+      return false
+    }
     return await this.load(key, want, signal)
   }
 
@@ -281,6 +289,8 @@
     const now = this.around.clock.now()
     for (const [key, coming] of [...this.ledger.coming]) {
       if (signal.aborted || now < coming.orderedAt + this.travelTime(key)) continue
+      if (coming.askedAt > coming.orderedAt && now < coming.askedAt + CONFIRM_MILLISECONDS) continue
+      coming.askedAt = now
       if (now - coming.orderedAt > LOST_LOAD_MILLISECONDS) {
         await this.reconcile(signal)
         return
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -13,6 +13,8 @@
 export interface ComingSlot {
   readonly version: number
   readonly orderedAt: number
+  /** When the engine was last asked whether it has come. */
+  askedAt: number
 }
 
 /**
@@ -62,7 +64,7 @@
   /** An order to load was accepted. */
   ordered (key: AdapterKey, version: number, now: number): void {
     this.sequence += 1
-    this.coming.set(key, { version, orderedAt: now })
+    this.coming.set(key, { version, orderedAt: now, askedAt: now })
   }
 
   /** A load is complete. */
@@ -96,7 +98,7 @@
     this.models = report.models
     this.replaceHeld(report.held, now)
     for (const key of [...this.coming.keys()]) if (!report.coming.some((adapter) => adapter.key === key)) this.coming.delete(key)
-    for (const { key, version } of report.coming) this.coming.set(key, this.coming.get(key) ?? { version, orderedAt: now })
+    for (const { key, version } of report.coming) this.coming.set(key, this.coming.get(key) ?? { version, orderedAt: now, askedAt: now })
   }
 
   private replaceHeld (held: readonly HeldAdapter[], now: number): void {
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -4,8 +4,11 @@
 import { memberPath } from './cluster-objects.js'
 import type { Member } from './cluster-objects.js'
 
-/** Without any frame for so long a member counts as gone: several heartbeats are missing. */
-export const SUSPECT_MILLISECONDS = 2_000
+/**
+ * A member without a connection counts as gone after this: a connection that broke is made anew sooner. One that fell
+ * silent was waited for already, for three heartbeats.
+ */
+export const SUSPECT_MILLISECONDS = 1_200
 /** A member that was not heard for so long has left without a word; its object is deleted. */
 const FORGET_MILLISECONDS = 60_000
 const LOOK_MILLISECONDS = 1_000
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -18,6 +18,8 @@
 const MOST_SENDS = 4
 /** Part of a request's time for which it waits for an engine; what is refused later helps its caller less. */
 const SHARE_OF_TIME_TO_WAIT = 0.25
+/** Callers give a stream up that stands still for some seconds. */
+const LONGEST_PAUSE_MILLISECONDS = 1_500
 /** A slot or a load comes free in about this time. */
 const RETRY_AFTER_SECONDS = 0.4
 /** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
@@ -58,7 +60,7 @@
     let runs = 0
     let stall = 0
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
-      const engine = await this.parts.seeker.seek(service, facts, tried, this.searchEnd(request), signal)
+      const engine = await this.parts.seeker.seek(service, facts, tried, this.searchEnd(request, progress), signal)
       if (engine === undefined || signal.aborted) break
       stall += engine.stallMilliseconds
       if (sends > 0 && !budgets.repeat(service.name, clock.now())) break
@@ -85,8 +87,10 @@
     return request.route.resumable && runs < request.route.mostAttempts
   }
 
-  private searchEnd (request: RoutedRequest): number {
+  private searchEnd (request: RoutedRequest, progress: StreamProgress): number {
     const { cameAt, endsAt, route } = request
+    // A stream that has begun is worth going on with for as long as its caller bears the pause.
+    if (progress.firstEventAt !== undefined) return Math.min(endsAt, this.parts.clock.now() + LONGEST_PAUSE_MILLISECONDS)
     return Math.min(endsAt, cameAt + Math.max(route.objectiveMilliseconds, (endsAt - cameAt) * SHARE_OF_TIME_TO_WAIT))
   }
 
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -28,8 +28,6 @@
 const COMING_MILLISECONDS = 60
 /** Spreads adapters that lie nowhere yet, the same way on all instances. */
 const HOME_MILLISECONDS = 150
-/** An engine that was asked and has not answered yet keeps its turn unless another is much better. */
-const ASKED_MILLISECONDS = 300
 /** A further copy takes a slot and a load: it is asked for only when it saves a request this much. */
 const COPY_GAIN_MILLISECONDS = 400
 /** Further copies of one adapter are asked for at most so often: the last one shows its effect before. */
@@ -94,8 +92,10 @@
   /**
    * Picks the engine that should load the adapter. All instances pick the same one while they believe the same, so
    * that requests that come to several instances share one load.
+   *
+   * @param bias - milliseconds by which an engine seems slower or faster to the asker than to all others
    */
-  chooseForLoad (service: Service, key: AdapterKey, model: string, excluded: ReadonlySet<EndpointId>, asked: EndpointId | undefined, now: number): LoadChoice | undefined {
+  chooseForLoad (service: Service, key: AdapterKey, model: string, excluded: ReadonlySet<EndpointId>, bias: (endpoint: EndpointId) => number, now: number): LoadChoice | undefined {
     const { locations, isOrdered } = this.parts
     const shape = service.engine
     if (shape === undefined) return undefined
@@ -103,8 +103,8 @@
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
     let best: LoadChoice | undefined
     for (const endpoint of usable) {
-      if (locations.isComing(endpoint.id, key)) return { endpoint, costMilliseconds: 0 }
-      const costMilliseconds = this.loadCost(endpoint, shape, key, now) - (endpoint.id === asked ? ASKED_MILLISECONDS : 0)
+      if (locations.isComing(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
+      const costMilliseconds = this.loadCost(endpoint, shape, key, now) + bias(endpoint.id)
       if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
     return best
@@ -117,7 +117,7 @@
     if (adapter === undefined || adapter.name === undefined || shape === undefined) return undefined
     if (best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + LOAD_MILLISECONDS) return undefined
     if (now - (this.copiesAsked.get(adapter.key) ?? -Infinity) < COPY_PAUSE_MILLISECONDS) return undefined
-    const load = this.chooseForLoad(service, adapter.key, adapter.model, NONE, undefined, now)
+    const load = this.chooseForLoad(service, adapter.key, adapter.model, NONE, unbiased, now)
     if (load === undefined) return undefined
     const there = this.weigh(load.endpoint, shape, facts, now).forecastMilliseconds + LOAD_MILLISECONDS
     if (there + COPY_GAIN_MILLISECONDS > best.forecastMilliseconds) return undefined
@@ -158,17 +158,20 @@
 
   /** @returns milliseconds until the adapter could be used there, with what the load takes from others on top */
   private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, now: number): number {
-    const { board, forecast, locations, dataCentre, ejection } = this.parts
+    const { board, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
-    const travel = locations.isAtHand(endpoint.id, key) ? AT_HAND_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
+    const travel = locations.isAtHand(endpoint.id, key, leastVersion(key, now)) ? AT_HAND_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
     const coming = locations.comingTo(endpoint.id)
     const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - coming
     const slots = idleSlots > 0 ? 0 : BUSY_SLOTS_MILLISECONDS * (1 - idleSlots)
+    // It runs there and is not offered there: it is on its way out or being replaced, which waits for those runs.
+    const leaving = board.running(endpoint.id, key, now) > 0 ? BUSY_SLOTS_MILLISECONDS : 0
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
     const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
     const home = HOME_MILLISECONDS * (1 - rendezvousWeight(key, endpoint.id))
-    return reading + travel + slots + coming * COMING_MILLISECONDS + remote + penalty + home
+    return reading + travel + slots + leaving + coming * COMING_MILLISECONDS + remote + penalty + home
   }
 }
 
 const NONE: ReadonlySet<EndpointId> = new Set()
+const unbiased = (): number => 0
--- a/packages/ingress/test/adapter-locations.failure.test.ts
+++ b/packages/ingress/test/adapter-locations.failure.test.ts
@@ -39,9 +39,9 @@
     const locations = new AdapterLocations()
     locations.takeNotice(notice({ sequence: 1, held: [[key('x'), 1]] }), 0)
     locations.takeNotice(notice({ sequence: 2 }), 0)
-    const before = locations.isAtHand('a' as EndpointId, key('x'))
+    const before = locations.isAtHand('a' as EndpointId, key('x'), 0)
     locations.remove('a' as EndpointId)
-    expect([before, locations.isAtHand('a' as EndpointId, key('x'))]).toEqual([true, false])
+    expect([before, locations.isAtHand('a' as EndpointId, key('x'), 0)]).toEqual([true, false])
   })
 
   it('wake those that wait when the adapter arrives', async () => {
@@ -52,3 +52,18 @@
     expect([...locations.holders(key('x')).keys()]).toEqual(['a'])
   })
 })
+
+describe('a load that was lost', () => {
+  it('draws no further requests to its engine once it takes longer than any load', () => {
+    const locations = new AdapterLocations()
+    locations.takeNotice(notice({ coming: ['base/x'] }), 1_000)
+    expect([1_500, 2_100].map((now) => locations.isComing('a' as EndpointId, key('x'), now))).toEqual([true, false])
+  })
+
+  it('of an older version does not count as at hand', () => {
+    const locations = new AdapterLocations()
+    locations.takeNotice(notice({ sequence: 1, held: [[key('x'), 1]] }), 0)
+    locations.takeNotice(notice({ sequence: 2 }), 0)
+    expect([0, 1, 2].map((version) => locations.isAtHand('a' as EndpointId, key('x'), version))).toEqual([true, true, false])
+  })
+})
