Leave no listener behind with each load turn; let a leak's warning fail the test run

Cause: acquire() and the stand-in's transfer() added an abort listener each time and never took it off; the eleventh brought the warning.

--- a/packages/entry/src/loads/paced-load-turns.ts
+++ b/packages/entry/src/loads/paced-load-turns.ts
@@ -27,12 +27,18 @@
 
   override async acquire (urgency: number, signal: AbortSignal): Promise<() => void> {
     await new Promise<void>((resolve, reject) => {
-      const entry: Waiting = { urgency, begin: resolve }
-      this.waiting.push(entry)
-      signal.addEventListener('abort', () => {
+      // The signal lives as long as the loader: a listener left on it by each turn would stay for ever.
+      const giveUp = (): void => {
         this.waiting = this.waiting.filter((other) => other !== entry)
         reject(new Error('the wait for a load turn was given up'))
-      })
+      }
+      const begin = (): void => {
+        signal.removeEventListener('abort', giveUp)
+        resolve()
+      }
+      const entry: Waiting = { urgency, begin }
+      this.waiting.push(entry)
+      signal.addEventListener('abort', giveUp, { once: true })
       this.grant()
     })
     return () => {
--- a/packages/stand-ins/src/platform/weight-store.ts
+++ b/packages/stand-ins/src/platform/weight-store.ts
@@ -41,9 +41,14 @@
   async transfer (signal: AbortSignal): Promise<void> {
     this.advance()
     await new Promise<void>((resolve) => {
-      const transfer: Transfer = { left: 1000 / this.options.loadsPerSecond * this.slowness, finish: resolve }
+      const abandon = (): void => this.abandon(transfer)
+      const finish = (): void => {
+        signal.removeEventListener('abort', abandon)
+        resolve()
+      }
+      const transfer: Transfer = { left: 1000 / this.options.loadsPerSecond * this.slowness, finish }
       this.transfers.add(transfer)
-      signal.addEventListener('abort', () => this.abandon(transfer), { once: true })
+      signal.addEventListener('abort', abandon, { once: true })
       this.plan()
     })
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,6 +12,7 @@
     }))
   },
   test: {
+    setupFiles: ['./vitest.setup.ts'],
     include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
