Bring a whole model to an empty engine only for need; judge endpoints by error rates; own engines at once after a restart

Changes: models at hand are loaded without the store's pace, others only above 40% of slots in use or when nobody holds them; claims alone wait for members to settle; the floor of ejection is a quarter and two failures eject; plain endpoints are judged by their share of errors against their peers'; connects wait 0.25 s; digests become rarer beyond ten instances. The loader's wants and the notices on held adapters are modules of their own now.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** The decisions: where a request goes, what is loaded and evicted, who waits, who is refused. No input or output here. */
 export * from './routing/routing-policy.js'
 export * from './routing/outlier-ejection.js'
+export * from './routing/error-rates.js'
 export * from './routing/rendezvous.js'
 export * from './routing/weighted-routing-policy.js'
 export * from './eviction/eviction-policy.js'
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -8,6 +8,9 @@
 import type { AdapterLocations } from './adapter-locations.js'
 import type { EngineControl, EngineOrder, OrderAnswer } from './engine-control.js'
 import type { ModelLoadPace } from './model-load-pace.js'
+import type { HeldStatement } from './held-notices.js'
+import { LoadWants } from './load-wants.js'
+import type { Want } from './load-wants.js'
 import { SlotLedger } from './slot-ledger.js'
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
@@ -28,8 +31,6 @@
 const LOST_LOAD_MILLISECONDS = 3_000
 /** Peers hear within this that an adapter leaves; a request that was on its way before has begun by then. */
 const LEAVING_NOTICE_MILLISECONDS = 30
-/** Whoever waits asks again and again; a want that was not repeated in this time has no waiter any more. */
-const WANT_MILLISECONDS = 800
 /** A load is for requests that wait; until peers have told that they run, nothing else may take its slot. */
 const SETTLE_MILLISECONDS = 500
 /** Reports are some hundred milliseconds old; one taken after this shows the last order. */
@@ -53,25 +54,18 @@
   readonly holder: string
   /** @returns the newest announced version; 0 for none */
   readonly newestVersion: (key: AdapterKey) => number
+  /** @returns whether one more engine with the model is worth a load from the weight store */
+  readonly isModelNeeded: (endpoint: Endpoint, model: ModelName) => boolean
   /** @returns whether orders may be given now */
   readonly mayOrder: (endpoint: EndpointId) => boolean
   /** Tells all instances what the engine holds. */
-  readonly publish: (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>) => void
+  readonly publish: (statement: HeldStatement) => void
   /** Someone else orders this engine, or another one listens at its address. */
   readonly onLost: (endpoint: EndpointId, reason: OrderAnswer) => void
   /** The engine could not be reached. */
   readonly onSilent: (endpoint: EndpointId, reason: string) => void
 }
 
-interface Want {
-  version: number
-  waiting: boolean
-  readonly firstAskedAt: number
-  askedAt: number
-  /** What it waited for last; for the log. */
-  heldUpBy: 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine' | 'runs of the old version'
-}
-
 /** The loads of one engine in one life, under one token. */
 export class EndpointLoader {
   readonly endpoint: Endpoint
@@ -79,7 +73,7 @@
   private readonly shape: EngineShape
   private readonly around: LoaderSurroundings
   private readonly ledger: SlotLedger
-  private readonly wants = new Map<AdapterKey, Want>()
+  private readonly wants = new LoadWants()
   private readonly hidden = new Set<AdapterKey>()
   private readonly wake = new Wake()
   private published = 0
@@ -94,15 +88,7 @@
 
   /** Asks for an adapter, or says that it is still wanted. */
   want (key: AdapterKey, version: number, waiting: boolean): void {
-    const known = this.wants.get(key)
-    if (known === undefined) {
-      const now = this.around.clock.now()
-      this.wants.set(key, { version, waiting, firstAskedAt: now, askedAt: now, heldUpBy: 'nothing' })
-    } else {
-      known.version = Math.max(known.version, version)
-      known.waiting ||= waiting
-      known.askedAt = this.around.clock.now()
-    }
+    this.wants.ask(key, version, waiting, this.around.clock.now())
     this.wake.notify()
   }
 
@@ -142,7 +128,7 @@
       const due = orderedAt + this.travelTime(key)
       earliest = Math.min(earliest, due > now ? due : now + CONFIRM_MILLISECONDS)
     }
-    if (this.wants.size > 0) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
+    if (!this.wants.isEmpty) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
     return Math.max(1, earliest - now)
   }
 
@@ -153,13 +139,15 @@
 
   /** @returns whether something was done */
   private async step (signal: AbortSignal): Promise<boolean> {
-    const model = this.missingModel()
-    if (model !== undefined) return await this.loadModel(model, signal)
-    const next = this.nextWant()
-    if (next === undefined) return false
-    const [key, want] = next
+    if (this.ledger.models.length === 0) {
+      const model = this.missingModel()
+      return model !== undefined && await this.loadModel(model, signal)
+    }
+    const want = this.nextWant()
+    if (want === undefined) return false
+    const { key } = want
     if (this.ledger.holds(key, want.version) && !this.hidden.has(key)) {
-      this.wants.delete(key)
+      this.wants.met(key)
       this.publish()
       return true
     }
@@ -170,43 +158,30 @@
   }
 
   private missingModel (): ModelName | undefined {
-    if (this.ledger.models.length > 0) return undefined
     const fitting = this.shape.models.filter((model) => model.megabytes <= this.shape.megabytes)
     // Engines that come empty take up the models in turn, by what waits for them first.
-    const wanted = [...this.wants.keys()].map((key) => modelOf(key))
-    return (fitting.find((model) => wanted.includes(model.name)) ?? fitting[0])?.name
+    const wanted = this.wants.keys().map((key) => modelOf(key))
+    const { modelsAtHand } = this.ledger
+    const affordable = fitting.filter(({ name }) => modelsAtHand.includes(name) || this.around.isModelNeeded(this.endpoint, name))
+    return (affordable.find((model) => wanted.includes(model.name)) ?? affordable[0])?.name
   }
 
-  private nextWant (): [AdapterKey, Want] | undefined {
+  private nextWant (): Want | undefined {
     const now = this.around.clock.now()
-    let best: [AdapterKey, Want] | undefined
-    for (const [key, want] of this.wants) {
-      if (now - want.askedAt > WANT_MILLISECONDS) {
-        this.wants.delete(key)
-        continue
-      }
-      if (this.ledger.coming.has(key)) continue
-      if (this.ledger.departing.has(key)) continue
-      if (best === undefined || this.isMoreUrgent([key, want], best)) best = [key, want]
-    }
-    if (best === undefined || this.ledger.atHand.has(best[0])) return best
-    if (this.ledger.coming.size < MOST_COMING && this.around.locations.travelling(now) < MOST_TRAVELLING) return best
-    best[1].heldUpBy = 'travelling loads'
+    const { coming, departing, atHand } = this.ledger
+    const want = this.wants.next((key) => coming.has(key) || departing.has(key), (key) => atHand.has(key), now)
+    if (want === undefined || atHand.has(want.key)) return want
+    if (coming.size < MOST_COMING && this.around.locations.travelling(now) < MOST_TRAVELLING) return want
+    want.heldUpBy = 'travelling loads'
     return undefined
   }
 
-  /** What requests wait for goes first; of these, what lies at hand, since it takes a tenth of the time. */
-  private isMoreUrgent ([key, want]: [AdapterKey, Want], [otherKey, other]: [AdapterKey, Want]): boolean {
-    if (want.waiting !== other.waiting) return want.waiting
-    return this.ledger.atHand.has(key) && !this.ledger.atHand.has(otherKey)
-  }
-
   private async load (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
     const version = Math.max(want.version, this.around.newestVersion(key))
     const answer = await this.order('load', key, version === 0 ? undefined : version, signal)
     if (answer === 'accepted') {
       this.ledger.ordered(key, version, this.around.clock.now())
-      this.wants.delete(key)
+      this.wants.met(key)
       this.publish()
       return true
     }
@@ -267,13 +242,14 @@
       pins: this.around.board.running(this.endpoint.id, key, now) + (now - slot.loadedAt < SETTLE_MILLISECONDS ? 1 : 0),
       loadedAt: slot.loadedAt,
       lastUsedAt: slot.lastUsedAt,
-      waiting: this.wants.has(key) ? 1 : 0,
+      waiting: this.wants.find(key) === undefined ? 0 : 1,
       otherCopies: Math.max(0, this.around.locations.holders(key).size - 1)
     }))
   }
 
   private async loadModel (model: ModelName, signal: AbortSignal): Promise<boolean> {
-    if (!this.around.mayOrder(this.endpoint.id) || !this.around.pace.take(this.shape.modelLoadsPerSecond)) return false
+    const fromStore = !this.ledger.modelsAtHand.includes(model)
+    if (!this.around.mayOrder(this.endpoint.id) || (fromStore && !this.around.pace.take(this.shape.modelLoadsPerSecond))) return false
     const order: EngineOrder = { operation: 'load', model, adapter: undefined, version: undefined, ifSequence: this.ledger.sequence }
     const answer = await this.send(order, signal)
     if (answer !== 'accepted') return false
@@ -317,8 +293,8 @@
   private arrived (key: AdapterKey): void {
     this.ledger.completed(key, this.around.clock.now())
     this.hidden.delete(key)
-    const want = this.wants.get(key)
-    if (want !== undefined && this.ledger.holds(key, want.version)) this.wants.delete(key)
+    const want = this.wants.find(key)
+    if (want !== undefined && this.ledger.holds(key, want.version)) this.wants.met(key)
     this.publish()
   }
 
@@ -336,7 +312,7 @@
     const result = await control.order(target, order)
     const { operation, adapter, version, ifSequence } = order
     const outcome = result.isOk() ? result.value : result.error.kind
-    const want = adapter === undefined ? undefined : this.wants.get(adapterKey(order.model, adapter))
+    const want = adapter === undefined ? undefined : this.wants.find(adapterKey(order.model, adapter))
     const waited = want === undefined ? undefined : Math.round(this.around.clock.now() - want.firstAskedAt)
     logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome, waited, heldUpBy: want?.heldUpBy })
     // An order without an answer may have been carried out, or may be later. The next one bears the same condition: if
@@ -371,7 +347,7 @@
 
   private publish (): void {
     this.published += 1
-    this.around.publish(this.endpoint, this.token, this.published, this.ledger, this.hidden)
+    this.around.publish({ endpoint: this.endpoint, token: this.token, sequence: this.published, ledger: this.ledger, hidden: this.hidden })
   }
 }
 
--- a/packages/ingress/src/adapters/engine-control.ts
+++ b/packages/ingress/src/adapters/engine-control.ts
@@ -45,6 +45,8 @@
   readonly sequence: number
   readonly busy: boolean
   readonly models: readonly ModelName[]
+  /** Models that it loads from its own copy, without the weight store. */
+  readonly modelsAtHand: readonly ModelName[]
   readonly held: readonly HeldAdapter[]
   /** Adapters on their way; they take slots. */
   readonly coming: readonly HeldAdapter[]
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -49,7 +49,7 @@
   private readonly running = new Map<EndpointId, Running>()
   private readonly missingSince = new Map<EndpointId, number>()
   private pausedUntil = -Infinity
-  private readyAt: number | undefined
+  private claimsFrom: number | undefined
   private stopping = false
 
   constructor (parts: LoadDutyParts, surroundings: Omit<LoaderSurroundings, 'mayOrder' | 'onLost' | 'holder'>) {
@@ -107,8 +107,7 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MILLISECONDS, signal)
       if (!members.known || this.stopping) continue
-      this.readyAt ??= clock.now() + SETTLE_MILLISECONDS
-      if (clock.now() < this.readyAt) continue
+      this.claimsFrom ??= clock.now() + SETTLE_MILLISECONDS
       for (const endpoint of this.parts.directory.all()) {
         const shape = this.shapeOf(endpoint)
         if (shape !== undefined && !endpoint.leaving) await this.look(endpoint, shape)
@@ -128,7 +127,7 @@
     const holder = this.holders.get(endpoint.id)
     if (holder?.holder === members.self.name) return this.startLoader(endpoint, holder, shape)
     if (holder !== undefined && members.isLive(holder.holder)) return
-    if (this.successor(endpoint) !== members.self.name) return
+    if (this.parts.clock.now() < (this.claimsFrom ?? Infinity) || this.successor(endpoint) !== members.self.name) return
     await this.claim(endpoint, holder)
   }
 
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -30,6 +30,7 @@
   /** Adapters evicted of late: engines keep them at hand and load them in a tenth of the time. */
   readonly atHand = new Set<AdapterKey>()
   models: readonly ModelName[] = []
+  modelsAtHand: readonly ModelName[] = []
   /** Orders that the engine has accepted. */
   sequence = 0
   private readonly slots: number
@@ -96,6 +97,7 @@
   adopt (report: EngineReport, now: number): void {
     this.sequence = report.sequence
     this.models = report.models
+    this.modelsAtHand = report.modelsAtHand
     this.replaceHeld(report.held, now)
     for (const key of [...this.coming.keys()]) if (!report.coming.some((adapter) => adapter.key === key)) this.coming.delete(key)
     for (const { key, version } of report.coming) this.coming.set(key, this.coming.get(key) ?? { version, orderedAt: now, askedAt: now })
--- a/packages/ingress/src/relay/endpoint-connections.ts
+++ b/packages/ingress/src/relay/endpoint-connections.ts
@@ -3,7 +3,7 @@
 import { buildConnector, Client } from 'undici'
 
 /** Data centres are a few milliseconds apart; what does not answer in this time is cut off or gone. */
-const CONNECT_MILLISECONDS = 400
+const CONNECT_MILLISECONDS = 250
 /**
  * An endpoint closes idle connections after a time that it does not always tell. One that closes just as a request is
  * sent leaves it unknown whether the request ran, so connections are given up well before.
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -1,5 +1,6 @@
 /** Relays requests to plain services: the answer is read whole before the caller gets any of it. */
 import type { Clock, EndpointId } from '@limpetwinch/core'
+import type { ErrorRates } from '@limpetwinch/decisions'
 import type { RepeatBudgets } from '../retries/repeat-budgets.js'
 import type { Endpoint } from '../routes/configuration.js'
 import type { LoadBoard } from '../routing/load-board.js'
@@ -26,6 +27,7 @@
   readonly router: ServiceRouter
   readonly board: LoadBoard
   readonly senders: EndpointSenders
+  readonly errors: ErrorRates
   readonly budgets: RepeatBudgets
   readonly random: () => number
 }
@@ -105,7 +107,7 @@
   }
 
   private judge ({ end, head }: TryResult, endpoint: Endpoint, record: TryRecord): 'deliver' | 'server-error' | 'not-run' | 'unknown' {
-    const { senders } = this.parts
+    const { senders, errors } = this.parts
     if (end.kind === 'not-sent') {
       senders.observe(endpoint.id, 'failed', end.reason)
       record.notRun(endpoint.id, end.reason)
@@ -122,11 +124,13 @@
       return 'unknown'
     }
     if (head.status >= FIRST_SERVER_ERROR) {
-      senders.observe(endpoint.id, 'failed', `status ${head.status}`)
+      // A service may answer some requests with errors of its own; what counts is whether one endpoint does so more often.
+      errors.observe(endpoint.id, true)
       record.unknown(endpoint.id, `status ${head.status}`)
       return 'server-error'
     }
     senders.observe(endpoint.id, 'answered')
+    errors.observe(endpoint.id, false)
     return 'deliver'
   }
 }
--- a/packages/ingress/src/routing/load-board.ts
+++ b/packages/ingress/src/routing/load-board.ts
@@ -3,7 +3,7 @@
 import type { AdapterKey } from '../routes/configuration.js'
 
 /** A peer's word counts for so long; one that stopped speaking must not weigh on an endpoint for ever. */
-const PEER_WORD_MILLISECONDS = 3_000
+const PEER_WORD_MILLISECONDS = 5_000
 
 /** What an endpoint has in hand. */
 export interface WorkInHand {
--- a/packages/ingress/src/routing/service-router.ts
+++ b/packages/ingress/src/routing/service-router.ts
@@ -1,5 +1,5 @@
 /** Picks the endpoint of a plain service: the one with the most room, the near one among equals. */
-import type { OutlierEjection } from '@limpetwinch/decisions'
+import type { ErrorRates, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { Endpoint, ServiceName } from '../routes/configuration.js'
@@ -9,18 +9,22 @@
 const REMOTE_SLOTS = 0.6
 /** Slots by which an endpoint that has just failed seems fuller. */
 const PENALTY_SLOTS = 3
+/** Slots by which one seems fuller that answers with errors more often than its peers: it is the last to be taken. */
+const CONSPICUOUS_SLOTS = 12
 
 /** Chooses endpoints of plain services. */
 export class ServiceRouter {
   private readonly directory: EndpointDirectory
   private readonly board: LoadBoard
   private readonly ejection: OutlierEjection
+  private readonly errors: ErrorRates
   private readonly dataCentre: string
 
-  constructor (directory: EndpointDirectory, board: LoadBoard, ejection: OutlierEjection, dataCentre: string) {
+  constructor (directory: EndpointDirectory, board: LoadBoard, ejection: OutlierEjection, errors: ErrorRates, dataCentre: string) {
     this.directory = directory
     this.board = board
     this.ejection = ejection
+    this.errors = errors
     this.dataCentre = dataCentre
   }
 
@@ -31,13 +35,14 @@
    * @returns the endpoint, or undefined when there is none left
    */
   choose (service: ServiceName, excluded: ReadonlySet<EndpointId>, random: () => number, now: number): Endpoint | undefined {
+    const all = this.directory.servable(service).map(({ id }) => id)
     const candidates = this.directory.servable(service)
       .filter((endpoint) => !excluded.has(endpoint.id))
       .map((endpoint) => ({ endpoint: endpoint.id, entry: endpoint }))
     let best: Endpoint | undefined
     let least = Infinity
     for (const { entry } of this.ejection.usable(candidates, now)) {
-      const fullness = this.fullness(entry, now) + random() / (10 * entry.slots)
+      const fullness = this.fullness(entry, all, now) + random() / (10 * entry.slots)
       if (fullness >= least) continue
       best = entry
       least = fullness
@@ -45,9 +50,10 @@
     return best
   }
 
-  private fullness (endpoint: Endpoint, now: number): number {
+  private fullness (endpoint: Endpoint, all: readonly EndpointId[], now: number): number {
     const remote = endpoint.dataCentre === this.dataCentre ? 0 : REMOTE_SLOTS
     const penalty = PENALTY_SLOTS * this.ejection.penalty(endpoint.id, now)
-    return (this.board.inHand(endpoint.id, now).requests + remote + penalty) / endpoint.slots
+    const conspicuous = this.errors.isConspicuous(endpoint.id, all) ? CONSPICUOUS_SLOTS : 0
+    return (this.board.inHand(endpoint.id, now).requests + remote + penalty + conspicuous) / endpoint.slots
   }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,15 +1,17 @@
 /** One ingress instance: builds the parts, runs their tasks, stops them in order. */
 import type { Server } from 'node:http'
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { AdaptersHeldFrame, Clock, DeletingObjectStore, EndpointId, FencingToken, LineSink, LoadAskFrame, Logger, StoredObject } from '@limpetwinch/core'
-import { OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
+import type { Clock, DeletingObjectStore, LineSink, LoadAskFrame, Logger, StoredObject } from '@limpetwinch/core'
+import { ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { AdapterSeeker } from '../adapters/adapter-seeker.js'
 import type { EngineControl } from '../adapters/engine-control.js'
+import { HeldNotices } from '../adapters/held-notices.js'
 import { LoadDuty } from '../adapters/load-duty.js'
+import { isModelNeeded } from '../adapters/model-need.js'
+import type { EngineUse } from '../adapters/model-need.js'
 import { ModelLoadPace } from '../adapters/model-load-pace.js'
-import type { SlotLedger } from '../adapters/slot-ledger.js'
 import { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
 import { AdapterVersions } from '../beliefs/adapter-versions.js'
 import { BeliefExchange } from '../beliefs/belief-exchange.js'
@@ -27,7 +29,7 @@
 import { ServiceRelay } from '../relay/service-relay.js'
 import { StreamRelay } from '../relay/stream-relay.js'
 import { RepeatBudgets } from '../retries/repeat-budgets.js'
-import type { AdapterAnnouncement, AdapterKey, Configuration, Endpoint } from '../routes/configuration.js'
+import type { AdapterAnnouncement, AdapterKey, Configuration, Endpoint, ModelName } from '../routes/configuration.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { LoadBoard } from '../routing/load-board.js'
@@ -42,7 +44,14 @@
 const HEARTBEAT_MILLISECONDS = 500
 /** Digests of work in hand: routing by peers' work is this old. */
 const DIGEST_MILLISECONDS = 150
+/**
+ * Beyond so many instances digests become rarer in proportion, so that what each sends and reads stays the same; each
+ * then holds a smaller part of the work, and its own share of the picture can be older.
+ */
+const MEMBERS_AT_FULL_PACE = 10
 const HOUSEKEEPING_MILLISECONDS = 250
+/** At each housekeeping: an endpoint that is avoided for its errors is tried again after some seconds. */
+const ERROR_DECAY = 0.97
 /** A watch bounds how late a store that fell silent is noticed; each one is a call that the platform counts. */
 const ENDPOINT_WATCH_MILLISECONDS = 2_500
 const OTHER_WATCH_MILLISECONDS = 8_000
@@ -51,8 +60,11 @@
 const OTHER_PACE_MILLISECONDS = 50
 /** After a pause no order is given until the store has been read again. */
 const ORDER_PAUSE_MILLISECONDS = 1_000
-/** Ejections here are short: an endpoint that comes back is needed at once, and one that fails again is ejected longer. */
-const EJECTION = { failuresToEject: 3, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, returnMilliseconds: 4_000 }
+/**
+ * Ejections here are short: an endpoint that comes back is needed at once, and one that fails again is ejected longer. The
+ * floor is below the share of a data centre that is cut off from two others, which must not go on trying theirs.
+ */
+const EJECTION = { failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, returnMilliseconds: 4_000, floor: 0.25 }
 
 /** Where the platform's objects lie, and how they are read. */
 export interface PlatformForms {
@@ -95,7 +107,9 @@
   private readonly forecast = new FirstEventForecast()
   private readonly prefixes = new PrefixMemory()
   private readonly ejection = new OutlierEjection(EJECTION)
+  private readonly errors = new ErrorRates()
   private readonly policy = new StallEvictionPolicy({ leastResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
+  private readonly heldNotices: HeldNotices
   private readonly duty: LoadDuty
   private readonly seeker: AdapterSeeker
   private readonly senders: EndpointSenders
@@ -131,6 +145,7 @@
     this.configuration = new AcceptedConfiguration(logger.part('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
+    this.heldNotices = new HeldNotices(this.network, this.locations, this.metrics, this.clock)
     this.duty = this.makeDuty()
     const router = new EngineRouter({
       directory: this.directory,
@@ -224,11 +239,20 @@
       policy: this.policy,
       pace: new ModelLoadPace(this.clock, () => this.members.count),
       newestVersion: (key) => this.versions.newest(key) ?? 0,
-      publish: (endpoint, token, sequence, ledger, hidden) => this.publishHeld(endpoint, token, sequence, ledger, hidden),
+      isModelNeeded: (endpoint, model) => isModelNeeded(this.enginesWith(endpoint, model)),
+      publish: (statement) => this.heldNotices.publish(statement),
       onSilent: (endpoint, reason) => this.senders.observe(endpoint, 'failed', reason)
     })
   }
 
+  private enginesWith (endpoint: Endpoint, model: ModelName): EngineUse[] {
+    const slots = this.configuration.current?.services.get(endpoint.service)?.engine?.adapterSlots ?? 0
+    const now = this.clock.now()
+    return this.directory.servable(endpoint.service)
+      .filter((engine) => engine.models.includes(model))
+      .map(({ id }) => ({ slots, adaptersInUse: this.board.adaptersInUse(id, now) }))
+  }
+
   private makeListener (): RoutedListener {
     const { clock, board, senders, metrics } = this
     const budgets = new RepeatBudgets(this.settings.repeats, () => this.members.count)
@@ -236,9 +260,10 @@
       clock,
       board,
       senders,
+      errors: this.errors,
       budgets,
       random: Math.random,
-      router: new ServiceRouter(this.directory, board, this.ejection, this.settings.dataCentre)
+      router: new ServiceRouter(this.directory, board, this.ejection, this.errors, this.settings.dataCentre)
     })
     const streams = new StreamRelay({
       clock,
@@ -308,7 +333,7 @@
       loader.want(frame.key as AdapterKey, frame.version, frame.waiting)
     })
     this.network.onNotice('load-refused', (_from, frame) => this.seeker.refused(frame.endpoint, frame.key))
-    this.network.onConnected(() => this.retellHeld())
+    this.network.onConnected(() => this.heldNotices.retell((endpoint) => this.duty.loader(endpoint) !== undefined))
   }
 
   private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
@@ -316,6 +341,7 @@
     if (change === 'gone') {
       this.locations.remove(endpoint.id)
       this.senders.forget(endpoint.id)
+      this.errors.forget(endpoint.id)
     }
     if (change !== 'arrived') {
       this.prefixes.forget(endpoint.id)
@@ -327,34 +353,10 @@
     for (const endpoint of this.directory.all()) this.locations.takeStatement(endpoint)
   }
 
-  private readonly lastHeld = new Map<EndpointId, AdaptersHeldFrame>()
-
-  private publishHeld (endpoint: Endpoint, token: FencingToken, sequence: number, ledger: SlotLedger, hidden: ReadonlySet<AdapterKey>): void {
-    const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
-    const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, coming: [...ledger.coming.keys()] }
-    this.lastHeld.set(endpoint.id, frame)
-    this.locations.takeNotice(frame, this.clock.now())
-    for (const peer of this.network.connected()) {
-      this.metrics.adapterNotice('sent')
-      this.network.notify(peer, frame)
-    }
-  }
-
-  /** A peer that has just connected has heard nothing; what it believes would otherwise be as old as engines' statements. */
-  private retellHeld (): void {
-    for (const [id, frame] of this.lastHeld) {
-      if (this.duty.loader(id) === undefined) {
-        this.lastHeld.delete(id)
-        continue
-      }
-      for (const peer of this.network.connected()) this.network.notify(peer, frame)
-    }
-  }
-
   private async tellDigests (signal: AbortSignal): Promise<void> {
     let wasEmpty = true
     while (!signal.aborted) {
-      await this.clock.sleep(DIGEST_MILLISECONDS, signal)
+      await this.clock.sleep(DIGEST_MILLISECONDS * Math.max(1, this.members.count / MEMBERS_AT_FULL_PACE), signal)
       const loads = this.board.digest()
       if (loads.length === 0 && wasEmpty) continue
       wasEmpty = loads.length === 0
@@ -367,6 +369,7 @@
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
       this.directory.expire(this.clock.now())
       this.senders.prune()
+      this.errors.decay(ERROR_DECAY)
     }
   }
 
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -55,8 +55,9 @@
     pace: new ModelLoadPace(clock, () => 1),
     holder: 'me',
     newestVersion: () => 0,
+    isModelNeeded: () => true,
     mayOrder: () => true,
-    publish: (_endpoint, token, sequence, ledger, hidden) => {
+    publish: ({ token, sequence, ledger, hidden }) => {
       const held = [...ledger.held].filter(([name]) => !hidden.has(name)).map(([name, slot]): [string, number] => [name, slot.version])
       locations.takeNotice({ kind: 'adapters-held', endpoint: subject.id, born: 100, token, sequence, held, coming: [...ledger.coming.keys()] }, clock.now())
     },
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from 'node:net'
 import { silentLogger, SystemClock } from '@limpetwinch/core'
 import type { EndpointId, InstanceId, LoadAskFrame } from '@limpetwinch/core'
-import { OutlierEjection } from '@limpetwinch/decisions'
+import { ErrorRates, OutlierEjection } from '@limpetwinch/decisions'
 import { AdapterLocations } from '../../src/adapters/adapter-locations.js'
 import { AdapterSeeker } from '../../src/adapters/adapter-seeker.js'
 import { AcceptedConfiguration } from '../../src/beliefs/accepted-configuration.js'
@@ -70,7 +70,8 @@
     const seeker = new AdapterSeeker({
       clock, logger, router, locations, holderOf: () => 'holder' as InstanceId, ask: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
     })
-    const services = new ServiceRelay({ clock, board, senders, budgets, random, router: new ServiceRouter(directory, board, ejection, 'here') })
+    const errors = new ErrorRates()
+    const services = new ServiceRelay({ clock, board, senders, errors, budgets, random, router: new ServiceRouter(directory, board, ejection, errors, 'here') })
     const streams = new StreamRelay({ clock, board, senders, budgets, seeker, locations, forecast, prefixes, expectedVersion: () => undefined })
     this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, budgets, metrics, random, streams, services })
     if (behind.routes.length > 0) this.configure(behind.routes)
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -49,7 +49,7 @@
   /** @returns the engine's own account */
   report (): Result<EngineReport, LimpetwinchError> {
     const inState = (wanted: string): EngineReport['held'] => [...this.adapters].filter(([, state]) => state === wanted).map(([name]) => ({ key: key(name), version: 1 }))
-    return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], held: inState('held'), coming: inState('coming') })
+    return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], modelsAtHand: [], held: inState('held'), coming: inState('coming') })
   }
 
   private carryOut (order: EngineOrder): OrderAnswer {
