--- /dev/null
+++ b/packages/ingress/test/load-duty.failure.test.ts
@@ -0,0 +1,196 @@
+// One instance orders an engine's loads; it is lost, cut off or paused, and another takes over. Were both to order within one
+// lease, the engine could load for one what it evicts for the other, and callers would find their adapter gone. The successor
+// claims in the store, waits a lease, and only then begins; whoever learns that it holds no more stops at once.
+import { describe, expect, it } from 'vitest'
+import { LimpetwinchError, silentLogger } from '@limpetwinch/core'
+import type { DataCentreId, DeletingObjectStore, InstanceId } from '@limpetwinch/core'
+import { StallEvictionPolicy } from '@limpetwinch/decisions'
+import { MemoryObjectStore } from '@limpetwinch/stand-ins'
+import { ok, okAsync } from 'neverthrow'
+import type { Result, ResultAsync } from 'neverthrow'
+import { AdapterLocations } from '../src/adapters/adapter-locations.js'
+import { EngineControl } from '../src/adapters/engine-control.js'
+import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
+import { LoadDuty } from '../src/adapters/load-duty.js'
+import { ModelLoadPace } from '../src/adapters/model-load-pace.js'
+import { AcceptedConfiguration } from '../src/beliefs/accepted-configuration.js'
+import { StoreHealth } from '../src/beliefs/store-health.js'
+import { EndpointDirectory } from '../src/endpoints/endpoint-directory.js'
+import { CLUSTER_KIND, decodeClusterObject } from '../src/members/cluster-objects.js'
+import type { MemberList } from '../src/members/member-list.js'
+import { LoadBoard } from '../src/routing/load-board.js'
+import { ManualClock } from './support/manual-clock.js'
+import { endpoint, engineShape, key, route, service } from './support/samples.js'
+import { SimulatedEngine } from './support/simulated-engine.js'
+
+const LEASE = 3_000
+const HERE = 'here' as DataCentreId
+
+class StoreUnderTest extends MemoryObjectStore {
+  remove (): ResultAsync<void, LimpetwinchError> {
+    return okAsync(undefined)
+  }
+}
+
+interface OrderSeen {
+  readonly by: string
+  readonly token: number
+  readonly at: number
+}
+
+/** Engines whose tokens are checked, and who ordered them when. */
+class EnginesUnderTest extends EngineControl {
+  readonly seen: OrderSeen[] = []
+  private readonly engine = new SimulatedEngine({ slots: 2 })
+  private highest = 0
+
+  constructor (private readonly clock: ManualClock, private readonly checksTokens: boolean) {
+    super()
+  }
+
+  override async order (target: OrderTarget, order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
+    if (this.checksTokens && target.token < this.highest) return ok('stale-token')
+    this.highest = Math.max(this.highest, target.token)
+    this.seen.push({ by: target.holder, token: target.token, at: this.clock.now() })
+    return await this.engine.order(order)
+  }
+
+  override async report (): Promise<Result<EngineReport, LimpetwinchError>> {
+    return this.engine.report()
+  }
+}
+
+interface World {
+  readonly clock: ManualClock
+  readonly store: StoreUnderTest
+  readonly engines: EnginesUnderTest
+  /** Names of the instances that others hear. */
+  readonly heard: Set<string>
+}
+
+interface Instance {
+  readonly duty: LoadDuty
+  readonly health: StoreHealth
+  /** Reads the store, as a follower would. */
+  readonly look: () => Promise<void>
+  readonly want: () => void
+}
+
+function world (checksTokens = true): World {
+  const clock = new ManualClock()
+  return { clock, store: new StoreUnderTest(), engines: new EnginesUnderTest(clock, checksTokens), heard: new Set(['one', 'two']) }
+}
+
+function instance (name: string, { clock, store, engines, heard }: World, fencedEndpoints = true): Instance {
+  const logger = silentLogger()
+  const health = new StoreHealth(logger)
+  const configuration = new AcceptedConfiguration(logger)
+  configuration.apply({ version: 1, routes: [route()], services: [service('engines', engineShape())], limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 } }, 'store')
+  const directory = new EndpointDirectory(logger)
+  directory.apply({ revision: 1, endpoints: [endpoint('e', { service: 'engines' })] }, undefined, clock.now())
+  const live = (): { name: string, dataCentre: DataCentreId }[] => [...heard].map((each) => ({ name: each, dataCentre: HERE }))
+  const members = {
+    self: { name, instance: name as InstanceId, address: '', dataCentre: HERE }, known: true, live, isLive: (each: string) => heard.has(each), find: () => undefined
+  } as unknown as MemberList
+  const duty = new LoadDuty({ store: store as unknown as DeletingObjectStore, health, clock, logger, members, directory, configuration, leaseMilliseconds: LEASE, fencedEndpoints }, {
+    control: engines,
+    clock,
+    logger,
+    locations: new AdapterLocations(),
+    board: new LoadBoard(),
+    policy: new StallEvictionPolicy(),
+    pace: new ModelLoadPace(clock, () => 1),
+    newestVersion: () => 0,
+    isModelNeeded: () => true,
+    publish: () => {},
+    onSilent: () => {}
+  })
+  const look = async (): Promise<void> => {
+    const listing = await store.list(`${CLUSTER_KIND}/`)
+    if (listing.isErr()) return
+    health.answered(clock.now())
+    const holders = listing.value.objects.flatMap((object) => {
+      const decoded = decodeClusterObject(object)
+      return decoded?.kind === 'holder' ? [decoded.holder] : []
+    })
+    duty.apply(holders)
+  }
+  void duty.run(new AbortController().signal)
+  let wanted = 0
+  const want = (): void => duty.loader(endpoint('e').id)?.want(key(`${name}${wanted++}`), 0, true)
+  return { duty, health, look, want }
+}
+
+async function pass (milliseconds: number, { clock }: World, ...instances: readonly Instance[]): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 100) {
+    await clock.advance(100)
+    for (const each of instances) {
+      await each.look()
+      each.want()
+    }
+  }
+}
+
+describe('the duty to order an engine\'s loads', () => {
+  it('falls to exactly one of two instances, which begins at once', async () => {
+    const around = world()
+    const [one, two] = [instance('one', around), instance('two', around)]
+    await pass(4_000, around, one, two)
+    expect(new Set(around.engines.seen.map(({ by }) => by)).size).toBe(1)
+  })
+
+  it('passes to the other after a loss, and never within a lease of the last order', async () => {
+    const around = world()
+    const [one, two] = [instance('one', around), instance('two', around)]
+    await pass(4_000, around, one, two)
+    const first = around.engines.seen.at(-1)?.by ?? ''
+    around.heard.delete(first)
+    await pass(8_000, around, first === 'one' ? two : one)
+    const last = around.engines.seen.findLast(({ by }) => by === first)
+    const next = around.engines.seen.find(({ by }) => by !== first)
+    expect({ taken: next !== undefined, apart: (next?.at ?? 0) - (last?.at ?? 0) > LEASE, newer: (next?.token ?? 0) > (last?.token ?? 0) }).toEqual({ taken: true, apart: true, newer: true })
+  })
+
+  it('ends for the one before as soon as it reads of its successor, and stays apart by a lease', async () => {
+    const around = world()
+    const [one, two] = [instance('one', around), instance('two', around)]
+    await pass(4_000, around, one, two)
+    const first = around.engines.seen.at(-1)?.by ?? ''
+    around.heard.delete(first)
+    // The one before is only unheard by the other: it goes on until the store's watch tells it.
+    await pass(8_000, around, one, two)
+    const turns = around.engines.seen.filter(({ by }, index) => index > 0 && by !== around.engines.seen[index - 1]?.by)
+    const last = around.engines.seen.findLast(({ by }) => by === first)
+    expect({ turns: turns.length, apart: (turns[0]?.at ?? 0) - (last?.at ?? 0) > LEASE }).toEqual({ turns: 1, apart: true })
+  })
+
+  it('stops by itself where engines check no tokens and the store is unheard, before anybody else may begin', async () => {
+    const around = world(false)
+    const [one, two] = [instance('one', around, false), instance('two', around, false)]
+    await pass(4_000, around, one, two)
+    const first = around.engines.seen.at(-1)?.by ?? ''
+    const [cut, other] = first === 'one' ? [one, two] : [two, one]
+    around.heard.delete(first)
+    for (let passed = 0; passed < 8_000; passed += 100) {
+      await around.clock.advance(100)
+      cut.want()
+      await other.look()
+      other.want()
+    }
+    const last = around.engines.seen.findLast(({ by }) => by === first)
+    const next = around.engines.seen.find(({ by }) => by !== first)
+    expect({ taken: next !== undefined, apart: (next?.at ?? 0) - (last?.at ?? 0) > LEASE }).toEqual({ taken: true, apart: true })
+  })
+
+  it('rests after a pause until the store has been read', async () => {
+    const around = world()
+    const [one, two] = [instance('one', around), instance('two', around)]
+    await pass(4_000, around, one, two)
+    const before = around.engines.seen.length
+    for (const each of [one, two]) each.duty.pauseUntil(around.clock.now() + 1_000)
+    await pass(900, around, one, two)
+    const during = around.engines.seen.length
+    await pass(1_000, around, one, two)
+    expect({ during: during - before, after: around.engines.seen.length > during }).toEqual({ during: 0, after: true })
+  })
+})
