--- a/packages/ingress/test/load-duty.failure.test.ts
+++ b/packages/ingress/test/load-duty.failure.test.ts
@@ -2,8 +2,8 @@
 // lease, the engine could load for one what it evicts for the other, and callers would find their adapter gone. The successor
 // claims in the store, waits a lease, and only then begins; whoever learns that it holds no more stops at once.
 import { describe, expect, it } from 'vitest'
-import { LimpetwinchError, silentLogger } from '@limpetwinch/core'
-import type { DataCentreId, DeletingObjectStore, InstanceId } from '@limpetwinch/core'
+import { silentLogger } from '@limpetwinch/core'
+import type { DataCentreId, DeletingObjectStore, InstanceId , LimpetwinchError} from '@limpetwinch/core'
 import { StallEvictionPolicy } from '@limpetwinch/decisions'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { ok, okAsync } from 'neverthrow'
