--- a/packages/ingress/test/load-duty.failure.test.ts
+++ b/packages/ingress/test/load-duty.failure.test.ts
@@ -3,7 +3,7 @@
 // claims in the store, waits a lease, and only then begins; whoever learns that it holds no more stops at once.
 import { describe, expect, it } from 'vitest'
 import { silentLogger } from '@limpetwinch/core'
-import type { DataCentreId, DeletingObjectStore, InstanceId , LimpetwinchError} from '@limpetwinch/core'
+import type { DataCentreId, DeletingObjectStore, InstanceId, LimpetwinchError } from '@limpetwinch/core'
 import { StallEvictionPolicy } from '@limpetwinch/decisions'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
 import { ok, okAsync } from 'neverthrow'
