Refuse as not run what follows on a kept connection when an instance stops

Ruled out: the balancer (no new connection came) and idle connections (closed at 2.6 s). Change: while stopping, a connection ends with its answer; once no more is taken, a request that still comes is told so (503, not run).

--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -22,6 +22,9 @@
 /** A body may take so long; routes end their requests sooner as a rule. */
 const BODY_MILLISECONDS = 60_000
 
+/** The balancer gives the caller's next connection to another instance. */
+const STOPPING_RETRY_SECONDS = 0.05
+
 /** Serves one routed request to its end. */
 export interface RequestRelay {
   relay: (request: RoutedRequest) => Promise<RelayOutcome>
@@ -46,6 +49,7 @@
   private readonly server: Server
   private inProgress = 0
   private stopping = false
+  private refusing = false
 
   constructor (parts: RoutedListenerParts) {
     this.parts = parts
@@ -78,8 +82,9 @@
     this.stopping = true
   }
 
-  /** Takes no new connections and closes idle ones. */
-  closeIdle (): void {
+  /** Takes no new connections, closes idle ones, and refuses what still comes on the others. */
+  takeNoMore (): void {
+    this.refusing = true
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -94,6 +99,7 @@
     const cameAt = this.parts.clock.now()
     this.inProgress += 1
     if (this.stopping) outgoing.setHeader('connection', 'close')
+    outgoing.on('finish', () => this.endKeptConnection(incoming))
     const exchange = new CallerExchange(incoming, outgoing)
     try {
       await this.route(exchange, cameAt)
@@ -105,10 +111,20 @@
     }
   }
 
+  /**
+   * An answer that began before the stop did not ask its caller to leave. Were its connection kept, the caller's next
+   * request would come on it at any time until the process is gone.
+   */
+  private endKeptConnection (incoming: IncomingMessage): void {
+    if (this.stopping) incoming.socket.destroySoon()
+  }
+
   private async route (exchange: CallerExchange, cameAt: number): Promise<void> {
     const { configuration, codec } = this.parts
     const { incoming } = exchange
     const facts = codec.read(incoming.headers)
+    // Passed on now, it might be cut when the grace ends.
+    if (this.refusing) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('stopping', {}, { retryAfterSeconds: STOPPING_RETRY_SECONDS }))
     const inForce = configuration.current
     const target = incoming.url ?? '/'
     if (inForce === undefined) return this.refuseUnrouted(exchange, facts.requestId, new LimpetwinchError('not-configured'))
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -51,7 +51,7 @@
   readonly locations = new AdapterLocations()
   readonly listener: RoutedListener
   private readonly senders: EndpointSenders
-  private port = 0
+  port = 0
 
   private constructor (behind: Behind) {
     const clock = new SystemClock()
