--- a/packages/entry/src/runtime/supervisor.ts
+++ b/packages/entry/src/runtime/supervisor.ts
@@ -40,8 +40,10 @@
    * @returns a promise that resolves when the task has ended for good
    */
   start (name: string, task: Task, signal?: AbortSignal): Promise<void> {
-    const both = signal === undefined ? this.signal : AbortSignal.any([this.signal, signal])
-    const ended = this.keep(name, task, both)
+    // Each task gets a signal of its own: on a shared one the waits of a dozen healthy tasks look like a leak, and a
+    // leak in one of them would not be told from its neighbours.
+    const own = AbortSignal.any(signal === undefined ? [this.signal] : [this.signal, signal])
+    const ended = this.keep(name, task, own)
     this.running.add(ended)
     void ended.finally(() => this.running.delete(ended))
     return ended
