Finish a replacement that waited long for runs of the old version; keep the version of what an engine says it holds

Found on the last read: a want lives 0.8 s, a run of the old version many seconds; the want was dropped, the adapter stayed hidden and its slot was lost until the next conflict. An adapter that the engine already held was noted with version 0. Test failed first (the version stayed 1 and nothing was offered). The request id in one log line is read by the codec.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -108,6 +108,7 @@
     this.replaceOldVersions()
     while (!signal.aborted) {
       await this.confirmArrivals(signal)
+      this.resumeReplacements()
       if (signal.aborted) return
       if (await this.step(signal)) continue
       await this.wake.wait(this.nextLook(), signal)
@@ -121,6 +122,19 @@
     }
   }
 
+  /**
+   * A replacement waits for runs of the old version, longer than a want without a waiter lasts. Were it dropped, the
+   * adapter would stay hidden and its slot would be lost for good.
+   */
+  private resumeReplacements (): void {
+    for (const key of [...this.hidden]) {
+      if (this.ledger.coming.has(key) || this.ledger.departing.has(key)) continue
+      const newest = this.around.newestVersion(key)
+      if (this.ledger.held.has(key) && !this.ledger.holds(key, newest)) this.wants.ask(key, newest, true, this.around.clock.now())
+      else this.hidden.delete(key)
+    }
+  }
+
   private nextLook (): number {
     const now = this.around.clock.now()
     let earliest = now + LOOK_MILLISECONDS
@@ -186,7 +200,7 @@
       return true
     }
     if (answer === 'holds') {
-      this.arrived(key)
+      this.arrived(key, version)
       return true
     }
     return false
@@ -274,7 +288,7 @@
       if (!this.around.mayOrder(this.endpoint.id)) return
       const answer = await this.order('load', key, coming.version === 0 ? undefined : coming.version, signal)
       // While a load is on its way the engine accepts its repetition without counting it.
-      if (answer === 'holds') this.arrived(key)
+      if (answer === 'holds') this.arrived(key, coming.version)
     }
     await this.confirmDepartures(signal)
   }
@@ -290,8 +304,8 @@
     }
   }
 
-  private arrived (key: AdapterKey): void {
-    this.ledger.completed(key, this.around.clock.now())
+  private arrived (key: AdapterKey, version: number): void {
+    this.ledger.completed(key, version, this.around.clock.now())
     this.hidden.delete(key)
     const want = this.wants.find(key)
     if (want !== undefined && this.ledger.holds(key, want.version)) this.wants.met(key)
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -68,12 +68,11 @@
     this.coming.set(key, { version, orderedAt: now, askedAt: now })
   }
 
-  /** A load is complete. */
-  completed (key: AdapterKey, now: number): void {
-    const coming = this.coming.get(key)
+  /** The engine holds the adapter, in this version or a newer one. */
+  completed (key: AdapterKey, version: number, now: number): void {
     this.coming.delete(key)
     this.atHand.delete(key)
-    this.held.set(key, { version: coming?.version ?? 0, loadedAt: now, lastUsedAt: now })
+    this.held.set(key, { version, loadedAt: now, lastUsedAt: now })
   }
 
   /** An order to unload was accepted; the adapter leaves when its runs have ended. */
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -104,7 +104,7 @@
     try {
       await this.route(exchange, cameAt)
     } catch (cause) {
-      this.parts.logger.error('A request failed by a fault of this program.', { request: incoming.headers['x-request-id'], reason: cause instanceof Error ? cause.stack : String(cause) })
+      this.parts.logger.error('A request failed by a fault of this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
       this.inProgress -= 1
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -40,7 +40,7 @@
   readonly stop: () => Promise<void>
 }
 
-function start (engine: SimulatedEngine): Run {
+function start (engine: SimulatedEngine, newest: ReadonlyMap<string, number> = new Map()): Run {
   const clock = new SystemClock()
   const locations = new AdapterLocations()
   const board = new LoadBoard()
@@ -54,7 +54,7 @@
     policy: new StallEvictionPolicy(),
     pace: new ModelLoadPace(clock, () => 1),
     holder: 'me',
-    newestVersion: () => 0,
+    newestVersion: (name) => newest.get(name) ?? 0,
     isModelNeeded: () => true,
     mayOrder: () => true,
     publish: ({ token, sequence, ledger, hidden }) => {
@@ -108,6 +108,21 @@
     expect({ held, brought, unloaded: run.engine.unloaded }).toEqual({ held: ['x', 'y'], brought: true, unloaded: ['y'] })
   })
 
+  it('replace an old version once its last run has ended, however long that takes, and offer the adapter again', async () => {
+    const newest = new Map<string, number>()
+    const run = start(new SimulatedEngine({ slots: 2 }), newest)
+    await wanted(run, 'x')
+    const ticket = run.board.begin(endpoint('engine').id, { prefillTokens: 0, memoryTokens: 0, adapter: key('x') })
+    newest.set(key('x'), 2)
+    run.loader.newer(key('x'), 2)
+    await sleep(1_100)
+    const during = { version: run.engine.versionOf('x'), offered: run.locations.holders(key('x')).size }
+    ticket.ended()
+    const after = await until(() => run.locations.holders(key('x')).get(endpoint('engine').id) === 2)
+    await run.stop()
+    expect({ during, after, version: run.engine.versionOf('x') }).toEqual({ during: { version: 1, offered: 0 }, after: true, version: 2 })
+  })
+
   it('go on when an order is carried out late, after newer ones', async () => {
     const engine = new SimulatedEngine({ slots: 2 })
     const run = start(engine)
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -19,6 +19,7 @@
   readonly unloaded: string[] = []
   private readonly slots: number
   private readonly adapters = new Map<string, 'held' | 'coming'>()
+  private readonly versions = new Map<string, number>()
   private readonly late: EngineOrder[] = []
   private sequence = 0
 
@@ -32,6 +33,11 @@
     return [...this.adapters].filter(([, state]) => state === 'held').map(([name]) => name)
   }
 
+  /** @returns the version of an adapter that is held */
+  versionOf (name: string): number | undefined {
+    return this.adapters.get(name) === 'held' ? this.versions.get(name) : undefined
+  }
+
   /** Takes an order. */
   async order (order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
     const fate = this.next.shift() ?? 'done'
@@ -48,7 +54,7 @@
 
   /** @returns the engine's own account */
   report (): Result<EngineReport, LimpetwinchError> {
-    const inState = (wanted: string): EngineReport['held'] => [...this.adapters].filter(([, state]) => state === wanted).map(([name]) => ({ key: key(name), version: 1 }))
+    const inState = (wanted: string): EngineReport['held'] => [...this.adapters].filter(([, state]) => state === wanted).map(([name]) => ({ key: key(name), version: this.versions.get(name) ?? 1 }))
     return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], modelsAtHand: [], held: inState('held'), coming: inState('coming') })
   }
 
@@ -57,7 +63,9 @@
     if (order.ifSequence !== this.sequence) return 'conflict'
     if (order.operation === 'unload') return this.unload(name)
     const state = this.adapters.get(name)
-    if (state !== undefined) return state === 'held' ? 'holds' : 'accepted'
+    const isOld = state === 'held' && (order.version ?? 1) > (this.versions.get(name) ?? 1)
+    if (state !== undefined && !isOld) return state === 'held' ? 'holds' : 'accepted'
+    this.versions.set(name, order.version ?? 1)
     this.sequence += 1
     this.adapters.set(name, 'coming')
     this.mostOccupied = Math.max(this.mostOccupied, this.adapters.size)
