Pass leaving endpoints on between peers; count the grace for them without outages of the list

Found on the way: an instance that alone is cut off from the platform heard nothing of a leaving endpoint. Whoever reads a change now tells its peers, and the list is read at once after a pause.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -255,6 +255,15 @@
   readonly reason: string
 }
 
+/** Endpoints that the platform lists as leaving, for peers whose own reading of the list is older or cut off. */
+export interface EndpointsLeavingFrame {
+  readonly kind: 'endpoints-leaving'
+  /** All of them, so that one that is taken back is heard of as well. */
+  readonly leaving: readonly string[]
+  /** Age of the reading when this was sent; a span, so that clocks need not agree. */
+  readonly readMillisecondsAgo: number
+}
+
 /** A plain yes to a call. */
 export interface AcceptedFrame {
   readonly kind: 'accepted'
@@ -293,6 +302,7 @@
   | AdaptersHeldFrame
   | LoadAskFrame
   | LoadRefusedFrame
+  | EndpointsLeavingFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/entry/src/membership/list-membership.ts
+++ b/packages/entry/src/membership/list-membership.ts
@@ -1,8 +1,10 @@
 /** Membership from the platform's lagging list and the heartbeats of peers. */
 import { SystemClock } from '@limpetwinch/core'
 import type { Clock, DataCentreId, InstanceId, InstanceList, ListedInstance, Logger } from '@limpetwinch/core'
+import { Wake } from '../concurrency/wake.js'
 import type { PeerIdentity, PeerLinks, PeerTarget } from '../peers/peer-links.js'
 import { hearsMajority } from './cut-off.js'
+import { LeavingEndpoints } from './leaving-endpoints.js'
 import { MemberEntry } from './member-entry.js'
 import { Membership } from './membership.js'
 import type { Member } from './membership.js'
@@ -45,7 +47,8 @@
   private readonly entries = new Map<InstanceId, MemberEntry>()
   private readonly goneAt = new Map<InstanceId, number>()
   private readonly listeners: (() => void)[] = []
-  private endpointsLeaving: ReadonlySet<string> = new Set()
+  private readonly endpointsLeaving: LeavingEndpoints
+  private readonly readSoon = new Wake()
   private keptRemotes: ReadonlySet<InstanceId> = new Set()
   private leavingSelf = false
   private targetsStale = false
@@ -66,6 +69,8 @@
     this.suspectAfterMilliseconds = options.suspectAfterMilliseconds ?? 3_000
     this.unlistedGoneMilliseconds = options.unlistedGoneMilliseconds ?? UNLISTED_GONE_MILLISECONDS
     this.lastJudged = this.clock.now()
+    this.endpointsLeaving = new LeavingEndpoints(this.peers, this.clock)
+    this.endpointsLeaving.onTold(() => this.changed())
     this.peers.onConnected((peer) => this.connected(peer))
     this.peers.onHeartbeat((from, heartbeat) => this.heard(from, (entry) => { entry.heartbeat = heartbeat.frame }))
     this.peers.onNotice('goodbye', (from) => this.heard(from, (entry) => { entry.saidGoodbye = true }))
@@ -104,7 +109,7 @@
   }
 
   override leavingEndpoints (): ReadonlySet<string> {
-    return this.endpointsLeaving
+    return this.endpointsLeaving.current
   }
 
   override onChange (listener: () => void): void {
@@ -138,7 +143,7 @@
       if (read.isOk()) this.takeList(read.value, began)
       // Through an outage the last list stays: that the platform does not answer says nothing about members.
       else this.logger.debug('The instance list cannot be read.', { reason: read.error.message })
-      await this.clock.sleep(this.pollMilliseconds * (0.5 + this.random()), signal)
+      await this.readSoon.wait(this.pollMilliseconds * (0.5 + this.random()), signal)
     }
   }
 
@@ -158,9 +163,7 @@
     }
     for (const entry of this.entries.values()) entry.listed(entries.get(entry.instance)?.state, began)
     const leaving = list.filter((line) => line.kind === 'endpoint' && line.state === 'leaving').map((line) => line.id)
-    const same = leaving.length === this.endpointsLeaving.size && leaving.every((endpoint) => this.endpointsLeaving.has(endpoint))
-    this.endpointsLeaving = new Set(leaving)
-    this.judge(!same)
+    this.judge(this.endpointsLeaving.read(leaving, began))
   }
 
   private entryOf (instance: InstanceId, dataCentre: DataCentreId, address: string): MemberEntry {
@@ -209,7 +212,11 @@
   private noticePause (): void {
     const now = this.clock.now()
     const tick = this.suspectAfterMilliseconds / TICKS_TO_SUSPECT
-    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) this.wokenUntil = now + 2 * this.suspectAfterMilliseconds / 3
+    if (now - this.lastJudged > PAUSED_AFTER_TICKS * tick) {
+      this.wokenUntil = now + 2 * this.suspectAfterMilliseconds / 3
+      // The list is as old as the pause: an endpoint that began to leave meanwhile would be given work until the next poll.
+      this.readSoon.notify()
+    }
     this.lastJudged = now
   }
 
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -135,7 +135,8 @@
     coming: z.array(z.string().max(400))
   }),
   'load-ask': z.object({ endpoint: id, key: z.string().max(400), version: count, waiting: z.boolean() }),
-  'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) })
+  'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) }),
+  'endpoints-leaving': z.object({ leaving: z.array(id), readMillisecondsAgo: z.number().min(0) })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds by their number on the wire. */
--- a/packages/entry/test/support/cluster.ts
+++ b/packages/entry/test/support/cluster.ts
@@ -17,6 +17,8 @@
 export class ListInMemory extends InstanceList {
   lines: ListedInstance[] = []
   outage = false
+  /** Instances that cannot read it. */
+  readonly cutOff = new Set<string>()
 
   override read (): ResultAsync<readonly ListedInstance[], LimpetwinchError> {
     if (this.outage) return errAsync(new LimpetwinchError('store-unavailable', { reason: 'outage' }))
@@ -30,6 +32,11 @@
   remove (id: string): void {
     this.lines = this.lines.filter((line) => line.id !== id)
   }
+
+  /** Lists an endpoint as leaving. */
+  leave (endpoint: string): void {
+    this.lines.push({ id: endpoint, kind: 'endpoint', address: '', dataCentre: PLACE, state: 'leaving' })
+  }
 }
 
 /** The list as one instance reads it: every other instance stands behind a relay of its own. */
@@ -39,6 +46,7 @@
   }
 
   override read (): ResultAsync<readonly ListedInstance[], LimpetwinchError> {
+    if (this.list.cutOff.has(this.reader)) return errAsync(new LimpetwinchError('store-unavailable', { reason: 'cut off' }))
     return this.list.read().map(async (lines) => await Promise.all(lines.map(async (line) => {
       if (line.kind !== 'entry' || line.id === this.reader) return line
       return { ...line, address: await this.relays.route(this.reader, line.id, line.address) }
