--- a/packages/core/src/endpoints/http-engine-client.ts
+++ b/packages/core/src/endpoints/http-engine-client.ts
@@ -12,7 +12,7 @@
 import { formatAdapter } from '../ids/adapter-reference.js'
 import type { AdapterReference } from '../ids/adapter-reference.js'
 import type { EndpointId, FencingToken, RequestId } from '../ids/ids.js'
-import { neverConnected } from '../platform/http-object-store.js'
+import { neverConnected } from '../platform/store-connection.js'
 import { EngineClient } from './engine-client.js'
 import type { AdapterOrder, CacheEvent, EngineReport, GeneratedPart, GenerateRequest, GenerationEventResult } from './engine-client.js'
 
--- a/packages/core/src/endpoints/http-service-client.ts
+++ b/packages/core/src/endpoints/http-service-client.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from 'undici'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
 import type { EndpointId } from '../ids/ids.js'
-import { neverConnected } from '../platform/http-object-store.js'
+import { neverConnected } from '../platform/store-connection.js'
 import { ServiceClient } from './service-client.js'
 import type { ServiceAnswer, ServiceCall } from './service-client.js'
 
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -233,7 +233,7 @@
   /** Grows with each such frame of one token. */
   readonly sequence: number
   readonly held: readonly (readonly [key: string, version: number])[]
-  readonly coming: readonly string[]
+  readonly inFlight: readonly string[]
 }
 
 /** Asks the one that orders an endpoint's loads for an adapter. */
--- a/packages/core/src/http/bounded-text.ts
+++ b/packages/core/src/http/bounded-text.ts
@@ -18,6 +18,15 @@
  * @throws OversizeAnswer beyond the bound, TypeError when it is not UTF-8
  */
 export async function readBoundedText (body: AsyncIterable<Uint8Array>, mostBytes: number): Promise<string> {
+  return new TextDecoder('utf-8', { fatal: true }).decode(await readBoundedBytes(body, mostBytes))
+}
+
+/**
+ * As {@link readBoundedText}, for bodies that may hold anything.
+ *
+ * @throws OversizeAnswer beyond the bound
+ */
+export async function readBoundedBytes (body: AsyncIterable<Uint8Array>, mostBytes: number): Promise<Buffer> {
   const chunks: Uint8Array[] = []
   let bytes = 0
   for await (const chunk of body) {
@@ -25,5 +34,5 @@
     if (bytes > mostBytes) throw new OversizeAnswer(mostBytes)
     chunks.push(chunk)
   }
-  return new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks))
+  return Buffer.concat(chunks)
 }
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -132,7 +132,7 @@
     token: count,
     sequence: count,
     held: z.array(z.tuple([z.string().max(400), count])),
-    coming: z.array(z.string().max(400))
+    inFlight: z.array(z.string().max(400))
   }),
   'load-ask': z.object({ endpoint: id, key: z.string().max(400), version: count, waiting: z.boolean() }),
   'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) }),
--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -8,8 +8,8 @@
   readonly sequence: number
 }
 
-/** Evicted adapters that an engine keeps at hand, of which all are taken to be there still. */
-const MOST_AT_HAND = 40
+/** Evicted adapters that an engine caches; so many are taken to be there still. */
+const MOST_CACHED = 40
 /** A load takes a quarter of a second, some times as long in a crowd. */
 const LONGEST_TRAVEL_MILLISECONDS = 1_000
 
@@ -18,9 +18,9 @@
   private readonly byAdapter = new Map<AdapterKey, Map<EndpointId, number>>()
   private readonly byEndpoint = new Map<EndpointId, Map<AdapterKey, number>>()
   /** Adapters on their way, with the time at which this instance heard of each. */
-  private readonly coming = new Map<EndpointId, ReadonlyMap<string, number>>()
+  private readonly inFlight = new Map<EndpointId, ReadonlyMap<string, number>>()
   /** Evicted adapters, the last one last, with the version that was held. */
-  private readonly atHand = new Map<EndpointId, Map<AdapterKey, number>>()
+  private readonly cached = new Map<EndpointId, Map<AdapterKey, number>>()
   private readonly told = new Map<EndpointId, Told>()
   private readonly waiting = new Map<AdapterKey, Set<() => void>>()
 
@@ -30,19 +30,19 @@
   }
 
   /** @returns whether the adapter is on its way to the engine, and for no longer than a load takes */
-  isComing (endpoint: EndpointId, key: AdapterKey, now: number): boolean {
-    const heardAt = this.coming.get(endpoint)?.get(key)
+  isInFlight (endpoint: EndpointId, key: AdapterKey, now: number): boolean {
+    const heardAt = this.inFlight.get(endpoint)?.get(key)
     return heardAt !== undefined && now - heardAt < LONGEST_TRAVEL_MILLISECONDS
   }
 
   /** @returns whether the engine held the adapter lately, not older than this, and so loads it without the weight store */
-  isAtHand (endpoint: EndpointId, key: AdapterKey, leastVersion: number): boolean {
-    return (this.atHand.get(endpoint)?.get(key) ?? -1) >= leastVersion
+  isCached (endpoint: EndpointId, key: AdapterKey, leastVersion: number): boolean {
+    return (this.cached.get(endpoint)?.get(key) ?? -1) >= leastVersion
   }
 
   /** @returns adapters on their way to the engine */
-  comingTo (endpoint: EndpointId): number {
-    return this.coming.get(endpoint)?.size ?? 0
+  inFlightTo (endpoint: EndpointId): number {
+    return this.inFlight.get(endpoint)?.size ?? 0
   }
 
   /**
@@ -53,7 +53,7 @@
    */
   travelling (now: number): number {
     let sum = 0
-    for (const keys of this.coming.values()) {
+    for (const keys of this.inFlight.values()) {
       for (const heardAt of keys.values()) if (now - heardAt < LONGEST_TRAVEL_MILLISECONDS) sum += 1
     }
     return sum
@@ -64,8 +64,8 @@
     const before = this.told.get(frame.endpoint)
     if (before !== undefined && !isNewer(frame, before)) return
     this.told.set(frame.endpoint, { born: frame.born, token: frame.token, sequence: frame.sequence })
-    const coming = this.coming.get(frame.endpoint)
-    this.coming.set(frame.endpoint, new Map(frame.coming.map((key) => [key, coming?.get(key) ?? now])))
+    const inFlight = this.inFlight.get(frame.endpoint)
+    this.inFlight.set(frame.endpoint, new Map(frame.inFlight.map((key) => [key, inFlight?.get(key) ?? now])))
     this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
   }
 
@@ -74,7 +74,7 @@
     const before = this.told.get(endpoint.id)
     if (before !== undefined && before.born >= endpoint.born) return
     this.told.delete(endpoint.id)
-    this.coming.delete(endpoint.id)
+    this.inFlight.delete(endpoint.id)
     this.replace(endpoint.id, endpoint.adapters)
   }
 
@@ -88,8 +88,8 @@
   remove (endpoint: EndpointId): void {
     this.replace(endpoint, [])
     this.told.delete(endpoint)
-    this.coming.delete(endpoint)
-    this.atHand.delete(endpoint)
+    this.inFlight.delete(endpoint)
+    this.cached.delete(endpoint)
     this.byEndpoint.delete(endpoint)
   }
 
@@ -130,7 +130,7 @@
     for (const key of before.keys()) {
       if (after.has(key)) continue
       this.takeOut(endpoint, key)
-      this.keepAtHand(endpoint, key, before.get(key) ?? 0)
+      this.keepCached(endpoint, key, before.get(key) ?? 0)
     }
     for (const [key, version] of after) {
       const holders = this.byAdapter.get(key) ?? new Map<EndpointId, number>()
@@ -140,13 +140,13 @@
     }
   }
 
-  private keepAtHand (endpoint: EndpointId, key: AdapterKey, version: number): void {
-    const kept = this.atHand.get(endpoint) ?? new Map<AdapterKey, number>()
-    this.atHand.set(endpoint, kept)
+  private keepCached (endpoint: EndpointId, key: AdapterKey, version: number): void {
+    const kept = this.cached.get(endpoint) ?? new Map<AdapterKey, number>()
+    this.cached.set(endpoint, kept)
     kept.delete(key)
     kept.set(key, version)
     const oldest = kept.keys().next().value
-    if (kept.size > MOST_AT_HAND && oldest !== undefined) kept.delete(oldest)
+    if (kept.size > MOST_CACHED && oldest !== undefined) kept.delete(oldest)
   }
 
   private takeOut (endpoint: EndpointId, key: AdapterKey): void {
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -14,17 +14,17 @@
 import { SlotLedger } from './slot-ledger.js'
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
-const MOST_COMING = 4
+const MOST_IN_FLIGHT = 4
 /**
  * Adapters on their way to all engines before each takes longer; beyond it loads wait for their turn here. Two more than
  * the store takes at full speed: what peers tell is some milliseconds old, and an idle store would be lost time.
  */
 const MOST_TRAVELLING = 10
-/** A load from the weight store takes so long at best; one that lies at hand a tenth of it. */
+/** A load from the weight store takes so long at best; one from the engine's cache a tenth of it. */
 const TRAVEL_MILLISECONDS = 250
-const AT_HAND_MILLISECONDS = 25
-/** Evicted adapters that an engine keeps at hand. */
-const MOST_AT_HAND = 40
+const CACHED_LOAD_MILLISECONDS = 25
+/** Evicted adapters that an engine caches. */
+const MOST_CACHED = 40
 /** After the load's time, the engine is asked this often whether it holds the adapter. */
 const CONFIRM_MILLISECONDS = 40
 /** A load that is not confirmed in this time was lost. */
@@ -50,7 +50,7 @@
   readonly board: LoadBoard
   readonly policy: EvictionPolicy
   readonly pace: ModelLoadPace
-  /** This instance's machine. */
+  /** The name of this instance's host, as endpoints see who orders them. */
   readonly holder: string
   /** @returns the newest announced version; 0 for none */
   readonly newestVersion: (key: AdapterKey) => number
@@ -83,7 +83,7 @@
     this.token = token
     this.shape = shape
     this.around = around
-    this.ledger = new SlotLedger(shape.adapterSlots, MOST_AT_HAND)
+    this.ledger = new SlotLedger(shape.adapterSlots, MOST_CACHED)
   }
 
   /** Asks for an adapter, or says that it is still wanted. */
@@ -128,7 +128,7 @@
    */
   private resumeReplacements (): void {
     for (const key of [...this.hidden]) {
-      if (this.ledger.coming.has(key) || this.ledger.departing.has(key)) continue
+      if (this.ledger.inFlight.has(key) || this.ledger.departing.has(key)) continue
       const newest = this.around.newestVersion(key)
       if (this.ledger.held.has(key) && !this.ledger.holds(key, newest)) this.wants.ask(key, newest, true, this.around.clock.now())
       else this.hidden.delete(key)
@@ -138,7 +138,7 @@
   private nextLook (): number {
     const now = this.around.clock.now()
     let earliest = now + LOOK_MILLISECONDS
-    for (const [key, { orderedAt }] of this.ledger.coming) {
+    for (const [key, { orderedAt }] of this.ledger.inFlight) {
       const due = orderedAt + this.travelTime(key)
       earliest = Math.min(earliest, due > now ? due : now + CONFIRM_MILLISECONDS)
     }
@@ -147,7 +147,7 @@
   }
 
   private travelTime (key: AdapterKey): number {
-    if (this.ledger.atHand.has(key)) return AT_HAND_MILLISECONDS
+    if (this.ledger.cached.has(key)) return CACHED_LOAD_MILLISECONDS
     return TRAVEL_MILLISECONDS * Math.max(1, this.around.locations.travelling(this.around.clock.now()) / MOST_TRAVELLING)
   }
 
@@ -175,17 +175,17 @@
     const fitting = this.shape.models.filter((model) => model.megabytes <= this.shape.megabytes)
     // Engines that come empty take up the models in turn, by what waits for them first.
     const wanted = this.wants.keys().map((key) => modelOf(key))
-    const { modelsAtHand } = this.ledger
-    const affordable = fitting.filter(({ name }) => modelsAtHand.includes(name) || this.around.isModelNeeded(this.endpoint, name))
+    const { cachedModels } = this.ledger
+    const affordable = fitting.filter(({ name }) => cachedModels.includes(name) || this.around.isModelNeeded(this.endpoint, name))
     return (affordable.find((model) => wanted.includes(model.name)) ?? affordable[0])?.name
   }
 
   private nextWant (): Want | undefined {
     const now = this.around.clock.now()
-    const { coming, departing, atHand } = this.ledger
-    const want = this.wants.next((key) => coming.has(key) || departing.has(key), (key) => atHand.has(key), now)
-    if (want === undefined || atHand.has(want.key)) return want
-    if (coming.size < MOST_COMING && this.around.locations.travelling(now) < MOST_TRAVELLING) return want
+    const { inFlight, departing, cached } = this.ledger
+    const want = this.wants.next((key) => inFlight.has(key) || departing.has(key), (key) => cached.has(key), now)
+    if (want === undefined || cached.has(want.key)) return want
+    if (inFlight.size < MOST_IN_FLIGHT && this.around.locations.travelling(now) < MOST_TRAVELLING) return want
     want.heldUpBy = 'travelling loads'
     return undefined
   }
@@ -262,7 +262,7 @@
   }
 
   private async loadModel (model: ModelName, signal: AbortSignal): Promise<boolean> {
-    const fromStore = !this.ledger.modelsAtHand.includes(model)
+    const fromStore = !this.ledger.cachedModels.includes(model)
     if (!this.around.mayOrder(this.endpoint.id) || (fromStore && !this.around.pace.take(this.shape.modelLoadsPerSecond))) return false
     const order: EngineOrder = { operation: 'load', model, adapter: undefined, version: undefined, ifSequence: this.ledger.sequence }
     const answer = await this.send(order, signal)
@@ -277,18 +277,18 @@
   /** Asks for what should have come by now: an engine that holds the adapter says so at once, a report would be late. */
   private async confirmArrivals (signal: AbortSignal): Promise<void> {
     const now = this.around.clock.now()
-    for (const [key, coming] of [...this.ledger.coming]) {
-      if (signal.aborted || now < coming.orderedAt + this.travelTime(key)) continue
-      if (coming.askedAt > coming.orderedAt && now < coming.askedAt + CONFIRM_MILLISECONDS) continue
-      coming.askedAt = now
-      if (now - coming.orderedAt > LOST_LOAD_MILLISECONDS) {
+    for (const [key, inFlight] of [...this.ledger.inFlight]) {
+      if (signal.aborted || now < inFlight.orderedAt + this.travelTime(key)) continue
+      if (inFlight.askedAt > inFlight.orderedAt && now < inFlight.askedAt + CONFIRM_MILLISECONDS) continue
+      inFlight.askedAt = now
+      if (now - inFlight.orderedAt > LOST_LOAD_MILLISECONDS) {
         await this.reconcile(signal)
         return
       }
       if (!this.around.mayOrder(this.endpoint.id)) return
-      const answer = await this.order('load', key, coming.version === 0 ? undefined : coming.version, signal)
+      const answer = await this.order('load', key, inFlight.version === 0 ? undefined : inFlight.version, signal)
       // While a load is on its way the engine accepts its repetition without counting it.
-      if (answer === 'holds') this.arrived(key, coming.version)
+      if (answer === 'holds') this.arrived(key, inFlight.version)
     }
     await this.confirmDepartures(signal)
   }
@@ -354,7 +354,7 @@
       return false
     }
     this.ledger.adopt(report.value, this.around.clock.now())
-    for (const key of [...this.hidden]) if (!this.ledger.coming.has(key) && !this.ledger.departing.has(key)) this.hidden.delete(key)
+    for (const key of [...this.hidden]) if (!this.ledger.inFlight.has(key) && !this.ledger.departing.has(key)) this.hidden.delete(key)
     this.publish()
     return true
   }
--- a/packages/ingress/src/adapters/engine-control.ts
+++ b/packages/ingress/src/adapters/engine-control.ts
@@ -8,7 +8,7 @@
   readonly endpoint: EndpointId
   /** `host:port`. */
   readonly address: string
-  /** The name of this instance's machine. */
+  /** The name of the instance's host; two processes in turn on one host are one holder. */
   readonly holder: string
   readonly token: FencingToken
 }
@@ -46,10 +46,10 @@
   readonly busy: boolean
   readonly models: readonly ModelName[]
   /** Models that it loads from its own copy, without the weight store. */
-  readonly modelsAtHand: readonly ModelName[]
+  readonly cachedModels: readonly ModelName[]
   readonly held: readonly HeldAdapter[]
   /** Adapters on their way; they take slots. */
-  readonly coming: readonly HeldAdapter[]
+  readonly inFlight: readonly HeldAdapter[]
 }
 
 /** The control side of engines. */
--- a/packages/ingress/src/adapters/held-notices.ts
+++ b/packages/ingress/src/adapters/held-notices.ts
@@ -35,7 +35,7 @@
   /** Tells this instance and all peers. */
   publish ({ endpoint, token, sequence, ledger, hidden }: HeldStatement): void {
     const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
-    const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, coming: [...ledger.coming.keys()] }
+    const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, inFlight: [...ledger.inFlight.keys()] }
     this.last.set(endpoint.id, frame)
     this.locations.takeNotice(frame, this.clock.now())
     this.send(frame)
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -16,7 +16,7 @@
 const SETTLE_MILLISECONDS = 1_500
 /** Added to the lease: how late the holder before may have heard that it holds no more. */
 const LEASE_MARGIN_MILLISECONDS = 800
-/** A claim this old was made long before the lease, whatever the clocks of two machines say. */
+/** A claim this old was made long before the lease, whatever the clocks of two hosts say. */
 const CERTAINLY_OLD_MILLISECONDS = 30_000
 /** Holder objects of engines that are gone are deleted after this; an engine may come back under its id before. */
 const FORGET_MILLISECONDS = 20_000
--- a/packages/ingress/src/adapters/load-wants.ts
+++ b/packages/ingress/src/adapters/load-wants.ts
@@ -57,12 +57,12 @@
   }
 
   /**
-   * Picks the next: what requests wait for goes first; of these, what lies at hand, since it takes a tenth of the time.
+   * Picks the next: what requests wait for goes first; of these, what the engine caches, since it takes a tenth of the time.
    *
    * @param isBlocked - adapters that are on their way in or out
-   * @param isAtHand - adapters that the engine loads without the weight store
+   * @param isCached - adapters that the engine loads without the weight store
    */
-  next (isBlocked: (key: AdapterKey) => boolean, isAtHand: (key: AdapterKey) => boolean, now: number): Want | undefined {
+  next (isBlocked: (key: AdapterKey) => boolean, isCached: (key: AdapterKey) => boolean, now: number): Want | undefined {
     let best: Want | undefined
     for (const want of this.wants.values()) {
       if (now - want.askedAt > WANT_MILLISECONDS) {
@@ -70,12 +70,12 @@
         continue
       }
       if (isBlocked(want.key)) continue
-      if (best === undefined || rank(want, isAtHand) > rank(best, isAtHand)) best = want
+      if (best === undefined || rank(want, isCached) > rank(best, isCached)) best = want
     }
     return best
   }
 }
 
-function rank (want: Want, isAtHand: (key: AdapterKey) => boolean): number {
-  return (want.waiting ? 2 : 0) + (isAtHand(want.key) ? 1 : 0)
+function rank (want: Want, isCached: (key: AdapterKey) => boolean): number {
+  return (want.waiting ? 2 : 0) + (isCached(want.key) ? 1 : 0)
 }
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -10,7 +10,7 @@
 }
 
 /** A load that was accepted and is not complete. */
-export interface ComingSlot {
+export interface InFlightLoad {
   readonly version: number
   readonly orderedAt: number
   /** When the engine was last asked whether it has come. */
@@ -24,31 +24,31 @@
  */
 export class SlotLedger {
   readonly held = new Map<AdapterKey, HeldSlot>()
-  readonly coming = new Map<AdapterKey, ComingSlot>()
+  readonly inFlight = new Map<AdapterKey, InFlightLoad>()
   /** Adapters that leave once their last run has ended; they keep their slots until then. */
   readonly departing = new Set<AdapterKey>()
-  /** Adapters evicted of late: engines keep them at hand and load them in a tenth of the time. */
-  readonly atHand = new Set<AdapterKey>()
+  /** Adapters evicted of late: engines cache them and load them in a tenth of the time. */
+  readonly cached = new Set<AdapterKey>()
   models: readonly ModelName[] = []
-  modelsAtHand: readonly ModelName[] = []
+  cachedModels: readonly ModelName[] = []
   /** Orders that the engine has accepted. */
   sequence = 0
   private readonly slots: number
-  private readonly mostAtHand: number
+  private readonly mostCached: number
 
   /**
    * @param slots - adapters that the engine takes
-   * @param mostAtHand - evicted adapters remembered
+   * @param mostCached - evicted adapters remembered
    */
-  constructor (slots: number, mostAtHand: number) {
+  constructor (slots: number, mostCached: number) {
     this.slots = slots
-    this.mostAtHand = mostAtHand
+    this.mostCached = mostCached
   }
 
   /** Slots taken by adapters held or on their way. A replacement takes no second one. */
   get occupied (): number {
     let sum = this.held.size
-    for (const key of this.coming.keys()) if (!this.held.has(key)) sum += 1
+    for (const key of this.inFlight.keys()) if (!this.held.has(key)) sum += 1
     return sum
   }
 
@@ -65,13 +65,13 @@
   /** An order to load was accepted. */
   ordered (key: AdapterKey, version: number, now: number): void {
     this.sequence += 1
-    this.coming.set(key, { version, orderedAt: now, askedAt: now })
+    this.inFlight.set(key, { version, orderedAt: now, askedAt: now })
   }
 
   /** The engine holds the adapter, in this version or a newer one. */
   completed (key: AdapterKey, version: number, now: number): void {
-    this.coming.delete(key)
-    this.atHand.delete(key)
+    this.inFlight.delete(key)
+    this.cached.delete(key)
     this.held.set(key, { version, loadedAt: now, lastUsedAt: now })
   }
 
@@ -86,20 +86,20 @@
     if (counted) this.sequence += 1
     this.held.delete(key)
     this.departing.delete(key)
-    this.atHand.delete(key)
-    this.atHand.add(key)
-    const oldest = this.atHand.values().next().value
-    if (this.atHand.size > this.mostAtHand && oldest !== undefined) this.atHand.delete(oldest)
+    this.cached.delete(key)
+    this.cached.add(key)
+    const oldest = this.cached.values().next().value
+    if (this.cached.size > this.mostCached && oldest !== undefined) this.cached.delete(oldest)
   }
 
   /** Takes over what the engine reports. */
   adopt (report: EngineReport, now: number): void {
     this.sequence = report.sequence
     this.models = report.models
-    this.modelsAtHand = report.modelsAtHand
+    this.cachedModels = report.cachedModels
     this.replaceHeld(report.held, now)
-    for (const key of [...this.coming.keys()]) if (!report.coming.some((adapter) => adapter.key === key)) this.coming.delete(key)
-    for (const { key, version } of report.coming) this.coming.set(key, this.coming.get(key) ?? { version, orderedAt: now, askedAt: now })
+    for (const key of [...this.inFlight.keys()]) if (!report.inFlight.some((adapter) => adapter.key === key)) this.inFlight.delete(key)
+    for (const { key, version } of report.inFlight) this.inFlight.set(key, this.inFlight.get(key) ?? { version, orderedAt: now, askedAt: now })
   }
 
   private replaceHeld (held: readonly HeldAdapter[], now: number): void {
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -10,7 +10,7 @@
 
 /** An instance, as it wrote itself down at its start. */
 export interface Member {
-  /** The machine's name; it outlives the process. */
+  /** The host's name; it outlives the process. */
   readonly name: string
   /** The process. */
   readonly instance: InstanceId
--- a/packages/ingress/src/routes/configuration.ts
+++ b/packages/ingress/src/routes/configuration.ts
@@ -75,6 +75,22 @@
   readonly idleMilliseconds: number
 }
 
+/** What holds where a configuration is silent. */
+export const CONFIGURATION_DEFAULTS = {
+  /** HTTP's usual bounds. */
+  limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerMilliseconds: 10_000, idleMilliseconds: 15_000 } satisfies CallerLimits,
+  connectionLimit: 256,
+  /** It only orders who waits; an answer may take up to the request's own deadline. */
+  objectiveMilliseconds: 1_000,
+  mostAttempts: 1,
+  priority: 0
+} as const
+
+/** @returns the kind of a route; one that is not known must not be repeated */
+export function routeKind (name: string): RouteKind {
+  return name === 'safe' || name === 'stream' ? name : 'unsafe'
+}
+
 /** One accepted state. */
 export interface Configuration {
   /** Grows with each accepted state. */
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -14,18 +14,18 @@
 const REMOTE_MILLISECONDS = 12
 /** An engine that has just failed is taken up again slowly. */
 const PENALTY_MILLISECONDS = 300
-/** A load from the weight store, and one of what lies at hand. */
+/** A load from the weight store, and one from the copy that an engine caches. */
 const LOAD_MILLISECONDS = 270
-const AT_HAND_MILLISECONDS = 40
+const CACHED_LOAD_MILLISECONDS = 40
 /**
  * What a load from the weight store costs beyond its time: the store hands out some thirty adapters a second to all
- * engines, and each is priced at about half a request. An engine that has the adapter at hand is worth waiting for.
+ * engines, and each is priced at about half a request. An engine that caches the adapter is worth waiting for.
  */
 const STORE_LOAD_WORTH_MILLISECONDS = 400
 /** An engine whose slots are all in use frees one in about this time. */
 const BUSY_SLOTS_MILLISECONDS = 600
 /** Loads that are on their way to an engine already. */
-const COMING_MILLISECONDS = 60
+const IN_FLIGHT_MILLISECONDS = 60
 /** Spreads adapters that lie nowhere yet, the same way on all instances. */
 const HOME_MILLISECONDS = 150
 /** A further copy takes a slot and a load: it is asked for only when it saves a request this much. */
@@ -103,7 +103,7 @@
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
     let best: LoadChoice | undefined
     for (const endpoint of usable) {
-      if (locations.isComing(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
+      if (locations.isInFlight(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
       const costMilliseconds = this.loadCost(endpoint, shape, key, now) + bias(endpoint.id)
       if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
@@ -160,16 +160,16 @@
   private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, now: number): number {
     const { board, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
-    const travel = locations.isAtHand(endpoint.id, key, leastVersion(key, now)) ? AT_HAND_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
-    const coming = locations.comingTo(endpoint.id)
-    const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - coming
+    const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
+    const inFlight = locations.inFlightTo(endpoint.id)
+    const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - inFlight
     const slots = idleSlots > 0 ? 0 : BUSY_SLOTS_MILLISECONDS * (1 - idleSlots)
     // It runs there and is not offered there: it is on its way out or being replaced, which waits for those runs.
     const leaving = board.running(endpoint.id, key, now) > 0 ? BUSY_SLOTS_MILLISECONDS : 0
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
     const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
     const home = HOME_MILLISECONDS * (1 - rendezvousWeight(key, endpoint.id))
-    return reading + travel + slots + leaving + coming * COMING_MILLISECONDS + remote + penalty + home
+    return reading + travel + slots + leaving + inFlight * IN_FLIGHT_MILLISECONDS + remote + penalty + home
   }
 }
 
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -31,3 +31,18 @@
   /** Time in which a new adapter version must be in use. */
   readonly newVersionMilliseconds: number
 }
+
+/** The port of the metrics address where a platform names none: the usual one of exporters. */
+export const METRICS_PORT = 9_464
+
+/** What holds where a platform says nothing of it. */
+export const INGRESS_DEFAULTS = {
+  /** What most platforms wait between the signal to stop and the kill is longer. */
+  stopMilliseconds: 8_000,
+  /** One repeat for each five requests, and so few besides that a quiet service cannot be flooded. */
+  repeats: { share: 0.2, slack: 20, windowMilliseconds: 10_000 },
+  /** Taken for granted only where it is said: unfenced endpoints are ordered more carefully. */
+  fencedEndpoints: false,
+  leaseMilliseconds: 3_000,
+  newVersionMilliseconds: 5_000
+} as const satisfies Partial<IngressSettings>
--- a/packages/ingress/src/runtime/pause-watch.ts
+++ b/packages/ingress/src/runtime/pause-watch.ts
@@ -6,7 +6,7 @@
 const PAUSE_MILLISECONDS = 700
 
 /**
- * Compares two clocks. The monotonic one stands still while the machine is suspended and the wall clock does not, but
+ * Compares two clocks. The monotonic one stands still while the host is suspended and the wall clock does not, but
  * the wall clock also jumps when it is set. Neither alone tells a pause from a step, and acting on a step costs a
  * reading of the store, so each difference is taken for a pause.
  *
--- a/packages/ingress/test/adapter-locations.failure.test.ts
+++ b/packages/ingress/test/adapter-locations.failure.test.ts
@@ -7,20 +7,20 @@
 import { endpoint, key } from './support/samples.js'
 
 function notice (sample: Partial<AdaptersHeldFrame>): AdaptersHeldFrame {
-  return { kind: 'adapters-held', endpoint: 'a' as EndpointId, born: 100, token: 5 as FencingToken, sequence: 1, held: [], coming: [], ...sample }
+  return { kind: 'adapters-held', endpoint: 'a' as EndpointId, born: 100, token: 5 as FencingToken, sequence: 1, held: [], inFlight: [], ...sample }
 }
 
 describe('adapter locations', () => {
   it('count a load as travelling for no longer than a load takes', () => {
     const locations = new AdapterLocations()
-    for (const id of ['a', 'b', 'c']) locations.takeNotice(notice({ endpoint: id as EndpointId, coming: ['base/1', 'base/2', 'base/3', 'base/4'] }), 1_000)
+    for (const id of ['a', 'b', 'c']) locations.takeNotice(notice({ endpoint: id as EndpointId, inFlight: ['base/1', 'base/2', 'base/3', 'base/4'] }), 1_000)
     expect([1_900, 2_000].map((now) => locations.travelling(now))).toEqual([12, 0])
   })
 
   it('date a load from the first notice of it', () => {
     const locations = new AdapterLocations()
-    locations.takeNotice(notice({ sequence: 1, coming: ['base/1'] }), 1_000)
-    locations.takeNotice(notice({ sequence: 2, coming: ['base/1', 'base/2'] }), 1_800)
+    locations.takeNotice(notice({ sequence: 1, inFlight: ['base/1'] }), 1_000)
+    locations.takeNotice(notice({ sequence: 2, inFlight: ['base/1', 'base/2'] }), 1_800)
     expect(locations.travelling(2_100)).toBe(1)
   })
 
@@ -35,13 +35,13 @@
     expect(locations.holders(key('new')).size).toBe(0)
   })
 
-  it('remember what an engine has at hand, until the engine is gone', () => {
+  it('remember what an engine caches, until the engine is gone', () => {
     const locations = new AdapterLocations()
     locations.takeNotice(notice({ sequence: 1, held: [[key('x'), 1]] }), 0)
     locations.takeNotice(notice({ sequence: 2 }), 0)
-    const before = locations.isAtHand('a' as EndpointId, key('x'), 0)
+    const before = locations.isCached('a' as EndpointId, key('x'), 0)
     locations.remove('a' as EndpointId)
-    expect([before, locations.isAtHand('a' as EndpointId, key('x'), 0)]).toEqual([true, false])
+    expect([before, locations.isCached('a' as EndpointId, key('x'), 0)]).toEqual([true, false])
   })
 
   it('wake those that wait when the adapter arrives', async () => {
@@ -56,14 +56,14 @@
 describe('a load that was lost', () => {
   it('draws no further requests to its engine once it takes longer than any load', () => {
     const locations = new AdapterLocations()
-    locations.takeNotice(notice({ coming: ['base/x'] }), 1_000)
-    expect([1_500, 2_100].map((now) => locations.isComing('a' as EndpointId, key('x'), now))).toEqual([true, false])
+    locations.takeNotice(notice({ inFlight: ['base/x'] }), 1_000)
+    expect([1_500, 2_100].map((now) => locations.isInFlight('a' as EndpointId, key('x'), now))).toEqual([true, false])
   })
 
-  it('of an older version does not count as at hand', () => {
+  it('of an older version does not count as cached', () => {
     const locations = new AdapterLocations()
     locations.takeNotice(notice({ sequence: 1, held: [[key('x'), 1]] }), 0)
     locations.takeNotice(notice({ sequence: 2 }), 0)
-    expect([0, 1, 2].map((version) => locations.isAtHand('a' as EndpointId, key('x'), version))).toEqual([true, true, false])
+    expect([0, 1, 2].map((version) => locations.isCached('a' as EndpointId, key('x'), version))).toEqual([true, true, false])
   })
 })
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -59,7 +59,7 @@
     mayOrder: () => true,
     publish: ({ token, sequence, ledger, hidden }) => {
       const held = [...ledger.held].filter(([name]) => !hidden.has(name)).map(([name, slot]): [string, number] => [name, slot.version])
-      locations.takeNotice({ kind: 'adapters-held', endpoint: subject.id, born: 100, token, sequence, held, coming: [...ledger.coming.keys()] }, clock.now())
+      locations.takeNotice({ kind: 'adapters-held', endpoint: subject.id, born: 100, token, sequence, held, inFlight: [...ledger.inFlight.keys()] }, clock.now())
     },
     onLost: () => {},
     onSilent: () => {}
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -171,7 +171,7 @@
     const asking = under.ask('/', { 'x-adapter': 'rare' })
     await expect.poll(() => under.asked.length).toBeGreaterThan(0)
     const [ask] = under.asked
-    under.locations.takeNotice({ kind: 'adapters-held', endpoint: ask?.endpoint ?? ('' as never), born: 100, token: 1 as never, sequence: 1, held: [['base/rare', 1]], coming: [] }, 0)
+    under.locations.takeNotice({ kind: 'adapters-held', endpoint: ask?.endpoint ?? ('' as never), born: 100, token: 1 as never, sequence: 1, held: [['base/rare', 1]], inFlight: [] }, 0)
     expect({ asked: ask?.key, ids: ids((await asking).body) }).toEqual({ asked: 'base/rare', ids: ['1'] })
   })
 
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -18,7 +18,7 @@
   mostOccupied = 0
   readonly unloaded: string[] = []
   private readonly slots: number
-  private readonly adapters = new Map<string, 'held' | 'coming'>()
+  private readonly adapters = new Map<string, 'held' | 'inFlight'>()
   private readonly versions = new Map<string, number>()
   private readonly late: EngineOrder[] = []
   private sequence = 0
@@ -55,7 +55,7 @@
   /** @returns the engine's own account */
   report (): Result<EngineReport, LimpetwinchError> {
     const inState = (wanted: string): EngineReport['held'] => [...this.adapters].filter(([, state]) => state === wanted).map(([name]) => ({ key: key(name), version: this.versions.get(name) ?? 1 }))
-    return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], modelsAtHand: [], held: inState('held'), coming: inState('coming') })
+    return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], cachedModels: [], held: inState('held'), inFlight: inState('inFlight') })
   }
 
   private carryOut (order: EngineOrder): OrderAnswer {
@@ -67,7 +67,7 @@
     if (state !== undefined && !isOld) return state === 'held' ? 'holds' : 'accepted'
     this.versions.set(name, order.version ?? 1)
     this.sequence += 1
-    this.adapters.set(name, 'coming')
+    this.adapters.set(name, 'inFlight')
     this.mostOccupied = Math.max(this.mostOccupied, this.adapters.size)
     if (this.adapters.size > this.slots) throw new Error('the engine ended: more adapters than slots')
     setTimeout(() => { if (this.adapters.has(name)) this.adapters.set(name, 'held') }, TRAVEL_MILLISECONDS)
