Learn how many adapters the weight store hands out at once

The load it answers: a crowd for rare adapters on a deployment whose store is larger or smaller than the ones known. The limit (10) and the time of a load (250 ms) were figures of one deployment. Both are now learnt from all loads that instances tell each other of; a made store of four sizes is the test. Against a fixed limit of 10, a store with room for 40 would stay three quarters idle.

--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -1,6 +1,7 @@
 /** Which engine holds which adapter, as told by those who order loads, else by the engines' own statements. */
 import type { AdaptersHeldFrame, EndpointId } from '@limpetwinch/core'
 import type { AdapterKey, Endpoint, HeldAdapter } from '../routes/configuration.js'
+import { InFlightLoads } from './in-flight-loads.js'
 
 interface Told {
   readonly born: number
@@ -10,15 +11,13 @@
 
 /** Evicted adapters that an engine caches; so many are taken to be there still. */
 const MOST_CACHED = 40
-/** A load takes a quarter of a second, some times as long in a crowd. */
-const LONGEST_TRAVEL_MILLISECONDS = 1_000
 
 /** Where adapters lie. */
 export class AdapterLocations {
   private readonly byAdapter = new Map<AdapterKey, Map<EndpointId, number>>()
   private readonly byEndpoint = new Map<EndpointId, Map<AdapterKey, number>>()
-  /** Adapters on their way, with the time at which this instance heard of each. */
-  private readonly inFlight = new Map<EndpointId, ReadonlyMap<string, number>>()
+  /** Adapters on their way to engines. */
+  readonly inFlight = new InFlightLoads()
   /** Evicted adapters, the last one last, with the version that was held. */
   private readonly cached = new Map<EndpointId, Map<AdapterKey, number>>()
   private readonly told = new Map<EndpointId, Told>()
@@ -29,43 +28,19 @@
     return this.byAdapter.get(key) ?? NOBODY
   }
 
-  /** @returns whether the adapter is on its way to the engine, and for no longer than a load takes */
-  isInFlight (endpoint: EndpointId, key: AdapterKey, now: number): boolean {
-    const heardAt = this.inFlight.get(endpoint)?.get(key)
-    return heardAt !== undefined && now - heardAt < LONGEST_TRAVEL_MILLISECONDS
-  }
-
   /** @returns whether the engine held the adapter lately, not older than this, and so loads it without the weight store */
   isCached (endpoint: EndpointId, key: AdapterKey, leastVersion: number): boolean {
     return (this.cached.get(endpoint)?.get(key) ?? -1) >= leastVersion
   }
 
-  /** @returns adapters on their way to the engine */
-  inFlightTo (endpoint: EndpointId): number {
-    return this.inFlight.get(endpoint)?.size ?? 0
-  }
-
-  /**
-   * Loads that an engine took with it when it ended stay among those on their way until it is known to be gone. Counted
-   * for so long, the end of three engines would hold up all loads of the others for seconds.
-   *
-   * @returns adapters on their way to all engines, those left out that are on it for longer than any load takes
-   */
-  travelling (now: number): number {
-    let sum = 0
-    for (const keys of this.inFlight.values()) {
-      for (const heardAt of keys.values()) if (now - heardAt < LONGEST_TRAVEL_MILLISECONDS) sum += 1
-    }
-    return sum
-  }
-
   /** Takes what the one that orders an engine's loads says; words of an earlier life, token or moment change nothing. */
   takeNotice (frame: AdaptersHeldFrame, now: number): void {
     const before = this.told.get(frame.endpoint)
     if (before !== undefined && !isNewer(frame, before)) return
     this.told.set(frame.endpoint, { born: frame.born, token: frame.token, sequence: frame.sequence })
-    const inFlight = this.inFlight.get(frame.endpoint)
-    this.inFlight.set(frame.endpoint, new Map(frame.inFlight.map((key) => [key, inFlight?.get(key) ?? now])))
+    const held = new Set(frame.held.map(([key]) => key))
+    const isCached = (key: string): boolean => this.isCached(frame.endpoint, key as AdapterKey, 0)
+    this.inFlight.replace(frame.endpoint, frame.inFlight, (key) => held.has(key), isCached, now)
     this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
   }
 
@@ -74,7 +49,7 @@
     const before = this.told.get(endpoint.id)
     if (before !== undefined && before.born >= endpoint.born) return
     this.told.delete(endpoint.id)
-    this.inFlight.delete(endpoint.id)
+    this.inFlight.forget(endpoint.id)
     this.replace(endpoint.id, endpoint.adapters)
   }
 
@@ -88,7 +63,7 @@
   remove (endpoint: EndpointId): void {
     this.replace(endpoint, [])
     this.told.delete(endpoint)
-    this.inFlight.delete(endpoint)
+    this.inFlight.forget(endpoint)
     this.cached.delete(endpoint)
     this.byEndpoint.delete(endpoint)
   }
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -12,19 +12,16 @@
 import { LoadWants } from './load-wants.js'
 import type { Want } from './load-wants.js'
 import { SlotLedger } from './slot-ledger.js'
+import type { WeightStorePace } from './weight-store-pace.js'
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
 const MOST_IN_FLIGHT = 4
-/**
- * Adapters on their way to all engines before each takes longer; beyond it loads wait for their turn here. Two more than
- * the store takes at full speed: what peers tell is some milliseconds old, and an idle store would be lost time.
- */
-const MOST_TRAVELLING = 10
-/** A load from the weight store takes so long at best; one from the engine's cache a tenth of it. */
-const TRAVEL_MILLISECONDS = 250
+/** A load from the engine's cache: a tenth of one from the weight store. */
 const CACHED_LOAD_MILLISECONDS = 25
 /** Evicted adapters that an engine caches. */
 const MOST_CACHED = 40
+/** Part of the expected time after which arrival is asked for first; asked no earlier, a faster store would never show. */
+const FIRST_ASK_SHARE = 0.95
 /** After the load's time, the engine is asked this often whether it holds the adapter. */
 const CONFIRM_MILLISECONDS = 40
 /** A load that is not confirmed in this time was lost. */
@@ -50,6 +47,7 @@
   readonly board: LoadBoard
   readonly policy: EvictionPolicy
   readonly pace: ModelLoadPace
+  readonly storePace: WeightStorePace
   /** The name of this instance's host, as endpoints see who orders them. */
   readonly holder: string
   /** @returns the newest announced version; 0 for none */
@@ -148,7 +146,8 @@
 
   private travelTime (key: AdapterKey): number {
     if (this.ledger.cached.has(key)) return CACHED_LOAD_MILLISECONDS
-    return TRAVEL_MILLISECONDS * Math.max(1, this.around.locations.travelling(this.around.clock.now()) / MOST_TRAVELLING)
+    const { locations, storePace, clock } = this.around
+    return storePace.expectedMilliseconds(locations.inFlight.count(clock.now())) * FIRST_ASK_SHARE
   }
 
   /** @returns whether something was done */
@@ -185,7 +184,7 @@
     const { inFlight, departing, cached } = this.ledger
     const want = this.wants.next((key) => inFlight.has(key) || departing.has(key), (key) => cached.has(key), now)
     if (want === undefined || cached.has(want.key)) return want
-    if (inFlight.size < MOST_IN_FLIGHT && this.around.locations.travelling(now) < MOST_TRAVELLING) return want
+    if (inFlight.size < MOST_IN_FLIGHT && this.around.locations.inFlight.count(now) < this.around.storePace.limit) return want
     want.heldUpBy = 'travelling loads'
     return undefined
   }
--- /dev/null
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -0,0 +1,111 @@
+/**
+ * How many adapters may be on their way from the weight store to all engines at once.
+ *
+ * The load it answers: a crowd asks for rare adapters, far more of them than the store hands out. Up to some number at a
+ * time each load takes the same; beyond it all take longer in proportion. With fewer in flight the store idles while
+ * requests wait; with more, the loads that end the longest waits are slowed down by those behind them. Neither number nor
+ * time is said anywhere, so both are learnt, from all loads of all instances.
+ */
+
+/** In flight for each engine, before anything is learnt: stores of 13 and of 63 engines took 8 and 40 at full speed. */
+const FIRST_LIMIT_FOR_ENGINE = 0.62
+/** One engine takes four loads at once; below this a single engine could not fill its slots. */
+const LEAST_LIMIT = 4
+const MOST_LIMIT = 1_000
+/** Time of an adapter from an idle store before anything is learnt, milliseconds: the lower of two known ones. */
+const FIRST_LOAD_MILLISECONDS = 250
+/** Least weight of the newest load in the time of one; the first ones weigh more, since the first guess is only that. */
+const SMOOTHING = 0.1
+/** One load counts as no faster and no slower than this: an engine may have held the adapter in its cache, or hung. */
+const FASTEST_SHARE = 0.8
+const SLOWEST_SHARE = 2.5
+/**
+ * A load that took so many times the usual time met a full store. Arrival is asked for each 40 ms, so a load of an idle
+ * store is seen up to a sixth late; a third beyond it is no accident, and costs a third of a load's time at most.
+ */
+const CONGESTED_SHARE = 1.35
+/** Added after a load that was not slowed while the limit was reached, at most once in the time of a load. */
+const INCREASE = 0.25
+const INCREASE_SHARE = 0.05
+/**
+ * A slowed load tells the room of the store: what was in flight, over how many times longer it took. The limit is set a
+ * little above it, so that the store never idles between an arrival and the news of it, and by one load to no less than half.
+ */
+const ABOVE_ROOM = 1.15
+const LEAST_SHARE_LEFT = 0.5
+/**
+ * The time of one load is learnt while the store is used to no more than this part of the lower one of the limit and the
+ * first guess: with a limit that has grown too far, slowed loads would pass for usual ones, and it would grow on.
+ */
+const IDLE_SHARE = 0.4
+
+/** A load from the weight store that is complete. */
+export interface CompletedLoad {
+  /** From the order until the engine said that it holds the adapter. */
+  readonly milliseconds: number
+  /** Most loads that were on their way to all engines at any time meanwhile, itself left out. */
+  readonly mostInFlightBeside: number
+  /** Monotonic milliseconds. */
+  readonly now: number
+}
+
+/** The limit and the time of one load, learnt from loads. */
+export class WeightStorePace {
+  private readonly engines: () => number
+  private learnt: number | undefined
+  private loadMilliseconds = FIRST_LOAD_MILLISECONDS
+  private changedAt = -Infinity
+  private idleLoads = 0
+
+  /** @param engines - how many engines load from the store */
+  constructor (engines: () => number) {
+    this.engines = engines
+  }
+
+  /** Loads that may be on their way to all engines at once. */
+  get limit (): number {
+    return Math.floor(this.exactLimit)
+  }
+
+  /** @returns milliseconds that a load takes while so many are on their way */
+  expectedMilliseconds (inFlight: number): number {
+    return this.loadMilliseconds * Math.max(1, inFlight / this.exactLimit)
+  }
+
+  /** Learns from a load. */
+  completed (load: CompletedLoad): void {
+    const { exactLimit: limit, firstLimit } = this
+    // At the least limit nothing more can be held back; a store that is slow for one load would else seem full for ever.
+    const idle = Math.max(LEAST_LIMIT, Math.min(limit, firstLimit) * IDLE_SHARE)
+    if (load.mostInFlightBeside < idle) this.learnTime(load.milliseconds)
+    // All loads of one moment meet the same store; changed once for each of them, the limit would swing.
+    if (load.now - this.changedAt < this.loadMilliseconds) return
+    const slowness = load.milliseconds / this.loadMilliseconds
+    if (slowness > CONGESTED_SHARE && load.mostInFlightBeside >= idle) {
+      const room = (load.mostInFlightBeside + 1) / slowness * ABOVE_ROOM
+      return this.change(Math.min(limit, Math.max(limit * LEAST_SHARE_LEFT, room)), load.now)
+    }
+    // Raised only where the limit held something back; else it would grow through any quiet hour.
+    if (slowness <= CONGESTED_SHARE && load.mostInFlightBeside + 1 >= Math.floor(limit)) this.change(limit + INCREASE + INCREASE_SHARE * limit, load.now)
+  }
+
+  private get firstLimit (): number {
+    return Math.max(LEAST_LIMIT, this.engines() * FIRST_LIMIT_FOR_ENGINE)
+  }
+
+  private get exactLimit (): number {
+    return this.learnt ?? this.firstLimit
+  }
+
+  private change (limit: number, now: number): void {
+    this.learnt = Math.min(MOST_LIMIT, Math.max(LEAST_LIMIT, limit))
+    this.changedAt = now
+  }
+
+  private learnTime (milliseconds: number): void {
+    const before = this.loadMilliseconds
+    const bounded = Math.min(before * SLOWEST_SHARE, Math.max(before * FASTEST_SHARE, milliseconds))
+    this.idleLoads += 1
+    this.loadMilliseconds = before + Math.max(SMOOTHING, 1 / (this.idleLoads + 1)) * (bounded - before)
+  }
+}
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -103,7 +103,7 @@
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
     let best: LoadChoice | undefined
     for (const endpoint of usable) {
-      if (locations.isInFlight(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
+      if (locations.inFlight.has(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
       const costMilliseconds = this.loadCost(endpoint, shape, key, now) + bias(endpoint.id)
       if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
@@ -161,7 +161,7 @@
     const { board, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
     const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
-    const inFlight = locations.inFlightTo(endpoint.id)
+    const inFlight = locations.inFlight.countTo(endpoint.id)
     const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - inFlight
     const slots = idleSlots > 0 ? 0 : BUSY_SLOTS_MILLISECONDS * (1 - idleSlots)
     // It runs there and is not offered there: it is on its way out or being replaced, which waits for those runs.
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -12,6 +12,7 @@
 import { isModelNeeded } from '../adapters/model-need.js'
 import type { EngineUse } from '../adapters/model-need.js'
 import { ModelLoadPace } from '../adapters/model-load-pace.js'
+import { WeightStorePace } from '../adapters/weight-store-pace.js'
 import { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
 import { AdapterVersions } from '../beliefs/adapter-versions.js'
 import { BeliefExchange } from '../beliefs/belief-exchange.js'
@@ -103,6 +104,7 @@
   private readonly directory: EndpointDirectory
   private readonly versions: AdapterVersions
   private readonly locations = new AdapterLocations()
+  private readonly storePace = new WeightStorePace(() => this.engineCount())
   private readonly board = new LoadBoard()
   private readonly forecast = new FirstEventForecast()
   private readonly prefixes = new PrefixMemory()
@@ -238,6 +240,7 @@
       board: this.board,
       policy: this.policy,
       pace: new ModelLoadPace(this.clock, () => this.members.count),
+      storePace: this.storePace,
       newestVersion: (key) => this.versions.newest(key) ?? 0,
       isModelNeeded: (endpoint, model) => isModelNeeded(this.enginesWith(endpoint, model)),
       publish: (statement) => this.heldNotices.publish(statement),
@@ -253,6 +256,12 @@
       .map(({ id }) => ({ slots, adaptersInUse: this.board.adaptersInUse(id, now) }))
   }
 
+  /** @returns engines that take adapters */
+  private engineCount (): number {
+    const services = this.configuration.current?.services
+    return this.directory.all().filter(({ service }) => (services?.get(service)?.engine?.adapterSlots ?? 0) > 0).length
+  }
+
   private makeListener (): RoutedListener {
     const { clock, board, senders, metrics } = this
     const budgets = new RepeatBudgets(this.settings.repeats, () => this.members.count)
@@ -320,6 +329,7 @@
       leaving: this.stopping, settingsHash: '', ownershipVersion: 0, storeReachable: this.health.reachable
     }))
     this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
+    this.locations.inFlight.onCompleted((load) => this.storePace.completed(load))
     this.versions.onNewer((key, version) => this.duty.newer(key, version))
     this.board.onUse((_endpoint, key) => this.policy.used(key, '', 1, this.clock.now()))
     this.network.onNotice('relay-load', (from, frame) => this.board.take(from, frame.loads, this.clock.now()))
--- a/packages/ingress/test/adapter-locations.failure.test.ts
+++ b/packages/ingress/test/adapter-locations.failure.test.ts
@@ -14,14 +14,14 @@
   it('count a load as travelling for no longer than a load takes', () => {
     const locations = new AdapterLocations()
     for (const id of ['a', 'b', 'c']) locations.takeNotice(notice({ endpoint: id as EndpointId, inFlight: ['base/1', 'base/2', 'base/3', 'base/4'] }), 1_000)
-    expect([1_900, 2_000].map((now) => locations.travelling(now))).toEqual([12, 0])
+    expect([1_900, 2_000].map((now) => locations.inFlight.count(now))).toEqual([12, 0])
   })
 
   it('date a load from the first notice of it', () => {
     const locations = new AdapterLocations()
     locations.takeNotice(notice({ sequence: 1, inFlight: ['base/1'] }), 1_000)
     locations.takeNotice(notice({ sequence: 2, inFlight: ['base/1', 'base/2'] }), 1_800)
-    expect(locations.travelling(2_100)).toBe(1)
+    expect(locations.inFlight.count(2_100)).toBe(1)
   })
 
   it('believe the newest life, holder and notice', () => {
@@ -57,7 +57,7 @@
   it('draws no further requests to its engine once it takes longer than any load', () => {
     const locations = new AdapterLocations()
     locations.takeNotice(notice({ inFlight: ['base/x'] }), 1_000)
-    expect([1_500, 2_100].map((now) => locations.isInFlight('a' as EndpointId, key('x'), now))).toEqual([true, false])
+    expect([1_500, 2_100].map((now) => locations.inFlight.has('a' as EndpointId, key('x'), now))).toEqual([true, false])
   })
 
   it('of an older version does not count as cached', () => {
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -12,6 +12,7 @@
 import { AdapterLocations } from '../src/adapters/adapter-locations.js'
 import { EndpointLoader } from '../src/adapters/endpoint-loader.js'
 import { ModelLoadPace } from '../src/adapters/model-load-pace.js'
+import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
 import { EngineControl } from '../src/adapters/engine-control.js'
 import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
 import { LoadBoard } from '../src/routing/load-board.js'
@@ -53,6 +54,7 @@
     board,
     policy: new StallEvictionPolicy(),
     pace: new ModelLoadPace(clock, () => 1),
+    storePace: new WeightStorePace(() => 13),
     holder: 'me',
     newestVersion: (name) => newest.get(name) ?? 0,
     isModelNeeded: () => true,
--- a/packages/ingress/test/load-duty.failure.test.ts
+++ b/packages/ingress/test/load-duty.failure.test.ts
@@ -13,6 +13,7 @@
 import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
 import { LoadDuty } from '../src/adapters/load-duty.js'
 import { ModelLoadPace } from '../src/adapters/model-load-pace.js'
+import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
 import { AcceptedConfiguration } from '../src/beliefs/accepted-configuration.js'
 import { StoreHealth } from '../src/beliefs/store-health.js'
 import { EndpointDirectory } from '../src/endpoints/endpoint-directory.js'
@@ -100,6 +101,7 @@
     board: new LoadBoard(),
     policy: new StallEvictionPolicy(),
     pace: new ModelLoadPace(clock, () => 1),
+    storePace: new WeightStorePace(() => 13),
     newestVersion: () => 0,
     isModelNeeded: () => true,
     publish: () => {},
--- /dev/null
+++ b/packages/ingress/test/weight-store-pace.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, it } from 'vitest'
+import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
+
+/** What a run against a store came to. */
+interface Outcome {
+  readonly limit: number
+  /** Loads that the store handed out in a second over the last half, as a share of what it can. */
+  readonly usedShare: number
+  /** Mean time of a load over the last half, as a multiple of that from an idle store. */
+  readonly slowness: number
+}
+
+const STEP = 5
+/** Arrival is asked for at these times only. */
+const CONFIRM = 40
+
+/**
+ * A crowd for whom loads never run out, against a store that takes `capacity` loads at full speed and slows all beyond
+ * it in proportion. Instances order loads in turn, and each hears of the loads of all.
+ */
+function crowd ({ capacity, milliseconds, engines, instances, seconds }: { capacity: number, milliseconds: number, engines: number, instances: number, seconds: number }): Outcome {
+  const paces = Array.from({ length: instances }, () => new WeightStorePace(() => engines))
+  let inFlight: { orderedAt: number, most: number, left: number }[] = []
+  let handedOut = 0
+  let time = 0
+  let sum = 0
+  for (let now = 0; now < seconds * 1_000; now += STEP) {
+    for (const load of inFlight) {
+      load.left -= STEP * Math.min(1, capacity / inFlight.length)
+      load.most = Math.max(load.most, inFlight.length - 1)
+    }
+    const done = inFlight.filter((load) => load.left <= 0 && (now - load.orderedAt) % CONFIRM < STEP)
+    inFlight = inFlight.filter((load) => !done.includes(load))
+    for (const { orderedAt, most } of done) {
+      for (const pace of paces) pace.completed({ milliseconds: now - orderedAt, mostInFlightBeside: most, now })
+      if (now < seconds * 500) continue
+      handedOut += 1
+      sum += now - orderedAt
+    }
+    for (const [index, pace] of paces.entries()) {
+      // Each instance has work now and then, so that the limit of none decides for all.
+      if ((now / STEP) % instances !== index) continue
+      while (inFlight.length < pace.limit) inFlight.push({ orderedAt: now, most: 0, left: milliseconds })
+    }
+    time = now
+  }
+  const limits = paces.map(({ limit }) => limit).sort((left, right) => left - right)
+  return {
+    limit: limits[Math.floor(limits.length / 2)] ?? 0,
+    usedShare: handedOut / (capacity * (time / 2) / milliseconds),
+    slowness: sum / handedOut / milliseconds
+  }
+}
+
+describe('the pace of loads from the weight store', () => {
+  // Callers wait for rare adapters. A limit that is too low leaves the store idle, one that is too high makes every load
+  // late; the first guess is right for neither of these stores.
+  it.each([
+    ['about as first guessed', { capacity: 8, milliseconds: 250, engines: 13, instances: 6 }],
+    ['with five times the room', { capacity: 40, milliseconds: 288, engines: 13, instances: 6 }],
+    ['with half of the room', { capacity: 20, milliseconds: 288, engines: 63, instances: 40 }],
+    ['that is slow', { capacity: 12, milliseconds: 600, engines: 13, instances: 6 }]
+  ])('finds the room of a store %s', (_name, store) => {
+    const { usedShare, slowness } = crowd({ ...store, seconds: 60 })
+    expect(usedShare).toBeGreaterThan(0.85)
+    expect(slowness).toBeLessThan(1.6)
+  })
+
+  it('does not grow while nothing is held back', () => {
+    const pace = new WeightStorePace(() => 13)
+    const before = pace.limit
+    for (let now = 0; now < 600_000; now += 500) pace.completed({ milliseconds: 260, mostInFlightBeside: 3, now })
+    expect(pace.limit).toBe(before)
+  })
+
+  it('is lowered once by loads that were slowed together', () => {
+    const pace = new WeightStorePace(() => 50)
+    for (let load = 0; load < 30; load += 1) pace.completed({ milliseconds: 500, mostInFlightBeside: 39, now: 1_000 + load })
+    expect(pace.limit).toBe(23)
+  })
+
+  it('expects a load beyond the limit to take longer', () => {
+    const pace = new WeightStorePace(() => 16)
+    expect(pace.expectedMilliseconds(3)).toBe(250)
+    expect(pace.expectedMilliseconds(20)).toBeCloseTo(250 * 20 / 9.92)
+  })
+})
