Split the ingress instance and the loader; a loader that fails starts again ever more rarely

Followers, digests, what a platform lends and the orders of one engine are modules of their own; one fake engine control serves both tests. A loader that crashed started again at the next look, three times a second, and an engine that does not report was asked every 0.75 s for ever: both pauses grow now (to 10 s and 4 s). The new test fails on the duty before.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -1,12 +1,13 @@
 /** Orders the loads of one engine: which adapters come, which make way, one order after the other. */
-import type { Clock, EndpointId, FencingToken, Logger } from '@limpetwinch/core'
+import type { EndpointId, FencingToken } from '@limpetwinch/core'
 import type { EvictionPolicy, SlotView } from '@limpetwinch/decisions'
-import { Wake } from '@limpetwinch/entry'
-import { adapterKey } from '../routes/configuration.js'
+import { Backoff, Wake } from '@limpetwinch/entry'
 import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
 import type { LoadBoard } from '../routing/load-board.js'
 import type { AdapterLocations } from './adapter-locations.js'
-import type { EngineControl, EngineOrder, OrderAnswer } from './engine-control.js'
+import type { EngineOrder, OrderAnswer } from './engine-control.js'
+import { EngineOrders } from './engine-orders.js'
+import type { OrderSurroundings } from './engine-orders.js'
 import type { ModelLoadPace } from './model-load-pace.js'
 import type { HeldStatement } from './held-notices.js'
 import { LoadWants } from './load-wants.js'
@@ -33,23 +34,20 @@
 /** Reports are some hundred milliseconds old; one taken after this shows the last order. */
 const REPORT_LAG_MILLISECONDS = 250
 const LOOK_MILLISECONDS = 500
+/** An engine that does not report is asked ever more rarely; one that starts again is ordered by a new loader. */
+const REPORT_PAUSES = { first: 500, largest: 4_000 }
 /** An engine that could not be connected to is left in peace for this. */
 const SILENT_MILLISECONDS = 300
 /** Between questions whether a whole model has come. */
 const MODEL_LOOK_MILLISECONDS = 200
 
 /** What a loader needs. */
-export interface LoaderSurroundings {
-  readonly control: EngineControl
-  readonly clock: Clock
-  readonly logger: Logger
+export interface LoaderSurroundings extends OrderSurroundings {
   readonly locations: AdapterLocations
   readonly board: LoadBoard
   readonly policy: EvictionPolicy
   readonly pace: ModelLoadPace
   readonly storePace: WeightStorePace
-  /** The name of this instance's host, as endpoints see who orders them. */
-  readonly holder: string
   /** @returns the newest announced version; 0 for none */
   readonly newestVersion: (key: AdapterKey) => number
   /** @returns whether one more engine with the model is worth a load from the weight store */
@@ -74,6 +72,7 @@
   private readonly wants = new LoadWants()
   private readonly hidden = new Set<AdapterKey>()
   private readonly wake = new Wake()
+  private readonly orders: EngineOrders
   private published = 0
 
   constructor (endpoint: Endpoint, token: FencingToken, shape: EngineShape, around: LoaderSurroundings) {
@@ -81,6 +80,7 @@
     this.token = token
     this.shape = shape
     this.around = around
+    this.orders = new EngineOrders(endpoint, token, around)
     this.ledger = new SlotLedger(shape.adapterSlots, MOST_CACHED)
   }
 
@@ -102,7 +102,8 @@
    */
   async run (notBefore: number, signal: AbortSignal): Promise<void> {
     await this.around.clock.sleep(Math.max(0, notBefore - this.around.clock.now()), signal)
-    while (!signal.aborted && !await this.reconcile(signal)) await this.around.clock.sleep(LOOK_MILLISECONDS, signal)
+    const pauses = new Backoff(REPORT_PAUSES, Math.random)
+    while (!signal.aborted && !await this.reconcile(signal)) await this.around.clock.sleep(pauses.next(), signal)
     this.replaceOldVersions()
     while (!signal.aborted) {
       await this.confirmArrivals(signal)
@@ -264,7 +265,7 @@
     const fromStore = !this.ledger.cachedModels.includes(model)
     if (!this.around.mayOrder(this.endpoint.id) || (fromStore && !this.around.pace.take(this.shape.modelLoadsPerSecond))) return false
     const order: EngineOrder = { operation: 'load', model, adapter: undefined, version: undefined, ifSequence: this.ledger.sequence }
-    const answer = await this.send(order, signal)
+    const answer = await this.give(order, undefined, signal)
     if (answer !== 'accepted') return false
     this.ledger.sequence += 1
     while (!signal.aborted && await this.reconcile(signal) && this.ledger.models.length === 0) {
@@ -312,33 +313,22 @@
   }
 
   private async order (operation: 'load' | 'unload', key: AdapterKey, version: number | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
-    const slash = key.indexOf('/')
-    return await this.send({
-      operation, model: modelOf(key), adapter: key.slice(slash + 1), version, ifSequence: this.ledger.sequence
-    }, signal)
+    const adapter = key.slice(key.indexOf('/') + 1)
+    return await this.give({ operation, model: modelOf(key), adapter, version, ifSequence: this.ledger.sequence }, this.wants.find(key), signal)
   }
 
   /** @returns the engine's answer; undefined when it gave none */
-  private async send (order: EngineOrder, signal: AbortSignal): Promise<OrderAnswer | undefined> {
-    const { control, holder, logger } = this.around
-    const target = { endpoint: this.endpoint.id, address: this.endpoint.address, holder, token: this.token }
-    const result = await control.order(target, order)
-    const { operation, adapter, version, ifSequence } = order
-    const outcome = result.isOk() ? result.value : result.error.kind
-    const want = adapter === undefined ? undefined : this.wants.find(adapterKey(order.model, adapter))
-    const waited = want === undefined ? undefined : Math.round(this.around.clock.now() - want.firstAskedAt)
-    logger.info('An order was given.', { endpoint: target.endpoint, operation, adapter: adapter ?? order.model, version, ifSequence, token: this.token, outcome, waited, heldUpBy: want?.heldUpBy })
-    // An order without an answer may have been carried out, or may be later. The next one bears the same condition: if
-    // it is accepted, this one can no longer take effect; if it meets a conflict, what the engine holds is read anew.
+  private async give (order: EngineOrder, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    const { clock, onLost, onSilent } = this.around
+    const result = await this.orders.give(order, want)
     if (result.isErr()) {
-      if (want !== undefined) want.heldUpBy = 'a silent engine'
       if (result.error.outcome === 'not_run') {
-        this.around.onSilent(target.endpoint, result.error.message)
-        await this.around.clock.sleep(SILENT_MILLISECONDS, signal)
+        onSilent(this.endpoint.id, result.error.message)
+        await clock.sleep(SILENT_MILLISECONDS, signal)
       }
       return undefined
     }
-    if (result.value === 'stale-token' || result.value === 'other-endpoint') this.around.onLost(this.endpoint.id, result.value)
+    if (result.value === 'stale-token' || result.value === 'other-endpoint') onLost(this.endpoint.id, result.value)
     if (result.value === 'conflict' || result.value === 'refused') await this.reconcile(signal)
     return result.value
   }
@@ -347,12 +337,9 @@
   private async reconcile (signal: AbortSignal): Promise<boolean> {
     await this.around.clock.sleep(REPORT_LAG_MILLISECONDS, signal)
     if (signal.aborted) return false
-    const report = await this.around.control.report(this.endpoint.id, this.endpoint.address)
-    if (report.isErr()) {
-      this.around.logger.warn('An engine does not report.', { endpoint: this.endpoint.id, reason: report.error.message })
-      return false
-    }
-    this.ledger.adopt(report.value, this.around.clock.now())
+    const report = await this.orders.report()
+    if (report === undefined) return false
+    this.ledger.adopt(report, this.around.clock.now())
     for (const key of [...this.hidden]) if (!this.ledger.inFlight.has(key) && !this.ledger.departing.has(key)) this.hidden.delete(key)
     this.publish()
     return true
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -1,6 +1,7 @@
 /** Decides which engines' loads this instance orders, claims them in the store, and runs a loader for each. */
 import type { Clock, DeletingObjectStore, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import { rendezvousWeight } from '@limpetwinch/decisions'
+import { Backoff } from '@limpetwinch/entry'
 import type { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
 import type { StoreHealth } from '../beliefs/store-health.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -23,6 +24,9 @@
 /** Where endpoints do not check tokens, an instance that has heard nothing from the store for this part of a lease stops. */
 const SHARE_OF_LEASE_UNHEARD = 0.5
 
+/** A loader that failed starts again after these. */
+const RESTART_PAUSES = { first: 500, largest: 10_000 }
+
 /** What the duty needs. */
 export interface LoadDutyParts {
   readonly store: DeletingObjectStore
@@ -48,6 +52,8 @@
   private readonly holders = new Map<EndpointId, LoadHolder>()
   private readonly running = new Map<EndpointId, Running>()
   private readonly missingSince = new Map<EndpointId, number>()
+  /** Engines whose loader failed, and when it may start again. */
+  private readonly postponed = new Map<EndpointId, { readonly pauses: Backoff, readonly until: number }>()
   private pausedUntil = -Infinity
   private claimsFrom: number | undefined
   private stopping = false
@@ -167,6 +173,7 @@
       this.stopLoader(endpoint.id)
     }
     const { clock, logger } = this.parts
+    if (clock.now() < (this.postponed.get(endpoint.id)?.until ?? -Infinity)) return
     const loader = new EndpointLoader(endpoint, holder.token, shape, {
       ...this.surroundings,
       holder: this.parts.members.self.name,
@@ -182,11 +189,20 @@
     const notBefore = this.notBefore(holder)
     logger.info('This instance orders the loads of an engine.', { endpoint: endpoint.id, token: holder.token, inMilliseconds: Math.max(0, Math.round(notBefore - clock.now())) })
     void loader.run(notBefore, ending.signal).catch((cause: unknown) => {
-      logger.error('The loads of an engine stopped and start again.', { endpoint: endpoint.id, reason: cause instanceof Error ? cause.stack : String(cause) })
+      const inMilliseconds = this.postpone(endpoint.id)
+      logger.error('The loads of an engine stopped and start again.', { endpoint: endpoint.id, inMilliseconds, reason: cause instanceof Error ? cause.stack : String(cause) })
       this.stopLoader(endpoint.id)
     })
   }
 
+  /** A fault that comes back at once would otherwise fill the log and the engine's orders three times a second. */
+  private postpone (endpoint: EndpointId): number {
+    const pauses = this.postponed.get(endpoint)?.pauses ?? new Backoff(RESTART_PAUSES, Math.random)
+    const milliseconds = Math.round(pauses.next())
+    this.postponed.set(endpoint, { pauses, until: this.parts.clock.now() + milliseconds })
+    return milliseconds
+  }
+
   /**
    * The holder before may have been cut off or paused and have orders on the way. It hears of its loss within the
    * margin, and nobody orders for a lease after that: two instances never take turns within one lease.
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,12 +1,11 @@
 /** One ingress instance: builds the parts, runs their tasks, stops them in order. */
 import type { Server } from 'node:http'
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, DeletingObjectStore, LineSink, LoadAskFrame, Logger, StoredObject } from '@limpetwinch/core'
+import type { Clock, LineSink, LoadAskFrame, Logger } from '@limpetwinch/core'
 import { ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { AdapterSeeker } from '../adapters/adapter-seeker.js'
-import type { EngineControl } from '../adapters/engine-control.js'
 import { HeldNotices } from '../adapters/held-notices.js'
 import { LoadDuty } from '../adapters/load-duty.js'
 import { isModelNeeded } from '../adapters/model-need.js'
@@ -16,49 +15,38 @@
 import { AcceptedConfiguration } from '../beliefs/accepted-configuration.js'
 import { AdapterVersions } from '../beliefs/adapter-versions.js'
 import { BeliefExchange } from '../beliefs/belief-exchange.js'
-import { StoreFollower } from '../beliefs/store-follower.js'
+import type { StoreFollower } from '../beliefs/store-follower.js'
 import { StoreHealth } from '../beliefs/store-health.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import { CLUSTER_KIND, decodeClusterObject } from '../members/cluster-objects.js'
 import type { ClusterObject } from '../members/cluster-objects.js'
 import { MemberList } from '../members/member-list.js'
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { GaugeReadings } from '../observability/ingress-metrics.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
-import type { RequestCodec } from '../relay/request-codec.js'
 import { RoutedListener } from '../relay/routed-listener.js'
 import { ServiceRelay } from '../relay/service-relay.js'
 import { StreamRelay } from '../relay/stream-relay.js'
 import { RepeatBudgets } from '../retries/repeat-budgets.js'
-import type { AdapterAnnouncement, AdapterKey, Configuration, Endpoint, ModelName } from '../routes/configuration.js'
+import type { AdapterKey, Endpoint, ModelName } from '../routes/configuration.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { LoadBoard } from '../routing/load-board.js'
 import { PrefixMemory } from '../routing/prefix-memory.js'
 import { ServiceRouter } from '../routing/service-router.js'
+import { WorkDigests } from '../routing/work-digests.js'
+import type { IngressPlatform } from './ingress-platform.js'
 import type { IngressSettings } from './ingress-settings.js'
+import { makeFollowers } from './platform-followers.js'
+import type { FollowerParts } from './platform-followers.js'
 import { watchForPauses } from './pause-watch.js'
 import { listenAt, metricsApplication, readinessApplication } from './side-listeners.js'
 import { stopInOrder } from './stop-in-order.js'
 
 /** A silent peer is noticed within three of these. */
 const HEARTBEAT_MILLISECONDS = 500
-/** Digests of work in hand: routing by peers' work is this old. */
-const DIGEST_MILLISECONDS = 150
-/**
- * Beyond so many instances digests become rarer in proportion, so that what each sends and reads stays the same; each
- * then holds a smaller part of the work, and its own share of the picture can be older.
- */
-const MEMBERS_AT_FULL_PACE = 10
 const HOUSEKEEPING_MILLISECONDS = 250
 /** At each housekeeping: an endpoint that is avoided for its errors is tried again after some seconds. */
 const ERROR_DECAY = 0.97
-/** A watch bounds how late a store that fell silent is noticed; each one is a call that the platform counts. */
-const ENDPOINT_WATCH_MILLISECONDS = 2_500
-const OTHER_WATCH_MILLISECONDS = 8_000
-/** Endpoints write many small changes; a leaving one must still be seen within two seconds. */
-const ENDPOINT_PACE_MILLISECONDS = 500
-const OTHER_PACE_MILLISECONDS = 50
 /** After a pause no order is given until the store has been read again. */
 const ORDER_PAUSE_MILLISECONDS = 1_000
 /**
@@ -67,26 +55,6 @@
  */
 const EJECTION = { failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, returnMilliseconds: 4_000, floor: 0.25 }
 
-/** Where the platform's objects lie, and how they are read. */
-export interface PlatformForms {
-  readonly configurationKind: string
-  readonly endpointKind: string
-  readonly announcementKind: string
-  readonly decodeConfiguration: (object: StoredObject) => Configuration | undefined
-  readonly decodeEndpoint: (object: StoredObject) => Endpoint | undefined
-  readonly decodeAnnouncement: (object: StoredObject) => AdapterAnnouncement | undefined
-}
-
-/** What a platform lends to an instance. */
-export interface IngressPlatform {
-  readonly store: DeletingObjectStore
-  readonly control: EngineControl
-  readonly codec: RequestCodec
-  readonly forms: PlatformForms
-  /** Closes the connections to the platform. */
-  readonly close: () => Promise<void>
-}
-
 /** One instance. */
 export class IngressInstance {
   readonly instance = newInstanceId()
@@ -171,7 +139,7 @@
     })
     this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics)
     this.listener = this.makeListener()
-    this.followers = this.makeFollowers()
+    this.followers = makeFollowers(this.followerParts())
     this.connectParts()
   }
 
@@ -189,7 +157,8 @@
     void supervisor.start('load duty', async (signal) => { await this.duty.run(signal) })
     const exchange = new BeliefExchange(network, { configuration: this.configuration, directory: this.directory, versions: this.versions, health: this.health }, this.clock)
     void supervisor.start('beliefs', async (signal) => { await exchange.run(signal) })
-    void supervisor.start('digests', async (signal) => { await this.tellDigests(signal) })
+    const digests = new WorkDigests(network, this.board, () => this.members.count, this.clock)
+    void supervisor.start('digests', async (signal) => { await digests.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.keepHouse(signal) })
     void supervisor.start('pauses', async (signal) => { await watchForPauses(this.clock, logger.part('clock'), () => this.afterPause(), signal) })
     logger.info('This instance has started.', { instance: this.instance, ...settings })
@@ -295,27 +264,21 @@
     return newest !== undefined && this.versions.leastUsable(key, now) === newest ? newest : undefined
   }
 
-  private makeFollowers (): StoreFollower<unknown>[] {
-    const { forms } = this.platform
-    return [
-      this.follower(forms.configurationKind, forms.decodeConfiguration, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => {
-        for (const configuration of objects.values()) this.configuration.apply(configuration, 'store')
-      }),
-      this.follower(forms.endpointKind, forms.decodeEndpoint, ENDPOINT_WATCH_MILLISECONDS, ENDPOINT_PACE_MILLISECONDS, (objects, revision) => {
+  private followerParts (): FollowerParts {
+    return {
+      platform: this.platform,
+      health: this.health,
+      clock: this.clock,
+      logger: this.logger.part('store'),
+      onConfiguration: (configuration) => this.configuration.apply(configuration, 'store'),
+      onEndpoints: (endpoints, revision) => {
         const now = this.clock.now()
-        this.directory.apply({ revision, endpoints: [...objects.values()] }, this.health.outageEndedAt(now), now)
-        this.takeStatements()
-      }),
-      this.follower(forms.announcementKind, forms.decodeAnnouncement, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => {
-        this.versions.apply(objects.values(), 'store', this.clock.now())
-      }),
-      this.follower(CLUSTER_KIND, decodeClusterObject, OTHER_WATCH_MILLISECONDS, OTHER_PACE_MILLISECONDS, (objects) => this.applyCluster(objects.values()))
-    ]
-  }
-
-  private follower<Decoded> (kind: string, decode: (object: StoredObject) => Decoded | undefined, watchMilliseconds: number, paceMilliseconds: number, apply: (objects: ReadonlyMap<string, Decoded>, revision: number) => void): StoreFollower<unknown> {
-    const { store } = this.platform
-    return new StoreFollower<Decoded>({ store, health: this.health, clock: this.clock, logger: this.logger.part('store'), kind, decode, apply, watchMilliseconds, paceMilliseconds }) as StoreFollower<unknown>
+        this.directory.apply({ revision, endpoints }, this.health.outageEndedAt(now), now)
+        for (const endpoint of this.directory.all()) this.locations.takeStatement(endpoint)
+      },
+      onAnnouncements: (announcements) => this.versions.apply(announcements, 'store', this.clock.now()),
+      onCluster: (objects) => this.applyCluster(objects)
+    }
   }
 
   private applyCluster (objects: Iterable<ClusterObject>): void {
@@ -359,21 +322,6 @@
     }
   }
 
-  private takeStatements (): void {
-    for (const endpoint of this.directory.all()) this.locations.takeStatement(endpoint)
-  }
-
-  private async tellDigests (signal: AbortSignal): Promise<void> {
-    let wasEmpty = true
-    while (!signal.aborted) {
-      await this.clock.sleep(DIGEST_MILLISECONDS * Math.max(1, this.members.count / MEMBERS_AT_FULL_PACE), signal)
-      const loads = this.board.digest()
-      if (loads.length === 0 && wasEmpty) continue
-      wasEmpty = loads.length === 0
-      for (const peer of this.network.connected()) this.network.notify(peer, { kind: 'relay-load', loads })
-    }
-  }
-
   private async keepHouse (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
--- /dev/null
+++ b/packages/ingress/src/runtime/ingress-platform.ts
@@ -0,0 +1,25 @@
+/** What a platform lends to an ingress instance. */
+import type { DeletingObjectStore, StoredObject } from '@limpetwinch/core'
+import type { EngineControl } from '../adapters/engine-control.js'
+import type { RequestCodec } from '../relay/request-codec.js'
+import type { AdapterAnnouncement, Configuration, Endpoint } from '../routes/configuration.js'
+
+/** Where the platform's objects lie, and how they are read. */
+export interface PlatformForms {
+  readonly configurationKind: string
+  readonly endpointKind: string
+  readonly announcementKind: string
+  readonly decodeConfiguration: (object: StoredObject) => Configuration | undefined
+  readonly decodeEndpoint: (object: StoredObject) => Endpoint | undefined
+  readonly decodeAnnouncement: (object: StoredObject) => AdapterAnnouncement | undefined
+}
+
+/** What a platform lends to an instance. */
+export interface IngressPlatform {
+  readonly store: DeletingObjectStore
+  readonly control: EngineControl
+  readonly codec: RequestCodec
+  readonly forms: PlatformForms
+  /** Closes the connections to the platform. */
+  readonly close: () => Promise<void>
+}
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -6,33 +6,17 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
 import { silentLogger, SystemClock } from '@limpetwinch/core'
-import type { FencingToken, LimpetwinchError } from '@limpetwinch/core'
+import type { FencingToken } from '@limpetwinch/core'
 import { StallEvictionPolicy } from '@limpetwinch/decisions'
-import type { Result } from 'neverthrow'
 import { AdapterLocations } from '../src/adapters/adapter-locations.js'
 import { EndpointLoader } from '../src/adapters/endpoint-loader.js'
 import { ModelLoadPace } from '../src/adapters/model-load-pace.js'
 import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
-import { EngineControl } from '../src/adapters/engine-control.js'
-import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
 import { LoadBoard } from '../src/routing/load-board.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
+import { SimulatedEngineControl } from './support/simulated-engine-control.js'
 import { endpoint, engineShape, key } from './support/samples.js'
 
-class EngineUnderTest extends EngineControl {
-  constructor (readonly engine: SimulatedEngine) {
-    super()
-  }
-
-  override async order (_target: OrderTarget, order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
-    return await this.engine.order(order)
-  }
-
-  override async report (): Promise<Result<EngineReport, LimpetwinchError>> {
-    return this.engine.report()
-  }
-}
-
 interface Run {
   readonly engine: SimulatedEngine
   readonly loader: EndpointLoader
@@ -47,7 +31,7 @@
   const board = new LoadBoard()
   const subject = endpoint('engine')
   const loader = new EndpointLoader(subject, 7 as FencingToken, engineShape(), {
-    control: new EngineUnderTest(engine),
+    control: new SimulatedEngineControl(engine),
     clock,
     logger: silentLogger(),
     locations,
--- a/packages/ingress/test/load-duty.failure.test.ts
+++ b/packages/ingress/test/load-duty.failure.test.ts
@@ -9,8 +9,7 @@
 import { ok, okAsync } from 'neverthrow'
 import type { Result, ResultAsync } from 'neverthrow'
 import { AdapterLocations } from '../src/adapters/adapter-locations.js'
-import { EngineControl } from '../src/adapters/engine-control.js'
-import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
+import type { EngineOrder, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
 import { LoadDuty } from '../src/adapters/load-duty.js'
 import { ModelLoadPace } from '../src/adapters/model-load-pace.js'
 import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
@@ -23,6 +22,7 @@
 import { ManualClock } from './support/manual-clock.js'
 import { endpoint, engineShape, key, route, service } from './support/samples.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
+import { SimulatedEngineControl } from './support/simulated-engine-control.js'
 
 const LEASE = 3_000
 const HERE = 'here' as DataCentreId
@@ -40,24 +40,19 @@
 }
 
 /** Engines whose tokens are checked, and who ordered them when. */
-class EnginesUnderTest extends EngineControl {
+class EnginesUnderTest extends SimulatedEngineControl {
   readonly seen: OrderSeen[] = []
-  private readonly engine = new SimulatedEngine({ slots: 2 })
   private highest = 0
 
   constructor (private readonly clock: ManualClock, private readonly checksTokens: boolean) {
-    super()
+    super(new SimulatedEngine({ slots: 2 }))
   }
 
   override async order (target: OrderTarget, order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
     if (this.checksTokens && target.token < this.highest) return ok('stale-token')
     this.highest = Math.max(this.highest, target.token)
     this.seen.push({ by: target.holder, token: target.token, at: this.clock.now() })
-    return await this.engine.order(order)
-  }
-
-  override async report (): Promise<Result<EngineReport, LimpetwinchError>> {
-    return this.engine.report()
+    return await super.order(target, order)
   }
 }
 
@@ -195,4 +190,27 @@
     await pass(1_000, around, one, two)
     expect({ during: during - before, after: around.engines.seen.length > during }).toEqual({ during: 0, after: true })
   })
+
+  // Callers of the engine's adapters wait or are refused. Its reports end the loader each time, as a fault of this program
+  // would. Tried again at each look, three times a second, it would fill the log and the engine's connections; tried ever
+  // more rarely, it is still there when the fault is over.
+  it('is taken up ever more rarely while it fails, and at last succeeds', async () => {
+    const around = world()
+    let failing = true
+    const reports: number[] = []
+    const { engines, clock } = around
+    const report = engines.report.bind(engines)
+    engines.report = async () => {
+      reports.push(clock.now())
+      if (failing) throw new Error('a fault of the loader')
+      return await report()
+    }
+    const one = instance('one', { ...around, heard: new Set(['one']) })
+    await pass(40_000, around, one)
+    const gaps = reports.slice(1).map((at, index) => at - (reports[index] ?? 0))
+    expect({ often: reports.length > 12, first: (gaps[0] ?? 0) < 1_500, last: (gaps.at(-1) ?? 0) >= 5_000 }).toEqual({ often: false, first: true, last: true })
+    failing = false
+    await pass(12_000, around, one)
+    expect(engines.seen.length).toBeGreaterThan(0)
+  })
 })
--- /dev/null
+++ b/packages/ingress/test/support/simulated-engine-control.ts
@@ -0,0 +1,21 @@
+/** The control side of one simulated engine. */
+import type { LimpetwinchError } from '@limpetwinch/core'
+import type { Result } from 'neverthrow'
+import { EngineControl } from '../../src/adapters/engine-control.js'
+import type { EngineOrder, EngineReport, OrderAnswer, OrderTarget } from '../../src/adapters/engine-control.js'
+import type { SimulatedEngine } from './simulated-engine.js'
+
+/** Passes everything on. */
+export class SimulatedEngineControl extends EngineControl {
+  constructor (readonly engine: SimulatedEngine) {
+    super()
+  }
+
+  override async order (_target: OrderTarget, order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
+    return await this.engine.order(order)
+  }
+
+  override async report (): Promise<Result<EngineReport, LimpetwinchError>> {
+    return this.engine.report()
+  }
+}
