--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -14,6 +14,8 @@
   /** Path of the script that Node.js runs. */
   readonly script: string
   readonly scriptArguments: readonly string[]
+  /** Variables beside those of this process. */
+  readonly environment?: Readonly<Record<string, string>>
 }
 
 const START_MILLISECONDS = 60_000
@@ -28,6 +30,7 @@
   private readonly child: ChildProcess
   private readonly lastLines: string[] = []
   private readonly ended: Promise<void>
+  private readonly output: Promise<string | undefined>
   private stopping = false
   private hasEnded = false
 
@@ -35,10 +38,11 @@
    * @param launch - what to start
    * @param onUnexpectedEnd - called when it ends though nobody stopped it
    * @param onLine - gets what it writes on standard error
+   * @param onOutput - gets what it writes on standard output, its first line included
    */
-  constructor (launch: Launch, onUnexpectedEnd: (reason: string) => void, onLine: (line: string) => void) {
+  constructor (launch: Launch, onUnexpectedEnd: (reason: string) => void, onLine: (line: string) => void, onOutput: (line: string) => void = () => {}) {
     this.name = launch.name
-    this.child = spawn(process.execPath, [launch.script, ...launch.scriptArguments], { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.child = spawn(process.execPath, [launch.script, ...launch.scriptArguments], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...launch.environment } })
     this.ended = new Promise((resolve) => {
       this.child.once('close', (code, signal) => {
         this.hasEnded = true
@@ -48,6 +52,7 @@
     })
     this.child.once('error', (problem) => this.keep(problem.message))
     this.readErrors(onLine)
+    this.output = this.readOutput(onOutput)
   }
 
   /** @returns its process id */
@@ -69,7 +74,7 @@
   async untilReady (milliseconds = START_MILLISECONDS): Promise<Result<unknown, LimpetwinchError>> {
     const timeout = new AbortController()
     const line = await Promise.race([
-      this.firstLine(),
+      this.output,
       this.ended.then(() => undefined),
       sleep(milliseconds, undefined, { signal: timeout.signal }).catch(() => undefined)
     ])
@@ -101,14 +106,13 @@
     return endedItself
   }
 
-  private async firstLine (): Promise<string | undefined> {
+  /** Later lines are read as well, or a full pipe would stop the process. @returns the first line */
+  private async readOutput (onOutput: (line: string) => void): Promise<string | undefined> {
     const { stdout } = this.child
     if (stdout === null) return undefined
     const lines = createInterface({ input: stdout })
-    return await new Promise((resolve) => {
-      // Later lines are read as well, or a full pipe would stop the process.
-      lines.on('line', resolve)
-    })
+    lines.on('line', onOutput)
+    return await new Promise((resolve) => { lines.once('line', resolve) })
   }
 
   private readErrors (onLine: (line: string) => void): void {
--- a/packages/stand-ins/src/http/stand-in-server.ts
+++ b/packages/stand-ins/src/http/stand-in-server.ts
@@ -15,6 +15,11 @@
 /** The application of a stand-in. */
 export type StandInApplication = Hono<StandInEnvironment>
 
+/** One request to a stand-in. */
+export type StandInContext = Context<StandInEnvironment>
+
+export { RESPONSE_ALREADY_SENT }
+
 /** A stand-in for an outside system, served over HTTP in this process. */
 export abstract class StandInServer {
   private server: Server | undefined
