A fault soak of our own: real processes, faults from outside, promises checked from callers and endpoints

Three instances, four model servers and callers that keep their connections; kills, stops, pauses, reloads, cuts and resets of the store's links, outages, lost answers and lost history, crashes and leavings, overlapping and by seed.

--- a/packages/load/src/faults/cuttable-link.ts
+++ b/packages/load/src/faults/cuttable-link.ts
@@ -17,9 +17,19 @@
   /** @returns the URL of the near end */
   async listen (): Promise<string> {
     await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', resolve) })
+    return this.listening
+  }
+
+  /** The URL of the near end, once it listens. */
+  get listening (): string {
     return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
   }
 
+  /** Resets all connections that are open now; new ones work. */
+  reset (): void {
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
   /** From now on bytes go nowhere, on open and on new connections. */
   cut (): void {
     this.isCut = true
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { CuttableLink } from './faults/cuttable-link.js'
+export { SeededRandom } from './faults/random.js'
--- /dev/null
+++ b/packages/soak/src/bin/limpetwinch-soak.ts
@@ -0,0 +1,64 @@
+#!/usr/bin/env node
+/** Runs the fault soak by hand or in CI. */
+import { createWriteStream, mkdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { Command, Flags } from '@oclif/core'
+import { runBinary } from '@limpetwinch/stand-ins'
+import { SOAK_FAULTS } from '../faults/index.js'
+import { SoakRun } from '../soak-run.js'
+import type { SoakOutcome } from '../soak-run.js'
+
+const LARGEST_SEED = 2 ** 30
+const EXIT_VIOLATION = 1
+
+class SoakCommand extends Command {
+  static override description = 'Runs deployments of real processes under faults and checks the promises; exits 1 on a violation.'
+
+  static override flags = {
+    seed: Flags.integer({ min: 1, description: 'of the first run; a fresh one by default' }),
+    runs: Flags.integer({ default: 1, min: 1, description: 'how many, with seeds that follow each other' }),
+    concurrency: Flags.integer({ default: 1, min: 1, description: 'runs at a time' }),
+    seconds: Flags.integer({ default: 15, min: 1, description: 'in which faults begin' }),
+    faults: Flags.integer({ default: 6, min: 0, description: 'how many happen in a run' }),
+    fault: Flags.string({ multiple: true, options: SOAK_FAULTS.map(({ kind }) => kind), description: 'only faults of this kind; may be given again' }),
+    instances: Flags.integer({ default: 3, min: 1, max: 200, description: 'ingress instances' }),
+    engines: Flags.integer({ default: 4, min: 1, max: 200, description: 'model servers' }),
+    slots: Flags.integer({ default: 4, min: 1, max: 50, description: 'adapters of one model server' }),
+    keep: Flags.string({ description: 'folder for the logs of the instances' })
+  }
+
+  override async run (): Promise<void> {
+    const { flags } = await this.parse(SoakCommand)
+    const first = flags.seed ?? 1 + Math.floor(Math.random() * LARGEST_SEED)
+    const seeds = Array.from({ length: flags.runs }, (_, index) => first + index)
+    const faults = SOAK_FAULTS.filter(({ kind }) => flags.fault === undefined || flags.fault.includes(kind))
+    const outcomes: SoakOutcome[] = []
+    const work = async (): Promise<void> => {
+      for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+        const size = { instances: flags.instances, engines: flags.engines, webServers: 2, adapterSlots: flags.slots }
+        const outcome = await new SoakRun({ seed, seconds: flags.seconds, size, faults, faultCount: flags.faults, onLog: logTo(flags.keep, seed) }).run()
+        outcomes.push(outcome)
+        this.print(outcome)
+      }
+    }
+    await Promise.all(Array.from({ length: flags.concurrency }, work))
+    const sum = (figure: (outcome: SoakOutcome) => number): number => outcomes.reduce((total, outcome) => total + figure(outcome), 0)
+    this.log(`${outcomes.length} runs, ${sum(({ faults: made }) => made.length)} faults, ${sum(({ requests }) => requests)} requests, ${sum(({ served }) => served)} served, ${sum(({ violations }) => violations.length)} violations`)
+    process.exitCode = outcomes.some(({ violations }) => violations.length > 0) ? EXIT_VIOLATION : 0
+  }
+
+  private print ({ seed, requests, served, faults, violations }: SoakOutcome): void {
+    this.log(`seed ${seed}: ${served} of ${requests} served; ${faults.join(', ')}`)
+    for (const { promise, message } of violations) this.log(`seed ${seed}: BROKEN ${promise}: ${message}`)
+  }
+}
+
+/** @returns where the lines of a run go */
+function logTo (folder: string | undefined, seed: number): (instance: string, line: string) => void {
+  if (folder === undefined) return () => {}
+  mkdirSync(folder, { recursive: true })
+  const file = createWriteStream(join(folder, `soak-${seed}.log`))
+  return (instance, line) => { file.write(`${instance} ${line}\n`) }
+}
+
+await runBinary(SoakCommand, import.meta.url)
--- /dev/null
+++ b/packages/soak/src/soak-record.ts
@@ -0,0 +1,50 @@
+/** What a run saw: the faults it made, and the requests as callers saw them. Times are Unix milliseconds of this host. */
+import type { SampleAnswer, SampleRequest } from '@limpetwinch/platform'
+
+/** A fault from its start to its end. */
+export interface FaultSpan {
+  readonly kind: string
+  /** The instance or endpoint; undefined for the store. */
+  readonly target: string | undefined
+  readonly from: number
+  /** Infinity while it lasts. */
+  to: number
+}
+
+/** A request and its answer. */
+export interface SeenRequest {
+  readonly instance: string
+  readonly request: SampleRequest
+  readonly answer: SampleAnswer
+  readonly sentAt: number
+  readonly endedAt: number
+}
+
+/** An endpoint that began to leave. */
+export interface SeenLeaving {
+  readonly endpoint: string
+  readonly at: number
+}
+
+/** One run's record. */
+export class SoakRecord {
+  readonly faults: FaultSpan[] = []
+  readonly requests: SeenRequest[] = []
+  readonly leavings: SeenLeaving[] = []
+  /** Instances that ended though nothing ended them, with the reason. */
+  readonly lost: string[] = []
+  /** Answers to requests sent when all faults were long over. */
+  readonly probes: SeenRequest[] = []
+
+  /** Notes the start of a fault. @returns the span, to be ended */
+  begin (kind: string, target?: string): FaultSpan {
+    const span: FaultSpan = { kind, target, from: Date.now(), to: Infinity }
+    this.faults.push(span)
+    return span
+  }
+
+  /** @returns faults that overlap a time, widened by a margin on both sides */
+  during (from: number, to: number, marginMilliseconds: number): FaultSpan[] {
+    return this.faults.filter((fault) => fault.from <= to + marginMilliseconds && fault.to >= from - marginMilliseconds)
+  }
+}
--- /dev/null
+++ b/packages/soak/src/soak-site.ts
@@ -0,0 +1,100 @@
+/** The deployment under test and what a fault may do to it, from outside only: signals, links, the stand-ins' own faults. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { CuttableLink } from '@limpetwinch/load'
+import type { SeededRandom } from '@limpetwinch/load'
+import { PlatformDeployment } from '@limpetwinch/platform'
+import type { LaunchedInstance } from '@limpetwinch/platform'
+import { SoakRecord } from './soak-record.js'
+
+/** Signals sent to an instance. */
+export type InstanceSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
+
+/** How large a run is. */
+export interface SoakSize {
+  readonly instances: number
+  readonly engines: number
+  readonly webServers: number
+  readonly adapterSlots: number
+}
+
+/** One deployment in one run. */
+export class SoakSite {
+  readonly record = new SoakRecord()
+  readonly deployment: PlatformDeployment
+  readonly random: SeededRandom
+  private readonly links = new Map<number, CuttableLink>()
+  private readonly endedByUs = new Set<string>()
+  private readonly relaunches = new Map<number, Promise<void>>()
+  private version = 1
+
+  /** @param onLog - gets each line of each instance */
+  constructor (size: SoakSize, random: SeededRandom, onLog: (instance: string, line: string) => void) {
+    this.random = random
+    this.deployment = new PlatformDeployment({
+      ...size,
+      onLog,
+      onLost: (name, reason) => { if (!this.endedByUs.has(name)) this.record.lost.push(`${name}: ${reason}`) },
+      storeFor: async (index, url) => {
+        const link = this.links.get(index) ?? new CuttableLink(url)
+        if (this.links.has(index)) return link.listening
+        this.links.set(index, link)
+        return await link.listen()
+      }
+    })
+  }
+
+  /** @returns instances that callers are sent to now */
+  get instances (): readonly LaunchedInstance[] {
+    return this.deployment.instances
+  }
+
+  /** @returns the link between an instance and the store */
+  linkOf (index: number): CuttableLink | undefined {
+    return this.links.get(index)
+  }
+
+  /** Sends a signal to an instance that this run started. */
+  signal (instance: LaunchedInstance, signal: InstanceSignal): void {
+    const { processId } = instance.process
+    if (signal === 'SIGTERM' || signal === 'SIGKILL') this.endedByUs.add(instance.name)
+    if (processId !== undefined && !instance.process.hasEnded) process.kill(processId, signal)
+  }
+
+  /**
+   * Starts an instance again under its name and waits until it is ready. Faults overlap: one that finds the instance
+   * replaced already has nothing to start.
+   */
+  async relaunch (index: number, ended: LaunchedInstance): Promise<void> {
+    const before = this.relaunches.get(index) ?? Promise.resolve()
+    const relaunched = before.then(async () => {
+      if (this.instances[index] !== ended) return
+      await ended.process.untilEnded()
+      this.endedByUs.delete(ended.name)
+      const launched = await this.deployment.launch(index)
+      this.deployment.instances[index] = launched
+      await this.deployment.untilReady(launched).catch((cause: unknown) => { this.record.lost.push(String(cause)) })
+    })
+    this.relaunches.set(index, relaunched)
+    await relaunched
+  }
+
+  /** Writes a newer configuration. */
+  changeConfiguration (): void {
+    this.version += this.random.between(1, 3)
+    this.deployment.configure(this.version)
+  }
+
+  /** Ends all that this run started. @returns names of instances that had to be killed */
+  async stop (): Promise<string[]> {
+    for (const instance of this.instances) this.signal(instance, 'SIGCONT')
+    for (const { name } of this.instances) this.endedByUs.add(name)
+    const killed = await this.deployment.stop()
+    await Promise.all([...this.links.values()].map(async (link) => await link.close()))
+    return killed
+  }
+
+  /** Waits for a time between the two, milliseconds. */
+  async wait (least: number, most: number): Promise<void> {
+    await sleep(this.random.between(least, most))
+  }
+}
--- a/packages/stand-ins/src/develop/launched-process.ts
+++ b/packages/stand-ins/src/develop/launched-process.ts
@@ -32,7 +32,8 @@
   private readonly ended: Promise<void>
   private readonly output: Promise<string | undefined>
   private stopping = false
-  private hasEnded = false
+  /** Whether it has ended, for whatever reason. */
+  hasEnded = false
 
   /**
    * @param launch - what to start
@@ -88,6 +89,11 @@
     }
   }
 
+  /** Waits until it has ended, for whatever reason. */
+  async untilEnded (): Promise<void> {
+    await this.ended
+  }
+
   /**
    * Ends it: asks first, and kills it when it does not end.
    *
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,7 @@
 import { fileURLToPath } from 'node:url'
 import { defineConfig } from 'vitest/config'
 
-const packages = ['core', 'decisions', 'entry', 'cli', 'stand-ins', 'load', 'ingress']
+const packages = ['core', 'decisions', 'entry', 'cli', 'stand-ins', 'load', 'ingress', 'soak']
 
 /** Tests run on the sources of the packages; only tests that start processes use what was built. */
 export default defineConfig({
