--- a/packages/ingress/src/endpoints/endpoint-directory.ts
+++ b/packages/ingress/src/endpoints/endpoint-directory.ts
@@ -128,7 +128,7 @@
 
   private tell (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving'): void {
     const { id, service, address, born } = endpoint
-    this.logger.info(`An endpoint ${CHANGE_WORDS[change]}.`, { endpoint: id, service, address, born, revision: this.revisionSeen })
+    this.logger.info(CHANGE_LINES[change], { endpoint: id, service, address, born, revision: this.revisionSeen })
     for (const listener of this.listeners) listener(endpoint, change)
   }
 
@@ -143,4 +143,8 @@
   }
 }
 
-const CHANGE_WORDS = { arrived: 'arrived', restarted: 'started again', leaving: 'is leaving' } as const
+const CHANGE_LINES = {
+  arrived: 'An endpoint arrived.',
+  restarted: 'An endpoint started again.',
+  leaving: 'An endpoint is leaving.'
+} as const
