--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -3,12 +3,18 @@
 import { describe, expect, it } from 'vitest'
 import { SOAK_FAULTS, SoakRun } from '../src/index.js'
 
-const SIZE = { instances: 2, engines: 2, webServers: 1, adapterSlots: 3 }
+const SMALL = { seconds: 6, size: { instances: 2, engines: 2, webServers: 1, adapterSlots: 3 }, faultCount: 4 }
+const USUAL = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 describe('a short soak', () => {
-  it.each([7])('keeps every promise with seed %i', async (seed) => {
-    const outcome = await new SoakRun({ seed, seconds: 6, size: SIZE, faults: SOAK_FAULTS, faultCount: 4, onLog: () => {} }).run()
+  it.each([
+    // An instance that a second fault killed while it started was taken for lost: the soak's own fault.
+    { seed: 7, ...SMALL },
+    // SIGHUP reached an instance that was still loading its program, and ended it.
+    { seed: 110, ...USUAL }
+  ])('keeps every promise with seed $seed', async (plan) => {
+    const outcome = await new SoakRun({ ...plan, faults: SOAK_FAULTS, onLog: () => {} }).run()
     expect(outcome.violations).toEqual([])
     expect(outcome.requests).toBeGreaterThan(50)
-  }, 120_000)
+  }, 180_000)
 })
