--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -9,6 +9,8 @@
 /** Signals sent to an instance. */
 export type InstanceSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
 
+const HUNG_UP = 'signal SIGHUP'
+
 /** How large a run is. */
 export interface SoakSize {
   readonly instances: number
@@ -24,6 +26,8 @@
   readonly random: SeededRandom
   private readonly links = new Map<number, CuttableLink>()
   private readonly endedByUs = new Set<string>()
+  /** Instances that have written a line in their present life. */
+  private readonly speaking = new Set<string>()
   private readonly relaunches = new Map<number, Promise<void>>()
   private version = 1
 
@@ -32,8 +36,11 @@
     this.random = random
     this.deployment = new PlatformDeployment({
       ...size,
-      onLog,
-      onLost: (name, reason) => { if (!this.endedByUs.has(name)) this.record.lost.push(`${name}: ${reason}`) },
+      onLog: (name, line) => {
+        this.speaking.add(name)
+        onLog(name, line)
+      },
+      onLost: (name, reason) => this.lost(name, reason),
       storeFor: async (index, url) => {
         const link = this.links.get(index) ?? new CuttableLink(url)
         if (this.links.has(index)) return link.listening
@@ -70,6 +77,7 @@
       if (this.instances[index] !== ended) return
       await ended.process.untilEnded()
       this.endedByUs.delete(ended.name)
+      this.speaking.delete(ended.name)
       const launched = await this.deployment.launch(index)
       this.deployment.instances[index] = launched
       // The next fault may end it before it is ready, and starts it again.
@@ -94,6 +102,22 @@
     return killed
   }
 
+  /**
+   * SIGHUP ends a process that has not run a line of the program yet; no program can help that, and the platform starts it
+   * again, as it does here. From the program's first line on it is a loss.
+   */
+  private lost (name: string, reason: string): void {
+    if (this.endedByUs.has(name)) return
+    const index = this.instances.findIndex((instance) => instance.name === name)
+    const ended = this.instances[index]
+    if (reason !== HUNG_UP || this.speaking.has(name) || ended === undefined) {
+      this.record.lost.push(`${name}: ${reason}`)
+      return
+    }
+    this.endedByUs.add(name)
+    void this.relaunch(index, ended)
+  }
+
   /** Waits for a time between the two, milliseconds. */
   async wait (least: number, most: number): Promise<void> {
     await sleep(this.random.between(least, most))
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -10,7 +10,8 @@
   it.each([
     // An instance that a second fault killed while it started was taken for lost: the soak's own fault.
     { seed: 7, ...SMALL },
-    // SIGHUP reached an instance that was still loading its program, and ended it.
+    // SIGHUP ended an instance that was starting: within the program, where it is handled from the first line on now, or
+    // before it, where the platform's restart makes it good.
     { seed: 110, ...USUAL }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, faults: SOAK_FAULTS, onLog: () => {} }).run()
