--- a/packages/soak/src/faults/outside-faults.ts
+++ b/packages/soak/src/faults/outside-faults.ts
@@ -1,46 +1,60 @@
 /** Faults of what stands around the instances: store, model servers, configuration. */
+import type { StoreServerFaults } from '@limpetwinch/platform'
 import type { SoakSite } from '../soak-site.js'
 import { SoakFault } from './soak-fault.js'
 
 /** A leaving endpoint goes on serving for a while. */
 const SERVES_ON = { least: 3_000, most: 4_500 }
+/** Shorter ones end within a call's own time and are seen by nobody. */
+const LEAST_STORE_FAULT_MILLISECONDS = 500
 
-/** The store refuses, or says nothing. */
-export class StoreDown extends SoakFault {
-  override readonly kind = 'store-down'
+/** A fault of the store that is set and taken back. */
+abstract class StoreFault extends SoakFault {
+  protected abstract readonly longestMilliseconds: number
+  protected abstract readonly unset: Partial<StoreServerFaults>
 
   override async run (site: SoakSite): Promise<void> {
     await this.lasting(site, undefined, async () => {
-      site.deployment.store.setFaults({ down: site.random.pick(['refuse', 'silent'] as const) })
-      await site.wait(500, 4_000)
-      site.deployment.store.setFaults({ down: 'no' })
+      site.deployment.store.setFaults(this.faults(site))
+      await site.wait(LEAST_STORE_FAULT_MILLISECONDS, this.longestMilliseconds)
+      site.deployment.store.setFaults(this.unset)
     })
   }
+
+  /** @returns what is set */
+  protected abstract faults (site: SoakSite): Partial<StoreServerFaults>
+}
+
+/** The store refuses, or says nothing. */
+export class StoreDown extends StoreFault {
+  override readonly kind = 'store-down'
+  protected override readonly longestMilliseconds = 4_000
+  protected override readonly unset = { down: 'no' } as const
+
+  protected override faults ({ random }: SoakSite): Partial<StoreServerFaults> {
+    return { down: random.pick(['refuse', 'silent'] as const) }
+  }
 }
 
 /** The store is slow. */
-export class StoreSlow extends SoakFault {
+export class StoreSlow extends StoreFault {
   override readonly kind = 'store-slow'
+  protected override readonly longestMilliseconds = 3_000
+  protected override readonly unset = { slowMilliseconds: 0 }
 
-  override async run (site: SoakSite): Promise<void> {
-    await this.lasting(site, undefined, async () => {
-      site.deployment.store.setFaults({ slowMilliseconds: site.random.between(50, 600) })
-      await site.wait(500, 3_000)
-      site.deployment.store.setFaults({ slowMilliseconds: 0 })
-    })
+  protected override faults ({ random }: SoakSite): Partial<StoreServerFaults> {
+    return { slowMilliseconds: random.between(50, 600) }
   }
 }
 
 /** Writes take effect, and their answers are lost. */
-export class StoreLosesAnswers extends SoakFault {
+export class StoreLosesAnswers extends StoreFault {
   override readonly kind = 'store-loses-answers'
+  protected override readonly longestMilliseconds = 2_000
+  protected override readonly unset = { loseAnswers: 0 }
 
-  override async run (site: SoakSite): Promise<void> {
-    await this.lasting(site, undefined, async () => {
-      site.deployment.store.setFaults({ loseAnswers: site.random.between(1, 6) })
-      await site.wait(500, 2_000)
-      site.deployment.store.setFaults({ loseAnswers: 0 })
-    })
+  protected override faults ({ random }: SoakSite): Partial<StoreServerFaults> {
+    return { loseAnswers: random.between(1, 6) }
   }
 }
 
@@ -79,7 +93,7 @@
     const engine = site.random.pick(site.deployment.engines.filter(({ isOver }) => !isOver))
     await site.deployment.addEngine()
     await this.lasting(site, engine.options.id, async () => {
-      if (await engine.drain()) site.record.leavings.push({ endpoint: engine.options.id, at: Date.now() })
+      if (await engine.beginLeaving()) site.record.leavings.push({ endpoint: engine.options.id, at: Date.now() })
       await site.wait(SERVES_ON.least, SERVES_ON.most)
       await engine.leave()
     })
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -15,13 +15,17 @@
 const SETTLE_MILLISECONDS = 3_000
 /** After the last fault: leases pass, entries lapse, connections are made anew. */
 const RECOVER_MILLISECONDS = 9_000
+/** Enough that one in ten may fail by chance and a lost instance still shows. */
 const PROBES = 24
+/** A cold adapter's load and a stream of the most events fit in several times. */
 const PROBE_DEADLINE_MILLISECONDS = 6_000
 /** More adapters than slots, so that some must make way. */
 const ADAPTERS_FOR_SLOT = 1.3
 const LEAST_EVENTS = 4
 const MOST_EVENTS = 30
+/** Some end while their stream still runs, some while their adapter is loaded, some never; milliseconds. */
 const DEADLINES = [1_500, 4_000, 8_000] as const
+/** Between two requests of a caller, milliseconds: about ten a second reach each instance. */
 const THINKING = { least: 20, most: 250 }
 
 /** What is run. */
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -75,6 +75,7 @@
     const before = this.relaunches.get(index) ?? Promise.resolve()
     const relaunched = before.then(async () => {
       if (this.instances[index] !== ended) return
+      // Every way here has sent SIGKILL, or the process has ended: the wait is the kernel's own.
       await ended.process.untilEnded()
       this.endedByUs.delete(ended.name)
       this.speaking.delete(ended.name)
--- a/packages/stand-ins/src/engine/lagging-report.ts
+++ b/packages/stand-ins/src/engine/lagging-report.ts
@@ -1,23 +1,22 @@
-/** The engine's report, published later than it was true. */
-import type { EngineReport } from '@limpetwinch/core'
+/** An engine's report, published later than it was true. */
 
-interface Snapshot {
+interface Snapshot<Report> {
   readonly at: number
-  readonly report: EngineReport
+  readonly report: Report
 }
 
 /** Takes a report at each interval and shows the newest one that is older than the lag. */
-export class LaggingReport {
-  private snapshots: Snapshot[]
+export class LaggingReport<Report> {
+  private snapshots: Snapshot<Report>[]
   private readonly timer: NodeJS.Timeout
-  private readonly make: () => EngineReport
+  private readonly make: () => Report
 
   /**
    * @param make - takes a report of the present moment
    * @param lag - milliseconds; may be changed at any time
    * @param interval - milliseconds between reports
    */
-  constructor (make: () => EngineReport, public lag: number, interval: number) {
+  constructor (make: () => Report, public lag: number, interval: number) {
     this.make = make
     this.snapshots = [{ at: -Infinity, report: make() }]
     this.timer = setInterval(() => this.add(), interval)
@@ -25,7 +24,7 @@
   }
 
   /** @returns the newest published report */
-  read (): EngineReport {
+  read (): Report {
     const visible = performance.now() - this.lag
     const found = this.snapshots.findLast((snapshot) => snapshot.at <= visible) ?? this.snapshots[0]
     return found?.report ?? this.make()
--- a/packages/stand-ins/src/engine/stand-in-engine.ts
+++ b/packages/stand-ins/src/engine/stand-in-engine.ts
@@ -39,7 +39,7 @@
   private readonly slots: AdapterSlots
   private readonly cache: PrefixCache
   private readonly sequences: SequenceTable
-  private readonly reports: LaggingReport
+  private readonly reports: LaggingReport<EngineReport>
   private readonly faults = { refuse: false, dropStreams: 0, dropAfterTokens: 3, duplicateEvery: 0, lateEvery: 0, ignoreCancel: false }
   private engineRun: string = randomUUID()
   private baseModel: string
