--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -234,6 +234,27 @@
   readonly sequence: number
   readonly held: readonly (readonly [key: string, version: number])[]
   readonly inFlight: readonly string[]
+  /** Adapters that wait for their load, in no order; absent from an older release. */
+  readonly waiting?: readonly string[] | undefined
+  /** How long one more load would wait for its turn, milliseconds; absent from an older release. */
+  readonly waitMilliseconds?: number | undefined
+}
+
+/** What has changed since the last word on what an endpoint holds; most words change one adapter of many. */
+export interface AdaptersChangedFrame {
+  readonly kind: 'adapters-changed'
+  readonly endpoint: EndpointId
+  readonly born: number
+  readonly token: FencingToken
+  /** One more than that of the word that this one goes on from. */
+  readonly sequence: number
+  /** Held in another version counts as added. */
+  readonly added: readonly (readonly [key: string, version: number])[]
+  readonly removed: readonly string[]
+  readonly inFlight: readonly string[]
+  readonly waitingAdded: readonly string[]
+  readonly waitingRemoved: readonly string[]
+  readonly waitMilliseconds: number
 }
 
 /** Asks the one that orders an endpoint's loads for an adapter. */
@@ -245,6 +266,10 @@
   readonly version: number
   /** Whether requests wait for it, or it is a further copy. */
   readonly waiting: boolean
+  /** The request that waits, so that one which asks again counts once; absent from an older release. */
+  readonly request?: string | undefined
+  /** Until an answer to it is late, milliseconds; below 0 it is already. Absent from an older release. */
+  readonly onTimeMilliseconds?: number | undefined
 }
 
 /** The load was not ordered; the asker looks for another endpoint. */
@@ -303,6 +328,7 @@
   | LoadAskFrame
   | LoadRefusedFrame
   | EndpointsLeavingFrame
+  | AdaptersChangedFrame
   | AcceptedFrame
   | RefusedFrame
 
--- /dev/null
+++ b/packages/decisions/test/load-line.test.ts
@@ -0,0 +1,102 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { LinePace, LoadLine, PlaceInLine } from '../src/index.js'
+
+const nothing = (): boolean => false
+const TRAVEL = 250
+
+describe('the line of adapters that wait for a load', () => {
+  it('puts the adapter first whose load serves more requests on time', () => {
+    const line = new LoadLine()
+    line.ask('one', 0, { request: 'a', onTimeMilliseconds: 600 }, 0)
+    line.ask('two', 0, { request: 'b', onTimeMilliseconds: 600 }, 0)
+    line.ask('two', 0, { request: 'c', onTimeMilliseconds: 600 }, 0)
+    line.ask('late', 0, { request: 'd', onTimeMilliseconds: 100 }, 0)
+    const order: (string | undefined)[] = []
+    for (let turn = 0; turn < 4; turn += 1) {
+      const next = line.next(nothing, nothing, TRAVEL, 0)?.key
+      order.push(next)
+      if (next !== undefined) line.met(next)
+    }
+    expect(order).toEqual(['two', 'one', 'late', undefined])
+  })
+
+  it('counts a request that asks again once', () => {
+    const line = new LoadLine()
+    for (let now = 0; now < 600; now += 300) line.ask('again', 0, { request: 'a', onTimeMilliseconds: 5_000 }, now)
+    line.ask('both', 0, { request: 'b', onTimeMilliseconds: 5_000 }, 600)
+    line.ask('both', 0, { request: 'c', onTimeMilliseconds: 5_000 }, 600)
+    expect(line.next(nothing, nothing, TRAVEL, 600)?.key).toBe('both')
+  })
+
+  it('takes what the engine caches before a load of equal use', () => {
+    const line = new LoadLine()
+    line.ask('far', 0, { request: 'a', onTimeMilliseconds: 600 }, 0)
+    line.ask('near', 0, { request: 'b', onTimeMilliseconds: 600 }, 0)
+    expect(line.next(nothing, (key) => key === 'near', TRAVEL, 0)?.key).toBe('near')
+  })
+
+  it('drops what nobody asks for any more, and serves a further copy last', () => {
+    const line = new LoadLine()
+    line.ask('copy', 0, undefined, 0)
+    line.ask('wanted', 0, { request: 'a', onTimeMilliseconds: -5_000 }, 0)
+    const first = line.next(nothing, nothing, TRAVEL, 0)?.key
+    line.expire(801)
+    expect([first, line.length]).toEqual(['wanted', 0])
+  })
+
+  it('passes over no adapter for ever, whatever else is asked for', () => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 40, maxLength: 40 }), (crowds) => {
+      const line = new LoadLine()
+      let served = false
+      for (const [turn, crowd] of crowds.entries()) {
+        const now = turn * 300
+        line.ask('old', 0, { request: 'old', onTimeMilliseconds: -1_000 }, now)
+        for (let each = 0; each < crowd; each += 1) line.ask(`new${turn}`, 0, { request: `${turn}.${each}`, onTimeMilliseconds: 600 }, now)
+        const next = line.next(nothing, nothing, TRAVEL, now)
+        if (next?.key === 'old') served = true
+        if (next !== undefined) line.met(next.key)
+        line.expire(now)
+      }
+      expect(served).toBe(true)
+    }), { seed: 7, numRuns: 200 })
+  })
+})
+
+describe('the forecast of a line', () => {
+  it('grows with the line and with the time that it stands still', () => {
+    const pace = new LinePace()
+    pace.lengthChanged(4, 0)
+    for (let now = 100; now <= 2_000; now += 100) pace.loadBegan(4, now)
+    const moving = pace.waitMilliseconds(4, 2_000)
+    expect(moving).toBeGreaterThan(350)
+    expect(moving).toBeLessThan(450)
+    expect(pace.waitMilliseconds(4, 3_000)).toBeGreaterThan(moving + 800)
+    expect(pace.waitMilliseconds(0, 3_000)).toBe(0)
+  })
+})
+
+describe('the place of a request', () => {
+  it('is left once at most, whatever the lines of engines do', () => {
+    fc.assert(fc.property(fc.array(fc.array(fc.integer({ min: 0, max: 3_000 }), { minLength: 4, maxLength: 4 }), { maxLength: 20 }), (looks) => {
+      const place = new PlaceInLine()
+      const chosen: number[] = []
+      for (const [turn, costs] of looks.entries()) {
+        const now = turn * 300
+        const biased = costs.map((cost, engine) => cost + place.bias(`e${engine}`, now, now))
+        const best = biased.indexOf(Math.min(...biased))
+        place.take(`e${best}`, now)
+        if (chosen.at(-1) !== best) chosen.push(best)
+      }
+      expect(chosen.length).toBeLessThanOrEqual(2)
+    }), { seed: 3 })
+  })
+
+  it('is left when nobody speaks for the engine any more', () => {
+    const place = new PlaceInLine()
+    place.take('silent', 1_000)
+    expect(place.bias('silent', 990, 1_500)).toBeLessThan(0)
+    expect(place.bias('silent', 990, 2_000)).toBeGreaterThan(0)
+    expect(place.bias('silent', 1_500, 2_000)).toBeLessThan(0)
+  })
+})
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -132,11 +132,32 @@
     token: count,
     sequence: count,
     held: z.array(z.tuple([z.string().max(400), count])),
-    inFlight: z.array(z.string().max(400))
+    inFlight: z.array(z.string().max(400)),
+    waiting: z.array(z.string().max(400)).optional(),
+    waitMilliseconds: z.number().min(0).optional()
+  }),
+  'load-ask': z.object({
+    endpoint: id,
+    key: z.string().max(400),
+    version: count,
+    waiting: z.boolean(),
+    request: z.string().max(200).optional(),
+    onTimeMilliseconds: z.number().optional()
   }),
-  'load-ask': z.object({ endpoint: id, key: z.string().max(400), version: count, waiting: z.boolean() }),
   'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) }),
-  'endpoints-leaving': z.object({ leaving: z.array(id), readMillisecondsAgo: z.number().min(0) })
+  'endpoints-leaving': z.object({ leaving: z.array(id), readMillisecondsAgo: z.number().min(0) }),
+  'adapters-changed': z.object({
+    endpoint: id,
+    born: count,
+    token: count,
+    sequence: count,
+    added: z.array(z.tuple([z.string().max(400), count])),
+    removed: z.array(z.string().max(400)),
+    inFlight: z.array(z.string().max(400)),
+    waitingAdded: z.array(z.string().max(400)),
+    waitingRemoved: z.array(z.string().max(400)),
+    waitMilliseconds: z.number().min(0)
+  })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds by their number on the wire. */
--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -1,16 +1,27 @@
 /** Which engine holds which adapter, as told by those who order loads, else by the engines' own statements. */
-import type { AdaptersHeldFrame, EndpointId } from '@limpetwinch/core'
+import type { AdaptersHeldFrame, EndpointId, InstanceId } from '@limpetwinch/core'
 import type { AdapterKey, Endpoint, HeldAdapter } from '../routes/configuration.js'
 import { InFlightLoads } from './in-flight-loads.js'
+import { mostCached } from './slot-ledger.js'
 
 interface Told {
+  /**
+   * A host that starts again goes on under its token, and its new process counts its statements from the beginning. By
+   * their numbers alone they would pass for old ones, and callers would wait for adapters that have long come.
+   */
+  readonly speaker: InstanceId
   readonly born: number
   readonly token: number
   readonly sequence: number
 }
 
-/** Evicted adapters that an engine caches; so many are taken to be there still. */
-const MOST_CACHED = 40
+/** The line of one engine, as the one that orders its loads tells it. */
+export interface ToldLine {
+  readonly waiting: ReadonlySet<string>
+  /** How long one more load would wait for its turn. */
+  readonly waitMilliseconds: number
+  readonly heardAt: number
+}
 
 /** Where adapters lie. */
 export class AdapterLocations {
@@ -21,6 +32,9 @@
   /** Evicted adapters, the last one last, with the version that was held. */
   private readonly cached = new Map<EndpointId, Map<AdapterKey, number>>()
   private readonly told = new Map<EndpointId, Told>()
+  private readonly lines = new Map<EndpointId, ToldLine>()
+  /** Most adapters that an engine was seen to hold; what it caches goes by its slots. */
+  private readonly mostHeld = new Map<EndpointId, number>()
   private readonly waiting = new Map<AdapterKey, Set<() => void>>()
 
   /** @returns engines that hold the adapter, with the version there */
@@ -33,15 +47,26 @@
     return (this.cached.get(endpoint)?.get(key) ?? -1) >= leastVersion
   }
 
-  /** Takes what the one that orders an engine's loads says; words of an earlier life, token or moment change nothing. */
-  takeNotice (frame: AdaptersHeldFrame, now: number): void {
+  /** @returns the engine's line, as told last; undefined while nobody has spoken of it */
+  line (endpoint: EndpointId): ToldLine | undefined {
+    return this.lines.get(endpoint)
+  }
+
+  /**
+   * Takes what the one that orders an engine's loads says; words of an earlier life, token or moment change nothing.
+   *
+   * @param speaker - the process that says it
+   * @returns adapters that are offered there no more
+   */
+  takeNotice (speaker: InstanceId, frame: AdaptersHeldFrame, now: number): readonly AdapterKey[] {
     const before = this.told.get(frame.endpoint)
-    if (before !== undefined && !isNewer(frame, before)) return
-    this.told.set(frame.endpoint, { born: frame.born, token: frame.token, sequence: frame.sequence })
+    if (before !== undefined && !isNewer(speaker, frame, before)) return []
+    this.told.set(frame.endpoint, { speaker, born: frame.born, token: frame.token, sequence: frame.sequence })
     const held = new Set(frame.held.map(([key]) => key))
     const isCached = (key: string): boolean => this.isCached(frame.endpoint, key as AdapterKey, 0)
     this.inFlight.replace(frame.endpoint, frame.inFlight, (key) => held.has(key), isCached, now)
-    this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
+    this.lines.set(frame.endpoint, { waiting: new Set(frame.waiting), waitMilliseconds: frame.waitMilliseconds ?? 0, heardAt: now })
+    return this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
   }
 
   /** Takes an engine's own statement, unless somebody who orders its loads has spoken in this life of it. */
@@ -49,6 +74,7 @@
     const before = this.told.get(endpoint.id)
     if (before !== undefined && before.born >= endpoint.born) return
     this.told.delete(endpoint.id)
+    this.lines.delete(endpoint.id)
     this.inFlight.forget(endpoint.id)
     this.replace(endpoint.id, endpoint.adapters)
   }
@@ -63,6 +89,8 @@
   remove (endpoint: EndpointId): void {
     this.replace(endpoint, [])
     this.told.delete(endpoint)
+    this.lines.delete(endpoint)
+    this.mostHeld.delete(endpoint)
     this.inFlight.forget(endpoint)
     this.cached.delete(endpoint)
     this.byEndpoint.delete(endpoint)
@@ -98,10 +126,12 @@
     for (const finish of [...this.waiting.get(key) ?? []]) finish()
   }
 
-  private replace (endpoint: EndpointId, held: readonly HeldAdapter[]): void {
+  /** @returns adapters that are not held any more */
+  private replace (endpoint: EndpointId, held: readonly HeldAdapter[]): readonly AdapterKey[] {
     const before = this.byEndpoint.get(endpoint) ?? new Map<AdapterKey, number>()
     const after = new Map(held.map(({ key, version }) => [key, version]))
     this.byEndpoint.set(endpoint, after)
+    this.mostHeld.set(endpoint, Math.max(after.size, this.mostHeld.get(endpoint) ?? 0))
     for (const key of before.keys()) {
       if (after.has(key)) continue
       this.takeOut(endpoint, key)
@@ -113,6 +143,7 @@
       this.byAdapter.set(key, holders)
       if (before.get(key) !== version) this.wake(key)
     }
+    return [...before.keys()].filter((key) => !after.has(key))
   }
 
   private keepCached (endpoint: EndpointId, key: AdapterKey, version: number): void {
@@ -121,7 +152,7 @@
     kept.delete(key)
     kept.set(key, version)
     const oldest = kept.keys().next().value
-    if (kept.size > MOST_CACHED && oldest !== undefined) kept.delete(oldest)
+    if (kept.size > mostCached(this.mostHeld.get(endpoint) ?? 0) && oldest !== undefined) kept.delete(oldest)
   }
 
   private takeOut (endpoint: EndpointId, key: AdapterKey): void {
@@ -133,8 +164,8 @@
 
 const NOBODY: ReadonlyMap<EndpointId, number> = new Map()
 
-function isNewer (frame: AdaptersHeldFrame, before: Told): boolean {
+function isNewer (speaker: InstanceId, frame: AdaptersHeldFrame, before: Told): boolean {
   if (frame.born !== before.born) return frame.born > before.born
   if (frame.token !== before.token) return frame.token > before.token
-  return frame.sequence > before.sequence
+  return speaker !== before.speaker || frame.sequence > before.sequence
 }
--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -1,17 +1,12 @@
 /** Finds an engine for a request, and has the adapter loaded where none holds it. */
+import { PlaceInLine } from '@limpetwinch/decisions'
 import type { Clock, EndpointId, InstanceId, LoadAskFrame, Logger } from '@limpetwinch/core'
 import type { RequestFacts } from '../relay/request-codec.js'
-import type { Service } from '../routes/configuration.js'
-import type { EngineChoice, EngineRouter, LoadChoice } from '../routing/engine-router.js'
+import type { EngineChoice, EngineQuestion, EngineRouter, LoadChoice } from '../routing/engine-router.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
 /** Between askings: a want that is not repeated is dropped, and another engine may have room by now. */
 const ASK_MILLISECONDS = 300
-/** An engine that was asked keeps its turn at first: another one would need a load of its own. */
-const ASKED_ONCE_MILLISECONDS = -300
-/** One that did not bring the adapter after two askings has no slot, or nobody who orders its loads any more. */
-const ASKED_AGAIN_MILLISECONDS = 500
-const PATIENT_ASKINGS = 2
 /** A refusal says that the holder has changed; the news of it comes within this. */
 const REFUSAL_MILLISECONDS = 500
 /** Between looks while no engine can be asked at all. */
@@ -36,6 +31,16 @@
   readonly stallMilliseconds: number
 }
 
+/** What is looked for, and for how long. */
+export interface Search extends EngineQuestion {
+  /** Monotonic time after which an answer is late. */
+  readonly onTimeUntil: number
+  /** Monotonic time at which the search is given up. */
+  readonly until: number
+  /** Ends it as well. */
+  readonly signal: AbortSignal
+}
+
 /** Finds engines. */
 export class AdapterSeeker {
   private readonly parts: AdapterSeekerParts
@@ -51,41 +56,37 @@
     this.parts.locations.wake(key as Parameters<AdapterLocations['wake']>[0])
   }
 
-  /**
-   * @param service - whose engines
-   * @param facts - the request
-   * @param tried - engines that it was sent to before
-   * @param until - monotonic time at which the search is given up
-   * @param signal - ends it as well
-   * @returns an engine that holds the adapter, or undefined
-   */
-  async seek (service: Service, facts: RequestFacts, tried: ReadonlySet<EndpointId>, until: number, signal: AbortSignal): Promise<FoundEngine | undefined> {
+  /** @returns an engine that holds the adapter, or undefined */
+  async seek (search: Search): Promise<FoundEngine | undefined> {
+    const { facts, until, signal } = search
     const { clock, router } = this.parts
     const startedAt = clock.now()
-    const asked = new Map<EndpointId, number>()
+    const place = new PlaceInLine()
     while (!signal.aborted) {
       const now = clock.now()
-      const choice = router.choose(service, facts, tried, now)
+      const choice = router.choose(search, now)
       if (choice !== undefined) {
-        this.askForCopy(service, facts, choice, now)
+        this.askForCopy(search, choice, now)
         return { ...choice, stallMilliseconds: now - startedAt }
       }
       if (now >= until || facts.adapter?.name === undefined) return undefined
-      await this.haveLoaded(service, facts, asked, until, signal)
+      await this.haveLoaded(search, place)
     }
     return undefined
   }
 
   /** Asks the best engine for the adapter and waits a while. */
-  private async haveLoaded (service: Service, facts: RequestFacts, asked: Map<EndpointId, number>, until: number, signal: AbortSignal): Promise<void> {
+  private async haveLoaded (search: Search, place: PlaceInLine): Promise<void> {
     const { clock, router, locations } = this.parts
+    const { facts, until, onTimeUntil, signal } = search
     const { adapter } = facts
     if (adapter === undefined) return
     const now = clock.now()
-    const load = router.chooseForLoad(service, adapter.key, adapter.model, this.refusing(adapter.key, now), (endpoint) => biasOf(asked.get(endpoint) ?? 0), now)
+    const bias = (endpoint: EndpointId): number => place.bias(endpoint, locations.line(endpoint)?.heardAt, now)
+    const load = router.chooseForLoad({ ...search, excluded: this.refusing(adapter.key, now) }, bias, now)
     if (load === undefined) return await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
-    asked.set(load.endpoint.id, (asked.get(load.endpoint.id) ?? 0) + 1)
-    this.askFor(load, facts, true, now)
+    place.take(load.endpoint.id, now)
+    this.askFor(load, facts, { request: facts.requestId, onTimeMilliseconds: onTimeUntil - now }, now)
     await locations.arrival(adapter.key, Math.max(1, Math.min(ASK_MILLISECONDS, until - now)), signal)
   }
 
@@ -99,23 +100,19 @@
     return engines
   }
 
-  private askForCopy (service: Service, facts: RequestFacts, choice: EngineChoice, now: number): void {
-    const copy = this.parts.router.chooseForCopy(service, facts, choice, now)
-    if (copy !== undefined) this.askFor(copy, facts, false, now)
+  private askForCopy (question: EngineQuestion, choice: EngineChoice, now: number): void {
+    const copy = this.parts.router.chooseForCopy(question, choice, now)
+    if (copy !== undefined) this.askFor(copy, question.facts, undefined, now)
   }
 
-  private askFor ({ endpoint, costMilliseconds }: LoadChoice, facts: RequestFacts, waiting: boolean, now: number): void {
+  private askFor ({ endpoint, costMilliseconds }: LoadChoice, facts: RequestFacts, waiter: Pick<LoadAskFrame, 'request' | 'onTimeMilliseconds'> | undefined, now: number): void {
     const holder = this.parts.holderOf(endpoint.id)
     if (holder === undefined || facts.adapter === undefined) return
     const version = this.parts.leastVersion(facts, now)
+    const waiting = waiter !== undefined
     this.parts.logger.debug('A load was asked for.', {
       request: facts.requestId, adapter: facts.adapter.key, endpoint: endpoint.id, of: holder, version, waiting, costMilliseconds: Math.round(costMilliseconds)
     })
-    this.parts.ask(holder, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting })
+    this.parts.ask(holder, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting, ...waiter })
   }
 }
-
-function biasOf (askings: number): number {
-  if (askings === 0) return 0
-  return askings < PATIENT_ASKINGS ? ASKED_ONCE_MILLISECONDS : ASKED_AGAIN_MILLISECONDS * (askings - 1)
-}
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -1,6 +1,7 @@
 /** Orders the loads of one engine: which adapters come, which make way, one order after the other. */
 import type { EndpointId, FencingToken } from '@limpetwinch/core'
-import type { EvictionPolicy, SlotView } from '@limpetwinch/decisions'
+import { LinePace, LoadLine } from '@limpetwinch/decisions'
+import type { EvictionPolicy, SlotView, WaiterFacts, Want } from '@limpetwinch/decisions'
 import { Backoff, Wake } from '@limpetwinch/entry'
 import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
 import type { LoadBoard } from '../routing/load-board.js'
@@ -8,29 +9,25 @@
 import type { EngineOrder, OrderAnswer } from './engine-control.js'
 import { EngineOrders } from './engine-orders.js'
 import type { OrderSurroundings } from './engine-orders.js'
-import type { ModelLoadPace } from './model-load-pace.js'
 import type { HeldStatement } from './held-notices.js'
-import { LoadWants } from './load-wants.js'
-import type { Want } from './load-wants.js'
-import { SlotLedger } from './slot-ledger.js'
+import { HiddenAdapters } from './hidden-adapters.js'
+import type { ModelLoadPace } from './model-load-pace.js'
+import { mostCached, SlotLedger } from './slot-ledger.js'
+import { UnansweredOrders } from './unanswered-orders.js'
 import type { WeightStorePace } from './weight-store-pace.js'
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
 const MOST_IN_FLIGHT = 4
 /** A load from the engine's cache: a tenth of one from the weight store. */
 const CACHED_LOAD_MILLISECONDS = 25
-/** Evicted adapters that an engine caches. */
-const MOST_CACHED = 40
 /** Part of the expected time after which arrival is asked for first; asked no earlier, a faster store would never show. */
 const FIRST_ASK_SHARE = 0.95
 /** After the load's time, the engine is asked this often whether it holds the adapter. */
 const CONFIRM_MILLISECONDS = 40
 /** A load that is not confirmed in this time was lost. */
 const LOST_LOAD_MILLISECONDS = 3_000
-/** Peers hear within this that an adapter leaves; a request that was on its way before has begun by then. */
-const LEAVING_NOTICE_MILLISECONDS = 30
 /** A load is for requests that wait; until peers have told that they run, nothing else may take its slot. */
-const SETTLE_MILLISECONDS = 500
+const SETTLE_MILLISECONDS = 250
 /** Reports are some hundred milliseconds old; one taken after this shows the last order. */
 const REPORT_LAG_MILLISECONDS = 250
 const LOOK_MILLISECONDS = 500
@@ -40,6 +37,11 @@
 const SILENT_MILLISECONDS = 300
 /** Between questions whether a whole model has come. */
 const MODEL_LOOK_MILLISECONDS = 200
+/** An engine that is still at work on an order meets the next one with a conflict; it is done within a few of these. */
+const CONFLICT_PAUSE_MILLISECONDS = 25
+const MOST_CONFLICT_PAUSES = 2
+/** What is on its way and what waits is told no more often than this: each statement goes to all peers. */
+const STATEMENT_MILLISECONDS = 30
 
 /** What a loader needs. */
 export interface LoaderSurroundings extends OrderSurroundings {
@@ -69,11 +71,17 @@
   private readonly shape: EngineShape
   private readonly around: LoaderSurroundings
   private readonly ledger: SlotLedger
-  private readonly wants = new LoadWants()
-  private readonly hidden = new Set<AdapterKey>()
+  private readonly line = new LoadLine<AdapterKey>()
+  private readonly linePace = new LinePace()
+  private readonly hidden = new HiddenAdapters()
+  private readonly unanswered = new UnansweredOrders()
   private readonly wake = new Wake()
   private readonly orders: EngineOrders
   private published = 0
+  private publishedAt = -Infinity
+  private hasNews = false
+  private toldLength = 0
+  private conflicts = 0
 
   constructor (endpoint: Endpoint, token: FencingToken, shape: EngineShape, around: LoaderSurroundings) {
     this.endpoint = endpoint
@@ -81,18 +89,25 @@
     this.shape = shape
     this.around = around
     this.orders = new EngineOrders(endpoint, token, around)
-    this.ledger = new SlotLedger(shape.adapterSlots, MOST_CACHED)
+    this.ledger = new SlotLedger(shape.adapterSlots, mostCached(shape.adapterSlots))
   }
 
-  /** Asks for an adapter, or says that it is still wanted. */
-  want (key: AdapterKey, version: number, waiting: boolean): void {
-    this.wants.ask(key, version, waiting, this.around.clock.now())
+  /** Asks for an adapter, or says that it is still wanted. @param waiter - the request that waits; undefined for a further copy */
+  want (key: AdapterKey, version: number, waiter: WaiterFacts | undefined): void {
+    const now = this.around.clock.now()
+    this.line.ask(key, version, waiter, now)
+    this.lineChanged(now)
     this.wake.notify()
   }
 
+  /** Runs have ended: a slot that loads wait for may be free. */
+  released (): void {
+    if (this.line.length > 0) this.wake.notify()
+  }
+
   /** A newer version was announced: a copy held here is replaced. */
   newer (key: AdapterKey, version: number): void {
-    if (this.ledger.held.has(key) && !this.ledger.holds(key, version)) this.want(key, version, true)
+    if (this.ledger.held.has(key) && !this.ledger.holds(key, version)) this.want(key, version, undefined)
   }
 
   /**
@@ -107,9 +122,11 @@
     this.replaceOldVersions()
     while (!signal.aborted) {
       await this.confirmArrivals(signal)
+      await this.confirmDepartures(signal)
       this.resumeReplacements()
       if (signal.aborted) return
       if (await this.step(signal)) continue
+      this.publishNews()
       await this.wake.wait(this.nextLook(), signal)
     }
   }
@@ -117,7 +134,7 @@
   private replaceOldVersions (): void {
     for (const [key, slot] of this.ledger.held) {
       const newest = this.around.newestVersion(key)
-      if (newest > slot.version) this.want(key, newest, true)
+      if (newest > slot.version) this.want(key, newest, undefined)
     }
   }
 
@@ -126,11 +143,11 @@
    * adapter would stay hidden and its slot would be lost for good.
    */
   private resumeReplacements (): void {
-    for (const key of [...this.hidden]) {
+    for (const key of this.hidden.keys('replacement')) {
       if (this.ledger.inFlight.has(key) || this.ledger.departing.has(key)) continue
       const newest = this.around.newestVersion(key)
-      if (this.ledger.held.has(key) && !this.ledger.holds(key, newest)) this.wants.ask(key, newest, true, this.around.clock.now())
-      else this.hidden.delete(key)
+      if (this.ledger.held.has(key) && !this.ledger.holds(key, newest)) this.line.ask(key, newest, undefined, this.around.clock.now())
+      else this.hidden.show(key)
     }
   }
 
@@ -141,14 +158,19 @@
       const due = orderedAt + this.travelTime(key)
       earliest = Math.min(earliest, due > now ? due : now + CONFIRM_MILLISECONDS)
     }
-    if (!this.wants.isEmpty) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
+    for (const key of this.hidden.keys('eviction')) earliest = Math.min(earliest, this.hidden.heardAt(key) ?? earliest)
+    if (this.line.length > 0) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
+    if (this.hasNews) earliest = Math.min(earliest, this.publishedAt + STATEMENT_MILLISECONDS)
     return Math.max(1, earliest - now)
   }
 
   private travelTime (key: AdapterKey): number {
-    if (this.ledger.cached.has(key)) return CACHED_LOAD_MILLISECONDS
+    return this.ledger.cached.has(key) ? CACHED_LOAD_MILLISECONDS : this.storeTravelTime() * FIRST_ASK_SHARE
+  }
+
+  private storeTravelTime (): number {
     const { locations, storePace, clock } = this.around
-    return storePace.expectedMilliseconds(locations.inFlight.count(clock.now())) * FIRST_ASK_SHARE
+    return storePace.expectedMilliseconds(locations.inFlight.count(clock.now()))
   }
 
   /** @returns whether something was done */
@@ -157,53 +179,40 @@
       const model = this.missingModel()
       return model !== undefined && await this.loadModel(model, signal)
     }
-    const want = this.nextWant()
-    if (want === undefined) return false
-    const { key } = want
-    if (this.ledger.holds(key, want.version) && !this.hidden.has(key)) {
-      this.wants.met(key)
-      this.publish()
-      return true
-    }
+    const now = this.around.clock.now()
+    this.line.expire(now)
+    this.meetWants()
+    this.hideOldVersions(now)
+    this.lineChanged(now)
+    // An engine that waits for the runs of an adapter that it is to drop takes no other order until they have ended.
+    if (this.ledger.departing.size > 0) return false
+    if (this.line.length === 0 && this.hidden.keys('eviction').length === 0) return false
     if (!this.around.mayOrder(this.endpoint.id)) return false
-    if (this.ledger.held.has(key)) return await this.replace(key, want, signal)
-    if (!this.ledger.hasFree) return await this.makeRoom(key, want, signal)
-    return await this.load(key, want, signal)
+    if (await this.evictHidden(now, signal)) return true
+    const want = this.line.next((key) => !this.mayLoad(key, now), (key) => this.ledger.cached.has(key), this.storeTravelTime(), now)
+    if (want !== undefined) return await this.load(want, signal)
+    return this.hideVictim(now)
   }
 
   private missingModel (): ModelName | undefined {
     const fitting = this.shape.models.filter((model) => model.megabytes <= this.shape.megabytes)
     // Engines that come empty take up the models in turn, by what waits for them first.
-    const wanted = this.wants.keys().map((key) => modelOf(key))
+    const wanted = this.line.keys().map((key) => modelOf(key))
     const { cachedModels } = this.ledger
     const affordable = fitting.filter(({ name }) => cachedModels.includes(name) || this.around.isModelNeeded(this.endpoint, name))
     return (affordable.find((model) => wanted.includes(model.name)) ?? affordable[0])?.name
   }
 
-  private nextWant (): Want | undefined {
-    const now = this.around.clock.now()
-    const { inFlight, departing, cached } = this.ledger
-    const want = this.wants.next((key) => inFlight.has(key) || departing.has(key), (key) => cached.has(key), now)
-    if (want === undefined || cached.has(want.key)) return want
-    if (inFlight.size < MOST_IN_FLIGHT && this.around.locations.inFlight.count(now) < this.around.storePace.limit) return want
-    want.heldUpBy = 'travelling loads'
-    return undefined
-  }
-
-  private async load (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
-    const version = Math.max(want.version, this.around.newestVersion(key))
-    const answer = await this.order('load', key, version === 0 ? undefined : version, signal)
-    if (answer === 'accepted') {
-      this.ledger.ordered(key, version, this.around.clock.now())
-      this.wants.met(key)
+  /** Wants for what is held are met; an adapter that was to leave and is wanted again stays. */
+  private meetWants (): void {
+    for (const key of this.line.keys()) {
+      const want = this.line.find(key)
+      if (want === undefined || !this.ledger.holds(key, want.version) || this.ledger.departing.has(key)) continue
+      if (this.hidden.reasonOf(key) === 'replacement') continue
+      this.hidden.show(key)
+      this.line.met(key)
       this.publish()
-      return true
     }
-    if (answer === 'holds') {
-      this.arrived(key, version)
-      return true
-    }
-    return false
   }
 
   /**
@@ -211,52 +220,110 @@
    * old version still runs, the order waits as well: it would hold up the adapter until the last of those runs ended,
    * and new requests are sooner served by a copy on another engine.
    */
-  private async replace (key: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
-    if (!this.hidden.has(key)) {
-      this.hidden.add(key)
+  private hideOldVersions (now: number): void {
+    for (const key of this.line.keys()) {
+      if (!this.ledger.held.has(key) || this.hidden.has(key) || this.ledger.inFlight.has(key)) continue
+      this.hidden.hide(key, 'replacement', now)
       this.publish()
-      await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
     }
-    if (this.around.board.running(this.endpoint.id, key, this.around.clock.now()) > 0) {
+  }
+
+  private mayLoad (key: AdapterKey, now: number): boolean {
+    const { inFlight, departing, held } = this.ledger
+    const want = this.line.find(key)
+    if (want === undefined || inFlight.has(key) || departing.has(key)) return false
+    if (held.has(key) && !this.mayReplace(key, now)) {
       want.heldUpBy = 'runs of the old version'
       return false
     }
-    return await this.load(key, want, signal)
-  }
-
-  private async makeRoom (incoming: AdapterKey, want: Want, signal: AbortSignal): Promise<boolean> {
-    const victim = this.around.policy.victim(this.slotViews(), incoming, this.around.clock.now()) as AdapterKey | undefined
-    // Every slot is in use or on its way out; the want stays and is looked at again when a run ends.
-    if (victim === undefined) {
+    if (!held.has(key) && !this.ledger.hasFree) {
       want.heldUpBy = 'slots in use'
       return false
     }
-    this.hidden.add(victim)
+    if (this.ledger.cached.has(key) || this.hasStoreRoom(now)) return true
+    want.heldUpBy = 'travelling loads'
+    return false
+  }
+
+  private mayReplace (key: AdapterKey, now: number): boolean {
+    return now >= (this.hidden.heardAt(key) ?? Infinity) && this.around.board.running(this.endpoint.id, key, now) === 0
+  }
+
+  private hasStoreRoom (now: number): boolean {
+    const { locations, storePace } = this.around
+    return this.ledger.inFlight.size < MOST_IN_FLIGHT && locations.inFlight.count(now) < storePace.limit
+  }
+
+  private async load (want: Want<AdapterKey>, signal: AbortSignal): Promise<boolean> {
+    const { key } = want
+    const version = Math.max(want.version, this.around.newestVersion(key))
+    const answer = await this.order('load', key, version, signal)
+    const now = this.around.clock.now()
+    if (answer === 'accepted') {
+      this.ledger.ordered(key, version, now)
+      this.line.met(key)
+      this.linePace.loadBegan(this.line.length, now)
+      this.hasNews = true
+      return true
+    }
+    if (answer === 'holds') {
+      this.arrived(key, version)
+      return true
+    }
+    return false
+  }
+
+  /**
+   * Hides one more adapter where loads wait for a slot. Victims are hidden side by side and ahead of the orders: one
+   * after the other, the notice alone would hold an engine to some ten loads a second.
+   *
+   * @returns whether one was hidden
+   */
+  private hideVictim (now: number): boolean {
+    const { inFlight, departing, held } = this.ledger
+    const waiting = this.line.keys().filter((key) => !inFlight.has(key) && !departing.has(key) && !held.has(key))
+    const wanted = Math.min(waiting.length, MOST_IN_FLIGHT - inFlight.size)
+    const coming = this.ledger.free + this.hidden.keys('eviction').length
+    const [first] = waiting
+    if (first === undefined || coming >= wanted) return false
+    const victim = this.around.policy.victim(this.slotViews(now), first, now) as AdapterKey | undefined
+    // Every slot is in use or on its way out; the wants stay and are looked at again when a run ends.
+    if (victim === undefined) return false
+    this.hidden.hide(victim, 'eviction', now)
     this.publish()
-    await this.around.clock.sleep(LEAVING_NOTICE_MILLISECONDS, signal)
-    if (this.around.board.running(this.endpoint.id, victim, this.around.clock.now()) > 0) {
+    return true
+  }
+
+  /** @returns whether an adapter whose notice was heard was looked after */
+  private async evictHidden (now: number, signal: AbortSignal): Promise<boolean> {
+    const due = this.hidden.keys('eviction').find((key) => !this.ledger.departing.has(key) && now >= (this.hidden.heardAt(key) ?? Infinity))
+    if (due === undefined) return false
+    if (!this.ledger.held.has(due) || this.around.board.running(this.endpoint.id, due, now) > 0) {
       // A request was on its way when the notice went out. An engine would let it end first, and its slot would block
       // the load for as long; another adapter makes way sooner.
-      this.hidden.delete(victim)
+      this.hidden.show(due)
       this.publish()
-      return false
+      return true
     }
-    const answer = await this.order('unload', victim, undefined, signal)
-    if (answer === 'holds') this.ledger.unloaded(victim, true)
-    if (answer === 'accepted') this.ledger.willUnload(victim)
-    else this.hidden.delete(victim)
-    this.publish()
-    return answer === 'holds'
+    const answer = await this.order('unload', due, undefined, signal)
+    if (answer === 'holds') {
+      this.ledger.unloaded(due, true)
+      this.hidden.show(due)
+    } else if (answer === 'accepted') this.ledger.willUnload(due)
+    // Whether it has left is not known without an answer: it stays hidden, and the order is given again.
+    else if (answer === undefined) this.hidden.hide(due, 'eviction', this.around.clock.now())
+    else if (!this.ledger.departing.has(due)) this.hidden.show(due)
+    this.hasNews = true
+    return answer === 'holds' || answer === 'accepted'
   }
 
-  private slotViews (): SlotView[] {
-    const now = this.around.clock.now()
+  private slotViews (now: number): SlotView[] {
     return [...this.ledger.held].filter(([key]) => !this.hidden.has(key)).map(([key, slot]) => ({
       adapter: key,
       pins: this.around.board.running(this.endpoint.id, key, now) + (now - slot.loadedAt < SETTLE_MILLISECONDS ? 1 : 0),
       loadedAt: slot.loadedAt,
       lastUsedAt: slot.lastUsedAt,
-      waiting: this.wants.find(key) === undefined ? 0 : 1,
+      waiting: this.line.find(key) === undefined ? 0 : 1,
       otherCopies: Math.max(0, this.around.locations.holders(key).size - 1)
     }))
   }
@@ -286,11 +353,14 @@
         return
       }
       if (!this.around.mayOrder(this.endpoint.id)) return
-      const answer = await this.order('load', key, inFlight.version === 0 ? undefined : inFlight.version, signal)
+      if (this.ledger.departing.size > 0) {
+        await this.reconcile(signal)
+        return
+      }
+      const answer = await this.order('load', key, inFlight.version, signal)
       // While a load is on its way the engine accepts its repetition without counting it.
       if (answer === 'holds') this.arrived(key, inFlight.version)
     }
-    await this.confirmDepartures(signal)
   }
 
   private async confirmDepartures (signal: AbortSignal): Promise<void> {
@@ -299,38 +369,52 @@
       if (this.around.board.running(this.endpoint.id, key, this.around.clock.now()) > 0) continue
       if (await this.order('unload', key, undefined, signal) !== 'holds') continue
       this.ledger.unloaded(key, false)
-      this.hidden.delete(key)
-      this.publish()
+      this.hidden.show(key)
+      this.hasNews = true
     }
   }
 
   private arrived (key: AdapterKey, version: number): void {
     this.ledger.completed(key, version, this.around.clock.now())
-    this.hidden.delete(key)
-    const want = this.wants.find(key)
-    if (want !== undefined && this.ledger.holds(key, want.version)) this.wants.met(key)
+    this.hidden.show(key)
+    const want = this.line.find(key)
+    if (want !== undefined && this.ledger.holds(key, want.version)) this.line.met(key)
     this.publish()
   }
 
   private async order (operation: 'load' | 'unload', key: AdapterKey, version: number | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
     const adapter = key.slice(key.indexOf('/') + 1)
-    return await this.give({ operation, model: modelOf(key), adapter, version, ifSequence: this.ledger.sequence }, this.wants.find(key), signal)
+    const order = { operation, model: modelOf(key), adapter, version: version === 0 ? undefined : version, ifSequence: this.ledger.sequence }
+    return await this.give(order, key, signal)
   }
 
   /** @returns the engine's answer; undefined when it gave none */
-  private async give (order: EngineOrder, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+  private async give (order: EngineOrder, key: AdapterKey | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
     const { clock, onLost, onSilent } = this.around
-    const result = await this.orders.give(order, want)
+    const { operation, version, ifSequence } = order
+    const result = await this.orders.give(order, key === undefined ? undefined : this.line.find(key))
     if (result.isErr()) {
       if (result.error.outcome === 'not_run') {
         onSilent(this.endpoint.id, result.error.message)
         await clock.sleep(SILENT_MILLISECONDS, signal)
-      }
+      } else if (key !== undefined) this.unanswered.add({ operation, key, version: version ?? 0, ifSequence })
       return undefined
     }
-    if (result.value === 'stale-token' || result.value === 'other-endpoint') onLost(this.endpoint.id, result.value)
-    if (result.value === 'conflict' || result.value === 'refused') await this.reconcile(signal)
-    return result.value
+    const answer = result.value
+    if (answer === 'stale-token' || answer === 'other-endpoint') onLost(this.endpoint.id, answer)
+    if (answer === 'accepted' || (answer === 'holds' && operation === 'unload')) this.unanswered.clear()
+    if (answer === 'conflict') await this.resolveConflict(signal)
+    else this.conflicts = 0
+    if (answer === 'refused') await this.reconcile(signal)
+    return answer
+  }
+
+  private async resolveConflict (signal: AbortSignal): Promise<void> {
+    if (this.unanswered.takeConflict(this.ledger, this.around.clock.now())) return
+    this.conflicts += 1
+    if (this.conflicts <= MOST_CONFLICT_PAUSES) return await this.around.clock.sleep(CONFLICT_PAUSE_MILLISECONDS, signal)
+    this.conflicts = 0
+    await this.reconcile(signal)
   }
 
   /** Reads what the engine holds, late enough that the report shows the last order. @returns whether it was read */
@@ -339,15 +423,39 @@
     if (signal.aborted) return false
     const report = await this.orders.report()
     if (report === undefined) return false
+    this.unanswered.reported(report.sequence)
     this.ledger.adopt(report, this.around.clock.now())
-    for (const key of [...this.hidden]) if (!this.ledger.inFlight.has(key) && !this.ledger.departing.has(key)) this.hidden.delete(key)
+    for (const key of [...this.hidden.keys('eviction'), ...this.hidden.keys('replacement')]) {
+      if (!this.ledger.inFlight.has(key) && !this.ledger.departing.has(key)) this.hidden.show(key)
+    }
     this.publish()
     return true
   }
 
+  private lineChanged (now: number): void {
+    this.linePace.lengthChanged(this.line.length, now)
+    if (this.line.length !== this.toldLength) this.hasNews = true
+  }
+
+  private publishNews (): void {
+    if (this.hasNews && this.around.clock.now() - this.publishedAt >= STATEMENT_MILLISECONDS) this.publish()
+  }
+
   private publish (): void {
+    const now = this.around.clock.now()
     this.published += 1
-    this.around.publish({ endpoint: this.endpoint, token: this.token, sequence: this.published, ledger: this.ledger, hidden: this.hidden })
+    this.publishedAt = now
+    this.toldLength = this.line.length
+    this.hasNews = false
+    this.around.publish({
+      endpoint: this.endpoint,
+      token: this.token,
+      sequence: this.published,
+      ledger: this.ledger,
+      hidden: this.hidden,
+      waiting: this.line.keys(),
+      waitMilliseconds: this.linePace.waitMilliseconds(this.line.length, now)
+    })
   }
 }
 
--- a/packages/ingress/src/adapters/engine-orders.ts
+++ b/packages/ingress/src/adapters/engine-orders.ts
@@ -1,9 +1,9 @@
 /** Orders and reports of one engine under one token, with a line in the log for each. */
 import type { Clock, FencingToken, LimpetwinchError, Logger } from '@limpetwinch/core'
+import type { Want } from '@limpetwinch/decisions'
 import type { Result } from 'neverthrow'
 import type { Endpoint } from '../routes/configuration.js'
 import type { EngineControl, EngineOrder, EngineReport, OrderAnswer } from './engine-control.js'
-import type { Want } from './load-wants.js'
 
 /** What orders need. */
 export interface OrderSurroundings {
--- a/packages/ingress/src/adapters/held-notices.ts
+++ b/packages/ingress/src/adapters/held-notices.ts
@@ -1,11 +1,18 @@
 /** Tells all instances which adapters an engine holds, as the one that orders its loads knows it. */
-import type { AdaptersHeldFrame, Clock, EndpointId, FencingToken } from '@limpetwinch/core'
+import type { AdaptersChangedFrame, AdaptersHeldFrame, Clock, EndpointId, FencingToken, InstanceId } from '@limpetwinch/core'
 import type { PeerNetwork } from '@limpetwinch/entry'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { AdapterKey, Endpoint } from '../routes/configuration.js'
 import type { AdapterLocations } from './adapter-locations.js'
+import { changeOf } from './held-changes.js'
 import type { SlotLedger } from './slot-ledger.js'
 
+/**
+ * One word in so many is whole. A peer that missed one, on a connection that broke, is told all at its next connection;
+ * where two connections crossed it is at sea until the next whole word, about a second later on a busy engine.
+ */
+const WHOLE_EVERY = 20
+
 /** What is told of one engine. */
 export interface HeldStatement {
   readonly endpoint: Endpoint
@@ -14,7 +21,11 @@
   readonly sequence: number
   readonly ledger: SlotLedger
   /** Adapters that are held and not offered: they are about to leave or to be replaced. */
-  readonly hidden: ReadonlySet<AdapterKey>
+  readonly hidden: { readonly has: (key: AdapterKey) => boolean }
+  /** Adapters that wait for their load. */
+  readonly waiting: readonly AdapterKey[]
+  /** How long one more would wait for its turn. */
+  readonly waitMilliseconds: number
 }
 
 /** Sends statements, and the last ones again to whoever connects. */
@@ -23,22 +34,30 @@
   private readonly locations: AdapterLocations
   private readonly metrics: IngressMetrics
   private readonly clock: Clock
+  private readonly self: InstanceId
   private readonly last = new Map<EndpointId, AdaptersHeldFrame>()
 
-  constructor (network: PeerNetwork, locations: AdapterLocations, metrics: IngressMetrics, clock: Clock) {
+  /** @param self - this process */
+  constructor (network: PeerNetwork, locations: AdapterLocations, metrics: IngressMetrics, clock: Clock, self: InstanceId) {
     this.network = network
     this.locations = locations
     this.metrics = metrics
     this.clock = clock
+    this.self = self
   }
 
   /** Tells this instance and all peers. */
-  publish ({ endpoint, token, sequence, ledger, hidden }: HeldStatement): void {
+  publish ({ endpoint, token, sequence, ledger, hidden, waiting, waitMilliseconds }: HeldStatement): void {
     const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
-    const frame: AdaptersHeldFrame = { kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, inFlight: [...ledger.inFlight.keys()] }
+    const frame: AdaptersHeldFrame = {
+      kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, inFlight: [...ledger.inFlight.keys()], waiting, waitMilliseconds: Math.round(waitMilliseconds)
+    }
+    const before = this.last.get(endpoint.id)
     this.last.set(endpoint.id, frame)
-    this.locations.takeNotice(frame, this.clock.now())
-    this.send(frame)
+    this.locations.takeNotice(this.self, frame, this.clock.now())
+    const goesOn = before !== undefined && before.born === frame.born && before.token === frame.token && before.sequence === sequence - 1
+    const word = goesOn && sequence % WHOLE_EVERY !== 0 ? changeOf(before, frame) : frame
+    for (const peer of this.network.connected()) this.send(peer, word)
   }
 
   /**
@@ -46,17 +65,15 @@
    *
    * @param isOrdered - whether this instance still orders the engine's loads
    */
-  retell (isOrdered: (endpoint: EndpointId) => boolean): void {
+  retell (peer: InstanceId, isOrdered: (endpoint: EndpointId) => boolean): void {
     for (const [id, frame] of this.last) {
-      if (isOrdered(id)) this.send(frame)
+      if (isOrdered(id)) this.send(peer, frame)
       else this.last.delete(id)
     }
   }
 
-  private send (frame: AdaptersHeldFrame): void {
-    for (const peer of this.network.connected()) {
-      this.metrics.adapterNotice('sent')
-      this.network.notify(peer, frame)
-    }
+  private send (peer: InstanceId, frame: AdaptersHeldFrame | AdaptersChangedFrame): void {
+    this.metrics.adapterNotice('sent')
+    this.network.notify(peer, frame)
   }
 }
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -17,6 +17,14 @@
 const SETTLE_MILLISECONDS = 1_500
 /** Added to the lease: how late the holder before may have heard that it holds no more. */
 const LEASE_MARGIN_MILLISECONDS = 800
+/**
+ * A host whose instance is stopped or killed mostly has another one within some two seconds. It goes on at once with the
+ * engines that it ordered; anybody else would have to wait a lease before its first order. So a claim waits for so long,
+ * which costs as much where the host is lost for good, and saves a lease without loads where it is not.
+ */
+const RETURN_MILLISECONDS = 2_500
+/** Two hosts' times of day may differ by so much; a claim's age is taken to be less by it. */
+const CLOCK_MARGIN_MILLISECONDS = 500
 /** A claim this old was made long before the lease, whatever the clocks of two hosts say. */
 const CERTAINLY_OLD_MILLISECONDS = 30_000
 /** Holder objects of engines that are gone are deleted after this; an engine may come back under its id before. */
@@ -53,6 +61,10 @@
   private readonly running = new Map<EndpointId, Running>()
   private readonly missingSince = new Map<EndpointId, number>()
   /** Engines whose loader failed, and when it may start again. */
+  /** Since when an engine's holder has not been heard, while the store was. */
+  private readonly absentSince = new Map<EndpointId, number>()
+  /** Claims of this process, by monotonic time. */
+  private readonly claimedAt = new Map<EndpointId, number>()
   private readonly postponed = new Map<EndpointId, { readonly pauses: Backoff, readonly until: number }>()
   private pausedUntil = -Infinity
   private claimsFrom: number | undefined
@@ -81,7 +93,7 @@
   /** @returns who orders the loads of an engine; undefined when nobody does or it is not heard */
   holderOf (endpoint: EndpointId): InstanceId | undefined {
     const holder = this.holders.get(endpoint)
-    if (holder === undefined || !this.parts.members.isLive(holder.holder)) return undefined
+    if (holder === undefined || !this.parts.members.isHeard(holder.holder)) return undefined
     if (holder.holder === this.parts.members.self.name) return this.parts.members.self.instance
     return this.parts.members.find(holder.holder)?.instance
   }
@@ -91,6 +103,11 @@
     return this.running.get(endpoint)?.loader
   }
 
+  /** A peer has told what runs. */
+  released (): void {
+    for (const { loader } of this.running.values()) loader.released()
+  }
+
   /** A newer version of an adapter was announced. */
   newer (key: AdapterKey, version: number): void {
     for (const { loader } of this.running.values()) loader.newer(key, version)
@@ -113,6 +130,8 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MILLISECONDS, signal)
       if (!members.known || this.stopping) continue
+      // Cut off, this instance hears nobody. What it has not heard meanwhile says nothing of its peers.
+      if (!this.parts.health.reachable) this.absentSince.clear()
       this.claimsFrom ??= clock.now() + SETTLE_MILLISECONDS
       for (const endpoint of this.parts.directory.all()) {
         const shape = this.shapeOf(endpoint)
@@ -132,9 +151,34 @@
     const { members } = this.parts
     const holder = this.holders.get(endpoint.id)
     if (holder?.holder === members.self.name) return this.startLoader(endpoint, holder, shape)
-    if (holder !== undefined && members.isLive(holder.holder)) return
+    if (holder !== undefined && members.isHeard(holder.holder)) {
+      this.absentSince.delete(endpoint.id)
+      return
+    }
+    if (holder !== undefined && !this.isLost(endpoint.id)) return
     if (this.parts.clock.now() < (this.claimsFrom ?? Infinity) || this.successor(endpoint) !== members.self.name) return
-    await this.claim(endpoint, holder)
+    if (holder === undefined || await this.reaches(endpoint)) await this.claim(endpoint, holder)
+  }
+
+  /** @returns whether the holder of the engine has been away for longer than a start takes */
+  private isLost (id: EndpointId): boolean {
+    const now = this.parts.clock.now()
+    const since = this.absentSince.get(id) ?? now
+    this.absentSince.set(id, since)
+    return now - since >= RETURN_MILLISECONDS
+  }
+
+  /**
+   * When a data centre is cut off, its engines' holder is lost to all others, and the engines with it. Claimed from
+   * elsewhere they would be ordered by nobody: neither by the claimant, which does not reach them, nor by their holder,
+   * nor for a lease after the cut by anyone.
+   */
+  private async reaches (endpoint: Endpoint): Promise<boolean> {
+    const report = await this.surroundings.control.report(endpoint.id, endpoint.address)
+    if (report.isOk()) return true
+    this.parts.logger.info('The loads of an engine are not claimed, since it cannot be reached.', { endpoint: endpoint.id, reason: report.error.message })
+    this.absentSince.set(endpoint.id, this.parts.clock.now())
+    return false
   }
 
   /** The instances of the engine's own data centre come first: they can still order it when data centres are apart. */
@@ -160,6 +204,7 @@
     const outcome = written.isOk() ? 'done' : written.error.kind
     logger.info('The loads of an engine were claimed.', { endpoint: endpoint.id, previous: before?.holder, token: written.isOk() ? written.value : undefined, outcome })
     if (written.isErr()) return
+    this.claimedAt.set(endpoint.id, this.parts.clock.now())
     const holder: LoadHolder = { endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, token: written.value as LoadHolder['token'] }
     const known = this.holders.get(endpoint.id)
     if (known !== undefined && known.token > holder.token) return
@@ -210,8 +255,13 @@
   private notBefore (holder: LoadHolder): number {
     const { clock, members, leaseMilliseconds } = this.parts
     if (holder.previous === undefined || holder.previous === members.self.name) return clock.now()
-    if (Math.abs(Date.now() - holder.claimedAt) > CERTAINLY_OLD_MILLISECONDS) return clock.now()
-    return clock.now() + leaseMilliseconds + LEASE_MARGIN_MILLISECONDS
+    const apart = leaseMilliseconds + LEASE_MARGIN_MILLISECONDS
+    const claimedAt = this.claimedAt.get(holder.endpoint)
+    if (claimedAt !== undefined) return claimedAt + apart
+    // Claimed by an earlier process of this host: only its time of day is known. One that lies ahead was read from another clock.
+    const age = Date.now() - holder.claimedAt
+    if (Math.abs(age) > CERTAINLY_OLD_MILLISECONDS) return clock.now()
+    return clock.now() + Math.min(apart, Math.max(0, apart + CLOCK_MARGIN_MILLISECONDS - Math.max(0, age)))
   }
 
   private mayOrder (holder: LoadHolder): boolean {
@@ -249,6 +299,8 @@
       if (removed.isErr()) continue
       this.holders.delete(holder.endpoint)
       this.missingSince.delete(holder.endpoint)
+      this.absentSince.delete(holder.endpoint)
+      this.claimedAt.delete(holder.endpoint)
     }
   }
 }
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -2,6 +2,14 @@
 import type { AdapterKey, HeldAdapter, ModelName } from '../routes/configuration.js'
 import type { EngineReport } from './engine-control.js'
 
+/** Evicted adapters that an engine caches, for each of its slots: five on the smallest engines known, six on larger ones. */
+const CACHED_FOR_SLOT = 5
+
+/** @returns evicted adapters that an engine with so many slots is taken to cache */
+export function mostCached (slots: number): number {
+  return CACHED_FOR_SLOT * slots
+}
+
 /** An adapter in its slot. */
 export interface HeldSlot {
   version: number
@@ -52,9 +60,14 @@
     return sum
   }
 
+  /** Slots that nothing takes. */
+  get free (): number {
+    return Math.max(0, this.slots - this.occupied)
+  }
+
   /** Whether one more adapter fits. */
   get hasFree (): boolean {
-    return this.occupied < this.slots
+    return this.free > 0
   }
 
   /** @returns whether the adapter is held in this version or a newer one */
--- a/packages/ingress/src/adapters/weight-store-pace.ts
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -7,8 +7,12 @@
  * time is said anywhere, so both are learnt, from all loads of all instances.
  */
 
-/** In flight for each engine, before anything is learnt: stores of 13 and of 63 engines took 8 and 40 at full speed. */
-const FIRST_LIMIT_FOR_ENGINE = 0.62
+/**
+ * In flight for each engine, before anything is learnt: what one engine takes. Stores are known that take 0.6, 1.3 and 2.7 for
+ * each engine at full speed. Begun too low, the store idles while a crowd waits, and the limit grows by a load at a
+ * time; begun too high, the first loads of a crowd take longer, and they say at once how much room there is.
+ */
+const FIRST_LIMIT_FOR_ENGINE = 4
 /** One engine takes four loads at once; below this a single engine could not fill its slots. */
 const LEAST_LIMIT = 4
 const MOST_LIMIT = 1_000
@@ -34,10 +38,12 @@
 const ABOVE_ROOM = 1.15
 const LEAST_SHARE_LEFT = 0.5
 /**
- * The time of one load is learnt while the store is used to no more than this part of the lower one of the limit and the
- * first guess: with a limit that has grown too far, slowed loads would pass for usual ones, and it would grow on.
+ * The time of one load is learnt while no more than this part of the limit, and no more than so many for each engine, are
+ * on their way: with a limit that stands too high, slowed loads would pass for usual ones, and it would stay there. The
+ * smallest store that is known takes 0.6 for each engine at full speed.
  */
 const IDLE_SHARE = 0.4
+const IDLE_FOR_ENGINE = 0.25
 
 /** A load from the weight store that is complete. */
 export interface CompletedLoad {
@@ -74,9 +80,9 @@
 
   /** Learns from a load. */
   completed (load: CompletedLoad): void {
-    const { exactLimit: limit, firstLimit } = this
+    const { exactLimit: limit } = this
     // At the least limit nothing more can be held back; a store that is slow for one load would else seem full for ever.
-    const idle = Math.max(LEAST_LIMIT, Math.min(limit, firstLimit) * IDLE_SHARE)
+    const idle = Math.max(LEAST_LIMIT, Math.min(limit * IDLE_SHARE, this.engines() * IDLE_FOR_ENGINE))
     if (load.mostInFlightBeside < idle) this.learnTime(load.milliseconds)
     // All loads of one moment meet the same store; changed once for each of them, the limit would swing.
     if (load.now - this.changedAt < this.loadMilliseconds) return
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -75,11 +75,18 @@
     return this.members.get(name)
   }
 
-  /** @returns whether the member of this name is heard and takes duties */
+  /** @returns whether the member of this name is heard; one that leaves goes on with its duties until it has gone */
+  isHeard (name: string): boolean {
+    if (name === this.self.name) return true
+    const member = this.members.get(name)
+    return member !== undefined && this.silence(member) < SUSPECT_MILLISECONDS
+  }
+
+  /** @returns whether the member of this name is heard and takes new duties */
   isLive (name: string): boolean {
     if (name === this.self.name) return !this.stopping
     const member = this.members.get(name)
-    return member !== undefined && !this.leaving.has(member.instance) && this.silence(member) < SUSPECT_MILLISECONDS
+    return member !== undefined && !this.leaving.has(member.instance) && this.isHeard(name)
   }
 
   /** @returns names of all members that are heard, this one included */
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -3,6 +3,7 @@
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { AdapterSeeker, FoundEngine } from '../adapters/adapter-seeker.js'
+import type { EngineSpeeds } from '@limpetwinch/decisions'
 import type { RepeatBudgets } from '../retries/repeat-budgets.js'
 import type { FirstEventForecast } from '../routing/first-event-forecast.js'
 import type { LoadBoard } from '../routing/load-board.js'
@@ -35,6 +36,7 @@
   readonly locations: AdapterLocations
   readonly board: LoadBoard
   readonly forecast: FirstEventForecast
+  readonly speeds: EngineSpeeds
   readonly prefixes: PrefixMemory
   readonly senders: EndpointSenders
   readonly budgets: RepeatBudgets
@@ -60,7 +62,15 @@
     let runs = 0
     let stall = 0
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
-      const engine = await this.parts.seeker.seek(service, facts, tried, this.searchEnd(request, progress), signal)
+      const engine = await this.parts.seeker.seek({
+        service,
+        facts,
+        gapMilliseconds: request.route.gapMilliseconds,
+        excluded: tried,
+        onTimeUntil: request.cameAt + request.route.objectiveMilliseconds,
+        until: this.searchEnd(request, progress),
+        signal
+      })
       if (engine === undefined || signal.aborted) break
       stall += engine.stallMilliseconds
       if (sends > 0 && !budgets.repeat(service.name, clock.now())) break
@@ -95,9 +105,10 @@
   }
 
   private async tryOn (engine: FoundEngine, request: RoutedRequest, progress: StreamProgress, sends: number, mayGoElsewhere: boolean): Promise<StreamTryResult> {
-    const { clock, board, senders, forecast, prefixes, expectedVersion } = this.parts
+    const { clock, board, senders, forecast, speeds, prefixes, expectedVersion } = this.parts
     const { facts, service } = request
     const { endpoint, forecastMilliseconds, uncachedTokens } = engine
+    const readTokens = board.inHand(endpoint.id, clock.now()).prefillTokens + uncachedTokens
     const ticket = board.begin(endpoint.id, {
       prefillTokens: uncachedTokens, memoryTokens: facts.promptTokens + facts.outputTokens, adapter: facts.adapter?.key
     })
@@ -105,7 +116,7 @@
     const patience = mayGoElsewhere ? Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_FORECASTS * forecastMilliseconds) : undefined
     const stream = new StreamTry(request.exchange, progress, patience, clock, () => {
       ticket.prefilled()
-      forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt)
+      forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.remember(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
     })
     const order = {
@@ -117,6 +128,7 @@
     }
     const result = await stream.run((sink) => senders.send(request, order, sink))
     ticket.ended()
+    if (stream.spacing.milliseconds !== undefined) speeds.spacingSeen(endpoint.id, stream.spacing.milliseconds)
     return result
   }
 
--- a/packages/ingress/src/relay/stream-try.ts
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -1,5 +1,6 @@
 /** One try of a stream on one engine: hands whole events to the caller and watches for silence. */
 import type { Clock } from '@limpetwinch/core'
+import { EventSpacing } from '@limpetwinch/decisions'
 import type { AnswerHead, AttemptSink } from './attempt.js'
 import type { CallerExchange } from './caller-exchange.js'
 import type { Sending } from './endpoint-senders.js'
@@ -37,6 +38,8 @@
   private readonly patience: number | undefined
   private readonly clock: Clock
   private readonly onFirstEvent: () => void
+  /** How far apart its events came. */
+  readonly spacing = new EventSpacing()
   private readonly splitter = new EventSplitter()
   private readonly otherBody: Buffer[] = []
   private otherBytes = 0
@@ -118,6 +121,7 @@
     const now = this.clock.now()
     const { lastEventAt } = this.progress
     if (lastEventAt !== undefined) this.progress.longestGap = Math.max(this.progress.longestGap, now - lastEventAt)
+    if (lastEventAt !== undefined && this.hasEvents) this.spacing.gapSeen(now - lastEventAt)
     this.progress.lastEventAt = now
   }
 
--- a/packages/ingress/src/routes/configuration.ts
+++ b/packages/ingress/src/routes/configuration.ts
@@ -28,6 +28,8 @@
   readonly timeoutMilliseconds: number
   /** Time within which an answer is of full use: the whole answer, or the first event of a stream. */
   readonly objectiveMilliseconds: number
+  /** The longest pause between two events of a stream that is still of full use to its caller. */
+  readonly gapMilliseconds: number
   /** 0 is the most urgent. */
   readonly priority: number
   /** Endpoints on which one request may be tried. */
@@ -82,6 +84,8 @@
   connectionLimit: 256,
   /** It only orders who waits; an answer may take up to the request's own deadline. */
   objectiveMilliseconds: 1_000,
+  /** Readers take a pause below half a second for a slow writer, not for a fault. */
+  gapMilliseconds: 400,
   mostAttempts: 1,
   priority: 0
 } as const
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -1,6 +1,6 @@
 /** Picks the engine for a request: one that holds the adapter and reaches its first event soonest; else one to load it. */
 import { rendezvousWeight } from '@limpetwinch/decisions'
-import type { OutlierEjection } from '@limpetwinch/decisions'
+import type { EngineSpeeds, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -14,27 +14,52 @@
 const REMOTE_MILLISECONDS = 12
 /** An engine that has just failed is taken up again slowly. */
 const PENALTY_MILLISECONDS = 300
-/** A load from the weight store, and one from the copy that an engine caches. */
-const LOAD_MILLISECONDS = 270
+/** A load from the copy that an engine caches. */
 const CACHED_LOAD_MILLISECONDS = 40
 /**
  * What a load from the weight store costs beyond its time: the store hands out some thirty adapters a second to all
  * engines, and each is priced at about half a request. An engine that caches the adapter is worth waiting for.
  */
 const STORE_LOAD_WORTH_MILLISECONDS = 400
-/** An engine whose slots are all in use frees one in about this time. */
-const BUSY_SLOTS_MILLISECONDS = 600
-/** Loads that are on their way to an engine already. */
-const IN_FLIGHT_MILLISECONDS = 60
+/** A slot in use is free again in about this time: the run of a short answer. */
+const RUN_MILLISECONDS = 600
 /** Spreads adapters that lie nowhere yet, the same way on all instances. */
 const HOME_MILLISECONDS = 150
 /** A further copy takes a slot and a load: it is asked for only when it saves a request this much. */
 const COPY_GAIN_MILLISECONDS = 400
 /** Further copies of one adapter are asked for at most so often: the last one shows its effect before. */
 const COPY_PAUSE_MILLISECONDS = 500
+/**
+ * While an engine reads a long prompt its streams stand still; above their longest pause each of them is late, which costs
+ * its caller as much as half a second or more of waiting would. Not all of them see the pause: some end before it.
+ */
+const PAUSED_STREAM_MILLISECONDS = 100
+/** Part of the longest pause that a prompt may take alone; what is read besides it comes on top. */
+const PAUSE_SHARE = 0.9
+/**
+ * A few popular adapters gather a crowd on the engine that came first to hold them, while others have room: streams there
+ * take half as long again, and hold their slots for as long. An engine is crowded above this multiple of the mean of its
+ * service, and from this part of its batch on; below, steps are as short as elsewhere.
+ */
+const CROWDED_SHARE_OF_MEAN = 1.4
+const CROWDED_SHARE_OF_BATCH = 0.3
+/** An adapter with fewer runs there than this is no part of the crowd. */
+const CROWDED_RUNS = 4
+/** Each request that runs on an engine makes another one's answer that much longer; it tells holders of one adapter apart. */
+const RUNNING_MILLISECONDS = 3
 /** Adapters with a copy asked for that are remembered. */
 const MOST_COPY_TIMES = 5_000
 
+/** What an engine is looked for. */
+export interface EngineQuestion {
+  readonly service: Service
+  readonly facts: RequestFacts
+  /** The longest pause that streams bear. */
+  readonly gapMilliseconds: number
+  /** Engines that are not asked: tried before, or refusing. */
+  readonly excluded: ReadonlySet<EndpointId>
+}
+
 /** An engine for a request. */
 export interface EngineChoice {
   readonly endpoint: Endpoint
@@ -54,11 +79,14 @@
   readonly locations: AdapterLocations
   readonly board: LoadBoard
   readonly forecast: FirstEventForecast
+  readonly speeds: EngineSpeeds
   readonly prefixes: PrefixMemory
   readonly ejection: OutlierEjection
   readonly dataCentre: string
   /** @returns the least adapter version that a new request may begin on */
   readonly leastVersion: (key: AdapterKey, now: number) => number
+  /** @returns milliseconds that a load from the weight store takes now */
+  readonly loadMilliseconds: () => number
   /** @returns whether somebody is there to order the engine's loads */
   readonly isOrdered: (endpoint: EndpointId) => boolean
 }
@@ -72,19 +100,19 @@
     this.parts = parts
   }
 
-  /**
-   * @param service - whose engines
-   * @param facts - the request
-   * @param excluded - engines tried before
-   * @returns the engine that holds the adapter and is fastest; undefined when none holds it
-   */
-  choose (service: Service, facts: RequestFacts, excluded: ReadonlySet<EndpointId>, now: number): EngineChoice | undefined {
-    const shape = service.engine
-    if (shape === undefined || facts.adapter === undefined) return undefined
+  /** @returns the engine that holds the adapter and is fastest; undefined when none holds it */
+  choose (question: EngineQuestion, now: number): EngineChoice | undefined {
+    const shape = question.service.engine
+    if (shape === undefined || question.facts.adapter === undefined) return undefined
     let best: EngineChoice | undefined
-    for (const endpoint of this.holders(service, facts, excluded, now)) {
-      const choice = this.weigh(endpoint, shape, facts, now)
-      if (best === undefined || choice.forecastMilliseconds < best.forecastMilliseconds) best = choice
+    let least = Infinity
+    for (const endpoint of this.holders(question, now)) {
+      const choice = this.weigh(endpoint, shape, question.facts, now)
+      const running = this.parts.board.inHand(endpoint.id, now).requests * RUNNING_MILLISECONDS
+      const cost = choice.forecastMilliseconds + running + this.pauseCost(endpoint, choice.uncachedTokens, question.gapMilliseconds, now)
+      if (cost >= least) continue
+      best = choice
+      least = cost
     }
     return best
   }
@@ -95,38 +123,61 @@
    *
    * @param bias - milliseconds by which an engine seems slower or faster to the asker than to all others
    */
-  chooseForLoad (service: Service, key: AdapterKey, model: string, excluded: ReadonlySet<EndpointId>, bias: (endpoint: EndpointId) => number, now: number): LoadChoice | undefined {
+  chooseForLoad (question: EngineQuestion, bias: (endpoint: EndpointId) => number, now: number): LoadChoice | undefined {
     const { locations, isOrdered } = this.parts
+    const { service, facts, excluded, gapMilliseconds } = question
     const shape = service.engine
-    if (shape === undefined) return undefined
+    if (shape === undefined || facts.adapter === undefined) return undefined
+    const { key, model } = facts.adapter
     const usable = this.usableEngines(service, excluded, now)
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
     let best: LoadChoice | undefined
     for (const endpoint of usable) {
       if (locations.inFlight.has(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
-      const costMilliseconds = this.loadCost(endpoint, shape, key, now) + bias(endpoint.id)
+      const pause = this.pauseCost(endpoint, facts.promptTokens, gapMilliseconds, now)
+      const costMilliseconds = this.loadCost(endpoint, shape, key, now) + pause + bias(endpoint.id)
       if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
     return best
   }
 
   /** @returns an engine for a further copy when the best holder is slow and another would be faster; undefined mostly */
-  chooseForCopy (service: Service, facts: RequestFacts, best: EngineChoice, now: number): LoadChoice | undefined {
+  chooseForCopy (question: EngineQuestion, best: EngineChoice, now: number): LoadChoice | undefined {
+    const { facts } = question
     const { adapter } = facts
-    const shape = service.engine
+    const shape = question.service.engine
     if (adapter === undefined || adapter.name === undefined || shape === undefined) return undefined
-    if (best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + LOAD_MILLISECONDS) return undefined
+    const crowded = this.isCrowded(question, best.endpoint, shape, now)
+    if (!crowded && best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + this.parts.loadMilliseconds()) return undefined
     if (now - (this.copiesAsked.get(adapter.key) ?? -Infinity) < COPY_PAUSE_MILLISECONDS) return undefined
-    const load = this.chooseForLoad(service, adapter.key, adapter.model, NONE, unbiased, now)
+    const load = this.chooseForLoad({ ...question, excluded: NONE }, unbiased, now)
     if (load === undefined) return undefined
-    const there = this.weigh(load.endpoint, shape, facts, now).forecastMilliseconds + LOAD_MILLISECONDS
-    if (there + COPY_GAIN_MILLISECONDS > best.forecastMilliseconds) return undefined
+    const there = this.weigh(load.endpoint, shape, facts, now).forecastMilliseconds + this.parts.loadMilliseconds()
+    const relieves = crowded && !this.isAboveMean(question.service, load.endpoint, now)
+    if (!relieves && there + COPY_GAIN_MILLISECONDS > best.forecastMilliseconds) return undefined
     if (this.copiesAsked.size > MOST_COPY_TIMES) this.copiesAsked.clear()
     this.copiesAsked.set(adapter.key, now)
     return load
   }
 
-  private holders (service: Service, facts: RequestFacts, excluded: ReadonlySet<EndpointId>, now: number): Endpoint[] {
+  private isCrowded ({ service, facts }: EngineQuestion, endpoint: Endpoint, shape: EngineShape, now: number): boolean {
+    const { board } = this.parts
+    const { requests } = board.inHand(endpoint.id, now)
+    if (facts.adapter === undefined || requests < shape.batchSlots * CROWDED_SHARE_OF_BATCH) return false
+    if (requests < this.meanRequests(service, now) * CROWDED_SHARE_OF_MEAN) return false
+    return board.running(endpoint.id, facts.adapter.key, now) >= CROWDED_RUNS
+  }
+
+  private isAboveMean (service: Service, endpoint: Endpoint, now: number): boolean {
+    return this.parts.board.inHand(endpoint.id, now).requests > this.meanRequests(service, now)
+  }
+
+  private meanRequests (service: Service, now: number): number {
+    const engines = this.parts.directory.servable(service.name)
+    return engines.reduce((sum, { id }) => sum + this.parts.board.inHand(id, now).requests, 0) / Math.max(1, engines.length)
+  }
+
+  private holders ({ service, facts, excluded }: EngineQuestion, now: number): Endpoint[] {
     const { locations, leastVersion } = this.parts
     const { adapter } = facts
     if (adapter === undefined) return []
@@ -156,20 +207,31 @@
     return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
   }
 
+  /** @returns what it costs others on the engine that a prompt of so many tokens is read, in milliseconds of waiting */
+  private pauseCost (endpoint: Endpoint, tokens: number, gapMilliseconds: number, now: number): number {
+    const pause = this.parts.speeds.readingMilliseconds(endpoint.id, tokens)
+    if (pause < gapMilliseconds * PAUSE_SHARE) return 0
+    return this.parts.board.inHand(endpoint.id, now).requests * PAUSED_STREAM_MILLISECONDS
+  }
+
   /** @returns milliseconds until the adapter could be used there, with what the load takes from others on top */
   private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, now: number): number {
     const { board, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
-    const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : LOAD_MILLISECONDS + STORE_LOAD_WORTH_MILLISECONDS
-    const inFlight = locations.inFlight.countTo(endpoint.id)
-    const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - inFlight
-    const slots = idleSlots > 0 ? 0 : BUSY_SLOTS_MILLISECONDS * (1 - idleSlots)
+    const line = locations.line(endpoint.id)
+    // Joining a load that others wait for takes nothing more from the weight store.
+    const joins = line?.waiting.has(key) === true
+    const storeWorth = joins ? 0 : STORE_LOAD_WORTH_MILLISECONDS
+    const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : this.parts.loadMilliseconds() + storeWorth
+    const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - locations.inFlight.countTo(endpoint.id)
+    const slots = idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots)
+    const turn = Math.max(slots, line?.waitMilliseconds ?? 0)
     // It runs there and is not offered there: it is on its way out or being replaced, which waits for those runs.
-    const leaving = board.running(endpoint.id, key, now) > 0 ? BUSY_SLOTS_MILLISECONDS : 0
+    const leaving = board.running(endpoint.id, key, now) > 0 ? RUN_MILLISECONDS : 0
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
     const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
     const home = HOME_MILLISECONDS * (1 - rendezvousWeight(key, endpoint.id))
-    return reading + travel + slots + leaving + inFlight * IN_FLIGHT_MILLISECONDS + remote + penalty + home
+    return reading + travel + turn + leaving + remote + penalty + home
   }
 }
 
--- a/packages/ingress/src/routing/first-event-forecast.ts
+++ b/packages/ingress/src/routing/first-event-forecast.ts
@@ -1,10 +1,9 @@
 /** Forecasts how long an engine takes to the first event of a request, from the work that it has in hand. */
 import type { EndpointId } from '@limpetwinch/core'
+import type { EngineSpeeds } from '@limpetwinch/decisions'
 import type { EngineShape } from '../routes/configuration.js'
 import type { WorkInHand } from './load-board.js'
 
-/** Prompt tokens that engines read in a millisecond where nothing else is known yet; corrected by what is observed. */
-const TOKENS_PER_MILLISECOND = 38
 /** Taking up a request, the first step of the batch and the way back. */
 const LEAST_MILLISECONDS = 60
 /** A request that finds the batch or the memory full waits about as long as a running one still takes. */
@@ -19,6 +18,12 @@
 /** Forecasts for all engines. */
 export class FirstEventForecast {
   private readonly slowness = new Map<EndpointId, number>()
+  private readonly speeds: EngineSpeeds
+
+  /** @param speeds - of all engines */
+  constructor (speeds: EngineSpeeds) {
+    this.speeds = speeds
+  }
 
   /**
    * @param endpoint - which engine
@@ -29,14 +34,15 @@
    * @returns milliseconds to the first event
    */
   milliseconds (endpoint: EndpointId, shape: EngineShape, inHand: WorkInHand, uncachedTokens: number, memoryTokens: number): number {
-    const reading = (inHand.prefillTokens + uncachedTokens) / TOKENS_PER_MILLISECOND
+    const reading = this.speeds.readingMilliseconds(endpoint, inHand.prefillTokens + uncachedTokens)
     const full = inHand.requests >= shape.batchSlots || inHand.memoryTokens + memoryTokens > shape.memoryTokens * FULL_MEMORY_SHARE
     const expected = LEAST_MILLISECONDS + reading + (full ? FULL_MILLISECONDS : 0)
     return expected * (this.slowness.get(endpoint) ?? 1)
   }
 
-  /** Compares a forecast with what came. */
-  observe (endpoint: EndpointId, forecast: number, observed: number): void {
+  /** Compares a forecast with what came. @param readTokens - of the prompt and of those before it */
+  observe (endpoint: EndpointId, forecast: number, observed: number, readTokens: number): void {
+    this.speeds.readingSeen(endpoint, readTokens, observed - LEAST_MILLISECONDS)
     const before = this.slowness.get(endpoint) ?? 1
     const ratio = Math.min(SLOWEST, Math.max(FASTEST, observed / Math.max(1, forecast / before)))
     this.slowness.set(endpoint, before + SMOOTHING * (ratio - before))
@@ -45,5 +51,6 @@
   /** The engine is gone or started again. */
   forget (endpoint: EndpointId): void {
     this.slowness.delete(endpoint)
+    this.speeds.forget(endpoint)
   }
 }
--- a/packages/ingress/src/routing/load-board.ts
+++ b/packages/ingress/src/routing/load-board.ts
@@ -46,6 +46,7 @@
 export class LoadBoard {
   private readonly own = new Map<EndpointId, OwnWork>()
   private readonly peers = new Map<InstanceId, PeerWord>()
+  private readonly releaseListeners: ((endpoint: EndpointId) => void)[] = []
   private readonly useListeners: ((endpoint: EndpointId, key: AdapterKey, uses: number) => void)[] = []
 
   /** Calls the listener with uses of adapters, own and those told by peers. */
@@ -77,7 +78,9 @@
       prefilled()
       own.requests -= 1
       own.memoryTokens -= work.memoryTokens
-      if (work.adapter !== undefined) decrement(own.running, work.adapter)
+      if (work.adapter === undefined) return
+      decrement(own.running, work.adapter)
+      if (!own.running.has(work.adapter)) for (const listener of this.releaseListeners) listener(endpoint)
     }
     return { prefilled, ended }
   }
@@ -98,6 +101,11 @@
     return { requests, prefillTokens, memoryTokens }
   }
 
+  /** @returns requests of this instance that use the adapter on the endpoint now */
+  ownRunning (endpoint: EndpointId, key: AdapterKey): number {
+    return this.own.get(endpoint)?.running.get(key) ?? 0
+  }
+
   /** @returns requests of all instances that use the adapter on the endpoint now */
   running (endpoint: EndpointId, key: AdapterKey, now: number): number {
     let sum = this.own.get(endpoint)?.running.get(key) ?? 0
@@ -134,6 +142,18 @@
     this.peers.delete(instance)
   }
 
+  /** Calls the listener when the last own run of an adapter on an endpoint has ended: its slot may be free. */
+  onReleased (listener: (endpoint: EndpointId) => void): void {
+    this.releaseListeners.push(listener)
+  }
+
+  /** @returns the own work as it is, for one peer; what was sent is left to the next digest for all */
+  present (): RelayedLoad[] {
+    return [...this.own].filter(([, own]) => own.requests > 0).map(([endpoint, own]) => ({
+      ...sums(endpoint, own), adapters: [...own.running].map(([key, running]): [string, number, number] => [key, running, 0])
+    }))
+  }
+
   /** @returns the own work for peers; what was sent since the last digest is counted once */
   digest (): RelayedLoad[] {
     const loads: RelayedLoad[] = []
@@ -142,7 +162,7 @@
       const keys = new Set([...own.running.keys(), ...own.sent.keys()])
       const adapters = [...keys].map((key): [string, number, number] => [key, own.running.get(key) ?? 0, own.sent.get(key) ?? 0])
       own.sent.clear()
-      loads.push({ endpoint, requests: own.requests, prefillTokens: Math.round(own.prefillTokens), memoryTokens: Math.round(own.memoryTokens), adapters })
+      loads.push({ ...sums(endpoint, own), adapters })
     }
     return loads
   }
@@ -157,6 +177,10 @@
   }
 }
 
+function sums (endpoint: EndpointId, own: OwnWork): Omit<RelayedLoad, 'adapters'> {
+  return { endpoint, requests: own.requests, prefillTokens: Math.round(own.prefillTokens), memoryTokens: Math.round(own.memoryTokens) }
+}
+
 function decrement (counts: Map<AdapterKey, number>, key: AdapterKey): void {
   const left = (counts.get(key) ?? 0) - 1
   if (left > 0) counts.set(key, left)
--- a/packages/ingress/src/routing/work-digests.ts
+++ b/packages/ingress/src/routing/work-digests.ts
@@ -1,5 +1,5 @@
 /** Tells peers what this instance has in hand on each endpoint. */
-import type { Clock } from '@limpetwinch/core'
+import type { Clock, InstanceId } from '@limpetwinch/core'
 import type { PeerNetwork } from '@limpetwinch/entry'
 import type { LoadBoard } from './load-board.js'
 
@@ -11,12 +11,19 @@
  */
 const MEMBERS_AT_FULL_PACE = 10
 
+/**
+ * Between two words to one peer out of turn. Where loads wait for a slot, a run that has ended is told at once to the one
+ * that orders the engine: by the next digest the slot would stand empty for half a digest's time, a tenth of a short run.
+ */
+const RELEASE_MILLISECONDS = 20
+
 /** Digests of one instance. */
 export class WorkDigests {
   private readonly network: PeerNetwork
   private readonly board: LoadBoard
   private readonly members: () => number
   private readonly clock: Clock
+  private readonly soon = new Set<InstanceId>()
 
   /** @param members - how many instances there are */
   constructor (network: PeerNetwork, board: LoadBoard, members: () => number, clock: Clock) {
@@ -26,6 +33,21 @@
     this.clock = clock
   }
 
+  /** Tells the peer at once what this instance has in hand. */
+  tell (peer: InstanceId): void {
+    this.network.notify(peer, { kind: 'relay-load', loads: this.board.present() })
+  }
+
+  /** Tells the peer soon what this instance has in hand; calls that come close together make one word. */
+  tellSoon (peer: InstanceId): void {
+    if (this.soon.has(peer)) return
+    this.soon.add(peer)
+    setTimeout(() => {
+      this.soon.delete(peer)
+      this.tell(peer)
+    }, RELEASE_MILLISECONDS)
+  }
+
   /** Tells until the signal ends it; an empty digest once, so that peers forget the last one. */
   async run (signal: AbortSignal): Promise<void> {
     let wasEmpty = true
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,11 +1,13 @@
 /** One ingress instance: builds the parts, runs their tasks, stops them in order. */
 import type { Server } from 'node:http'
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, LineSink, LoadAskFrame, Logger } from '@limpetwinch/core'
-import { ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
+import type { AdaptersHeldFrame, Clock, EndpointId, InstanceId, LineSink, LoadAskFrame, Logger } from '@limpetwinch/core'
+import { EngineSpeeds, ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
+import type { WaiterFacts } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { AdapterSeeker } from '../adapters/adapter-seeker.js'
+import { HeldWords } from '../adapters/held-changes.js'
 import { HeldNotices } from '../adapters/held-notices.js'
 import { LoadDuty } from '../adapters/load-duty.js'
 import { isModelNeeded } from '../adapters/model-need.js'
@@ -39,9 +41,12 @@
 import { makeFollowers } from './platform-followers.js'
 import type { FollowerParts } from './platform-followers.js'
 import { watchForPauses } from './pause-watch.js'
+import { within } from './within.js'
 import { listenAt, metricsApplication, readinessApplication } from './side-listeners.js'
 import { stopInOrder } from './stop-in-order.js'
 
+/** Left of the time to stop for closing what is open and for the last lines. */
+const EXIT_MILLISECONDS = 300
 /** A silent peer is noticed within three of these. */
 const HEARTBEAT_MILLISECONDS = 500
 const HOUSEKEEPING_MILLISECONDS = 250
@@ -74,12 +79,15 @@
   private readonly locations = new AdapterLocations()
   private readonly storePace = new WeightStorePace(() => this.engineCount())
   private readonly board = new LoadBoard()
-  private readonly forecast = new FirstEventForecast()
+  private readonly speeds = new EngineSpeeds()
+  private readonly forecast = new FirstEventForecast(this.speeds)
   private readonly prefixes = new PrefixMemory()
   private readonly ejection = new OutlierEjection(EJECTION)
   private readonly errors = new ErrorRates()
   private readonly policy = new StallEvictionPolicy({ leastResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   private readonly heldNotices: HeldNotices
+  private readonly heldWords = new HeldWords()
+  private readonly digests: WorkDigests
   private readonly duty: LoadDuty
   private readonly seeker: AdapterSeeker
   private readonly senders: EndpointSenders
@@ -115,17 +123,20 @@
     this.configuration = new AcceptedConfiguration(logger.part('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
-    this.heldNotices = new HeldNotices(this.network, this.locations, this.metrics, this.clock)
+    this.heldNotices = new HeldNotices(this.network, this.locations, this.metrics, this.clock, this.instance)
+    this.digests = new WorkDigests(this.network, this.board, () => this.members.count, this.clock)
     this.duty = this.makeDuty()
     const router = new EngineRouter({
       directory: this.directory,
       locations: this.locations,
       board: this.board,
       forecast: this.forecast,
+      speeds: this.speeds,
       prefixes: this.prefixes,
       ejection: this.ejection,
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.leastUsable(key, now),
+      loadMilliseconds: () => this.storePace.expectedMilliseconds(this.locations.inFlight.count(this.clock.now())),
       isOrdered: (endpoint) => this.duty.holderOf(endpoint) !== undefined
     })
     this.seeker = new AdapterSeeker({
@@ -157,8 +168,7 @@
     void supervisor.start('load duty', async (signal) => { await this.duty.run(signal) })
     const exchange = new BeliefExchange(network, { configuration: this.configuration, directory: this.directory, versions: this.versions, health: this.health }, this.clock)
     void supervisor.start('beliefs', async (signal) => { await exchange.run(signal) })
-    const digests = new WorkDigests(network, this.board, () => this.members.count, this.clock)
-    void supervisor.start('digests', async (signal) => { await digests.run(signal) })
+    void supervisor.start('digests', async (signal) => { await this.digests.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.keepHouse(signal) })
     void supervisor.start('pauses', async (signal) => { await watchForPauses(this.clock, logger.part('clock'), () => this.afterPause(), signal) })
     logger.info('This instance has started.', { instance: this.instance, ...settings })
@@ -168,11 +178,14 @@
   async stop (): Promise<void> {
     if (this.stopping) return
     this.stopping = true
+    const stopsAt = this.clock.now() + this.settings.stopMilliseconds - EXIT_MILLISECONDS
     this.members.leave()
-    this.duty.stop()
     await stopInOrder({ listener: this.listener, clock: this.clock, logger: this.logger.part('stop'), graceMilliseconds: this.settings.stopMilliseconds })
-    await this.members.unregister()
-    await this.supervisor.stop()
+    // Until now requests here and elsewhere waited for loads of the engines that this instance orders.
+    this.duty.stop()
+    // A silent store holds each call for more than a second; an instance that waits for it is killed, and its last lines with it.
+    await within(stopsAt - this.clock.now(), this.members.unregister())
+    await within(stopsAt - this.clock.now(), this.supervisor.stop())
     for (const server of this.sideServers) server.close()
     this.senders.close()
     await this.platform.close()
@@ -251,6 +264,7 @@
       seeker: this.seeker,
       locations: this.locations,
       forecast: this.forecast,
+      speeds: this.speeds,
       prefixes: this.prefixes,
       expectedVersion: ({ facts }, now) => this.expectedVersion(facts.adapter?.key, now)
     })
@@ -294,25 +308,34 @@
     this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
     this.locations.inFlight.onCompleted((load) => this.storePace.completed(load))
     this.versions.onNewer((key, version) => this.duty.newer(key, version))
+    this.board.onReleased((endpoint) => this.tellRelease(endpoint))
     this.board.onUse((_endpoint, key) => this.policy.used(key, '', 1, this.clock.now()))
-    this.network.onNotice('relay-load', (from, frame) => this.board.take(from, frame.loads, this.clock.now()))
-    this.network.onNotice('adapters-held', (_from, frame) => {
-      this.metrics.adapterNotice('taken')
-      this.locations.takeNotice(frame, this.clock.now())
+    this.network.onNotice('relay-load', (from, frame) => {
+      this.board.take(from, frame.loads, this.clock.now())
+      this.duty.released()
+    })
+    this.network.onNotice('adapters-held', (from, frame) => {
+      this.heldWords.take(from, frame)
+      this.takeHeld(from, frame)
+    })
+    this.network.onNotice('adapters-changed', (from, change) => {
+      const frame = this.heldWords.expand(from, change)
+      if (frame !== undefined) this.takeHeld(from, frame)
     })
     this.network.onNotice('load-ask', (from, frame: LoadAskFrame) => {
       const loader = this.duty.loader(frame.endpoint)
       if (loader === undefined) return this.network.notify(from, { kind: 'load-refused', endpoint: frame.endpoint, key: frame.key, reason: 'this instance does not order its loads' })
-      loader.want(frame.key as AdapterKey, frame.version, frame.waiting)
+      loader.want(frame.key as AdapterKey, frame.version, waiterOf(frame, from))
     })
     this.network.onNotice('load-refused', (_from, frame) => this.seeker.refused(frame.endpoint, frame.key))
-    this.network.onConnected(() => this.heldNotices.retell((endpoint) => this.duty.loader(endpoint) !== undefined))
+    this.network.onConnected(({ instance }) => this.heldNotices.retell(instance, (endpoint) => this.duty.loader(endpoint) !== undefined))
   }
 
   private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
     if (change === 'leaving') return
     if (change === 'gone') {
       this.locations.remove(endpoint.id)
+      this.heldWords.forget(endpoint.id)
       this.senders.forget(endpoint.id)
       this.errors.forget(endpoint.id)
     }
@@ -322,6 +345,28 @@
     }
   }
 
+  private takeHeld (from: InstanceId, frame: AdaptersHeldFrame): void {
+    this.metrics.adapterNotice('taken')
+    const hidden = this.locations.takeNotice(from, frame, this.clock.now())
+    this.objectToEviction(from, frame.endpoint, hidden)
+  }
+
+  /**
+   * The one that orders an engine's loads knows what runs from digests, and a request that began since the last one is not
+   * in them. Were the adapter evicted under it, the engine would take no other order until that request has ended: all its
+   * loads stood still for seconds.
+   */
+  private objectToEviction (holder: InstanceId, endpoint: EndpointId, hidden: readonly AdapterKey[]): void {
+    if (hidden.some((key) => this.board.ownRunning(endpoint, key) > 0)) this.digests.tell(holder)
+  }
+
+  /** A slot may be free where loads wait for one. */
+  private tellRelease (endpoint: EndpointId): void {
+    const holder = this.locations.line(endpoint)?.waiting.size === 0 ? undefined : this.duty.holderOf(endpoint)
+    if (holder === this.instance) this.duty.loader(endpoint)?.released()
+    else if (holder !== undefined) this.digests.tellSoon(holder)
+  }
+
   private async keepHouse (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
@@ -347,3 +392,8 @@
     }
   }
 }
+
+/** A release without names of requests asks for each instance as if one request waited there. */
+function waiterOf (frame: LoadAskFrame, from: InstanceId): WaiterFacts | undefined {
+  return frame.waiting ? { request: frame.request ?? from, onTimeMilliseconds: frame.onTimeMilliseconds } : undefined
+}
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -1,5 +1,5 @@
 /** Small configurations and endpoints for tests. */
-import type { EndpointId } from '@limpetwinch/core'
+import type { EndpointId, InstanceId } from '@limpetwinch/core'
 import type { AdapterKey, Endpoint, EngineShape, ModelName, Route, Service, ServiceName } from '@limpetwinch/ingress'
 
 interface RouteSample extends Partial<Omit<Route, 'targets'>> {
@@ -15,6 +15,7 @@
     kind: 'safe',
     timeoutMilliseconds: 2_000,
     objectiveMilliseconds: 300,
+    gapMilliseconds: 400,
     priority: 0,
     mostAttempts: 2,
     resumable: false,
@@ -63,3 +64,6 @@
 export function key (adapter: string): AdapterKey {
   return `base/${adapter}` as AdapterKey
 }
+
+/** The process that orders an engine's loads and says what it holds. */
+export const SPEAKER = 'speaker' as InstanceId
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -17,6 +17,8 @@
   /** Most adapters held or on their way at once. */
   mostOccupied = 0
   readonly unloaded: string[] = []
+  /** How often it was asked what it holds. */
+  reports = 0
   private readonly slots: number
   private readonly adapters = new Map<string, 'held' | 'inFlight'>()
   private readonly versions = new Map<string, number>()
@@ -54,6 +56,7 @@
 
   /** @returns the engine's own account */
   report (): Result<EngineReport, LimpetwinchError> {
+    this.reports += 1
     const inState = (wanted: string): EngineReport['held'] => [...this.adapters].filter(([, state]) => state === wanted).map(([name]) => ({ key: key(name), version: this.versions.get(name) ?? 1 }))
     return ok({ sequence: this.sequence, busy: false, models: ['base' as ModelName], cachedModels: [], held: inState('held'), inFlight: inState('inFlight') })
   }
@@ -75,6 +78,8 @@
   }
 
   private unload (name: string): OrderAnswer {
+    // Engines count an order only when it changes something.
+    if (!this.adapters.has(name)) return 'holds'
     this.sequence += 1
     this.adapters.delete(name)
     this.unloaded.push(name)
