--- a/packages/entry/src/placement/rendezvous.ts
+++ b/packages/entry/src/placement/rendezvous.ts
@@ -1,7 +1,5 @@
 /** Rendezvous hashing: all who know the same members pick the same one, and a lost member moves only its own share. */
-import xxhash from 'xxhash-wasm'
-
-const { h64 } = await xxhash()
+import { xxHash32 } from 'js-xxhash'
 
 /**
  * Ranks candidates for a key.
@@ -11,12 +9,12 @@
  * @returns the candidates, the first choice first
  */
 export function rendezvousRank<Id extends string> (key: string, candidates: readonly Id[]): Id[] {
-  const weighed = candidates.map((candidate) => ({ candidate, weight: h64(`${key}\n${candidate}`) }))
+  const weighed = candidates.map((candidate) => ({ candidate, weight: xxHash32(`${key}\n${candidate}`) }))
   weighed.sort((one, other) => compare(other.weight, one.weight) || compare(one.candidate, other.candidate))
   return weighed.map((entry) => entry.candidate)
 }
 
-function compare<Value extends bigint | string> (one: Value, other: Value): number {
+function compare<Value extends number | string> (one: Value, other: Value): number {
   if (one === other) return 0
   return one < other ? -1 : 1
 }
--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -2,6 +2,7 @@
 import { PlaceInLine } from '@limpetwinch/decisions'
 import type { Clock, EndpointId, InstanceId, LoadAskFrame, Logger } from '@limpetwinch/core'
 import type { RequestFacts } from '../relay/request-codec.js'
+import type { Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuestion, EngineRouter, LoadChoice } from '../routing/engine-router.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
@@ -12,6 +13,13 @@
 /** Between looks while no engine can be asked at all. */
 const NOBODY_MILLISECONDS = 100
 
+/**
+ * A request that was refused and comes back before the line is shorter is refused again, with half of its time gone. Callers
+ * wait for no more than a third of the time that they have left; a crowd of seconds ends within it or not at all.
+ */
+const SOONEST_RETURN_MILLISECONDS = 400
+const LATEST_RETURN_MILLISECONDS = 1_500
+
 /** What the seeker needs. */
 export interface AdapterSeekerParts {
   readonly clock: Clock
@@ -75,6 +83,12 @@
     return undefined
   }
 
+  /** @returns when a request that found no engine is best sent again, seconds */
+  comeBackSeconds (service: Service): number {
+    const wait = this.parts.router.shortestWait(service, this.parts.clock.now())
+    return Math.min(LATEST_RETURN_MILLISECONDS, Math.max(SOONEST_RETURN_MILLISECONDS, wait)) / 1_000
+  }
+
   /** Asks the best engine for the adapter and waits a while. */
   private async haveLoaded (search: Search, place: PlaceInLine): Promise<void> {
     const { clock, router, locations } = this.parts
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -21,8 +21,6 @@
 const SHARE_OF_TIME_TO_WAIT = 0.25
 /** Callers give a stream up that stands still for some seconds. */
 const LONGEST_PAUSE_MILLISECONDS = 1_500
-/** A slot or a load comes free in about this time. */
-const RETRY_AFTER_SECONDS = 0.4
 /** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
 const LEAST_PATIENCE_MILLISECONDS = 1_500
 /** Forecasts are off by this factor under load at most times. */
@@ -166,16 +164,17 @@
     const { exchange, signal } = request
     const common = { tries, firstEventMilliseconds: sinceStart(request, progress), loadStallMilliseconds: stall, longestGapMilliseconds: progress.longestGap }
     if (exchange.left.aborted) return { outcome: 'caller-left', ...common }
-    const error = signal.aborted ? record.timeoutError(RETRY_AFTER_SECONDS) : this.finalError(request, record)
+    const retryAfter = this.parts.seeker.comeBackSeconds(request.service)
+    const error = signal.aborted ? record.timeoutError(retryAfter) : this.finalError(request, record, retryAfter)
     const wasStarted = exchange.started
     exchange.refuse(error)
     return { outcome: wasStarted ? 'cut' : 'refused', error, ...common }
   }
 
-  private finalError (request: RoutedRequest, record: TryRecord): LimpetwinchError {
+  private finalError (request: RoutedRequest, record: TryRecord, retryAfterSeconds: number): LimpetwinchError {
     const { adapter } = request.facts
-    if (record.isUnknown || adapter === undefined) return record.finalError(RETRY_AFTER_SECONDS)
-    return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds: RETRY_AFTER_SECONDS })
+    if (record.isUnknown || adapter === undefined) return record.finalError(retryAfterSeconds)
+    return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds })
   }
 }
 
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -160,6 +160,15 @@
     return load
   }
 
+  /** @returns milliseconds until a load that is asked for now could be there, on the engine with the shortest line */
+  shortestWait (service: Service, now: number): number {
+    let least = Infinity
+    for (const { id } of this.usableEngines(service, NONE, now)) {
+      if (this.parts.isOrdered(id)) least = Math.min(least, this.parts.locations.line(id)?.waitMilliseconds ?? 0)
+    }
+    return least + this.parts.loadMilliseconds()
+  }
+
   private isCrowded ({ service, facts }: EngineQuestion, endpoint: Endpoint, shape: EngineShape, now: number): boolean {
     const { board } = this.parts
     const { requests } = board.inHand(endpoint.id, now)
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -31,6 +31,8 @@
   readonly inUse?: number
   /** Adapters on their way. */
   readonly inFlight?: number
+  /** Milliseconds that one more load would wait there. */
+  readonly waits?: number
   /** Milliseconds between the events of its streams. */
   readonly spacing?: number
 }
@@ -50,10 +52,10 @@
   const endpoints = Object.keys(states).map((id) => endpoint(id, { service: 'engines' }))
   directory.apply({ revision: 1, endpoints }, undefined, NOW)
   for (const { id } of endpoints) {
-    const { caches = false, holds = 0, inUse = 0, inFlight = 0, spacing = 28 } = states[id] ?? {}
+    const { caches = false, holds = 0, inUse = 0, inFlight = 0, waits = 0, spacing = 28 } = states[id] ?? {}
     for (let stream = 0; stream < 5; stream += 1) speeds.spacingSeen(id, spacing)
     const notice = (sequence: number, held: readonly (readonly [string, number])[], coming: readonly string[]): void => (
-      locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: id, born: 100, token: 1 as FencingToken, sequence, held, inFlight: coming }, NOW)
+      locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: id, born: 100, token: 1 as FencingToken, sequence, held, inFlight: coming, waitMilliseconds: waits }, NOW)
     )
     if (caches) notice(1, [[WANTED, 1]], [])
     notice(2, holds > 0 ? [[WANTED, 1]] : [], Array.from({ length: inFlight }, (_, index) => key(`coming${index}`)))
@@ -116,6 +118,17 @@
   })
 })
 
+// In a crowd more requests are refused than the lines can take. One that comes back at once finds the same lines.
+describe('a request that found no engine', () => {
+  it('is told to come back when a load asked for then could be there, by the shortest line', () => {
+    expect([routerFor({ one: { waits: 900 }, two: { waits: 700 } }), routerFor({ one: {} })].map((router) => router.shortestWait(ENGINES, NOW))).toEqual([970, 270])
+  })
+
+  it('knows no such time where nobody orders loads', () => {
+    expect(routerFor({}).shortestWait(ENGINES, NOW)).toBe(Infinity)
+  })
+})
+
 // A few popular adapters have gathered most requests on the engine that came first to hold them, while others run a few.
 // Every stream there takes longer, and holds its slot for longer, though no first event is late yet.
 describe('a popular adapter', () => {
--- a/scripts/bundle-ingress.mjs
+++ b/scripts/bundle-ingress.mjs
@@ -1,20 +1,30 @@
-// Bundles the ingress binary into one file: a process that loads hundreds of modules would use most of a second of
-// processor time before it could take its first request.
+// Bundles the ingress binary into one file and keeps the code that its start compiles beside it: a process that loads hundreds
+// of modules, or compiles one of a megabyte, uses half a second of processor time before it can take its first request, and
+// after a kill its callers wait for that.
+import { spawnSync } from 'node:child_process'
+import { copyFileSync, readFileSync, writeFileSync } from 'node:fs'
 import { buildSync } from 'esbuild'
 
+const BUNDLE = 'target/limpetwinch-ingress.bundle.cjs'
+/** Compiled code is taken only by a process with the same flags; this one stands in the deploy file. */
+const HEAP_FLAG = '--max-old-space-size=200'
+
 buildSync({
   entryPoints: ['platform/src/bin/limpetwinch-ingress.ts'],
-  outfile: 'target/limpetwinch-ingress.mjs',
+  outfile: BUNDLE,
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
+  format: 'cjs',
   // Some packages' main file is a form that cannot be bundled, beside one that can.
   mainFields: ['module', 'main'],
   minify: true,
   keepNames: true,
   sourcemap: false,
-  external: ['cbor-extract', 'unix-dgram'],
-  // Dependencies in the older module form call `require`, which modules of the newer form do not have.
-  banner: { js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);" }
+  external: ['cbor-extract', 'unix-dgram']
 })
+// The launcher wraps the bundle into a function, before which no interpreter may be named.
+writeFileSync(BUNDLE, readFileSync(BUNDLE, 'utf8').replace(/^#!.*\n/, ''))
+copyFileSync('scripts/launch-bundle.cjs', 'target/limpetwinch-ingress.cjs')
+const kept = spawnSync(process.execPath, [HEAP_FLAG, 'target/limpetwinch-ingress.cjs', '--keep-code'], { stdio: ['ignore', 'ignore', 'inherit'] })
+if (kept.status !== 0) throw new Error('The compiled code of the bundle could not be kept.')
