Split the loader of an engine and the instance: orders, evictions, statements, notices between peers; pages of the line of loads

No policy changes: the loader (465 lines) gave orders, settled conflicts, chose victims and paced statements in one class. New is one debug line when an order without an answer turns out to have been carried out.

--- /dev/null
+++ b/packages/ingress/src/adapters/evictions.ts
@@ -0,0 +1,102 @@
+/** Makes room on one engine: hides victims ahead of the loads that need their slots, then unloads them. */
+import type { LoadLine, SlotView } from '@limpetwinch/decisions'
+import type { AdapterKey, Endpoint } from '../routes/configuration.js'
+import type { HiddenAdapters } from './hidden-adapters.js'
+import type { LoaderSurroundings } from './loader-surroundings.js'
+import type { OrderDesk } from './order-desk.js'
+import type { SlotLedger } from './slot-ledger.js'
+import type { LoaderStatements } from './loader-statements.js'
+
+/** A load is for requests that wait; until peers have told that they run, nothing else may take its slot. */
+const SETTLE_MILLISECONDS = 250
+
+/** What evictions are made with. */
+export interface EvictionParts {
+  readonly endpoint: Endpoint
+  readonly ledger: SlotLedger
+  readonly line: LoadLine<AdapterKey>
+  readonly hidden: HiddenAdapters
+  readonly desk: OrderDesk
+  readonly statements: LoaderStatements
+  readonly around: LoaderSurroundings
+}
+
+/** The evictions of one engine. */
+export class Evictions {
+  private readonly parts: EvictionParts
+
+  constructor (parts: EvictionParts) {
+    this.parts = parts
+  }
+
+  /**
+   * Hides one more adapter where loads wait for a slot. Victims are hidden side by side and ahead of the orders: one
+   * after the other, the notice alone would hold an engine to some ten loads a second.
+   *
+   * @param most - loads that may begin soon
+   * @returns whether one was hidden
+   */
+  hideVictim (most: number, now: number): boolean {
+    const { ledger, line, hidden, statements, around } = this.parts
+    const { inFlight, departing, held } = ledger
+    const waiting = line.keys().filter((key) => !inFlight.has(key) && !departing.has(key) && !held.has(key))
+    const coming = ledger.free + hidden.keys('eviction').length
+    const [first] = waiting
+    if (first === undefined || coming >= Math.min(waiting.length, most)) return false
+    const victim = around.policy.victim(this.slotViews(now), first, now) as AdapterKey | undefined
+    // Every slot is in use or on its way out; the wants stay and are looked at again when a run ends.
+    if (victim === undefined) return false
+    hidden.hide(victim, 'eviction', now)
+    statements.publish()
+    return true
+  }
+
+  /** Unloads an adapter whose notice was heard, if nobody objects. @returns whether one was looked after */
+  async evictHidden (now: number, signal: AbortSignal): Promise<boolean> {
+    const { endpoint, ledger, line, hidden, desk, statements, around } = this.parts
+    const due = hidden.keys('eviction').find((key) => !ledger.departing.has(key) && now >= (hidden.heardAt(key) ?? Infinity))
+    if (due === undefined) return false
+    if (!ledger.held.has(due) || around.board.running(endpoint.id, due, now) > 0) {
+      // A request was on its way when the notice went out. An engine would let it end first, and its slot would block
+      // the load for as long; another adapter makes way sooner.
+      hidden.show(due)
+      statements.publish()
+      return true
+    }
+    const answer = await desk.unload(due, line.find(due), signal)
+    if (answer === 'holds') {
+      ledger.unloaded(due, true)
+      hidden.show(due)
+    } else if (answer === 'accepted') ledger.willUnload(due)
+    // Whether it has left is not known without an answer: it stays hidden, and the order is given again.
+    else if (answer === undefined) hidden.hide(due, 'eviction', around.clock.now())
+    else if (!ledger.departing.has(due)) hidden.show(due)
+    statements.changed()
+    return answer === 'holds' || answer === 'accepted'
+  }
+
+  /** Asks whether adapters have left that had to wait for their runs. */
+  async confirmDepartures (signal: AbortSignal): Promise<void> {
+    const { endpoint, ledger, line, hidden, desk, statements, around } = this.parts
+    for (const key of [...ledger.departing]) {
+      if (signal.aborted || !around.mayOrder(endpoint.id)) return
+      if (around.board.running(endpoint.id, key, around.clock.now()) > 0) continue
+      if (await desk.unload(key, line.find(key), signal) !== 'holds') continue
+      ledger.unloaded(key, false)
+      hidden.show(key)
+      statements.changed()
+    }
+  }
+
+  private slotViews (now: number): SlotView[] {
+    const { endpoint, ledger, line, hidden, around } = this.parts
+    return [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]) => ({
+      adapter: key,
+      pins: around.board.running(endpoint.id, key, now) + (now - slot.loadedAt < SETTLE_MILLISECONDS ? 1 : 0),
+      loadedAt: slot.loadedAt,
+      lastUsedAt: slot.lastUsedAt,
+      waiting: line.find(key) === undefined ? 0 : 1,
+      otherCopies: Math.max(0, around.locations.holders(key).size - 1)
+    }))
+  }
+}
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -10,7 +10,7 @@
 import type { MemberList } from '../members/member-list.js'
 import type { AdapterKey, Endpoint, EngineShape } from '../routes/configuration.js'
 import { EndpointLoader } from './endpoint-loader.js'
-import type { LoaderSurroundings } from './endpoint-loader.js'
+import type { LoaderSurroundings } from './loader-surroundings.js'
 
 const LOOK_MILLISECONDS = 300
 /** Instances find each other in this time after the first is listed; claims made before would go to whoever came first. */
--- /dev/null
+++ b/packages/ingress/src/adapters/order-desk.ts
@@ -0,0 +1,106 @@
+/** Gives the orders of one engine, one after the other, and settles what became of those without an answer. */
+import type { FencingToken } from '@limpetwinch/core'
+import type { Want } from '@limpetwinch/decisions'
+import { modelOf } from '../routes/configuration.js'
+import type { AdapterKey, Endpoint, ModelName } from '../routes/configuration.js'
+import type { EngineOrder, OrderAnswer } from './engine-control.js'
+import { EngineOrders } from './engine-orders.js'
+import type { LoaderSurroundings } from './loader-surroundings.js'
+import type { SlotLedger } from './slot-ledger.js'
+import { UnansweredOrders } from './unanswered-orders.js'
+
+/** Reports are some hundred milliseconds old; one taken after this shows the last order. */
+const REPORT_LAG_MILLISECONDS = 250
+/** An engine that could not be connected to is left in peace for this. */
+const SILENT_MILLISECONDS = 300
+/** An engine that is still at work on an order meets the next one with a conflict; it is done within a few of these. */
+const CONFLICT_PAUSE_MILLISECONDS = 25
+const MOST_CONFLICT_PAUSES = 2
+
+/** The orders of one engine under one token. */
+export class OrderDesk {
+  private readonly endpoint: Endpoint
+  private readonly ledger: SlotLedger
+  private readonly around: LoaderSurroundings
+  private readonly orders: EngineOrders
+  private readonly unanswered = new UnansweredOrders()
+  private readonly onReconciled: () => void
+  private conflicts = 0
+
+  /** @param onReconciled - called when the ledger has taken over what the engine reports */
+  constructor (endpoint: Endpoint, token: FencingToken, ledger: SlotLedger, around: LoaderSurroundings, onReconciled: () => void) {
+    this.endpoint = endpoint
+    this.ledger = ledger
+    this.around = around
+    this.orders = new EngineOrders(endpoint, token, around)
+    this.onReconciled = onReconciled
+  }
+
+  /** @param version - 0 for the newest. @param want - what the load is for. @returns the engine's answer; undefined when it gave none */
+  async load (key: AdapterKey, version: number, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    return await this.give('load', key, version, want, signal)
+  }
+
+  /** @returns the engine's answer; undefined when it gave none */
+  async unload (key: AdapterKey, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    return await this.give('unload', key, 0, want, signal)
+  }
+
+  /** Orders a whole model; the engine takes no other order until it has come. @returns whether it was accepted */
+  async loadModel (model: ModelName, signal: AbortSignal): Promise<boolean> {
+    const order: EngineOrder = { operation: 'load', model, adapter: undefined, version: undefined, ifSequence: this.ledger.sequence }
+    if (await this.send(order, undefined, undefined, signal) !== 'accepted') return false
+    this.ledger.sequence += 1
+    return true
+  }
+
+  /** Reads what the engine holds, late enough that the report shows the last order. @returns whether it was read */
+  async reconcile (signal: AbortSignal): Promise<boolean> {
+    await this.around.clock.sleep(REPORT_LAG_MILLISECONDS, signal)
+    if (signal.aborted) return false
+    const report = await this.orders.report()
+    if (report === undefined) return false
+    this.unanswered.reported(report.sequence)
+    this.ledger.adopt(report, this.around.clock.now())
+    this.onReconciled()
+    return true
+  }
+
+  private async give (operation: 'load' | 'unload', key: AdapterKey, version: number, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    const adapter = key.slice(key.indexOf('/') + 1)
+    const order = { operation, model: modelOf(key), adapter, version: version === 0 ? undefined : version, ifSequence: this.ledger.sequence }
+    return await this.send(order, key, want, signal)
+  }
+
+  private async send (order: EngineOrder, key: AdapterKey | undefined, want: Want | undefined, signal: AbortSignal): Promise<OrderAnswer | undefined> {
+    const { clock, onLost, onSilent } = this.around
+    const { operation, version, ifSequence } = order
+    const result = await this.orders.give(order, want)
+    if (result.isErr()) {
+      if (result.error.outcome === 'not_run') {
+        onSilent(this.endpoint.id, result.error.message)
+        await clock.sleep(SILENT_MILLISECONDS, signal)
+      } else if (key !== undefined) this.unanswered.add({ operation, key, version: version ?? 0, ifSequence })
+      return undefined
+    }
+    const answer = result.value
+    if (answer === 'stale-token' || answer === 'other-endpoint') onLost(this.endpoint.id, answer)
+    if (answer === 'accepted' || (answer === 'holds' && operation === 'unload')) this.unanswered.clear()
+    if (answer === 'conflict') await this.resolveConflict(signal)
+    else this.conflicts = 0
+    if (answer === 'refused') await this.reconcile(signal)
+    return answer
+  }
+
+  private async resolveConflict (signal: AbortSignal): Promise<void> {
+    const { clock, logger } = this.around
+    if (this.unanswered.takeConflict(this.ledger, clock.now())) {
+      logger.debug('An order without an answer was carried out.', { endpoint: this.endpoint.id, ifSequence: this.ledger.sequence - 1 })
+      return
+    }
+    this.conflicts += 1
+    if (this.conflicts <= MOST_CONFLICT_PAUSES) return await clock.sleep(CONFLICT_PAUSE_MILLISECONDS, signal)
+    this.conflicts = 0
+    await this.reconcile(signal)
+  }
+}
--- a/packages/ingress/src/routes/configuration.ts
+++ b/packages/ingress/src/routes/configuration.ts
@@ -112,6 +112,12 @@
   return (adapter === undefined ? model : `${model}/${adapter}`) as AdapterKey
 }
 
+/** @returns the model of an adapter */
+export function modelOf (key: AdapterKey): ModelName {
+  const slash = key.indexOf('/')
+  return (slash === -1 ? key : key.slice(0, slash)) as string as ModelName
+}
+
 /** A newer version of an adapter, announced by operators. */
 export interface AdapterAnnouncement {
   readonly key: AdapterKey
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,13 +1,11 @@
 /** One ingress instance: builds the parts, runs their tasks, stops them in order. */
 import type { Server } from 'node:http'
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { AdaptersHeldFrame, Clock, EndpointId, InstanceId, LineSink, LoadAskFrame, Logger } from '@limpetwinch/core'
+import type { Clock, LineSink, Logger } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
-import type { WaiterFacts } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { AdapterSeeker } from '../adapters/adapter-seeker.js'
-import { HeldWords } from '../adapters/held-changes.js'
 import { HeldNotices } from '../adapters/held-notices.js'
 import { LoadDuty } from '../adapters/load-duty.js'
 import { isModelNeeded } from '../adapters/model-need.js'
@@ -38,6 +36,7 @@
 import { WorkDigests } from '../routing/work-digests.js'
 import type { IngressPlatform } from './ingress-platform.js'
 import type { IngressSettings } from './ingress-settings.js'
+import { PeerTalk } from './peer-talk.js'
 import { makeFollowers } from './platform-followers.js'
 import type { FollowerParts } from './platform-followers.js'
 import { watchForPauses } from './pause-watch.js'
@@ -86,10 +85,10 @@
   private readonly errors = new ErrorRates()
   private readonly policy = new StallEvictionPolicy({ leastResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   private readonly heldNotices: HeldNotices
-  private readonly heldWords = new HeldWords()
   private readonly digests: WorkDigests
   private readonly duty: LoadDuty
   private readonly seeker: AdapterSeeker
+  private readonly talk: PeerTalk
   private readonly senders: EndpointSenders
   private readonly listener: RoutedListener
   private readonly followers: readonly StoreFollower<unknown>[]
@@ -148,6 +147,18 @@
       ask: (to, frame) => this.network.notify(to, frame),
       leastVersion: (facts, now) => facts.adapter === undefined ? 0 : this.versions.leastUsable(facts.adapter.key, now)
     })
+    this.talk = new PeerTalk({
+      self: this.instance,
+      network: this.network,
+      clock: this.clock,
+      board: this.board,
+      digests: this.digests,
+      locations: this.locations,
+      heldNotices: this.heldNotices,
+      duty: this.duty,
+      seeker: this.seeker,
+      metrics: this.metrics
+    })
     this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics)
     this.listener = this.makeListener()
     this.followers = makeFollowers(this.followerParts())
@@ -308,34 +319,15 @@
     this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
     this.locations.inFlight.onCompleted((load) => this.storePace.completed(load))
     this.versions.onNewer((key, version) => this.duty.newer(key, version))
-    this.board.onReleased((endpoint) => this.tellRelease(endpoint))
     this.board.onUse((_endpoint, key) => this.policy.used(key, '', 1, this.clock.now()))
-    this.network.onNotice('relay-load', (from, frame) => {
-      this.board.take(from, frame.loads, this.clock.now())
-      this.duty.released()
-    })
-    this.network.onNotice('adapters-held', (from, frame) => {
-      this.heldWords.take(from, frame)
-      this.takeHeld(from, frame)
-    })
-    this.network.onNotice('adapters-changed', (from, change) => {
-      const frame = this.heldWords.expand(from, change)
-      if (frame !== undefined) this.takeHeld(from, frame)
-    })
-    this.network.onNotice('load-ask', (from, frame: LoadAskFrame) => {
-      const loader = this.duty.loader(frame.endpoint)
-      if (loader === undefined) return this.network.notify(from, { kind: 'load-refused', endpoint: frame.endpoint, key: frame.key, reason: 'this instance does not order its loads' })
-      loader.want(frame.key as AdapterKey, frame.version, waiterOf(frame, from))
-    })
-    this.network.onNotice('load-refused', (_from, frame) => this.seeker.refused(frame.endpoint, frame.key))
-    this.network.onConnected(({ instance }) => this.heldNotices.retell(instance, (endpoint) => this.duty.loader(endpoint) !== undefined))
+    this.talk.connect()
   }
 
   private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
     if (change === 'leaving') return
     if (change === 'gone') {
       this.locations.remove(endpoint.id)
-      this.heldWords.forget(endpoint.id)
+      this.talk.forget(endpoint.id)
       this.senders.forget(endpoint.id)
       this.errors.forget(endpoint.id)
     }
@@ -345,28 +337,6 @@
     }
   }
 
-  private takeHeld (from: InstanceId, frame: AdaptersHeldFrame): void {
-    this.metrics.adapterNotice('taken')
-    const hidden = this.locations.takeNotice(from, frame, this.clock.now())
-    this.objectToEviction(from, frame.endpoint, hidden)
-  }
-
-  /**
-   * The one that orders an engine's loads knows what runs from digests, and a request that began since the last one is not
-   * in them. Were the adapter evicted under it, the engine would take no other order until that request has ended: all its
-   * loads stood still for seconds.
-   */
-  private objectToEviction (holder: InstanceId, endpoint: EndpointId, hidden: readonly AdapterKey[]): void {
-    if (hidden.some((key) => this.board.ownRunning(endpoint, key) > 0)) this.digests.tell(holder)
-  }
-
-  /** A slot may be free where loads wait for one. */
-  private tellRelease (endpoint: EndpointId): void {
-    const holder = this.locations.line(endpoint)?.waiting.size === 0 ? undefined : this.duty.holderOf(endpoint)
-    if (holder === this.instance) this.duty.loader(endpoint)?.released()
-    else if (holder !== undefined) this.digests.tellSoon(holder)
-  }
-
   private async keepHouse (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
@@ -392,8 +362,3 @@
     }
   }
 }
-
-/** A release without names of requests asks for each instance as if one request waited there. */
-function waiterOf (frame: LoadAskFrame, from: InstanceId): WaiterFacts | undefined {
-  return frame.waiting ? { request: frame.request ?? from, onTimeMilliseconds: frame.onTimeMilliseconds } : undefined
-}
--- /dev/null
+++ b/packages/ingress/src/runtime/peer-talk.ts
@@ -0,0 +1,101 @@
+/** What instances tell each other of work, held adapters and loads, and what each does with it. */
+import type { AdaptersHeldFrame, Clock, EndpointId, InstanceId, LoadAskFrame } from '@limpetwinch/core'
+import type { WaiterFacts } from '@limpetwinch/decisions'
+import type { PeerLinks } from '@limpetwinch/entry'
+import type { AdapterLocations } from '../adapters/adapter-locations.js'
+import type { AdapterSeeker } from '../adapters/adapter-seeker.js'
+import { HeldWords } from '../adapters/held-changes.js'
+import type { HeldNotices } from '../adapters/held-notices.js'
+import type { LoadDuty } from '../adapters/load-duty.js'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { AdapterKey } from '../routes/configuration.js'
+import type { LoadBoard } from '../routing/load-board.js'
+import type { WorkDigests } from '../routing/work-digests.js'
+
+/** Who speaks and who listens. */
+export interface PeerTalkParts {
+  readonly self: InstanceId
+  readonly network: PeerLinks
+  readonly clock: Clock
+  readonly board: LoadBoard
+  readonly digests: WorkDigests
+  readonly locations: AdapterLocations
+  readonly heldNotices: HeldNotices
+  readonly duty: LoadDuty
+  readonly seeker: AdapterSeeker
+  readonly metrics: IngressMetrics
+}
+
+/** The notices of one instance. */
+export class PeerTalk {
+  private readonly parts: PeerTalkParts
+  private readonly heldWords = new HeldWords()
+
+  constructor (parts: PeerTalkParts) {
+    this.parts = parts
+  }
+
+  /** Begins to listen. */
+  connect (): void {
+    const { network, board, duty, seeker, heldNotices, clock } = this.parts
+    board.onReleased((endpoint) => this.tellRelease(endpoint))
+    network.onNotice('relay-load', (from, frame) => {
+      board.take(from, frame.loads, clock.now())
+      duty.released()
+    })
+    network.onNotice('adapters-held', (from, frame) => {
+      this.heldWords.take(from, frame)
+      this.takeHeld(from, frame)
+    })
+    network.onNotice('adapters-changed', (from, change) => {
+      const frame = this.heldWords.expand(from, change)
+      if (frame !== undefined) this.takeHeld(from, frame)
+    })
+    network.onNotice('load-ask', (from, frame) => this.takeAsk(from, frame))
+    network.onNotice('load-refused', (_from, frame) => seeker.refused(frame.endpoint, frame.key))
+    network.onConnected(({ instance }) => heldNotices.retell(instance, (endpoint) => duty.loader(endpoint) !== undefined))
+  }
+
+  /** The endpoint is gone. */
+  forget (endpoint: EndpointId): void {
+    this.heldWords.forget(endpoint)
+  }
+
+  private takeAsk (from: InstanceId, frame: LoadAskFrame): void {
+    const { duty, network } = this.parts
+    const { endpoint, key, version } = frame
+    const loader = duty.loader(endpoint)
+    if (loader === undefined) return network.notify(from, { kind: 'load-refused', endpoint, key, reason: 'this instance does not order its loads' })
+    loader.want(key as AdapterKey, version, waiterOf(frame, from))
+  }
+
+  private takeHeld (from: InstanceId, frame: AdaptersHeldFrame): void {
+    const { metrics, locations, clock } = this.parts
+    metrics.adapterNotice('taken')
+    const hidden = locations.takeNotice(from, frame, clock.now())
+    this.objectToEviction(from, frame.endpoint, hidden)
+  }
+
+  /**
+   * The one that orders an engine's loads knows what runs from digests, and a request that began since the last one is not
+   * in them. Were the adapter evicted under it, the engine would take no other order until that request has ended: all its
+   * loads stood still for seconds.
+   */
+  private objectToEviction (holder: InstanceId, endpoint: EndpointId, hidden: readonly AdapterKey[]): void {
+    const { board, digests } = this.parts
+    if (hidden.some((key) => board.ownRunning(endpoint, key) > 0)) digests.tell(holder)
+  }
+
+  /** A slot may be free where loads wait for one. */
+  private tellRelease (endpoint: EndpointId): void {
+    const { locations, duty, digests, self } = this.parts
+    const holder = locations.line(endpoint)?.waiting.size === 0 ? undefined : duty.holderOf(endpoint)
+    if (holder === self) duty.loader(endpoint)?.released()
+    else if (holder !== undefined) digests.tellSoon(holder)
+  }
+}
+
+/** A release without names of requests asks for each instance as if one request waited there. */
+function waiterOf (frame: LoadAskFrame, from: InstanceId): WaiterFacts | undefined {
+  return frame.waiting ? { request: frame.request ?? from, onTimeMilliseconds: frame.onTimeMilliseconds } : undefined
+}
