--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -54,9 +54,9 @@
   for (const { id } of endpoints) {
     const { caches = false, holds = 0, inUse = 0, inFlight = 0, waits = 0, spacing = 28 } = states[id] ?? {}
     for (let stream = 0; stream < 5; stream += 1) speeds.spacingSeen(id, spacing)
-    const notice = (sequence: number, held: readonly (readonly [string, number])[], coming: readonly string[]): void => (
+    const notice = (sequence: number, held: readonly (readonly [string, number])[], coming: readonly string[]): void => {
       locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: id, born: 100, token: 1 as FencingToken, sequence, held, inFlight: coming, waitMilliseconds: waits }, NOW)
-    )
+    }
     if (caches) notice(1, [[WANTED, 1]], [])
     notice(2, holds > 0 ? [[WANTED, 1]] : [], Array.from({ length: inFlight }, (_, index) => key(`coming${index}`)))
     for (let used = 0; used < inUse; used += 1) board.begin(id, { prefillTokens: 0, memoryTokens: 1_000, adapter: key(`used${used}`) })
