--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -39,7 +39,8 @@
 /**
  * A few popular adapters gather a crowd on the engine that came first to hold them, while others have room: streams there
  * take half as long again, and hold their slots for as long. An engine is crowded above this multiple of the mean of its
- * service, and from this part of its batch on; below, steps are as short as elsewhere.
+ * service, and from this part of its batch on; below, steps are as short as elsewhere. What it buys: 0.02 to 0.05 of all
+ * credit on three heavy days of two deployments, one run of each with and without.
  */
 const CROWDED_SHARE_OF_MEAN = 1.4
 const CROWDED_SHARE_OF_BATCH = 0.3
