--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -42,7 +42,6 @@
 import { StoreGate } from './store-gate.js'
 import { watchForPauses } from './pause-watch.js'
 import { within } from './within.js'
-import { listenAt, metricsApplication, readinessApplication } from './side-listeners.js'
 import { stopInOrder } from './stop-in-order.js'
 
 /** Left of the time to stop for closing what is open and for the last lines. */
@@ -52,6 +51,9 @@
 const HOUSEKEEPING_MILLISECONDS = 250
 /** At each housekeeping: an endpoint that is avoided for its errors is tried again after some seconds. */
 const ERROR_DECAY = 0.97
+/** Who asks whether this instance is ready must get an answer soon, also when the store is silent. */
+const LATEST_SIDE_MILLISECONDS = 300
+const SIDE_LOOK_MILLISECONDS = 10
 /** After a pause no order is given until the store has been read again. */
 const ORDER_PAUSE_MILLISECONDS = 1_000
 /**
@@ -184,9 +186,6 @@
   /** Starts to listen and to follow the store. */
   async start (): Promise<void> {
     const { settings, logger } = this
-    const answers = { isReady: () => this.isReady(), metrics: async () => await this.metrics.text() }
-    this.sideServers.push(await listenAt(settings.readinessAddress, readinessApplication(answers)))
-    this.sideServers.push(await listenAt(settings.metricsAddress, metricsApplication(answers)))
     await this.listenForCallers()
     const { supervisor, network, gate } = this
     void supervisor.start('peers', async (signal) => { await network.run(signal) })
@@ -199,6 +198,7 @@
     void supervisor.start('digests', async (signal) => { await this.digests.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.keepHouse(signal) })
     void supervisor.start('pauses', async (signal) => { await watchForPauses(this.clock, logger.part('clock'), () => this.afterPause(), signal) })
+    await this.listenBeside()
     logger.info('This instance has started.', { instance: this.instance, ...settings })
   }
 
@@ -224,6 +224,20 @@
     return !this.stopping && this.configuration.current !== undefined && this.directory.revision > 0
   }
 
+  /**
+   * The libraries of the side addresses take a quarter of the time that a start has to run before it can serve. After a kill
+   * callers come at once, ready or not, so these are loaded when requests can be served.
+   */
+  private async listenBeside (): Promise<void> {
+    const { settings, clock } = this
+    const latest = clock.now() + LATEST_SIDE_MILLISECONDS
+    while (!this.isReady() && clock.now() < latest) await clock.sleep(SIDE_LOOK_MILLISECONDS)
+    const { listenAt, metricsApplication, readinessApplication } = await import('./side-listeners.js')
+    const answers = { isReady: () => this.isReady(), metrics: async () => await this.metrics.text() }
+    this.sideServers.push(await listenAt(settings.readinessAddress, readinessApplication(answers)))
+    this.sideServers.push(await listenAt(settings.metricsAddress, metricsApplication(answers)))
+  }
+
   private async listenForCallers (): Promise<void> {
     const { callerAddress } = this.settings
     const at = callerAddress.lastIndexOf(':')
