--- a/packages/ingress/src/beliefs/belief-exchange.ts
+++ b/packages/ingress/src/beliefs/belief-exchange.ts
@@ -52,12 +52,13 @@
     network.onNotice('beliefs-offer', (from, frame) => this.consider(from, frame))
     network.onNotice('beliefs-ask', (from, frame) => this.answer(from, frame))
     network.onNotice('beliefs', (_from, frame) => this.take(frame))
-    overlay.onNeighbour((neighbour) => { if (!overlay.isHub) this.ask(neighbour) })
+    overlay.onNeighbour((neighbour) => { if (!overlay.isHub) this.attached(neighbour) })
   }
 
   /** Whether this instance has to read the store itself: nobody reads it for it, or who does is behind. */
   get needsStore (): boolean {
-    if (this.overlay.isHub || !this.overlay.isAttached) return true
+    if (this.overlay.isHub) return true
+    if (!this.overlay.isAttached) return !this.overlay.awaitsHub
     return this.clock.now() - this.currentAt > CURRENT_MILLISECONDS
   }
 
@@ -107,6 +108,12 @@
     this.ask(from)
   }
 
+  /** The hub's own word follows within a second; until then it is taken to read the store, as hubs do. */
+  private attached (hub: InstanceId): void {
+    this.currentAt = this.clock.now()
+    this.ask(hub)
+  }
+
   private ask (neighbour: InstanceId): void {
     this.askedAt = this.clock.now()
     this.network.notify(neighbour, { kind: 'beliefs-ask', ...this.revisions() })
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -1,4 +1,5 @@
 /** Counters and histograms of an instance, served as text. */
+import type { FrameCounts } from '@limpetwinch/entry'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Bounds around the objectives of interactive work, seconds. */
@@ -14,6 +15,11 @@
   readonly servableEndpoints: number
   readonly droppedLogLines: number
   readonly requestsInProgress: number
+  readonly peerConnections: number
+  /** 1 for a hub, 0 for a leaf. */
+  readonly isHub: number
+  readonly leaves: number
+  readonly peerFrames: FrameCounts
 }
 
 /** The metrics of one instance. */
@@ -25,6 +31,9 @@
   private readonly storeCalls = this.counter('limpetwinch_store_calls_total', 'Calls to the platform store', ['kind', 'outcome'])
   private readonly orders = this.counter('limpetwinch_adapter_notices_total', 'Statements on held adapters, sent or taken', ['direction'])
   private readonly ejections = this.counter('limpetwinch_ejections_total', 'Endpoints that were kept from new work after failures', [])
+  private readonly frames = this.counter('limpetwinch_peer_frames_total', 'Frames between instances', ['kind', 'direction'])
+  private readonly frameBytes = this.counter('limpetwinch_peer_bytes_total', 'Bytes between instances', ['kind', 'direction'])
+  private readonly read: () => GaugeReadings
   private readonly whole = this.histogram('limpetwinch_request_seconds', 'From the request to the end of its answer', ['route', 'outcome'])
   private readonly firstEvent = this.histogram('limpetwinch_first_event_seconds', 'From the request to its first event', ['route'])
   private readonly loadStall = this.histogram('limpetwinch_load_stall_seconds', 'Waiting for an adapter to be loaded', ['route'])
@@ -32,12 +41,16 @@
 
   /** @param read - called for each scrape */
   constructor (read: () => GaugeReadings) {
+    this.read = read
     this.gauge('limpetwinch_configuration_version', 'Version in force', () => read().configurationVersion)
     this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
     this.gauge('limpetwinch_dropped_log_lines', 'Log lines dropped since the start', () => read().droppedLogLines)
     this.gauge('limpetwinch_requests_in_progress', 'Requests in progress', () => read().requestsInProgress)
+    this.gauge('limpetwinch_peer_connections', 'Connections to other instances', () => read().peerConnections)
+    this.gauge('limpetwinch_overlay_hub', '1 for a hub, 0 for a leaf', () => read().isHub)
+    this.gauge('limpetwinch_overlay_leaves', 'Leaves attached to this hub', () => read().leaves)
   }
 
   /** Counts a request's end. */
@@ -76,6 +89,7 @@
 
   /** @returns all metrics as Prometheus text */
   async text (): Promise<string> {
+    this.takeFrameCounts(this.read().peerFrames)
     return await this.registry.metrics()
   }
 
@@ -94,6 +108,18 @@
     return new Histogram({ name, help, labelNames: [...labelNames], buckets: SECONDS, registers: [this.registry] })
   }
 
+  /** The network counts by itself; its counts are taken over whenever metrics are read. */
+  private takeFrameCounts (counts: FrameCounts): void {
+    this.frames.reset()
+    this.frameBytes.reset()
+    for (const [kind, { sent, received, bytesSent, bytesReceived }] of Object.entries(counts)) {
+      this.frames.inc({ kind, direction: 'sent' }, sent)
+      this.frames.inc({ kind, direction: 'received' }, received)
+      this.frameBytes.inc({ kind, direction: 'sent' }, bytesSent)
+      this.frameBytes.inc({ kind, direction: 'received' }, bytesReceived)
+    }
+  }
+
   private gauge (name: string, help: string, read: () => number): void {
     const gauge = new Gauge({ name, help, registers: [this.registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -16,6 +16,8 @@
 const LOOK_MILLISECONDS = 250
 /** Connections come and go in crowds; one word tells of all within this. */
 const PRESENCE_MILLISECONDS = 50
+/** Within this a leaf has found a hub, or the next one after it; until then nothing else has to be done about its absence. */
+const AWAITED_MILLISECONDS = 900
 /** From a leaf over its hub and that of another data centre to a leaf there. Beyond, two instances take each other for a leaf. */
 const MOST_HOPS = 3
 const ALL = ''
@@ -50,6 +52,7 @@
   private plan = new HubPlan([])
   private ownRole: OverlayRole = 'hub'
   private attachedTo: InstanceId | undefined
+  private detachedAt = -Infinity
   private reached: ReadonlySet<InstanceId> = new Set()
   private reachedDirectly: ReadonlySet<InstanceId> = new Set()
   private targetsSet = ''
@@ -83,6 +86,11 @@
     return this.isHub || this.attachedTo !== undefined
   }
 
+  /** Whether this instance is a leaf that has lost its hub a moment ago, or has none yet. */
+  get awaitsHub (): boolean {
+    return !this.isAttached && this.parts.clock.now() - this.detachedAt < AWAITED_MILLISECONDS
+  }
+
   /** Whether notices go straight from each instance to each other one. */
   get isMesh (): boolean {
     return this.plan.isMesh && this.neighboursOf('leaf').length === 0
@@ -212,6 +220,7 @@
     if (role === this.ownRole) return
     this.ownRole = role
     this.attachedTo = undefined
+    this.detachedAt = this.parts.clock.now()
     this.isReachOld = true
     this.parts.logger.info('The part of this instance in the overlay has changed.', { role, mesh: this.plan.isMesh })
     this.parts.network.notifyAll(this.neighbours(), { kind: 'overlay-role', role })
@@ -243,6 +252,7 @@
     this.announceSoon()
     if (instance !== this.attachedTo) return
     this.attachedTo = undefined
+    this.detachedAt = this.parts.clock.now()
     this.avoid(instance)
   }
 
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -51,6 +51,8 @@
 const HOUSEKEEPING_MILLISECONDS = 250
 /** At each housekeeping: an endpoint that is avoided for its errors is tried again after some seconds. */
 const ERROR_DECAY = 0.97
+/** The listing of the members comes within some milliseconds; without it the rest is read all the same. */
+const FIRST_LISTING_MILLISECONDS = 100
 /** Who asks whether this instance is ready must get an answer soon, also when the store is silent. */
 const LATEST_SIDE_MILLISECONDS = 300
 const SIDE_LOOK_MILLISECONDS = 10
@@ -81,6 +83,7 @@
   private readonly versions: AdapterVersions
   private readonly cluster: ClusterView
   private readonly exchange: BeliefExchange
+  private readonly clusterGate: StoreGate
   private readonly gate: StoreGate
   private readonly locations = new AdapterLocations()
   private readonly storePace = new WeightStorePace(() => this.engineCount())
@@ -134,11 +137,16 @@
     this.cluster = new ClusterView((members, holders, revision) => {
       this.members.apply(members, revision)
       this.duty.apply(holders, revision)
+      this.gate.look()
     })
     this.exchange = new BeliefExchange(this.network, this.overlay, { configuration: this.configuration, directory: this.directory, versions: this.versions, cluster: this.cluster, health: this.health }, this.clock)
     // An endpoint that does not check tokens must not hear from two instances; only whoever reads the store itself knows in time
     // that it holds no more.
-    this.gate = new StoreGate(() => !settings.fencedEndpoints || this.exchange.needsStore, this.clock, logger.part('store'))
+    const readsStore = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
+    this.clusterGate = new StoreGate(readsStore, this.clock, logger.part('store'))
+    const startedAt = this.clock.now()
+    // Who the others are says whether a hub reads the rest for this instance.
+    this.gate = new StoreGate(() => readsStore() && (this.cluster.revision > 0 || this.clock.now() - startedAt > FIRST_LISTING_MILLISECONDS), this.clock, logger.part('store'))
     this.heldNotices = new HeldNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.digests = new WorkDigests(this.overlay, this.board, () => this.members.count, this.clock)
     this.duty = this.makeDuty()
@@ -187,11 +195,13 @@
   async start (): Promise<void> {
     const { settings, logger } = this
     await this.listenForCallers()
-    const { supervisor, network, gate } = this
+    const { supervisor, network, clusterGate, gate } = this
     void supervisor.start('peers', async (signal) => { await network.run(signal) })
     void supervisor.start('overlay', async (signal) => { await this.overlay.run(signal) })
+    void supervisor.start('cluster gate', async (signal) => { await clusterGate.run(signal) })
     void supervisor.start('store gate', async (signal) => { await gate.run(signal) })
-    for (const [index, follower] of this.allFollowers().entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.follow(follower, signal) })
+    void supervisor.start('cluster follower', async (signal) => { await clusterGate.follow(this.followers.cluster, signal) })
+    for (const [index, follower] of this.followers.others.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.follow(follower, signal) })
     void supervisor.start('members', async (signal) => { await this.members.run(signal) })
     void supervisor.start('load duty', async (signal) => { await this.duty.run(signal) })
     void supervisor.start('beliefs', async (signal) => { await this.exchange.run(signal) })
@@ -389,7 +399,11 @@
       members: this.members.live().length,
       servableEndpoints: this.directory.all().filter((endpoint) => !endpoint.leaving).length,
       droppedLogLines: this.sink.dropped,
-      requestsInProgress: this.listener.requestsInProgress
+      requestsInProgress: this.listener.requestsInProgress,
+      peerConnections: this.overlay.neighbours().length,
+      isHub: this.overlay.isHub ? 1 : 0,
+      leaves: this.overlay.leafCount,
+      peerFrames: this.network.counts()
     }
   }
 }
--- a/packages/ingress/src/runtime/store-gate.ts
+++ b/packages/ingress/src/runtime/store-gate.ts
@@ -20,6 +20,7 @@
     this.isNeeded = isNeeded
     this.clock = clock
     this.logger = logger
+    if (!isNeeded()) this.closing.abort()
   }
 
   /** Looks whether the store has to be read until the signal ends it. */
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -56,7 +56,7 @@
   private constructor (behind: Behind) {
     const clock = new SystemClock()
     const logger = silentLogger()
-    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0 }))
+    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {} }))
     const board = new LoadBoard()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
