--- /dev/null
+++ b/packages/ingress/test/store-gate.test.ts
@@ -0,0 +1,33 @@
+// The store counts each call, and its rates do not grow with the fleet. A follower that runs on while a hub reads for this
+// instance spends them for nothing; one that does not start again when the hub is lost leaves this instance without news.
+import { describe, expect, it } from 'vitest'
+import { silentLogger } from '@limpetwinch/core'
+import type { StoreFollower } from '../src/beliefs/store-follower.js'
+import { StoreGate } from '../src/runtime/store-gate.js'
+import { ManualClock } from './support/manual-clock.js'
+
+describe('the gate before the store', () => {
+  it('runs a follower only while it is needed, and ends with its signal', async () => {
+    const [clock, ending, runs] = [new ManualClock(), new AbortController(), [] as string[]]
+    const follower = {
+      run: async (signal: AbortSignal) => {
+        runs.push('starts')
+        await new Promise<void>((resolve) => { signal.addEventListener('abort', () => resolve(), { once: true }) })
+        runs.push('ends')
+      }
+    } as unknown as StoreFollower<unknown>
+    let isNeeded = false
+    const gate = new StoreGate(() => isNeeded, clock, silentLogger())
+    void gate.run(ending.signal)
+    const following = gate.follow(follower, ending.signal)
+    const seen: string[][] = []
+    for (const needed of [false, true, false, true]) {
+      isNeeded = needed
+      await clock.advance(1_000)
+      seen.push([...runs])
+    }
+    ending.abort()
+    await following
+    expect([...seen, runs]).toEqual([[], ['starts'], ['starts', 'ends'], ['starts', 'ends', 'starts'], ['starts', 'ends', 'starts', 'ends']])
+  })
+})
