--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -4,13 +4,13 @@
  * In a small fleet every instance is connected to every other one. In a larger one a leaf has one connection, to a hub of its
  * data centre, which passes its notices on to the other hubs and leaves and brings it theirs.
  */
-import type { Clock, InstanceId, Logger, OverlayBatchFrame, OverlayItem, OverlayRoleFrame } from '@limpetwinch/core'
-import { encodeFrame } from '@limpetwinch/entry'
+import type { Clock, InstanceId, Logger } from '@limpetwinch/core'
 import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
 import type { Member } from '../members/cluster-objects.js'
 import { HubChoice } from './hub-choice.js'
 import { HubPlan } from './hub-plan.js'
-import { FLUSH_MILLISECONDS, NoticeOutbox } from './notice-outbox.js'
+import { NoticeRouter } from './notice-router.js'
+import type { OverlayRole, OverlayView } from './notice-router.js'
 import { Presence } from './presence.js'
 
 const LOOK_MILLISECONDS = 250
@@ -18,15 +18,6 @@
 const PRESENCE_MILLISECONDS = 50
 /** Within this a leaf has found a hub, or the next one after it; until then nothing else has to be done about its absence. */
 const AWAITED_MILLISECONDS = 900
-/** From a leaf over its hub and that of another data centre to a leaf there. Beyond, two instances take each other for a leaf. */
-const MOST_HOPS = 3
-const ALL = ''
-/** A notice between two instances that are connected, with the work that its reader has in hand. */
-const DIRECT_NOTICE_MILLISECONDS = 30
-
-/** What an instance is towards its neighbours. */
-export type OverlayRole = OverlayRoleFrame['role']
-
 /** What the overlay needs. */
 export interface PeerOverlayParts {
   readonly self: { readonly name: string, readonly instance: InstanceId, readonly dataCentre: Member['dataCentre'] }
@@ -39,9 +30,9 @@
 export type NeighbourListener = (neighbour: InstanceId, role: OverlayRole) => void
 
 /** The overlay as one instance takes part in it. */
-export class PeerOverlay {
+export class PeerOverlay implements OverlayView {
   private readonly parts: PeerOverlayParts
-  private readonly outbox: NoticeOutbox
+  private readonly notices: NoticeRouter
   private readonly presence = new Presence()
   private readonly choice = new HubChoice()
   /** What connected instances said of themselves. */
@@ -62,8 +53,7 @@
   constructor (parts: PeerOverlayParts) {
     this.parts = parts
     const { network, clock } = parts
-    const neighbours = { leaves: () => this.neighboursOf('leaf'), hubs: () => this.neighboursOf('hub') }
-    this.outbox = new NoticeOutbox(clock, neighbours, (to, items) => network.notifyAll(to, { kind: 'overlay-batch', items }))
+    this.notices = new NoticeRouter(network, this, clock, parts.logger)
     network.onConnected(({ instance }) => this.connected(instance))
     network.onDisconnected((instance) => this.disconnected(instance))
     network.onEndEvidence((instance) => this.avoid(instance))
@@ -73,7 +63,15 @@
       this.presence.take(from, frame)
       this.isReachOld = true
     })
-    network.onNotice('overlay-batch', (from, frame) => this.takeBatch(from, frame))
+  }
+
+  get self (): InstanceId {
+    return this.parts.self.instance
+  }
+
+  /** The hub that this leaf is attached to. */
+  get ownHub (): InstanceId | undefined {
+    return this.attachedTo
   }
 
   /** Whether this instance passes on what others say. */
@@ -98,7 +96,7 @@
 
   /** Within this a notice has reached all others, and their answer is here. */
   get noticeMilliseconds (): number {
-    return this.isMesh ? DIRECT_NOTICE_MILLISECONDS : DIRECT_NOTICE_MILLISECONDS + 2 * MOST_HOPS * FLUSH_MILLISECONDS
+    return this.notices.noticeMilliseconds
   }
 
   /** Leaves that this instance passes notices on to. */
@@ -116,6 +114,16 @@
     return this.neighbours().filter((instance) => (this.roles.get(instance) ?? 'hub') === role)
   }
 
+  /** @returns whether the neighbour is a leaf of this hub */
+  isLeaf (neighbour: InstanceId): boolean {
+    return this.roles.get(neighbour) === 'leaf'
+  }
+
+  /** @returns the hub that is connected to the instance */
+  hubOf (instance: InstanceId): InstanceId | undefined {
+    return this.neighboursOf('hub').find((hub) => this.presence.isConnected(hub, instance))
+  }
+
   /** Calls the listener when a neighbour has joined that has heard nothing from here yet. */
   onNeighbour (listener: NeighbourListener): void {
     this.neighbourListeners.push(listener)
@@ -150,20 +158,12 @@
 
   /** Tells all other instances. */
   broadcast (frame: NoticeFrame): void {
-    if (this.isMesh) return this.parts.network.notifyAll(this.neighbours(), frame)
-    const item = this.itemOf(this.parts.self.instance, ALL, frame)
-    if (item === undefined) return
-    if (!this.isHub) return this.toOwnHub(item)
-    this.outbox.toHubs(item)
-    this.outbox.toLeaves(item)
+    this.notices.broadcast(frame)
   }
 
   /** Tells one instance; lost when it cannot be reached. */
   notify (to: InstanceId, frame: NoticeFrame): void {
-    const { network, self } = this.parts
-    if (to === self.instance || network.isConnected(to)) return network.notify(to, frame)
-    const item = this.itemOf(self.instance, to, frame)
-    if (item !== undefined) this.route(item)
+    this.notices.notify(to, frame)
   }
 
   /**
@@ -172,15 +172,7 @@
    * @param frames - with those who made them
    */
   retell (neighbour: InstanceId, frames: Iterable<readonly [origin: InstanceId, frame: NoticeFrame]>): void {
-    const { network, self } = this.parts
-    for (const [origin, frame] of frames) {
-      if (this.isMesh && origin === self.instance) {
-        network.notify(neighbour, frame)
-        continue
-      }
-      const item = this.itemOf(origin, ALL, frame)
-      if (item !== undefined) this.outbox.toOne(neighbour, item)
-    }
+    this.notices.retell(neighbour, frames)
   }
 
   /** Looks after the connections until the signal ends it. */
@@ -303,47 +295,6 @@
     })
   }
 
-  private takeBatch (from: InstanceId, { items }: OverlayBatchFrame): void {
-    const { network, self } = this.parts
-    const isFromLeaf = this.roles.get(from) === 'leaf'
-    for (const item of items) {
-      const [origin, to, hops, frame] = item
-      if (origin === self.instance) continue
-      if (to === ALL || to === self.instance) network.takePassedOn(origin, frame)
-      if (to === self.instance || hops >= MOST_HOPS) continue
-      const next: OverlayItem = [origin, to, hops + 1, frame]
-      if (to !== ALL) this.route(next)
-      else this.passOn(next, isFromLeaf)
-    }
-  }
-
-  /** What comes from a leaf goes to all hubs, and what comes from a hub to leaves only: nothing goes round in circles. */
-  private passOn (item: OverlayItem, isFromLeaf: boolean): void {
-    if (!this.isHub) return
-    if (isFromLeaf) this.outbox.toHubs(item)
-    this.outbox.toLeaves(item)
-  }
-
-  private route (item: OverlayItem): void {
-    const [, to] = item
-    if (to === ALL) return
-    if (this.parts.network.isConnected(to)) return this.outbox.toOne(to, item)
-    if (!this.isHub) return this.toOwnHub(item)
-    const hub = this.neighboursOf('hub').find((each) => this.presence.isConnected(each, to))
-    if (hub !== undefined) this.outbox.toOne(hub, item)
-  }
-
-  private toOwnHub (item: OverlayItem): void {
-    if (this.attachedTo !== undefined) this.outbox.toOne(this.attachedTo, item)
-  }
-
-  private itemOf (origin: InstanceId, to: InstanceId | typeof ALL, frame: NoticeFrame): OverlayItem | undefined {
-    const encoded = encodeFrame(frame)
-    if (encoded.isOk()) return [origin, to, 1, encoded.value]
-    this.parts.logger.error('A notice cannot be sent.', { kind: frame.kind, reason: encoded.error.message })
-    return undefined
-  }
-
   /** A leaf hears of others through its hub and the hubs behind it, a hub through the hubs that it is connected to. */
   private reach (): ReadonlySet<InstanceId> {
     if (!this.isReachOld) return this.reached
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -132,11 +132,13 @@
     const { key, model } = facts.adapter
     const usable = this.usableEngines(service, excluded, now)
       .filter((endpoint) => isOrdered(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
+    // Counted over all engines, so it is asked once and not for each of them.
+    const storeMilliseconds = this.parts.loadMilliseconds()
     let best: LoadChoice | undefined
     for (const endpoint of usable) {
       if (locations.inFlight.has(endpoint.id, key, now)) return { endpoint, costMilliseconds: 0 }
       const pause = this.pauseCost(endpoint, facts.promptTokens, gapMilliseconds, now)
-      const costMilliseconds = this.loadCost(endpoint, shape, key, now) + pause + bias(endpoint.id)
+      const costMilliseconds = this.loadCost(endpoint, shape, key, storeMilliseconds, now) + pause + bias(endpoint.id)
       if (best === undefined || costMilliseconds < best.costMilliseconds) best = { endpoint, costMilliseconds }
     }
     return best
@@ -225,14 +227,14 @@
   }
 
   /** @returns milliseconds until the adapter could be used there, with what the load takes from others on top */
-  private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, now: number): number {
+  private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, storeMilliseconds: number, now: number): number {
     const { board, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, board.inHand(endpoint.id, now), 0, 0)
     const line = locations.line(endpoint.id)
     // Joining a load that others wait for takes nothing more from the weight store.
     const joins = line?.waiting.has(key) === true
     const storeWorth = joins ? 0 : STORE_LOAD_WORTH_MILLISECONDS
-    const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : this.parts.loadMilliseconds() + storeWorth
+    const travel = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : storeMilliseconds + storeWorth
     const idleSlots = shape.adapterSlots - board.adaptersInUse(endpoint.id, now) - locations.inFlight.countTo(endpoint.id)
     const slots = idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots)
     const turn = Math.max(slots, line?.waitMilliseconds ?? 0)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,5 +1,4 @@
 /** One ingress instance: builds the parts, runs their tasks, stops them in order. */
-import type { Server } from 'node:http'
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
 import type { Clock, LineSink, Logger } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
@@ -37,9 +36,9 @@
 import type { IngressPlatform } from './ingress-platform.js'
 import type { IngressSettings } from './ingress-settings.js'
 import { PeerTalk } from './peer-talk.js'
-import { makeFollowers } from './platform-followers.js'
-import type { FollowerParts, PlatformFollowers } from './platform-followers.js'
-import { StoreGate } from './store-gate.js'
+import type { FollowerParts } from './platform-followers.js'
+import { SideAddresses } from './side-addresses.js'
+import { StoreReading } from './store-reading.js'
 import { watchForPauses } from './pause-watch.js'
 import { within } from './within.js'
 import { stopInOrder } from './stop-in-order.js'
@@ -51,11 +50,6 @@
 const HOUSEKEEPING_MILLISECONDS = 250
 /** At each housekeeping: an endpoint that is avoided for its errors is tried again after some seconds. */
 const ERROR_DECAY = 0.97
-/** The listing of the members comes within some milliseconds; without it the rest is read all the same. */
-const FIRST_LISTING_MILLISECONDS = 100
-/** Who asks whether this instance is ready must get an answer soon, also when the store is silent. */
-const LATEST_SIDE_MILLISECONDS = 300
-const SIDE_LOOK_MILLISECONDS = 10
 /** After a pause no order is given until the store has been read again. */
 const ORDER_PAUSE_MILLISECONDS = 1_000
 /**
@@ -83,8 +77,7 @@
   private readonly versions: AdapterVersions
   private readonly cluster: ClusterView
   private readonly exchange: BeliefExchange
-  private readonly clusterGate: StoreGate
-  private readonly gate: StoreGate
+  private readonly reading: StoreReading
   private readonly locations = new AdapterLocations()
   private readonly storePace = new WeightStorePace(() => this.engineCount())
   private readonly board = new LoadBoard()
@@ -101,8 +94,8 @@
   private readonly talk: PeerTalk
   private readonly senders: EndpointSenders
   private readonly listener: RoutedListener
-  private readonly followers: PlatformFollowers
-  private readonly sideServers: Server[] = []
+  private readonly sideAddresses: SideAddresses
+  private engines: number | undefined
   private stopping = false
 
   /**
@@ -137,16 +130,13 @@
     this.cluster = new ClusterView((members, holders, revision) => {
       this.members.apply(members, revision)
       this.duty.apply(holders, revision)
-      this.gate.look()
+      this.reading.look()
     })
     this.exchange = new BeliefExchange(this.network, this.overlay, { configuration: this.configuration, directory: this.directory, versions: this.versions, cluster: this.cluster, health: this.health }, this.clock)
     // An endpoint that does not check tokens must not hear from two instances; only whoever reads the store itself knows in time
     // that it holds no more.
-    const readsStore = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
-    this.clusterGate = new StoreGate(readsStore, this.clock, logger.part('store'))
-    const startedAt = this.clock.now()
-    // Who the others are says whether a hub reads the rest for this instance.
-    this.gate = new StoreGate(() => readsStore() && (this.cluster.revision > 0 || this.clock.now() - startedAt > FIRST_LISTING_MILLISECONDS), this.clock, logger.part('store'))
+    const isNeeded = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
+    this.reading = new StoreReading(this.followerParts(), { isNeeded, knowsMembers: () => this.cluster.revision > 0 }, this.clock, logger.part('store'))
     this.heldNotices = new HeldNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.digests = new WorkDigests(this.overlay, this.board, () => this.members.count, this.clock)
     this.duty = this.makeDuty()
@@ -187,7 +177,7 @@
     })
     this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics)
     this.listener = this.makeListener()
-    this.followers = makeFollowers(this.followerParts())
+    this.sideAddresses = new SideAddresses({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() }, this.clock)
     this.connectParts()
   }
 
@@ -195,20 +185,17 @@
   async start (): Promise<void> {
     const { settings, logger } = this
     await this.listenForCallers()
-    const { supervisor, network, clusterGate, gate } = this
+    const { supervisor, network } = this
     void supervisor.start('peers', async (signal) => { await network.run(signal) })
     void supervisor.start('overlay', async (signal) => { await this.overlay.run(signal) })
-    void supervisor.start('cluster gate', async (signal) => { await clusterGate.run(signal) })
-    void supervisor.start('store gate', async (signal) => { await gate.run(signal) })
-    void supervisor.start('cluster follower', async (signal) => { await clusterGate.follow(this.followers.cluster, signal) })
-    for (const [index, follower] of this.followers.others.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.follow(follower, signal) })
+    this.reading.start(supervisor)
     void supervisor.start('members', async (signal) => { await this.members.run(signal) })
     void supervisor.start('load duty', async (signal) => { await this.duty.run(signal) })
     void supervisor.start('beliefs', async (signal) => { await this.exchange.run(signal) })
     void supervisor.start('digests', async (signal) => { await this.digests.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.keepHouse(signal) })
     void supervisor.start('pauses', async (signal) => { await watchForPauses(this.clock, logger.part('clock'), () => this.afterPause(), signal) })
-    await this.listenBeside()
+    await this.sideAddresses.listen(settings.readinessAddress, settings.metricsAddress)
     logger.info('This instance has started.', { instance: this.instance, ...settings })
   }
 
@@ -224,7 +211,7 @@
     // A silent store holds each call for more than a second; an instance that waits for it is killed, and its last lines with it.
     await within(stopsAt - this.clock.now(), this.members.unregister())
     await within(stopsAt - this.clock.now(), this.supervisor.stop())
-    for (const server of this.sideServers) server.close()
+    this.sideAddresses.close()
     this.senders.close()
     await this.platform.close()
     this.logger.info('This instance has stopped.', { instance: this.instance })
@@ -234,20 +221,6 @@
     return !this.stopping && this.configuration.current !== undefined && this.directory.revision > 0
   }
 
-  /**
-   * The libraries of the side addresses take a quarter of the time that a start has to run before it can serve. After a kill
-   * callers come at once, ready or not, so these are loaded when requests can be served.
-   */
-  private async listenBeside (): Promise<void> {
-    const { settings, clock } = this
-    const latest = clock.now() + LATEST_SIDE_MILLISECONDS
-    while (!this.isReady() && clock.now() < latest) await clock.sleep(SIDE_LOOK_MILLISECONDS)
-    const { listenAt, metricsApplication, readinessApplication } = await import('./side-listeners.js')
-    const answers = { isReady: () => this.isReady(), metrics: async () => await this.metrics.text() }
-    this.sideServers.push(await listenAt(settings.readinessAddress, readinessApplication(answers)))
-    this.sideServers.push(await listenAt(settings.metricsAddress, metricsApplication(answers)))
-  }
-
   private async listenForCallers (): Promise<void> {
     const { callerAddress } = this.settings
     const at = callerAddress.lastIndexOf(':')
@@ -291,10 +264,11 @@
       .map(({ id }) => ({ slots, adaptersInUse: this.board.adaptersInUse(id, now) }))
   }
 
-  /** @returns engines that take adapters */
+  /** @returns engines that take adapters; asked at each request, so it is counted anew only when something has changed */
   private engineCount (): number {
     const services = this.configuration.current?.services
-    return this.directory.all().filter(({ service }) => (services?.get(service)?.engine?.adapterSlots ?? 0) > 0).length
+    this.engines ??= this.directory.all().filter(({ service }) => (services?.get(service)?.engine?.adapterSlots ?? 0) > 0).length
+    return this.engines
   }
 
   private makeListener (): RoutedListener {
@@ -348,15 +322,13 @@
     }
   }
 
-  private allFollowers (): readonly PlatformFollowers['cluster'][] {
-    return [this.followers.cluster, ...this.followers.others]
-  }
-
   private connectParts (): void {
     this.network.describeHeartbeat(() => ({
       leaving: this.stopping, settingsHash: '', ownershipVersion: 0, storeReachable: this.health.reachable
     }))
     this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
+    this.directory.onListing(() => { this.engines = undefined })
+    this.configuration.onChange(() => { this.engines = undefined })
     this.directory.onListing((endpoints) => { for (const endpoint of endpoints) this.locations.takeStatement(endpoint) })
     this.locations.inFlight.onCompleted((load) => this.storePace.completed(load))
     this.versions.onNewer((key, version) => this.duty.newer(key, version))
@@ -365,6 +337,7 @@
   }
 
   private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
+    this.engines = undefined
     if (change === 'leaving') return
     if (change === 'gone') {
       this.locations.remove(endpoint.id)
@@ -389,7 +362,7 @@
 
   private afterPause (): void {
     this.duty.pauseUntil(this.clock.now() + ORDER_PAUSE_MILLISECONDS)
-    for (const follower of this.allFollowers()) follower.refresh()
+    this.reading.refresh()
   }
 
   private readGauges (): GaugeReadings {
