--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -18,6 +18,7 @@
 const PRESENCE_MILLISECONDS = 50
 /** Within this a leaf has found a hub, or the next one after it; until then nothing else has to be done about its absence. */
 const AWAITED_MILLISECONDS = 900
+
 /** What the overlay needs. */
 export interface PeerOverlayParts {
   readonly self: { readonly name: string, readonly instance: InstanceId, readonly dataCentre: Member['dataCentre'] }
@@ -65,6 +66,7 @@
     })
   }
 
+  /** The process of this instance. */
   get self (): InstanceId {
     return this.parts.self.instance
   }
@@ -231,8 +233,12 @@
 
   private connected (instance: InstanceId): void {
     this.isReachOld = true
-    if (this.plan.isMesh) this.joined(instance, 'hub')
-    else this.parts.network.notify(instance, { kind: 'overlay-role', role: this.ownRole })
+    // Also where all are hubs: the other one may know of more members, and waits for a hub to say that it is one.
+    this.parts.network.notify(instance, { kind: 'overlay-role', role: this.ownRole })
+    const role = this.roles.get(instance)
+    // What was said on an earlier connection may be lost with it.
+    if (role !== undefined) this.joined(instance, role)
+    else if (this.plan.isMesh) this.takeRole(instance, 'hub')
     this.announceSoon()
   }
 
--- a/packages/ingress/test/overlay.failure.test.ts
+++ b/packages/ingress/test/overlay.failure.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import type { DataCentreId, EndpointId } from '@limpetwinch/core'
 import type { NoticeFrame } from '@limpetwinch/entry'
+import { HubPlan } from '../src/overlay/hub-plan.js'
 import { LinkWorld } from './support/simulated-links.js'
 import type { SimulatedInstance } from './support/simulated-links.js'
 import { ManualClock } from './support/manual-clock.js'
@@ -75,6 +76,42 @@
     expect([audience(instances, one, 'x'), other.heard]).toEqual([{ heard: 1, most: 1 }, [`${one.member.instance} x`]])
   })
 
+  // Instances that start together learn of each other one after the other. One that is planned as a hub by all others still
+  // takes the fleet for a small one; those that dial it must learn all the same that it is a hub, or they would have none.
+  it('attaches leaves to a hub that does not know yet how large the fleet is', async () => {
+    world = new LinkWorld(new ManualClock())
+    world.start(DATA_CENTRES, IN_EACH, 12)
+    await world.clock.advance(SETTLED_MILLISECONDS)
+    for (const { overlay, member } of world.instances) if (!new HubPlan(world.instances.map((each) => each.member)).isHub(member.name)) overlay.apply(world.instances.map((each) => each.member))
+    await world.clock.advance(SETTLED_MILLISECONDS)
+    const leaves = world.instances.filter(({ overlay }) => !overlay.isHub)
+    expect([leaves.length > 0, leaves.every(({ overlay }) => overlay.isAttached)]).toEqual([true, true])
+  })
+
+  // A connection falls silent and a new one is made before the old one is given up. What was said on the old one may be lost
+  // with it, so whoever connects again is told again, in a small fleet and in a large one.
+  it('tells a neighbour again when it connects again', async () => {
+    const told = async (): Promise<boolean[]> => {
+      await world.clock.advance(SETTLED_MILLISECONDS)
+      const one = first(world.instances, true)
+      const two = world.instances.findLast(({ links }) => links.isConnected(one.member.instance))
+      if (two === undefined) throw new Error('There is none.')
+      const again = [false, false]
+      one.overlay.onNeighbour((neighbour) => { again[0] ||= neighbour === two.member.instance })
+      two.overlay.onNeighbour((neighbour) => { again[1] ||= neighbour === one.member.instance })
+      one.links.join(two.links)
+      two.links.join(one.links)
+      return again
+    }
+    world = new LinkWorld(new ManualClock())
+    world.start(1, 2)
+    const small = await told()
+    world.end()
+    world = new LinkWorld(new ManualClock())
+    world.start(1, 30)
+    expect([small, await told()]).toEqual([[true, true], [true, true]])
+  })
+
   // A hub is killed. Its leaves must hear and be heard again, and nobody may take them to be gone meanwhile: their engines
   // would change hands, which costs a lease without loads.
   it('finds another hub for the leaves of one that was killed, before anybody takes them to be gone', async () => {
--- a/packages/ingress/test/support/simulated-links.ts
+++ b/packages/ingress/test/support/simulated-links.ts
@@ -146,14 +146,14 @@
     this.clock = clock
   }
 
-  /** Starts instances that all know each other. */
-  start (dataCentres: number, inEach: number): void {
+  /** Starts instances that know each other, or so many of them. */
+  start (dataCentres: number, inEach: number, known = Infinity): void {
     for (let index = 0; index < dataCentres * inEach; index++) {
       const name = `host-${String(index).padStart(3, '0')}`
       const dataCentre = `dc-${index % dataCentres}` as DataCentreId
       this.add({ name, instance: `i-${name}` as InstanceId, address: name, dataCentre, cores: 1, version: index + 1 })
     }
-    for (const { overlay } of this.instances) overlay.apply(this.instances.map(({ member }) => member))
+    for (const { overlay } of this.instances) overlay.apply(this.instances.map(({ member }) => member).slice(0, known))
   }
 
   /** Ends an instance at once. */
