--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -194,8 +194,8 @@
 /** How new the sender's beliefs are. A peer that is behind and does not read the store asks for them. */
 export interface BeliefsOfferFrame extends BeliefRevisions {
   readonly kind: 'beliefs-offer'
-  /** Whether the sender reads them from a store that answers, or has lately heard from a peer that does. */
-  readonly current?: boolean | undefined
+  /** Since somebody whose word has come here read the store, milliseconds; absent where nobody has. A span, so that clocks need not agree. */
+  readonly readMillisecondsAgo?: number | undefined
 }
 
 /** Asks for what is newer than this. */
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -116,7 +116,7 @@
   'team-service': z.object({ tokens: z.array(z.object({ team: id, tokens: z.number() })) }),
   accepted: z.object({ call: count }),
   refused: z.object({ call: count, ...errorBody }),
-  'beliefs-offer': z.object({ ...beliefRevisions, current: z.boolean().optional() }),
+  'beliefs-offer': z.object({ ...beliefRevisions, readMillisecondsAgo: z.number().min(0).optional() }),
   'beliefs-ask': z.object(beliefRevisions),
   beliefs: z.object({ configuration: belief, endpoints: changedObjects, announcements: belief, cluster: changedObjects }),
   'relay-load': z.object({
--- a/packages/ingress/src/beliefs/belief-exchange.ts
+++ b/packages/ingress/src/beliefs/belief-exchange.ts
@@ -23,6 +23,8 @@
 const REPEAT_MILLISECONDS = 1_000
 /** A leaf that hears of no reading for so long reads for itself. */
 const CURRENT_MILLISECONDS = 2_500
+/** Whoever reads the store is answered at least this often: its watches end sooner. */
+const LONGEST_WATCH_MILLISECONDS = 3_500
 
 /** The beliefs that are exchanged. */
 export interface ExchangedBeliefs {
@@ -42,7 +44,8 @@
   private offered = ''
   private offeredAt = -Infinity
   private askedAt = -Infinity
-  private currentAt = -Infinity
+  /** When somebody read the store, as far as the word of it has come here. */
+  private readAt = -Infinity
 
   constructor (network: PeerLinks, overlay: PeerOverlay, beliefs: ExchangedBeliefs, clock: Clock) {
     this.network = network
@@ -59,7 +62,7 @@
   get needsStore (): boolean {
     if (this.overlay.isHub) return true
     if (!this.overlay.isAttached) return !this.overlay.awaitsHub
-    return this.clock.now() - this.currentAt > CURRENT_MILLISECONDS
+    return this.clock.now() - this.readAt > CURRENT_MILLISECONDS
   }
 
   /** Offers until the signal ends it. */
@@ -80,12 +83,17 @@
     const neighbours = isRepeat ? this.overlay.neighboursOf('leaf') : this.overlay.neighbours()
     if (isRepeat && now - this.offeredAt < REPEAT_MILLISECONDS) return
     this.offeredAt = now
-    this.network.notifyAll(neighbours, { kind: 'beliefs-offer', ...revisions, current: this.isCurrent(now) })
+    this.network.notifyAll(neighbours, { kind: 'beliefs-offer', ...revisions, readMillisecondsAgo: this.readMillisecondsAgo(now) })
   }
 
-  /** Whether what is believed here is as new as the store, as far as anybody reached can tell. */
-  private isCurrent (now: number): boolean {
-    return this.beliefs.health.reachable || now - this.currentAt < CURRENT_MILLISECONDS
+  /** Passed on, an age goes on growing: two instances that both hear of a reading only from each other do not keep it young. */
+  private readMillisecondsAgo (now: number): number | undefined {
+    const { reachable } = this.beliefs.health
+    const silence = this.beliefs.health.silence(now)
+    // One that has just begun to read again, after a hub did it for a while, knows nothing of the store yet.
+    if (reachable && silence < LONGEST_WATCH_MILLISECONDS) return 0
+    const age = Math.min(silence, now - this.readAt)
+    return age === Infinity ? undefined : age
   }
 
   private revisions (): Required<BeliefRevisions> {
@@ -100,7 +108,7 @@
   private consider (from: InstanceId, offer: BeliefsOfferFrame): void {
     const own = this.revisions()
     const now = this.clock.now()
-    if (offer.current === true) this.currentAt = now
+    if (offer.readMillisecondsAgo !== undefined) this.readAt = Math.max(this.readAt, now - offer.readMillisecondsAgo)
     const behind = offer.configuration > own.configuration || offer.endpoints > own.endpoints || offer.announcements > own.announcements || (offer.cluster ?? 0) > own.cluster
     if (!behind) return
     const fresh = this.needsStore && this.beliefs.health.reachable && this.beliefs.health.silence(now) < FRESH_MILLISECONDS
@@ -110,7 +118,7 @@
 
   /** The hub's own word follows within a second; until then it is taken to read the store, as hubs do. */
   private attached (hub: InstanceId): void {
-    this.currentAt = this.clock.now()
+    this.readAt = this.clock.now()
     this.ask(hub)
   }
 
--- a/packages/ingress/test/belief-exchange.failure.test.ts
+++ b/packages/ingress/test/belief-exchange.failure.test.ts
@@ -107,4 +107,27 @@
     await world.clock.advance(6_000)
     expect([whileReading, leaf.exchange.needsStore]).toEqual([[true, false], true])
   })
+
+  // The store turns both hubs away, and each has just heard from the other that all is well. Were that passed to and fro, they
+  // would take each other's word for news for ever, and no leaf would ever look for itself.
+  // A leaf begins to read again and has no answer yet. Its last one is long ago; were it offered as news, its hub would tell it
+  // back, and the leaf would stop to read before it has read anything.
+  it('are not called new by one whose last answer is long ago', async () => {
+    const { leaf, hubs } = await fleet()
+    leaf.health.answered(world.clock.now())
+    await world.clock.advance(10_000)
+    const before = leaf.exchange.needsStore
+    await world.clock.advance(1_000)
+    expect([before, leaf.exchange.needsStore, hubs.every(({ exchange }) => exchange.needsStore)]).toEqual([true, true, true])
+  })
+
+  it('are read from the store when hubs know it only from each other', async () => {
+    const { leaf, hubs } = await fleet()
+    for (const each of hubs) each.health.answered(world.clock.now())
+    for (const [index, each] of hubs.entries()) each.directory.apply({ revision: 5 + index, endpoints: [endpoint('a')] }, undefined, world.clock.now())
+    await world.clock.advance(TOLD_MILLISECONDS)
+    for (const each of hubs) each.health.failed('turned away', world.clock.now())
+    await world.clock.advance(6_000)
+    expect(leaf.exchange.needsStore).toBe(true)
+  })
 })
