--- a/packages/ingress/src/beliefs/belief-exchange.ts
+++ b/packages/ingress/src/beliefs/belief-exchange.ts
@@ -65,6 +65,11 @@
     return this.clock.now() - this.readAt > CURRENT_MILLISECONDS
   }
 
+  /** This process stood still: what it was told before is old, and its hub may have given it up without a sign. */
+  doubt (): void {
+    this.readAt = -Infinity
+  }
+
   /** Offers until the signal ends it. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -136,6 +136,7 @@
     this.plan = new HubPlan(members)
     const known = new Set(members.map(({ instance }) => instance))
     for (const instance of this.lostAt.keys()) if (!known.has(instance)) this.lostAt.delete(instance)
+    this.presence.keep(new Set([...known, ...this.neighbours()]))
     this.look()
   }
 
--- a/packages/ingress/src/overlay/presence.ts
+++ b/packages/ingress/src/overlay/presence.ts
@@ -1,6 +1,9 @@
 /** Which instances are connected to the overlay, as hubs tell it. */
 import type { InstanceId, OverlayPresenceFrame } from '@limpetwinch/core'
 
+/** More than the hubs of any fleet that is told of without regions. */
+const MOST_TOLD = 200
+
 interface Told {
   readonly connected: ReadonlySet<InstanceId>
   readonly leaving: ReadonlySet<InstanceId>
@@ -20,6 +23,15 @@
     this.told.delete(hub)
   }
 
+  /**
+   * Drops what others than these told once much has gathered, mostly words of processes that have ended. Not at once: a hub that
+   * has just started may be heard of here before it is heard that it is written down.
+   */
+  keep (instances: ReadonlySet<InstanceId>): void {
+    if (this.told.size <= MOST_TOLD) return
+    for (const hub of [...this.told.keys()]) if (!instances.has(hub)) this.told.delete(hub)
+  }
+
   /** @returns whether the hub is connected to the instance */
   isConnected (hub: InstanceId, instance: InstanceId): boolean {
     return this.told.get(hub)?.connected.has(instance) === true
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -362,6 +362,8 @@
 
   private afterPause (): void {
     this.duty.pauseUntil(this.clock.now() + ORDER_PAUSE_MILLISECONDS)
+    this.exchange.doubt()
+    this.reading.look()
     this.reading.refresh()
   }
 
--- a/packages/ingress/src/runtime/store-reading.ts
+++ b/packages/ingress/src/runtime/store-reading.ts
@@ -39,8 +39,9 @@
     for (const [index, follower] of followers.others.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.follow(follower, signal) })
   }
 
-  /** The members have changed. */
+  /** Something has changed that may decide whether the store is read. */
   look (): void {
+    this.clusterGate.look()
     this.gate.look()
   }
 
--- a/packages/ingress/test/belief-exchange.failure.test.ts
+++ b/packages/ingress/test/belief-exchange.failure.test.ts
@@ -110,6 +110,18 @@
 
   // The store turns both hubs away, and each has just heard from the other that all is well. Were that passed to and fro, they
   // would take each other's word for news for ever, and no leaf would ever look for itself.
+  // A leaf was paused. Its hub has given it up, which it does not see yet, and what it was told is as old as the pause.
+  it('are read from the store after a pause, until the hub speaks again', async () => {
+    const { hub, leaf } = await fleet()
+    hub.health.answered(world.clock.now())
+    await world.clock.advance(TOLD_MILLISECONDS)
+    leaf.exchange.doubt()
+    const paused = leaf.exchange.needsStore
+    hub.health.answered(world.clock.now())
+    await world.clock.advance(2 * TOLD_MILLISECONDS)
+    expect([paused, leaf.exchange.needsStore]).toEqual([true, false])
+  })
+
   // A leaf begins to read again and has no answer yet. Its last one is long ago; were it offered as news, its hub would tell it
   // back, and the leaf would stop to read before it has read anything.
   it('are not called new by one whose last answer is long ago', async () => {
