--- a/packages/entry/test/connections.failure.test.ts
+++ b/packages/entry/test/connections.failure.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import { once } from 'node:events'
 import type { FencingToken, EndpointId } from '@limpetwinch/core'
+import { encodeFrame } from '@limpetwinch/entry'
 import { afterEach, describe, expect, it } from 'vitest'
 import { Cluster, JumpingClock, until } from './support/cluster.js'
 import type { TestInstance } from './support/cluster.js'
@@ -91,6 +92,38 @@
   })
 })
 
+describe('what is told to several peers', () => {
+  // Nobody is told twice and nobody is left out. A notice goes to two peers, encoded once, and one of them passes it on; the
+  // reader takes it for a word of its maker. Bytes that are no notice are dropped and counted, and end no connection.
+  it('reaches each, and passed on it counts as its maker says', async () => {
+    cluster = new Cluster()
+    const [one, two, three] = await cluster.startAll(['one', 'two', 'three']) as [TestInstance, TestInstance, TestInstance]
+    const heard: string[] = []
+    for (const each of [two, three]) each.peers.onNotice('load-refused', (from, { key }) => heard.push(`${each.id} from ${from}: ${key}`))
+    await until(() => one.peers.connected().length === 2)
+    const notice = { kind: 'load-refused', endpoint: 'e0' as EndpointId, key: 'x', reason: '' } as const
+    one.peers.notifyAll([two.id, three.id], notice)
+    await until(() => heard.length === 2)
+    two.peers.takePassedOn(three.id, encodeFrame({ ...notice, key: 'y' })._unsafeUnwrap())
+    const before = two.peers.counter.badFrames
+    two.peers.takePassedOn(three.id, Buffer.from([0, 0, 0, 1, 0xff]))
+    two.peers.takePassedOn(three.id, encodeFrame({ kind: 'hello', instance: one.id, dataCentre: one.peers.self.dataCentre, address: 'a' })._unsafeUnwrap())
+    expect({ heard: heard.toSorted(), bad: two.peers.counter.badFrames - before }).toEqual({
+      heard: [`${three.id} from ${one.id}: x`, `${two.id} from ${one.id}: x`, `${two.id} from ${three.id}: y`].toSorted(), bad: 2
+    })
+  })
+
+  it('is said to have lost its reader only when the last connection has ended', async () => {
+    const [one, two] = await pair()
+    await until(() => one.peers.isConnected(two.id))
+    const lost: string[] = []
+    one.peers.onDisconnected((instance) => lost.push(instance))
+    one.peers.disconnect(two.id, 'the test ends it')
+    await until(() => lost.length === 1)
+    expect(lost).toEqual([two.id])
+  })
+})
+
 describe('membership', () => {
   // The caller sees nothing. The platform's list is wrong or cannot be read; a member that is heard stays a member.
   it('keeps a member that is heard, whatever the list says', async () => {
