--- a/packages/ingress/src/runtime/side-addresses.ts
+++ b/packages/ingress/src/runtime/side-addresses.ts
@@ -19,8 +19,8 @@
   }
 
   /**
-   * Begins to listen once requests can be served. The libraries take a quarter of what a start has to run before it can serve;
-   * after a kill callers come at once, ready or not.
+   * Begins to listen once requests can be served. Loading the libraries takes processor time from the start, and after a kill
+   * callers come at once, ready or not.
    *
    * @param readiness - `host:port`
    * @param metrics - `host:port`
--- a/scripts/bundled/undici.cjs
+++ b/scripts/bundled/undici.cjs
@@ -1,5 +1,5 @@
 // The parts of undici that the ingress binary uses, with their names. The package's own main file also runs fetch, WebSocket,
-// caches and mocks, a third of all that a start has to run before its first request.
+// caches and mocks, and callers would wait for these at each start.
 const Agent = require('undici/lib/dispatcher/agent')
 const Client = require('undici/lib/dispatcher/client')
 const Dispatcher = require('undici/lib/dispatcher/dispatcher')
