--- a/packages/ingress/src/overlay/hub-choice.ts
+++ b/packages/ingress/src/overlay/hub-choice.ts
@@ -1,4 +1,5 @@
 /** Which hub a leaf is connected to, and the next one when that is lost. */
+import type { InstanceId } from '@limpetwinch/core'
 import type { Member } from '../members/cluster-objects.js'
 
 /** Longer than a dial takes, a lost packet included; shorter than the time after which silent members count as gone. */
@@ -10,7 +11,8 @@
 export class HubChoice {
   private chosen: Member | undefined
   private chosenAt = -Infinity
-  private readonly avoided = new Map<string, number>()
+  /** By process: a host whose process was replaced is a hub like before. */
+  private readonly avoided = new Map<InstanceId, number>()
 
   /** @returns the hub to be connected to */
   get current (): Member | undefined {
@@ -19,7 +21,8 @@
 
   /** A connection to the hub failed or ended. */
   avoid (hub: Member, now: number): void {
-    this.avoided.set(hub.name, now + AVOID_MILLISECONDS)
+    for (const [instance, until] of this.avoided) if (until <= now) this.avoided.delete(instance)
+    this.avoided.set(hub.instance, now + AVOID_MILLISECONDS)
   }
 
   /**
@@ -31,7 +34,7 @@
   choose (candidates: readonly Member[], isAttached: (hub: Member) => boolean, now: number): Member | undefined {
     const before = this.chosen
     if (before !== undefined && !isAttached(before) && now - this.chosenAt > ATTACH_MILLISECONDS) this.avoid(before, now)
-    const next = candidates.find(({ name }) => now >= (this.avoided.get(name) ?? -Infinity)) ?? candidates[0]
+    const next = candidates.find(({ instance }) => now >= (this.avoided.get(instance) ?? -Infinity)) ?? candidates[0]
     // The same host with another process is another hub.
     if (next?.instance !== before?.instance) this.chosenAt = now
     this.chosen = next
--- a/packages/ingress/src/overlay/presence.ts
+++ b/packages/ingress/src/overlay/presence.ts
@@ -1,7 +1,7 @@
 /** Which instances are connected to the overlay, as hubs tell it. */
 import type { InstanceId, OverlayPresenceFrame } from '@limpetwinch/core'
 
-/** More than the hubs of any fleet that is told of without regions. */
+/** Hubs of dozens of data centres, with processes that have ended. */
 const MOST_TOLD = 200
 
 interface Told {
--- a/packages/ingress/test/hub-plan.test.ts
+++ b/packages/ingress/test/hub-plan.test.ts
@@ -46,6 +46,19 @@
     expect(chosen).toEqual(['host-0', 'host-0', 'host-3', 'host-3', 'host-6', 'host-0'])
   })
 
+  // All processes are killed and started again. The list still names the hub's old process, which another one has replaced;
+  // when it names the new one, the host is a hub like before.
+  it('takes the host of a lost hub at once when another process runs there', () => {
+    const choice = new HubChoice()
+    const [hub, ...others] = candidates
+    if (hub === undefined) throw new Error('There is none.')
+    choice.choose(candidates, () => false, 0)
+    choice.avoid(hub, 100)
+    const meanwhile = choice.choose(candidates, () => false, 100)?.name
+    const again = { ...hub, instance: 'i-0-again' as InstanceId }
+    expect([meanwhile, choice.choose([again, ...others], () => false, 200)?.instance]).toEqual(['host-3', 'i-0-again'])
+  })
+
   it('stays with a hub to which it is attached', () => {
     const choice = new HubChoice()
     expect([0, 1_000, 20_000].map((now) => choice.choose(candidates, () => true, now)?.name)).toEqual(['host-0', 'host-0', 'host-0'])
