--- a/packages/entry/test/settings/deployment.ts
+++ b/packages/entry/test/settings/deployment.ts
@@ -7,6 +7,9 @@
 import { encodeFrame, FrameReader } from '../../src/peers/frame-codec.js'
 import type { CallBody, CallFrame, FrameCounts, Member, MemberState, NoticeFrame, ReplyBody } from '@limpetwinch/entry'
 
+/** How long the tests' store holds a watch that finds nothing. */
+export const WATCH_MILLISECONDS = 200
+
 type Handler = (from: InstanceId, frame: NoticeFrame) => void
 
 /** One entry instance's part that has to do with settings. */
@@ -38,7 +41,7 @@
     this.states.set(instance, 'alive')
     const logger = process.env['SHOW_LOGS'] === undefined ? silentLogger() : createLogger('text', 'debug').part(name)
     const clock = options.clock ?? new SystemClock()
-    const follower = new SettingsFollower({ store, network, membership, logger, clock, watchMilliseconds: 200 })
+    const follower = new SettingsFollower({ store, network, membership, logger, clock, watchMilliseconds: WATCH_MILLISECONDS })
     const history = new SettingsHistory(store)
     const writer = new SettingsWriter({ store, follower, history, logger, clock })
     const ending = new AbortController()
--- a/packages/entry/test/settings/settings-watch.test.ts
+++ b/packages/entry/test/settings/settings-watch.test.ts
@@ -5,7 +5,7 @@
 import { rendezvousRank } from '../../src/placement/rendezvous.js'
 import { SettingsWatch, STORE_WAITS } from '../../src/settings/settings-watch.js'
 import { RANKED_FOR } from '../../src/settings/watch-rank.js'
-import { document, InterceptedStore, PATH, put, SettingsDeployment, teamText, until, versionAt } from './deployment.js'
+import { document, InterceptedStore, PATH, put, SettingsDeployment, teamText, until, versionAt, WATCH_MILLISECONDS } from './deployment.js'
 import type { SettingsInstance } from './deployment.js'
 
 const NAMES = ['one', 'two', 'three', 'four', 'five', 'six']
@@ -90,11 +90,34 @@
     expect(instances.every((each) => versionAt(each) === 'v1')).toBe(true)
     const atReturn = ways.map((way) => way.calls.lists)
     store.faults.outage = false
-    await until(() => watchers.every((way) => way.calls.waiting === 1))
-    expect(others.every((way) => way.calls.waiting === 0)).toBe(true)
+    await until(() => watchers.every((way) => way.calls.waiting === 1) && others.every((way) => way.calls.waiting === 0))
+    const watchedByOthers = others.map((way) => way.calls.watches)
+    await new Promise((resolve) => { setTimeout(resolve, 4 * WATCH_MILLISECONDS) })
+    expect(others.map((way) => way.calls.watches)).toEqual(watchedByOthers)
     expect(ways.map((way) => way.calls.lists)).toEqual(atReturn)
   })
 
+  it('has two others watch until the watchers try again after an outage', async () => {
+    // The store is back while both watchers still wait out their pauses, which have grown. Two others that have not failed
+    // yet take their place, never more; when the watchers come back each of these two ends the call that it has open.
+    const store = new MemoryObjectStore()
+    const { instances, ways } = await startSix(store)
+    const rank = rendezvousRank(RANKED_FOR, instances.map((each) => each.instance))
+    const isWatcher = (index: number): boolean => rank.indexOf(instances[index]!.instance) < 2
+    const watchers = ways.filter((_, index) => isWatcher(index))
+    const others = ways.filter((_, index) => !isWatcher(index))
+    const failures = watchers.map((way) => way.calls.watches)
+    store.faults.outage = true
+    await until(() => watchers.every((way, index) => way.calls.watches >= failures[index]! + 5))
+    store.faults.outage = false
+    let mostWaiting = 0
+    await until(() => {
+      mostWaiting = Math.max(mostWaiting, others.filter((way) => way.calls.waiting > 0).length)
+      return watchers.every((way) => way.calls.waiting === 1) && others.every((way) => way.calls.waiting === 0)
+    })
+    expect(mostWaiting).toBeLessThanOrEqual(2)
+  })
+
   it('does not call without end when watches are answered at once', async () => {
     // A proxy between instance and platform answers every watch at once with nothing. Without a space between calls the
     // instance would use up the platform's rate by itself, and a core with it.
