--- a/packages/ingress/src/adapters/weight-store-pace.ts
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -28,6 +28,16 @@
  * store is seen up to a sixth late; a third beyond it is no accident, and costs a third of a load's time at most.
  */
 const CONGESTED_SHARE = 1.35
+/**
+ * A full store slows all loads alike. One that is late alone was held up elsewhere: its order was carried out late, its engine
+ * stood still, or the news of it came late. A few of these would cut the limit at each of them, and the store would idle
+ * while callers wait; so the limit is cut only when three in four of the last loads were slow.
+ */
+const RECENT_LOADS = 8
+const LEAST_RECENT_LOADS = 3
+const QUICK_SHARE = 0.25
+/** Loads count as recent for so many times the time of one. */
+const RECENT_SHARE = 4
 /** Added after a load that was not slowed while the limit was reached, at most once in the time of a load. */
 const INCREASE = 0.25
 const INCREASE_SHARE = 0.05
@@ -55,6 +65,13 @@
   readonly now: number
 }
 
+interface RecentLoad {
+  /** How many times longer it took than a load of an idle store. */
+  readonly slowness: number
+  readonly mostInFlightBeside: number
+  readonly now: number
+}
+
 /** The limit and the time of one load, learnt from loads. */
 export class WeightStorePace {
   private readonly engines: () => number
@@ -62,6 +79,7 @@
   private loadMilliseconds = FIRST_LOAD_MILLISECONDS
   private changedAt = -Infinity
   private idleLoads = 0
+  private recent: RecentLoad[] = []
 
   /** @param engines - how many engines load from the store */
   constructor (engines: () => number) {
@@ -84,17 +102,28 @@
     // At the least limit nothing more can be held back; a store that is slow for one load would else seem full for ever.
     const idle = Math.max(LEAST_LIMIT, Math.min(limit * IDLE_SHARE, this.engines() * IDLE_FOR_ENGINE))
     if (load.mostInFlightBeside < idle) this.learnTime(load.milliseconds)
+    const quick = this.quickOfRecent(load)
     // All loads of one moment meet the same store; changed once for each of them, the limit would swing.
     if (load.now - this.changedAt < this.loadMilliseconds) return
-    const slowness = load.milliseconds / this.loadMilliseconds
-    if (slowness > CONGESTED_SHARE && load.mostInFlightBeside >= idle) {
-      const room = (load.mostInFlightBeside + 1) / slowness * ABOVE_ROOM
+    const { slowness, mostInFlightBeside } = quick
+    if (slowness > CONGESTED_SHARE && mostInFlightBeside >= idle) {
+      if (this.recent.length < LEAST_RECENT_LOADS) return
+      const room = (mostInFlightBeside + 1) / slowness * ABOVE_ROOM
       return this.change(Math.min(limit, Math.max(limit * LEAST_SHARE_LEFT, room)), load.now)
     }
     // Raised only where the limit held something back; else it would grow through any quiet hour.
     if (slowness <= CONGESTED_SHARE && load.mostInFlightBeside + 1 >= Math.floor(limit)) this.change(limit + INCREASE + INCREASE_SHARE * limit, load.now)
   }
 
+  /** @returns the load that a quarter of the recent ones were not slower than */
+  private quickOfRecent ({ milliseconds, mostInFlightBeside, now }: CompletedLoad): RecentLoad {
+    const newest = { slowness: milliseconds / this.loadMilliseconds, mostInFlightBeside, now }
+    const since = now - RECENT_SHARE * this.loadMilliseconds
+    this.recent = [...this.recent.filter((load) => load.now >= since), newest].slice(-RECENT_LOADS)
+    const bySlowness = this.recent.toSorted((left, right) => left.slowness - right.slowness)
+    return bySlowness[Math.floor(bySlowness.length * QUICK_SHARE)] ?? newest
+  }
+
   private get firstLimit (): number {
     return Math.max(LEAST_LIMIT, this.engines() * FIRST_LIMIT_FOR_ENGINE)
   }
@@ -106,6 +135,8 @@
   private change (limit: number, now: number): void {
     this.learnt = Math.min(MOST_LIMIT, Math.max(LEAST_LIMIT, limit))
     this.changedAt = now
+    // What was loaded before met another limit.
+    this.recent = []
   }
 
   private learnTime (milliseconds: number): void {
--- a/packages/ingress/test/weight-store-pace.test.ts
+++ b/packages/ingress/test/weight-store-pace.test.ts
@@ -14,21 +14,50 @@
 /** Arrival is asked for at these times only. */
 const CONFIRM = 40
 
+/** A crowd and the store that it meets. */
+interface Crowd {
+  readonly capacity: number
+  readonly milliseconds: number
+  readonly engines: number
+  readonly instances: number
+  readonly seconds: number
+  /** Of so many orders one is carried out late; none where it is not given. */
+  readonly lateOneIn?: number
+}
+
+/** An order that its engine carries out so much later. */
+const LATE_MILLISECONDS = 2_500
+/** Such a load is taken to be lost after this, and its place is given to another. */
+const FORGOTTEN_MILLISECONDS = 1_000
+
+interface CrowdLoad {
+  readonly orderedAt: number
+  readonly startsAt: number
+  most: number
+  left: number
+}
+
+/** @returns loads that are taken to be on their way */
+function countOf (loads: readonly CrowdLoad[], now: number): number {
+  return loads.filter(({ orderedAt, startsAt }) => startsAt === orderedAt || now - orderedAt < FORGOTTEN_MILLISECONDS).length
+}
+
 /**
  * A crowd for whom loads never run out, against a store that takes `capacity` loads at full speed and slows all beyond
  * it in proportion. Instances order loads in turn, and each hears of the loads of all.
  */
-function crowd ({ capacity, milliseconds, engines, instances, seconds }: { capacity: number, milliseconds: number, engines: number, instances: number, seconds: number }): Outcome {
+function crowd ({ capacity, milliseconds, engines, instances, seconds, lateOneIn = Infinity }: Crowd): Outcome {
   const paces = Array.from({ length: instances }, () => new WeightStorePace(() => engines))
-  let inFlight: { orderedAt: number, most: number, left: number }[] = []
+  let inFlight: CrowdLoad[] = []
   let handedOut = 0
+  let ordered = 0
   let time = 0
   let sum = 0
   for (let now = 0; now < seconds * 1_000; now += STEP) {
-    for (const load of inFlight) {
-      load.left -= STEP * Math.min(1, capacity / inFlight.length)
-      load.most = Math.max(load.most, inFlight.length - 1)
-    }
+    const loading = inFlight.filter(({ startsAt }) => startsAt <= now)
+    for (const load of loading) load.left -= STEP * Math.min(1, capacity / loading.length)
+    const beside = countOf(inFlight, now) - 1
+    for (const load of inFlight) load.most = Math.max(load.most, beside)
     const done = inFlight.filter((load) => load.left <= 0 && (now - load.orderedAt) % CONFIRM < STEP)
     inFlight = inFlight.filter((load) => !done.includes(load))
     for (const { orderedAt, most } of done) {
@@ -40,7 +69,11 @@
     for (const [index, pace] of paces.entries()) {
       // Each instance has work now and then, so that the limit of none decides for all.
       if ((now / STEP) % instances !== index) continue
-      while (inFlight.length < pace.limit) inFlight.push({ orderedAt: now, most: 0, left: milliseconds })
+      for (let free = pace.limit - countOf(inFlight, now); free > 0; free -= 1) {
+        ordered += 1
+        const startsAt = ordered % lateOneIn === 0 ? now + LATE_MILLISECONDS : now
+        inFlight.push({ orderedAt: now, startsAt, most: 0, left: milliseconds })
+      }
     }
     time = now
   }
@@ -74,6 +107,13 @@
     expect(usedShare).toBeGreaterThan(0.85)
   })
 
+  // Engines carry some orders out seconds late while a crowd waits. Each such load, taken for the sign of a full store, would
+  // cut the limit to the least, and callers would be refused although the store hands out a third of what it can.
+  it.each([[8, 13], [16, 6], [32, 55]])('goes on at full pace while one order in four is carried out late, from a store that takes %i loads for %i engines', (capacity, engines) => {
+    const { usedShare } = crowd({ capacity, milliseconds: 250, engines, instances: 8, seconds: 20, lateOneIn: 4 })
+    expect(usedShare).toBeGreaterThan(0.8)
+  })
+
   it('does not grow while nothing is held back', () => {
     const pace = new WeightStorePace(() => 13)
     const before = pace.limit
