--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -244,6 +244,8 @@
 export interface OverlayBatchFrame {
   readonly kind: 'overlay-batch'
   readonly items: readonly OverlayItem[]
+  /** Places in `items` of those that may wait on their way; absent from an older release. */
+  readonly patient?: readonly number[] | undefined
 }
 
 /** What one endpoint has in hand from the sender, as told to its peers. */
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -162,7 +162,7 @@
   }),
   'overlay-role': z.object({ role: z.enum(['hub', 'leaf']) }),
   'overlay-presence': z.object({ connected: z.array(id), leaving: z.array(id) }),
-  'overlay-batch': z.object({ items: z.array(z.tuple([id, z.string().max(200), count, z.instanceof(Uint8Array)])) })
+  'overlay-batch': z.object({ items: z.array(z.tuple([id, z.string().max(200), count, z.instanceof(Uint8Array)])), patient: z.array(count).optional() })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds by their number on the wire. */
--- a/packages/ingress/src/adapters/held-notices.ts
+++ b/packages/ingress/src/adapters/held-notices.ts
@@ -1,5 +1,6 @@
 /** Tells all instances which adapters an engine holds, as the one that orders its loads knows it. */
 import type { AdaptersHeldFrame, Clock, EndpointId, FencingToken, InstanceId } from '@limpetwinch/core'
+import type { Urgency } from '../overlay/notice-outbox.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { AdapterKey, Endpoint } from '../routes/configuration.js'
@@ -46,8 +47,8 @@
     this.self = self
   }
 
-  /** Tells this instance and all peers. */
-  publish ({ endpoint, token, sequence, ledger, hidden, waiting, waitMilliseconds }: HeldStatement): void {
+  /** Tells this instance and all peers. @param urgency - `urgent` when requests go elsewhere by it */
+  publish ({ endpoint, token, sequence, ledger, hidden, waiting, waitMilliseconds }: HeldStatement, urgency: Urgency): void {
     const held = [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
     const frame: AdaptersHeldFrame = {
       kind: 'adapters-held', endpoint: endpoint.id, born: endpoint.born, token, sequence, held, inFlight: [...ledger.inFlight.keys()], waiting, waitMilliseconds: Math.round(waitMilliseconds)
@@ -58,7 +59,7 @@
     const goesOn = before !== undefined && before.born === frame.born && before.token === frame.token && before.sequence === sequence - 1
     const word = goesOn && sequence % WHOLE_EVERY !== 0 ? changeOf(before, frame) : frame
     this.metrics.adapterNotice('sent')
-    this.peers.broadcast(word)
+    this.peers.broadcast(word, urgency)
   }
 
   /**
--- a/packages/ingress/src/adapters/loader-surroundings.ts
+++ b/packages/ingress/src/adapters/loader-surroundings.ts
@@ -2,6 +2,7 @@
 import type { EndpointId } from '@limpetwinch/core'
 import type { EvictionPolicy } from '@limpetwinch/decisions'
 import type { AdapterKey, Endpoint, ModelName } from '../routes/configuration.js'
+import type { Urgency } from '../overlay/notice-outbox.js'
 import type { LoadBoard } from '../routing/load-board.js'
 import type { AdapterLocations } from './adapter-locations.js'
 import type { OrderAnswer } from './engine-control.js'
@@ -24,7 +25,7 @@
   /** @returns whether orders may be given now */
   readonly mayOrder: (endpoint: EndpointId) => boolean
   /** Tells all instances what the engine holds. */
-  readonly publish: (statement: HeldStatement) => void
+  readonly publish: (statement: HeldStatement, urgency: Urgency) => void
   /** @returns milliseconds in which all instances have heard of it and answered */
   readonly noticeMilliseconds: () => number
   /** Someone else orders this engine, or another one listens at its address. */
--- a/packages/ingress/src/overlay/notice-outbox.ts
+++ b/packages/ingress/src/overlay/notice-outbox.ts
@@ -6,9 +6,20 @@
  * system call for each neighbour, so that a busy fleet would otherwise spend most of its time on frames of one notice.
  */
 export const FLUSH_MILLISECONDS = 10
+/** What is told at a pace of its own, slower than this, may wait so long for company at each hop. */
+const PATIENT_FLUSH_MILLISECONDS = 50
+
+/** How soon a notice has to go on. */
+export type Urgency = 'urgent' | 'patient'
+
+/** A notice on its way. */
+export interface QueuedItem {
+  readonly item: OverlayItem
+  readonly urgency: Urgency
+}
 
 /** Sends items to each of the neighbours as one frame. */
-export type SendItems = (to: readonly InstanceId[], items: readonly OverlayItem[]) => void
+export type SendItems = (to: readonly InstanceId[], items: readonly QueuedItem[]) => void
 
 /** Who hears what is put under `leaves` and `hubs`, at the moment of sending. */
 export interface OutboxNeighbours {
@@ -16,15 +27,15 @@
   readonly hubs: () => readonly InstanceId[]
 }
 
-/** What waits to be sent. */
+/** What waits to be sent. An urgent item takes all with it that came before it: nothing overtakes. */
 export class NoticeOutbox {
   private readonly clock: Clock
   private readonly neighbours: OutboxNeighbours
   private readonly send: SendItems
-  private forLeaves: OverlayItem[] = []
-  private forHubs: OverlayItem[] = []
-  private forOne = new Map<InstanceId, OverlayItem[]>()
-  private isScheduled = false
+  private forLeaves: QueuedItem[] = []
+  private forHubs: QueuedItem[] = []
+  private forOne = new Map<InstanceId, QueuedItem[]>()
+  private readonly scheduled: Record<Urgency, boolean> = { urgent: false, patient: false }
 
   constructor (clock: Clock, neighbours: OutboxNeighbours, send: SendItems) {
     this.clock = clock
@@ -33,33 +44,36 @@
   }
 
   /** For all leaves; the one that made an item drops it. */
-  toLeaves (item: OverlayItem): void {
-    this.forLeaves.push(item)
-    this.schedule()
+  toLeaves (queued: QueuedItem): void {
+    this.forLeaves.push(queued)
+    this.schedule(queued.urgency)
   }
 
   /** For all hubs. */
-  toHubs (item: OverlayItem): void {
-    this.forHubs.push(item)
-    this.schedule()
+  toHubs (queued: QueuedItem): void {
+    this.forHubs.push(queued)
+    this.schedule(queued.urgency)
   }
 
   /** For one neighbour. */
-  toOne (neighbour: InstanceId, item: OverlayItem): void {
+  toOne (neighbour: InstanceId, queued: QueuedItem): void {
     const items = this.forOne.get(neighbour)
-    if (items === undefined) this.forOne.set(neighbour, [item])
-    else items.push(item)
-    this.schedule()
+    if (items === undefined) this.forOne.set(neighbour, [queued])
+    else items.push(queued)
+    this.schedule(queued.urgency)
   }
 
-  private schedule (): void {
-    if (this.isScheduled) return
-    this.isScheduled = true
-    void this.clock.sleep(FLUSH_MILLISECONDS).then(() => this.flush())
+  private schedule (urgency: Urgency): void {
+    if (this.scheduled.urgent || this.scheduled[urgency]) return
+    this.scheduled[urgency] = true
+    const milliseconds = urgency === 'urgent' ? FLUSH_MILLISECONDS : PATIENT_FLUSH_MILLISECONDS
+    void this.clock.sleep(milliseconds).then(() => {
+      this.scheduled[urgency] = false
+      this.flush()
+    })
   }
 
   private flush (): void {
-    this.isScheduled = false
     const { forLeaves, forHubs, forOne } = this
     this.forLeaves = []
     this.forHubs = []
@@ -69,7 +83,7 @@
     for (const [neighbour, items] of forOne) this.sendTo([neighbour], items)
   }
 
-  private sendTo (to: readonly InstanceId[], items: readonly OverlayItem[]): void {
+  private sendTo (to: readonly InstanceId[], items: readonly QueuedItem[]): void {
     if (to.length > 0 && items.length > 0) this.send(to, items)
   }
 }
--- a/packages/ingress/src/overlay/notice-router.ts
+++ b/packages/ingress/src/overlay/notice-router.ts
@@ -3,6 +3,7 @@
 import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
 import type { Clock, InstanceId, Logger, OverlayBatchFrame, OverlayItem, OverlayRoleFrame } from '@limpetwinch/core'
 import { FLUSH_MILLISECONDS, NoticeOutbox } from './notice-outbox.js'
+import type { QueuedItem, Urgency } from './notice-outbox.js'
 
 /** From a leaf over its hub and that of another data centre to a leaf there. Beyond, two instances take each other for a leaf. */
 const MOST_HOPS = 3
@@ -40,7 +41,7 @@
     this.view = view
     this.logger = logger
     const neighbours = { leaves: () => view.neighboursOf('leaf'), hubs: () => view.neighboursOf('hub') }
-    this.outbox = new NoticeOutbox(clock, neighbours, (to, items) => network.notifyAll(to, { kind: 'overlay-batch', items }))
+    this.outbox = new NoticeOutbox(clock, neighbours, (to, queued) => network.notifyAll(to, batchOf(queued)))
     network.onNotice('overlay-batch', (from, frame) => this.takeBatch(from, frame))
   }
 
@@ -49,22 +50,23 @@
     return this.view.isMesh ? DIRECT_NOTICE_MILLISECONDS : DIRECT_NOTICE_MILLISECONDS + 2 * MOST_HOPS * FLUSH_MILLISECONDS
   }
 
-  /** Tells all other instances. */
-  broadcast (frame: NoticeFrame): void {
+  /** Tells all other instances. @param urgency - whether it may wait at each hop for others to go with */
+  broadcast (frame: NoticeFrame, urgency: Urgency): void {
     const { view } = this
     if (view.isMesh) return this.network.notifyAll(view.neighbours(), frame)
     const item = this.itemOf(view.self, ALL, frame)
     if (item === undefined) return
-    if (!view.isHub) return this.toOwnHub(item)
-    this.outbox.toHubs(item)
-    this.outbox.toLeaves(item)
+    const queued = { item, urgency }
+    if (!view.isHub) return this.toOwnHub(queued)
+    this.outbox.toHubs(queued)
+    this.outbox.toLeaves(queued)
   }
 
   /** Tells one instance; lost when it cannot be reached. */
   notify (to: InstanceId, frame: NoticeFrame): void {
     if (to === this.view.self || this.network.isConnected(to)) return this.network.notify(to, frame)
     const item = this.itemOf(this.view.self, to, frame)
-    if (item !== undefined) this.route(item, to)
+    if (item !== undefined) this.route({ item, urgency: 'urgent' }, to)
   }
 
   /**
@@ -79,41 +81,42 @@
         continue
       }
       const item = this.itemOf(origin, ALL, frame)
-      if (item !== undefined) this.outbox.toOne(neighbour, item)
+      if (item !== undefined) this.outbox.toOne(neighbour, { item, urgency: 'urgent' })
     }
   }
 
-  private takeBatch (from: InstanceId, { items }: OverlayBatchFrame): void {
+  private takeBatch (from: InstanceId, { items, patient = [] }: OverlayBatchFrame): void {
     const { self } = this.view
     const isFromLeaf = this.view.isLeaf(from)
-    for (const [origin, to, hops, frame] of items) {
+    const mayWait = new Set(patient)
+    for (const [place, [origin, to, hops, frame]] of items.entries()) {
       // What goes to all leaves comes back to the one that made it.
       if (origin === self) continue
       if (to === ALL || to === self) this.network.takePassedOn(origin, frame)
       if (to === self || hops >= MOST_HOPS) continue
-      const next: OverlayItem = [origin, to, hops + 1, frame]
+      const next: QueuedItem = { item: [origin, to, hops + 1, frame], urgency: mayWait.has(place) ? 'patient' : 'urgent' }
       if (to === ALL) this.passOn(next, isFromLeaf)
       else this.route(next, to)
     }
   }
 
   /** What comes from a leaf goes to all hubs, and what comes from a hub to leaves only: nothing goes round in circles. */
-  private passOn (item: OverlayItem, isFromLeaf: boolean): void {
+  private passOn (queued: QueuedItem, isFromLeaf: boolean): void {
     if (!this.view.isHub) return
-    if (isFromLeaf) this.outbox.toHubs(item)
-    this.outbox.toLeaves(item)
+    if (isFromLeaf) this.outbox.toHubs(queued)
+    this.outbox.toLeaves(queued)
   }
 
-  private route (item: OverlayItem, to: InstanceId): void {
-    if (this.network.isConnected(to)) return this.outbox.toOne(to, item)
-    if (!this.view.isHub) return this.toOwnHub(item)
+  private route (queued: QueuedItem, to: InstanceId): void {
+    if (this.network.isConnected(to)) return this.outbox.toOne(to, queued)
+    if (!this.view.isHub) return this.toOwnHub(queued)
     const hub = this.view.hubOf(to)
-    if (hub !== undefined) this.outbox.toOne(hub, item)
+    if (hub !== undefined) this.outbox.toOne(hub, queued)
   }
 
-  private toOwnHub (item: OverlayItem): void {
+  private toOwnHub (queued: QueuedItem): void {
     const { ownHub } = this.view
-    if (ownHub !== undefined) this.outbox.toOne(ownHub, item)
+    if (ownHub !== undefined) this.outbox.toOne(ownHub, queued)
   }
 
   private itemOf (origin: InstanceId, to: InstanceId | typeof ALL, frame: NoticeFrame): OverlayItem | undefined {
@@ -123,3 +126,9 @@
     return undefined
   }
 }
+
+function batchOf (queued: readonly QueuedItem[]): OverlayBatchFrame {
+  const items = queued.map(({ item }) => item)
+  const patient = [...queued.keys()].filter((place) => queued[place]?.urgency === 'patient')
+  return patient.length === 0 ? { kind: 'overlay-batch', items } : { kind: 'overlay-batch', items, patient }
+}
--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -9,6 +9,7 @@
 import type { Member } from '../members/cluster-objects.js'
 import { HubChoice } from './hub-choice.js'
 import { HubPlan } from './hub-plan.js'
+import type { Urgency } from './notice-outbox.js'
 import { NoticeRouter } from './notice-router.js'
 import type { OverlayRole, OverlayView } from './notice-router.js'
 import { Presence } from './presence.js'
@@ -159,9 +160,9 @@
     return Math.max(heard, lost)
   }
 
-  /** Tells all other instances. */
-  broadcast (frame: NoticeFrame): void {
-    this.notices.broadcast(frame)
+  /** Tells all other instances. @param urgency - `patient` for what is told at a pace of its own and may be later by some of that */
+  broadcast (frame: NoticeFrame, urgency: Urgency = 'urgent'): void {
+    this.notices.broadcast(frame, urgency)
   }
 
   /** Tells one instance; lost when it cannot be reached. */
--- a/packages/ingress/src/routing/work-digests.ts
+++ b/packages/ingress/src/routing/work-digests.ts
@@ -56,7 +56,7 @@
       const loads = this.board.digest()
       if (loads.length === 0 && wasEmpty) continue
       wasEmpty = loads.length === 0
-      this.peers.broadcast({ kind: 'relay-load', loads })
+      this.peers.broadcast({ kind: 'relay-load', loads }, 'patient')
     }
   }
 }
--- a/packages/ingress/test/overlay.failure.test.ts
+++ b/packages/ingress/test/overlay.failure.test.ts
@@ -76,6 +76,26 @@
     expect([audience(instances, one, 'x'), other.heard]).toEqual([{ heard: 1, most: 1 }, [`${one.member.instance} x`]])
   })
 
+  // All instances tell their work in hand at a pace of their own. With a frame for each such word a leaf would be woken some
+  // hundred times a second, which on small hosts takes the time of callers' requests.
+  it('gathers what may wait into few frames, while urgent notices go on at once and none overtakes another', async () => {
+    const instances = await fleet()
+    const [hub, leaf, other] = [first(instances, true), first(instances, false), instances.findLast(({ overlay }) => !overlay.isHub)]
+    if (other === undefined) throw new Error('There is none.')
+    const before = other.links.received
+    for (let passed = 0; passed < 1_000; passed += 40) {
+      for (const { overlay } of instances) overlay.broadcast(word('patient'), 'patient')
+      await world.clock.advance(40)
+    }
+    const frames = other.links.received - before
+    leaf.overlay.broadcast(word('1'), 'patient')
+    leaf.overlay.broadcast(word('2'))
+    leaf.overlay.broadcast(word('3'), 'patient')
+    await world.clock.advance(50)
+    const order = hub.heard.filter((said) => /^\S+ \d$/.test(said)).map((said) => said.slice(-1))
+    expect({ fewFrames: frames <= 25, order: order.slice(0, 2) }).toEqual({ fewFrames: true, order: ['1', '2'] })
+  })
+
   // Instances that start together learn of each other one after the other. One that is planned as a hub by all others still
   // takes the fleet for a small one; those that dial it must learn all the same that it is a hub, or they would have none.
   it('attaches leaves to a hub that does not know yet how large the fleet is', async () => {
--- a/packages/ingress/test/support/simulated-links.ts
+++ b/packages/ingress/test/support/simulated-links.ts
@@ -19,6 +19,8 @@
   override readonly self: PeerIdentity
   readonly peers = new Map<InstanceId, SimulatedLinks>()
   isUp = true
+  /** Frames that came. */
+  received = 0
   private readonly world: LinkWorld
   private readonly handlers = new Map<string, ((from: InstanceId, frame: PeerFrame) => void)[]>()
   private readonly connectedListeners: ((peer: PeerIdentity) => void)[] = []
@@ -121,6 +123,11 @@
     for (const listener of this.evidenceListeners) listener(instance, 'refused')
   }
 
+  receive (from: InstanceId, frame: PeerFrame): void {
+    this.received += 1
+    this.dispatch(from, frame)
+  }
+
   dispatch (from: InstanceId, frame: PeerFrame): void {
     for (const handler of this.handlers.get(frame.kind) ?? []) handler(from, frame)
   }
@@ -203,7 +210,7 @@
     const other = from.peers.get(to)
     if (other === undefined || !this.isOpen(from, other)) return
     void this.clock.sleep(LATENCY_MILLISECONDS).then(() => {
-      if (other.isUp && this.isOpen(from, other)) other.dispatch(from.self.instance, decodeFrame(bytes)._unsafeUnwrap())
+      if (other.isUp && this.isOpen(from, other)) other.receive(from.self.instance, decodeFrame(bytes)._unsafeUnwrap())
     })
   }
 
