--- a/packages/ingress/test/support/simulated-links.ts
+++ b/packages/ingress/test/support/simulated-links.ts
@@ -13,6 +13,8 @@
 /** Three heartbeats without a word. */
 const SILENCE_MILLISECONDS = 1_500
 const REDIAL_MILLISECONDS = 100
+/** Between two instances' reading of the same change. */
+const READ_APART_MILLISECONDS = 20
 
 /** The links of one instance. */
 export class SimulatedLinks extends PeerLinks {
@@ -148,6 +150,7 @@
   readonly clock: ManualClock
   readonly instances: SimulatedInstance[] = []
   private readonly cutOff = new Set<DataCentreId>()
+  private starts = 0
 
   constructor (clock: ManualClock) {
     this.clock = clock
@@ -170,6 +173,20 @@
     for (const peer of [...killed.links.peers.keys()]) killed.links.disconnect(peer)
   }
 
+  /**
+   * Starts a new process on the host of one that has ended. The others read of it in the store within some hundred
+   * milliseconds, each in its own moment.
+   */
+  restart (killed: SimulatedInstance): SimulatedInstance {
+    this.starts += 1
+    const started = this.add({ ...killed.member, instance: `${killed.member.name}-${this.starts}` as InstanceId })
+    const members = [...new Map(this.instances.map(({ member }) => [member.name, member])).values()]
+    for (const [place, { overlay }] of this.instances.entries()) {
+      void this.clock.sleep(place * READ_APART_MILLISECONDS).then(() => overlay.apply(members))
+    }
+    return started
+  }
+
   /** Cuts a data centre off from the others: connections fall silent. */
   cut (dataCentre: DataCentreId): void {
     this.cutOff.add(dataCentre)
@@ -214,14 +231,16 @@
     })
   }
 
-  private add (member: Member): void {
+  private add (member: Member): SimulatedInstance {
     const links = new SimulatedLinks(member, this)
     const overlay = new PeerOverlay({ self: member, network: links, clock: this.clock, logger: silentLogger() })
     const heard: string[] = []
     links.onNotice('load-refused', (from, { key }) => heard.push(`${from} ${key}`))
     const ending = new AbortController()
     void overlay.run(ending.signal)
-    this.instances.push({ member, links, overlay, heard, stop: () => ending.abort() })
+    const started = { member, links, overlay, heard, stop: () => ending.abort() }
+    this.instances.push(started)
+    return started
   }
 
   private isOpen (one: SimulatedLinks, other: SimulatedLinks): boolean {
