--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -33,9 +33,16 @@
  * While an engine reads a long prompt its streams stand still; above their longest pause each of them is late, which costs
  * its caller as much as half a second or more of waiting would. Not all of them see the pause: some end before it.
  */
-const PAUSED_STREAM_MILLISECONDS = 100
+const PAUSED_STREAM_MILLISECONDS = 200
 /** Part of the longest pause that a prompt may take alone; what is read besides it comes on top. */
 const PAUSE_SHARE = 0.9
+/**
+ * A prompt that does no harm alone does so with another one right before or behind it. The fuller the pause is by what is to be
+ * read there already, the likelier that is: the share of the pause counts squared, and for half, since it may also go well.
+ */
+const JOINT_PAUSE_MILLISECONDS = PAUSED_STREAM_MILLISECONDS / 2
+/** Prompts that take less than this part of the longest pause are read between two events. */
+const SHORT_PROMPT_SHARE = 0.1
 /**
  * A few popular adapters gather a crowd on the engine that came first to hold them, while others have room: streams there
  * take half as long again, and hold their slots for as long. An engine is crowded above this multiple of the mean of its
@@ -219,11 +226,15 @@
     return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
   }
 
-  /** @returns what it costs others on the engine that a prompt of so many tokens is read, in milliseconds of waiting */
+  /** @returns what it costs others on the engine that a prompt of so many tokens is read there now, in milliseconds of waiting */
   private pauseCost (endpoint: Endpoint, tokens: number, gapMilliseconds: number, now: number): number {
-    const pause = this.parts.speeds.readingMilliseconds(endpoint.id, tokens)
-    if (pause < gapMilliseconds * PAUSE_SHARE) return 0
-    return this.parts.board.inHand(endpoint.id, now).requests * PAUSED_STREAM_MILLISECONDS
+    const { speeds, board } = this.parts
+    const alone = speeds.readingMilliseconds(endpoint.id, tokens) / gapMilliseconds
+    if (alone < SHORT_PROMPT_SHARE) return 0
+    const { requests, prefillTokens } = board.inHand(endpoint.id, now)
+    if (alone >= PAUSE_SHARE) return requests * PAUSED_STREAM_MILLISECONDS
+    const joint = Math.min(1, speeds.readingMilliseconds(endpoint.id, prefillTokens + tokens) / gapMilliseconds)
+    return requests * JOINT_PAUSE_MILLISECONDS * joint ** 2
   }
 
   /** @returns milliseconds until the adapter could be used there, with what the load takes from others on top */
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -35,6 +35,8 @@
   readonly waits?: number
   /** Milliseconds between the events of its streams. */
   readonly spacing?: number
+  /** Prompt tokens that are still to be read there. */
+  readonly toRead?: number
 }
 
 function facts (promptTokens: number): RequestFacts {
@@ -52,7 +54,8 @@
   const endpoints = Object.keys(states).map((id) => endpoint(id, { service: 'engines' }))
   directory.apply({ revision: 1, endpoints }, undefined, NOW)
   for (const { id } of endpoints) {
-    const { caches = false, holds = 0, inUse = 0, inFlight = 0, waits = 0, spacing = 28 } = states[id] ?? {}
+    const { caches = false, holds = 0, inUse = 0, inFlight = 0, waits = 0, spacing = 28, toRead = 0 } = states[id] ?? {}
+    if (toRead > 0) board.begin(id, { prefillTokens: toRead, memoryTokens: toRead, adapter: key('read') })
     for (let stream = 0; stream < 5; stream += 1) speeds.spacingSeen(id, spacing)
     const notice = (sequence: number, held: readonly (readonly [string, number])[], coming: readonly string[]): void => {
       locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: id, born: 100, token: 1 as FencingToken, sequence, held, inFlight: coming, waitMilliseconds: waits }, NOW)
@@ -112,6 +115,12 @@
     expect(loads({ slow: { ...slow, caches: true }, other: { inUse: 8 } }, 11_000)).toBe('other')
   })
 
+  // Two prompts that are read one after the other make one pause: each alone would have done no harm.
+  it('keeps away from streams on an engine that has another one to read', () => {
+    expect(loads({ reading: { inUse: 8, toRead: 9_000, caches: true }, other: { inUse: 8 } }, 5_000)).toBe('other')
+    expect(loads({ reading: { inUse: 8, toRead: 9_000, caches: true }, other: { inUse: 8 } }, 500)).toBe('reading')
+  })
+
   it('goes by the load alone when it is short, or when nothing runs there', () => {
     expect(loads({ slow: { ...slow, caches: true }, other: { inUse: 8 } }, 500)).toBe('slow')
     expect(loads({ slow: { spacing: 37, caches: true }, other: {} }, 11_000)).toBe('slow')
