--- a/packages/decisions/src/loads/load-line.ts
+++ b/packages/decisions/src/loads/load-line.ts
@@ -5,8 +5,8 @@
  * then makes every answer late: each adapter comes when the time of those that asked first has already passed. Those that
  * can still be answered on time go first, by how many requests one load serves; the others follow in the order they came.
  *
- * What it buys: a generated crowd of 30 requests a second on 17 slots gets more than twice as many answers on time as first
- * come, first served gives, and no fewer in all; where slots suffice nothing changes (`crowd-on-cold-slots`).
+ * What it buys: a crowd gets more answers on time than first come, first served gives, and no fewer in all; where slots suffice
+ * nothing changes (`crowd-on-cold-slots`).
  */
 
 /** Whoever waits asks again and again; a request that was not repeated in this time waits no more. */
--- a/packages/decisions/src/loads/place-in-line.ts
+++ b/packages/decisions/src/loads/place-in-line.ts
@@ -5,8 +5,7 @@
  * requests that had gone: in a crowd three engines loaded what one was asked for. So a request keeps its place, and
  * leaves it once at most for a line that is shorter by more than its own load takes.
  *
- * What it buys, with the order of the line: on a recorded day of 5,800 streams a fifth fewer askings (11,043 for 14,176) and a
- * third fewer refusals (1,482 for 2,180), counted in the instances' logs.
+ * What it buys, with the order of the line: fewer askings and fewer refusals in a crowd.
  */
 
 /** Another line has to be this much shorter: a load from the weight store is lost by a move, and some time in line. */
--- a/packages/decisions/src/routing/engine-speeds.ts
+++ b/packages/decisions/src/routing/engine-speeds.ts
@@ -7,7 +7,7 @@
  * for all of them but for that factor, and is learnt from long prompts on any of them.
  */
 
-/** Prompt tokens read in a millisecond before anything is learnt: engines are known that read 30 to 39. */
+/** Prompt tokens read in a millisecond before anything is learnt. */
 const FIRST_TOKENS_FOR_MILLISECOND = 35
 /** Prompts from this size on tell how fast they are read; in shorter ones the way there and back counts for more. */
 const LEAST_PROMPT_TOKENS = 2_000
--- a/packages/ingress/src/adapters/held-changes.ts
+++ b/packages/ingress/src/adapters/held-changes.ts
@@ -3,7 +3,7 @@
  *
  * Each load changes what is held, waiting or on its way some four times, and each time all peers hear of it. Told in full,
  * seventeen adapters and a line for one that came, these words were most of the bytes between data centres and of the frames
- * that an instance decodes. Changes save 2 of 7 MB between data centres in half a minute of a quiet day, requests included.
+ * that an instance decodes.
  */
 import type { AdaptersChangedFrame, AdaptersHeldFrame, EndpointId, InstanceId } from '@limpetwinch/core'
 
--- a/packages/ingress/src/adapters/load-duty.ts
+++ b/packages/ingress/src/adapters/load-duty.ts
@@ -20,8 +20,7 @@
 /**
  * A host whose instance is stopped or killed mostly has another one within some two seconds. It goes on at once with the
  * engines that it ordered; anybody else would have to wait a lease before its first order. So a claim waits for so long,
- * which costs as much where the host is lost for good, and saves a lease without loads where it is not. With the duty kept
- * through a planned stop: 0.04 and 0.06 of all credit on two heavy days, one run of each with and without.
+ * which costs as much where the host is lost for good, and saves a lease without loads where it is not.
  */
 const RETURN_MILLISECONDS = 2_500
 /** Before an instance takes back engines of its data centre: connections to all peers are there by then, and lines were told. */
--- a/packages/ingress/src/adapters/unanswered-orders.ts
+++ b/packages/ingress/src/adapters/unanswered-orders.ts
@@ -17,8 +17,7 @@
  *
  * When a third of the answers are lost, each conflict that follows was answered by reading the engine's report, which is
  * some hundred milliseconds old: all loads of the engine stood still for a quarter of a second each time. A conflict right
- * after an unanswered order says that it was carried out, and no report is needed: a quarter of a second for each such
- * conflict, counted in a test by the reports that are asked for (none for five lost answers).
+ * after an unanswered order says that it was carried out, and no report is needed.
  */
 export class UnansweredOrders {
   private orders: UnansweredOrder[] = []
--- a/packages/ingress/src/adapters/weight-store-pace.ts
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -8,7 +8,7 @@
  */
 
 /**
- * In flight for each engine, before anything is learnt: what one engine takes. Stores are known that take 0.6, 1.3 and 2.7 for
+ * In flight for each engine, before anything is learnt: what one engine takes. Stores take a fraction of a load to some loads for
  * each engine at full speed. Begun too low, the store idles while a crowd waits, and the limit grows by a load at a
  * time; begun too high, the first loads of a crowd take longer, and they say at once how much room there is.
  */
@@ -16,7 +16,7 @@
 /** One engine takes four loads at once; below this a single engine could not fill its slots. */
 const LEAST_LIMIT = 4
 const MOST_LIMIT = 1_000
-/** Time of an adapter from an idle store before anything is learnt, milliseconds: the lower of two known ones. */
+/** Time of an adapter from an idle store before anything is learnt, milliseconds: an adapter of some tens of megabytes. */
 const FIRST_LOAD_MILLISECONDS = 250
 /** Least weight of the newest load in the time of one; the first ones weigh more, since the first guess is only that. */
 const SMOOTHING = 0.1
@@ -49,8 +49,7 @@
 const LEAST_SHARE_LEFT = 0.5
 /**
  * The time of one load is learnt while no more than this part of the limit, and no more than so many for each engine, are
- * on their way: with a limit that stands too high, slowed loads would pass for usual ones, and it would stay there. The
- * smallest store that is known takes 0.6 for each engine at full speed.
+ * on their way: with a limit that stands too high, slowed loads would pass for usual ones, and it would stay there.
  */
 const IDLE_SHARE = 0.4
 const IDLE_FOR_ENGINE = 0.25
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -17,7 +17,7 @@
 /** A load from the copy that an engine caches. */
 const CACHED_LOAD_MILLISECONDS = 40
 /**
- * What a load from the weight store costs beyond its time: the store hands out some thirty adapters a second to all
+ * What a load from the weight store costs beyond its time: the store hands out a limited number of adapters a second to all
  * engines, and each is priced at about half a request. An engine that caches the adapter is worth waiting for.
  */
 const STORE_LOAD_WORTH_MILLISECONDS = 400
@@ -46,8 +46,8 @@
 /**
  * A few popular adapters gather a crowd on the engine that came first to hold them, while others have room: streams there
  * take half as long again, and hold their slots for as long. An engine is crowded above this multiple of the mean of its
- * service, and from this part of its batch on; below, steps are as short as elsewhere. What it buys: 0.02 to 0.05 of all
- * credit on three heavy days of two deployments, one run of each with and without.
+ * service, and from this part of its batch on; below, steps are as short as elsewhere. What it buys: answers and slots of the
+ * crowd end sooner, and the engines that had room are used.
  */
 const CROWDED_SHARE_OF_MEAN = 1.4
 const CROWDED_SHARE_OF_BATCH = 0.3
--- a/packages/ingress/src/runtime/peer-talk.ts
+++ b/packages/ingress/src/runtime/peer-talk.ts
@@ -92,8 +92,7 @@
   /**
    * The one that orders an engine's loads knows what runs from digests, and a request that began since the last one is not
    * in them. Were the adapter evicted under it, the engine would take no other order until that request has ended: all its
-   * loads stood still for seconds. Counted in the log of 16 s with five busy engines: 24 such evictions without the
-   * objection, 1 with it.
+   * loads stood still for seconds. The objection reaches the holder before its order goes out.
    */
   private objectToEviction (holder: InstanceId, endpoint: EndpointId, hidden: readonly AdapterKey[]): void {
     const { board, digests } = this.parts
--- a/packages/ingress/src/runtime/side-listeners.ts
+++ b/packages/ingress/src/runtime/side-listeners.ts
@@ -32,7 +32,7 @@
 
 /**
  * Listens at `host:port`. The runtime's own server is used: the HTTP framework would load the runtime's fetch classes, which
- * a service needs nowhere else and which cost a third of the processor time of its start.
+ * a service needs nowhere else and whose loading its callers would wait for after each restart.
  *
  * @returns the server
  */
