--- a/packages/cli/src/logs/request-story.ts
+++ b/packages/cli/src/logs/request-story.ts
@@ -1,4 +1,6 @@
 /** The story of one request, from the JSON lines that instances wrote. */
+import { parseLogLine } from './log-line.js'
+import type { LogLine } from './log-line.js'
 
 /** One line that bears on a request. */
 export interface StoryStep {
@@ -18,13 +20,6 @@
 /** Lines of other requests say nothing about this one. */
 const REQUEST_PART = 'relay'
 
-interface LogLine {
-  readonly at: number
-  readonly part: string
-  readonly message: string
-  readonly fields: Readonly<Record<string, unknown>>
-}
-
 /**
  * Picks what bears on a request.
  *
@@ -33,7 +28,7 @@
  * @returns the steps by time; empty when no line names the request
  */
 export function requestStory (lines: Iterable<string>, request: string): StoryStep[] {
-  const parsed = [...lines].flatMap((line) => parseLine(line))
+  const parsed = [...lines].flatMap((line) => parseLogLine(line) ?? [])
   const own = parsed.filter((line) => line.fields.request === request)
   if (own.length === 0) return []
   const first = Math.min(...own.map((line) => line.at))
@@ -54,20 +49,6 @@
   return { at: line.at, part: line.part, what: line.message, fields, own }
 }
 
-function parseLine (line: string): LogLine[] {
-  const start = line.indexOf('{')
-  if (start === -1) return []
-  try {
-    const fields = JSON.parse(line.slice(start)) as Record<string, unknown>
-    const at = Date.parse(String(fields.timestamp))
-    if (typeof fields.message !== 'string' || Number.isNaN(at)) return []
-    return [{ at, part: String(fields.label ?? ''), message: fields.message, fields }]
-  } catch {
-    // Other programs write to the same place; what is no JSON is not ours.
-    return []
-  }
-}
-
 /** Requests name an adapter with its model, orders without it. */
 function nameOf (adapter: unknown): string | undefined {
   if (typeof adapter !== 'string') return undefined
--- /dev/null
+++ b/packages/cli/src/report/report-text.ts
@@ -0,0 +1,42 @@
+/** A run's report as tables for people. */
+import { table } from '../show/table.js'
+import type { LoadReport } from './load-tally.js'
+import type { Endings, RunReport } from './run-report.js'
+import type { Spread } from './spread.js'
+
+/** Rows of the tables that list the worst first. */
+const MOST_ROWS = 12
+
+/** @returns the report, one table for each question */
+export function reportText (report: RunReport): string {
+  return [
+    `${report.lines} lines of ${report.seconds} s`,
+    table(['ROUTE', ...ENDING_HEADERS, 'FIRST EVENT', 'LOAD STALL', 'LONGEST GAP', 'WHOLE'], report.routes.map((route) => [
+      route.route, ...endingCells(route.endings), spreadText(route.firstEvent), spreadText(route.loadStall), spreadText(route.longestGap), spreadText(route.whole)
+    ])),
+    table(['LOST', 'REASON', 'COUNT', 'AFTER'], report.losses.slice(0, MOST_ROWS).map(({ ending, reason, after }) => [ending, reason, String(after.count), spreadText(after)])),
+    loadsText(report.loads),
+    table(['SECOND', ...ENDING_HEADERS, 'LOADS ASKED', 'ORDERED'], report.bySecond.map(({ second, endings, loadsAsked, loadsOrdered }) => [
+      String(second), ...endingCells(endings), String(loadsAsked), String(loadsOrdered)
+    ])),
+    'Times are milliseconds: median / 90 in 100 / 99 in 100.'
+  ].join('\n\n')
+}
+
+const ENDING_HEADERS = ['ANSWERED', 'REFUSED', 'CUT', 'LEFT']
+
+function endingCells ({ answered, refused, cut, left }: Endings): string[] {
+  return [answered, refused, cut, left].map(String)
+}
+
+function loadsText (loads: LoadReport): string {
+  return [
+    `${loads.ordered} loads for ${loads.asked} askings, ${loads.orderedForEachStream.toFixed(2)} for each stream answered; ${loads.backSoon} came back within 3 s`,
+    table(['LOADS HELD UP BY', 'COUNT', 'WAITED'], loads.holdUps.map(({ reason, waited }) => [reason, String(waited.count), spreadText(waited)])),
+    table(['ENGINE ASKED AND WITHOUT LOADS', 'FOR'], loads.idleEngines.slice(0, MOST_ROWS).map(({ endpoint, milliseconds }) => [endpoint, `${milliseconds} ms`]))
+  ].join('\n\n')
+}
+
+function spreadText ({ count, median, p90, p99 }: Spread): string {
+  return count === 0 ? '-' : `${median} / ${p90} / ${p99}`
+}
--- /dev/null
+++ b/packages/cli/src/report/run-report.ts
@@ -0,0 +1,156 @@
+/** Where the time of requests went and what became of them, from the log lines of any number of instances. */
+import type { LogLine } from '../logs/log-line.js'
+import { LoadTally } from './load-tally.js'
+import type { LoadReport } from './load-tally.js'
+import { SpreadOf } from './spread.js'
+import type { Spread } from './spread.js'
+
+const SECOND_MILLISECONDS = 1_000
+
+/** How a request ended, as its instance says. */
+export type Ending = 'answered' | 'refused' | 'cut' | 'left'
+
+const ENDINGS: ReadonlyMap<string, Ending> = new Map([
+  ['A request was answered.', 'answered'],
+  ['A request was refused.', 'refused'],
+  ['An answer was cut.', 'cut'],
+  ['A caller left before its answer was whole.', 'left']
+])
+
+/** Requests by how they ended. */
+export type Endings = Readonly<Record<Ending, number>>
+
+/** Requests of one route. */
+export interface RouteReport {
+  readonly route: string
+  readonly endings: Endings
+  /** Of streams, from the request to the first event, milliseconds. */
+  readonly firstEvent: Spread
+  /** Waited for an adapter, milliseconds; requests that did not wait are left out. */
+  readonly loadStall: Spread
+  /** Longest time between two events of a stream, milliseconds. */
+  readonly longestGap: Spread
+  /** To the end of the answer, milliseconds. */
+  readonly whole: Spread
+}
+
+/** Requests that ended without a whole answer, for one reason. */
+export interface LossReport {
+  readonly ending: Ending
+  readonly reason: string
+  /** How long they had waited, milliseconds. */
+  readonly after: Spread
+}
+
+/** One second of the run. */
+export interface SecondReport {
+  /** Seconds since the first line. */
+  readonly second: number
+  readonly endings: Endings
+  readonly loadsAsked: number
+  readonly loadsOrdered: number
+}
+
+/** The whole run. */
+export interface RunReport {
+  readonly lines: number
+  readonly seconds: number
+  readonly routes: readonly RouteReport[]
+  /** The most frequent one first. */
+  readonly losses: readonly LossReport[]
+  readonly loads: LoadReport
+  readonly bySecond: readonly SecondReport[]
+}
+
+interface RouteTally {
+  readonly endings: Record<Ending, number>
+  readonly firstEvent: SpreadOf
+  readonly loadStall: SpreadOf
+  readonly longestGap: SpreadOf
+  readonly whole: SpreadOf
+}
+
+interface LossTally {
+  readonly ending: Ending
+  readonly reason: string
+  readonly after: SpreadOf
+}
+
+/** Takes lines one after the other and tells what they come to. */
+export class RunReporter {
+  private readonly routes = new Map<string, RouteTally>()
+  private readonly losses = new Map<string, LossTally>()
+  private readonly loads = new LoadTally()
+  private readonly endingsBySecond = new Map<number, Record<Ending, number>>()
+  private lines = 0
+  private firstAt = Infinity
+  private lastAt = -Infinity
+
+  /** Counts a line; lines of one instance come in their order, those of several in any. */
+  take (line: LogLine): void {
+    this.lines += 1
+    this.firstAt = Math.min(this.firstAt, line.at)
+    this.lastAt = Math.max(this.lastAt, line.at)
+    this.loads.take(line)
+    const ending = ENDINGS.get(line.message)
+    if (ending !== undefined) this.ended(ending, line)
+  }
+
+  /** @returns what all lines so far come to */
+  report (): RunReport {
+    const first = Math.floor(this.firstAt / SECOND_MILLISECONDS)
+    const last = Math.floor(this.lastAt / SECOND_MILLISECONDS)
+    const seconds = this.lines === 0 ? 0 : last - first + 1
+    return {
+      lines: this.lines,
+      seconds,
+      routes: [...this.routes].map(([route, tally]) => routeReport(route, tally)).sort((one, other) => one.route.localeCompare(other.route)),
+      losses: [...this.losses.values()].map(({ ending, reason, after }) => ({ ending, reason, after: after.spread() })).sort((one, other) => other.after.count - one.after.count),
+      loads: this.loads.report(),
+      bySecond: Array.from({ length: seconds }, (_, second) => this.secondReport(first + second, second))
+    }
+  }
+
+  private ended (ending: Ending, { at, fields }: LogLine): void {
+    const tally = this.routeTally(String(fields.route ?? 'no route'))
+    tally.endings[ending] += 1
+    const second = Math.floor(at / SECOND_MILLISECONDS)
+    const endings = this.endingsBySecond.get(second) ?? noEndings()
+    this.endingsBySecond.set(second, endings)
+    endings[ending] += 1
+    if (ending !== 'answered') return this.lost(ending, fields)
+    this.loads.answered(typeof fields.firstEvent === 'number')
+    tally.firstEvent.take(fields.firstEvent)
+    tally.longestGap.take(fields.longestGap)
+    tally.whole.take(fields.milliseconds)
+    if (Number(fields.loadStall ?? 0) > 0) tally.loadStall.take(fields.loadStall)
+  }
+
+  private lost (ending: Ending, fields: LogLine['fields']): void {
+    const reason = String(fields.reason ?? fields.error ?? 'the caller left')
+    const key = `${ending} ${reason}`
+    const tally = this.losses.get(key) ?? { ending, reason, after: new SpreadOf() }
+    this.losses.set(key, tally)
+    tally.after.take(fields.milliseconds)
+  }
+
+  private routeTally (route: string): RouteTally {
+    const known = this.routes.get(route)
+    if (known !== undefined) return known
+    const tally = { endings: noEndings(), firstEvent: new SpreadOf(), loadStall: new SpreadOf(), longestGap: new SpreadOf(), whole: new SpreadOf() }
+    this.routes.set(route, tally)
+    return tally
+  }
+
+  private secondReport (unixSecond: number, second: number): SecondReport {
+    return { second, endings: this.endingsBySecond.get(unixSecond) ?? noEndings(), ...this.loads.inSecond(unixSecond) }
+  }
+}
+
+function noEndings (): Record<Ending, number> {
+  return { answered: 0, refused: 0, cut: 0, left: 0 }
+}
+
+function routeReport (route: string, { endings, firstEvent, loadStall, longestGap, whole }: RouteTally): RouteReport {
+  return { route, endings, firstEvent: firstEvent.spread(), loadStall: loadStall.spread(), longestGap: longestGap.spread(), whole: whole.spread() }
+}
--- /dev/null
+++ b/packages/cli/test/report/run-report.test.ts
@@ -0,0 +1,70 @@
+// Operators give the lines of a bad minute: a crowd asks for adapters, some wait for a slot, one comes back right after it was
+// evicted, an engine orders nothing for seconds, and callers are refused or cut off. The report must name each of these.
+import { describe, expect, it } from 'vitest'
+import { parseLogLine } from '../../src/logs/log-line.js'
+import { reportPage } from '../../src/report/report-page.js'
+import { reportText } from '../../src/report/report-text.js'
+import { RunReporter } from '../../src/report/run-report.js'
+import type { RunReport } from '../../src/report/run-report.js'
+
+const line = (second: number, message: string, fields: Record<string, unknown>): string =>
+  `front-1 ${JSON.stringify({ timestamp: new Date(1_772_000_000_000 + second * 1_000).toISOString(), level: 'info', label: 'relay', message, ...fields })}`
+
+const order = (second: number, operation: string, adapter: string, outcome: string, more: Record<string, unknown> = {}): string =>
+  line(second, 'An order was given.', { endpoint: 'e1', operation, adapter, outcome, ...more })
+
+const LINES = [
+  line(0.1, 'A load was asked for.', { request: 'r1', endpoint: 'e1', adapter: 'base/a1', waiting: true }),
+  order(0.2, 'load', 'a1', 'accepted', { waited: 90, heldUpBy: 'slots in use' }),
+  order(0.4, 'load', 'a1', 'accepted', { waited: 0, heldUpBy: 'nothing' }),
+  order(0.5, 'load', 'a1', 'holds'),
+  line(1.2, 'A request was answered.', { request: 'r1', route: 'draft', status: 200, tries: 1, milliseconds: 1_100, firstEvent: 420, loadStall: 300, longestGap: 80 }),
+  line(1.3, 'A request was answered.', { request: 'r2', route: 'list', status: 200, tries: 1, milliseconds: 45 }),
+  order(1.5, 'unload', 'a1', 'holds'),
+  order(2.6, 'load', 'a1', 'accepted', { waited: 20, heldUpBy: 'nothing' }),
+  line(2.7, 'A load was asked for.', { request: 'r3', endpoint: 'e1', adapter: 'base/a2', waiting: true }),
+  line(2.9, 'A request was refused.', { request: 'r3', route: 'draft', status: 503, error: 'adapter_not_ready', reason: 'no engine took <it>', milliseconds: 1_350 }),
+  line(3.1, 'An answer was cut.', { request: 'r4', route: 'draft', status: 504, error: 'deadline_passed', milliseconds: 5_000, firstEvent: 90 }),
+  line(3.2, 'A caller left before its answer was whole.', { request: 'r5', route: 'draft', milliseconds: 2_000 }),
+  order(5.7, 'load', 'a2', 'accepted', { waited: 3_000, heldUpBy: 'a silent engine' }),
+  'not a line of ours',
+  '{"half a line'
+]
+
+function reportOf (lines: readonly string[]): RunReport {
+  const reporter = new RunReporter()
+  for (const each of lines) {
+    const parsed = parseLogLine(each)
+    if (parsed !== undefined) reporter.take(parsed)
+  }
+  return reporter.report()
+}
+
+describe('the report of a run', () => {
+  it('tells what became of requests, and when', () => {
+    const { lines, seconds, routes, losses, bySecond } = reportOf(LINES)
+    expect({ lines, seconds, routes: routes.map(({ route, endings }) => ({ route, endings })), losses, bySecond }).toMatchSnapshot()
+  })
+
+  it('counts a load once, with what held it up, what came back soon and which engine ordered none', () => {
+    expect(reportOf(LINES).loads).toMatchSnapshot()
+  })
+
+  it('names an engine that is without loads to the end', () => {
+    expect(reportOf(LINES.slice(0, 12)).loads.idleEngines).toEqual([])
+    expect(reportOf([...LINES.slice(0, 12), line(9, 'An endpoint is gone.', { endpoint: 'e2' })]).loads.idleEngines).toEqual([{ endpoint: 'e1', milliseconds: 6_300 }])
+  })
+
+  it('is a text for people', () => {
+    expect(reportText(reportOf(LINES))).toMatchSnapshot()
+  })
+
+  it('is a page with two plots, in which reasons are text and nothing else', () => {
+    const page = reportPage(reportOf(LINES))
+    expect([page.match(/<svg/g)?.length, page.includes('no engine took &lt;it&gt;'), page.includes('no engine took <it>')]).toEqual([2, true, false])
+  })
+
+  it('is empty without lines', () => {
+    expect(reportOf(['nothing'])).toMatchObject({ lines: 0, seconds: 0, routes: [], bySecond: [] })
+  })
+})
