--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -18,7 +18,7 @@
 const CACHED_LOAD_MILLISECONDS = 40
 /**
  * What a load from the weight store costs beyond its time: the store hands out a limited number of adapters a second to all
- * engines, and each is priced at about half a request. An engine that caches the adapter is worth waiting for.
+ * engines, so each fetch takes one from another request. An engine that caches the adapter is worth waiting for.
  */
 const STORE_LOAD_WORTH_MILLISECONDS = 400
 /** A slot in use is free again in about this time: the run of a short answer. */
