--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -1,6 +1,7 @@
 /** Relays event streams: whole events as they come, and on from the last one where a stream breaks and may be resumed. */
 import type { Clock, EndpointId } from '@limpetwinch/core'
 import { LimpetwinchError } from '@limpetwinch/core'
+import { longestWait } from '@limpetwinch/decisions'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { AdapterSeeker, FoundEngine } from '../adapters/adapter-seeker.js'
 import type { EngineSpeeds } from '@limpetwinch/decisions'
@@ -17,8 +18,6 @@
 
 /** Tries that prove that nothing ran still cost their time; after so many the engines are taken to be full. */
 const MOST_SENDS = 4
-/** Part of a request's time for which it waits for an engine; what is refused later helps its caller less. */
-const SHARE_OF_TIME_TO_WAIT = 0.25
 /** Callers give a stream up that stands still for some seconds. */
 const LONGEST_PAUSE_MILLISECONDS = 1_500
 /** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
@@ -99,7 +98,7 @@
     const { cameAt, endsAt, route } = request
     // A stream that has begun is worth going on with for as long as its caller bears the pause.
     if (progress.firstEventAt !== undefined) return Math.min(endsAt, this.parts.clock.now() + LONGEST_PAUSE_MILLISECONDS)
-    return Math.min(endsAt, cameAt + Math.max(route.objectiveMilliseconds, (endsAt - cameAt) * SHARE_OF_TIME_TO_WAIT))
+    return cameAt + longestWait({ time: endsAt - cameAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
   }
 
   private async tryOn (engine: FoundEngine, request: RoutedRequest, progress: StreamProgress, sends: number, mayGoElsewhere: boolean): Promise<StreamTryResult> {
