--- a/packages/ingress/src/adapters/order-desk.ts
+++ b/packages/ingress/src/adapters/order-desk.ts
@@ -94,6 +94,10 @@
 
   private async resolveConflict (signal: AbortSignal): Promise<void> {
     const { clock, logger } = this.around
+    if (this.unanswered.isBeyondSlots(this.ledger)) {
+      await this.reconcile(signal)
+      return
+    }
     if (this.unanswered.takeConflict(this.ledger, clock.now())) {
       logger.debug('An order without an answer was carried out.', { endpoint: this.endpoint.id, ifSequence: this.ledger.sequence - 1 })
       return
--- a/packages/ingress/src/adapters/unanswered-orders.ts
+++ b/packages/ingress/src/adapters/unanswered-orders.ts
@@ -37,6 +37,18 @@
     this.orders = this.orders.filter(({ ifSequence }) => ifSequence >= sequence)
   }
 
+  /**
+   * Two loads for one slot can both stay without an answer; one of them took the slot. Were both taken to have been carried
+   * out, the other one would be asked for again, and the engine would take it for a load beyond its slots and end. Only a
+   * report tells which one it was.
+   *
+   * @returns whether more loads are in doubt than there are slots for
+   */
+  isBeyondSlots (ledger: SlotLedger): boolean {
+    const loads = this.inDoubt(ledger).filter(({ operation, key }) => operation === 'load' && !ledger.inFlight.has(key) && !ledger.held.has(key))
+    return new Set(loads.map(({ key }) => key)).size > ledger.free
+  }
+
   /**
    * An order met a conflict. Of the orders in doubt one was carried out, and which one is not known: each is taken to have
    * been, so that no slot is given away that a load may have taken. Asking for arrival and leaving settles them.
@@ -44,7 +56,7 @@
    * @returns whether the conflict is explained
    */
   takeConflict (ledger: SlotLedger, now: number): boolean {
-    const orders = this.orders.filter(({ ifSequence }) => ifSequence === ledger.sequence)
+    const orders = this.inDoubt(ledger)
     this.orders = []
     if (orders.length === 0) return false
     ledger.sequence += 1
@@ -54,4 +66,8 @@
     }
     return true
   }
+
+  private inDoubt (ledger: SlotLedger): readonly UnansweredOrder[] {
+    return this.orders.filter(({ ifSequence }) => ifSequence === ledger.sequence)
+  }
 }
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -142,6 +142,24 @@
     expect({ asked: engine.reports - reports, most: engine.mostOccupied }).toEqual({ asked: 0, most: 4 })
   })
 
+  // An engine takes no order for a moment, and two loads for its last free slot stay without an answer, one after the other. Only
+  // one of them was carried out. Asked for again as if both had been, the other one would be a load beyond the slots, which ends
+  // the engine and every answer on it.
+  it('take no slot twice when two loads for the same one stay without an answer', async () => {
+    const engine = new SimulatedEngine({ slots: 2 })
+    const run = start(engine)
+    await wanted(run, 'x')
+    run.board.begin(endpoint('engine').id, { prefillTokens: 0, memoryTokens: 0, adapter: key('x') })
+    engine.next = ['silent', 'lost']
+    // More requests ask for the second adapter while the first order waits for its answer, so that its load comes next.
+    engine.afterNext = () => { for (const request of ['r2', 'r3', 'r4', 'r5']) run.loader.want(key('z'), 0, { request, onTimeMilliseconds: 600 }) }
+    run.loader.want(key('y'), 0, { request: 'r1', onTimeMilliseconds: undefined })
+    const brought = await wanted(run, 'z')
+    await sleep(400)
+    await run.stop()
+    expect({ brought, most: engine.mostOccupied }).toEqual({ brought: true, most: 2 })
+  })
+
   // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
   // for the time in which peers hear of it, the tenth adapter would come after ten such times.
   it('make room for several loads at the same time', async () => {
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -14,6 +14,8 @@
 export class SimulatedEngine {
   /** Fates of the next orders; all others are done. */
   next: OrderFate[]
+  /** Called once when the next order has met its fate. */
+  afterNext: (() => void) | undefined
   /** Most adapters held or on their way at once. */
   mostOccupied = 0
   readonly unloaded: string[] = []
@@ -43,6 +45,9 @@
   /** Takes an order. */
   async order (order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
     const fate = this.next.shift() ?? 'done'
+    const { afterNext } = this
+    this.afterNext = undefined
+    afterNext?.()
     if (fate === 'done') return ok(this.carryOut(order))
     if (fate === 'late') this.late.push(order)
     if (fate === 'lost') this.carryOut(order)
