--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -14,6 +14,7 @@
 import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
 import { LoadBoard } from '../src/routing/load-board.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
+import type { OrderFate } from './support/simulated-engine.js'
 import { SimulatedEngineControl } from './support/simulated-engine-control.js'
 import { endpoint, engineShape, key, SPEAKER } from './support/samples.js'
 
@@ -28,6 +29,24 @@
   readonly stop: () => Promise<void>
 }
 
+/** What once made a loader order a load beyond the slots. */
+const LOST_FATES: OrderFate[] = ['done', 'lost', 'silent', 'silent', 'lost', 'silent', 'done', 'done', 'done', 'done', 'done']
+const LOST_CROWD = [
+  { name: 'a', waiters: 1, pause: 0 },
+  { name: 'c', waiters: 1, pause: 0 },
+  { name: 'a', waiters: 1, pause: 0 },
+  { name: 'a', waiters: 4, pause: 18 },
+  { name: 'a', waiters: 1, pause: 0 },
+  { name: 'a', waiters: 2, pause: 0 },
+  { name: 'a', waiters: 2, pause: 8 },
+  { name: 'b', waiters: 4, pause: 2 },
+  { name: 'c', waiters: 2, pause: 15 },
+  { name: 'c', waiters: 4, pause: 28 }
+]
+
+/** More runs by hand. */
+const CROWD_RUNS = Number(process.env['CROWD_RUNS'] ?? 8)
+
 function start (engine: SimulatedEngine, newest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2): Run {
   const clock = new SystemClock()
   const locations = new AdapterLocations()
@@ -188,4 +207,22 @@
       expect(engine.mostOccupied).toBeLessThanOrEqual(2)
     }), { seed: 31, numRuns: 6 })
   })
+
+  // A crowd asks for several adapters at once while answers are lost: which load comes next changes between two orders without
+  // an answer.
+  it('never take more slots than there are while a crowd asks for several adapters at once', async () => {
+    const fates = fc.array(fc.constantFrom<OrderFate>('done', 'lost', 'silent', 'silent'), { minLength: 10, maxLength: 30 })
+    const crowd = fc.array(fc.record({ name: fc.constantFrom<string>('a', 'b', 'c', 'd'), waiters: fc.integer({ min: 1, max: 4 }), pause: fc.integer({ min: 0, max: 40 }) }), { minLength: 10, maxLength: 20 })
+    await fc.assert(fc.asyncProperty(fates, crowd, async (next, asked) => {
+      const engine = new SimulatedEngine({ slots: 2, next })
+      const run = start(engine)
+      for (const { name, waiters, pause } of asked) {
+        for (let waiter = 0; waiter < waiters; waiter += 1) run.loader.want(key(name), 0, { request: `${name}${waiter}`, onTimeMilliseconds: waiter % 2 === 0 ? 600 : undefined })
+        await sleep(pause)
+      }
+      await sleep(600)
+      await run.stop()
+      expect(engine.mostOccupied).toBeLessThanOrEqual(2)
+    }), { seed: 31, numRuns: CROWD_RUNS, examples: [[LOST_FATES, LOST_CROWD]] })
+  }, CROWD_RUNS * 5_000)
 })
