Log why a search for an engine ended, and how long an endpoint was silent

On-call could not tell the hypotheses of the lost answer apart: no line said whether the engine or only one run was silent, why no other engine was found, whether the repeats of the service were used up, nor in how long a leaving endpoint ends.

- `A try ended.` says for how long the try was quiet and for how long its endpoint was, over all connections of the instance.
- `No engine was found.` says what ended the search, after how long and how many askings, and whether the answer was late by then.
- `A repeat is beyond the budget.` for streams and plain requests.
- `An endpoint is leaving.` says in how long, where the endpoint tells.

No decision changes.

--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -49,6 +49,9 @@
   readonly signal: AbortSignal
 }
 
+/** Why a search found nothing. */
+type SearchEnd = 'no engine may serve it' | 'its search took too long' | 'its request ended'
+
 /** Finds engines. */
 export class AdapterSeeker {
   private readonly parts: AdapterSeekerParts
@@ -70,17 +73,18 @@
     const { clock, router } = this.parts
     const startedAt = clock.now()
     const place = new PlaceInLine()
-    while (!signal.aborted) {
+    for (let askings = 0; !signal.aborted; askings++) {
       const now = clock.now()
       const choice = router.choose(search, now)
       if (choice !== undefined) {
         this.askForCopy(search, choice, now)
         return { ...choice, stallMilliseconds: now - startedAt }
       }
-      if (now >= until || facts.adapter?.name === undefined) return undefined
+      if (facts.adapter?.name === undefined) return this.foundNone(search, 'no engine may serve it', askings, now - startedAt)
+      if (now >= until) return this.foundNone(search, 'its search took too long', askings, now - startedAt)
       await this.haveLoaded(search, place)
     }
-    return undefined
+    return this.foundNone(search, 'its request ended', undefined, clock.now() - startedAt)
   }
 
   /** @returns when a request that found no engine is best sent again, seconds */
@@ -89,6 +93,13 @@
     return Math.min(LATEST_RETURN_MILLISECONDS, Math.max(SOONEST_RETURN_MILLISECONDS, wait)) / 1_000
   }
 
+  private foundNone ({ facts, excluded, onTimeUntil }: Search, reason: SearchEnd, askings: number | undefined, milliseconds: number): undefined {
+    this.parts.logger.debug('No engine was found.', {
+      request: facts.requestId, adapter: facts.adapter?.key, reason, milliseconds: Math.round(milliseconds), askings, excluded: [...excluded], late: this.parts.clock.now() >= onTimeUntil
+    })
+    return undefined
+  }
+
   /** Asks the best engine for the adapter and waits a while. */
   private async haveLoaded (search: Search, place: PlaceInLine): Promise<void> {
     const { clock, router, locations } = this.parts
--- a/packages/ingress/src/endpoints/endpoint-directory.ts
+++ b/packages/ingress/src/endpoints/endpoint-directory.ts
@@ -146,8 +146,8 @@
   }
 
   private tell (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving'): void {
-    const { id, service, address, born } = endpoint
-    this.logger.info(CHANGE_LINES[change], { endpoint: id, service, address, born, revision: this.revisionSeen })
+    const { id, service, address, born, leavesInMilliseconds } = endpoint
+    this.logger.info(CHANGE_LINES[change], { endpoint: id, service, address, born, revision: this.revisionSeen, leavesInMilliseconds })
     for (const listener of this.listeners) listener(endpoint, change)
   }
 
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -6,6 +6,7 @@
 import { Attempt } from './attempt.js'
 import type { AttemptEnd, AttemptSink } from './attempt.js'
 import { EndpointConnections } from './endpoint-connections.js'
+import { EndpointSilence } from './endpoint-silence.js'
 import type { RequestCodec } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
 
@@ -33,6 +34,7 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly metrics: IngressMetrics
+  private readonly silence: EndpointSilence
   private readonly connections = new Map<EndpointId, { readonly address: string, readonly pool: EndpointConnections }>()
 
   constructor (codec: RequestCodec, ejection: OutlierEjection, clock: Clock, logger: Logger, metrics: IngressMetrics) {
@@ -41,6 +43,7 @@
     this.clock = clock
     this.logger = logger
     this.metrics = metrics
+    this.silence = new EndpointSilence(clock)
   }
 
   /** @returns requests that this instance has on the endpoint */
@@ -53,6 +56,7 @@
     const pool = this.pool(order.endpoint)
     const connection = pool.take(this.clock.now())
     const attempt = new Attempt(connection, this.codec)
+    const heard = this.silence.watch(order.endpoint.id)
     const onSignal = (): void => attempt.abandon(request.exchange.left.aborted ? 'the caller left' : 'its time is over')
     const millisecondsLeft = request.endsAt - this.clock.now()
     const added = this.codec.write({
@@ -79,12 +83,12 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, sink).then((end) => {
+    }, heard.through(sink)).then((end) => {
       request.signal.removeEventListener('abort', onSignal)
       pool.giveBack(connection, end.kind === 'whole' && attempt.reusable, this.clock.now())
       this.metrics.attemptEnded(request.service.name, end.kind)
       this.logger.debug('A try ended.', {
-        request: request.facts.requestId, endpoint: order.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.traits
+        request: request.facts.requestId, endpoint: order.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.traits, ...heard.traits
       })
       return end
     })
@@ -107,6 +111,7 @@
   forget (endpoint: EndpointId): void {
     this.connections.get(endpoint)?.pool.close()
     this.connections.delete(endpoint)
+    this.silence.forget(endpoint)
   }
 
   /** Closes connections that were idle for a while. */
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -1,5 +1,5 @@
 /** Relays requests to plain services: the answer is read whole before the caller gets any of it. */
-import type { Clock, EndpointId } from '@limpetwinch/core'
+import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
 import type { ErrorRates } from '@limpetwinch/decisions'
 import type { RepeatBudgets } from '../retries/repeat-budgets.js'
 import type { Endpoint } from '../routes/configuration.js'
@@ -24,6 +24,7 @@
 /** What the relay needs. */
 export interface ServiceRelayParts {
   readonly clock: Clock
+  readonly logger: Logger
   readonly router: ServiceRouter
   readonly board: LoadBoard
   readonly senders: EndpointSenders
@@ -48,7 +49,7 @@
 
   /** Serves the request to its end. @returns how it ended, for the log */
   async relay (request: RoutedRequest): Promise<RelayOutcome> {
-    const { clock, router, budgets, random } = this.parts
+    const { clock, logger, router, budgets, random } = this.parts
     const { route, service, exchange, signal } = request
     const tried = new Set<EndpointId>()
     const record = new TryRecord()
@@ -57,7 +58,10 @@
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
       const endpoint = router.choose(service.name, tried, random, clock.now())
       if (endpoint === undefined) break
-      if (sends > 0 && !budgets.repeat(service.name, clock.now())) break
+      if (sends > 0 && !budgets.repeat(service.name, clock.now())) {
+        logger.debug('A repeat is beyond the budget.', { request: request.facts.requestId, service: service.name, tries: sends })
+        break
+      }
       tried.add(endpoint.id)
       const result = await this.tryOn(endpoint, request, sends, runs)
       if (exchange.left.aborted) break
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -1,5 +1,5 @@
 /** Relays event streams: whole events as they come, and on from the last one where a stream breaks and may be resumed. */
-import type { Clock, EndpointId } from '@limpetwinch/core'
+import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
 import { LimpetwinchError } from '@limpetwinch/core'
 import { longestWait } from '@limpetwinch/decisions'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -29,6 +29,7 @@
 /** What the relay needs. */
 export interface StreamRelayParts {
   readonly clock: Clock
+  readonly logger: Logger
   readonly seeker: AdapterSeeker
   readonly locations: AdapterLocations
   readonly board: LoadBoard
@@ -51,7 +52,7 @@
 
   /** Serves the request to its end. @returns how it ended, for the log */
   async relay (request: RoutedRequest): Promise<RelayOutcome> {
-    const { clock, budgets } = this.parts
+    const { clock, logger, budgets } = this.parts
     const { service, exchange, signal, facts } = request
     const tried = new Set<EndpointId>()
     const record = new TryRecord()
@@ -70,7 +71,10 @@
       })
       if (engine === undefined || signal.aborted) break
       stall += engine.stallMilliseconds
-      if (sends > 0 && !budgets.repeat(service.name, clock.now())) break
+      if (sends > 0 && !budgets.repeat(service.name, clock.now())) {
+        logger.debug('A repeat is beyond the budget.', { request: facts.requestId, service: service.name, tries: sends })
+        break
+      }
       tried.add(engine.endpoint.id)
       const result = await this.tryOn(engine, request, progress, sends, this.mayTryAgain(request, runs + 1))
       if (exchange.left.aborted) break
--- a/packages/ingress/src/routes/configuration.ts
+++ b/packages/ingress/src/routes/configuration.ts
@@ -145,6 +145,8 @@
   readonly statement: number
   readonly slots: number
   readonly leaving: boolean
+  /** Told by an endpoint that is taken away at short notice, milliseconds from its statement; it ends then, whatever it runs. */
+  readonly leavesInMilliseconds: number | undefined
   /** Models held in whole. */
   readonly models: readonly ModelName[]
   /** Adapters held, as of the statement. */
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -274,8 +274,10 @@
   private makeListener (): RoutedListener {
     const { clock, board, senders, metrics } = this
     const budgets = new RepeatBudgets(this.settings.repeats, () => this.members.count)
+    const logger = this.logger.part('relay')
     const services = new ServiceRelay({
       clock,
+      logger,
       board,
       senders,
       errors: this.errors,
@@ -285,6 +287,7 @@
     })
     const streams = new StreamRelay({
       clock,
+      logger,
       board,
       senders,
       budgets,
@@ -295,7 +298,7 @@
       prefixes: this.prefixes,
       expectedVersion: ({ facts }, now) => this.expectedVersion(facts.adapter?.key, now)
     })
-    return new RoutedListener({ clock, logger: this.logger.part('relay'), codec: this.platform.codec, configuration: this.configuration, budgets, metrics, random: Math.random, streams, services })
+    return new RoutedListener({ clock, logger, codec: this.platform.codec, configuration: this.configuration, budgets, metrics, random: Math.random, streams, services })
   }
 
   /** Engines check the version once only the newest may be used; before, any copy will do. */
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -72,8 +72,8 @@
       clock, logger, router, locations, holderOf: () => 'holder' as InstanceId, ask: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
     })
     const errors = new ErrorRates()
-    const services = new ServiceRelay({ clock, board, senders, errors, budgets, random, router: new ServiceRouter(directory, board, ejection, errors, 'here') })
-    const streams = new StreamRelay({ clock, board, senders, budgets, seeker, locations, forecast, speeds, prefixes, expectedVersion: () => undefined })
+    const services = new ServiceRelay({ clock, logger, board, senders, errors, budgets, random, router: new ServiceRouter(directory, board, ejection, errors, 'here') })
+    const streams = new StreamRelay({ clock, logger, board, senders, budgets, seeker, locations, forecast, speeds, prefixes, expectedVersion: () => undefined })
     this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, budgets, metrics, random, streams, services })
     if (behind.routes.length > 0) this.configure(behind.routes)
     directory.apply({ revision: 1, endpoints: behind.endpoints.map((each) => this.sample(each)) }, undefined, 0)
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -55,6 +55,7 @@
     statement: 1,
     slots: 6,
     leaving: false,
+    leavesInMilliseconds: undefined,
     models: models.map((model) => model as ModelName),
     adapters: [],
     ...rest
