--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -2,7 +2,7 @@
 // follows from what is proved: 503 only where nothing ran, 502 or 504 where something may have; a request that may not be
 // repeated reaches one endpoint that could run it, a safe one the next endpoint, a stream goes on after its last event.
 import { afterEach, describe, expect, it } from 'vitest'
-import { IngressUnderTest } from './support/ingress-under-test.js'
+import { endpointId, IngressUnderTest } from './support/ingress-under-test.js'
 import type { Behind } from './support/ingress-under-test.js'
 import { chunk, endStream, framed, RawEndpoint, silence, stream } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
@@ -29,6 +29,8 @@
 const SAFE = route({ kind: 'safe' })
 const UNSAFE = route({ kind: 'unsafe', mostAttempts: 1 })
 const REFUSES = framed(503, '', 'X-Not-Run: 1\r\n')
+/** Longer than engines mostly pause, and shorter than callers bear. */
+const LONG_PAUSE_MILLISECONDS = 2_200
 const RESETS: RawAnswer = (socket) => { socket.resetAndDestroy() }
 
 describe('a request to a plain service', () => {
@@ -134,6 +136,8 @@
 describe('a stream', () => {
   const STREAM = route({ kind: 'stream', resumable: true, targets: [{ service: 'engines', weight: 1 }] })
   const ONCE = route({ kind: 'stream', resumable: false, mostAttempts: 1, targets: [{ service: 'engines', weight: 1 }] })
+  /** Its callers wait for seconds between two events. */
+  const PATIENT = route({ kind: 'stream', resumable: true, objectiveMilliseconds: 1_000, timeoutMilliseconds: 6_000, targets: [{ service: 'engines', weight: 1 }] })
   const held = [{ key: key('poem'), version: 1 }]
   const ids = (body: string): string[] => [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id ?? '')
 
@@ -182,6 +186,27 @@
     expect({ status: seen.status, code: JSON.parse(seen.body).error.code, early: performance.now() - startedAt < 700 }).toEqual({ status: 503, code: 'adapter_not_ready', early: true })
   })
 
+  // Guards against an answer cut with time left: its engine paused the run, as when it makes room for others, and was given up.
+  it('whose engine pauses for seconds is answered whole where no other engine can go on with it', async () => {
+    const pauses = stream([1, 2], (socket) => { setTimeout(() => { if (socket.writable) { socket.write(chunk('id: 3\ndata: part 3\n\n')); endStream(socket) } }, LONG_PAUSE_MILLISECONDS) })
+    const { ask } = await bound({ routes: [PATIENT], endpoints: [{ id: 'a', raw: await raw(pauses), adapters: held }, { id: 'b', raw: await raw(silence), adapters: [] }] })
+    const seen = await ask('/', { 'x-adapter': 'poem' })
+    expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
+  }, 10_000)
+
+  // Guards against an answer cut with time left: the adapter came to another engine after the search for one had ended.
+  it('that broke goes on elsewhere for as long as its caller bears the pause', async () => {
+    const breaks = stream([1, 2], (socket) => { setTimeout(() => socket.resetAndDestroy(), 30) })
+    const [one, two] = [await raw(breaks), await raw(stream([2, 3], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
+    const asking = under.ask('/', { 'x-adapter': 'poem' })
+    setTimeout(() => {
+      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+    }, LONG_PAUSE_MILLISECONDS)
+    const seen = await asking
+    expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
+  }, 10_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
