--- /dev/null
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -0,0 +1,198 @@
+/** One event stream on its way to its caller: tried on engines until it is whole, and on from its last event where it may be resumed. */
+import type { EndpointId } from '@limpetwinch/core'
+import { LimpetwinchError } from '@limpetwinch/core'
+import { longestWait } from '@limpetwinch/decisions'
+import type { FoundEngine } from '../adapters/adapter-seeker.js'
+import { TryRecord } from './final-errors.js'
+import type { RelayOutcome } from './relay-outcome.js'
+import type { RoutedRequest } from './routed-request.js'
+import type { StreamRelayParts } from './stream-relay.js'
+import { StreamTry } from './stream-try.js'
+import type { StreamProgress, StreamTryResult } from './stream-try.js'
+
+/** Tries that prove that nothing ran still cost their time; after so many the engines are taken to be full. */
+const MOST_SENDS = 4
+/** Callers give a stream up that stands still for some seconds. */
+const LONGEST_PAUSE_MILLISECONDS = 1_500
+/** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
+const LEAST_PATIENCE_MILLISECONDS = 1_500
+/** Forecasts are off by this factor under load at most times. */
+const PATIENCE_FORECASTS = 3
+const MISDIRECTED = 421
+
+/** What follows on a try. */
+type Verdict = 'whole' | 'pass-on' | 'try-again' | 'give-up'
+
+/** Relays one stream. */
+export class RelayedStream {
+  private readonly parts: StreamRelayParts
+  private readonly request: RoutedRequest
+  private readonly tried = new Set<EndpointId>()
+  private readonly record = new TryRecord()
+  private readonly progress: StreamProgress
+  private sends = 0
+  /** Tries that may have run. */
+  private runs = 0
+  private stall = 0
+
+  constructor (parts: StreamRelayParts, request: RoutedRequest) {
+    this.parts = parts
+    this.request = request
+    this.progress = { lastEventId: request.facts.lastEventId, firstEventAt: undefined, lastEventAt: undefined, longestGap: 0 }
+  }
+
+  /** Serves it to its end. @returns how it ended, for the log */
+  async run (): Promise<RelayOutcome> {
+    for (let engine = await this.nextEngine(); engine !== undefined; engine = await this.nextEngine()) {
+      const result = await this.tryOn(engine)
+      if (this.request.exchange.left.aborted) break
+      const verdict = this.judge(engine, result)
+      if (verdict === 'whole') return this.answered()
+      if (verdict === 'pass-on' && result.kind === 'other-answer') return this.passOn(result)
+      if (verdict === 'give-up') break
+    }
+    return this.giveUp()
+  }
+
+  /** @returns the engine to try next; undefined when there is none, or the request may be sent no more */
+  private async nextEngine (): Promise<FoundEngine | undefined> {
+    const { signal } = this.request
+    if (this.sends >= MOST_SENDS || signal.aborted) return undefined
+    const engine = await this.seek()
+    if (engine === undefined || signal.aborted) return undefined
+    this.stall += engine.stallMilliseconds
+    return this.sends === 0 || this.mayRepeat() ? engine : undefined
+  }
+
+  private async seek (): Promise<FoundEngine | undefined> {
+    const { service, facts, route, cameAt, signal } = this.request
+    return await this.parts.seeker.seek({
+      service,
+      facts,
+      gapMilliseconds: route.gapMilliseconds,
+      excluded: this.tried,
+      onTimeUntil: cameAt + route.objectiveMilliseconds,
+      until: this.searchEnd(),
+      signal
+    })
+  }
+
+  private searchEnd (): number {
+    const { cameAt, endsAt, route } = this.request
+    // A stream that has begun is worth going on with for as long as its caller bears the pause.
+    if (this.progress.firstEventAt !== undefined) return Math.min(endsAt, this.parts.clock.now() + LONGEST_PAUSE_MILLISECONDS)
+    return cameAt + longestWait({ time: endsAt - cameAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
+  }
+
+  private mayRepeat (): boolean {
+    const { clock, logger, budgets } = this.parts
+    const { service, facts } = this.request
+    if (budgets.repeat(service.name, clock.now())) return true
+    logger.debug('A repeat is beyond the budget.', { request: facts.requestId, service: service.name, tries: this.sends })
+    return false
+  }
+
+  /** @param runs - tries that may have run by then */
+  private mayRunAgain (runs: number): boolean {
+    const { route } = this.request
+    return route.resumable && runs < route.mostAttempts
+  }
+
+  private async tryOn (engine: FoundEngine): Promise<StreamTryResult> {
+    const { request, progress } = this
+    const { clock, board, senders, forecast, speeds, prefixes, expectedVersion } = this.parts
+    const { facts, service } = request
+    const { endpoint, forecastMilliseconds, uncachedTokens } = engine
+    const readTokens = board.inHand(endpoint.id, clock.now()).prefillTokens + uncachedTokens
+    const ticket = board.begin(endpoint.id, {
+      prefillTokens: uncachedTokens, memoryTokens: facts.promptTokens + facts.outputTokens, adapter: facts.adapter?.key
+    })
+    const sentAt = clock.now()
+    const patience = this.mayRunAgain(this.runs + 1) ? Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_FORECASTS * forecastMilliseconds) : undefined
+    const stream = new StreamTry(request.exchange, progress, patience, clock, () => {
+      ticket.prefilled()
+      forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
+      if (facts.adapter !== undefined) prefixes.remember(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
+    })
+    const order = {
+      endpoint,
+      lastEventId: progress.lastEventId,
+      adapterVersion: expectedVersion(request, sentAt),
+      earlierTries: this.sends,
+      grounds: { forecastMilliseconds: Math.round(forecastMilliseconds), uncachedTokens, stallMilliseconds: Math.round(engine.stallMilliseconds) }
+    }
+    this.tried.add(endpoint.id)
+    this.sends += 1
+    const result = await stream.run((sink) => senders.send(request, order, sink))
+    ticket.ended()
+    if (stream.spacing.milliseconds !== undefined) speeds.spacingSeen(endpoint.id, stream.spacing.milliseconds)
+    return result
+  }
+
+  /** Learns what a try says of its engine and of the request, and decides what follows. */
+  private judge (engine: FoundEngine, result: StreamTryResult): Verdict {
+    if (result.kind === 'whole') return 'whole'
+    const mayHaveRun = result.kind === 'broken' || (result.kind === 'other-answer' && !result.head.facts.notRun)
+    if (result.kind === 'other-answer') this.learnFromAnswer(engine, result)
+    else this.learnFromFailure(engine, result)
+    if (!mayHaveRun) return 'try-again'
+    this.runs += 1
+    if (this.mayRunAgain(this.runs)) return 'try-again'
+    return result.kind === 'other-answer' ? 'pass-on' : 'give-up'
+  }
+
+  private learnFromAnswer ({ endpoint }: FoundEngine, { head }: Extract<StreamTryResult, { kind: 'other-answer' }>): void {
+    const { senders, locations } = this.parts
+    const { adapter } = this.request.facts
+    const reason = `status ${head.status}`
+    if (!head.facts.notRun) {
+      this.record.unknown(endpoint.id, reason)
+      return senders.observe(endpoint.id, 'failed', reason)
+    }
+    this.record.notRun(endpoint.id, reason)
+    if (head.status === MISDIRECTED && adapter?.name !== undefined) locations.forget(endpoint.id, adapter.key)
+  }
+
+  private learnFromFailure ({ endpoint }: FoundEngine, result: Extract<StreamTryResult, { reason: string }>): void {
+    if (result.kind === 'not-sent') this.record.notRun(endpoint.id, result.reason)
+    else this.record.unknown(endpoint.id, result.reason)
+    if (!this.request.signal.aborted) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
+  }
+
+  private answered (): RelayOutcome {
+    return { outcome: 'answered', status: 200, tries: this.sends, ...this.times() }
+  }
+
+  private passOn ({ head, body }: Extract<StreamTryResult, { kind: 'other-answer' }>): RelayOutcome {
+    const { exchange } = this.request
+    if (exchange.started) exchange.cut()
+    else exchange.answer(head, body)
+    return { outcome: exchange.started ? 'cut' : 'answered', status: head.status, tries: this.sends }
+  }
+
+  private giveUp (): RelayOutcome {
+    const { exchange, signal, service } = this.request
+    const common = { tries: this.tried.size, ...this.times() }
+    if (exchange.left.aborted) return { outcome: 'caller-left', ...common }
+    const retryAfter = this.parts.seeker.comeBackSeconds(service)
+    const error = signal.aborted ? this.record.timeoutError(retryAfter) : this.finalError(retryAfter)
+    const wasStarted = exchange.started
+    exchange.refuse(error)
+    return { outcome: wasStarted ? 'cut' : 'refused', error, ...common }
+  }
+
+  private finalError (retryAfterSeconds: number): LimpetwinchError {
+    const { adapter } = this.request.facts
+    if (this.record.isUnknown || adapter === undefined) return this.record.finalError(retryAfterSeconds)
+    return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds })
+  }
+
+  private times (): Pick<RelayOutcome, 'firstEventMilliseconds' | 'loadStallMilliseconds' | 'longestGapMilliseconds'> {
+    const { firstEventAt, longestGap } = this.progress
+    return {
+      firstEventMilliseconds: firstEventAt === undefined ? undefined : firstEventAt - this.request.cameAt,
+      loadStallMilliseconds: this.stall,
+      longestGapMilliseconds: longestGap
+    }
+  }
+}
