Keep a stream on its silent engine until another one can take it

What callers saw: answers that ended with time left. An engine that had said nothing for 1.5 s was abandoned, which ends its run; only then was another one looked for. Where none held the adapter, or the repeats were used up, the caller got a cut answer, or 502 before the first event.

Cause: the way back was given up before there was a way on. The class: something that may still succeed is ended by a wait of our own before its replacement is certain.

Now silence only starts a search. The stream stays where it is; it moves when an engine is found and a repeat is allowed, and the old run is ended just before the next is sent. An event ends the search. Before the first event of a stream whose engine answers others, only engines that hold the adapter are asked: a load would take a slot from requests that have none. An engine that says nothing to anybody counts as failed, as before.

--- a/packages/decisions/src/loads/wait-bound.ts
+++ b/packages/decisions/src/loads/wait-bound.ts
@@ -26,8 +26,13 @@
   readonly gap: number
 }
 
+/** @returns milliseconds without an event after which the caller of a stream leaves, also before the first event */
+export function callerPatience ({ objective, gap }: Pick<CallerExpectations, 'objective' | 'gap'>): number {
+  return Math.max(LEAST_PATIENCE_MILLISECONDS, OBJECTIVES_OF_PATIENCE * objective, GAPS_OF_PATIENCE * gap)
+}
+
 /** @returns milliseconds after which a request that found no engine is refused; an answer may still be on time until then */
 export function longestWait ({ time, objective, gap }: CallerExpectations): number {
-  const patience = Math.max(LEAST_PATIENCE_MILLISECONDS, OBJECTIVES_OF_PATIENCE * objective, GAPS_OF_PATIENCE * gap)
+  const patience = callerPatience({ objective, gap })
   return Math.min(time, Math.max(objective, Math.min(time * SHARE_OF_TIME, patience * SHARE_OF_PATIENCE)))
 }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -34,7 +34,7 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly metrics: IngressMetrics
-  private readonly silence: EndpointSilence
+  private readonly silences: EndpointSilence
   private readonly connections = new Map<EndpointId, { readonly address: string, readonly pool: EndpointConnections }>()
 
   constructor (codec: RequestCodec, ejection: OutlierEjection, clock: Clock, logger: Logger, metrics: IngressMetrics) {
@@ -43,7 +43,7 @@
     this.clock = clock
     this.logger = logger
     this.metrics = metrics
-    this.silence = new EndpointSilence(clock)
+    this.silences = new EndpointSilence(clock)
   }
 
   /** @returns requests that this instance has on the endpoint */
@@ -51,12 +51,17 @@
     return this.connections.get(endpoint)?.pool.inUse ?? 0
   }
 
+  /** @returns milliseconds since any answer of the endpoint was heard here; Infinity if none was */
+  silence (endpoint: EndpointId): number {
+    return this.clock.now() - (this.silences.heardAt(endpoint) ?? -Infinity)
+  }
+
   /** Sends a request to an endpoint. */
   send (request: RoutedRequest, order: SendOrder, sink: AttemptSink): Sending {
     const pool = this.pool(order.endpoint)
     const connection = pool.take(this.clock.now())
     const attempt = new Attempt(connection, this.codec)
-    const heard = this.silence.watch(order.endpoint.id)
+    const heard = this.silences.watch(order.endpoint.id)
     const onSignal = (): void => attempt.abandon(request.exchange.left.aborted ? 'the caller left' : 'its time is over')
     const millisecondsLeft = request.endsAt - this.clock.now()
     const added = this.codec.write({
@@ -111,7 +116,7 @@
   forget (endpoint: EndpointId): void {
     this.connections.get(endpoint)?.pool.close()
     this.connections.delete(endpoint)
-    this.silence.forget(endpoint)
+    this.silences.forget(endpoint)
   }
 
   /** Closes connections that were idle for a while. */
--- a/packages/ingress/src/relay/endpoint-silence.ts
+++ b/packages/ingress/src/relay/endpoint-silence.ts
@@ -5,7 +5,7 @@
 /** When endpoints were last heard. */
 export class EndpointSilence {
   private readonly clock: Clock
-  private readonly heardAt = new Map<EndpointId, number>()
+  private readonly lastHeard = new Map<EndpointId, number>()
 
   /** @param clock - monotonic time */
   constructor (clock: Clock) {
@@ -14,12 +14,17 @@
 
   /** Begins with a try on the endpoint. */
   watch (endpoint: EndpointId): HeardTry {
-    return new HeardTry(this.clock, (now) => { this.heardAt.set(endpoint, now) }, () => this.heardAt.get(endpoint))
+    return new HeardTry(this.clock, (now) => { this.lastHeard.set(endpoint, now) }, () => this.lastHeard.get(endpoint))
+  }
+
+  /** @returns monotonic time at which the endpoint was last heard; undefined if never */
+  heardAt (endpoint: EndpointId): number | undefined {
+    return this.lastHeard.get(endpoint)
   }
 
   /** The endpoint is gone. */
   forget (endpoint: EndpointId): void {
-    this.heardAt.delete(endpoint)
+    this.lastHeard.delete(endpoint)
   }
 }
 
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -3,26 +3,35 @@
 import { LimpetwinchError } from '@limpetwinch/core'
 import { longestWait } from '@limpetwinch/decisions'
 import type { FoundEngine } from '../adapters/adapter-seeker.js'
+import { FailoverSearch } from './failover-search.js'
 import { TryRecord } from './final-errors.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { StreamRelayParts } from './stream-relay.js'
 import { StreamTry } from './stream-try.js'
-import type { StreamProgress, StreamTryResult } from './stream-try.js'
+import type { QuietWatch, StreamProgress, StreamTryResult } from './stream-try.js'
 
 /** Tries that prove that nothing ran still cost their time; after so many the engines are taken to be full. */
 const MOST_SENDS = 4
 /** Callers give a stream up that stands still for some seconds. */
 const LONGEST_PAUSE_MILLISECONDS = 1_500
-/** An engine that says nothing for so long is taken to be silent, however much it has in hand. */
+/** Another engine is looked for when one has said nothing for so long. */
 const LEAST_PATIENCE_MILLISECONDS = 1_500
 /** Forecasts are off by this factor under load at most times. */
 const PATIENCE_FORECASTS = 3
 const MISDIRECTED = 421
+/** Why an engine was left that said nothing. */
+const REPLACED = 'the engine fell silent and another one goes on'
 
 /** What follows on a try. */
 type Verdict = 'whole' | 'pass-on' | 'try-again' | 'give-up'
 
+/** A try, and the engine that was found while it was under way. */
+interface TryOutcome {
+  readonly result: StreamTryResult
+  readonly replacement: FoundEngine | undefined
+}
+
 /** Relays one stream. */
 export class RelayedStream {
   private readonly parts: StreamRelayParts
@@ -43,13 +52,15 @@
 
   /** Serves it to its end. @returns how it ended, for the log */
   async run (): Promise<RelayOutcome> {
-    for (let engine = await this.nextEngine(); engine !== undefined; engine = await this.nextEngine()) {
-      const result = await this.tryOn(engine)
+    let engine = await this.nextEngine()
+    while (engine !== undefined) {
+      const { result, replacement }: TryOutcome = await this.tryOn(engine)
       if (this.request.exchange.left.aborted) break
       const verdict = this.judge(engine, result)
       if (verdict === 'whole') return this.answered()
       if (verdict === 'pass-on' && result.kind === 'other-answer') return this.passOn(result)
       if (verdict === 'give-up') break
+      engine = this.request.signal.aborted ? undefined : replacement ?? await this.nextEngine()
     }
     return this.giveUp()
   }
@@ -64,19 +75,32 @@
     return this.sends === 0 || this.mayRepeat() ? engine : undefined
   }
 
-  private async seek (): Promise<FoundEngine | undefined> {
-    const { service, facts, route, cameAt, signal } = this.request
+  private async seek (until = this.searchEnd(), signal = this.request.signal): Promise<FoundEngine | undefined> {
+    const { service, facts, route, cameAt } = this.request
     return await this.parts.seeker.seek({
       service,
       facts,
       gapMilliseconds: route.gapMilliseconds,
       excluded: this.tried,
       onTimeUntil: cameAt + route.objectiveMilliseconds,
-      until: this.searchEnd(),
+      until,
       signal
     })
   }
 
+  /** Looks for an engine to replace one that says nothing, while the stream stays there. */
+  private async seekReplacement (silent: FoundEngine, ending: AbortSignal): Promise<FoundEngine | undefined> {
+    const { clock, senders } = this.parts
+    // An engine that answers others has this stream in its queue: a load elsewhere would take a slot from requests that have none.
+    const isLost = senders.silence(silent.endpoint.id) >= LEAST_PATIENCE_MILLISECONDS
+    if (isLost) senders.observe(silent.endpoint.id, 'failed', 'it says nothing to anybody')
+    const waits = this.progress.firstEventAt === undefined && !isLost
+    const engine = await this.seek(waits ? clock.now() : this.searchEnd(), AbortSignal.any([ending, this.request.signal]))
+    if (engine === undefined || ending.aborted || !this.mayRepeat()) return undefined
+    this.stall += engine.stallMilliseconds
+    return engine
+  }
+
   private searchEnd (): number {
     const { cameAt, endsAt, route } = this.request
     // A stream that has begun is worth going on with for as long as its caller bears the pause.
@@ -98,7 +122,7 @@
     return route.resumable && runs < route.mostAttempts
   }
 
-  private async tryOn (engine: FoundEngine): Promise<StreamTryResult> {
+  private async tryOn (engine: FoundEngine): Promise<TryOutcome> {
     const { request, progress } = this
     const { clock, board, senders, forecast, speeds, prefixes, expectedVersion } = this.parts
     const { facts, service } = request
@@ -108,8 +132,8 @@
       prefillTokens: uncachedTokens, memoryTokens: facts.promptTokens + facts.outputTokens, adapter: facts.adapter?.key
     })
     const sentAt = clock.now()
-    const patience = this.mayRunAgain(this.runs + 1) ? Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_FORECASTS * forecastMilliseconds) : undefined
-    const stream = new StreamTry(request.exchange, progress, patience, clock, () => {
+    const failover = new FailoverSearch(async (ending) => await this.seekReplacement(engine, ending), () => stream.giveUp(REPLACED))
+    const stream = new StreamTry(request.exchange, progress, this.quietWatch(failover, forecastMilliseconds), clock, () => {
       ticket.prefilled()
       forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.remember(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
@@ -126,7 +150,14 @@
     const result = await stream.run((sink) => senders.send(request, order, sink))
     ticket.ended()
     if (stream.spacing.milliseconds !== undefined) speeds.spacingSeen(endpoint.id, stream.spacing.milliseconds)
-    return result
+    return { result, replacement: await failover.end() }
+  }
+
+  /** @returns what to do while an engine says nothing; undefined where the stream may go nowhere else */
+  private quietWatch (failover: FailoverSearch, forecastMilliseconds: number): QuietWatch | undefined {
+    if (!this.mayRunAgain(this.runs + 1) || this.sends + 1 >= MOST_SENDS) return undefined
+    const firstMilliseconds = Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_FORECASTS * forecastMilliseconds)
+    return { firstMilliseconds, onQuiet: () => failover.start(), onHeard: () => failover.stop() }
   }
 
   /** Learns what a try says of its engine and of the request, and decides what follows. */
--- a/packages/ingress/src/relay/stream-try.ts
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -6,7 +6,7 @@
 import type { Sending } from './endpoint-senders.js'
 import { EventSplitter } from './event-splitter.js'
 
-/** Engines make an event every few milliseconds; a stream that stands still for so long has lost its engine. */
+/** Engines make an event every few milliseconds; a stream that stands still for so long may have lost its engine. */
 const GAP_MILLISECONDS = 1_500
 /** An answer that is no stream is a short message. */
 const MOST_OTHER_BYTES = 1_048_576
@@ -31,11 +31,21 @@
   | { readonly kind: 'not-sent', readonly reason: string }
   | { readonly kind: 'broken', readonly reason: string }
 
+/** Watches for an engine that says nothing. Silence alone ends no try: the run may be paused and go on. */
+export interface QuietWatch {
+  /** How long the first event may take before the engine counts as quiet, milliseconds. */
+  readonly firstMilliseconds: number
+  /** Called again and again while the engine is quiet. */
+  readonly onQuiet: () => void
+  /** Called with each event. */
+  readonly onHeard: () => void
+}
+
 /** One try. */
 export class StreamTry {
   private readonly exchange: CallerExchange
   private readonly progress: StreamProgress
-  private readonly patience: number | undefined
+  private readonly quietWatch: QuietWatch | undefined
   private readonly clock: Clock
   private readonly onFirstEvent: () => void
   /** How far apart its events came. */
@@ -48,19 +58,20 @@
   private watchdog: NodeJS.Timeout | undefined
   private watchdogMilliseconds = 0
   private hasEvents = false
+  private ended = false
   private fault: string | undefined
 
   /**
    * @param exchange - the caller
    * @param progress - carried on from earlier tries
-   * @param patience - how long to wait for the first event before the engine is given up, milliseconds; undefined: to the end
+   * @param quietWatch - told while the engine says nothing; undefined where nothing would follow on it
    * @param clock - for the time of the first event
    * @param onFirstEvent - called once
    */
-  constructor (exchange: CallerExchange, progress: StreamProgress, patience: number | undefined, clock: Clock, onFirstEvent: () => void) {
+  constructor (exchange: CallerExchange, progress: StreamProgress, quietWatch: QuietWatch | undefined, clock: Clock, onFirstEvent: () => void) {
     this.exchange = exchange
     this.progress = progress
-    this.patience = patience
+    this.quietWatch = quietWatch
     this.clock = clock
     this.onFirstEvent = onFirstEvent
   }
@@ -71,8 +82,9 @@
    */
   async run (send: (sink: AttemptSink) => Sending): Promise<StreamTryResult> {
     this.sending = send({ head: (head) => { this.head = head }, data: (chunk) => this.take(chunk) })
-    if (this.patience !== undefined) this.watch(this.patience)
+    this.watch(this.quietWatch?.firstMilliseconds)
     const end = await this.sending.ended
+    this.ended = true
     clearTimeout(this.watchdog)
     if (end.kind === 'not-sent') return { kind: 'not-sent', reason: end.reason }
     if (this.fault !== undefined) return { kind: 'broken', reason: this.fault }
@@ -104,6 +116,7 @@
     const events = this.splitter.take(chunk)
     if (this.splitter.isOverfull) return this.giveUp('an event without an end')
     if (events.length === 0) return
+    this.quietWatch?.onHeard()
     this.noteGap()
     if (!this.hasEvents) this.firstEvent()
     let takesMore = true
@@ -114,7 +127,7 @@
       if (event.id !== undefined) this.progress.lastEventId = event.id
     }
     if (!takesMore) this.waitForCaller()
-    else if (this.patience !== undefined) this.watch(GAP_MILLISECONDS)
+    else this.watch(GAP_MILLISECONDS)
   }
 
   private noteGap (): void {
@@ -149,21 +162,27 @@
     this.sending?.attempt.pause()
     void this.exchange.drained().then(() => {
       this.sending?.attempt.resume()
-      if (this.patience !== undefined) this.watch(GAP_MILLISECONDS)
+      this.watch(GAP_MILLISECONDS)
     })
   }
 
-  private watch (milliseconds: number): void {
+  private watch (milliseconds: number | undefined): void {
+    const { quietWatch } = this
+    if (quietWatch === undefined || milliseconds === undefined || this.ended) return
     if (this.watchdog !== undefined && this.watchdogMilliseconds === milliseconds) {
       this.watchdog.refresh()
       return
     }
     clearTimeout(this.watchdog)
     this.watchdogMilliseconds = milliseconds
-    this.watchdog = setTimeout(() => this.giveUp('the engine fell silent'), milliseconds)
+    this.watchdog = setTimeout(() => {
+      quietWatch.onQuiet()
+      this.watchdog?.refresh()
+    }, milliseconds)
   }
 
-  private giveUp (reason: string): void {
+  /** Ends the try. @param reason - for the log and the caller */
+  giveUp (reason: string): void {
     this.fault = reason
     this.sending?.attempt.abandon(reason)
   }
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -194,6 +194,31 @@
     expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
   }, 10_000)
 
+  // Guards against 502 with most of the time left: an engine with a full batch was given up before its first event.
+  it('whose engine takes seconds to its first event is answered where no other engine can take it', async () => {
+    const slow: RawAnswer = (socket, request) => { setTimeout(() => { if (socket.writable) stream([1, 2], endStream)(socket, request) }, LONG_PAUSE_MILLISECONDS) }
+    const { ask } = await bound({ routes: [PATIENT], endpoints: [{ id: 'a', raw: await raw(slow), adapters: held }, { id: 'b', raw: await raw(silence), adapters: [] }] })
+    const seen = await ask('/', { 'x-adapter': 'poem' })
+    expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1', '2'], whole: true })
+  }, 10_000)
+
+  // Guards against an answer cut with time left: the repeat that it was given up for was not allowed.
+  it('whose engine pauses is answered whole when the repeats of its service are used up', async () => {
+    const pauses = stream([1], (socket) => { setTimeout(() => { if (socket.writable) { socket.write(chunk('id: 2\ndata: part 2\n\n')); endStream(socket) } }, LONG_PAUSE_MILLISECONDS) })
+    const [one, two] = [await raw(pauses), await raw(stream([1, 2], endStream))]
+    const { ask } = await bound({ routes: [PATIENT], repeats: 0, endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const seen = await ask('/', { 'x-adapter': 'poem' })
+    expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2'], whole: true })
+  }, 10_000)
+
+  // Guards against a run that goes on at two engines: the one that fell silent is left before another one is asked.
+  it('whose engine falls silent goes on at another holder, and the silent one is left', async () => {
+    const [one, two] = [await raw(stream([1, 2], silence)), await raw(stream([3], endStream))]
+    const { ask } = await bound({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const seen = await ask('/', { 'x-adapter': 'poem' })
+    expect({ ids: ids(seen.body), whole: seen.whole, left: one.connections }).toEqual({ ids: ['1', '2', '3'], whole: true, left: 0 })
+  }, 10_000)
+
   // Guards against an answer cut with time left: the adapter came to another engine after the search for one had ended.
   it('that broke goes on elsewhere for as long as its caller bears the pause', async () => {
     const breaks = stream([1, 2], (socket) => { setTimeout(() => socket.resetAndDestroy(), 30) })
