Look for another engine for as long as the caller waits

What callers saw: an answer cut 1.5 s after its engine broke off, with seconds left of its time, and 502 at once where the engine failed before the first event.

Cause: the search for a second engine ended by a constant of ours once the stream had begun, and before that by the bound after which a request that never ran is refused. Neither has to do with how long the caller waits.

Where something may have run, a refusal as not run is not to be had, so the caller has this answer or none: the search lasts until the caller leaves (its patience after the last event) or the request ends. Requests that certainly never ran are refused as early as before.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -1,7 +1,7 @@
 /** One event stream on its way to its caller: tried on engines until it is whole, and on from its last event where it may be resumed. */
 import type { EndpointId } from '@limpetwinch/core'
 import { LimpetwinchError } from '@limpetwinch/core'
-import { longestWait } from '@limpetwinch/decisions'
+import { callerPatience, longestWait } from '@limpetwinch/decisions'
 import type { FoundEngine } from '../adapters/adapter-seeker.js'
 import { FailoverSearch } from './failover-search.js'
 import { TryRecord } from './final-errors.js'
@@ -13,8 +13,6 @@
 
 /** Tries that prove that nothing ran still cost their time; after so many the engines are taken to be full. */
 const MOST_SENDS = 4
-/** Callers give a stream up that stands still for some seconds. */
-const LONGEST_PAUSE_MILLISECONDS = 1_500
 /** Another engine is looked for when one has said nothing for so long. */
 const LEAST_PATIENCE_MILLISECONDS = 1_500
 /** Forecasts are off by this factor under load at most times. */
@@ -95,7 +93,7 @@
     const isLost = senders.silence(silent.endpoint.id) >= LEAST_PATIENCE_MILLISECONDS
     if (isLost) senders.observe(silent.endpoint.id, 'failed', 'it says nothing to anybody')
     const waits = this.progress.firstEventAt === undefined && !isLost
-    const engine = await this.seek(waits ? clock.now() : this.searchEnd(), AbortSignal.any([ending, this.request.signal]))
+    const engine = await this.seek(waits ? clock.now() : this.callerLeavesAt(), AbortSignal.any([ending, this.request.signal]))
     if (engine === undefined || ending.aborted || !this.mayRepeat()) return undefined
     this.stall += engine.stallMilliseconds
     return engine
@@ -103,11 +101,18 @@
 
   private searchEnd (): number {
     const { cameAt, endsAt, route } = this.request
-    // A stream that has begun is worth going on with for as long as its caller bears the pause.
-    if (this.progress.firstEventAt !== undefined) return Math.min(endsAt, this.parts.clock.now() + LONGEST_PAUSE_MILLISECONDS)
+    // A refusal lets a caller come back, but only where nothing has run; any other caller has this answer or none.
+    if (this.runs > 0 || this.progress.firstEventAt !== undefined) return this.callerLeavesAt()
     return cameAt + longestWait({ time: endsAt - cameAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
   }
 
+  /** @returns when the caller leaves, or the request ends, if no event comes until then */
+  private callerLeavesAt (): number {
+    const { cameAt, endsAt, route } = this.request
+    const patience = callerPatience({ objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
+    return Math.min(endsAt, (this.progress.lastEventAt ?? cameAt) + patience)
+  }
+
   private mayRepeat (): boolean {
     const { clock, logger, budgets } = this.parts
     const { service, facts } = this.request
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -211,6 +211,30 @@
     expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2'], whole: true })
   }, 10_000)
 
+  // Guards against 502 with most of the time left: the search for a second engine ended by the bound of a request that never ran.
+  it('whose engine failed before the first event goes on for as long as its caller waits', async () => {
+    const fails: RawAnswer = (socket) => { setTimeout(() => socket.resetAndDestroy(), 1_400) }
+    const [one, two] = [await raw(fails), await raw(stream([1], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
+    const asking = under.ask('/', { 'x-adapter': 'poem' })
+    setTimeout(() => {
+      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+    }, LONG_PAUSE_MILLISECONDS)
+    const seen = await asking
+    expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1'], whole: true })
+  }, 10_000)
+
+  // Guards against 502 with most of the time left: an engine that says nothing to anybody was left, and no load asked for elsewhere.
+  it('whose engine is lost before the first event goes on where its adapter is loaded meanwhile', async () => {
+    const [one, two] = [await raw(silence), await raw(stream([1], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
+    const asking = under.ask('/', { 'x-adapter': 'poem' })
+    await expect.poll(() => under.asked.map(({ endpoint }) => endpoint), { timeout: 4_000 }).toContain('b')
+    under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+    const seen = await asking
+    expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1'], whole: true })
+  }, 10_000)
+
   // Guards against a run that goes on at two engines: the one that fell silent is left before another one is asked.
   it('whose engine falls silent goes on at another holder, and the silent one is left', async () => {
     const [one, two] = [await raw(stream([1, 2], silence)), await raw(stream([3], endStream))]
