Leave a slow plain endpoint only for another one

Where the repeats were used up, or there was no other endpoint, its caller got 502 while the answer was being made, with most of its time left.

The next endpoint and its repeat are taken first; without them the request stays. A safe request still reaches no more endpoints than its route allows, and a repeat is still counted before it is sent.

--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -37,6 +37,19 @@
   readonly end: AttemptEnd
   readonly head: AnswerHead | undefined
   readonly body: Buffer
+  /** Where it is tried next, when it was given up for that. */
+  readonly replacement: Endpoint | undefined
+}
+
+/** How one try is made. */
+interface TryPlan {
+  readonly endpoint: Endpoint
+  /** Endpoints that it was sent to before. */
+  readonly earlierTries: number
+  /** When to look for another endpoint, milliseconds; undefined for never. */
+  readonly patience: number | undefined
+  /** @returns another endpoint that may be sent to */
+  readonly next: () => Endpoint | undefined
 }
 
 /** Relays one request at a time for each call of `relay`. */
@@ -49,21 +62,20 @@
 
   /** Serves the request to its end. @returns how it ended, for the log */
   async relay (request: RoutedRequest): Promise<RelayOutcome> {
-    const { clock, logger, router, budgets, random } = this.parts
-    const { route, service, exchange, signal } = request
+    const { route, exchange, signal } = request
     const tried = new Set<EndpointId>()
     const record = new TryRecord()
+    const next = (): Endpoint | undefined => this.nextEndpoint(request, tried)
     let runs = 0
     let kept: TryResult | undefined
+    let replacement: Endpoint | undefined
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
-      const endpoint = router.choose(service.name, tried, random, clock.now())
+      const endpoint = replacement ?? next()
       if (endpoint === undefined) break
-      if (sends > 0 && !budgets.repeat(service.name, clock.now())) {
-        logger.debug('A repeat is beyond the budget.', { request: request.facts.requestId, service: service.name, tries: sends })
-        break
-      }
       tried.add(endpoint.id)
-      const result = await this.tryOn(endpoint, request, sends, runs)
+      const patience = sends + 1 < MOST_SENDS ? this.patience(request, runs) : undefined
+      const result = await this.tryOn(request, { endpoint, earlierTries: sends, patience, next })
+      replacement = result.replacement
       if (exchange.left.aborted) break
       const verdict = this.judge(result, endpoint, record)
       if (verdict === 'deliver' || (verdict === 'server-error' && route.kind !== 'safe')) return deliver(request, result, sends + 1)
@@ -79,14 +91,25 @@
     return { outcome: 'refused', error, tries: tried.size }
   }
 
-  private async tryOn (endpoint: Endpoint, request: RoutedRequest, sends: number, runs: number): Promise<TryResult> {
+  /** @returns an endpoint that may be sent to; the repeat is counted then */
+  private nextEndpoint (request: RoutedRequest, tried: ReadonlySet<EndpointId>): Endpoint | undefined {
+    const { clock, logger, router, budgets, random } = this.parts
+    const { service, facts } = request
+    const endpoint = router.choose(service.name, tried, random, clock.now())
+    if (endpoint === undefined || tried.size === 0 || budgets.repeat(service.name, clock.now())) return endpoint
+    logger.debug('A repeat is beyond the budget.', { request: facts.requestId, service: service.name, tries: tried.size })
+    return undefined
+  }
+
+  private async tryOn (request: RoutedRequest, { endpoint, earlierTries, patience, next }: TryPlan): Promise<TryResult> {
     const { clock, board, senders } = this.parts
     const ticket = board.begin(endpoint.id, { prefillTokens: 0, memoryTokens: 0, adapter: undefined })
     const chunks: Buffer[] = []
     let bytes = 0
     let head: AnswerHead | undefined
+    let replacement: Endpoint | undefined
     const inHand = board.inHand(endpoint.id, clock.now()).requests
-    const sending = senders.send(request, { endpoint, lastEventId: undefined, adapterVersion: undefined, earlierTries: sends, grounds: { inHand } }, {
+    const sending = senders.send(request, { endpoint, lastEventId: undefined, adapterVersion: undefined, earlierTries, grounds: { inHand } }, {
       head: (answer) => { head = answer },
       data: (chunk) => {
         bytes += chunk.length
@@ -94,12 +117,16 @@
         chunks.push(chunk)
       }
     })
-    const patience = this.patience(request, runs)
-    const timer = patience === undefined ? undefined : setTimeout(() => sending.attempt.abandon('no answer within the objective'), patience)
+    const goElsewhere = (): void => {
+      // Without another endpoint this one's late answer is the only one that its caller can get.
+      replacement = next()
+      if (replacement !== undefined) sending.attempt.abandon('no answer within the objective')
+    }
+    const timer = patience === undefined ? undefined : setTimeout(goElsewhere, patience)
     const end = await sending.ended
     clearTimeout(timer)
     ticket.ended()
-    return { end, head, body: Buffer.concat(chunks) }
+    return { end, head, body: Buffer.concat(chunks), replacement }
   }
 
   /** @returns how long to wait before trying elsewhere, milliseconds; undefined to wait to the end */
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -85,6 +85,22 @@
     expect((await ask('/')).status).toBe(502)
   })
 
+  // Guards against 502 for a request whose endpoint was at work: it was given up for a repeat that was not allowed.
+  it('that is safe and slow is answered by its endpoint when repeats are used up', async () => {
+    const slow: RawAnswer = (socket, request) => { setTimeout(() => framed(200, 'late')(socket, request), 500) }
+    const { ask } = await bound({ routes: [SAFE], repeats: 0, endpoints: [{ id: 'a', raw: await raw(slow) }, { id: 'b', raw: await raw(framed(200, 'again')) }] })
+    const seen = await ask('/')
+    expect({ status: seen.status, body: seen.body }).toEqual({ status: 200, body: 'late' })
+  })
+
+  // Guards against 502 for a request whose endpoint was at work: it was given up although there was no other one.
+  it('that is safe and slow is answered by its endpoint when there is no other', async () => {
+    const slow: RawAnswer = (socket, request) => { setTimeout(() => framed(200, 'late')(socket, request), 500) }
+    const { ask } = await bound({ routes: [SAFE], endpoints: [{ id: 'a', raw: await raw(slow) }] })
+    const seen = await ask('/')
+    expect({ status: seen.status, body: seen.body }).toEqual({ status: 200, body: 'late' })
+  })
+
   it('gets the endpoint\'s own error unchanged when it may not be repeated', async () => {
     const { ask } = await bound({ routes: [UNSAFE], endpoints: [{ id: 'a', raw: await raw(framed(500, 'its words')) }] })
     expect(await ask('/')).toMatchObject({ status: 500, body: 'its words', headers: { 'x-server-signature': 's' } })
