Count a whole stream as an answer of its engine

What callers saw: 503 while an engine that holds their adapter is there and answers.

Cause: streams told of an engine's failures and never of its answers. Failures hours apart counted as failures in a row, two of them ejected the engine, and since a record is dropped only with an answer, each later ejection was twice as long as the one before, up to ten seconds. Plain services tell of both.

Evidence: an engine that fails and answers by turns was refused to its sixth caller (503) in the test, which passes now. Found by reading, after asking what the silence of an engine had counted for.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -167,7 +167,10 @@
 
   /** Learns what a try says of its engine and of the request, and decides what follows. */
   private judge (engine: FoundEngine, result: StreamTryResult): Verdict {
-    if (result.kind === 'whole') return 'whole'
+    if (result.kind === 'whole') {
+      this.parts.senders.observe(engine.endpoint.id, 'answered')
+      return 'whole'
+    }
     const mayHaveRun = result.kind === 'broken' || (result.kind === 'other-answer' && !result.head.facts.notRun)
     if (result.kind === 'other-answer') this.learnFromAnswer(engine, result)
     else this.learnFromFailure(engine, result)
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -251,6 +251,16 @@
     expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1'], whole: true })
   }, 10_000)
 
+  // Guards against refusals with an engine at hand: failures far apart counted as failures in a row, since no answer was counted between.
+  it('is sent to an engine that answers between its failures', async () => {
+    const whole = stream([1], endStream)
+    const one = await raw(RESETS, whole, RESETS, whole, RESETS, whole)
+    const { ask } = await bound({ routes: [ONCE], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: await raw(silence), adapters: [] }] })
+    const statuses: number[] = []
+    for (let count = 0; count < 6; count++) statuses.push((await ask('/', { 'x-adapter': 'poem' })).status)
+    expect(statuses).toEqual([502, 200, 502, 200, 502, 200])
+  })
+
   // Guards against a run that goes on at two engines: the one that fell silent is left before another one is asked.
   it('whose engine falls silent goes on at another holder, and the silent one is left', async () => {
     const [one, two] = [await raw(stream([1, 2], silence)), await raw(stream([3], endStream))]
