The report names adapters that are asked for again and again and never served

By routes and reasons an adapter that no request ever gets is a few refusals among hundreds, so the report could not show it. It now counts adapters asked for and served, and names those with four requests or more over eight seconds or more of which none was served: which engines were asked to load them, what ended their requests, and how many there would be if each request had the same chance.

The last line of a request bears its adapter as well; lines of earlier releases are read by the adapter of the request's other lines. An error of an endpoint that was passed on is told by its status, where the report said that the caller had left.

--- a/packages/cli/src/report/report-text.ts
+++ b/packages/cli/src/report/report-text.ts
@@ -1,5 +1,6 @@
 /** A run's report as tables for people. */
 import { table } from '../show/table.js'
+import type { AdapterReport, Count } from './adapter-tally.js'
 import type { LoadReport } from './load-tally.js'
 import type { Endings, RunReport } from './run-report.js'
 import type { Spread } from './spread.js'
@@ -15,6 +16,7 @@
       route.route, ...endingCells(route.endings), spreadText(route.firstEvent), spreadText(route.loadStall), spreadText(route.longestGap), spreadText(route.whole)
     ])),
     table(['LOST', 'REASON', 'COUNT', 'AFTER'], report.losses.slice(0, MOST_ROWS).map(({ ending, reason, after }) => [ending, reason, String(after.count), spreadText(after)])),
+    adaptersText(report.adapters),
     loadsText(report.loads),
     table(['SECOND', ...ENDING_HEADERS, 'LOADS ASKED', 'ORDERED'], report.bySecond.map(({ second, endings, loadsAsked, loadsOrdered }) => [
       String(second), ...endingCells(endings), String(loadsAsked), String(loadsOrdered)
@@ -29,6 +31,19 @@
   return [answered, refused, cut, left].map(String)
 }
 
+function adaptersText ({ asked, served, askedAgain, neverServed, neverServedByChance, worst }: AdapterReport): string {
+  return [
+    `${asked} adapters asked for, ${served} served; ${askedAgain} asked for again and again, ${neverServed} of them never served (by chance ${neverServedByChance.toFixed(1)})`,
+    table(['NEVER SERVED', 'REQUESTS', 'OVER', 'ASKED OF', 'ENDED BY'], worst.slice(0, MOST_ROWS).map(({ adapter, requests, spanMilliseconds, engines, ends }) => [
+      adapter, String(requests), `${spanMilliseconds} ms`, countsText(engines), countsText(ends)
+    ]))
+  ].join('\n\n')
+}
+
+function countsText (counts: readonly Count[]): string {
+  return counts.length === 0 ? '-' : counts.map(({ name, count }) => `${name} (${count})`).join(', ')
+}
+
 function loadsText (loads: LoadReport): string {
   return [
     `${loads.ordered} loads for ${loads.asked} askings, ${loads.orderedForEachStream.toFixed(2)} for each stream answered; ${loads.backSoon} came back within 3 s`,
--- a/packages/cli/src/report/run-report.ts
+++ b/packages/cli/src/report/run-report.ts
@@ -1,5 +1,9 @@
 /** Where the time of requests went and what became of them, from the log lines of any number of instances. */
 import type { LogLine } from '../logs/log-line.js'
+import { AdapterTally } from './adapter-tally.js'
+import type { AdapterReport } from './adapter-tally.js'
+import { endingOf, reasonOf } from './endings.js'
+import type { Ending } from './endings.js'
 import { LoadTally } from './load-tally.js'
 import type { LoadReport } from './load-tally.js'
 import { SpreadOf } from './spread.js'
@@ -7,16 +11,6 @@
 
 const SECOND_MILLISECONDS = 1_000
 
-/** How a request ended, as its instance says. */
-export type Ending = 'answered' | 'refused' | 'cut' | 'left'
-
-const ENDINGS: ReadonlyMap<string, Ending> = new Map([
-  ['A request was answered.', 'answered'],
-  ['A request was refused.', 'refused'],
-  ['An answer was cut.', 'cut'],
-  ['A caller left before its answer was whole.', 'left']
-])
-
 /** Requests by how they ended. */
 export type Endings = Readonly<Record<Ending, number>>
 
@@ -58,6 +52,7 @@
   readonly routes: readonly RouteReport[]
   /** The most frequent one first. */
   readonly losses: readonly LossReport[]
+  readonly adapters: AdapterReport
   readonly loads: LoadReport
   readonly bySecond: readonly SecondReport[]
 }
@@ -80,6 +75,7 @@
 export class RunReporter {
   private readonly routes = new Map<string, RouteTally>()
   private readonly losses = new Map<string, LossTally>()
+  private readonly adapters = new AdapterTally()
   private readonly loads = new LoadTally()
   private readonly endingsBySecond = new Map<number, Record<Ending, number>>()
   private lines = 0
@@ -92,7 +88,8 @@
     this.firstAt = Math.min(this.firstAt, line.at)
     this.lastAt = Math.max(this.lastAt, line.at)
     this.loads.take(line)
-    const ending = ENDINGS.get(line.message)
+    this.adapters.take(line)
+    const ending = endingOf(line)
     if (ending !== undefined) this.ended(ending, line)
   }
 
@@ -106,19 +103,21 @@
       seconds,
       routes: [...this.routes].map(([route, tally]) => routeReport(route, tally)).sort((one, other) => one.route.localeCompare(other.route)),
       losses: [...this.losses.values()].map(({ ending, reason, after }) => ({ ending, reason, after: after.spread() })).sort((one, other) => other.after.count - one.after.count),
+      adapters: this.adapters.report(),
       loads: this.loads.report(),
       bySecond: Array.from({ length: seconds }, (_, second) => this.secondReport(first + second, second))
     }
   }
 
-  private ended (ending: Ending, { at, fields }: LogLine): void {
+  private ended (ending: Ending, line: LogLine): void {
+    const { at, fields } = line
     const tally = this.routeTally(String(fields.route ?? 'no route'))
     tally.endings[ending] += 1
     const second = Math.floor(at / SECOND_MILLISECONDS)
     const endings = this.endingsBySecond.get(second) ?? noEndings()
     this.endingsBySecond.set(second, endings)
     endings[ending] += 1
-    if (ending !== 'answered') return this.lost(ending, fields)
+    if (ending !== 'answered') return this.lost(ending, line)
     this.loads.answered(typeof fields.firstEvent === 'number')
     tally.firstEvent.take(fields.firstEvent)
     tally.longestGap.take(fields.longestGap)
@@ -126,12 +125,12 @@
     if (Number(fields.loadStall ?? 0) > 0) tally.loadStall.take(fields.loadStall)
   }
 
-  private lost (ending: Ending, fields: LogLine['fields']): void {
-    const reason = String(fields.reason ?? fields.error ?? 'the caller left')
+  private lost (ending: Ending, line: LogLine): void {
+    const reason = reasonOf(line)
     const key = `${ending} ${reason}`
     const tally = this.losses.get(key) ?? { ending, reason, after: new SpreadOf() }
     this.losses.set(key, tally)
-    tally.after.take(fields.milliseconds)
+    tally.after.take(line.fields.milliseconds)
   }
 
   private routeTally (route: string): RouteTally {
--- a/packages/cli/test/report/run-report.test.ts
+++ b/packages/cli/test/report/run-report.test.ts
@@ -31,6 +31,17 @@
   '{"half a line'
 ]
 
+const asking = (second: number, request: string, adapter: string, endpoint: string): string =>
+  line(second, 'A load was asked for.', { request, endpoint, adapter: `base/${adapter}`, waiting: true })
+
+const refusal = (second: number, request: string): string =>
+  line(second, 'A request was refused.', { request, route: 'draft', status: 503, error: 'adapter_not_ready', reason: 'no engine took it', milliseconds: 900 })
+
+/** Each adapter is asked for by four requests, two seconds and more apart. */
+const again = (adapter: string, apart: number): string[] => [0, 1, 2, 3].flatMap((time) => [
+  asking(time * apart, `${adapter}-${time}`, adapter, time === 0 ? 'e2' : 'e1'), asking(time * apart + 0.3, `${adapter}-${time}`, adapter, 'e1'), refusal(time * apart + 0.9, `${adapter}-${time}`)
+])
+
 function reportOf (lines: readonly string[]): RunReport {
   const reporter = new RunReporter()
   for (const each of lines) {
@@ -55,6 +66,26 @@
     expect(reportOf([...LINES.slice(0, 12), line(9, 'An endpoint is gone.', { endpoint: 'e2' })]).loads.idleEngines).toEqual([{ endpoint: 'e1', milliseconds: 6_300 }])
   })
 
+  // Callers of some adapters are refused at each request while the others are served: by routes and reasons that is a few refusals
+  // more among many, so the report has to name the adapters.
+  it('names adapters that are asked for again and again and never served, with the engines asked and what ended their requests', () => {
+    const served = [asking(1, 'served', 'a7', 'e1'), line(1.4, 'A request was answered.', { request: 'served', adapter: 'base/a7', route: 'draft', status: 200, firstEvent: 300 })]
+    const { adapters } = reportOf([...again('a7', 3), ...served, ...again('a8', 3), ...again('a9', 2)])
+    expect(adapters).toMatchSnapshot()
+  })
+
+  it('counts a request for an adapter by its last line alone, and an error of the engine as not served', () => {
+    const failed = (second: number, request: string): string => line(second, 'A request was answered.', { request, adapter: 'base/a1', route: 'draft', status: 500 })
+    const { adapters } = reportOf([failed(0, 'r1'), failed(3, 'r2'), failed(6, 'r3'), failed(9, 'r4')])
+    expect(adapters.worst).toMatchObject([{ adapter: 'base/a1', requests: 4, ends: [{ name: 'answered: status 500', count: 4 }] }])
+  })
+
+  it('names no more than a bounded number of adapters, the one with most requests first, and counts all', () => {
+    const many = Array.from({ length: 150 }, (_, index) => again(`a${index}`, 3)).flat()
+    const { adapters } = reportOf([...many, asking(9.5, 'one-more', 'a149', 'e1')])
+    expect([adapters.neverServed, adapters.worst.length, adapters.worst[0]?.adapter]).toEqual([150, 100, 'base/a149'])
+  })
+
   it('is a text for people', () => {
     expect(reportText(reportOf(LINES))).toMatchSnapshot()
   })
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -189,6 +189,7 @@
     logger.info(SENTENCES[outcome.outcome], {
       request: facts.requestId,
       route: route.name,
+      adapter: facts.adapter?.key,
       status: outcome.error?.status ?? outcome.status,
       error: outcome.error?.code,
       reason: outcome.error?.details.reason,
