The store's limit never stays below what the store was seen to hand out

Cause: each instance learns by itself how many loads the store bears, from how long loads take by the news of them, and holds the loads of all against it. With a first guess of 250 ms for a load and news that is late by some tens of milliseconds, every load seems slowed; the limit is halved at each look and grows by a load or two a second. The others do not believe it and keep 30 to 85 on their way, so this instance never finds room, while its engines look idle and draw requests.

Instances without loads priced a load at 900 to 1,800 ms where the others mostly had 710 to 800, as only a limit far below what is on its way makes it. With free slots one loaded only what its engine caches. Ruled out: engines that take no order (they took unloads and cached loads), no holder, full slots, announced versions.

Fix: what comes within the time of one load is on its way at any time, so the store bears it; news that is late is news all the same. The limit is at least that, with the margin that slowed loads have too. A store that is full hands out no more than its room, so the margin above it stays what it was.

An instance that hears late all the time is not helped by this alone.

--- a/packages/ingress/src/adapters/weight-store-pace.ts
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -5,7 +5,11 @@
  * time each load takes the same; beyond it all take longer in proportion. With fewer in flight the store idles while
  * requests wait; with more, the loads that end the longest waits are slowed down by those behind them. Neither number nor
  * time is said anywhere, so both are learnt, from all loads of all instances.
+ *
+ * How long a load took is the weaker sign: it is as late as the news of it. How many loads come is the stronger one, since late news
+ * is news all the same. So the limit never stays below what was seen to come within the time of one load.
  */
+import { StoreFlow } from './store-flow.js'
 
 /**
  * In flight for each engine, before anything is learnt: what one engine takes. Stores take a fraction of a load to some loads for
@@ -77,6 +81,7 @@
   private learnt: number | undefined
   private loadMilliseconds = FIRST_LOAD_MILLISECONDS
   private changedAt = -Infinity
+  private readonly flow = new StoreFlow()
   private idleLoads = 0
   private recent: RecentLoad[] = []
 
@@ -97,21 +102,29 @@
 
   /** Learns from a load. */
   completed (load: CompletedLoad): void {
-    const { exactLimit: limit } = this
+    const { exactLimit: before } = this
+    this.flow.take(load.now, RECENT_SHARE * this.loadMilliseconds)
     // At the least limit nothing more can be held back; a store that is slow for one load would else seem full for ever.
-    const idle = Math.max(LEAST_LIMIT, Math.min(limit * IDLE_SHARE, this.engines() * IDLE_FOR_ENGINE))
+    const idle = Math.max(LEAST_LIMIT, Math.min(before * IDLE_SHARE, this.engines() * IDLE_FOR_ENGINE))
     if (load.mostInFlightBeside < idle) this.learnTime(load.milliseconds)
     const quick = this.quickOfRecent(load)
     // All loads of one moment meet the same store; changed once for each of them, the limit would swing.
     if (load.now - this.changedAt < this.loadMilliseconds) return
-    const { slowness, mostInFlightBeside } = quick
+    const limit = Math.max(this.limitBy(load, quick, idle), this.flow.within(this.loadMilliseconds) * ABOVE_ROOM)
+    if (limit !== before) this.change(limit, load.now)
+  }
+
+  /** @returns the limit as the times of loads have it */
+  private limitBy (load: CompletedLoad, { slowness, mostInFlightBeside }: RecentLoad, idle: number): number {
+    const { exactLimit: limit } = this
     if (slowness > CONGESTED_SHARE && mostInFlightBeside >= idle) {
-      if (this.recent.length < LEAST_RECENT_LOADS) return
+      if (this.recent.length < LEAST_RECENT_LOADS) return limit
       const room = (mostInFlightBeside + 1) / slowness * ABOVE_ROOM
-      return this.change(Math.min(limit, Math.max(limit * LEAST_SHARE_LEFT, room)), load.now)
+      return Math.min(limit, Math.max(limit * LEAST_SHARE_LEFT, room))
     }
     // Raised only where the limit held something back; else it would grow through any quiet hour.
-    if (slowness <= CONGESTED_SHARE && load.mostInFlightBeside + 1 >= Math.floor(limit)) this.change(limit + INCREASE + INCREASE_SHARE * limit, load.now)
+    const heldBack = slowness <= CONGESTED_SHARE && load.mostInFlightBeside + 1 >= Math.floor(limit)
+    return heldBack ? limit + INCREASE + INCREASE_SHARE * limit : limit
   }
 
   /** @returns the load that a quarter of the recent ones were not slower than */
--- a/packages/ingress/test/weight-store-pace.test.ts
+++ b/packages/ingress/test/weight-store-pace.test.ts
@@ -109,11 +109,23 @@
 
   // Engines carry some orders out seconds late while a crowd waits. Each such load, taken for the sign of a full store, would
   // cut the limit to the least, and callers would be refused although the store hands out a third of what it can.
-  it.each([[8, 13], [16, 6], [32, 55]])('goes on at full pace while one order in four is carried out late, from a store that takes %i loads for %i engines', (capacity, engines) => {
+  it.each([[8, 13], [16, 6], [32, 55], [24, 55], [32, 50], [32, 60]])('goes on at full pace while one order in four is carried out late, from a store that takes %i loads for %i engines', (capacity, engines) => {
     const { usedShare } = crowd({ capacity, milliseconds: 250, engines, instances: 8, seconds: 20, lateOneIn: 4 })
     expect(usedShare).toBeGreaterThan(0.8)
   })
 
+  // An instance that lacks processor time for a while hears of all loads late and takes the store for full. Its callers wait for loads that
+  // it holds back, also long after that, since its limit grows by a load or two in a second.
+  it('bears what the store hands out again as soon as the news comes in time', () => {
+    const pace = new WeightStorePace(() => 78)
+    const hear = (from: number, to: number, milliseconds: number): void => {
+      for (let now = from; now < to; now += 1_000 / 150) pace.completed({ milliseconds, mostInFlightBeside: 45, now })
+    }
+    hear(0, 4_000, 3_000)
+    hear(4_000, 5_000, 280)
+    expect(pace.limit).toBeGreaterThanOrEqual(150 * 0.25)
+  })
+
   it('does not grow while nothing is held back', () => {
     const pace = new WeightStorePace(() => 13)
     const before = pace.limit
