--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -204,9 +204,13 @@
 
   private passOn ({ head, body }: Extract<StreamTryResult, { kind: 'other-answer' }>): RelayOutcome {
     const { exchange } = this.request
-    if (exchange.started) exchange.cut()
-    else exchange.answer(head, body)
-    return { outcome: exchange.started ? 'cut' : 'answered', status: head.status, tries: this.sends }
+    const common = { status: head.status, tries: this.sends }
+    if (exchange.started) {
+      exchange.cut()
+      return { outcome: 'cut', ...common }
+    }
+    exchange.answer(head, body)
+    return { outcome: 'answered', ...common }
   }
 
   private giveUp (): RelayOutcome {
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -261,6 +261,14 @@
     expect(statuses).toEqual([502, 200, 502, 200, 502, 200])
   })
 
+  // Guards against a report of cut answers that were none: an engine's own error was passed on whole and logged as a cut.
+  it('whose engine answers with an error of its own is logged as answered with it', async () => {
+    const under = await ingress({ routes: [ONCE], endpoints: [{ id: 'a', raw: await raw(framed(500, 'its words')), adapters: held }] })
+    const seen = await under.ask('/', { 'x-adapter': 'poem' })
+    const last = under.lines.at(-1)
+    expect({ status: seen.status, body: seen.body, message: last?.message, logged: last?.fields.status }).toEqual({ status: 500, body: 'its words', message: 'A request was answered.', logged: 500 })
+  })
+
   // Guards against a run that goes on at two engines: the one that fell silent is left before another one is asked.
   it('whose engine falls silent goes on at another holder, and the silent one is left', async () => {
     const [one, two] = [await raw(stream([1, 2], silence)), await raw(stream([3], endStream))]
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -24,6 +24,8 @@
 import type { Endpoint, HeldAdapter, Route } from '../../src/routes/configuration.js'
 import { endpoint, engineShape, service } from './samples.js'
 import type { RawEndpoint } from './raw-endpoint.js'
+import { recordingLogger } from './recording-logger.js'
+import type { RecordedLine } from './recording-logger.js'
 import { TestCodec } from './test-codec.js'
 
 /** What a caller saw. */
@@ -46,6 +48,8 @@
 /** A running listener; the service of engines is called `engines`, that of plain endpoints `guide`. */
 export class IngressUnderTest {
   readonly asked: LoadAskFrame[] = []
+  /** What its listener and relays have logged. */
+  readonly lines: RecordedLine[] = []
   readonly configuration = new AcceptedConfiguration(silentLogger())
   readonly directory = new EndpointDirectory(silentLogger())
   readonly locations = new AdapterLocations()
@@ -55,7 +59,7 @@
 
   private constructor (behind: Behind) {
     const clock = new SystemClock()
-    const logger = silentLogger()
+    const logger = recordingLogger(this.lines)
     const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {} }))
     const board = new LoadBoard()
     const speeds = new EngineSpeeds()
