Each engine has its turn at the weight store, whatever its instance takes for the store's limit

Callers: an instance to which the news of loads always comes late takes the store for full. As long as the others keep more loads on their way than it would bear it orders none; its engines look idle, are asked, and refuse whatever they are asked for.

Cause: the limit is each instance's own, the loads held against it are those of all.

Fix: an engine may also load when two loads for each engine have come to all since its last one. At most every second load begins by turn, so that a store that is too full empties as its limit says.

Tests: a loader whose instance takes the store for full while twelve loads of others are on their way brought nothing in ten seconds; it brings both adapters now. Not run: the deployments themselves.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -11,6 +11,7 @@
 import type { LoaderSurroundings } from './loader-surroundings.js'
 import { OrderDesk } from './order-desk.js'
 import { mostCached, SlotLedger } from './slot-ledger.js'
+import { StoreTurn } from './store-turn.js'
 
 /** Adapters that may be on their way to one engine; the engine takes no more at once. */
 const MOST_IN_FLIGHT = 4
@@ -42,6 +43,7 @@
   private readonly desk: OrderDesk
   private readonly evictions: Evictions
   private readonly statements: LoaderStatements
+  private readonly storeTurn: StoreTurn
   private knownLength = 0
 
   constructor (endpoint: Endpoint, token: FencingToken, shape: EngineShape, around: LoaderSurroundings) {
@@ -50,6 +52,7 @@
     this.shape = shape
     this.around = around
     this.hidden = new HiddenAdapters(around.noticeMilliseconds)
+    this.storeTurn = new StoreTurn(around.storePace)
     const { line, hidden } = this
     this.ledger = new SlotLedger(shape.adapterSlots, mostCached(shape.adapterSlots))
     this.statements = new LoaderStatements(around.clock, (now) => ({
@@ -227,8 +230,7 @@
   }
 
   private hasStoreRoom (now: number): boolean {
-    const { locations, storePace } = this.around
-    return this.ledger.inFlight.size < MOST_IN_FLIGHT && locations.inFlight.count(now) < storePace.limit
+    return this.ledger.inFlight.size < MOST_IN_FLIGHT && this.storeTurn.mayBegin(this.around.locations.inFlight.count(now))
   }
 
   private async load (want: Want<AdapterKey>, signal: AbortSignal): Promise<boolean> {
@@ -237,6 +239,7 @@
     const answer = await this.desk.load(key, version, want, signal)
     const now = this.around.clock.now()
     if (answer === 'accepted') {
+      if (!this.ledger.cached.has(key)) this.storeTurn.began()
       this.ledger.ordered(key, version, now)
       this.line.met(key)
       this.linePace.loadBegan(this.line.length, now)
--- a/packages/ingress/src/adapters/weight-store-pace.ts
+++ b/packages/ingress/src/adapters/weight-store-pace.ts
@@ -82,6 +82,7 @@
   private loadMilliseconds = FIRST_LOAD_MILLISECONDS
   private changedAt = -Infinity
   private readonly flow = new StoreFlow()
+  private completedLoads = 0
   private idleLoads = 0
   private recent: RecentLoad[] = []
 
@@ -90,6 +91,16 @@
     this.engines = engines
   }
 
+  /** Engines that load from the store. */
+  get engineCount (): number {
+    return this.engines()
+  }
+
+  /** Loads from the store that were seen to be complete, on all engines. */
+  get handedOut (): number {
+    return this.completedLoads
+  }
+
   /** Loads that may be on their way to all engines at once. */
   get limit (): number {
     return Math.floor(this.exactLimit)
@@ -103,6 +114,7 @@
   /** Learns from a load. */
   completed (load: CompletedLoad): void {
     const { exactLimit: before } = this
+    this.completedLoads += 1
     this.flow.take(load.now, RECENT_SHARE * this.loadMilliseconds)
     // At the least limit nothing more can be held back; a store that is slow for one load would else seem full for ever.
     const idle = Math.max(LEAST_LIMIT, Math.min(before * IDLE_SHARE, this.engines() * IDLE_FOR_ENGINE))
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -21,6 +21,11 @@
 /** Peers hear of an eviction within this. */
 const NOTICE_MILLISECONDS = 30
 
+const ENGINES = 13
+/** Other engines have so many loads on their way at any time; each takes so long. */
+const OTHER_LOADS = 12
+const OTHER_LOAD_MILLISECONDS = 400
+
 interface Run {
   readonly engine: SimulatedEngine
   readonly loader: EndpointLoader
@@ -47,7 +52,7 @@
 /** More runs by hand. */
 const CROWD_RUNS = Number(process.env['CROWD_RUNS'] ?? 8)
 
-function start (engine: SimulatedEngine, newest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2): Run {
+function start (engine: SimulatedEngine, newest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2, storePace = new WeightStorePace(() => ENGINES)): Run {
   const clock = new SystemClock()
   const locations = new AdapterLocations()
   const board = new LoadBoard()
@@ -60,7 +65,7 @@
     board,
     policy: new StallEvictionPolicy(),
     pace: new ModelLoadPace(clock, () => 1),
-    storePace: new WeightStorePace(() => 13),
+    storePace,
     holder: 'me',
     newestVersion: (name) => newest.get(name) ?? 0,
     isModelNeeded: () => true,
@@ -78,6 +83,26 @@
   return { engine, loader, locations, board, stop: async () => { ending.abort(); await running } }
 }
 
+/** @returns the pace of an instance that was short of processor time: all loads that it heard of seemed three times as long as they were */
+function paceOfOneThatHearsLate (): WeightStorePace {
+  const storePace = new WeightStorePace(() => ENGINES)
+  for (let now = -60_000; now < 0; now += 100) storePace.completed({ milliseconds: 3 * OTHER_LOAD_MILLISECONDS, mostInFlightBeside: 30, now })
+  return storePace
+}
+
+/** Other engines load one adapter after the other until the signal ends it, and this instance hears of it. */
+async function loadElsewhere ({ locations }: Run, signal: AbortSignal): Promise<void> {
+  await Promise.all(Array.from({ length: OTHER_LOADS }, async (_, index) => {
+    const told = { kind: 'adapters-held' as const, endpoint: endpoint(`other-${index}`).id, born: 100, token: 1 as FencingToken }
+    const now = (): number => performance.now()
+    for (let load = 0; !signal.aborted; load += 1) {
+      locations.takeNotice(SPEAKER, { ...told, sequence: 2 * load, held: [], inFlight: [key(`other-${load}`)] }, now())
+      await sleep(OTHER_LOAD_MILLISECONDS)
+      locations.takeNotice(SPEAKER, { ...told, sequence: 2 * load + 1, held: [[key(`other-${load}`), 0]], inFlight: [] }, now())
+    }
+  }))
+}
+
 async function until (condition: () => boolean, milliseconds = 5_000): Promise<boolean> {
   const end = performance.now() + milliseconds
   while (performance.now() < end) {
@@ -181,6 +206,21 @@
 
   // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
   // for the time in which peers hear of it, the tenth adapter would come after ten such times.
+  // An instance that hears late takes the weight store for full. The others do not, so there are always more loads on their way than it
+  // would bear; it ordered none for as long as the others went on, and whoever was sent to its idle engines was refused.
+  it('go on where this instance takes the store for full and all others do not', async () => {
+    const storePace = paceOfOneThatHearsLate()
+    const run = start(new SimulatedEngine({ slots: 2 }), new Map(), 2, storePace)
+    run.locations.inFlight.onCompleted((load) => storePace.completed({ ...load, milliseconds: 3 * load.milliseconds }))
+    const ending = new AbortController()
+    const elsewhere = loadElsewhere(run, ending.signal)
+    const brought = [await wanted(run, 'x'), await wanted(run, 'y')]
+    const { limit } = storePace
+    ending.abort()
+    await Promise.all([elsewhere, run.stop()])
+    expect({ brought, wouldBearMore: limit > OTHER_LOADS }).toEqual({ brought: [true, true], wouldBearMore: false })
+  }, 15_000)
+
   it('make room for several loads at the same time', async () => {
     const engine = new SimulatedEngine({ slots: 4 })
     const run = start(engine, new Map(), 4)
--- a/packages/ingress/test/weight-store-pace.test.ts
+++ b/packages/ingress/test/weight-store-pace.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { StoreTurn } from '../src/adapters/store-turn.js'
 import { WeightStorePace } from '../src/adapters/weight-store-pace.js'
 
 /** What a run against a store came to. */
@@ -8,6 +9,8 @@
   readonly usedShare: number
   /** Mean time of a load over the last half, as a multiple of that from an idle store. */
   readonly slowness: number
+  /** Loads for each engine of the first instance over the last half, as a share of the mean of all engines. */
+  readonly shareOfFirst: number
 }
 
 const STEP = 5
@@ -23,6 +26,15 @@
   readonly seconds: number
   /** Of so many orders one is carried out late; none where it is not given. */
   readonly lateOneIn?: number
+  /** To the first instance each load seems so many times as long as it was; as it was where it is not given. */
+  readonly firstHears?: number
+}
+
+interface CrowdEngine {
+  readonly instance: number
+  readonly turn: StoreTurn
+  /** Loads that began over the last half. */
+  begun: number
 }
 
 /** An order that its engine carries out so much later. */
@@ -42,12 +54,23 @@
   return loads.filter(({ orderedAt, startsAt }) => startsAt === orderedAt || now - orderedAt < FORGOTTEN_MILLISECONDS).length
 }
 
+/** @returns engines, spread over the instances that order their loads */
+function crowdEngines (engines: number, paces: readonly WeightStorePace[]): CrowdEngine[] {
+  const spread = Array.from({ length: Math.ceil(engines / paces.length) }, () => [...paces.entries()]).flat().slice(0, engines)
+  return spread.map(([instance, pace]) => ({ instance, turn: new StoreTurn(pace), begun: 0 }))
+}
+
+function meanBegun (loaders: readonly CrowdEngine[]): number {
+  return loaders.reduce((sum, { begun }) => sum + begun, 0) / loaders.length
+}
+
 /**
  * A crowd for whom loads never run out, against a store that takes `capacity` loads at full speed and slows all beyond
  * it in proportion. Instances order loads in turn, and each hears of the loads of all.
  */
-function crowd ({ capacity, milliseconds, engines, instances, seconds, lateOneIn = Infinity }: Crowd): Outcome {
+function crowd ({ capacity, milliseconds, engines, instances, seconds, lateOneIn = Infinity, firstHears = 1 }: Crowd): Outcome {
   const paces = Array.from({ length: instances }, () => new WeightStorePace(() => engines))
+  const loaders = crowdEngines(engines, paces)
   let inFlight: CrowdLoad[] = []
   let handedOut = 0
   let ordered = 0
@@ -61,15 +84,23 @@
     const done = inFlight.filter((load) => load.left <= 0 && (now - load.orderedAt) % CONFIRM < STEP)
     inFlight = inFlight.filter((load) => !done.includes(load))
     for (const { orderedAt, most } of done) {
-      for (const pace of paces) pace.completed({ milliseconds: now - orderedAt, mostInFlightBeside: most, now })
+      for (const [index, pace] of paces.entries()) {
+        pace.completed({ milliseconds: (now - orderedAt) * (index === 0 ? firstHears : 1), mostInFlightBeside: most, now })
+      }
       if (now < seconds * 500) continue
       handedOut += 1
       sum += now - orderedAt
     }
-    for (const [index, pace] of paces.entries()) {
+    for (const index of paces.keys()) {
       // Each instance has work now and then, so that the limit of none decides for all.
       if ((now / STEP) % instances !== index) continue
-      for (let free = pace.limit - countOf(inFlight, now); free > 0; free -= 1) {
+      for (;;) {
+        const next = loaders.find(({ instance, turn }) => instance === index && turn.mayBegin(countOf(inFlight, now)))
+        if (next === undefined) break
+        // Those that have just loaded come last.
+        loaders.push(...loaders.splice(loaders.indexOf(next), 1))
+        next.turn.began()
+        if (now >= seconds * 500) next.begun += 1
         ordered += 1
         const startsAt = ordered % lateOneIn === 0 ? now + LATE_MILLISECONDS : now
         inFlight.push({ orderedAt: now, startsAt, most: 0, left: milliseconds })
@@ -81,7 +112,8 @@
   return {
     limit: limits[Math.floor(limits.length / 2)] ?? 0,
     usedShare: handedOut / (capacity * (time / 2) / milliseconds),
-    slowness: sum / handedOut / milliseconds
+    slowness: sum / handedOut / milliseconds,
+    shareOfFirst: meanBegun(loaders.filter(({ instance }) => instance === 0)) / meanBegun(loaders)
   }
 }
 
@@ -126,6 +158,15 @@
     expect(pace.limit).toBeGreaterThanOrEqual(150 * 0.25)
   })
 
+  // An instance that always lacks processor time hears of all loads late, and they seem slow to it alone. Its engines are asked like
+  // all others; without loads they refuse whatever they are asked for. Its turns are worth half of what others load.
+  it.each([[1.6, 8, 13, 6], [1.6, 40, 13, 6], [3, 104, 78, 45], [10, 20, 63, 40]])('leaves an instance to which loads seem %d times as long its part of a store that takes %i loads for %i engines', (firstHears, capacity, engines, instances) => {
+    const { shareOfFirst, usedShare, slowness } = crowd({ capacity, milliseconds: 288, engines, instances, seconds: 30, firstHears })
+    expect(shareOfFirst).toBeGreaterThan(0.4)
+    expect(usedShare).toBeGreaterThan(0.85)
+    expect(slowness).toBeLessThan(1.6)
+  })
+
   it('does not grow while nothing is held back', () => {
     const pace = new WeightStorePace(() => 13)
     const before = pace.limit
