A caller that reads slowly is no longer taken for a silent engine

What callers see: nothing new in the answer. Before, a caller that took nothing for longer than the silence limit cost its engine a closed connection and a resumed one, at an engine that ends a run with its connection the run itself.

Cause: the watch on silence measured from the last event to now, also while the event waited for the caller to take it and nothing was read from the engine at all.

Evidence: "does not take a slow caller for a silent engine" on the code before: expected { generate: 1, resume: 1, cancel: 0 } to deeply equal { generate: 1, resume: 0, cancel: 0 }

Why it works: the watch stands still from the moment an event came until the next read.

Ruled out: a longer limit, since a caller may pause for any time within its deadline.

--- a/packages/entry/src/delivery/engine-answer.ts
+++ b/packages/entry/src/delivery/engine-answer.ts
@@ -79,9 +79,11 @@
       : this.client.generate(this.request, silence.signal)
     try {
       for await (const result of source) {
-        silence.heard()
+        // While the caller does not take what came, nothing is read, which says nothing of the engine.
+        silence.pause()
         const step = yield * this.take(result)
         if (step !== undefined) return step
+        silence.listen()
       }
     } finally {
       silence.stop()
@@ -125,12 +127,12 @@
 class SilenceWatch {
   private readonly link: LinkedAbort
   private readonly timer: NodeJS.Timeout
-  private lastHeard = performance.now()
+  private listeningSince = performance.now()
 
   constructor (parent: AbortSignal, milliseconds: number) {
     this.link = new LinkedAbort(parent)
     this.timer = setInterval(() => {
-      if (performance.now() - this.lastHeard > milliseconds) this.link.abort()
+      if (performance.now() - this.listeningSince > milliseconds) this.link.abort()
     }, milliseconds / 4)
   }
 
@@ -138,8 +140,14 @@
     return this.link.signal
   }
 
-  heard (): void {
-    this.lastHeard = performance.now()
+  /** Something came, and nothing is read until it has been taken. */
+  pause (): void {
+    this.listeningSince = Infinity
+  }
+
+  /** Reads again. */
+  listen (): void {
+    this.listeningSince = performance.now()
   }
 
   stop (): void {
--- a/packages/entry/test/delivery/engine-answer.test.ts
+++ b/packages/entry/test/delivery/engine-answer.test.ts
@@ -88,6 +88,19 @@
     expect(runsOf(engine)).toBe(1)
   })
 
+  // The caller, which reads slowly, sees the whole answer; the engine sees one connection.
+  // Guards against taking the time in which the caller does not read for silence of the engine.
+  it('does not take a slow caller for a silent engine', async () => {
+    const { engine, client } = await startEngine({})
+    let text = ''
+    for await (const event of answerOf(client).events(new AbortController().signal)) {
+      if (event.kind === 'text' && text === '') await new Promise((resolve) => setTimeout(resolve, 1_000))
+      if (event.kind === 'text') text += event.texts.join('')
+    }
+    expect(text).toBe(whole)
+    expect(engine.calls).toEqual({ generate: 1, resume: 0, cancel: 0 })
+  })
+
   // The caller is told that its request may have run.
   // The engine restarts cold in the middle of the answer and knows the request no more; it did run, in part.
   it('tells of a restarted engine as unknown, never as not run', async () => {
