A stalled run is kept until its caller's deadline, or until another engine has admitted its request

What callers see: an answer whose engine, or the way to it, says nothing for a while goes on when it is heard again. Before, it ended with `unknown` after four silent connections (20 s), or within milliseconds when four connections broke in a row during a fault of the way, whatever time the request had; so did requests that may run only once and that nobody else may go on with.

Cause: the stream counted connections without progress and ended with an error at a fixed number. The delivery then abandoned the run, which cancels it at its engine, and only afterwards asked whether the request may run again, whether the retry budget pays, whether another engine is there and whether it admits. The first refusal ended the search.

Why it works: what the engine itself says (an error event, a refusal, wrong or missing parts) still ends the stream after the same number of resumes. Silence, broken connections and answers of something on the way prove nothing of the run, so the stream is taken up again, with growing pauses, until the deadline or the caller's leaving. After the same limit as before it is called stalled, the router is told, and a replacement is sought beside it: route, budget (paid once for an attempt), admission. The run is abandoned once the admission is held. When the run goes on first, the ask is withdrawn and its admission given back. Ids of attempts, the comparison of what was read, and the end of a run that nobody waits for are as before.

Ruled out: longer limits (any fixed time is wrong for some deadline); an ask in place of listening (the run may go on while the ask waits for a load); two runs side by side (a retry is to be paid for and takes a place from others).

--- a/packages/core/src/endpoints/engine-client.ts
+++ b/packages/core/src/endpoints/engine-client.ts
@@ -71,7 +71,8 @@
  * A model engine.
  *
  * Errors: `endpoint-refused`, `adapter-not-loaded` (outcome `not_run`), `endpoint-failed` (outcome `unknown`, or
- * `not_run` when no connection could be made), `stale-fencing-token`, `no-free-slot`, `load-failed`.
+ * `not_run` when no connection could be made), `stale-fencing-token`, `no-free-slot`, `load-failed`. The details of an
+ * `endpoint-failed` hold `heard: false` where the way failed and the engine itself said nothing: its run may go on.
  */
 export abstract class EngineClient {
   /** Starts a request; no attempt is ever repeated inside. An error is the last event. */
--- a/packages/core/src/endpoints/http-engine-client.ts
+++ b/packages/core/src/endpoints/http-engine-client.ts
@@ -8,6 +8,7 @@
 import { ERRORS } from '../errors/errors-data.js'
 import type { ErrorName } from '../errors/errors-data.js'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
+import type { ErrorOptions } from '../errors/limpetwinch-error.js'
 import { OversizeAnswer, readBoundedText } from '../http/bounded-text.js'
 import { formatAdapter } from '../ids/adapter-reference.js'
 import type { AdapterReference } from '../ids/adapter-reference.js'
@@ -134,9 +135,9 @@
           if (!event.ok || ended) return
         }
       }
-      yield { ok: false, error: this.failedAfterSend('the stream ended early') }
+      yield { ok: false, error: this.unheard('the stream ended early') }
     } catch (cause) {
-      yield { ok: false, error: this.failure(cause) }
+      yield { ok: false, error: isUnreadable(cause) ? this.failedAfterSend(reasonOf(cause), cause) : this.failure(cause) }
     } finally {
       // After a whole answer only the end of the body is to come; read to there, the connection serves the next
       // request, while a destroyed one would cost each request a new connection.
@@ -192,7 +193,7 @@
   /** An engine's own word that it did not run the request; any other status proves nothing. */
   private refusal (status: number, text: string, adapter: string | undefined): LimpetwinchError {
     const refused = refusalSchema.safeParse(safeJson(text))
-    if (!refused.success) return this.failedAfterSend(`status ${status}`)
+    if (!refused.success) return this.unheard(`status ${status}`)
     const { code, message } = refused.data.error
     const details = { endpoint: this.endpoint, adapter, reason: message, code }
     if (REFUSALS.has(code) && Object.hasOwn(ERRORS, code)) return new LimpetwinchError(code as ErrorName, details)
@@ -200,10 +201,14 @@
   }
 
   private failure (cause: unknown): LimpetwinchError {
-    const reason = cause instanceof Error ? cause.message : String(cause)
     // Only a connection that never came to be proves that the endpoint has seen nothing.
     const outcome = neverConnected(cause) ? 'not_run' : 'unknown'
-    return new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason }, { cause, outcome })
+    return this.unheard(reasonOf(cause), { cause, outcome })
+  }
+
+  /** The way to the engine failed, or something on the way answered: the engine itself has said nothing. */
+  private unheard (reason: string, options: ErrorOptions = {}): LimpetwinchError {
+    return new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason, heard: false }, options)
   }
 
   private failedAfterSend (reason: string, cause?: unknown): LimpetwinchError {
@@ -254,6 +259,15 @@
   return typeof text === 'string' && Number.isSafeInteger(position) && (position as number) >= 0
 }
 
+function reasonOf (cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause)
+}
+
+/** @returns whether an event came that cannot be read */
+function isUnreadable (cause: unknown): boolean {
+  return cause instanceof OversizeAnswer || (cause as { code?: unknown } | null)?.code === 'ERR_ENCODING_INVALID_ENCODED_DATA'
+}
+
 function ignore (): void {}
 
 function safeJson (text: string): unknown {
--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -13,6 +13,8 @@
 import { endAbandonedRun } from './abandoned-run.js'
 import { EngineAnswer } from './engine-answer.js'
 import type { StreamLimits } from './engine-answer.js'
+import { Replacement } from './replacement.js'
+import type { Admitted } from './replacement.js'
 
 const MOST_ATTEMPTS = 4
 const ASK_AGAIN_MILLISECONDS = 50
@@ -109,8 +111,10 @@
   }
 }
 
-/** What one attempt came to: the answer is whole, or an error which says whether it may have run. */
-type Attempt = { readonly whole: true, readonly end: DeliveryEvent } | { readonly whole: false, readonly error: LimpetwinchError }
+/** What one attempt came to: the answer is whole, or an error which says whether it may have run, and what takes its place. */
+type Attempt =
+  | { readonly whole: true, readonly end: DeliveryEvent }
+  | { readonly whole: false, readonly error: LimpetwinchError, readonly next?: Admitted | undefined }
 
 /** The state of one request over its attempts. */
 class DeliveryRun {
@@ -118,6 +122,8 @@
   private readonly delivered: string[] = []
   private readonly story: RequestStory
   private attempts = 0
+  /** Attempts beyond the first that the retry budget has paid for. */
+  private paidRetries = 0
   private mayHaveRun = false
 
   constructor (
@@ -132,15 +138,19 @@
 
   async * events (): AsyncGenerator<DeliveryEvent> {
     this.options.retryBudget.deposit(this.options.clock.now())
+    let next: Admitted | undefined
     for (;;) {
-      const admission = await this.admit()
+      const admission = next === undefined ? await this.admit() : ok(next)
       if (admission.isErr()) return yield this.final(admission.error)
       const { held, route } = admission.value
       yield { kind: 'admitted', endpoint: route.engine.endpoint, servedAs: held.loadedName, loadStall: held.grant.loadStall, queueWait: held.grant.queueWait }
       const attempt = yield * this.attempt(route, held)
       // Yielded last of all: a reader stops at the end, and nothing of an attempt that it cut short is run after it.
       if (attempt.whole) return yield attempt.end
-      if (!this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
+      next = attempt.next
+      if (next === undefined && !this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
+      this.attempts += 1
+      this.story.add('tries again', { attempt: this.attempts })
       this.avoid.add(route.engine.endpoint)
     }
   }
@@ -149,7 +159,7 @@
    * Routes and asks until admitted, refused for good, or out of time; asking runs nothing, so it may be repeated. An
    * endpoint whose owner does not answer is left out while others can be asked, and waited for when there is no other.
    */
-  private async admit (): Promise<Result<{ held: HeldAdmission, route: Route }, LimpetwinchError>> {
+  private async admit (): Promise<Result<Admitted, LimpetwinchError>> {
     const silent = new Set<EndpointId>()
     for (;;) {
       if (this.signal.aborted) return err(this.ended('not_run'))
@@ -161,7 +171,7 @@
         await this.options.clock.sleep(ASK_AGAIN_MILLISECONDS, this.signal)
         continue
       }
-      const held = await this.ask(route.value)
+      const held = await this.ask(route.value, this.attemptId(this.attempts), this.signal)
       if (held.isOk()) return ok({ held: held.value, route: route.value })
       this.story.add('not admitted', { endpoint: route.value.engine.endpoint, kind: held.error.kind })
       if (!isPassing(held.error)) return err(held.error)
@@ -177,20 +187,33 @@
     return true
   }
 
-  private async ask (route: Route): Promise<Result<HeldAdmission, LimpetwinchError>> {
+  private async ask (route: Route, requestId: RequestId, signal: AbortSignal): Promise<Result<HeldAdmission, LimpetwinchError>> {
     const { admissions, directory, clock } = this.options
     const { request } = this
     directory.sent(route.engine.endpoint, request.adapterName)
     this.story.add('asked for admission', { endpoint: route.engine.endpoint, owner: route.owner })
     return await admissions.ask(route, {
-      requestId: this.attemptId(),
+      requestId,
       adapter: request.adapter,
       team: request.adapter.team,
       priority: request.priority,
       promptTokens: request.promptTokens,
       maximumTokens: request.maximumTokens,
       patience: Math.max(0, request.deadlineAt - clock.now())
-    }, this.signal)
+    }, signal)
+  }
+
+  /** Asks for the next attempt's admission at another endpoint while the present attempt may still come to its end. */
+  private async askElsewhere (present: EndpointId, signal: AbortSignal): Promise<Admitted | undefined> {
+    if (!this.hasAttemptLeft() || !this.request.idempotent) return undefined
+    const avoid = new Set([...this.avoid, present])
+    const route = this.options.router.route({ ...this.question(), avoid }, this.settings)
+    if (route.isErr() || avoid.has(route.value.engine.endpoint) || !this.payForRetry()) return undefined
+    const held = await this.ask(route.value, this.attemptId(this.attempts + 1), signal)
+    if (held.isOk()) return { held: held.value, route: route.value }
+    this.story.add('not admitted', { endpoint: route.value.engine.endpoint, kind: held.error.kind })
+    if (isPassing(held.error)) this.followOwner(route.value, held.error)
+    return undefined
   }
 
   private async * attempt (route: Route, held: HeldAdmission): AsyncGenerator<DeliveryEvent, Attempt> {
@@ -201,7 +224,7 @@
       return { whole: false, error: new LimpetwinchError('endpoint-refused', { endpoint, reason: 'it is leaving' }) }
     }
     const client = clientOf(route.engine)
-    const requestId = this.attemptId()
+    const requestId = this.attemptId(this.attempts)
     const answer = new EngineAnswer(endpoint, client, {
       requestId,
       adapter: held.loadedName,
@@ -210,25 +233,33 @@
       priority: this.request.priority,
       seed: this.request.seed,
       ...(this.request.temperature === undefined ? {} : { temperature: this.request.temperature })
-    }, streamLimits)
+    }, streamLimits, clock)
     this.story.add('sent', { endpoint, loadedName: held.loadedName, attempt: this.attempts })
     prefixes.sent(endpoint, this.request.adapterName, this.request.prompt)
+    const stop = new LinkedAbort(this.signal)
+    const replacement = new Replacement(async (signal) => await this.askElsewhere(endpoint, signal), () => stop.abort(), this.signal)
     let ended = false
     try {
-      const attempt = yield * this.relay(answer, held)
+      const attempt = yield * this.relay(answer, held, stop.signal, replacement)
       ended = attempt.whole || attempt.error.outcome === 'not_run'
-      policy().observe(endpoint, attempt.whole ? 'answered' : 'failed', clock.now())
-      this.mayHaveRun ||= !attempt.whole && attempt.error.outcome === 'unknown'
-      return attempt
+      if (attempt.whole || !replacement.sought) policy().observe(endpoint, attempt.whole ? 'answered' : 'failed', clock.now())
+      if (attempt.whole) return attempt
+      this.mayHaveRun ||= attempt.error.outcome === 'unknown'
+      return { ...attempt, next: await replacement.take() }
     } finally {
+      stop.unlink()
+      void replacement.release()
       if (!ended) void this.abandon(client, held, requestId, answer.delivered)
     }
   }
 
-  private async * relay (answer: EngineAnswer, held: HeldAdmission): AsyncGenerator<DeliveryEvent, Attempt> {
+  private async * relay (answer: EngineAnswer, held: HeldAdmission, signal: AbortSignal, replacement: Replacement): AsyncGenerator<DeliveryEvent, Attempt> {
     let position = 0
-    for await (const event of answer.events(this.signal)) {
-      if (event.kind === 'text') {
+    for await (const event of answer.events(signal)) {
+      if (event.kind === 'stalled') {
+        this.stalled(held.endpoint, replacement)
+      } else if (event.kind === 'text') {
+        replacement.drop()
         for (const text of event.texts) {
           const known = this.delivered[position]
           if (known === undefined) {
@@ -254,6 +285,15 @@
     return { whole: false, error: this.ended('unknown') }
   }
 
+  /** The run may go on, so it is kept until another engine has admitted the request. */
+  private stalled (endpoint: EndpointId, replacement: Replacement): void {
+    const { policy, clock } = this.options
+    this.story.add('stalled', { endpoint })
+    // Told once and at once: the run may be kept for long, and new requests are better sent elsewhere meanwhile.
+    if (!replacement.sought) policy().observe(endpoint, 'failed', clock.now())
+    replacement.seek()
+  }
+
   /**
    * Ends a run that nobody waits for. It may go on where the engine cannot be reached, so its adapter stays pinned
    * until the engine has said that it ended or no run can last any longer.
@@ -266,12 +306,21 @@
   }
 
   private mayTryAgain (error: LimpetwinchError): boolean {
-    if (this.signal.aborted || this.attempts + 1 >= MOST_ATTEMPTS) return false
+    if (!this.hasAttemptLeft()) return false
     // A run that may have begun is never begun again for a request that may run only once.
     if (error.outcome === 'unknown' && !this.request.idempotent) return false
+    return this.payForRetry()
+  }
+
+  private hasAttemptLeft (): boolean {
+    return !this.signal.aborted && this.attempts + 1 < MOST_ATTEMPTS
+  }
+
+  /** Pays for the attempt after this one, once: an ask that was refused, or withdrawn, has not used it up. */
+  private payForRetry (): boolean {
+    if (this.paidRetries > this.attempts) return true
     if (!this.options.retryBudget.withdraw(this.options.clock.now())) return false
-    this.attempts += 1
-    this.story.add('tries again', { attempt: this.attempts })
+    this.paidRetries = this.attempts + 1
     return true
   }
 
@@ -289,8 +338,8 @@
   }
 
   /** Each attempt has an id of its own: an engine knows requests by id, and a late first attempt is not the second. */
-  private attemptId (): RequestId {
-    return (this.attempts === 0 ? this.request.requestId : `${this.request.requestId}~${this.attempts + 1}`) as RequestId
+  private attemptId (attempts: number): RequestId {
+    return (attempts === 0 ? this.request.requestId : `${this.request.requestId}~${attempts + 1}`) as RequestId
   }
 
   private question (): Omit<Parameters<Router['route']>[0], 'avoid'> {
--- a/packages/entry/src/delivery/engine-answer.ts
+++ b/packages/entry/src/delivery/engine-answer.ts
@@ -1,18 +1,26 @@
 /** One whole answer of one engine run: taken up again by position when a connection drops or goes silent. */
-import { LimpetwinchError } from '@limpetwinch/core'
-import type { EndpointId, EngineClient, GenerateRequest, GenerationEnd, GenerationEventResult } from '@limpetwinch/core'
+import { LimpetwinchError, SystemClock } from '@limpetwinch/core'
+import type { Clock, EndpointId, EngineClient, GenerateRequest, GenerationEnd, GenerationEventResult } from '@limpetwinch/core'
+import { Backoff } from '../concurrency/backoff.js'
 import { LinkedAbort } from '../runtime/linked-abort.js'
 import { AnswerAssembler } from './answer-assembler.js'
 
-/** How long a stream may say nothing, and how often it is taken up again without progress. */
+/** Milliseconds between connections that brought nothing. */
+const PAUSE = { first: 50, largest: 1_000 }
+
+/** When a stream is taken up again, and when another engine is looked for. */
 export interface StreamLimits {
+  /** A connection that says nothing for so long is left for a new one. */
   readonly silenceMilliseconds: number
+  /** A stream that was taken up again so often without progress has stalled. */
   readonly resumesWithoutProgress: number
 }
 
 /** What an engine's answer yields. */
 export type AnswerEvent =
   | { readonly kind: 'text', readonly texts: readonly string[] }
+  /** Nothing is heard of the engine. The run may go on, and is listened for until the signal ends it. */
+  | { readonly kind: 'stalled' }
   | { readonly kind: 'end', readonly end: GenerationEnd }
   | { readonly kind: 'error', readonly error: LimpetwinchError }
 
@@ -24,6 +32,7 @@
   private readonly client: EngineClient
   private readonly request: GenerateRequest
   private readonly limits: StreamLimits
+  private readonly clock: Clock
   private readonly assembler = new AnswerAssembler()
 
   /**
@@ -31,8 +40,10 @@
    * @param client - the engine
    * @param request - what to run
    * @param limits - when to give a connection up
+   * @param clock - time
    */
-  constructor (endpoint: EndpointId, client: EngineClient, request: GenerateRequest, limits: StreamLimits) {
+  constructor (endpoint: EndpointId, client: EngineClient, request: GenerateRequest, limits: StreamLimits, clock: Clock = new SystemClock()) {
+    this.clock = clock
     this.endpoint = endpoint
     this.client = client
     this.request = request
@@ -45,20 +56,22 @@
   }
 
   /**
+   * Takes the stream up again until the answer is whole, the engine itself has said that there is none, or the signal
+   * ends it: silence and broken connections say nothing of the run, which would be ended with this stream.
+   *
    * @param signal - gives the answer up
    * @returns texts in order, then an end or an error; an error with outcome `not_run` proves that nothing was run
    */
   async * events (signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+    const pause = new Backoff(PAUSE, Math.random)
     let lastError: LimpetwinchError | undefined
-    let withoutProgress = 0
     let started = false
-    while (!signal.aborted && withoutProgress <= this.limits.resumesWithoutProgress) {
+    let withoutProgress = 0
+    let failuresTold = 0
+    while (!signal.aborted && failuresTold <= this.limits.resumesWithoutProgress) {
       const before = this.assembler.next
       const step = yield * this.connection(started, signal)
-      if ('finished' in step) {
-        yield step.finished
-        return
-      }
+      if ('finished' in step) return yield step.finished
       lastError = step.broken
       if (!started && step.broken.outcome === 'not_run') break
       if (started && isUnknownRequest(step.broken)) {
@@ -66,7 +79,16 @@
         break
       }
       started = true
-      withoutProgress = this.assembler.next > before ? 0 : withoutProgress + 1
+      if (this.assembler.next > before) {
+        withoutProgress = 0
+        failuresTold = 0
+        pause.reset()
+        continue
+      }
+      withoutProgress += 1
+      if (step.broken.details.heard !== false) failuresTold += 1
+      else if (withoutProgress > this.limits.resumesWithoutProgress) yield { kind: 'stalled' }
+      await this.clock.sleep(pause.next(), signal)
     }
     yield { kind: 'error', error: lastError ?? new LimpetwinchError('request-ended-early') }
   }
@@ -88,7 +110,7 @@
     } finally {
       silence.stop()
     }
-    return { broken: new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason: 'the stream ended early' }) }
+    return { broken: new LimpetwinchError('endpoint-failed', { endpoint: this.endpoint, reason: 'the stream ended early', heard: false }) }
   }
 
   private async * take (result: GenerationEventResult): AsyncGenerator<AnswerEvent, StepResult | undefined> {
--- a/packages/entry/test/delivery/engine-answer.test.ts
+++ b/packages/entry/test/delivery/engine-answer.test.ts
@@ -5,6 +5,7 @@
 import type { EngineFaults } from '@limpetwinch/stand-ins'
 import { EngineAnswer } from '../../src/delivery/engine-answer.js'
 import type { AnswerEvent } from '../../src/delivery/engine-answer.js'
+import { Relay } from '../support/relay.js'
 
 const ADAPTER = 'history/essays@v1' as LoadedName
 const TOKENS = 40
@@ -88,6 +89,36 @@
     expect(runsOf(engine)).toBe(1)
   })
 
+  // The caller sees the whole answer, with a long pause: its deadline is far, and the run may not be begun elsewhere.
+  // Guards against a run that is given up after a number of silent connections while its engine works on it.
+  it('waits for a silent engine as long as its caller does', async () => {
+    const { engine, client } = await startEngine({})
+    const { text, last } = await collect(answerOf(client).events(new AbortController().signal), (tokens) => {
+      if (tokens === 10) engine.setFaults({ silenceConnections: true, silentConnections: 6 })
+    })
+    expect(text).toBe(whole)
+    expect(last?.kind).toBe('end')
+    expect(runsOf(engine)).toBe(1)
+  })
+
+  // The caller sees the whole answer, with a pause in the middle.
+  // Guards against resumes that are all spent within milliseconds while the way to a living engine is broken for a moment.
+  it('goes on when the way to the engine is broken for a moment', async () => {
+    const { engine } = await startEngine({})
+    const relay = new Relay(Number(new URL(engine.url).port), () => false)
+    const way = new HttpEngineClient('engine-1' as EndpointId, `http://${await relay.listen()}`)
+    clients.push(way)
+    let mended: Promise<unknown> = Promise.resolve()
+    const { text, last } = await collect(answerOf(way).events(new AbortController().signal), (tokens) => {
+      if (tokens === 10) mended = relay.breakFor(500)
+    })
+    await mended
+    await relay.close()
+    expect(text).toBe(whole)
+    expect(last?.kind).toBe('end')
+    expect(runsOf(engine)).toBe(1)
+  })
+
   // The caller, which reads slowly, sees the whole answer; the engine sees one connection.
   // Guards against taking the time in which the caller does not read for silence of the engine.
   it('does not take a slow caller for a silent engine', async () => {
--- a/packages/entry/test/support/relay.ts
+++ b/packages/entry/test/support/relay.ts
@@ -1,6 +1,7 @@
 /** TCP relays between instances, one for each dialler and target, that lose what a test tells them to. */
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 type Direction = 'to-target' | 'to-dialler'
 
@@ -32,6 +33,14 @@
     this.silentBefore = this.accepted + 1
   }
 
+  /** Breaks open connections and refuses new ones for so many milliseconds; resolves when it listens again. */
+  async breakFor (milliseconds: number): Promise<void> {
+    const { port } = this.server.address() as AddressInfo
+    await this.close()
+    await sleep(milliseconds)
+    await new Promise<void>((resolve) => { this.server.listen(port, '127.0.0.1', () => resolve()) })
+  }
+
   async close (): Promise<void> {
     for (const socket of this.sockets) socket.destroy()
     await new Promise<void>((resolve) => { this.server.close(() => resolve()) })
