A pin lasts as long as its request may, also when the longest request time is made shorter meanwhile

What callers see: an answer that was begun under a longer request time ends whole. Before, the owner dropped its pin within half a second of the change, its adapter could be evicted in use, and the engine ended the run.

Cause: the owner compared a pin's age with the longest request time of the settings in force now; the request lives by the deadline that it was given before.

Evidence: "keeps a pin until its request is over, whatever the settings say by then" on the code before: expected [] to deeply equal [ 'request-1' ]

Why it works: the ask carries the time that the caller still waits; a pin is over when it is older than that and than the time in force.

Ruled out: keeping the longest time ever in force (pins of lost instances would keep slots for longer than any request of theirs could last).

--- a/packages/entry/src/scheduling/endpoint-scheduler.ts
+++ b/packages/entry/src/scheduling/endpoint-scheduler.ts
@@ -173,7 +173,7 @@
    *
    * @param endedAt - when an instance was known to have ended, wall time in milliseconds; undefined while it may live
    * @param report - the engine's newest
-   * @param longestRequest - milliseconds
+   * @param longestRequest - by the settings in force, milliseconds; a request keeps the longer time that it came with
    */
   dropEnded (endedAt: (instance: InstanceId) => number | undefined, report: EngineReport, longestRequest: number): void {
     const now = this.options.clock.now()
@@ -181,7 +181,7 @@
     for (const [requestId, entry] of this.running) {
       const ended = endedAt(entry.ask.from)
       const told = ended !== undefined && report.queued === 0 && report.madeAt > ended + REPORT_MARGIN_MILLISECONDS
-      const over = now - entry.grantedAt > longestRequest
+      const over = now - entry.grantedAt > Math.max(longestRequest, entry.ask.patience)
       if (over || (told && !running.has(requestId))) this.done(requestId, 'failed', 0)
     }
   }
--- a/packages/entry/test/scheduling/owned-engine.test.ts
+++ b/packages/entry/test/scheduling/owned-engine.test.ts
@@ -53,6 +53,16 @@
     expect(engine.orders('unload')).toEqual([plainName('second')])
   })
 
+  // The caller's run goes on to its end although the longest request time is made shorter than its deadline meanwhile.
+  // Guards against a pin that ends by settings newer than its request: its adapter would be evicted in use.
+  it('keeps a pin until its request is over, whatever the settings say by then', async () => {
+    const engine = await start()
+    expect((await engine.ask('first', 30_000)).isOk()).toBe(true)
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    engine.scheduler.dropEnded(() => undefined, await engine.report(), 10)
+    expect([...engine.scheduler.running.keys()]).toEqual(['request-1'])
+  })
+
   // All callers of one adapter are admitted after one load.
   it('lets requests for one adapter share one load', async () => {
     const engine = await start()
