An owner keeps its pins when an engine's settings change

What callers see: an answer in progress ends whole when operators change an engine's row, such as its batch or slots, and new requests are not refused meanwhile. Before, the adapter could be unloaded in use: the engine ended the run and the caller was told `unknown` (502); others were told `no_endpoint` until the next report.

Cause: with any change of the row the owner dropped its scheduler and made a new one under the same token, without the pins of what it had granted. The recovery of earlier pins looks only at earlier tokens, and was long done. The new digest said that the engine was not healthy, since no report had come yet.

Evidence: "ends the request that it runs whole" on the code before: Endpoint 'engine-1' failed after the request was sent (adapter 'history/essays@v2' was unloaded while in use): expected 502 to be 200 in the engine's history: run-started, unload of its adapter 50 ms later, run-ended "lost" after 6 of 401 tokens with the pins kept and the health not: "none of 0 reachable engines serves base-1": expected 503 to be 200

Why it works: the new scheduler takes the granted requests and their slots over before it grants or evicts anything, so that the end of each is told to the one that holds its pin. Its loader begins when the earlier one's last order has ended, with the names that a late unload may still touch. The last report counts on while the engine is reached by the same client.

Ruled out: a recovery by asking all members (members answer only tokens that are raised, and it takes seconds); changing the present scheduler in place (a changed address, base model or way of fencing needs new ones all the same).

--- a/packages/entry/src/scheduling/endpoint-scheduler.ts
+++ b/packages/entry/src/scheduling/endpoint-scheduler.ts
@@ -154,6 +154,32 @@
     this.pump()
   }
 
+  /**
+   * Takes up what was granted under the same token and other settings: it runs on, and its adapters stay in use.
+   *
+   * @param earlier - the scheduler before, which grants nothing more
+   */
+  takeOverPins (earlier: EndpointScheduler): void {
+    for (const [requestId, running] of earlier.running) {
+      this.running.set(requestId, running)
+      if (running.loadedName === undefined) continue
+      const slot = this.slots.occupy(running.loadedName, 'unverified', this.isUsable(running.loadedName), this.options.clock.now())
+      slot.pins.add(requestId)
+    }
+  }
+
+  /**
+   * Takes up what is known of orders under the same token. Until then nothing may be ordered here.
+   *
+   * @param earlier - the scheduler before, whose orders have all ended
+   */
+  takeOverOrders (earlier: EndpointScheduler): void {
+    this.lastOrderAt = Math.max(this.lastOrderAt, earlier.lastOrderAt)
+    for (const name of earlier.adopted) this.adopted.add(name)
+    for (const name of earlier.unloadedLate) this.unloadedLate.add(name)
+    for (const slot of this.slots.all()) slot.usable = this.isUsable(slot.name)
+  }
+
   /** Takes up what the engine says is loaded. The report lags, so nothing is believed to be ready by it alone. */
   takeReport (report: EngineReport): void {
     const coldStart = this.engineRun !== undefined && this.engineRun !== report.engineRun
--- a/packages/entry/src/scheduling/owned-endpoints.ts
+++ b/packages/entry/src/scheduling/owned-endpoints.ts
@@ -110,14 +110,17 @@
     for (const { queue, scheduler } of this.owned.values()) queue.setReservedPlaces(this.reservedPlaces(scheduler.engine))
     const engines = new Map(this.options.directory.enginesIn(settings).map((engine) => [engine.endpoint, engine]))
     const records = new Map(this.options.ownership.owned().map((record) => [record.endpoint, record]))
-    for (const [endpoint, owned] of this.owned) {
+    const before = new Map(this.owned)
+    for (const [endpoint, owned] of before) {
       const record = records.get(endpoint)
       const same = record?.token === owned.scheduler.token && sameEngine(engines.get(endpoint), owned.scheduler.engine)
       if (!same && !owned.handingOver) this.drop(endpoint, record?.owner)
     }
     for (const [endpoint, record] of records) {
       const engine = engines.get(endpoint)
-      if (engine !== undefined && !this.owned.has(endpoint)) this.take(engine, record)
+      if (engine === undefined || this.owned.has(endpoint)) continue
+      const earlier = before.get(endpoint)
+      this.take(engine, record, earlier?.scheduler.token === record.token ? earlier : undefined)
     }
   }
 
@@ -163,8 +166,10 @@
     this.options.logger.info('An endpoint is owned here no more.', { endpoint, token: owned.scheduler.token, owner: newOwner })
   }
 
-  private take (engine: EngineSettings, record: OwnershipRecord): void {
+  /** @param earlier - the same ownership under other settings; all that it granted still runs */
+  private take (engine: EngineSettings, record: OwnershipRecord, earlier: OwnedEndpoint | undefined): void {
     const { clock, logger, ownership, clientOf, supervisor } = this.options
+    const client = clientOf(engine)
     const queue = new VirtualTimeFairQueue<WaitingRequest>({ ledger: this.service.ledger, reservedPlaces: this.reservedPlaces(engine) })
     const scheduler = new EndpointScheduler({
       engine,
@@ -185,16 +190,18 @@
     const owned: OwnedEndpoint = {
       scheduler,
       queue,
-      client: clientOf(engine),
+      client,
       digests: new DigestMaker(),
       controller: new AbortController(),
       loader: undefined,
       handingOver: false,
-      latestReport: undefined,
+      // Without it the others would hear that the engine is not healthy, and refuse requests, until the next report.
+      latestReport: earlier?.client === client ? earlier.latestReport : undefined,
       missedReports: 0
     }
     this.owned.set(engine.endpoint, owned)
-    owned.loader = this.startLoader(owned)
+    if (earlier !== undefined) scheduler.takeOverPins(earlier.scheduler)
+    owned.loader = this.startLoader(owned, earlier)
     void supervisor.start(`reports ${engine.endpoint}`, async (signal) => await this.followReports(owned, signal), owned.controller.signal)
     logger.info('An endpoint is owned here.', { endpoint: engine.endpoint, token: record.token, handedOverFrom: record.handedOverFrom })
   }
@@ -203,7 +210,7 @@
     return reservedPlacesFor(this.options.settings()?.policy.batchEfficiencyWeight ?? 0, engine.batchCapacity)
   }
 
-  private startLoader (owned: OwnedEndpoint): RunningLoader {
+  private startLoader (owned: OwnedEndpoint, earlier?: OwnedEndpoint): RunningLoader {
     const { ownership, loadTurns, directory, earlierPins, clock, logger, supervisor } = this.options
     const { scheduler } = owned
     const { endpoint } = scheduler.engine
@@ -222,7 +229,12 @@
       clock,
       logger
     })
-    const ended = supervisor.start(`loader ${endpoint}`, async (signal) => await loader.run(signal), owned.controller.signal)
+    const ended = supervisor.start(`loader ${endpoint}`, async (signal) => {
+      // An order of the earlier loader carries the same token; two at a time could unload what the other has confirmed.
+      await earlier?.loader?.ended
+      if (earlier !== undefined) scheduler.takeOverOrders(earlier.scheduler)
+      await loader.run(signal)
+    }, owned.controller.signal)
     return { loader, ended }
   }
 
--- a/packages/entry/test/support/running-entry.ts
+++ b/packages/entry/test/support/running-entry.ts
@@ -32,6 +32,8 @@
   readonly limits?: Partial<InstanceSettings['limits']>
   readonly teamLimits?: Record<string, number>
   readonly longestRequestSeconds?: number
+  /** Slots of the engine by the settings. */
+  readonly slots?: number
 }
 
 /** The whole path in one process. */
@@ -54,7 +56,7 @@
     await this.platform.listen()
     await Promise.all([this.engine.listen(), this.service.listen()])
     await this.put('/endpoints', {
-      engines: { 'engine-1': { url: this.engine.url, dataCentre: 'north', baseModel: 'base-1', slots: 4, batchCapacity: 16, fencing: 'refuses' } },
+      engines: { 'engine-1': { url: this.engine.url, dataCentre: 'north', baseModel: 'base-1', slots: this.options.slots ?? 4, batchCapacity: 16, fencing: 'refuses' } },
       services: { echo: { endpoints: { 'echo-1': { url: this.service.url, dataCentre: 'north' } } } }
     })
     await this.put('/policy', { loadsPerSecond: 100, longestRequestSeconds: this.options.longestRequestSeconds ?? 60 })
