A request whose run was lost is searched for until its deadline

What callers see: the answer of an idempotent request whose engine was restarted goes on as soon as another engine admits it and the retry budget pays for it. Before, the first refusal (queue full, load failed, no endpoint healthy) and a budget used up by others at the same moment cut the answer in its middle, whatever time was left.

Cause: the early word "not run, come back" that is right for a request of which nothing has run was also the end of one that had run in part, whose caller can only be told `unknown`.

Evidence, on the code before: "is begun again once another engine admits it, after refusals" and "waits until the retry budget pays for another": expected 'rivuje kureke subitu mofavo fotero' (5 and 6 of 40 words) to be the whole answer

Why it works: once a run of the request may have happened, a refusal and an empty budget are followed by a pause and another try, until the deadline or the caller's leaving. The budget bounds repeats as before; a later one is still one. Requests of which nothing has run are told as early as before; those that may run only once are never searched for.

Ruled out: a budget of its own for begun answers (an engine's end would then repeat all its requests at once).

--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -18,6 +18,8 @@
 
 const MOST_ATTEMPTS = 4
 const ASK_AGAIN_MILLISECONDS = 50
+/** Between asks of a request whose run was lost, after a refusal or while the retry budget is used up. */
+const SEARCH_AGAIN_MILLISECONDS = 250
 
 /** A request that has passed authentication and limits. */
 export interface DeliveryRequest {
@@ -148,7 +150,7 @@
       // Yielded last of all: a reader stops at the end, and nothing of an attempt that it cut short is run after it.
       if (attempt.whole) return yield attempt.end
       next = attempt.next
-      if (next === undefined && !this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
+      if (next === undefined && !await this.mayTryAgain(attempt.error)) return yield this.final(attempt.error)
       this.attempts += 1
       this.story.add('tries again', { attempt: this.attempts })
       this.avoid.add(route.engine.endpoint)
@@ -164,7 +166,10 @@
     for (;;) {
       if (this.signal.aborted) return err(this.ended('not_run'))
       const route = this.options.router.route({ ...this.question(), avoid: new Set([...this.avoid, ...silent]) }, this.settings)
-      if (route.isErr() && silent.size === 0) return err(route.error)
+      if (route.isErr() && silent.size === 0) {
+        if (!await this.searchOn()) return err(route.error)
+        continue
+      }
       if (route.isErr() || silent.has(route.value.engine.endpoint)) {
         // All that could serve it were asked. Without a pause this would keep the event loop from every timer and socket.
         silent.clear()
@@ -174,11 +179,26 @@
       const held = await this.ask(route.value, this.attemptId(this.attempts), this.signal)
       if (held.isOk()) return ok({ held: held.value, route: route.value })
       this.story.add('not admitted', { endpoint: route.value.engine.endpoint, kind: held.error.kind })
-      if (!isPassing(held.error)) return err(held.error)
+      if (!isPassing(held.error)) {
+        if (!await this.searchOn()) return err(held.error)
+        continue
+      }
       if (!this.followOwner(route.value, held.error)) silent.add(route.value.engine.endpoint)
     }
   }
 
+  /**
+   * Waits before a request is tried once more after a refusal.
+   *
+   * @returns false when nothing has run: its caller is better told so at once, and comes back; once a run was lost, all that
+   *   could be told is `unknown`, with a part of the answer read already
+   */
+  private async searchOn (): Promise<boolean> {
+    if (!this.mayHaveRun || this.signal.aborted) return false
+    await this.options.clock.sleep(SEARCH_AGAIN_MILLISECONDS, this.signal)
+    return true
+  }
+
   /** @returns whether the former owner named the next one, which can be asked at once */
   private followOwner (route: Route, error: LimpetwinchError): boolean {
     const { owner } = error.details
@@ -305,11 +325,14 @@
     held.done('failed', outputTokens)
   }
 
-  private mayTryAgain (error: LimpetwinchError): boolean {
-    if (!this.hasAttemptLeft()) return false
+  private async mayTryAgain (error: LimpetwinchError): Promise<boolean> {
     // A run that may have begun is never begun again for a request that may run only once.
     if (error.outcome === 'unknown' && !this.request.idempotent) return false
-    return this.payForRetry()
+    while (this.hasAttemptLeft()) {
+      if (this.payForRetry()) return true
+      if (!await this.searchOn()) return false
+    }
+    return false
   }
 
   private hasAttemptLeft (): boolean {
--- a/packages/entry/test/delivery/stalled-run.failure.test.ts
+++ b/packages/entry/test/delivery/stalled-run.failure.test.ts
@@ -213,3 +213,50 @@
     expect(engines.engines[0]?.calls.cancel).toBeGreaterThan(0)
   })
 })
+
+describe('a run that its engine has lost', () => {
+  // The caller, which has read a part of the answer, sees the whole of it, each word once.
+  // Guards against a search for another engine that ends with the first refusal, whatever time the request has.
+  it('is begun again once another engine admits it, after refusals', async () => {
+    const engines = await start(2)
+    engines.admits = async (endpoint) => {
+      if (endpoint === 'engine-0' || engines.asked.length > 3) return ok()
+      return err(new LimpetwinchError('overloaded', { reason: 'the queue is full' }, { retryAfterSeconds: 1 }))
+    }
+    const delivered = engines.deliver(true, 30_000)
+    await vi.waitFor(() => expect(engines.texts.length).toBeGreaterThanOrEqual(5), WAIT)
+    engines.engines[0]?.restart()
+    await delivered
+    expect(engines.texts.join('')).toBe(WHOLE)
+    expect(engines.last?.kind).toBe('end')
+    expect(engines.asked).toEqual(['engine-0', 'engine-1', 'engine-1', 'engine-1'])
+  })
+
+  // The caller sees its whole answer, later; repeats stay within their share.
+  // Guards against an answer cut short because others were repeated at the same moment.
+  it('waits until the retry budget pays for another', async () => {
+    const engines = await start(2)
+    engines.mayRetry = false
+    const delivered = engines.deliver(true, 30_000)
+    await vi.waitFor(() => expect(engines.texts.length).toBeGreaterThanOrEqual(5), WAIT)
+    engines.engines[0]?.restart()
+    await new Promise((resolve) => setTimeout(resolve, 1_000))
+    expect(engines.asked).toEqual(['engine-0'])
+    engines.mayRetry = true
+    await delivered
+    expect(engines.texts.join('')).toBe(WHOLE)
+    expect(engines.last?.kind).toBe('end')
+  })
+
+  // The caller of a request that may run only once is told `unknown` at once; nothing is asked for it again.
+  // Guards against a search that has no end in sight: nobody may go on with this request.
+  it('is not waited for when it may run only once', async () => {
+    const engines = await start(2)
+    const delivered = engines.deliver(false, 30_000)
+    await vi.waitFor(() => expect(engines.texts.length).toBeGreaterThanOrEqual(5), WAIT)
+    engines.engines[0]?.restart()
+    await delivered
+    expect(engines.last).toMatchObject({ kind: 'error', error: { kind: 'endpoint-failed', outcome: 'unknown' } })
+    expect(engines.asked).toEqual(['engine-0'])
+  })
+})
