Nothing is run for a caller that left while its key was claimed

What callers see: a caller that closed its connection during a slow claim finds its key free again (`not_run`); before, its work was done for nobody and the key was used up.

Cause: the connection's close was listened for only after the claim, and a close that has happened is not told again. The run went to its end or its deadline.

Evidence: "runs nothing for a caller that left while its key was claimed" on the code before: expected 1 to be +0 (runs at the engine)

Why it works: a connection that is closed already counts as left, for completions and service calls; a service call that is given up before it is sent is told as not run, so its claim is released.

Ruled out: listening from the first byte on (the claim, once made, has to be released either way, so its answer is awaited).

--- a/packages/entry/src/callers/completions.ts
+++ b/packages/entry/src/callers/completions.ts
@@ -11,6 +11,7 @@
 import type { Authentication, CallerTeams } from './authentication.js'
 import { parseJson, readBody } from './body-reader.js'
 import type { BodyLimits } from './body-reader.js'
+import { callerGone } from './caller-gone.js'
 import { StreamedAnswer, WholeAnswer } from './completion-answer.js'
 import type { CompletionAnswer } from './completion-answer.js'
 import { parseCompletion } from './completion-request.js'
@@ -134,8 +135,7 @@
   private async deliver (accepted: Accepted, passage: Passage, response: ServerResponse): Promise<CountedOutcome> {
     const { reference, completion, delivery, options, settings } = accepted
     const answer = answerFor(response, completion, reference, delivery.requestId)
-    const gone = new AbortController()
-    response.on('close', () => { if (!response.writableFinished) gone.abort() })
+    const gone = callerGone(response)
     const meter = new RequestMeter(this.options.measures.series(reference.team, options.priorityClass), this.options.clock)
     for await (const event of this.options.delivery.deliver(delivery, settings, gone.signal)) {
       if (event.kind === 'text') {
--- a/packages/entry/src/callers/service-calls.ts
+++ b/packages/entry/src/callers/service-calls.ts
@@ -8,6 +8,7 @@
 import type { DeliveredCall, ServiceDelivery } from '../delivery/service-delivery.js'
 import type { CallerTeams } from './authentication.js'
 import { readBody } from './body-reader.js'
+import { callerGone } from './caller-gone.js'
 import { headerReader, refuse } from './completions.js'
 import type { CompletionsOptions } from './completions.js'
 import { REQUEST_ID_HEADER } from './error-answer.js'
@@ -84,8 +85,7 @@
   }
 
   private async deliver (accepted: AcceptedCall, requestId: RequestId, response: ServerResponse): Promise<Result<DeliveredCall, LimpetwinchError>> {
-    const gone = new AbortController()
-    response.on('close', () => { if (!response.writableFinished) gone.abort() })
+    const gone = callerGone(response)
     const timer = setTimeout(() => gone.abort(), accepted.options.patience)
     const { service, options, settings } = accepted
     const call = { ...accepted.call, headers: { ...accepted.call.headers, [REQUEST_ID_HEADER]: requestId } }
--- a/packages/entry/src/delivery/service-delivery.ts
+++ b/packages/entry/src/delivery/service-delivery.ts
@@ -55,6 +55,7 @@
    * @returns the whole answer, or an error that says whether it may have run
    */
   async deliver (requestId: RequestId, service: string, call: ServiceCall, idempotent: boolean, settings: OperatorSettings, signal: AbortSignal): Promise<Result<DeliveredCall, LimpetwinchError>> {
+    if (signal.aborted) return err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run' }))
     const story = this.options.explain.begin(requestId, `service ${service}`)
     this.options.retryBudget.deposit(this.options.clock.now())
     const avoid = new Set<EndpointId>()
--- a/packages/entry/test/callers/promises.failure.test.ts
+++ b/packages/entry/test/callers/promises.failure.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { request } from 'undici'
 import { expectedAnswer } from '@limpetwinch/stand-ins'
-import { KEY, RunningEntry } from '../support/running-entry.js'
+import { ADMINISTRATOR_KEY, KEY, RunningEntry } from '../support/running-entry.js'
 import type { RunningEntryOptions } from '../support/running-entry.js'
 
 const WAIT = { timeout: 30_000, interval: 10 }
@@ -18,6 +18,22 @@
 const NOT_IDEMPOTENT = { 'x-limpetwinch-idempotent': 'false' }
 const answerText = (tokens: number): string => expectedAnswer({ adapter: 'history/essays@v2', prompt: 'Why?', seed: 7 }, tokens)
 
+const COMPLETION = JSON.stringify({ model: 'history/essays', prompt: 'Why?', max_tokens: 8, seed: 7 })
+
+/** Sends a request with a key, which is claimed slowly, and leaves before the claim is answered. */
+async function leaveDuringClaim (path: string, body: string): Promise<string> {
+  const gone = new AbortController()
+  const headers = { ...NOT_IDEMPOTENT, 'idempotency-key': `left ${path}` }
+  const answer = running.call(path, body, headers, gone.signal).then(() => 'answered', () => 'left')
+  setTimeout(() => gone.abort(), 200)
+  return await answer
+}
+
+async function requestsInProgress (): Promise<number> {
+  const response = await request(`${running.admin}/admin/status`, { headers: { authorization: `Bearer ${ADMINISTRATOR_KEY}` } })
+  return (await response.body.json() as { requestsInProgress: number }).requestsInProgress
+}
+
 describe('what a caller is told', () => {
   // The caller has its whole answer, streamed or not. Nothing is left to cancel: an order to the engine for each
   // answered request would cost as much as the request, and the router would never hear that the engine answers.
@@ -84,6 +100,18 @@
     expect(running.runs).toBe(1)
   })
 
+  // The caller left while its key was claimed; neither the engine nor the service does its work.
+  // Guards against work for nobody: the word that the caller is gone comes once, and came before anyone listened.
+  it('runs nothing for a caller that left while its key was claimed', async () => {
+    await start()
+    running.platform.store.faults.slowness = 500
+    const left = await Promise.all([leaveDuringClaim('/v1/completions', COMPLETION), leaveDuringClaim('/services/echo/bill', '{}')])
+    expect(left).toEqual(['left', 'left'])
+    await vi.waitFor(async () => expect(await requestsInProgress()).toBe(0), WAIT)
+    expect(running.runs).toBe(0)
+    expect(running.service.history.all().filter((event) => event.event === 'run-started')).toEqual([])
+  })
+
   // The caller of a plain service call that may not be repeated is told `unknown`; the service ran it once.
   // The service does its work and its connection breaks before the answer.
   it('makes a service call that may not be repeated once', async () => {
