--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -204,8 +204,6 @@
     expect({ brought, most: engine.mostOccupied }).toEqual({ brought: true, most: 2 })
   })
 
-  // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
-  // for the time in which peers hear of it, the tenth adapter would come after ten such times.
   // An instance that hears late takes the weight store for full. The others do not, so there are always more loads on their way than it
   // would bear; it ordered none for as long as the others went on, and whoever was sent to its idle engines was refused.
   it('go on where this instance takes the store for full and all others do not', async () => {
@@ -221,6 +219,8 @@
     expect({ brought, wouldBearMore: limit > OTHER_LOADS }).toEqual({ brought: [true, true], wouldBearMore: false })
   }, 15_000)
 
+  // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
+  // for the time in which peers hear of it, the tenth adapter would come after ten such times.
   it('make room for several loads at the same time', async () => {
     const engine = new SimulatedEngine({ slots: 4 })
     const run = start(engine, new Map(), 4)
