--- a/packages/cli/src/report/load-tally.ts
+++ b/packages/cli/src/report/load-tally.ts
@@ -44,6 +44,9 @@
   readonly loadsOrdered: number
 }
 
+/** From these lines on an engine is asked for nothing. */
+const ENDS_OF_ENGINES: ReadonlySet<string> = new Set(['An endpoint is leaving.', 'An endpoint is gone.'])
+
 interface EngineTally {
   askedSince: number | undefined
   longestIdle: number
@@ -68,6 +71,7 @@
     this.lastAt = Math.max(this.lastAt, line.at)
     if (line.message === 'A load was asked for.') this.takeAsk(line)
     else if (line.message === 'An order was given.') this.takeOrder(line)
+    else if (ENDS_OF_ENGINES.has(line.message)) this.engineLeaves(line)
   }
 
   /** A request was answered whole. */
@@ -127,6 +131,10 @@
     engine.askedSince = undefined
   }
 
+  private engineLeaves ({ at, fields }: LogLine): void {
+    if (this.engines.has(String(fields.endpoint))) this.noteOrder(String(fields.endpoint), at)
+  }
+
   private noteHoldUp (reason: string, waited: unknown): void {
     const spread = this.holdUps.get(reason) ?? new SpreadOf()
     this.holdUps.set(reason, spread)
--- a/packages/cli/test/report/run-report.test.ts
+++ b/packages/cli/test/report/run-report.test.ts
@@ -66,6 +66,11 @@
     expect(reportOf([...LINES.slice(0, 12), line(9, 'An endpoint is gone.', { endpoint: 'e2' })]).loads.idleEngines).toEqual([{ endpoint: 'e1', milliseconds: 6_300 }])
   })
 
+  it('counts an engine that has left as without loads until then', () => {
+    const left = [...LINES.slice(0, 12), line(4.7, 'An endpoint is leaving.', { endpoint: 'e1' }), line(9, 'An endpoint is gone.', { endpoint: 'e1' })]
+    expect(reportOf(left).loads.idleEngines).toEqual([{ endpoint: 'e1', milliseconds: 2_000 }])
+  })
+
   // Callers of some adapters are refused at each request while the others are served: by routes and reasons that is a few refusals
   // more among many, so the report has to name the adapters.
   it('names adapters that are asked for again and again and never served, with the engines asked and what ended their requests', () => {
