An adapter that is wanted again while it was to make way stays

Callers: a request asked an engine for an adapter that the engine held and kept hidden, since it was about to evict it. The request asked again every 30 ms, 14 times in 0.6 s, and was refused; the adapter was held all that time.

Cause: who asks for a held and hidden adapter has it offered again, and its want is met. In the same step another victim is looked for, and the adapter for which nobody waits any more is the first to make way again. Peers hear of both at once, are woken by the first and see the second, so the request asks again.

Fix: an adapter that was asked for is taken for in use as long as one that has just been loaded, until peers have told that they run it. It cannot starve the others: asked for or not, it makes way once a quarter of a second has passed without an asking.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -151,7 +151,7 @@
     }
     const now = this.around.clock.now()
     this.line.expire(now)
-    this.meetWants()
+    this.meetWants(now)
     this.hideOldVersions(now)
     this.lineChanged(now)
     // An engine that waits for the runs of an adapter that it is to drop takes no other order until they have ended.
@@ -184,12 +184,14 @@
   }
 
   /** Wants for what is held are met; an adapter that was to leave and is wanted again stays. */
-  private meetWants (): void {
+  private meetWants (now: number): void {
     for (const key of this.line.keys()) {
       const want = this.line.find(key)
       if (want === undefined || !this.ledger.holds(key, want.version) || this.ledger.departing.has(key)) continue
       if (this.hidden.reasonOf(key) === 'replacement') continue
       this.hidden.show(key)
+      // Nobody waits for it from here on; without this it would be the first to make way again, in the same step.
+      this.ledger.wanted(key, now)
       this.line.met(key)
       this.statements.publish()
     }
--- a/packages/ingress/src/adapters/evictions.ts
+++ b/packages/ingress/src/adapters/evictions.ts
@@ -7,7 +7,7 @@
 import type { SlotLedger } from './slot-ledger.js'
 import type { LoaderStatements } from './loader-statements.js'
 
-/** A load is for requests that wait; until peers have told that they run, nothing else may take its slot. */
+/** A load is for requests that wait, and so is an adapter that is offered again; until peers have told that they run, nothing else may take its slot. */
 const SETTLE_MILLISECONDS = 250
 
 /** What evictions are made with. */
@@ -92,7 +92,7 @@
     const { endpoint, ledger, line, hidden, around } = this.parts
     return [...ledger.held].filter(([key]) => !hidden.has(key)).map(([key, slot]) => ({
       adapter: key,
-      pins: around.board.running(endpoint.id, key, now) + (now - slot.loadedAt < SETTLE_MILLISECONDS ? 1 : 0),
+      pins: around.board.running(endpoint.id, key, now) + (now - slot.wantedAt < SETTLE_MILLISECONDS ? 1 : 0),
       loadedAt: slot.loadedAt,
       lastUsedAt: slot.lastUsedAt,
       waiting: line.find(key) === undefined ? 0 : 1,
--- a/packages/ingress/src/adapters/slot-ledger.ts
+++ b/packages/ingress/src/adapters/slot-ledger.ts
@@ -15,6 +15,8 @@
   version: number
   loadedAt: number
   lastUsedAt: number
+  /** When somebody last asked for it, who is about to use it. */
+  wantedAt: number
 }
 
 /** A load that was accepted and is not complete. */
@@ -75,6 +77,12 @@
     return (this.held.get(key)?.version ?? -1) >= version
   }
 
+  /** Somebody asks for an adapter that is held. */
+  wanted (key: AdapterKey, now: number): void {
+    const slot = this.held.get(key)
+    if (slot !== undefined) slot.wantedAt = now
+  }
+
   /** An order to load was accepted. */
   ordered (key: AdapterKey, version: number, now: number): void {
     this.sequence += 1
@@ -85,7 +93,7 @@
   completed (key: AdapterKey, version: number, now: number): void {
     this.inFlight.delete(key)
     this.cached.delete(key)
-    this.held.set(key, { version, loadedAt: now, lastUsedAt: now })
+    this.held.set(key, { version, loadedAt: now, lastUsedAt: now, wantedAt: now })
   }
 
   /** An order to unload was accepted; the adapter leaves when its runs have ended. */
@@ -121,7 +129,7 @@
     for (const key of [...this.departing]) if (!held.some((adapter) => adapter.key === key)) this.departing.delete(key)
     for (const { key, version } of held) {
       const known = before.get(key)
-      this.held.set(key, { version, loadedAt: known?.loadedAt ?? now, lastUsedAt: known?.lastUsedAt ?? now })
+      this.held.set(key, { version, loadedAt: known?.loadedAt ?? now, lastUsedAt: known?.lastUsedAt ?? now, wantedAt: known?.wantedAt ?? now })
     }
   }
 }
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -219,6 +219,25 @@
     expect({ brought, wouldBearMore: limit > OTHER_LOADS }).toEqual({ brought: [true, true], wouldBearMore: false })
   }, 15_000)
 
+  // A request asks for an adapter that is held and about to be evicted. The adapter was offered again and, since nobody waited for it any more,
+  // chosen as the one to make way at the same moment; so the request was refused by an engine that had held its adapter all along.
+  it('keep an adapter that is wanted again while it was to make way, and take another one', async () => {
+    const engine = new SimulatedEngine({ slots: 2 })
+    const run = start(engine)
+    await wanted(run, 'x')
+    await wanted(run, 'y')
+    await sleep(300)
+    const offered = (name: string): boolean => run.locations.holders(key(name)).size > 0
+    const waits = { request: 'other', onTimeMilliseconds: undefined }
+    run.loader.want(key('z'), 0, waits)
+    await until(() => !offered('x') || !offered('y'))
+    const [again, other] = offered('x') ? ['y', 'x'] : ['x', 'y']
+    run.loader.want(key(again), 0, { request: 'r', onTimeMilliseconds: undefined })
+    await until(() => { run.loader.want(key('z'), 0, waits); return offered('z') })
+    await run.stop()
+    expect({ unloaded: engine.unloaded, held: engine.held().toSorted() }).toEqual({ unloaded: [other], held: [again, 'z'] })
+  })
+
   // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
   // for the time in which peers hear of it, the tenth adapter would come after ten such times.
   it('make room for several loads at the same time', async () => {
