A recovery keeps earlier pins by the longest request time that they may have come with

What callers see: an answer whose owner was lost ends whole although operators make the longest request time shorter meanwhile. Before, its pin expired by the new time, and its adapter could be evicted in use.

Cause: the recovery read the longest request time of the settings in force anew at each look; what it looks for was begun under the time before.

Evidence: "keeps what it left running safe when the longest request time is made shorter" on the code before: expected [] to deeply equal [ 'r2' ]

Why it works: a recovery counts with the longest time that it has seen in force since it began; a longer one counts at once.

Ruled out: asking the engine alone (its report has no word of requests that wait in its queue).

--- a/packages/entry/src/ownership/endpoint-recovery.ts
+++ b/packages/entry/src/ownership/endpoint-recovery.ts
@@ -60,11 +60,14 @@
   private readonly answered = new Set<InstanceId>()
   /** When every member had answered or was gone; what ran before that ends within the longest request time of it. */
   private settled: { readonly monotonic: number, readonly wall: number } | undefined
+  /** The longest request time that was in force since the recovery began: a request keeps the one that it came with. */
+  private longestMilliseconds: number
 
   /** @param options - record and surroundings */
   constructor (options: EndpointRecoveryOptions) {
     this.options = options
     this.record = options.record
+    this.longestMilliseconds = options.longestRequestMilliseconds()
     // Names that carry the token do the work of fencing where the engine ignores tokens.
     this.fenced = options.engine.fencing === 'ignores'
   }
@@ -192,8 +195,9 @@
   }
 
   private longestPassed (): boolean {
+    this.longestMilliseconds = Math.max(this.longestMilliseconds, this.options.longestRequestMilliseconds())
     if (this.settled === undefined) return false
-    return this.options.clock.now() - this.settled.monotonic > this.options.longestRequestMilliseconds()
+    return this.options.clock.now() - this.settled.monotonic > this.longestMilliseconds
   }
 
   private readonly living = (instance: InstanceId): boolean => {
--- a/packages/entry/test/recovery.failure.test.ts
+++ b/packages/entry/test/recovery.failure.test.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, FencingToken, LoadedName, RequestId, TeamId, AdapterName, AdapterVersion } from '@limpetwinch/core'
 import { loadedNameOf } from '@limpetwinch/core'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
 import { agreed, Cluster, until } from './support/cluster.js'
 import type { TestInstance } from './support/cluster.js'
@@ -78,6 +79,23 @@
     await until(() => next.recoveries.earlierPins(E0).length === 0)
   })
 
+  // The caller sees its answer go on, after its instance's owner was lost and operators made the longest request time shorter.
+  // Guards against a pin that ends by settings newer than its request: its adapter would be evicted in use.
+  it('keeps what it left running safe when the longest request time is made shorter', async () => {
+    const { owner, others, engine } = await ownedEngine('refuses')
+    engine.running.set('r2' as RequestId, 'history/essays@1' as LoadedName)
+    await owner.kill()
+    cluster.list.remove(owner.id)
+    const next = await nextOwner(others)
+    await until(() => rightsOf(next).mayEvict)
+    expect(next.recoveries.earlierPins(E0).map((pin) => pin.requestId)).toEqual(['r2'])
+    cluster.longestRequestMilliseconds = 1
+    await sleep(500)
+    expect(next.recoveries.earlierPins(E0).map((pin) => pin.requestId)).toEqual(['r2'])
+    engine.running.clear()
+    await until(() => next.recoveries.earlierPins(E0).length === 0)
+  })
+
   // The caller sees the right adapter answer. An owner checks its rights, is paused before its unload leaves, and
   // wakes after another instance has taken over and granted a request on that adapter. The unload arrives late; the
   // engine has seen the new token before the first grant and refuses it.
--- a/packages/entry/test/support/cluster.ts
+++ b/packages/entry/test/support/cluster.ts
@@ -100,6 +100,8 @@
   readonly relays = new Relays()
   readonly instances: TestInstance[] = []
   readonly engineClients = new Map<string, EngineInMemory>()
+  /** The longest request time in force on all instances. */
+  longestRequestMilliseconds = 600_000
   engines: EngineSettings[] = []
   readonly logger: Logger = silentLogger()
 
@@ -135,7 +137,7 @@
       engines,
       clientOf: (engine) => this.engineClients.get(engine.endpoint) as EngineInMemory,
       granted: () => false,
-      longestRequestMilliseconds: () => 600_000,
+      longestRequestMilliseconds: () => this.longestRequestMilliseconds,
       logger,
       clock,
       times: { ask: 4 * HEARTBEAT, settle: HEARTBEAT, clockMargin: 0, report: HEARTBEAT }
