A caller that leaves is not held against the engine that worked for it

What callers see: those that come next reach the engine as before. Before, three callers in a row that left had their engine ejected from routing for seconds, and requests that search for a sound engine were kept from it.

Cause: an attempt that ended by the caller's leaving was told to the router as failed.

Evidence: "is not held against its engine when the caller leaves" on the code before: expected [ 'engine-0 failed' ] to deeply equal []

Why it works: the router is told nothing of an attempt whose caller left; a deadline that passes still counts, since the engine had its time, and so does a stalled run.

Ruled out: telling it as answered (the engine may have been on its way to fail).

--- a/packages/entry/src/delivery/delivery.ts
+++ b/packages/entry/src/delivery/delivery.ts
@@ -237,7 +237,7 @@
   }
 
   private async * attempt (route: Route, held: HeldAdmission): AsyncGenerator<DeliveryEvent, Attempt> {
-    const { clientOf, prefixes, streamLimits, policy, clock } = this.options
+    const { clientOf, prefixes, streamLimits, clock } = this.options
     const { endpoint } = route.engine
     if (this.options.router.isLeaving(endpoint)) {
       held.done('withdrawn', 0)
@@ -262,7 +262,8 @@
     try {
       const attempt = yield * this.relay(answer, held, stop.signal, replacement)
       ended = attempt.whole || attempt.error.outcome === 'not_run'
-      if (attempt.whole || !replacement.sought) policy().observe(endpoint, attempt.whole ? 'answered' : 'failed', clock.now())
+      // A stalled run was told before.
+      if (attempt.whole || !replacement.sought) this.tellRouter(endpoint, attempt)
       if (attempt.whole) return attempt
       this.mayHaveRun ||= attempt.error.outcome === 'unknown'
       return { ...attempt, next: await replacement.take() }
@@ -273,6 +274,14 @@
     }
   }
 
+  /** A caller that leaves ends its run, which says nothing of the engine. */
+  private tellRouter (endpoint: EndpointId, attempt: Attempt): void {
+    const { policy, clock } = this.options
+    const callerLeft = this.signal.aborted && !this.deadline.passed
+    if (attempt.whole) policy().observe(endpoint, 'answered', clock.now())
+    else if (!callerLeft) policy().observe(endpoint, 'failed', clock.now())
+  }
+
   private async * relay (answer: EngineAnswer, held: HeldAdmission, signal: AbortSignal, replacement: Replacement): AsyncGenerator<DeliveryEvent, Attempt> {
     let position = 0
     for await (const event of answer.events(signal)) {
--- a/packages/entry/test/delivery/stalled-run.failure.test.ts
+++ b/packages/entry/test/delivery/stalled-run.failure.test.ts
@@ -20,6 +20,8 @@
   readonly clients: HttpEngineClient[] = []
   readonly asked: string[] = []
   readonly ended: string[] = []
+  /** What the router was told. */
+  readonly observed: string[] = []
   readonly texts: string[] = []
   last: DeliveryEvent | undefined
   mayRetry = true
@@ -83,7 +85,7 @@
       directory: { sent: () => undefined, moved: () => undefined },
       prefixes: { sent: () => undefined },
       clientOf: ({ endpoint }: EngineSettings) => this.clients[Number(endpoint.split('-')[1])],
-      policy: () => ({ observe: () => undefined }),
+      policy: () => ({ observe: (endpoint: EndpointId, result: string) => this.observed.push(`${endpoint} ${result}`) }),
       explain: { begin: () => ({ add: () => undefined }) },
       retryBudget: { deposit: () => undefined, withdraw: () => this.mayRetry },
       streamLimits: { silenceMilliseconds: SILENCE_MILLISECONDS, resumesWithoutProgress: 1 },
@@ -200,6 +202,19 @@
     expect([engines.runsOf(0), engines.runsOf(1)]).toEqual([1, 0])
   })
 
+  // The callers that come next are routed as before: the engine that worked for one that left is not taken for failing.
+  // Guards against engines that are ejected because callers leave, which ends the search of others for a sound one.
+  it('is not held against its engine when the caller leaves', async () => {
+    const engines = await start(1)
+    const gone = new AbortController()
+    const delivered = engines.deliver(true, 30_000, gone.signal)
+    await vi.waitFor(() => expect(engines.texts.length).toBeGreaterThanOrEqual(5), WAIT)
+    gone.abort()
+    await delivered
+    expect(engines.observed).toEqual([])
+    await vi.waitFor(() => expect(engines.ended).toEqual(['engine-0 failed']), WAIT)
+  })
+
   // The caller is told at its deadline that the request may have run, and the run is ended.
   // Guards against a run that is kept for ever: nobody waits for it after the deadline.
   it('is ended at the deadline', async () => {
