A service call that may be repeated is repeated at its only endpoint

What callers see: an answer, where the only endpoint of a service broke the connection once. Before, they were told `unknown` with `no_endpoint` at once, whatever time was left.

Cause: an endpoint that failed a call was never given it again, so that the search ended when all had been tried once.

Evidence: "repeats a service call at its only endpoint when nobody else can take it" on the code before: No endpoint can serve this now (no endpoint of service 'echo' is left to try) ... "outcome":"unknown": expected 503 to be 200

Why it works: when no other is left and the call may have run, the endpoints are tried again after a pause, within the attempts and the retry budget as before. Calls that may run only once end before that; those of which nothing has run are told so at once as before.

Ruled out: more attempts (a call that breaks its endpoint would break it more often).

--- a/packages/entry/src/delivery/service-delivery.ts
+++ b/packages/entry/src/delivery/service-delivery.ts
@@ -11,6 +11,8 @@
 const REMOTE_PENALTY = 4
 const FAILED_MILLISECONDS = 2_000
 const RETRY_SECONDS = 1
+/** Before an endpoint that failed a call is given it again, since there is no other. */
+const SAME_AGAIN_MILLISECONDS = 250
 
 /** What service calls work with. */
 export interface ServiceDeliveryOptions {
@@ -22,6 +24,8 @@
   readonly clock: Clock
 }
 
+const NONE: ReadonlySet<EndpointId> = new Set()
+
 interface ServiceEndpoint {
   readonly endpoint: EndpointId
   readonly url: string
@@ -61,7 +65,10 @@
     const avoid = new Set<EndpointId>()
     let mayHaveRun = false
     for (let attempt = 1; ; attempt += 1) {
-      const chosen = this.choose(service, settings, avoid)
+      const fresh = this.choose(service, settings, avoid)
+      // Once the call may have run, all that could be told is `unknown`; the fault of one that failed may have passed.
+      if (fresh === undefined && mayHaveRun) await this.options.clock.sleep(SAME_AGAIN_MILLISECONDS, signal)
+      const chosen = fresh ?? (mayHaveRun && !signal.aborted ? this.choose(service, settings, NONE) : undefined)
       if (chosen === undefined) return err(this.told(this.noEndpoint(service), mayHaveRun))
       const result = await this.attempt(chosen, call, story, signal)
       if (result.isOk()) return result
--- a/packages/entry/test/callers/promises.failure.test.ts
+++ b/packages/entry/test/callers/promises.failure.test.ts
@@ -122,6 +122,16 @@
     expect(running.service.history.all().filter((event) => event.event === 'run-started')).toHaveLength(1)
   })
 
+  // The caller of a service call that may be repeated is answered; the service ran it twice.
+  // Guards against a search that ends with the only endpoint's broken connection although its fault may have passed.
+  it('repeats a service call at its only endpoint when nobody else can take it', async () => {
+    await start()
+    running.service.setFaults({ failAfter: 1 })
+    const answer = await running.call('/services/echo/bill', '{}', { 'x-limpetwinch-idempotent': 'true' })
+    expect(answer.status, answer.text).toBe(200)
+    expect(running.service.history.all().filter((event) => event.event === 'run-started')).toHaveLength(2)
+  })
+
   // The caller over its team's rate is refused at once with the time to come back; nothing was run.
   it('refuses early what is over the limits of the team', async () => {
     await start({ teamLimits: { requestsPerSecond: 1, tokensPerSecond: 100_000, inFlight: 10, queued: 10 } })
