Loads go to requests that still ask, before those that are gone

Callers: a request for an adapter that lies nowhere waits in a line, is refused, and right after that its adapter is loaded, for nobody; others that wait meanwhile are refused in the same way. Rare adapters are asked for by one request at a time, so it is theirs.

Cause: a want counts half once it is late, and gains 0.35 a second; one of a single request overtakes newer ones 1.4 s after its first asking. Requests are refused after 0.9 to 1.5 s, and stay in line for 0.8 s without asking. So in a crowd that lasts the oldest wants win, and they are those of requests that have just gone.

Fix: whoever waits asks each 300 ms; one that has not asked for 450 ms counts for next to nothing, whatever its age. It stays in line, so an asking that is late loses little, and what nobody else wants is still loaded for a caller that may return.

--- a/packages/decisions/src/loads/load-line.ts
+++ b/packages/decisions/src/loads/load-line.ts
@@ -11,6 +11,13 @@
 
 /** Whoever waits asks again and again; a request that was not repeated in this time waits no more. */
 const WAITER_MILLISECONDS = 800
+/**
+ * Whoever waits asks every 300 ms. One that is overdue has been served elsewhere or refused, or its asking is late: a load for it
+ * serves nobody, as a rule, and takes a slot from those that wait. It stays in line, since it may still ask.
+ */
+const OVERDUE_MILLISECONDS = 450
+/** A want of overdue requests alone comes after any other that somebody waits for. */
+const OVERDUE_WEIGHT = 0.1
 /** A request without a known objective counts as on time for so long: usual objectives are near a second. */
 const USUAL_ON_TIME_MILLISECONDS = 1_000
 /** A late answer is worth a third to a half of one on time to its caller, as users say; the order is the same with either. */
@@ -126,11 +133,13 @@
 }
 
 function weightOf (place: Place<string>, cached: boolean, travelMilliseconds: number, now: number): number {
-  let weight = 0
-  const usableAt = cached ? now : now + travelMilliseconds
-  for (const waiter of place.waiters.values()) weight += usableAt < waiter.onTimeUntil ? 1 : LATE_WEIGHT
   // A further copy is for requests that another engine serves as well.
   if (place.waiters.size === 0) return 0
-  weight += WEIGHT_FOR_SECOND * (now - place.firstAskedAt) / 1_000
+  const present = [...place.waiters.values()].filter(({ askedAt }) => now - askedAt <= OVERDUE_MILLISECONDS)
+  const weight = present.length === 0 ? OVERDUE_WEIGHT : weightOfWaiters(present, cached ? now : now + travelMilliseconds) + WEIGHT_FOR_SECOND * (now - place.firstAskedAt) / 1_000
   return cached ? weight * CACHED_FACTOR : weight
 }
+
+function weightOfWaiters (waiters: readonly Waiter[], usableAt: number): number {
+  return waiters.reduce((weight, { onTimeUntil }) => weight + (usableAt < onTimeUntil ? 1 : LATE_WEIGHT), 0)
+}
--- a/packages/decisions/test/load-line.test.ts
+++ b/packages/decisions/test/load-line.test.ts
@@ -45,6 +45,38 @@
     expect([first, line.length]).toEqual(['wanted', 0])
   })
 
+  // A request that was refused, or served elsewhere, has the oldest want of the line. Loaded, it serves nobody; the slot would have
+  // served one that still waits.
+  it('takes what somebody still asks for before what was asked for by requests that are gone', () => {
+    const line = new LoadLine()
+    for (let now = 0; now <= 1_200; now += 300) for (const request of ['a', 'b']) line.ask('gone', 0, { request, onTimeMilliseconds: 600 }, now)
+    line.ask('here', 0, { request: 'c', onTimeMilliseconds: -1_000 }, 1_700)
+    const first = line.next(nothing, (key) => key === 'gone', TRAVEL, 1_700)?.key
+    line.met('here')
+    expect([first, line.next(nothing, nothing, TRAVEL, 1_700)?.key]).toEqual(['here', 'gone'])
+  })
+
+  // Twenty-five requests a second for as many adapters, before an engine that loads ten of them; who has waited for 1.5 s is refused.
+  it('loads hardly anything for requests that are gone while a crowd waits', () => {
+    const line = new LoadLine()
+    const waiting = new Map<string, number>()
+    let [loads, forNobody] = [0, 0]
+    for (let now = 0; now < 20_000; now += 20) {
+      if (now % 40 === 0) waiting.set(`adapter ${now}`, now)
+      for (const [key, cameAt] of waiting) {
+        if (now - cameAt >= 1_500) waiting.delete(key)
+        else if ((now - cameAt) % 300 === 0) line.ask(key, 0, { request: key, onTimeMilliseconds: 550 - (now - cameAt) }, now)
+      }
+      line.expire(now)
+      const next = now % 100 === 0 ? line.next(nothing, nothing, TRAVEL, now) : undefined
+      if (next === undefined) continue
+      loads += 1
+      if (!waiting.delete(next.key)) forNobody += 1
+      line.met(next.key)
+    }
+    expect(forNobody / loads).toBeLessThan(0.1)
+  })
+
   it('passes over no adapter for ever, whatever else is asked for', () => {
     fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 40, maxLength: 40 }), (crowds) => {
       const line = new LoadLine()
