Watch a stream again after its caller was waited for

What callers saw: an answer cut at its deadline, with another holder of the adapter at hand. Its engine had fallen silent after the caller had once read more slowly than events came.

Cause: while a caller is waited for, the timer that watches for silence is cleared; afterwards the same timer was refreshed, and a timer that was cleared does not start again by that. From then on nothing noticed the silence.

Why it works: a cleared timer is forgotten, so the next watch makes a new one.

--- a/packages/ingress/src/relay/stream-try.ts
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -85,7 +85,7 @@
     this.watch(this.quietWatch?.firstMilliseconds)
     const end = await this.sending.ended
     this.ended = true
-    clearTimeout(this.watchdog)
+    this.stopWatching()
     if (end.kind === 'not-sent') return { kind: 'not-sent', reason: end.reason }
     if (this.fault !== undefined) return { kind: 'broken', reason: this.fault }
     if (end.kind !== 'whole') return { kind: 'broken', reason: end.reason }
@@ -158,7 +158,7 @@
 
   /** A caller that reads slowly holds its own stream back; the engine is not to blame for the pause. */
   private waitForCaller (): void {
-    clearTimeout(this.watchdog)
+    this.stopWatching()
     this.sending?.attempt.pause()
     void this.exchange.drained().then(() => {
       this.sending?.attempt.resume()
@@ -173,7 +173,7 @@
       this.watchdog.refresh()
       return
     }
-    clearTimeout(this.watchdog)
+    this.stopWatching()
     this.watchdogMilliseconds = milliseconds
     this.watchdog = setTimeout(() => {
       quietWatch.onQuiet()
@@ -181,6 +181,12 @@
     }, milliseconds)
   }
 
+  /** A timer that was cleared cannot be refreshed, so none is kept. */
+  private stopWatching (): void {
+    clearTimeout(this.watchdog)
+    this.watchdog = undefined
+  }
+
   /** Ends the try. @param reason - for the log and the caller */
   giveUp (reason: string): void {
     this.fault = reason
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -290,6 +290,19 @@
     expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
   }, 10_000)
 
+  // Guards against an answer cut with time left: once its caller had read slowly, the silence of its engine went unnoticed.
+  it('whose caller read slowly goes on at another holder when its engine falls silent later', async () => {
+    const large = Array.from({ length: 12 }, (_, at) => at + 1)
+    const fills: RawAnswer = (socket, sent) => {
+      stream([], silence)(socket, sent)
+      for (const id of large) socket.write(chunk(`id: ${id}\ndata: ${'x'.repeat(900_000)}\n\n`))
+    }
+    const [one, two] = [await raw(fills), await raw(stream([13], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const seen = await under.askAndPause('/', 500, { 'x-adapter': 'poem' })
+    expect({ events: ids(seen.body).length, whole: seen.whole, others: two.requests.length }).toEqual({ events: 13, whole: true, others: 1 })
+  }, 10_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -116,6 +116,20 @@
     })
   }
 
+  /** Sends a request, and reads nothing of the answer's body for a while. */
+  async askAndPause (path: string, milliseconds: number, headers: Record<string, string> = {}): Promise<Pick<Seen, 'body' | 'whole'>> {
+    return await new Promise((resolve, reject) => {
+      const asked = request({ host: '127.0.0.1', port: this.port, path, headers: { host: 'listings.example', 'x-request-id': 'one', ...headers }, agent: false }, (answer) => {
+        const chunks: Buffer[] = []
+        setTimeout(() => answer.on('data', (chunk: Buffer) => { chunks.push(chunk) }), milliseconds)
+        answer.on('error', () => { /* The close tells whether the answer was whole. */ })
+        answer.on('close', () => resolve({ body: Buffer.concat(chunks).toString(), whole: answer.complete }))
+      })
+      asked.on('error', reject)
+      asked.end()
+    })
+  }
+
   /** Sends a request and leaves after a while. */
   leaveAfter (path: string, milliseconds: number, headers: Record<string, string> = {}): void {
     const asked = request({ host: '127.0.0.1', port: this.port, path, headers: { host: 'listings.example', 'x-request-id': 'one', ...headers }, agent: false })
