Read what has come before an engine counts as quiet

What callers saw: after a standstill of their instance, streams that were moved to other engines and read anew, and safe requests that were sent again, though what they waited for had arrived.

Cause: after a standstill timers that are due run before connections are read. Each watch for silence fired, all engines counted as lost at once, and every stream with another holder was moved there; a safe request past its patience was repeated.

Evidence: in the tests the process blocks while an event, or an answer, waits on the connection; both went to the second endpoint.

Why it works: the decision is taken after the next reading of the connections, and only if nothing came by it.

--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -122,9 +122,12 @@
       replacement = next()
       if (replacement !== undefined) sending.attempt.abandon('no answer within the objective')
     }
-    const timer = patience === undefined ? undefined : setTimeout(goElsewhere, patience)
+    let lastLook: NodeJS.Immediate | undefined
+    // After a standstill of this process timers come before an answer that waits on its connection.
+    const timer = patience === undefined ? undefined : setTimeout(() => { lastLook = setImmediate(goElsewhere) }, patience)
     const end = await sending.ended
     clearTimeout(timer)
+    clearImmediate(lastLook)
     ticket.ended()
     return { end, head, body: Buffer.concat(chunks), replacement }
   }
--- a/packages/ingress/src/relay/stream-try.ts
+++ b/packages/ingress/src/relay/stream-try.ts
@@ -57,6 +57,7 @@
   private sending: Sending | undefined
   private watchdog: NodeJS.Timeout | undefined
   private watchdogMilliseconds = 0
+  private secondLook: NodeJS.Immediate | undefined
   private hasEvents = false
   private ended = false
   private fault: string | undefined
@@ -175,15 +176,23 @@
     }
     this.stopWatching()
     this.watchdogMilliseconds = milliseconds
-    this.watchdog = setTimeout(() => {
+    this.watchdog = setTimeout(() => { this.lookAgain(quietWatch) }, milliseconds)
+  }
+
+  /** After a standstill of this process timers come before what waits on its connections; only what is still quiet then is. */
+  private lookAgain (quietWatch: QuietWatch): void {
+    const { lastEventAt } = this.progress
+    this.secondLook = setImmediate(() => {
+      if (this.progress.lastEventAt !== lastEventAt) return
       quietWatch.onQuiet()
       this.watchdog?.refresh()
-    }, milliseconds)
+    })
   }
 
   /** A timer that was cleared cannot be refreshed, so none is kept. */
   private stopWatching (): void {
     clearTimeout(this.watchdog)
+    clearImmediate(this.secondLook)
     this.watchdog = undefined
   }
 
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -1,6 +1,8 @@
 // Endpoints fail while they serve: they refuse, reset, cut, fall silent or answer with errors. What callers may be told
 // follows from what is proved: 503 only where nothing ran, 502 or 504 where something may have; a request that may not be
 // repeated reaches one endpoint that could run it, a safe one the next endpoint, a stream goes on after its last event.
+import type { Socket } from 'node:net'
+import { setTimeout as setTimer } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
 import { endpointId, IngressUnderTest } from './support/ingress-under-test.js'
 import type { Behind } from './support/ingress-under-test.js'
@@ -101,6 +103,17 @@
     expect({ status: seen.status, body: seen.body }).toEqual({ status: 200, body: 'late' })
   })
 
+  // Guards against repeats for answers that are there: after a standstill of this process its timer came before them.
+  it('that is safe is not repeated when this process stood still and the answer waits to be read', async () => {
+    let answer = (): void => {}
+    const [one, two] = [await raw((socket, request) => { answer = () => framed(200, 'there')(socket, request) }), await raw(framed(200, 'again'))]
+    const { ask } = await bound({ routes: [SAFE], endpoints: [{ id: 'a', raw: one }, { id: 'b', raw: two }] })
+    const asking = ask('/')
+    await expect.poll(() => one.requests.length).toBe(1)
+    await standStill(500, () => answer())
+    expect({ body: (await asking).body, others: two.requests.length }).toEqual({ body: 'there', others: 0 })
+  })
+
   it('gets the endpoint\'s own error unchanged when it may not be repeated', async () => {
     const { ask } = await bound({ routes: [UNSAFE], endpoints: [{ id: 'a', raw: await raw(framed(500, 'its words')) }] })
     expect(await ask('/')).toMatchObject({ status: 500, body: 'its words', headers: { 'x-server-signature': 's' } })
@@ -303,6 +316,20 @@
     expect({ events: ids(seen.body).length, whole: seen.whole, others: two.requests.length }).toEqual({ events: 13, whole: true, others: 1 })
   }, 10_000)
 
+  // Guards against sound engines left all at once after a standstill of this process: its timers came before events that had arrived.
+  it('stays where it is when this process stood still and its events wait to be read', async () => {
+    let engine: Socket | undefined
+    const [one, two] = [await raw(stream([1], (socket) => { engine = socket })), await raw(stream([2, 3], endStream))]
+    const { ask } = await bound({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const asking = ask('/', { 'x-adapter': 'poem' })
+    await expect.poll(() => engine).toBeDefined()
+    await setTimer(200)
+    await standStill(1_800, () => { engine?.write(chunk('id: 2\ndata: part 2\n\n')) })
+    setTimeout(() => { if (engine?.writable === true) { engine.write(chunk('id: 3\ndata: part 3\n\n')); endStream(engine) } }, 100)
+    const seen = await asking
+    expect({ ids: ids(seen.body), whole: seen.whole, others: two.requests.length }).toEqual({ ids: ['1', '2', '3'], whole: true, others: 0 })
+  }, 10_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
@@ -311,6 +338,14 @@
   })
 })
 
+/** Blocks this process; its timers are due before it reads what came meanwhile. @param before - done right before */
+async function standStill (milliseconds: number, before: () => void): Promise<void> {
+  await new Promise((resolve) => { setImmediate(resolve) })
+  before()
+  const until = performance.now() + milliseconds
+  while (performance.now() < until);
+}
+
 async function bound (behind: Behind): Promise<{ ask: IngressUnderTest['ask'] }> {
   const under = await ingress(behind)
   return { ask: async (...parameters) => await under.ask(...parameters) }
