Go on at the endpoint that was left when the other one refuses

What callers saw: a stream cut, and 502 for a safe request, with most of their time left, while the endpoint that had begun with them answered others.

A quiet or slow endpoint is left as soon as another one is found; whether that one takes the request is known only afterwards. Where it refused (full, or the belief in its adapter was old), the first one counted as tried and was not asked again.

Evidence: in the tests the second endpoint answers 503 as not run; the stream was cut after its second event, the safe request got 502 before its endpoint would have answered.

Why it works: after a refusal the endpoint that was left may be chosen again, a stream goes on there after its last event. Engines that say nothing to anybody stay excluded.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -41,6 +41,8 @@
   /** Tries that may have run. */
   private runs = 0
   private stall = 0
+  /** The engine that was left last for another one. */
+  private left: EndpointId | undefined
 
   constructor (parts: StreamRelayParts, request: RoutedRequest) {
     this.parts = parts
@@ -155,7 +157,9 @@
     const result = await stream.run((sink) => senders.send(request, order, sink))
     ticket.ended()
     if (stream.spacing.milliseconds !== undefined) speeds.spacingSeen(endpoint.id, stream.spacing.milliseconds)
-    return { result, replacement: await failover.end() }
+    const replacement = await failover.end()
+    if (replacement !== undefined) this.left = endpoint.id
+    return { result, replacement }
   }
 
   /** @returns what to do while an engine says nothing; undefined where the stream may go nowhere else */
@@ -174,12 +178,22 @@
     const mayHaveRun = result.kind === 'broken' || (result.kind === 'other-answer' && !result.head.facts.notRun)
     if (result.kind === 'other-answer') this.learnFromAnswer(engine, result)
     else this.learnFromFailure(engine, result)
-    if (!mayHaveRun) return 'try-again'
+    if (!mayHaveRun) {
+      this.takeBack()
+      return 'try-again'
+    }
     this.runs += 1
     if (this.mayRunAgain(this.runs)) return 'try-again'
     return result.kind === 'other-answer' ? 'pass-on' : 'give-up'
   }
 
+  /** The engine that was to go on did not take the stream. One that was left for it and answers others may go on itself. */
+  private takeBack (): void {
+    const { left } = this
+    this.left = undefined
+    if (left !== undefined && this.parts.senders.silence(left) < LEAST_PATIENCE_MILLISECONDS) this.tried.delete(left)
+  }
+
   private learnFromAnswer ({ endpoint }: FoundEngine, { head }: Extract<StreamTryResult, { kind: 'other-answer' }>): void {
     const { senders, locations } = this.parts
     const { adapter } = this.request.facts
@@ -215,7 +229,7 @@
 
   private giveUp (): RelayOutcome {
     const { exchange, signal, service } = this.request
-    const common = { tries: this.tried.size, ...this.times() }
+    const common = { tries: this.sends, ...this.times() }
     if (exchange.left.aborted) return { outcome: 'caller-left', ...common }
     const retryAfter = this.parts.seeker.comeBackSeconds(service)
     const error = signal.aborted ? this.record.timeoutError(retryAfter) : this.finalError(retryAfter)
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -69,6 +69,7 @@
     let runs = 0
     let kept: TryResult | undefined
     let replacement: Endpoint | undefined
+    let left: EndpointId | undefined
     for (let sends = 0; sends < MOST_SENDS && !signal.aborted; sends++) {
       const endpoint = replacement ?? next()
       if (endpoint === undefined) break
@@ -80,6 +81,9 @@
       const verdict = this.judge(result, endpoint, record)
       if (verdict === 'deliver' || (verdict === 'server-error' && route.kind !== 'safe')) return deliver(request, result, sends + 1)
       if (verdict === 'server-error') kept = result
+      // The endpoint that was left may still answer where the one that was to do so refuses.
+      if (verdict === 'not-run' && left !== undefined) tried.delete(left)
+      left = replacement === undefined ? undefined : endpoint.id
       if (verdict !== 'not-run') runs += 1
       if (verdict !== 'not-run' && (route.kind !== 'safe' || runs >= route.mostAttempts)) break
     }
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -114,6 +114,14 @@
     expect({ body: (await asking).body, others: two.requests.length }).toEqual({ body: 'there', others: 0 })
   })
 
+  // Guards against 502 with most of the time left: its endpoint was left for one that refused, and was not asked again.
+  it('that is safe and slow is answered by its endpoint when the other one refuses it', async () => {
+    const slow: RawAnswer = (socket, request) => { setTimeout(() => framed(200, 'late')(socket, request), 500) }
+    const { ask } = await bound({ routes: [SAFE], endpoints: [{ id: 'a', raw: await raw(slow) }, { id: 'b', raw: await raw(REFUSES) }] })
+    const seen = await ask('/')
+    expect({ status: seen.status, body: seen.body }).toEqual({ status: 200, body: 'late' })
+  })
+
   it('gets the endpoint\'s own error unchanged when it may not be repeated', async () => {
     const { ask } = await bound({ routes: [UNSAFE], endpoints: [{ id: 'a', raw: await raw(framed(500, 'its words')) }] })
     expect(await ask('/')).toMatchObject({ status: 500, body: 'its words', headers: { 'x-server-signature': 's' } })
@@ -330,6 +338,22 @@
     expect({ ids: ids(seen.body), whole: seen.whole, others: two.requests.length }).toEqual({ ids: ['1', '2', '3'], whole: true, others: 0 })
   }, 10_000)
 
+  // Guards against an answer cut with time left: its engine was left for one that refused it, and was not asked again.
+  it('goes on at the engine that it left when the other one refuses it', async () => {
+    const ticks: RawAnswer = (socket, request) => {
+      stream([1], silence)(socket, request)
+      const timer = setInterval(() => { socket.write(chunk('data: tick\n\n')) }, 200)
+      socket.on('close', () => clearInterval(timer))
+    }
+    const [one, two] = [await raw(stream([1, 2], silence), ticks, stream([3], endStream)), await raw(REFUSES)]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const asking = under.ask('/', { 'x-adapter': 'poem' })
+    await expect.poll(() => one.requests.length).toBe(1)
+    under.leaveAfter('/', 3_000, { 'x-adapter': 'poem', 'x-request-id': 'two' })
+    const seen = await asking
+    expect({ ids: ids(seen.body), whole: seen.whole, after: /x-after: 2\r\n/.test(one.requests[2] ?? '') }).toEqual({ ids: ['1', '2', '3'], whole: true, after: true })
+  }, 10_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
