Count the silence of an engine once for each request

What callers saw: 503 with a sound engine at hand that holds their adapter.

Cause: a search beside a silent stream tells that its engine failed, and searches begin anew every 1.5 s where none can be used, as when repeats are used up; the move to another engine told it once more. One request counted as two or three failures in a row, which ejects.

Evidence: an engine that took 4.7 s to its first event, with no other work of this instance, served that request, and the next one was refused in the test.

Why it works: a request tells of an engine once; that several requests see it silent still ejects it.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -41,6 +41,8 @@
   /** Tries that may have run. */
   private runs = 0
   private stall = 0
+  /** Engines of which this request has told that they say nothing to anybody. */
+  private readonly toldLost = new Set<EndpointId>()
   /** The engine that was left last for another one. */
   private left: EndpointId | undefined
 
@@ -93,7 +95,7 @@
     const { clock, senders } = this.parts
     // An engine that answers others has this stream in its queue: a load elsewhere would take a slot from requests that have none.
     const isLost = senders.silence(silent.endpoint.id) >= LEAST_PATIENCE_MILLISECONDS
-    if (isLost) senders.observe(silent.endpoint.id, 'failed', 'it says nothing to anybody')
+    if (isLost) this.tellLost(silent.endpoint.id)
     const waits = this.progress.firstEventAt === undefined && !isLost
     const engine = await this.seek(waits ? clock.now() : this.callerLeavesAt(), AbortSignal.any([ending, this.request.signal]))
     if (engine === undefined || ending.aborted || !this.mayRepeat()) return undefined
@@ -101,6 +103,13 @@
     return engine
   }
 
+  /** One silence is one failure, however often it is noticed. */
+  private tellLost (endpoint: EndpointId): void {
+    if (this.toldLost.has(endpoint)) return
+    this.toldLost.add(endpoint)
+    this.parts.senders.observe(endpoint, 'failed', 'it says nothing to anybody')
+  }
+
   private searchEnd (): number {
     const { cameAt, endsAt, route } = this.request
     // A refusal lets a caller come back, but only where nothing has run; any other caller has this answer or none.
@@ -209,7 +218,7 @@
   private learnFromFailure ({ endpoint }: FoundEngine, result: Extract<StreamTryResult, { reason: string }>): void {
     if (result.kind === 'not-sent') this.record.notRun(endpoint.id, result.reason)
     else this.record.unknown(endpoint.id, result.reason)
-    if (!this.request.signal.aborted) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
+    if (!this.request.signal.aborted && !this.toldLost.has(endpoint.id)) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
   }
 
   private answered (): RelayOutcome {
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -354,6 +354,17 @@
     expect({ ids: ids(seen.body), whole: seen.whole, after: /x-after: 2\r\n/.test(one.requests[2] ?? '') }).toEqual({ ids: ['1', '2', '3'], whole: true, after: true })
   }, 10_000)
 
+  // Guards against refusals with a sound engine at hand: one request that it was slow to begin counted as several failures in a row.
+  it('that is slow to begin does not keep the next one from its engine', async () => {
+    const slow: RawAnswer = (socket, request) => { setTimeout(() => { if (socket.writable) stream([1], endStream)(socket, request) }, 4_700) }
+    const [one, two] = [await raw(slow, stream([1], endStream)), await raw(silence)]
+    const under = await ingress({ routes: [PATIENT], repeats: 0, endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
+    const first = await under.ask('/', { 'x-adapter': 'poem' })
+    under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [], inFlight: [] }, 0)
+    const next = await under.ask('/', { 'x-adapter': 'poem' })
+    expect([first.status, next.status]).toEqual([200, 200])
+  }, 15_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
