Keep the process up when a search beside a stream fails

What callers would see: every stream of an instance cut at once.

Cause: a search for another engine runs beside its stream, and its promise is awaited only when the try ends. A fault in it was an unhandled rejection until then, which ends the process; and the search was taken to be under way for ever, so none was begun again. Read in the code; no such fault was seen.

Why it works: the fault is kept for the end of the try, where the listener logs it as a fault of the program; until then the stream stays where it is.

--- a/packages/ingress/src/relay/failover-search.ts
+++ b/packages/ingress/src/relay/failover-search.ts
@@ -25,6 +25,9 @@
     const ending = new AbortController()
     this.ending = ending
     this.looking = this.look(ending)
+    this.looking.catch(() => {
+      // A fault of the search is told at the end of the try; until then the stream stays where it is.
+    })
   }
 
   /** The engine is heard again. */
@@ -42,8 +45,9 @@
   }
 
   private async look (ending: AbortController): Promise<void> {
-    const engine = await this.search(ending.signal)
-    if (this.ending === ending) this.ending = undefined
+    const engine = await this.search(ending.signal).finally(() => {
+      if (this.ending === ending) this.ending = undefined
+    })
     if (engine === undefined || ending.signal.aborted) return
     this.found = engine
     this.onFound()
