Ask for a load where the request may go

What callers saw: 503 after their whole wait, with room for their adapter on another engine.

Cause: after an engine said that it does not hold the adapter (421), the request may not go there again, but the load for it was asked of any engine, and that one is often the nearest, as it caches what it held. The request waited for a load that it could not use; others on the way took a slot for nobody.

Evidence: of two engines the one that had answered 421 was asked first, and the request was refused.

Why it works: engines that the request may use are asked first. Where there is none, the others are asked as before, so that a caller who comes back finds the adapter.

--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -108,7 +108,10 @@
     if (adapter === undefined) return
     const now = clock.now()
     const bias = (endpoint: EndpointId): number => place.bias(endpoint, locations.line(endpoint)?.heardAt, now)
-    const load = router.chooseForLoad({ ...search, excluded: this.refusing(adapter.key, now) }, bias, now)
+    const refusing = this.refusing(adapter.key, now)
+    // A load to an engine that this request may not use again serves others at best.
+    const load = router.chooseForLoad({ ...search, excluded: new Set([...refusing, ...search.excluded]) }, bias, now) ??
+      router.chooseForLoad({ ...search, excluded: refusing }, bias, now)
     if (load === undefined) return await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
     place.take(load.endpoint.id, now)
     this.askFor(load, facts, { request: facts.requestId, onTimeMilliseconds: onTimeUntil - now }, now)
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -365,6 +365,17 @@
     expect([first.status, next.status]).toEqual([200, 200])
   }, 15_000)
 
+  // Guards against refusals with room elsewhere: the load was asked of the engine that had just said it does not hold the adapter.
+  it('asks for a load where it can be sent to, after one engine says that it does not hold the adapter', async () => {
+    const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
+    const asking = under.ask('/', { 'x-adapter': 'poem' })
+    await expect.poll(() => under.asked.length).toBeGreaterThan(0)
+    const [first] = under.asked
+    under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: first?.endpoint ?? endpointId(''), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+    expect({ status: (await asking).status, asked: first?.endpoint }).toEqual({ status: 200, asked: 'b' })
+  })
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
