Wait for a second engine also for models without an adapter

What callers saw: a stream cut at once, with seconds left, when its engine broke off and no other engine held its model just then.

Cause: without an adapter there is no load to ask for, so the search ended at its first look. That is right for a request that never ran, which is refused and comes back; one that has run has this answer or none. An engine may join, or be let in again after failures, while the caller still waits.

Evidence: in the test an engine with the model joins half a second after the break; the stream had been cut by then.

Why it works: the search lasts as long as with an adapter once something may have run. Others are refused as early as before, which a second test holds, and no load is asked for.

--- a/packages/ingress/src/adapters/adapter-seeker.ts
+++ b/packages/ingress/src/adapters/adapter-seeker.ts
@@ -80,8 +80,9 @@
         this.askForCopy(search, choice, now)
         return { ...choice, stallMilliseconds: now - startedAt }
       }
-      if (facts.adapter?.name === undefined) return this.foundNone(search, 'no engine may serve it', askings, now - startedAt)
-      if (now >= until) return this.foundNone(search, 'its search took too long', askings, now - startedAt)
+      const isLate = now >= until
+      if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) return this.foundNone(search, 'no engine may serve it', askings, now - startedAt)
+      if (isLate) return this.foundNone(search, 'its search took too long', askings, now - startedAt)
       await this.haveLoaded(search, place)
     }
     return this.foundNone(search, 'its request ended', undefined, clock.now() - startedAt)
@@ -107,6 +108,8 @@
     const { adapter } = facts
     if (adapter === undefined) return
     const now = clock.now()
+    // Whole models are not loaded for one request, but an engine that holds the model may come, or be let in again.
+    if (adapter.name === undefined) return await locations.arrival(adapter.key, Math.max(1, Math.min(NOBODY_MILLISECONDS, until - now)), signal)
     const bias = (endpoint: EndpointId): number => place.bias(endpoint, locations.line(endpoint)?.heardAt, now)
     const refusing = this.refusing(adapter.key, now)
     // A load to an engine that this request may not use again serves others at best.
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -111,9 +111,11 @@
   }
 
   private searchEnd (): number {
-    const { cameAt, endsAt, route } = this.request
+    const { cameAt, endsAt, route, facts } = this.request
     // A refusal lets a caller come back, but only where nothing has run; any other caller has this answer or none.
     if (this.runs > 0 || this.progress.firstEventAt !== undefined) return this.callerLeavesAt()
+    // Without an adapter there is no load to wait for.
+    if (facts.adapter?.name === undefined) return cameAt
     return cameAt + longestWait({ time: endsAt - cameAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
   }
 
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -8,7 +8,7 @@
 import type { Behind } from './support/ingress-under-test.js'
 import { chunk, endStream, framed, RawEndpoint, silence, stream } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
-import { key, route, SPEAKER } from './support/samples.js'
+import { endpoint, key, route, SPEAKER } from './support/samples.js'
 
 const ending: { stop: () => void }[] = []
 
@@ -376,6 +376,24 @@
     expect({ status: (await asking).status, asked: first?.endpoint }).toEqual({ status: 200, asked: 'b' })
   })
 
+  // Guards against an answer cut at once with time left: for a model without an adapter no second engine was waited for.
+  it('of a model without an adapter that broke goes on at an engine that comes while its caller bears the pause', async () => {
+    const breaks = stream([1, 2], (socket) => { setTimeout(() => socket.resetAndDestroy(), 30) })
+    const [one, two] = [await raw(breaks), await raw(stream([3], endStream))]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: [] }] })
+    const asking = under.ask('/', { 'x-model': 'base' })
+    setTimeout(() => { under.directory.apply({ revision: 2, endpoints: [endpoint('b', { address: two.address, service: 'engines' })] }, undefined, 0) }, 500)
+    const seen = await asking
+    expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
+  }, 10_000)
+
+  it('of a model without an adapter that no engine holds is refused at once, as not run', async () => {
+    const under = await ingress({ routes: [PATIENT], endpoints: [] })
+    const startedAt = performance.now()
+    const { status } = await under.ask('/', { 'x-model': 'base' })
+    expect({ status, early: performance.now() - startedAt < 500, asked: under.asked.length }).toEqual({ status: 503, early: true, asked: 0 })
+  })
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -2,14 +2,15 @@
 import { adapterKey, RequestCodec } from '@limpetwinch/ingress'
 import type { AnswerFacts, RequestFacts, SendFacts } from '@limpetwinch/ingress'
 
-/** Reads and writes `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-after`. */
+/** Reads and writes `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-model`, `x-after`. */
 export class TestCodec extends RequestCodec {
   override read (headers: NodeJS.Dict<string | string[]>): RequestFacts {
-    const adapter = headers['x-adapter']
+    const name = headers['x-adapter'] as string | undefined
+    const hasModel = name !== undefined || headers['x-model'] !== undefined
     return {
       requestId: String(headers['x-request-id'] ?? ''),
       deadlineMilliseconds: headers['x-milliseconds'] === undefined ? undefined : Number(headers['x-milliseconds']),
-      adapter: typeof adapter === 'string' ? { model: 'base', name: adapter, key: adapterKey('base', adapter) } : undefined,
+      adapter: hasModel ? { model: 'base', name, key: adapterKey('base', name) } : undefined,
       promptTokens: 100,
       outputTokens: 10,
       promptParts: [],
