Do not count an engine that was left by choice as failed

What callers saw: 503, or longer ways, while an engine with a full batch that holds their adapter went on answering others.

Cause: a stream whose engine had not begun with it, or paused it, moves to another holder; the move counted as a failure of the engine it left. In a crowd several streams move at once, which ejects a sound engine and sends its work to the others. Engines that say nothing to anybody are told of when that is noticed.

Evidence: in the test three streams leave an engine that sends events of a fourth all the while; the next request, for which it was the only holder, was refused.

Why it works: silence counts where the engine is silent to all; streams that break, or engines that refuse connections, count as before. What it gives up: an engine that drops single streams in silence and answers others is not ejected for that.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -220,7 +220,9 @@
   private learnFromFailure ({ endpoint }: FoundEngine, result: Extract<StreamTryResult, { reason: string }>): void {
     if (result.kind === 'not-sent') this.record.notRun(endpoint.id, result.reason)
     else this.record.unknown(endpoint.id, result.reason)
-    if (!this.request.signal.aborted && !this.toldLost.has(endpoint.id)) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
+    // An engine that answers others and was left by choice has not failed.
+    const wasLeft = result.reason === REPLACED
+    if (!this.request.signal.aborted && !wasLeft && !this.toldLost.has(endpoint.id)) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
   }
 
   private answered (): RelayOutcome {
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -394,6 +394,27 @@
     expect({ status, early: performance.now() - startedAt < 500, asked: under.asked.length }).toEqual({ status: 503, early: true, asked: 0 })
   })
 
+  // Guards against the ejection of sound engines in a crowd: streams that it had not begun yet moved on, and each counted as its failure.
+  it('that leaves an engine that answers others does not keep the next one from it', async () => {
+    const ticks: RawAnswer = (socket, request) => {
+      stream([1], silence)(socket, request)
+      const timer = setInterval(() => { socket.write(chunk('data: tick\n\n')) }, 200)
+      socket.on('close', () => clearInterval(timer))
+    }
+    const [one, two] = [await raw(ticks, silence, silence, silence, stream([1], endStream)), await raw(silence)]
+    const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
+    const tell = (sequence: number, adapters: [string, number][]): void => {
+      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence, held: adapters, inFlight: [] }, 0)
+    }
+    for (const id of ['ticks', 'two', 'three', 'four']) under.leaveAfter('/', 3_500, { 'x-adapter': 'poem', 'x-request-id': id })
+    await expect.poll(() => one.requests.length).toBe(4)
+    tell(1, [['base/poem', 1]])
+    await expect.poll(() => two.requests.length, { timeout: 3_000 }).toBe(3)
+    tell(2, [])
+    const { status } = await under.ask('/', { 'x-adapter': 'poem' })
+    expect(status).toBe(200)
+  }, 10_000)
+
   it('is sent to another engine when one says that it does not hold the adapter', async () => {
     const [one, two] = [await raw(framed(421, '', 'X-Not-Run: 1\r\n')), await raw(stream([1], endStream))]
     const { ask } = await bound({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: held }] })
