Count an answer as delivered when it has left this process

What callers saw: a whole answer cut by a planned stop, where they had not read all of it yet.

Cause: a request counted as done when its answer had been written to its end, though megabytes of it might still wait in this process; and a connection whose answer has ended counts as idle, which the stop closes.

Evidence: a caller that pauses for three seconds got 3.9 of 7 MB in the test; it gets all now.

Now an answer ends when its bytes are out, and its request counts until then.

--- a/packages/ingress/src/relay/caller-exchange.ts
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -18,6 +18,9 @@
   readonly incoming: IncomingMessage
   private readonly outgoing: ServerResponse
   private readonly leaving = new AbortController()
+  /** Writes whose bytes are still in this process. */
+  private unflushed = 0
+  private whenFlushed: (() => void) | undefined
 
   constructor (incoming: IncomingMessage, outgoing: ServerResponse) {
     this.incoming = incoming
@@ -80,7 +83,8 @@
   answer (head: AnswerHead, body: Buffer): void {
     if (this.outgoing.destroyed || this.started) return
     this.outgoing.writeHead(head.status, { ...headersToCaller(head), 'content-length': body.length })
-    this.outgoing.end(body)
+    this.write(body)
+    this.end()
   }
 
   /** Begins an answer whose body follows in parts. */
@@ -92,7 +96,9 @@
 
   /** @returns whether the caller takes more at once; else wait for {@link drained} */
   write (bytes: Buffer): boolean {
-    return this.outgoing.destroyed || this.outgoing.write(bytes)
+    if (this.outgoing.destroyed) return true
+    this.unflushed += 1
+    return this.outgoing.write(bytes, this.flushed)
   }
 
   /** Resolves when the caller has read what was written, or has left. */
@@ -103,9 +109,28 @@
     })
   }
 
-  /** The answer is whole. */
+  /**
+   * The answer is whole. It ends when its bytes have left this process: a connection whose answer has ended counts as idle, and
+   * a stop closes idle connections with all that their callers have not read.
+   */
   end (): void {
-    this.outgoing.end()
+    if (this.unflushed === 0) this.outgoing.end()
+    else this.whenFlushed = () => { this.outgoing.end() }
+  }
+
+  /** Resolves when the answer has left this process, or its caller has left. */
+  async delivered (): Promise<void> {
+    const { outgoing } = this
+    if (outgoing.writableFinished || outgoing.closed) return
+    await new Promise<void>((resolve) => {
+      outgoing.once('finish', resolve)
+      outgoing.once('close', resolve)
+    })
+  }
+
+  private readonly flushed = (): void => {
+    this.unflushed -= 1
+    if (this.unflushed === 0) this.whenFlushed?.()
   }
 
   /** Cuts an answer that has begun, so that it cannot look whole. */
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -107,6 +107,7 @@
       this.parts.logger.error('A request failed by a fault of this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
+      await exchange.delivered()
       this.inProgress -= 1
     }
   }
--- a/packages/ingress/test/stopping.failure.test.ts
+++ b/packages/ingress/test/stopping.failure.test.ts
@@ -3,9 +3,11 @@
 // ends, and its caller could not know whether it ran. It must not reach an endpoint; told so, the caller goes elsewhere.
 import { Agent, request } from 'node:http'
 import type { Socket } from 'node:net'
+import { silentLogger, SystemClock } from '@limpetwinch/core'
 import { afterEach, describe, expect, it } from 'vitest'
+import { stopInOrder } from '../src/runtime/stop-in-order.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
-import { chunk, endStream, RawEndpoint, stream } from './support/raw-endpoint.js'
+import { chunk, endStream, framed, RawEndpoint, stream } from './support/raw-endpoint.js'
 import { key, route } from './support/samples.js'
 
 const ending: { stop: () => void }[] = []
@@ -59,6 +61,19 @@
     expect({ whole: /id: 2/.test(body), passedOn: engine.requests.length - 1, refused: status === 503 || typeof status === 'string' }).toEqual({ whole: true, passedOn: 0, refused: true })
   })
 
+  // Guards against a whole answer cut by a planned stop: it was written to its end, and its caller had not read it all yet.
+  it('lets a caller that reads slowly have the whole answer', async () => {
+    const body = 'x'.repeat(7_000_000)
+    const plain = await RawEndpoint.start(framed(200, body))
+    const under = await IngressUnderTest.start({ routes: [route()], endpoints: [{ id: 'p', raw: plain }] })
+    ending.push(plain, under)
+    const asking = under.askAndPause('/', 3_000)
+    await expect.poll(() => plain.requests.length).toBe(1)
+    await stopInOrder({ listener: under.listener, clock: new SystemClock(), logger: silentLogger(), graceMilliseconds: 6_000 })
+    const seen = await asking
+    expect({ bytes: seen.body.length, whole: seen.whole }).toEqual({ bytes: body.length, whole: true })
+  }, 10_000)
+
   it('refuses as not run what comes on a kept connection once it takes no more', async () => {
     const { under, engine, first, finish } = await stoppingWhileAStreamRuns()
     finish()
