Ask at the usual pace whether an adapter has left

Cause: a hidden adapter whose notice was heard is due at once; one that departs stays hidden and due, so the loader slept for a millisecond at a time.

The test counts the orders within half a second and failed before.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -129,8 +129,10 @@
       const due = orderedAt + this.travelTime(key)
       earliest = Math.min(earliest, due > now ? due : now + CONFIRM_MILLISECONDS)
     }
-    for (const key of this.hidden.keys('eviction')) earliest = Math.min(earliest, this.hidden.heardAt(key) ?? earliest)
-    if (this.line.length > 0) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
+    for (const key of this.hidden.keys('eviction')) {
+      if (!this.ledger.departing.has(key)) earliest = Math.min(earliest, this.hidden.heardAt(key) ?? earliest)
+    }
+    if (this.line.length > 0 || this.ledger.departing.size > 0) earliest = Math.min(earliest, now + CONFIRM_MILLISECONDS)
     return Math.max(1, earliest - now)
   }
 
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -238,6 +238,25 @@
     expect({ unloaded: engine.unloaded, held: engine.held().toSorted() }).toEqual({ unloaded: [other], held: [again, 'z'] })
   })
 
+  // An engine lets a run end before it drops its adapter. Asked without a pause whether it has, it is sent a hundred orders a second, each
+  // of which takes processor time from the requests of the instance.
+  it('ask an engine now and then whether an adapter has left that a request still runs', async () => {
+    const engine = new SimulatedEngine({ slots: 1 })
+    const run = start(engine, new Map(), 1)
+    await wanted(run, 'x')
+    await sleep(300)
+    engine.use('x')
+    run.loader.want(key('y'), 0, { request: 'r', onTimeMilliseconds: undefined })
+    await until(() => engine.orderCount('unload') > 0)
+    const before = engine.orderCount('unload')
+    await sleep(500)
+    const during = engine.orderCount('unload') - before
+    engine.release('x')
+    const brought = await wanted(run, 'y')
+    await run.stop()
+    expect({ few: during <= 500 / 40 + 2, brought }).toEqual({ few: true, brought: true })
+  })
+
   // Ten requests wait for ten adapters on an engine whose slots all hold something idle. Hidden one after the other, each
   // for the time in which peers hear of it, the tenth adapter would come after ten such times.
   it('make room for several loads at the same time', async () => {
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -25,6 +25,9 @@
   private readonly adapters = new Map<string, 'held' | 'inFlight'>()
   private readonly versions = new Map<string, number>()
   private readonly late: EngineOrder[] = []
+  private readonly inUse = new Set<string>()
+  private readonly departing = new Set<string>()
+  private readonly counts = new Map<EngineOrder['operation'], number>()
   private sequence = 0
 
   constructor ({ slots, next = [] }: { readonly slots: number, readonly next?: readonly OrderFate[] }) {
@@ -42,8 +45,25 @@
     return this.adapters.get(name) === 'held' ? this.versions.get(name) : undefined
   }
 
+  /** A run uses the adapter of which nobody else knows. */
+  use (name: string): void {
+    this.inUse.add(name)
+  }
+
+  /** That run has ended. */
+  release (name: string): void {
+    this.inUse.delete(name)
+    if (this.departing.delete(name)) this.drop(name)
+  }
+
+  /** @returns orders of the kind that came */
+  orderCount (operation: EngineOrder['operation']): number {
+    return this.counts.get(operation) ?? 0
+  }
+
   /** Takes an order. */
   async order (order: EngineOrder): Promise<Result<OrderAnswer, LimpetwinchError>> {
+    this.counts.set(order.operation, this.orderCount(order.operation) + 1)
     const fate = this.next.shift() ?? 'done'
     const { afterNext } = this
     this.afterNext = undefined
@@ -85,9 +105,18 @@
   private unload (name: string): OrderAnswer {
     // Engines count an order only when it changes something.
     if (!this.adapters.has(name)) return 'holds'
+    if (this.departing.has(name)) return 'accepted'
     this.sequence += 1
+    if (this.inUse.has(name)) {
+      this.departing.add(name)
+      return 'accepted'
+    }
+    this.drop(name)
+    return 'holds'
+  }
+
+  private drop (name: string): void {
     this.adapters.delete(name)
     this.unloaded.push(name)
-    return 'holds'
   }
 }
