Soak: a violation carries an account of what was seen around it

A late answer in a soak could not be traced: the record held when a request was sent and ended, and nothing of what lay between. Each violation now carries the faults around it, how late the soak's own timers were, how long the soak and each instance ran and waited for a processor, when the client wrote the request, how often and on which connection, and what the instances logged of it. No check judges otherwise than before.

--- a/packages/soak/src/bin/limpetwinch-soak.ts
+++ b/packages/soak/src/bin/limpetwinch-soak.ts
@@ -49,7 +49,10 @@
 
   private print ({ seed, requests, served, faults, violations }: SoakOutcome): void {
     this.log(`seed ${seed}: ${served} of ${requests} served; ${faults.join(', ')}`)
-    for (const { promise, message } of violations) this.log(`seed ${seed}: BROKEN ${promise}: ${message}`)
+    for (const { promise, message, account } of violations) {
+      this.log(`seed ${seed}: BROKEN ${promise}: ${message}`)
+      for (const line of account) this.log(`  ${line}`)
+    }
   }
 }
 
--- a/packages/soak/src/checks/answer-checks.ts
+++ b/packages/soak/src/checks/answer-checks.ts
@@ -1,7 +1,7 @@
 /** Promises about what callers get. */
 import type { SeenRequest } from '../soak-record.js'
 import { SoakCheck } from './soak-check.js'
-import type { SoakEvidence } from './soak-check.js'
+import type { SoakEvidence, Violation } from './soak-check.js'
 
 /** A process that was asked to stop, or a fault nearby, may be told of so late that the request is judged unfairly. */
 const MARGIN_MILLISECONDS = 200
@@ -12,12 +12,13 @@
 export class WholeStreamCheck extends SoakCheck {
   override readonly promise = 'whole-answer'
 
-  override violations ({ record }: SoakEvidence): string[] {
-    return [...record.requests, ...record.probes].flatMap(({ request, answer }) => {
+  override violations ({ record }: SoakEvidence): Violation[] {
+    return [...record.requests, ...record.probes].flatMap((seen) => {
+      const { request, answer } = seen
       if (request.adapter === undefined || answer.status !== 200) return []
       const wrong = answer.events.find(({ id, adapter }, index) => id !== index + 1 || adapter !== request.adapter)
-      if (wrong !== undefined) return [`${request.id} for ${request.adapter}: event ${wrong.id} of ${wrong.adapter} out of place`]
-      if (answer.whole && answer.events.length !== request.events) return [`${request.id} ended as whole after ${answer.events.length} of ${request.events} events`]
+      if (wrong !== undefined) return [this.seenBy(seen, `${request.id} for ${request.adapter}: event ${wrong.id} of ${wrong.adapter} out of place`)]
+      if (answer.whole && answer.events.length !== request.events) return [this.seenBy(seen, `${request.id} ended as whole after ${answer.events.length} of ${request.events} events`)]
       return []
     })
   }
@@ -27,11 +28,12 @@
 export class AnswerInTimeCheck extends SoakCheck {
   override readonly promise = 'every-request-ended'
 
-  override violations ({ record }: SoakEvidence): string[] {
-    return record.requests.flatMap(({ request, answer, instance, sentAt, endedAt }) => {
+  override violations ({ record }: SoakEvidence): Violation[] {
+    return record.requests.flatMap((seen) => {
+      const { request, answer, instance, sentAt, endedAt } = seen
       if (answer.milliseconds <= request.deadlineMilliseconds + LATE_MILLISECONDS) return []
       const excused = record.during(sentAt, endedAt, MARGIN_MILLISECONDS).some(({ target, kind }) => target === instance || kind === 'kill-all-instances')
-      return excused ? [] : [`${request.id} at ${instance} ended ${Math.round(answer.milliseconds)} ms after it was sent, deadline ${request.deadlineMilliseconds} ms`]
+      return excused ? [] : [this.seenBy(seen, `${request.id} at ${instance} ended ${Math.round(answer.milliseconds)} ms after it was sent, deadline ${request.deadlineMilliseconds} ms`)]
     })
   }
 }
@@ -40,12 +42,12 @@
 export class PlannedStopCheck extends SoakCheck {
   override readonly promise = 'planned-stop'
 
-  override violations ({ record }: SoakEvidence): string[] {
+  override violations ({ record }: SoakEvidence): Violation[] {
     const stops = record.faults.filter(({ kind }) => kind === 'stop-instance')
     return stops.flatMap((stop) => record.requests
       .filter(({ instance, sentAt, endedAt }) => instance === stop.target && sentAt < stop.from - MARGIN_MILLISECONDS && endedAt > stop.from)
       .filter((seen) => seen.answer.failure !== undefined && this.isAlone(record.during(seen.sentAt, seen.endedAt, MARGIN_MILLISECONDS)))
-      .map((seen) => `${seen.request.id} was cut off by the stop of ${stop.target}: ${seen.answer.failure}`))
+      .map((seen) => this.seenBy(seen, `${seen.request.id} was cut off by the stop of ${stop.target}: ${seen.answer.failure}`)))
   }
 
   private isAlone (faults: readonly { readonly kind: string }[]): boolean {
@@ -58,12 +60,15 @@
   override readonly promise = 'recovery'
   /** A model server's queue or a load may still cost one of them. */
   private readonly leastServed = 0.9
+  private readonly mostTold = 3
 
-  override violations ({ record }: SoakEvidence): string[] {
+  override violations ({ record }: SoakEvidence): Violation[] {
     const served = record.probes.filter((probe) => isServed(probe)).length
     if (served >= record.probes.length * this.leastServed) return []
-    const failures = record.probes.filter((probe) => !isServed(probe)).slice(0, 3).map(({ request, instance, answer }) => `${request.id} at ${instance}: ${answer.status} ${answer.failure ?? answer.text.slice(0, 120)}`)
-    return [`${served} of ${record.probes.length} requests were served after all faults were over; ${failures.join('; ')}`]
+    const failed = record.probes.filter((probe) => !isServed(probe))
+    const told = failed.slice(0, this.mostTold).map(({ request, instance, answer }) => `${request.id} at ${instance}: ${answer.status} ${answer.failure ?? answer.text.slice(0, 120)}`)
+    const message = `${served} of ${record.probes.length} requests were served after all faults were over; ${told.join('; ')}`
+    return failed.slice(0, 1).map((probe) => this.seenBy(probe, message))
   }
 }
 
@@ -71,8 +76,8 @@
 export class NoLostInstanceCheck extends SoakCheck {
   override readonly promise = 'no-lost-instance'
 
-  override violations ({ record }: SoakEvidence): string[] {
-    return [...record.lost]
+  override violations ({ record }: SoakEvidence): Violation[] {
+    return record.lost.map(({ instance, reason, at }) => ({ message: `${instance}: ${reason}`, from: at, to: at, instance }))
   }
 }
 
--- a/packages/soak/src/checks/endpoint-checks.ts
+++ b/packages/soak/src/checks/endpoint-checks.ts
@@ -1,7 +1,7 @@
 /** Promises about what endpoints run and are ordered. */
 import type { SampleRoute, StandInRun } from '@limpetwinch/platform'
 import { SoakCheck } from './soak-check.js'
-import type { SoakEvidence } from './soak-check.js'
+import type { SoakEvidence, Violation } from './soak-check.js'
 
 const ONCE_ONLY: ReadonlySet<SampleRoute> = new Set(['once', 'enter'])
 /** New work on a leaving endpoint ends within so long of the store's word. */
@@ -19,15 +19,19 @@
   return runs
 }
 
+function runBy ({ request, at }: StandInRun, message: string): Violation {
+  return { message, from: at, to: at, request }
+}
+
 /** What may not be repeated runs once at most. */
 export class AtMostOnceCheck extends SoakCheck {
   override readonly promise = 'at-most-once'
 
-  override violations (evidence: SoakEvidence): string[] {
+  override violations (evidence: SoakEvidence): Violation[] {
     const runs = runsOf(evidence)
     return evidence.record.requests
       .filter(({ request }) => ONCE_ONLY.has(request.route) && (runs.get(request.id)?.length ?? 0) > 1)
-      .map(({ request }) => `${request.id} ran ${runs.get(request.id)?.length} times`)
+      .map((seen) => this.seenBy(seen, `${seen.request.id} ran ${runs.get(seen.request.id)?.length} times`))
   }
 }
 
@@ -35,11 +39,11 @@
 export class NotRunCheck extends SoakCheck {
   override readonly promise = 'not-run'
 
-  override violations (evidence: SoakEvidence): string[] {
+  override violations (evidence: SoakEvidence): Violation[] {
     const runs = runsOf(evidence)
     return evidence.record.requests
       .filter(({ request, answer }) => answer.saysNotRun && ONCE_ONLY.has(request.route) && runs.has(request.id))
-      .map(({ request, answer }) => `${request.id} was answered ${answer.status} and ran`)
+      .map((seen) => this.seenBy(seen, `${seen.request.id} was answered ${seen.answer.status} and ran`))
   }
 }
 
@@ -47,11 +51,11 @@
 export class RightAdapterCheck extends SoakCheck {
   override readonly promise = 'right-adapter'
 
-  override violations (evidence: SoakEvidence): string[] {
+  override violations (evidence: SoakEvidence): Violation[] {
     const sent = new Map([...evidence.record.requests, ...evidence.record.probes].map(({ request }) => [request.id, request]))
     return [...runsOf(evidence)].flatMap(([id, runs]) => runs
       .filter((run) => run.adapter !== sent.get(id)?.adapter || !sent.has(id))
-      .map((run) => `${id} asked for ${sent.get(id)?.adapter ?? 'nothing'} and ran by ${run.adapter ?? 'nothing'}`))
+      .map((run) => runBy(run, `${id} asked for ${sent.get(id)?.adapter ?? 'nothing'} and ran by ${run.adapter ?? 'nothing'}`)))
   }
 }
 
@@ -59,12 +63,12 @@
 export class LeavingEndpointCheck extends SoakCheck {
   override readonly promise = 'leaving-endpoint'
 
-  override violations ({ record, deployment }: SoakEvidence): string[] {
+  override violations ({ record, deployment }: SoakEvidence): Violation[] {
     return record.leavings.flatMap(({ endpoint, at }) => {
       const runs = deployment.engines.find(({ options }) => options.id === endpoint)?.runs ?? []
       return runs
         .filter((run) => run.at > at + LEAVING_MILLISECONDS && record.during(at, run.at, DISTURBED_MILLISECONDS).every(({ target }) => target === endpoint))
-        .map((run) => `${endpoint} was given ${run.request} ${run.at - at} ms after it was leaving`)
+        .map((run) => runBy(run, `${endpoint} was given ${run.request} ${run.at - at} ms after it was leaving`))
     })
   }
 }
@@ -73,10 +77,12 @@
 export class SlotsCheck extends SoakCheck {
   override readonly promise = 'slots'
 
-  override violations ({ deployment, adapterSlots }: SoakEvidence): string[] {
+  override violations ({ deployment, adapterSlots }: SoakEvidence): Violation[] {
     return deployment.engines
       .filter(({ mostOccupied }) => mostOccupied > adapterSlots)
-      .map(({ options, mostOccupied }) => `${options.id} was ordered ${mostOccupied} adapters and has ${adapterSlots} slots`)
+      .map(({ options, mostOccupied, orders }) => ({
+        message: `${options.id} was ordered ${mostOccupied} adapters and has ${adapterSlots} slots`, from: orders[0]?.at ?? 0, to: orders.at(-1)?.at ?? 0
+      }))
   }
 }
 
@@ -85,13 +91,13 @@
   override readonly promise = 'one-holder'
   private readonly staleToken = 412
 
-  override violations ({ deployment }: SoakEvidence): string[] {
+  override violations ({ deployment }: SoakEvidence): Violation[] {
     return deployment.engines.flatMap(({ options, orders }) => {
       const taken = orders.filter(({ status }) => status !== this.staleToken)
       return taken.flatMap((order, index) => {
         const before = taken[index - 1]
         if (before === undefined || before.holder === order.holder || order.at - before.at >= LEASE_MILLISECONDS) return []
-        return [`${options.id} was ordered by ${before.holder} and ${order.at - before.at} ms later by ${order.holder}`]
+        return [{ message: `${options.id} was ordered by ${before.holder} and ${order.at - before.at} ms later by ${order.holder}`, from: before.at, to: order.at }]
       })
     })
   }
--- a/packages/soak/src/checks/soak-check.ts
+++ b/packages/soak/src/checks/soak-check.ts
@@ -1,6 +1,6 @@
 /** A promise, checked over one run. */
 import type { PlatformDeployment } from '@limpetwinch/platform'
-import type { SoakRecord } from '../soak-record.js'
+import type { SeenRequest, SoakRecord } from '../soak-record.js'
 
 /** What a check looks at: what callers saw, and what the stand-ins ran and were ordered. */
 export interface SoakEvidence {
@@ -9,11 +9,26 @@
   readonly adapterSlots: number
 }
 
+/** One time that a promise was broken. Times are Unix milliseconds. */
+export interface Violation {
+  readonly message: string
+  readonly from: number
+  readonly to: number
+  readonly instance?: string
+  /** Its id. */
+  readonly request?: string
+}
+
 /** One promise. */
 export abstract class SoakCheck {
   /** Its name in reports. */
   abstract readonly promise: string
 
-  /** @returns a line for each time that it was broken */
-  abstract violations (evidence: SoakEvidence): string[]
+  /** @returns each time that it was broken */
+  abstract violations (evidence: SoakEvidence): Violation[]
+
+  /** @returns the violation that a request saw */
+  protected seenBy ({ request, instance, sentAt, endedAt }: SeenRequest, message: string): Violation {
+    return { message, from: sentAt, to: endedAt, instance, request: request.id }
+  }
 }
--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -47,7 +47,7 @@
       site.signal(instance, 'SIGTERM')
       const end = performance.now() + STOP_MILLISECONDS
       while (!instance.process.hasEnded && performance.now() < end) await site.wait(LOOK_MILLISECONDS, LOOK_MILLISECONDS)
-      if (!instance.process.hasEnded) site.record.lost.push(`${instance.name}: it did not end within ${STOP_MILLISECONDS} ms of SIGTERM`)
+      if (!instance.process.hasEnded) site.record.lose(instance.name, `it did not end within ${STOP_MILLISECONDS} ms of SIGTERM`)
       site.signal(instance, 'SIGKILL')
       await site.relaunch(index, instance)
     })
--- /dev/null
+++ b/packages/soak/src/observation/processor-watch.ts
@@ -0,0 +1,92 @@
+/** Who had a processor: how late this process's own timers were, and how long each process ran and waited to run. */
+import { readFileSync } from 'node:fs'
+
+const SAMPLE_MILLISECONDS = 100
+const NANOSECONDS_OF_MILLISECOND = 1_000_000
+
+/** What the system tells of a process's main thread since its start, milliseconds. */
+interface ProcessorTimes {
+  readonly ran: number
+  readonly waited: number
+}
+
+interface Sample extends ProcessorTimes {
+  readonly at: number
+}
+
+interface Lateness {
+  readonly at: number
+  readonly milliseconds: number
+}
+
+/** A process to look at. */
+export interface WatchedProcess {
+  readonly name: string
+  readonly processId: number | undefined
+}
+
+/** Takes samples while a run lasts. */
+export class ProcessorWatch {
+  private readonly processes: () => readonly WatchedProcess[]
+  private readonly samples = new Map<string, Sample[]>()
+  private readonly lateness: Lateness[] = []
+  private timer: NodeJS.Timeout | undefined
+  private plannedAt = 0
+
+  /** @param processes - those to look at now */
+  constructor (processes: () => readonly WatchedProcess[]) {
+    this.processes = processes
+  }
+
+  /** Begins to look. */
+  start (): void {
+    this.plannedAt = performance.now() + SAMPLE_MILLISECONDS
+    this.timer = setInterval(() => this.look(), SAMPLE_MILLISECONDS)
+  }
+
+  /** Looks no more. */
+  stop (): void {
+    clearInterval(this.timer)
+  }
+
+  /** @returns a sentence on this process's timers, and one for each process that was seen in the time */
+  during (from: number, to: number): string[] {
+    const isWithin = ({ at }: { readonly at: number }): boolean => at >= from - SAMPLE_MILLISECONDS && at <= to + SAMPLE_MILLISECONDS
+    const latest = Math.max(0, ...this.lateness.filter(isWithin).map(({ milliseconds }) => milliseconds))
+    const sentences = [...this.samples].flatMap(([process, samples]) => sentenceOf(process, samples.filter(isWithin)))
+    return [`timers of the soak were late by up to ${Math.round(latest)} ms`, ...sentences]
+  }
+
+  private look (): void {
+    const now = performance.now()
+    const at = Date.now()
+    this.lateness.push({ at, milliseconds: Math.max(0, now - this.plannedAt) })
+    this.plannedAt = now + SAMPLE_MILLISECONDS
+    for (const { name, processId } of [{ name: 'the soak', processId: process.pid }, ...this.processes()]) {
+      const times = processId === undefined ? undefined : timesOf(processId)
+      if (times !== undefined) this.note(`${name} (process ${processId})`, { at, ...times })
+    }
+  }
+
+  private note (process: string, sample: Sample): void {
+    const samples = this.samples.get(process) ?? []
+    this.samples.set(process, samples)
+    samples.push(sample)
+  }
+}
+
+/** @returns the times; undefined where the process has ended, or on systems that do not tell them */
+function timesOf (processId: number): ProcessorTimes | undefined {
+  try {
+    const [ran, waited] = readFileSync(`/proc/${processId}/schedstat`, 'utf8').split(' ').map((nanoseconds) => Number(nanoseconds) / NANOSECONDS_OF_MILLISECOND)
+    return ran === undefined || waited === undefined ? undefined : { ran, waited }
+  } catch {
+    return undefined
+  }
+}
+
+function sentenceOf (process: string, samples: readonly Sample[]): string[] {
+  const [first, last] = [samples[0], samples.at(-1)]
+  if (first === undefined || last === undefined) return []
+  return [`${process} ran ${Math.round(last.ran - first.ran)} ms and waited ${Math.round(last.waited - first.waited)} ms for a processor in ${last.at - first.at} ms`]
+}
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -26,13 +26,20 @@
   readonly at: number
 }
 
+/** An instance that ended though nothing ended it, or not when it was ended. */
+export interface LostInstance {
+  readonly instance: string
+  readonly reason: string
+  readonly at: number
+}
+
 /** One run's record. */
 export class SoakRecord {
   readonly faults: FaultSpan[] = []
   readonly requests: SeenRequest[] = []
   readonly leavings: SeenLeaving[] = []
-  /** Instances that ended though nothing ended them, with the reason. */
-  readonly lost: string[] = []
+  /** Instances that ended though nothing ended them, or not when they were ended. */
+  readonly lost: LostInstance[] = []
   /** Answers to requests sent when all faults were long over. */
   readonly probes: SeenRequest[] = []
 
@@ -43,6 +50,11 @@
     return span
   }
 
+  /** Notes an instance that was lost. */
+  lose (instance: string, reason: string): void {
+    this.lost.push({ instance, reason, at: Date.now() })
+  }
+
   /** @returns faults that overlap a time, widened by a margin on both sides */
   during (from: number, to: number, marginMilliseconds: number): FaultSpan[] {
     return this.faults.filter((fault) => fault.from <= to + marginMilliseconds && fault.to >= from - marginMilliseconds)
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -5,6 +5,7 @@
 import type { SampleRequest, SampleRoute } from '@limpetwinch/platform'
 import { SOAK_CHECKS } from './checks/index.js'
 import type { SoakFault } from './faults/soak-fault.js'
+import { RunWitness } from './observation/run-witness.js'
 import type { SeenRequest } from './soak-record.js'
 import { SoakSite } from './soak-site.js'
 import type { SoakSize } from './soak-site.js'
@@ -40,13 +41,21 @@
   readonly onLog: (instance: string, line: string) => void
 }
 
+/** A broken promise. */
+export interface SoakViolation {
+  readonly promise: string
+  readonly message: string
+  /** What was seen around it, in sentences. */
+  readonly account: readonly string[]
+}
+
 /** What a run came to. */
 export interface SoakOutcome {
   readonly seed: number
   readonly requests: number
   readonly served: number
   readonly faults: readonly string[]
-  readonly violations: readonly { readonly promise: string, readonly message: string }[]
+  readonly violations: readonly SoakViolation[]
 }
 
 /** Runs one plan. */
@@ -54,18 +63,24 @@
   private readonly plan: SoakPlan
   private readonly random: SeededRandom
   private readonly site: SoakSite
+  private readonly witness: RunWitness
   private sent = 0
   private over = false
 
   constructor (plan: SoakPlan) {
     this.plan = plan
     this.random = new SeededRandom(plan.seed)
-    this.site = new SoakSite(plan.size, new SeededRandom(plan.seed + 1), plan.onLog)
+    this.site = new SoakSite(plan.size, new SeededRandom(plan.seed + 1), (instance, line) => {
+      this.witness.hear(instance, line)
+      plan.onLog(instance, line)
+    })
+    this.witness = new RunWitness(`s${plan.seed}-`, () => this.site.instances.map(({ name, process }) => ({ name, processId: process.processId })))
   }
 
   /** @returns what it came to; everything that it started has ended then */
   async run (): Promise<SoakOutcome> {
     const { record, deployment } = this.site
+    this.witness.start()
     try {
       await deployment.start()
       await sleep(SETTLE_MILLISECONDS)
@@ -77,7 +92,8 @@
       await this.probe()
     } finally {
       this.over = true
-      for (const name of await this.site.stop()) record.lost.push(`${name}: it had to be killed at the end`)
+      for (const name of await this.site.stop()) record.lose(name, 'it had to be killed at the end')
+      this.witness.stop()
     }
     const evidence = { record, deployment, adapterSlots: this.plan.size.adapterSlots }
     return {
@@ -85,7 +101,9 @@
       requests: record.requests.length,
       served: record.requests.filter(({ answer }) => answer.status === 200 && answer.whole).length,
       faults: record.faults.map(({ kind }) => kind),
-      violations: SOAK_CHECKS.flatMap((check) => check.violations(evidence).map((message) => ({ promise: check.promise, message })))
+      violations: SOAK_CHECKS.flatMap((check) => check.violations(evidence).map((violation) => ({
+        promise: check.promise, message: violation.message, account: this.witness.accountOf(violation, record)
+      })))
     }
   }
 
--- a/packages/soak/src/soak-site.ts
+++ b/packages/soak/src/soak-site.ts
@@ -82,7 +82,7 @@
       const launched = await this.deployment.launch(index)
       this.deployment.instances[index] = launched
       // The next fault may end it before it is ready, and starts it again.
-      await this.deployment.untilReady(launched).catch((cause: unknown) => { if (!this.endedByUs.has(ended.name)) this.record.lost.push(String(cause)) })
+      await this.deployment.untilReady(launched).catch((cause: unknown) => { if (!this.endedByUs.has(ended.name)) this.record.lose(ended.name, String(cause)) })
     })
     this.relaunches.set(index, relaunched)
     await relaunched
@@ -112,7 +112,7 @@
     const index = this.instances.findIndex((instance) => instance.name === name)
     const ended = this.instances[index]
     if (reason !== HUNG_UP || this.speaking.has(name) || ended === undefined) {
-      this.record.lost.push(`${name}: ${reason}`)
+      this.record.lose(name, reason)
       return
     }
     this.endedByUs.add(name)
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -71,7 +71,7 @@
       })
     }],
     ['callers that are not served when all is over', 'recovery', { record: recordOf((record) => record.probes.push(seen({}, { status: 503, saysNotRun: true }))) }],
-    ['an instance that ended by itself', 'no-lost-instance', { record: recordOf((record) => record.lost.push('one: exit code 1')) }],
+    ['an instance that ended by itself', 'no-lost-instance', { record: recordOf((record) => record.lose('one', 'exit code 1')) }],
     ['a second run of what may run once', 'at-most-once', { record: recordOf((record) => record.requests.push(seen({ route: 'enter' }))), runs: [run(), run()] }],
     ['a run of what was said not to have run', 'not-run', { record: recordOf((record) => record.requests.push(seen({ route: 'enter' }, { status: 503, saysNotRun: true }))), runs: [run()] }],
     ['a run that nobody sent', 'right-adapter', { runs: [run({ request: 'unknown' })] }],
