Soak: the account tells what the host was short of, and each run how late its own timers were

Callers, engines, store and the reading of logs share the soak's process, and the duration of a request is taken by its clock: a request that the instance had answered after 1,002 ms was counted as 2,721 ms when that process was held up for a trial. The account of a violation now tells this apart from an instance that stood still, and each run says how far its times can be off.

--- a/packages/soak/src/bin/limpetwinch-soak.ts
+++ b/packages/soak/src/bin/limpetwinch-soak.ts
@@ -47,8 +47,8 @@
     process.exitCode = outcomes.some(({ violations }) => violations.length > 0) ? EXIT_VIOLATION : 0
   }
 
-  private print ({ seed, requests, served, faults, violations }: SoakOutcome): void {
-    this.log(`seed ${seed}: ${served} of ${requests} served; ${faults.join(', ')}`)
+  private print ({ seed, requests, served, faults, lateMilliseconds, violations }: SoakOutcome): void {
+    this.log(`seed ${seed}: ${served} of ${requests} served; ${faults.join(', ')}; timers late by ${lateMilliseconds} ms at most`)
     for (const { promise, message, account } of violations) {
       this.log(`seed ${seed}: BROKEN ${promise}: ${message}`)
       for (const line of account) this.log(`  ${line}`)
--- a/packages/soak/src/observation/processor-watch.ts
+++ b/packages/soak/src/observation/processor-watch.ts
@@ -49,12 +49,15 @@
     clearInterval(this.timer)
   }
 
+  /** @returns how late this process's own timers were at most, milliseconds */
+  latestBetween (from: number, to: number): number {
+    return Math.round(Math.max(0, ...this.lateness.filter((look) => isWithin(look, from, to)).map(({ milliseconds }) => milliseconds)))
+  }
+
   /** @returns a sentence on this process's timers, and one for each process that was seen in the time */
   during (from: number, to: number): string[] {
-    const isWithin = ({ at }: { readonly at: number }): boolean => at >= from - SAMPLE_MILLISECONDS && at <= to + SAMPLE_MILLISECONDS
-    const latest = Math.max(0, ...this.lateness.filter(isWithin).map(({ milliseconds }) => milliseconds))
-    const sentences = [...this.samples].flatMap(([process, samples]) => sentenceOf(process, samples.filter(isWithin)))
-    return [`timers of the soak were late by up to ${Math.round(latest)} ms`, ...sentences]
+    const sentences = [...this.samples].flatMap(([process, samples]) => sentenceOf(process, samples.filter((sample) => isWithin(sample, from, to))))
+    return [`timers of the soak were late by up to ${this.latestBetween(from, to)} ms`, ...sentences]
   }
 
   private look (): void {
@@ -75,6 +78,11 @@
   }
 }
 
+/** @returns whether a look belongs to a time; one just before and after tell what passed in it */
+function isWithin ({ at }: { readonly at: number }, from: number, to: number): boolean {
+  return at >= from - SAMPLE_MILLISECONDS && at <= to + SAMPLE_MILLISECONDS
+}
+
 /** @returns the times; undefined where the process has ended, or on systems that do not tell them */
 function timesOf (processId: number): ProcessorTimes | undefined {
   try {
--- a/packages/soak/src/observation/run-witness.ts
+++ b/packages/soak/src/observation/run-witness.ts
@@ -1,6 +1,7 @@
 /** All that was seen beside a run, and the account of one violation from it. */
 import type { Violation } from '../checks/soak-check.js'
 import type { FaultSpan, SoakRecord } from '../soak-record.js'
+import { HostWatch } from './host-watch.js'
 import { InstanceLines } from './instance-lines.js'
 import { ProcessorWatch } from './processor-watch.js'
 import type { WatchedProcess } from './processor-watch.js'
@@ -14,6 +15,7 @@
 export class RunWitness {
   private readonly requests: RequestWatch
   private readonly processors: ProcessorWatch
+  private readonly host = new HostWatch()
   private readonly lines = new InstanceLines()
 
   /**
@@ -29,12 +31,19 @@
   start (): void {
     this.requests.start()
     this.processors.start()
+    this.host.start()
   }
 
   /** Watches no more. */
   stop (): void {
     this.requests.stop()
     this.processors.stop()
+    this.host.stop()
+  }
+
+  /** How late this process's own timers were at most, milliseconds. */
+  get latestMilliseconds (): number {
+    return this.processors.latestBetween(-Infinity, Infinity)
   }
 
   /** Keeps a line of an instance. */
@@ -44,7 +53,8 @@
 
   /** @returns what tells the causes of a violation apart, in sentences; times are Unix milliseconds */
   accountOf ({ from, to, instance, request }: Violation, record: SoakRecord): string[] {
-    const account = [`from ${from} to ${to}`, ...record.during(from, to, BEFORE_MILLISECONDS).map(faultSentence), ...this.processors.during(from, to)]
+    const faults = record.during(from, to, BEFORE_MILLISECONDS).map(faultSentence)
+    const account = [`from ${from} to ${to}`, ...faults, ...this.processors.during(from, to), ...this.host.during(from, to)]
     if (request !== undefined) account.push(...this.requests.stepsOf(request).map(({ at, what }) => `${at} ${request}: ${what}`), ...this.lines.naming(request))
     if (instance === undefined) return account
     const silence = this.lines.longestSilence(instance, from, to)
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -55,6 +55,8 @@
   readonly requests: number
   readonly served: number
   readonly faults: readonly string[]
+  /** How late the soak's own timers were at most, milliseconds: how far times of this run can be off. */
+  readonly lateMilliseconds: number
   readonly violations: readonly SoakViolation[]
 }
 
@@ -101,6 +103,7 @@
       requests: record.requests.length,
       served: record.requests.filter(({ answer }) => answer.status === 200 && answer.whole).length,
       faults: record.faults.map(({ kind }) => kind),
+      lateMilliseconds: this.witness.latestMilliseconds,
       violations: SOAK_CHECKS.flatMap((check) => check.violations(evidence).map((violation) => ({
         promise: check.promise, message: violation.message, account: this.witness.accountOf(violation, record)
       })))
