--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -255,7 +255,7 @@
     const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
     const asking = under.ask('/', { 'x-adapter': 'poem' })
     setTimeout(() => {
-      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+      hold(under, 'b', [['base/poem', 1]])
     }, LONG_PAUSE_MILLISECONDS)
     const seen = await asking
     expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1'], whole: true })
@@ -267,7 +267,7 @@
     const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
     const asking = under.ask('/', { 'x-adapter': 'poem' })
     await expect.poll(() => under.asked.map(({ endpoint }) => endpoint), { timeout: 4_000 }).toContain('b')
-    under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+    hold(under, 'b', [['base/poem', 1]])
     const seen = await asking
     expect({ status: seen.status, ids: ids(seen.body), whole: seen.whole }).toEqual({ status: 200, ids: ['1'], whole: true })
   }, 10_000)
@@ -305,7 +305,7 @@
     const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
     const asking = under.ask('/', { 'x-adapter': 'poem' })
     setTimeout(() => {
-      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence: 1, held: [['base/poem', 1]], inFlight: [] }, 0)
+      hold(under, 'b', [['base/poem', 1]])
     }, LONG_PAUSE_MILLISECONDS)
     const seen = await asking
     expect({ ids: ids(seen.body), whole: seen.whole }).toEqual({ ids: ['1', '2', '3'], whole: true })
@@ -403,14 +403,11 @@
     }
     const [one, two] = [await raw(ticks, silence, silence, silence, stream([1], endStream)), await raw(silence)]
     const under = await ingress({ routes: [PATIENT], endpoints: [{ id: 'a', raw: one, adapters: held }, { id: 'b', raw: two, adapters: [] }] })
-    const tell = (sequence: number, adapters: [string, number][]): void => {
-      under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId('b'), born: 100, token: 1 as never, sequence, held: adapters, inFlight: [] }, 0)
-    }
     for (const id of ['ticks', 'two', 'three', 'four']) under.leaveAfter('/', 3_500, { 'x-adapter': 'poem', 'x-request-id': id })
     await expect.poll(() => one.requests.length).toBe(4)
-    tell(1, [['base/poem', 1]])
+    hold(under, 'b', [['base/poem', 1]])
     await expect.poll(() => two.requests.length, { timeout: 3_000 }).toBe(3)
-    tell(2, [])
+    hold(under, 'b', [], 2)
     const { status } = await under.ask('/', { 'x-adapter': 'poem' })
     expect(status).toBe(200)
   }, 10_000)
@@ -435,3 +432,8 @@
   const under = await ingress(behind)
   return { ask: async (...parameters) => await under.ask(...parameters) }
 }
+
+/** The one that orders an engine's loads says which adapters it holds now. */
+function hold (under: IngressUnderTest, id: string, held: [string, number][], sequence = 1): void {
+  under.locations.takeNotice(SPEAKER, { kind: 'adapters-held', endpoint: endpointId(id), born: 100, token: 1 as never, sequence, held, inFlight: [] }, 0)
+}
