--- a/packages/ingress/test/stopping.failure.test.ts
+++ b/packages/ingress/test/stopping.failure.test.ts
@@ -7,7 +7,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { stopInOrder } from '../src/runtime/stop-in-order.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
-import { chunk, endStream, framed, RawEndpoint, stream } from './support/raw-endpoint.js'
+import { chunk, endStream, framed, RawEndpoint, silence, stream } from './support/raw-endpoint.js'
 import { key, route } from './support/samples.js'
 
 const ending: { stop: () => void }[] = []
@@ -61,6 +61,19 @@
     expect({ whole: /id: 2/.test(body), passedOn: engine.requests.length - 1, refused: status === 503 || typeof status === 'string' }).toEqual({ whole: true, passedOn: 0, refused: true })
   })
 
+  // Guards against a stop that waits out its grace for requests that have ended: one that was answered, refused or left counts no more.
+  it('waits for no request that was answered or refused, or whose caller has left', async () => {
+    const [plain, silent] = [await RawEndpoint.start(framed(200, 'whole')), await RawEndpoint.start(silence)]
+    const under = await IngressUnderTest.start({ routes: [route(), route({ pathPrefix: '/silent/', targets: [{ service: 'engines', weight: 1 }], kind: 'stream' })], endpoints: [{ id: 'p', raw: plain }, { id: 's', raw: silent, adapters: [{ key: key('poem'), version: 1 }] }] })
+    ending.push(plain, silent, under)
+    const statuses = [await under.ask('/'), await under.ask('/', {}, 'x'.repeat(2_000))].map(({ status }) => status)
+    under.leaveAfter('/silent/', 50, { 'x-adapter': 'poem' })
+    under.leaveAfter('/silent/', 0, { 'x-adapter': 'poem' })
+    await expect.poll(() => silent.requests.length).toBeGreaterThan(0)
+    await expect.poll(() => under.listener.requestsInProgress).toBe(0)
+    expect(statuses).toEqual([200, 413])
+  })
+
   // Guards against a whole answer cut by a planned stop: it was written to its end, and its caller had not read it all yet.
   it('lets a caller that reads slowly have the whole answer', async () => {
     const body = 'x'.repeat(7_000_000)
