--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -14,6 +14,8 @@
   readonly storeSilenceSeconds: number
   readonly members: number
   readonly servableEndpoints: number
+  /** Number of endpoints that name a rate limit. */
+  readonly rateLimitedEndpoints: number
   /** Number of log lines dropped since the process started. */
   readonly droppedLogLines: number
   readonly requestsInProgress: number
@@ -65,6 +67,7 @@
     this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
+    this.gauge('limpetwinch_rate_limited_endpoints', 'Endpoints that name a rate limit', () => read().rateLimitedEndpoints)
     this.gauge('limpetwinch_dropped_log_lines', 'Log lines dropped since the start', () => read().droppedLogLines)
     this.gauge('limpetwinch_requests_in_progress', 'Requests in progress', () => read().requestsInProgress)
     this.gauge('limpetwinch_peer_connections', 'Connections to other instances', () => read().peerConnections)
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -6,6 +6,7 @@
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint } from '../routes/configuration.js'
 import { Attempt } from './attempt.js'
 import type { AttemptEnd, AttemptSink } from './attempt.js'
@@ -41,16 +42,18 @@
   private readonly logger: Logger
   private readonly metrics: IngressMetrics
   private readonly quarantine: RequestQuarantine
+  private readonly rateLimits: NamedRateLimits
   private readonly contacts: EndpointContacts
   private readonly connections = new Map<EndpointId, { readonly address: string, readonly pool: EndpointConnections }>()
 
-  constructor (codec: RequestCodec, ejection: OutlierEjection, clock: Clock, logger: Logger, metrics: IngressMetrics, quarantine: RequestQuarantine) {
+  constructor (codec: RequestCodec, ejection: OutlierEjection, clock: Clock, logger: Logger, metrics: IngressMetrics, quarantine: RequestQuarantine, rateLimits: NamedRateLimits) {
     this.codec = codec
     this.ejection = ejection
     this.clock = clock
     this.logger = logger
     this.metrics = metrics
     this.quarantine = quarantine
+    this.rateLimits = rateLimits
     this.contacts = new EndpointContacts(clock)
   }
 
@@ -98,7 +101,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(sink)).then((end) => {
+    }, contact.through(this.readRateLimit(options.endpoint.id, sink))).then((end) => {
       request.signal.removeEventListener('abort', onAbort)
       pool.release(connection, end.kind === 'whole' && attempt.reusable, this.clock.now())
       this.metrics.attemptEnded(request.service.name, end.kind)
@@ -130,6 +133,7 @@
     this.connections.get(endpoint)?.pool.close()
     this.connections.delete(endpoint)
     this.contacts.forget(endpoint)
+    this.rateLimits.forget(endpoint)
   }
 
   /** Closes connections that have been idle for longer than the idle timeout. */
@@ -142,6 +146,17 @@
     for (const { pool } of this.connections.values()) pool.close()
   }
 
+  /** @returns a sink that records the rate limit of the response, which belongs to the request, and passes all on to the given sink */
+  private readRateLimit (endpoint: EndpointId, sink: AttemptSink): AttemptSink {
+    return {
+      head: (head) => {
+        this.rateLimits.record(endpoint, head.facts.rateLimit)
+        sink.head(head)
+      },
+      data: (chunk) => sink.data(chunk)
+    }
+  }
+
   private pool (endpoint: Endpoint): EndpointConnections {
     const known = this.connections.get(endpoint.id)
     if (known?.address === endpoint.address) return known.pool
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -1,5 +1,6 @@
 /** The interface between the relay and the headers of a platform: the relay works with what the headers say, the codec knows their names and formats. */
 import type { EndpointId, TeamId } from '@limpetwinch/core'
+import type { StatedRateLimit } from '../rate-limits/named-rate-limits.js'
 import type { AdapterKey, KeyDigest } from '../routes/configuration.js'
 
 /** A part of a prompt. An engine may have cached it from an earlier request with the same beginning. */
@@ -61,6 +62,8 @@
   readonly notRun: boolean
   /** Whether an intermediary encoded the body, so that its bytes are not those of the endpoint. */
   readonly encoded: boolean
+  /** The rate limit that the endpoint names for itself. */
+  readonly rateLimit: StatedRateLimit
 }
 
 /** Reads and writes the headers that one platform uses. */
--- /dev/null
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -0,0 +1,50 @@
+/** Reads the values of all gauges from the components of an instance. */
+import type { Clock, LineSink } from '@limpetwinch/core'
+import type { PeerLinks } from '@limpetwinch/entry'
+import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
+import type { StoreHealth } from '../cluster-state/store-health.js'
+import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import type { MemberList } from '../members/member-list.js'
+import type { GaugeReadings } from '../observability/ingress-metrics.js'
+import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
+import type { RoutedListener } from '../relay/routed-listener.js'
+import type { Teams } from '../teams/teams.js'
+
+/** The components that the gauges describe. */
+export interface GaugeSources {
+  readonly teams: Teams
+  readonly configuration: AcceptedConfiguration
+  readonly health: StoreHealth
+  readonly clock: Clock
+  readonly members: MemberList
+  readonly directory: EndpointDirectory
+  readonly rateLimits: NamedRateLimits
+  readonly sink: LineSink
+  readonly listener: RoutedListener
+  readonly overlay: PeerOverlay
+  readonly network: PeerLinks
+  readonly quarantine: RequestQuarantine
+}
+
+/** @returns the present value of each gauge */
+export function readGauges (sources: GaugeSources): GaugeReadings {
+  const { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine } = sources
+  return {
+    ...teams.gauges(),
+    configurationVersion: configuration.version,
+    storeSilenceSeconds: health.millisecondsSinceAnswer(clock.now()) / 1_000,
+    members: members.live().length,
+    servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
+    rateLimitedEndpoints: rateLimits.count,
+    droppedLogLines: sink.dropped,
+    requestsInProgress: listener.requestsInProgress,
+    peerConnections: overlay.neighbours().length,
+    isHub: overlay.isHub ? 1 : 0,
+    leaves: overlay.leafCount,
+    peerFrames: network.counts(),
+    accusedRequests: quarantine.counts.implicated,
+    quarantinedRequests: quarantine.counts.verdicts
+  }
+}
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -19,7 +19,6 @@
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import { MemberList } from '../members/member-list.js'
 import { IngressMetrics } from '../observability/ingress-metrics.js'
-import type { GaugeReadings } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
 import { QuarantineExchange } from '../quarantine/quarantine-exchange.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
@@ -28,6 +27,7 @@
 import { StreamRelay } from '../relay/stream-relay.js'
 import { RetryBudgets } from '../retries/retry-budgets.js'
 import type { AdapterKey, Endpoint, ServiceName } from '../routes/configuration.js'
+import { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
@@ -39,6 +39,8 @@
 import type { IngressSettings } from './ingress-settings.js'
 import { PeerMessaging } from './peer-messaging.js'
 import type { FollowerDependencies } from './platform-followers.js'
+import { readGauges } from './gauge-readings.js'
+import type { GaugeSources } from './gauge-readings.js'
 import { MonitoringServers } from './monitoring-servers.js'
 import { StoreReader } from './store-reader.js'
 import { watchForProcessPauses } from './pause-watch.js'
@@ -94,6 +96,7 @@
   private readonly prefixCache = new PrefixCacheEstimate()
   private readonly ejection = new OutlierEjection(EJECTION)
   private readonly errors = new ErrorRates()
+  private readonly rateLimits: NamedRateLimits
   private readonly policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   private readonly heldNotices: HeldAdapterNotices
   private readonly digests: WorkDigests
@@ -117,7 +120,7 @@
     this.settings = settings
     this.logger = logger
     this.sink = sink
-    this.metrics = new IngressMetrics(() => this.readGauges())
+    this.metrics = new IngressMetrics(() => readGauges(this.gaugeSources()))
     this.platform = platform((kind, outcome, milliseconds) => this.metrics.storeCall(kind, outcome, milliseconds))
     this.supervisor = new Supervisor(logger.part('supervisor'), this.clock)
     this.network = new TcpPeerNetwork({
@@ -194,7 +197,8 @@
       metrics: this.metrics
     })
     this.quarantine = this.createQuarantine()
-    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics, this.quarantine.quarantine)
+    this.rateLimits = new NamedRateLimits(logger.part('limits'))
+    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics, this.quarantine.quarantine, this.rateLimits)
     this.listener = this.createListener()
     this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() })
     this.connectComponents()
@@ -432,21 +436,8 @@
     this.storeReader.refresh()
   }
 
-  private readGauges (): GaugeReadings {
-    return {
-      ...this.teams.gauges(),
-      configurationVersion: this.configuration.version,
-      storeSilenceSeconds: this.health.millisecondsSinceAnswer(this.clock.now()) / 1_000,
-      members: this.members.live().length,
-      servableEndpoints: this.directory.all().filter((endpoint) => !endpoint.leaving).length,
-      droppedLogLines: this.sink.dropped,
-      requestsInProgress: this.listener.requestsInProgress,
-      peerConnections: this.overlay.neighbours().length,
-      isHub: this.overlay.isHub ? 1 : 0,
-      leaves: this.overlay.leafCount,
-      peerFrames: this.network.counts(),
-      accusedRequests: this.quarantine.quarantine.counts.implicated,
-      quarantinedRequests: this.quarantine.quarantine.counts.verdicts
-    }
+  private gaugeSources (): GaugeSources {
+    const { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine } = this
+    return { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine: quarantine.quarantine }
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -20,6 +20,7 @@
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
+import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
 import { EngineRouter } from '../../src/routing/engine-router.js'
 import { FirstEventForecast } from '../../src/routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../../src/routing/endpoint-work-tracker.js'
@@ -77,7 +78,7 @@
   private constructor (setup: IngressSetup) {
     const clock = new SystemClock()
     const logger = recordingLogger(this.lines)
-    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
+    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
@@ -97,7 +98,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders(codec, ejection, clock, logger, metrics, quarantine)
+    this.senders = new EndpointSenders(codec, ejection, clock, logger, metrics, quarantine, new NamedRateLimits(logger))
     const { senders } = this
     const budgets = new RetryBudgets({ share: 0, slack: (setup.repeats ?? 100) / 0.8, windowMilliseconds: 10_000 }, () => 1)
     const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -2,7 +2,7 @@
 import { adapterKey, digestOfKey, RequestCodec } from '@limpetwinch/ingress'
 import type { ResponseFacts, RequestFacts, SendFacts } from '@limpetwinch/ingress'
 
-/** Reads and writes the headers `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-model`, `x-after`, `x-secret`, `x-team`. */
+/** Reads and writes the headers `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-model`, `x-after`, `x-secret`, `x-team`, `x-limit`. */
 export class TestCodec extends RequestCodec {
   override read (headers: NodeJS.Dict<string | string[]>): RequestFacts {
     const name = headers['x-adapter'] as string | undefined
@@ -32,11 +32,13 @@
   }
 
   override readResponse (_status: number, headers: Record<string, string | string[] | undefined>): ResponseFacts {
+    const limit = headers['x-limit'] as string | undefined
     return {
       requestId: headers['x-request-id'] as string | undefined,
       signed: headers['x-server-signature'] !== undefined,
       notRun: headers['x-not-run'] !== undefined,
-      encoded: headers['content-encoding'] !== undefined
+      encoded: headers['content-encoding'] !== undefined,
+      rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit)
     }
   }
 }
