Quotas of any subject: client, division and owners apart from teams

A rate limit that an endpoint names is to be divided by the same mechanism as the quota of a team. Frames, errors and times that differ are in QuotaKind; asks may name a floor below which a need is not granted.

--- a/packages/decisions/src/limits/quota-ledger.ts
+++ b/packages/decisions/src/limits/quota-ledger.ts
@@ -1,6 +1,6 @@
-/** Divides the quota of one team between the instances that serve it. */
+/** Divides one quota between the instances: that of a team, or the rate limit of an endpoint. */
 
-/** How many tokens a team may use, over all instances together. */
+/** How many tokens may be used, over all instances together. */
 export interface QuotaRate {
   readonly tokensPerSecond: number
   /** Most tokens that may be available or held at one time. */
@@ -15,6 +15,8 @@
   readonly returned: number
   /** Costs of the requests that wait for this ask, in tokens. */
   readonly needs: readonly number[]
+  /** For each of the needs the part of the capacity that must be available beyond 0, so that less is left to less urgent requests; 0 by default. */
+  readonly floors?: readonly number[]
   /** Tokens that the instance wants to hold for coming requests. */
   readonly wanted: number
 }
@@ -37,17 +39,19 @@
 const REFUSED_MEMORY_MILLISECONDS = 1_000
 /** Lower bound of the time after which a refused caller may retry, so that no caller retries at once. */
 const MINIMUM_RETRY_MILLISECONDS = 50
+/** Upper bound of that time, which is infinite while nothing accrues. */
+const MAXIMUM_RETRY_MILLISECONDS = 60_000
 
 /**
- * Tokens accrue at the team's rate. A need is granted while any token is available, and the level may become negative by it: if a need
- * had to fit as a whole, small requests of a team over its quota would use up all tokens and no large one would ever be granted.
+ * Tokens accrue at the rate of the quota. A need is granted while any token is available, and the level may become negative by it: if a need
+ * had to fit as a whole, small requests over the quota would use up all tokens and no large one would ever be granted.
  *
  * Available and held tokens together never exceed the capacity. Thus, however long tokens are held, no more than the capacity, the
  * tokens that accrue and one request are used in any period. A new ledger is empty, because the one before it may have granted all.
  */
 export class QuotaLedger {
   private quota: QuotaRate
-  private available = 0
+  private available: number
   private updatedAt: number
   private readonly heldBy = new Map<string, number>()
   private held = 0
@@ -57,9 +61,11 @@
   /**
    * @param quota - rate and capacity
    * @param since - monotonic milliseconds from which tokens accrue
+   * @param level - tokens available then; below 0 so that the first need is granted as late as any later one
    */
-  constructor (quota: QuotaRate, since: number) {
+  constructor (quota: QuotaRate, since: number, level = 0) {
     this.quota = quota
+    this.available = level
     this.updatedAt = since
   }
 
@@ -81,7 +87,7 @@
     this.setHeld(holder, ask.held)
     this.available += ask.returned
     this.refill(now)
-    const granted = ask.needs.map((need) => this.tryTake(need))
+    const granted = ask.needs.map((need, index) => this.tryTake(need, ask.floors?.[index] ?? 0))
     const refused = ask.needs.filter((_need, index) => granted[index] === false)
     const milliseconds = refused.length === 0 ? 0 : this.millisecondsUntilGranted()
     const extra = refused.length === 0 ? this.takeExtra(ask.wanted) : 0
@@ -94,8 +100,8 @@
     for (const holder of [...this.heldBy.keys()]) if (!isReachable(holder)) this.setHeld(holder, 0)
   }
 
-  private tryTake (need: number): boolean {
-    if (this.available > 0) {
+  private tryTake (need: number, floor: number): boolean {
+    if (this.available > floor * this.quota.capacity) {
       this.available -= need
       return true
     }
@@ -113,7 +119,8 @@
 
   private millisecondsUntilGranted (): number {
     const missing = this.refused - this.available
-    return Math.max(MINIMUM_RETRY_MILLISECONDS, Math.ceil(missing / this.quota.tokensPerSecond * 1_000))
+    const milliseconds = Math.ceil(missing / this.quota.tokensPerSecond * 1_000)
+    return Math.max(MINIMUM_RETRY_MILLISECONDS, Math.min(MAXIMUM_RETRY_MILLISECONDS, milliseconds))
   }
 
   private setHeld (holder: string, tokens: number): void {
--- a/packages/ingress/src/teams/quota-owners.ts
+++ b/packages/ingress/src/quotas/quota-owners.ts
@@ -1,5 +1,5 @@
-/** Chooses the quota owner of each team: the instance that divides the team's quota between all instances. */
-import type { Clock, InstanceId, TeamId } from '@limpetwinch/core'
+/** Chooses the quota owner of each subject: the instance that divides the subject's quota between all instances. */
+import type { Clock, InstanceId } from '@limpetwinch/core'
 import { rendezvousWeight } from '@limpetwinch/decisions'
 
 /** Time for which the candidates are used before they are read again, in milliseconds. */
@@ -14,11 +14,11 @@
 }
 
 /** All instances that reach the same hubs choose the same owner, without a message. */
-export class QuotaOwners {
+export class QuotaOwners<Subject extends string> {
   private readonly parts: QuotaOwnerDependencies
   private candidates: readonly InstanceId[] = []
   private readAt = -Infinity
-  /** Monotonic time of the last change of the candidates; the owner of a team may have changed then. */
+  /** Monotonic time of the last change of the candidates; the owner of a subject may have changed then. */
   private changedAt: number
 
   constructor (parts: QuotaOwnerDependencies) {
@@ -26,12 +26,12 @@
     this.changedAt = parts.clock.now()
   }
 
-  /** @returns the quota owner of a team; this instance when it reaches no hub */
-  ownerOf (team: TeamId): InstanceId {
+  /** @returns the quota owner of a subject; this instance when it reaches no hub */
+  ownerOf (subject: Subject): InstanceId {
     this.refresh()
     const [first, ...others] = this.candidates
     if (first === undefined) return this.parts.self
-    return others.reduce((best, candidate) => rendezvousWeight(team, candidate) > rendezvousWeight(team, best) ? candidate : best, first)
+    return others.reduce((best, candidate) => rendezvousWeight(subject, candidate) > rendezvousWeight(subject, best) ? candidate : best, first)
   }
 
   /** @returns monotonic time since which the owners have not changed */
--- a/packages/ingress/src/teams/team-admission.ts
+++ b/packages/ingress/src/teams/team-admission.ts
@@ -1,6 +1,6 @@
 /** Decides whether a request may run: finds its team by its key, checks that the key is still valid, and takes its tokens from the quota. */
 import { LimpetwinchError } from '@limpetwinch/core'
-import type { Clock } from '@limpetwinch/core'
+import type { Clock, TeamId } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
@@ -9,10 +9,12 @@
 import type { RelayOutcome } from '../relay/relay-outcome.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Route, Team, TeamQuota } from '../routes/configuration.js'
-import type { QuotaClient } from './quota-client.js'
+import type { QuotaClient } from '../quotas/quota-client.js'
 
 /** `retry-after` of a request whose key cannot be checked, in seconds: the next proof arrives within about this time if the store answers. */
 const UNPROVED_RETRY_SECONDS = 1
+/** Part of the time that a request has left, for which it waits for its tokens. */
+const QUOTA_WAIT_SHARE = 0.4
 
 /** The part of a request that the admission depends on. */
 export interface AdmissionRequest {
@@ -37,7 +39,7 @@
   readonly proof: ConfigurationProof
   /** Time after which a key that was taken away opens nothing, in milliseconds; undefined if keys stay valid without a proof. */
   readonly revocationMilliseconds: number | undefined
-  readonly quotas: QuotaClient
+  readonly quotas: QuotaClient<TeamId>
   readonly metrics: IngressMetrics
 }
 
@@ -83,7 +85,7 @@
   private async takeTokens (team: Team, quota: TeamQuota, { facts, endsAt }: AdmissionRequest): Promise<Result<Admission, LimpetwinchError>> {
     const { clock, quotas, metrics } = this.parts
     const cost = costOf(quota, facts)
-    const taken = await quotas.take(team.name, quota, cost, endsAt - clock.now())
+    const taken = await quotas.take(team.name, quota, { cost }, (endsAt - clock.now()) * QUOTA_WAIT_SHARE)
     metrics.quotaDecided(team.name, taken.isOk() ? 'admitted' : taken.error.kind, cost)
     if (taken.isErr()) return err(taken.error)
     const ended = (outcome: RelayOutcome): void => {
--- a/packages/ingress/src/teams/teams.ts
+++ b/packages/ingress/src/teams/teams.ts
@@ -9,10 +9,11 @@
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { IngressSettings } from '../runtime/ingress-settings.js'
-import { QuotaClient } from './quota-client.js'
-import { QuotaDivision } from './quota-division.js'
-import { QuotaOwners } from './quota-owners.js'
+import { QuotaClient } from '../quotas/quota-client.js'
+import { QuotaDivision } from '../quotas/quota-division.js'
+import { QuotaOwners } from '../quotas/quota-owners.js'
 import { TeamAdmission } from './team-admission.js'
+import { rateOfTeam, TeamQuotas } from './team-quotas.js'
 
 /** What the teams need of the instance. */
 export interface TeamsDependencies {
@@ -36,24 +37,27 @@
   private readonly parts: TeamsDependencies
   private readonly proof: ConfigurationProof
   private readonly prover: ConfigurationProver
-  private readonly quotaClient: QuotaClient
-  private readonly quotaDivision: QuotaDivision
+  private readonly quotaClient: QuotaClient<TeamId>
+  private readonly quotaDivision: QuotaDivision<TeamId>
   private stopping = false
 
   constructor (parts: TeamsDependencies) {
     this.parts = parts
     const { self, settings, clock, configuration, metrics, overlay } = parts
     this.proof = new ConfigurationProof(clock, () => configuration.version)
-    const owners = new QuotaOwners({ self, clock, candidates: () => this.quotaOwnerCandidates() })
+    const kind = new TeamQuotas()
+    const owners = new QuotaOwners<TeamId>({ self, clock, candidates: () => this.quotaOwnerCandidates() })
     const notify: PeerOverlay['notify'] = (to, frame) => overlay.notify(to, frame)
-    this.quotaClient = new QuotaClient({ clock, owners, notify })
+    this.quotaClient = new QuotaClient({ clock, kind, owners, notify })
     this.quotaDivision = new QuotaDivision({
       self,
       clock,
-      settings: settings.quotas,
+      kind,
       owners,
-      findTeam: (name) => configuration.current?.teams.get(name),
-      reachableShare: () => parts.members.reachableShare(),
+      rateOf: (team) => {
+        const quota = configuration.current?.teams.get(team)?.quota
+        return quota === undefined ? undefined : rateOfTeam(quota, settings.quotas, parts.members.reachableShare())
+      },
       isReachable: (instance) => instance === self || overlay.isReachable(instance),
       notify
     })
@@ -71,8 +75,8 @@
   /** Registers the handlers and listeners. */
   connect (): void {
     const { network, configuration } = this.parts
-    network.onNotice('quota-ask', (from, frame) => this.quotaDivision.handleAsk(from, frame))
-    network.onNotice('quota-answer', (_from, frame) => this.quotaClient.handleAnswer(frame))
+    network.onNotice('quota-ask', (from, frame) => this.quotaDivision.handleAsk(from, frame.team as TeamId, frame))
+    network.onNotice('quota-answer', (_from, frame) => this.quotaClient.handleAnswer(frame.team as TeamId, frame))
     network.onHeartbeat((_from, heartbeat) => this.applyHeartbeat(heartbeat))
     configuration.onChange(() => this.proof.configurationApplied())
   }
@@ -112,14 +116,14 @@
   gauges (): { readonly configurationProofSeconds: number, readonly teamsInUse: number, readonly ownedQuotas: number } {
     return {
       configurationProofSeconds: this.proof.ageMilliseconds() / 1_000,
-      teamsInUse: this.quotaClient.activeTeams,
+      teamsInUse: this.quotaClient.activeSubjects,
       ownedQuotas: this.ownedQuotas.length
     }
   }
 
   /** Teams whose quota this instance divides now. */
   get ownedQuotas (): readonly TeamId[] {
-    return this.quotaDivision.teams
+    return this.quotaDivision.subjects
   }
 
   private applyHeartbeat ({ frame, echoedSentAt }: ReceivedHeartbeat): void {
