--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -150,6 +150,12 @@
     outcome: 'not_run',
     message: ({ team }) => `The instance that divides the quota of team '${team}' did not answer. Retry after the time in Retry-After.`
   },
+  'endpoints-rate-limited': {
+    title: 'All endpoints of the service have reached their rate limits.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ service }) => `Every endpoint of service '${service}' names a rate limit and has reached it. Retry after the time in Retry-After.`
+  },
   'unknown-path': {
     title: 'Nothing is served under this path.',
     status: 404,
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -196,7 +196,16 @@
     extra: z.number().min(0),
     milliseconds: z.number().min(0),
     notOwner: z.boolean()
-  })
+  }),
+  'rate-limit': z.object({
+    endpoint: id,
+    born: z.number(),
+    limit: z.number().min(0).optional(),
+    sentMillisecondsAgo: z.number().min(0),
+    readMillisecondsAgo: z.number().min(0)
+  }),
+  'rate-ask': z.object({ endpoint: id, number: count, floors: z.array(z.number().min(0).max(1)) }),
+  'rate-answer': z.object({ endpoint: id, number: count, granted: z.array(z.boolean()), milliseconds: z.number().min(0), notOwner: z.boolean() })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -1,9 +1,10 @@
 /** Finds an engine for a request, and requests a load of the adapter when no engine holds it. */
 import { QueuePosition } from '@limpetwinch/decisions'
-import type { Clock, EndpointId, InstanceId, LoadAskFrame, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger } from '@limpetwinch/core'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice } from '../routing/engine-router.js'
+import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
 /**
@@ -29,6 +30,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly router: EngineRouter
+  readonly rateLimiter: EndpointRateLimiter
   readonly locations: AdapterLocations
   /** @returns the load owner of the engine; undefined when there is none or it is unreachable */
   readonly loadOwnerOf: (endpoint: EndpointId) => InstanceId | undefined
@@ -45,6 +47,8 @@
 
 /** What a search looks for, and its time limits. */
 export interface EngineSearch extends EngineQuery {
+  /** Priority of the request, 0 being the most urgent. */
+  readonly priority: number
   /** Monotonic time after which a response misses its latency objective. */
   readonly onTimeUntil: number
   /** Monotonic time at which the search times out. */
@@ -54,7 +58,7 @@
 }
 
 /** Why a search found no engine. */
-type SearchFailure = 'no engine may serve it' | 'its search took too long' | 'its request ended'
+type SearchFailure = 'no engine may serve it' | 'its engines have reached their rate limits' | 'its search took too long' | 'its request ended'
 
 /** Finds engines for requests. */
 export class EngineFinder {
@@ -73,16 +77,24 @@
 
   /** @returns an engine that holds the adapter; undefined when the search ended without one */
   async find (search: EngineSearch): Promise<FoundEngine | undefined> {
-    const { facts, until, signal } = search
-    const { clock, router } = this.dependencies
+    const { facts, until, signal, priority } = search
+    const { clock, router, rateLimiter } = this.dependencies
     const startedAt = clock.now()
     const queuePosition = new QueuePosition()
     for (let askings = 0; !signal.aborted; askings++) {
       const now = clock.now()
-      const choice = router.choose(search, now)
+      const choice = router.choose(withExcluded(search, rateLimiter.withoutRoom(priority)), now)
       if (choice !== undefined) {
+        // The next choice leaves out an engine that had no room.
+        if (!await rateLimiter.admit(choice.endpoint.id, priority)) continue
         this.requestCopy(search, choice, now)
-        return { ...choice, stallMilliseconds: now - startedAt }
+        return { ...choice, stallMilliseconds: clock.now() - startedAt }
+      }
+      const untilRoom = rateLimiter.millisecondsUntilRoom(search.service.name, priority)
+      if (untilRoom !== undefined) {
+        if (now + untilRoom > until) return this.logNoEngine(search, 'its engines have reached their rate limits', askings, now - startedAt)
+        await clock.sleep(untilRoom, signal)
+        continue
       }
       const isLate = now >= until
       if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) {
@@ -100,6 +112,11 @@
     return Math.min(LONGEST_RETRY_AFTER_MILLISECONDS, Math.max(SHORTEST_RETRY_AFTER_MILLISECONDS, wait)) / 1_000
   }
 
+  /** @returns the error of a request while all engines of the service have reached their rate limits; else undefined */
+  rateLimitError (service: Service, priority: number): LimpetwinchError | undefined {
+    return this.dependencies.rateLimiter.refusal(service.name, priority)
+  }
+
   private logNoEngine ({ facts, excluded, onTimeUntil }: EngineSearch, reason: SearchFailure, askings: number | undefined, milliseconds: number): undefined {
     this.dependencies.logger.debug('No engine was found.', {
       request: facts.requestId,
@@ -128,7 +145,10 @@
     const bias = (endpoint: EndpointId): number => queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now)
     const recentlyRefusing = this.recentlyRefusing(adapter.key, now)
     // A load on an engine that this request may not use again can only serve other requests, so such an engine is the last resort.
-    const choice = router.chooseForLoad({ ...search, excluded: new Set([...recentlyRefusing, ...search.excluded]) }, bias, now) ??
+    const { limited } = this.dependencies.rateLimiter
+    const unused = withExcluded(search, recentlyRefusing)
+    const choice = router.chooseForLoad(withExcluded(unused, limited), bias, now) ??
+      router.chooseForLoad(unused, bias, now) ??
       router.chooseForLoad({ ...search, excluded: recentlyRefusing }, bias, now)
     if (choice === undefined) return await locations.waitForArrival(adapter.key, Math.max(1, Math.min(NO_ENGINE_WAIT_MILLISECONDS, until - now)), signal)
     queuePosition.join(choice.endpoint.id, now)
@@ -147,7 +167,8 @@
   }
 
   private requestCopy (question: EngineQuery, choice: EngineChoice, now: number): void {
-    const copy = this.dependencies.router.chooseForCopy(question, choice, now)
+    const { router, rateLimiter } = this.dependencies
+    const copy = router.chooseForCopy(question, choice, rateLimiter.limited, now)
     if (copy !== undefined) this.sendLoadRequest(copy, question.facts, undefined, now)
   }
 
@@ -164,3 +185,8 @@
     this.dependencies.requestLoad(owner, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting, ...waitingRequest })
   }
 }
+
+/** @returns the query with further engines excluded */
+function withExcluded<Query extends EngineQuery> (query: Query, engines: ReadonlySet<EndpointId>): Query {
+  return engines.size === 0 ? query : { ...query, excluded: new Set([...query.excluded, ...engines]) }
+}
--- a/packages/ingress/src/cluster-state/adapter-versions.ts
+++ b/packages/ingress/src/cluster-state/adapter-versions.ts
@@ -80,4 +80,13 @@
     if (known === undefined) return 0
     return now - known.learntAt < this.previousVersionMilliseconds ? known.version - 1 : known.version
   }
+
+  /**
+   * @returns the version that an engine must check before it serves a request; undefined while any loaded copy may serve, since the engine
+   *   checks the version only once new requests must use the latest one
+   */
+  expected (key: AdapterKey, now: number): number | undefined {
+    const latest = this.newest(key)
+    return latest !== undefined && this.minimumUsable(key, now) === latest ? latest : undefined
+  }
 }
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -49,6 +49,7 @@
   private readonly crashes = this.counter('limpetwinch_endpoint_crashes_total', 'Endpoints that crashed under requests of this instance, by service', ['service'])
   private readonly suspicions = this.counter('limpetwinch_quarantine_total', 'Suspected requests by what was done', ['action'])
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
+  private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
   private readonly frames = this.counter('limpetwinch_peer_frames_total', 'Frames between instances', ['kind', 'direction'])
   private readonly frameBytes = this.counter('limpetwinch_peer_bytes_total', 'Bytes between instances', ['kind', 'direction'])
   private readonly read: () => GaugeReadings
@@ -95,6 +96,11 @@
     this.quotaTokens.inc({ team: this.bounded(team), decision }, tokens)
   }
 
+  /** Counts whether the rate limit of an endpoint had room for a request. */
+  rateLimitDecided (service: string, decision: 'admitted' | 'passed-over'): void {
+    this.rateLimitDecisions.inc({ service: this.bounded(service), decision })
+  }
+
   /** Counts an attempt at an endpoint. */
   attemptEnded (service: string, end: string): void {
     this.attempts.inc({ service: this.bounded(service), end })
--- a/packages/ingress/src/quotas/quota-client.ts
+++ b/packages/ingress/src/quotas/quota-client.ts
@@ -27,7 +27,7 @@
 export interface QuotaClientDependencies<Subject extends string> {
   readonly clock: Clock
   readonly kind: QuotaKind<Subject>
-  readonly owners: QuotaOwners<Subject>
+  readonly owners: QuotaOwners
   readonly notify: (to: InstanceId, frame: NoticeFrame) => void
 }
 
--- a/packages/ingress/src/quotas/quota-division.ts
+++ b/packages/ingress/src/quotas/quota-division.ts
@@ -14,7 +14,7 @@
   readonly self: InstanceId
   readonly clock: Clock
   readonly kind: QuotaKind<Subject>
-  readonly owners: QuotaOwners<Subject>
+  readonly owners: QuotaOwners
   /**
    * @returns the part of the subject's quota that this instance may hand out, if it is the owner; undefined if the subject has no quota.
    *   Data centres that are cut off from each other have an owner each, and the sum over all owners must stay within the quota.
--- a/packages/ingress/src/quotas/quota-owners.ts
+++ b/packages/ingress/src/quotas/quota-owners.ts
@@ -14,7 +14,7 @@
 }
 
 /** All instances that reach the same hubs choose the same owner, without a message. */
-export class QuotaOwners<Subject extends string> {
+export class QuotaOwners {
   private readonly parts: QuotaOwnerDependencies
   private candidates: readonly InstanceId[] = []
   private readAt = -Infinity
@@ -27,7 +27,7 @@
   }
 
   /** @returns the quota owner of a subject; this instance when it reaches no hub */
-  ownerOf (subject: Subject): InstanceId {
+  ownerOf (subject: string): InstanceId {
     this.refresh()
     const [first, ...others] = this.candidates
     if (first === undefined) return this.parts.self
--- /dev/null
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -0,0 +1,165 @@
+/** Sends no more requests to an endpoint than the rate limit that it names, over all instances together. */
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
+import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
+import { QuotaClient } from '../quotas/quota-client.js'
+import { QuotaDivision } from '../quotas/quota-division.js'
+import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { QuotaOwners } from '../quotas/quota-owners.js'
+import type { ServiceName } from '../routes/configuration.js'
+import { answerOfFrame, askOfFrame, EndpointRateQuotas, rateOfEndpoint } from './endpoint-rate-quotas.js'
+import type { NamedRateLimits } from './named-rate-limits.js'
+
+/** Longest time that a request waits for the answer of the quota owner, in milliseconds. Then it is sent to another endpoint. */
+const ANSWER_MILLISECONDS = 150
+/** Least time for which an endpoint that had no room is passed over, in milliseconds. */
+const LEAST_REFUSAL_MILLISECONDS = 50
+/** The least urgent priority that is told from the more urgent ones. */
+const LOWEST_PRIORITY = 4
+/** Part of the burst that is left to more urgent requests, for each step of the priority. */
+const FLOOR_STEP = 0.2
+/** Nothing is held ahead, so the rate does not matter to the client. */
+const NO_HOLDINGS = { ratePerSecond: 1 }
+const NONE: ReadonlySet<EndpointId> = new Set()
+
+/** What the limiter needs of the instance. */
+export interface EndpointRateLimiterDependencies {
+  readonly self: InstanceId
+  readonly clock: Clock
+  readonly limits: NamedRateLimits
+  readonly owners: QuotaOwners
+  /** @returns number of registered instances */
+  readonly instances: () => number
+  /** @returns the part of all registered instances that this one can reach; 0 while they are not known */
+  readonly reachableShare: () => number
+  readonly isReachable: (instance: InstanceId) => boolean
+  readonly notify: (to: InstanceId, frame: NoticeFrame) => void
+  /** @returns endpoints of the service that may get requests */
+  readonly endpointsOf: (service: ServiceName) => readonly EndpointId[]
+  /** Called with each decision on a request to an endpoint with a limit. */
+  readonly onDecision?: (endpoint: EndpointId, decision: 'admitted' | 'passed-over') => void
+}
+
+/** An endpoint that had no room for a request. */
+interface Refusal {
+  /** Monotonic time until which the endpoint is passed over. */
+  readonly until: number
+  /** Requests that are at least as urgent as no refused one may still find room. */
+  readonly floor: number
+  /** Monotonic time at which the request was expected to fit. */
+  readonly fitsAt: number
+}
+
+/** Admits requests to endpoints with a rate limit. */
+export class EndpointRateLimiter {
+  /** The limits that endpoints name. */
+  readonly limits: NamedRateLimits
+  private readonly parts: EndpointRateLimiterDependencies
+  private readonly kind: EndpointRateQuotas
+  private readonly client: QuotaClient<EndpointId>
+  private readonly division: QuotaDivision<EndpointId>
+  private readonly refusals = new Map<EndpointId, Refusal>()
+
+  constructor (parts: EndpointRateLimiterDependencies) {
+    this.parts = parts
+    this.limits = parts.limits
+    const { self, clock, limits, owners, reachableShare, isReachable, notify } = parts
+    const kind = new EndpointRateQuotas(parts.instances)
+    this.kind = kind
+    this.client = new QuotaClient({ clock, kind, owners, notify })
+    const rateOf = (endpoint: EndpointId): ReturnType<typeof rateOfEndpoint> | undefined => {
+      const rate = limits.ratePerSecond(endpoint)
+      return rate === undefined ? undefined : rateOfEndpoint(rate, reachableShare())
+    }
+    this.division = new QuotaDivision({ self, clock, kind, owners, rateOf, isReachable, notify })
+  }
+
+  /** Registers the handlers of the notices, and tells instances that connect later of the limits known by then. */
+  connect (network: PeerLinks, overlay: Pick<PeerOverlay, 'onNeighbour' | 'replay'>): void {
+    overlay.onNeighbour((neighbour) => overlay.replay(neighbour, this.limits.frames().map((frame) => [this.parts.self, frame])))
+    network.onNotice('rate-limit', (_from, frame) => this.limits.handleNotice(frame))
+    network.onNotice('rate-ask', (from, frame) => this.division.handleAsk(from, frame.endpoint as EndpointId, askOfFrame(frame)))
+    network.onNotice('rate-answer', (_from, frame) => this.client.handleAnswer(frame.endpoint as EndpointId, answerOfFrame(frame)))
+  }
+
+  /** Number of endpoints whose limit this instance divides now. */
+  get dividedLimits (): number {
+    return this.division.subjects.length
+  }
+
+  /** Endpoints with a limit: no adapter should be loaded there only because requests find no room elsewhere. */
+  get limited (): ReadonlySet<EndpointId> {
+    return this.limits.isEmpty ? NONE : new Set(this.limits.limited())
+  }
+
+  /** @returns endpoints that had no room for a request of this priority a moment ago */
+  withoutRoom (priority: number): ReadonlySet<EndpointId> {
+    if (this.refusals.size === 0) return NONE
+    const now = this.parts.clock.now()
+    const floor = floorOf(priority)
+    return new Set([...this.refusals].filter(([, refusal]) => refusal.until > now && floor >= refusal.floor).map(([endpoint]) => endpoint))
+  }
+
+  /**
+   * Takes one request from the limit of an endpoint, if it has a limit. The request must be sent at once.
+   *
+   * @param priority - priority of the request, 0 being the most urgent
+   * @returns whether the request may be sent to the endpoint
+   */
+  async admit (endpoint: EndpointId, priority: number): Promise<boolean> {
+    const { limits } = this
+    const { clock } = this.parts
+    if (limits.isEmpty || limits.ratePerSecond(endpoint) === undefined) return true
+    const floor = floorOf(priority)
+    const taken = await this.client.take(endpoint, NO_HOLDINGS, { cost: 1, floor }, ANSWER_MILLISECONDS)
+    this.parts.onDecision?.(endpoint, taken.isOk() ? 'admitted' : 'passed-over')
+    if (taken.isOk()) {
+      this.refusals.delete(endpoint)
+      return true
+    }
+    const milliseconds = (taken.error.retryAfterSeconds ?? 0) * 1_000
+    const now = clock.now()
+    const earlier = this.refusals.get(endpoint)
+    const until = now + Math.max(LEAST_REFUSAL_MILLISECONDS, Math.min(milliseconds, this.kind.longestRefusalMilliseconds()))
+    const lowest = earlier !== undefined && earlier.until > now ? Math.min(earlier.floor, floor) : floor
+    this.refusals.set(endpoint, { until, floor: lowest, fitsAt: now + milliseconds })
+    return false
+  }
+
+  /** @returns milliseconds until a request to the service may fit, if each of its endpoints has a limit and had no room a moment ago; else undefined */
+  millisecondsUntilRoom (service: ServiceName, priority: number): number | undefined {
+    const full = this.withoutRoom(priority)
+    if (full.size === 0) return undefined
+    const endpoints = this.parts.endpointsOf(service)
+    if (endpoints.length === 0 || endpoints.some((endpoint) => !full.has(endpoint))) return undefined
+    const now = this.parts.clock.now()
+    const fitting = endpoints.map((endpoint) => (this.refusals.get(endpoint)?.fitsAt ?? now) - now)
+    return Math.max(LEAST_REFUSAL_MILLISECONDS, Math.min(...fitting))
+  }
+
+  /** @returns the error of a request for which no endpoint of its service has room; undefined if one may have */
+  refusal (service: ServiceName, priority: number): LimpetwinchError | undefined {
+    const milliseconds = this.millisecondsUntilRoom(service, priority)
+    if (milliseconds === undefined) return undefined
+    return new LimpetwinchError('endpoints-rate-limited', { service }, { retryAfterSeconds: Math.ceil(milliseconds) / 1_000 })
+  }
+
+  /** Forgets what is not needed any more; called periodically. */
+  maintain (): void {
+    const now = this.parts.clock.now()
+    for (const [endpoint, { until }] of this.refusals) if (until <= now) this.refusals.delete(endpoint)
+    this.limits.maintain()
+    this.client.releaseIdle()
+    this.division.maintain()
+  }
+
+  /** Forgets an endpoint that has left or restarted. */
+  forget (endpoint: EndpointId): void {
+    this.limits.forget(endpoint)
+    this.refusals.delete(endpoint)
+  }
+}
+
+function floorOf (priority: number): number {
+  return Math.max(0, Math.min(LOWEST_PRIORITY, priority)) * FLOOR_STEP
+}
--- a/packages/ingress/src/rate-limits/named-rate-limits.ts
+++ b/packages/ingress/src/rate-limits/named-rate-limits.ts
@@ -1,39 +1,151 @@
-/** The rate limits that endpoints under stress name in their responses. */
-import type { EndpointId, Logger } from '@limpetwinch/core'
+/** The rate limits that endpoints under stress name in their responses, as this and the other instances have read them. */
+import type { Clock, EndpointId, Logger, RateLimitFrame } from '@limpetwinch/core'
+import { NamedRateLimit } from '@limpetwinch/decisions'
+import type { RateLimitStatement } from '@limpetwinch/decisions'
+import type { ResponseFacts } from '../relay/request-codec.js'
 
 /**
- * A rate limit as one response states it: the requests a second that the endpoint accepts from all instances together; undefined when the
- * response names none, and `malformed` when the value cannot be read.
+ * Interval in which an instance that reads a limit again and again tells the others, in milliseconds. A notice may be lost with
+ * its connection; it is then made good within this time.
  */
-export type StatedRateLimit = number | 'malformed' | undefined
+const ANNOUNCEMENT_MILLISECONDS = 1_000
 
-/** The limit that each endpoint named in its latest response to this instance. */
+/** What the limits need of the instance. */
+export interface NamedRateLimitsDependencies {
+  readonly clock: Clock
+  readonly logger: Logger
+  /** @returns start time of the endpoint's process; undefined when the endpoint is not known */
+  readonly bornOf: (endpoint: EndpointId) => number | undefined
+  readonly broadcast: (frame: RateLimitFrame) => void
+  /** @returns time in milliseconds in which a notice reaches another instance and its reply arrives, at most */
+  readonly noticeRoundTripMilliseconds: () => number
+}
+
+interface KnownLimit {
+  readonly named: NamedRateLimit
+  /** Monotonic time of the latest statement that this instance has read itself, and of the one that it has told the others. */
+  readAt: number
+  announcedAt: number
+}
+
+/** The limits of all endpoints that name one. */
 export class NamedRateLimits {
-  private readonly logger: Logger
-  private readonly limits = new Map<EndpointId, number>()
+  private readonly parts: NamedRateLimitsDependencies
+  private readonly limits = new Map<EndpointId, KnownLimit>()
 
-  constructor (logger: Logger) {
-    this.logger = logger
+  constructor (parts: NamedRateLimitsDependencies) {
+    this.parts = parts
   }
 
-  /** Number of endpoints that name a limit at present. */
+  /** Whether no endpoint has a limit or had one a moment ago. */
+  get isEmpty (): boolean {
+    return this.limits.size === 0
+  }
+
+  /** Number of endpoints with a limit, or whose rate returns after its end. */
   get count (): number {
-    return this.limits.size
+    return [...this.limits.keys()].filter((endpoint) => this.ratePerSecond(endpoint) !== undefined).length
+  }
+
+  /** @returns requests a second that all instances together may send to the endpoint; undefined for no limit */
+  ratePerSecond (endpoint: EndpointId): number | undefined {
+    return this.limits.get(endpoint)?.named.ratePerSecond(this.parts.clock.now())
+  }
+
+  /** @returns endpoints with a limit, or whose rate returns after its end */
+  limited (): EndpointId[] {
+    return [...this.limits.keys()].filter((endpoint) => this.ratePerSecond(endpoint) !== undefined)
+  }
+
+  /**
+   * Records what a response of an endpoint to a request of this instance states.
+   *
+   * @param sentAt - monotonic time at which the request was sent
+   */
+  recordResponse (endpoint: EndpointId, { rateLimit, signed }: ResponseFacts, sentAt: number): void {
+    if (rateLimit === undefined && this.isEmpty) return
+    // A malformed value says neither a limit nor its end, and a response that the endpoint has not signed may come from another one.
+    if (rateLimit === 'malformed') return this.parts.logger.debug('An endpoint named a rate limit that cannot be read.', { endpoint })
+    if (rateLimit === undefined && !signed) return
+    const now = this.parts.clock.now()
+    if (!this.merge(endpoint, { limit: rateLimit, sentAt, readAt: now }, 'response')) return
+    const known = this.limits.get(endpoint)
+    if (known === undefined) return
+    known.readAt = now
+    this.announce(endpoint, known)
+  }
+
+  /** Merges what another instance has read. */
+  handleNotice (frame: RateLimitFrame): void {
+    const { clock, bornOf, noticeRoundTripMilliseconds } = this.parts
+    const endpoint = frame.endpoint as EndpointId
+    if (bornOf(endpoint) !== frame.born) return
+    const now = clock.now()
+    this.merge(endpoint, {
+      limit: frame.limit,
+      // The time that the notice took is not known, so that the request may have been sent earlier than the frame says.
+      sentAt: now - frame.sentMillisecondsAgo - noticeRoundTripMilliseconds(),
+      readAt: now - frame.readMillisecondsAgo
+    }, 'peer')
+  }
+
+  /** @returns notices on all limits, for an instance that has just connected */
+  frames (): RateLimitFrame[] {
+    return [...this.limits].map(([endpoint, known]) => this.frameOf(endpoint, known)).filter((frame) => frame !== undefined)
   }
 
-  /** Records what a response of an endpoint states. A malformed value changes nothing, since it says neither a limit nor its end. */
-  record (endpoint: EndpointId, stated: StatedRateLimit): void {
-    const previous = this.limits.get(endpoint)
-    if (stated === previous) return
-    if (stated === 'malformed') return this.logger.debug('An endpoint named a rate limit that cannot be read.', { endpoint })
-    if (stated === undefined) this.limits.delete(endpoint)
-    else this.limits.set(endpoint, stated)
-    if (stated === undefined) this.logger.info('An endpoint names no rate limit any more.', { endpoint, previous })
-    else this.logger.info('An endpoint named a rate limit.', { endpoint, requestsPerSecond: stated, previous })
+  /** Tells the others of limits that this instance goes on to read, and forgets limits that ended long ago; called periodically. */
+  maintain (): void {
+    const now = this.parts.clock.now()
+    for (const [endpoint, known] of this.limits) {
+      if (known.named.isForgotten(now)) this.limits.delete(endpoint)
+      else if (known.readAt > known.announcedAt && now - known.announcedAt >= ANNOUNCEMENT_MILLISECONDS) this.announce(endpoint, known)
+    }
   }
 
-  /** Drops an endpoint that has left or restarted. */
+  /** Forgets an endpoint that has left or restarted. */
   forget (endpoint: EndpointId): void {
     this.limits.delete(endpoint)
   }
+
+  /** @returns whether the limit has changed */
+  private merge (endpoint: EndpointId, statement: RateLimitStatement, source: 'response' | 'peer'): boolean {
+    const known = this.limits.get(endpoint)
+    const previous = known?.named.limit
+    if (known === undefined) return this.open(endpoint, statement, source)
+    const effect = known.named.apply(statement)
+    if (effect === 'confirmed' && source === 'response') known.readAt = statement.readAt
+    if (effect === 'changed') this.logChange(endpoint, statement.limit, previous, source)
+    return effect === 'changed'
+  }
+
+  private open (endpoint: EndpointId, { limit, ...times }: RateLimitStatement, source: 'response' | 'peer'): boolean {
+    if (limit === undefined) return false
+    this.limits.set(endpoint, { named: new NamedRateLimit({ limit, ...times }), readAt: -Infinity, announcedAt: -Infinity })
+    this.logChange(endpoint, limit, undefined, source)
+    return true
+  }
+
+  private logChange (endpoint: EndpointId, requestsPerSecond: number | undefined, previous: number | undefined, source: 'response' | 'peer'): void {
+    const { logger } = this.parts
+    if (requestsPerSecond === undefined) logger.info('An endpoint names no rate limit any more.', { endpoint, previous, source })
+    else logger.info('An endpoint named a rate limit.', { endpoint, requestsPerSecond, previous, source })
+  }
+
+  private announce (endpoint: EndpointId, known: KnownLimit): void {
+    const frame = this.frameOf(endpoint, known)
+    if (frame === undefined) return
+    known.announcedAt = this.parts.clock.now()
+    this.parts.broadcast(frame)
+  }
+
+  /** @returns the notice on a limit; undefined when the endpoint has left */
+  private frameOf (endpoint: EndpointId, { named }: KnownLimit): RateLimitFrame | undefined {
+    const { clock, bornOf } = this.parts
+    const born = bornOf(endpoint)
+    if (born === undefined) return undefined
+    const now = clock.now()
+    const { limit, sentAt, readAt } = named.statement
+    return { kind: 'rate-limit', endpoint, born, limit, sentMillisecondsAgo: Math.max(0, now - sentAt), readMillisecondsAgo: Math.max(0, now - readAt) }
+  }
 }
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a request on one endpoint: sends the HTTP request on a connection and checks that the response is complete and belongs to the request. */
 import type { Dispatcher } from 'undici'
-import type { StatedRateLimit } from '../rate-limits/named-rate-limits.js'
+import type { StatedRateLimit } from '../rate-limits/stated-rate-limit.js'
 import type { ResponseFacts, RequestCodec } from './request-codec.js'
 import type { EndpointConnection } from './endpoint-connections.js'
 
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -101,7 +101,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(this.readRateLimit(options.endpoint.id, sink))).then((end) => {
+    }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink))).then((end) => {
       request.signal.removeEventListener('abort', onAbort)
       pool.release(connection, end.kind === 'whole' && attempt.reusable, this.clock.now())
       this.metrics.attemptEnded(request.service.name, end.kind)
@@ -133,7 +133,6 @@
     this.connections.get(endpoint)?.pool.close()
     this.connections.delete(endpoint)
     this.contacts.forget(endpoint)
-    this.rateLimits.forget(endpoint)
   }
 
   /** Closes connections that have been idle for longer than the idle timeout. */
@@ -147,10 +146,10 @@
   }
 
   /** @returns a sink that records the rate limit of the response, which belongs to the request, and passes all on to the given sink */
-  private readRateLimit (endpoint: EndpointId, sink: AttemptSink): AttemptSink {
+  private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink): AttemptSink {
     return {
       head: (head) => {
-        this.rateLimits.record(endpoint, head.facts.rateLimit)
+        this.rateLimits.recordResponse(endpoint, head.facts, sentAt)
         sink.head(head)
       },
       data: (chunk) => sink.data(chunk)
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -126,12 +126,13 @@
   }
 
   private async findEngine (choice: Partial<EngineSearch> = {}): Promise<FoundEngine | undefined> {
-    const { service, facts, route, arrivedAt, signal } = this.request
+    const { service, facts, route, arrivedAt, signal, priority } = this.request
     return await this.parts.engineFinder.find({
       service,
       facts,
       gapMilliseconds: route.gapMilliseconds,
       excluded: this.attempted,
+      priority,
       onTimeUntil: arrivedAt + route.objectiveMilliseconds,
       until: this.searchEnd(),
       signal,
@@ -319,7 +320,10 @@
   private finalError (retryAfterSeconds: number): LimpetwinchError {
     const { adapter } = this.request.facts
     if (this.refusal !== undefined && !this.record.isOutcomeUnknown) return this.refusal
-    if (this.record.isOutcomeUnknown || adapter === undefined) return this.record.finalError(retryAfterSeconds)
+    if (this.record.isOutcomeUnknown) return this.record.finalError(retryAfterSeconds)
+    const rateLimited = this.parts.engineFinder.rateLimitError(this.request.service, this.request.priority)
+    if (rateLimited !== undefined) return rateLimited
+    if (adapter === undefined) return this.record.finalError(retryAfterSeconds)
     return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds })
   }
 
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -1,6 +1,6 @@
 /** The interface between the relay and the headers of a platform: the relay works with what the headers say, the codec knows their names and formats. */
 import type { EndpointId, TeamId } from '@limpetwinch/core'
-import type { StatedRateLimit } from '../rate-limits/named-rate-limits.js'
+import type { StatedRateLimit } from '../rate-limits/stated-rate-limit.js'
 import type { AdapterKey, KeyDigest } from '../routes/configuration.js'
 
 /** A part of a prompt. An engine may have cached it from an earlier request with the same beginning. */
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -94,8 +94,16 @@
     return this.inProgress
   }
 
-  /** Starts to listen for connections. @throws the error of the socket when it cannot listen */
-  async listen (host: string, port: number): Promise<void> {
+  /**
+   * Starts to listen for connections.
+   *
+   * @param address - `host:port`
+   * @throws the error of the socket when it cannot listen
+   */
+  async listen (address: string): Promise<void> {
+    const separator = address.lastIndexOf(':')
+    const host = address.slice(0, separator)
+    const port = Number(address.slice(separator + 1))
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen({ host, port, backlog: BACKLOG }, () => resolve())
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -2,6 +2,7 @@
 import type { Clock, EndpointId, LimpetwinchError, Logger } from '@limpetwinch/core'
 import type { ErrorRates } from '@limpetwinch/decisions'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RetryBudgets } from '../retries/retry-budgets.js'
 import type { Endpoint } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
@@ -35,6 +36,7 @@
   readonly errors: ErrorRates
   readonly budgets: RetryBudgets
   readonly quarantine: RequestQuarantine
+  readonly rateLimiter: EndpointRateLimiter
   readonly random: () => number
 }
 
@@ -54,7 +56,7 @@
   /** Time without a response after which another endpoint is searched for, milliseconds; undefined for never. */
   readonly patience: number | undefined
   /** @returns another endpoint that the request may be sent to, if any */
-  readonly next: () => Endpoint | undefined
+  readonly next: () => Promise<Endpoint | undefined>
 }
 
 /** Relays requests of plain routes. */
@@ -71,15 +73,15 @@
     const attempted = new Set<EndpointId>()
     const record = new AttemptRecord()
     const { quarantine } = this.parts
-    const next = (): Endpoint | undefined => quarantine.isUnsuspected(request) ? this.nextEndpoint(request, attempted, NONE) : undefined
+    const next = async (): Promise<Endpoint | undefined> => quarantine.isUnsuspected(request) ? await this.nextEndpoint(request, attempted, NONE) : undefined
     let refusal: LimpetwinchError | undefined
     let runs = 0
     let serverError: AttemptResult | undefined
     let replacement: Endpoint | undefined
     let replaced: EndpointId | undefined
     for (let sends = 0; sends < MAXIMUM_SENDS && !signal.aborted; sends++) {
-      const endpoint = replacement ?? this.nextEndpoint(request, attempted, quarantine.endpointsToAvoid(request))
-      if (endpoint === undefined) break
+      const endpoint = replacement ?? await this.nextEndpoint(request, attempted, quarantine.endpointsToAvoid(request))
+      if (endpoint === undefined || signal.aborted) break
       const admission = await quarantine.admit(request, endpoint.id)
       if (admission.kind === 'elsewhere') continue
       if (admission.kind === 'refused') {
@@ -108,9 +110,11 @@
     return { outcome: 'refused', error, tries: attempted.size }
   }
 
-  private finalError ({ signal }: RoutedRequest, record: AttemptRecord, refusal: LimpetwinchError | undefined): LimpetwinchError {
+  private finalError ({ signal, service, priority }: RoutedRequest, record: AttemptRecord, refusal: LimpetwinchError | undefined): LimpetwinchError {
     if (refusal !== undefined && !record.isOutcomeUnknown) return refusal
-    return signal.aborted ? record.timeoutError(RETRY_AFTER_SECONDS) : record.finalError(RETRY_AFTER_SECONDS)
+    if (signal.aborted) return record.timeoutError(RETRY_AFTER_SECONDS)
+    const rateLimited = record.isOutcomeUnknown ? undefined : this.parts.rateLimiter.refusal(service.name, priority)
+    return rateLimited ?? record.finalError(RETRY_AFTER_SECONDS)
   }
 
   /**
@@ -120,13 +124,21 @@
    * @param avoided - endpoints that the quarantine excludes
    * @returns the endpoint; undefined when there is none or the retry budget is used up
    */
-  private nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>): Endpoint | undefined {
-    const { clock, logger, router, budgets, random } = this.parts
-    const { service, facts } = request
-    const excluded = avoided.size === 0 ? attempted : new Set([...attempted, ...avoided])
-    const endpoint = router.choose(service.name, excluded, random, clock.now())
-    if (endpoint === undefined || attempted.size === 0 || budgets.tryRetry(service.name, clock.now())) return endpoint
-    logger.debug('The retry budget does not allow a retry.', { request: facts.requestId, service: service.name, tries: attempted.size })
+  private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>): Promise<Endpoint | undefined> {
+    const { clock, logger, router, budgets, rateLimiter, random } = this.parts
+    const { service, facts, priority, signal } = request
+    let isBudgeted = attempted.size === 0
+    while (!signal.aborted) {
+      const endpoint = router.choose(service.name, union(attempted, avoided, rateLimiter.withoutRoom(priority)), random, clock.now())
+      if (endpoint === undefined) return undefined
+      isBudgeted ||= budgets.tryRetry(service.name, clock.now())
+      if (!isBudgeted) {
+        logger.debug('The retry budget does not allow a retry.', { request: facts.requestId, service: service.name, tries: attempted.size })
+        return undefined
+      }
+      // The next choice leaves out an endpoint that had no room.
+      if (await rateLimiter.admit(endpoint.id, priority)) return endpoint
+    }
     return undefined
   }
 
@@ -146,15 +158,19 @@
         chunks.push(chunk)
       }
     })
-    const switchEndpoint = (): void => {
+    let hasEnded = false
+    const switchEndpoint = async (): Promise<void> => {
       // Without another endpoint, the attempt goes on: its late response is the only one that the caller can get.
-      replacement = next()
-      if (replacement !== undefined) sending.attempt.abandon('no answer within the objective')
+      const found = await next()
+      if (found === undefined || hasEnded) return
+      replacement = found
+      sending.attempt.abandon('no answer within the objective')
     }
     let pendingSwitch: NodeJS.Immediate | undefined
     // After a process pause, timers fire before a response that has already arrived is read. `setImmediate` lets that response be read first.
-    const timer = patience === undefined ? undefined : setTimeout(() => { pendingSwitch = setImmediate(switchEndpoint) }, patience)
+    const timer = patience === undefined ? undefined : setTimeout(() => { pendingSwitch = setImmediate(() => { void switchEndpoint() }) }, patience)
     const end = await sending.ended
+    hasEnded = true
     clearTimeout(timer)
     clearImmediate(pendingSwitch)
     ticket.ended()
@@ -211,3 +227,8 @@
   request.exchange.answer(result.head, result.body)
   return { outcome: 'answered', status: result.head.status, tries }
 }
+
+/** @returns the members of all sets */
+function union (first: ReadonlySet<EndpointId>, ...others: readonly ReadonlySet<EndpointId>[]): ReadonlySet<EndpointId> {
+  return others.every((other) => other.size === 0) ? first : new Set([first, ...others].flatMap((members) => [...members]))
+}
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -192,9 +192,10 @@
    * Decides whether a further copy of the adapter is worth a load.
    *
    * @param best - the engine that was chosen for the request among those that hold the adapter
+   * @param excluded - engines that should not load a copy
    * @returns the engine that should load the copy, when `best` is slow or crowded and that engine would be better; else undefined
    */
-  chooseForCopy (query: EngineQuery, best: EngineChoice, now: number): LoadChoice | undefined {
+  chooseForCopy (query: EngineQuery, best: EngineChoice, excluded: ReadonlySet<EndpointId>, now: number): LoadChoice | undefined {
     const { facts } = query
     const { adapter } = facts
     const shape = query.service.engine
@@ -202,7 +203,7 @@
     const crowded = this.isCrowded(query, best.endpoint, shape, now)
     if (!crowded && best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + this.parts.loadMilliseconds()) return undefined
     if (now - (this.copyRequestTimes.get(adapter.key) ?? -Infinity) < COPY_INTERVAL_MILLISECONDS) return undefined
-    const load = this.chooseForLoad({ ...query, excluded: NONE }, unbiased, now)
+    const load = this.chooseForLoad({ ...query, excluded }, unbiased, now)
     if (load === undefined) return undefined
     const copyMilliseconds = this.estimate(load.endpoint, shape, facts, now).forecastMilliseconds + this.parts.loadMilliseconds()
     const relieves = crowded && !this.isAboveMean(query.service, load.endpoint, now)
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -8,7 +8,7 @@
 import type { GaugeReadings } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
-import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
+import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
 import type { Teams } from '../teams/teams.js'
 
@@ -20,7 +20,7 @@
   readonly clock: Clock
   readonly members: MemberList
   readonly directory: EndpointDirectory
-  readonly rateLimits: NamedRateLimits
+  readonly rateLimiter: EndpointRateLimiter
   readonly sink: LineSink
   readonly listener: RoutedListener
   readonly overlay: PeerOverlay
@@ -30,14 +30,14 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine } = sources
+  const { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
     storeSilenceSeconds: health.millisecondsSinceAnswer(clock.now()) / 1_000,
     members: members.live().length,
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
-    rateLimitedEndpoints: rateLimits.count,
+    rateLimitedEndpoints: rateLimiter.limits.count,
     droppedLogLines: sink.dropped,
     requestsInProgress: listener.requestsInProgress,
     peerConnections: overlay.neighbours().length,
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,6 +1,6 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, LineSink, Logger } from '@limpetwinch/core'
+import type { Clock, InstanceId, LineSink, Logger } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -21,13 +21,15 @@
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
 import { QuarantineExchange } from '../quarantine/quarantine-exchange.js'
+import { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
 import { RoutedListener } from '../relay/routed-listener.js'
 import { ServiceRelay } from '../relay/service-relay.js'
 import { StreamRelay } from '../relay/stream-relay.js'
 import { RetryBudgets } from '../retries/retry-budgets.js'
-import type { AdapterKey, Endpoint, ServiceName } from '../routes/configuration.js'
-import { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
+import type { Endpoint, ServiceName } from '../routes/configuration.js'
+import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
+import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
@@ -96,7 +98,7 @@
   private readonly prefixCache = new PrefixCacheEstimate()
   private readonly ejection = new OutlierEjection(EJECTION)
   private readonly errors = new ErrorRates()
-  private readonly rateLimits: NamedRateLimits
+  private readonly rateLimiter: EndpointRateLimiter
   private readonly policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   private readonly heldNotices: HeldAdapterNotices
   private readonly digests: WorkDigests
@@ -157,7 +159,19 @@
     // itself learns in time that it has lost the load ownership.
     const isNeeded = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
     this.storeReader = new StoreReader(this.followerDependencies(), { isNeeded, areMembersKnown: () => this.cluster.revision > 0 }, this.clock, logger.part('store'))
-    this.teams = this.createTeams()
+    const owners = new QuotaOwners({ self: this.instance, clock: this.clock, candidates: () => this.quotaOwnerCandidates() })
+    this.teams = this.createTeams(owners)
+    this.rateLimiter = createRateLimiter({
+      self: this.instance,
+      clock: this.clock,
+      logger: logger.part('limits'),
+      directory: this.directory,
+      members: this.members,
+      overlay: this.overlay,
+      owners,
+      metrics: this.metrics,
+      areMembersKnown: () => this.cluster.revision > 0
+    })
     this.heldNotices = new HeldAdapterNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.digests = new WorkDigests(this.overlay, this.workTracker, () => this.members.count, this.clock)
     this.loadOwnership = this.createLoadOwnership()
@@ -178,6 +192,7 @@
       clock: this.clock,
       logger: logger.part('relay'),
       router,
+      rateLimiter: this.rateLimiter,
       locations: this.locations,
       loadOwnerOf: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint),
       requestLoad: (to, frame) => this.overlay.notify(to, frame),
@@ -197,8 +212,7 @@
       metrics: this.metrics
     })
     this.quarantine = this.createQuarantine()
-    this.rateLimits = new NamedRateLimits(logger.part('limits'))
-    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics, this.quarantine.quarantine, this.rateLimits)
+    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics, this.quarantine.quarantine, this.rateLimiter.limits)
     this.listener = this.createListener()
     this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() })
     this.connectComponents()
@@ -207,7 +221,7 @@
   /** Starts to serve requests and to follow the store. */
   async start (): Promise<void> {
     const { settings, logger } = this
-    await this.listenForCallers()
+    await this.listener.listen(settings.callerAddress)
     const { supervisor, network } = this
     void supervisor.start('peers', async (signal) => { await network.run(signal) })
     void supervisor.start('overlay', async (signal) => { await this.overlay.run(signal) })
@@ -235,7 +249,6 @@
 
   private async performStop (): Promise<void> {
     this.stopping = true
-    this.teams.startStopping()
     const deadline = this.clock.now() + this.settings.stopMilliseconds - EXIT_MILLISECONDS
     this.members.leave()
     await stopGracefully({ listener: this.listener, clock: this.clock, logger: this.logger.part('stop'), graceMilliseconds: this.settings.stopMilliseconds })
@@ -256,15 +269,14 @@
     return !this.stopping && this.configuration.current !== undefined && this.directory.revision > 0 && this.teams.admission.isProved
   }
 
-  private async listenForCallers (): Promise<void> {
-    const { callerAddress } = this.settings
-    const separator = callerAddress.lastIndexOf(':')
-    await this.listener.listen(callerAddress.slice(0, separator), Number(callerAddress.slice(separator + 1)))
+  /** Another instance divides quotas while this one stops, so that no two instances divide the same quota. */
+  private quotaOwnerCandidates (): readonly InstanceId[] {
+    return this.overlay.usableHubs().filter((instance) => instance !== this.instance || !this.stopping)
   }
 
-  private createTeams (): Teams {
+  private createTeams (owners: QuotaOwners): Teams {
     const { settings, clock, configuration, members, overlay, network, metrics } = this
-    const shared = { settings, clock, configuration, members, overlay, network, metrics }
+    const shared = { settings, clock, configuration, members, overlay, owners, network, metrics }
     return new Teams({
       ...shared,
       self: this.instance,
@@ -331,6 +343,7 @@
       errors: this.errors,
       budgets,
       quarantine,
+      rateLimiter: this.rateLimiter,
       random: Math.random,
       router: new ServiceRouter(this.directory, workTracker, this.ejection, this.errors, this.settings.dataCentre)
     })
@@ -346,7 +359,7 @@
       forecast: this.forecast,
       speeds: this.speeds,
       prefixes: this.prefixCache,
-      expectedVersion: ({ facts }, now) => this.expectedVersion(facts.adapter?.key, now)
+      expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : this.versions.expected(facts.adapter.key, now)
     })
     return new RoutedListener({
       clock,
@@ -363,16 +376,6 @@
     })
   }
 
-  /**
-   * Returns the adapter version that the engine must check before it serves a request, or undefined when any loaded copy may
-   * serve. The engine checks the version only once new requests must use the latest one.
-   */
-  private expectedVersion (key: AdapterKey | undefined, now: number): number | undefined {
-    if (key === undefined) return undefined
-    const latest = this.versions.newest(key)
-    return latest !== undefined && this.versions.minimumUsable(key, now) === latest ? latest : undefined
-  }
-
   private followerDependencies (): FollowerDependencies {
     return {
       platform: this.platform,
@@ -402,6 +405,7 @@
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
     this.workTracker.onUse((_endpoint, key) => this.policy.recordUse(key, '', 1, this.clock.now()))
     this.messaging.connect()
+    this.rateLimiter.connect(this.network, this.overlay)
     this.teams.connect()
   }
 
@@ -414,6 +418,7 @@
       this.errors.forget(endpoint.id)
     }
     if (change !== 'arrived') {
+      this.rateLimiter.forget(endpoint.id)
       this.prefixCache.forget(endpoint.id)
       this.forecast.forget(endpoint.id)
     }
@@ -426,6 +431,7 @@
       this.senders.prune()
       this.errors.decay(ERROR_DECAY)
       this.teams.maintain()
+      this.rateLimiter.maintain()
     }
   }
 
@@ -437,7 +443,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine } = this
-    return { teams, configuration, health, clock, members, directory, rateLimits, sink, listener, overlay, network, quarantine: quarantine.quarantine }
+    const { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine } = this
+    return { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine: quarantine.quarantine }
   }
 }
--- a/packages/ingress/src/teams/teams.ts
+++ b/packages/ingress/src/teams/teams.ts
@@ -11,7 +11,7 @@
 import type { IngressSettings } from '../runtime/ingress-settings.js'
 import { QuotaClient } from '../quotas/quota-client.js'
 import { QuotaDivision } from '../quotas/quota-division.js'
-import { QuotaOwners } from '../quotas/quota-owners.js'
+import type { QuotaOwners } from '../quotas/quota-owners.js'
 import { TeamAdmission } from './team-admission.js'
 import { rateOfTeam, TeamQuotas } from './team-quotas.js'
 
@@ -23,6 +23,7 @@
   readonly configuration: AcceptedConfiguration
   readonly members: MemberList
   readonly overlay: PeerOverlay
+  readonly owners: QuotaOwners
   readonly network: PeerLinks
   readonly metrics: IngressMetrics
   /** @returns whether this instance reads the store for others */
@@ -39,14 +40,12 @@
   private readonly prover: ConfigurationProver
   private readonly quotaClient: QuotaClient<TeamId>
   private readonly quotaDivision: QuotaDivision<TeamId>
-  private stopping = false
 
   constructor (parts: TeamsDependencies) {
     this.parts = parts
-    const { self, settings, clock, configuration, metrics, overlay } = parts
+    const { self, settings, clock, configuration, metrics, overlay, owners } = parts
     this.proof = new ConfigurationProof(clock, () => configuration.version)
     const kind = new TeamQuotas()
-    const owners = new QuotaOwners<TeamId>({ self, clock, candidates: () => this.quotaOwnerCandidates() })
     const notify: PeerOverlay['notify'] = (to, frame) => overlay.notify(to, frame)
     this.quotaClient = new QuotaClient({ clock, kind, owners, notify })
     this.quotaDivision = new QuotaDivision({
@@ -102,11 +101,6 @@
     this.quotaDivision.maintain()
   }
 
-  /** From now on another instance divides the quotas that this one has divided, so that no two instances divide the quota of a team. */
-  startStopping (): void {
-    this.stopping = true
-  }
-
   /** Gives all tokens back. */
   stop (): void {
     this.quotaClient.releaseAll()
@@ -131,9 +125,4 @@
     if (provedConfiguration === undefined || provedMillisecondsAgo === undefined || echoedSentAt === undefined) return
     this.proof.recordStatement(provedConfiguration, provedMillisecondsAgo, echoedSentAt)
   }
-
-  private quotaOwnerCandidates (): readonly InstanceId[] {
-    const { overlay, self } = this.parts
-    return overlay.usableHubs().filter((instance) => instance !== self || !this.stopping)
-  }
 }
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -84,7 +84,7 @@
 function engineForCopy (states: Readonly<Record<string, State>>): EndpointId | undefined {
   const router = routerFor(states)
   const best = router.choose(query(), NOW)
-  return best === undefined ? undefined : router.chooseForCopy(query(), best, NOW)?.endpoint.id
+  return best === undefined ? undefined : router.chooseForCopy(query(), best, new Set(), NOW)?.endpoint.id
 }
 
 describe('an adapter that no engine holds', () => {
--- a/packages/ingress/test/quota-fleet.failure.test.ts
+++ b/packages/ingress/test/quota-fleet.failure.test.ts
@@ -105,7 +105,7 @@
     const { overlay, links, member } = simulated
     const self = member.instance
     const kind = new TeamQuotas()
-    const owners = new QuotaOwners<TeamId>({ self, clock: this.clock, candidates: () => overlay.usableHubs() })
+    const owners = new QuotaOwners({ self, clock: this.clock, candidates: () => overlay.usableHubs() })
     const notify = (to: InstanceId, frame: FrameOf<'quota-ask' | 'quota-answer'>): void => {
       if (to === self) queueMicrotask(() => handle(self, frame))
       else overlay.notify(to, frame)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -6,6 +6,7 @@
 import { silentLogger, SystemClock } from '@limpetwinch/core'
 import type { EndpointId, InstanceId, LoadAskFrame, TeamId } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates, OutlierEjection } from '@limpetwinch/decisions'
+import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
 import { AdapterLocations } from '../../src/adapters/adapter-locations.js'
 import { EngineFinder } from '../../src/adapters/engine-finder.js'
 import { AcceptedConfiguration } from '../../src/cluster-state/accepted-configuration.js'
@@ -20,6 +21,7 @@
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
+import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
 import { EngineRouter } from '../../src/routing/engine-router.js'
 import { FirstEventForecast } from '../../src/routing/first-event-forecast.js'
@@ -73,11 +75,13 @@
   readonly listener: RoutedListener
   readonly proof: ConfigurationProof
   readonly quotas: QuotaClient<TeamId>
+  readonly rateLimits: NamedRateLimits
   private readonly senders: EndpointSenders
   port = 0
 
   private constructor (setup: IngressSetup) {
     const clock = new SystemClock()
+    const { directory, locations } = this
     const logger = recordingLogger(this.lines)
     const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
@@ -87,7 +91,8 @@
     const ejection = new OutlierEjection()
     const codec = new TestCodec()
     const random = (): number => 0
-    const { directory, locations } = this
+    const owners = new QuotaOwners({ self: 'here' as InstanceId, clock, candidates: () => [] })
+    this.rateLimits = new NamedRateLimits({ clock, logger, bornOf: (id) => directory.find(id)?.born, broadcast: () => {}, noticeRoundTripMilliseconds: () => 1 })
     const quarantine = new RequestQuarantine({
       clock,
       logger,
@@ -99,21 +104,34 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders(codec, ejection, clock, logger, metrics, quarantine, new NamedRateLimits(logger))
+    this.senders = new EndpointSenders(codec, ejection, clock, logger, metrics, quarantine, this.rateLimits)
     const { senders } = this
+    const peers = loopback()
+    const rateLimiter = new EndpointRateLimiter({
+      self: 'here' as InstanceId,
+      clock,
+      limits: this.rateLimits,
+      owners,
+      instances: () => 1,
+      reachableShare: () => 1,
+      isReachable: () => true,
+      notify: (_to, frame) => peers.deliver(frame),
+      endpointsOf: (name) => directory.servable(name).map(({ id }) => id)
+    })
+    rateLimiter.connect(peers.links, { onNeighbour: () => {}, replay: () => {} })
     const budgets = new RetryBudgets({ share: 0, slack: (setup.repeats ?? 100) / 0.8, windowMilliseconds: 10_000 }, () => 1)
     const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
     const engineFinder = new EngineFinder({
-      clock, logger, router, locations, loadOwnerOf: () => 'holder' as InstanceId, requestLoad: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
+      clock, logger, router, rateLimiter, locations, loadOwnerOf: () => 'holder' as InstanceId, requestLoad: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
     })
     const errors = new ErrorRates()
-    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, random, router: new ServiceRouter(directory, workTracker, ejection, errors, 'here') })
+    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, 'here') })
     const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, expectedVersion: () => undefined })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
       clock,
       kind: new TeamQuotas(),
-      owners: new QuotaOwners({ self: 'here' as InstanceId, clock, candidates: () => [] }),
+      owners,
       notify: (_to, frame) => {
         if (frame.kind !== 'quota-ask') return
         const isGranted = setup.grantsTokens?.() ?? true
@@ -136,7 +154,7 @@
   static async start (setup: IngressSetup): Promise<IngressUnderTest> {
     const started = new IngressUnderTest(setup)
     started.port = await freePort()
-    await started.listener.listen('127.0.0.1', started.port)
+    await started.listener.listen(`127.0.0.1:${started.port}`)
     return started
   }
 
@@ -156,6 +174,11 @@
     this.proof.record(this.configuration.version, momentOf(new SystemClock()))
   }
 
+  /** Records that an endpoint has just named a rate limit. */
+  nameLimit (endpoint: string, rateLimit: number): void {
+    this.rateLimits.recordResponse(endpointId(endpoint), { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit }, new SystemClock().now())
+  }
+
   /** Sends a request and reads the response to its end. */
   async ask (path: string, headers: Record<string, string> = {}, body?: string): Promise<CallerView> {
     return await new Promise((resolve, reject) => {
@@ -215,3 +238,13 @@
   await new Promise<void>((resolve) => server.close(() => resolve()))
   return port
 }
+
+/** @returns the links of an instance without peers, which delivers its own notices */
+function loopback (): { readonly links: PeerLinks, readonly deliver: (frame: NoticeFrame) => void } {
+  const handlers = new Map<string, (from: InstanceId, frame: NoticeFrame) => void>()
+  const links = { onNotice: (kind: string, handler: (from: InstanceId, frame: NoticeFrame) => void) => { handlers.set(kind, handler) } }
+  return {
+    links: links as unknown as PeerLinks,
+    deliver: (frame) => queueMicrotask(() => handlers.get(frame.kind)?.('here' as InstanceId, frame))
+  }
+}
