Loads on engines with a rate limit need a place in it

Callers were held for 1.5 s and refused where most engines named a limit: requests without a place at a holder had their adapters loaded by the next limited engine, which evicted those of requests that had one, and limited engines whose adapters fell out of use were left below their limit.

A load on a limited engine now takes the request's place first, costs 300 ms more than on another engine, and where all engines are limited a request waits for its holder only if it is then on time; else it is refused at once.

--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -17,6 +17,12 @@
 /** Interval between attempts to choose an engine while no engine can load the adapter. */
 const NO_ENGINE_WAIT_MILLISECONDS = 100
 
+/**
+ * Added to the cost of a load on an engine with a rate limit. The engine serves few requests with the adapter afterwards, so it is chosen
+ * only where the load queues of the other engines are longer by this time.
+ */
+const LIMITED_LOAD_MILLISECONDS = 300
+
 /**
  * Bounds of the retry delay sent to a refused caller. A request that is retried before the load queue is shorter is refused
  * again, and no slot is freed and no load completes much sooner than the shortest delay. A caller whose deadline is a few
@@ -81,16 +87,18 @@
     const { clock, router, rateLimiter } = this.dependencies
     const startedAt = clock.now()
     const queuePosition = new QueuePosition()
+    /** Engines with a rate limit that load the adapter for this request, which has taken its place in the limit already. */
+    const reserved = new Set<EndpointId>()
     for (let askings = 0; !signal.aborted; askings++) {
       const now = clock.now()
       const choice = router.choose(withExcluded(search, rateLimiter.withoutRoom(priority)), now)
       if (choice !== undefined) {
         // The next choice leaves out an engine that had no room.
-        if (!await rateLimiter.admit(choice.endpoint.id, priority)) continue
+        if (!reserved.has(choice.endpoint.id) && !await rateLimiter.admit(choice.endpoint.id, priority)) continue
         this.requestCopy(search, choice, now)
         return { ...choice, stallMilliseconds: clock.now() - startedAt }
       }
-      const untilRoom = rateLimiter.millisecondsUntilRoom(search.service.name, priority)
+      const untilRoom = reserved.size === 0 ? this.millisecondsUntilRoom(search, now) : undefined
       if (untilRoom !== undefined) {
         if (now + untilRoom > until) return this.logNoEngine(search, 'its engines have reached their rate limits', askings, now - startedAt)
         await clock.sleep(untilRoom, signal)
@@ -101,7 +109,7 @@
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
       }
       if (isLate) return this.logNoEngine(search, 'its search took too long', askings, now - startedAt)
-      await this.requestLoadAndWait(search, queuePosition)
+      await this.requestLoadAndWait(search, queuePosition, reserved)
     }
     return this.logNoEngine(search, 'its request ended', undefined, clock.now() - startedAt)
   }
@@ -117,6 +125,19 @@
     return this.dependencies.rateLimiter.refusal(service.name, priority)
   }
 
+  /**
+   * @returns milliseconds to wait for a place in the rate limit of an engine; undefined when a load is the better way: on an engine without a
+   *   limit, or on one with room
+   */
+  private millisecondsUntilRoom (search: EngineSearch, now: number): number | undefined {
+    const { router, rateLimiter } = this.dependencies
+    const { service, priority, onTimeUntil } = search
+    if (!rateLimiter.areAllLimited(service.name)) return undefined
+    const untilRoom = rateLimiter.millisecondsUntilRoomAt(router.holders(search, now).map(({ id }) => id), priority)
+    if (untilRoom !== undefined && now + untilRoom <= onTimeUntil) return untilRoom
+    return rateLimiter.millisecondsUntilRoom(service.name, priority)
+  }
+
   private logNoEngine ({ facts, excluded, onTimeUntil }: EngineSearch, reason: SearchFailure, askings: number | undefined, milliseconds: number): undefined {
     this.dependencies.logger.debug('No engine was found.', {
       request: facts.requestId,
@@ -134,7 +155,7 @@
    * Asks the load owner of the best engine to load the adapter. Then waits until an engine holds the adapter, or until the load
    * request must be repeated, so that the load owner does not drop it.
    */
-  private async requestLoadAndWait (search: EngineSearch, queuePosition: QueuePosition): Promise<void> {
+  private async requestLoadAndWait (search: EngineSearch, queuePosition: QueuePosition, reserved: Set<EndpointId>): Promise<void> {
     const { clock, router, locations } = this.dependencies
     const { facts, until, onTimeUntil, signal } = search
     const { adapter } = facts
@@ -142,15 +163,21 @@
     const now = clock.now()
     // Whole models are not loaded for one request, but an engine that holds the model may join or become available again.
     if (adapter.name === undefined) return await locations.waitForArrival(adapter.key, Math.max(1, Math.min(NO_ENGINE_WAIT_MILLISECONDS, until - now)), signal)
-    const bias = (endpoint: EndpointId): number => queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now)
+    const { rateLimiter } = this.dependencies
+    const { limited } = rateLimiter
+    const bias = (endpoint: EndpointId): number => (
+      queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now) + (limited.has(endpoint) && !reserved.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0)
+    )
     const recentlyRefusing = this.recentlyRefusing(adapter.key, now)
     // A load on an engine that this request may not use again can only serve other requests, so such an engine is the last resort.
-    const { limited } = this.dependencies.rateLimiter
-    const unused = withExcluded(search, recentlyRefusing)
-    const choice = router.chooseForLoad(withExcluded(unused, limited), bias, now) ??
-      router.chooseForLoad(unused, bias, now) ??
+    const choice = router.chooseForLoad(withExcluded(search, new Set([...recentlyRefusing, ...rateLimiter.withoutRoom(search.priority)])), bias, now) ??
       router.chooseForLoad({ ...search, excluded: recentlyRefusing }, bias, now)
     if (choice === undefined) return await locations.waitForArrival(adapter.key, Math.max(1, Math.min(NO_ENGINE_WAIT_MILLISECONDS, until - now)), signal)
+    // An adapter that evicts another one for a request without a place in the rate limit would serve nobody.
+    if (limited.has(choice.endpoint.id) && !reserved.has(choice.endpoint.id)) {
+      if (!await rateLimiter.admit(choice.endpoint.id, search.priority)) return
+      reserved.add(choice.endpoint.id)
+    }
     queuePosition.join(choice.endpoint.id, now)
     this.sendLoadRequest(choice, facts, { request: facts.requestId, onTimeMilliseconds: onTimeUntil - now }, now)
     await locations.waitForArrival(adapter.key, Math.max(1, Math.min(LOAD_REQUEST_INTERVAL_MILLISECONDS, until - now)), signal)
--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -126,11 +126,19 @@
     return false
   }
 
-  /** @returns milliseconds until a request to the service may fit, if each of its endpoints has a limit and had no room a moment ago; else undefined */
+  /** @returns whether each endpoint of the service has a limit */
+  areAllLimited (service: ServiceName): boolean {
+    return !this.limits.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.limits.ratePerSecond(endpoint) !== undefined)
+  }
+
+  /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago; else undefined */
   millisecondsUntilRoom (service: ServiceName, priority: number): number | undefined {
+    return this.refusals.size === 0 ? undefined : this.millisecondsUntilRoomAt(this.parts.endpointsOf(service), priority)
+  }
+
+  /** @returns milliseconds until a request may fit at one of the endpoints, if none of them had room a moment ago; else undefined */
+  millisecondsUntilRoomAt (endpoints: readonly EndpointId[], priority: number): number | undefined {
     const full = this.withoutRoom(priority)
-    if (full.size === 0) return undefined
-    const endpoints = this.parts.endpointsOf(service)
     if (endpoints.length === 0 || endpoints.some((endpoint) => !full.has(endpoint))) return undefined
     const now = this.parts.clock.now()
     const fitting = endpoints.map((endpoint) => (this.refusals.get(endpoint)?.fitsAt ?? now) - now)
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -240,7 +240,8 @@
     return engines.reduce((sum, { id }) => sum + this.parts.workTracker.outstanding(id, now).requests, 0) / Math.max(1, engines.length)
   }
 
-  private holders ({ service, facts, excluded }: EngineQuery, now: number): Endpoint[] {
+  /** @returns usable engines that hold the adapter in a version that a new request may start on */
+  holders ({ service, facts, excluded }: EngineQuery, now: number): Endpoint[] {
     const { locations, leastVersion } = this.parts
     const { adapter } = facts
     if (adapter === undefined) return []
--- a/packages/ingress/test/rate-limited-relay.failure.test.ts
+++ b/packages/ingress/test/rate-limited-relay.failure.test.ts
@@ -97,6 +97,16 @@
     expect([...new Set(under.asked.map(({ endpoint }) => endpoint))]).toEqual(['c'])
   })
 
+  // Adapters that are loaded for requests without a place evict those of the requests that have one.
+  it('has its adapter loaded by an engine with a limit only where it has a place', async () => {
+    const [one, two] = [await raw(stream([1], endStream)), await raw(stream([1], endStream))]
+    const under = await ingress({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: [] }, { id: 'b', raw: two, adapters: [] }] })
+    for (const endpoint of ['a', 'b']) under.nameLimit(endpoint, 0)
+    const seen = await Promise.all(['a1', 'a2', 'a3', 'a4', 'a5', 'a6'].map(async (adapter) => await under.ask('/', { 'x-adapter': adapter })))
+    expect(new Set(under.asked.map(({ key: asked }) => asked)).size).toBeLessThanOrEqual(2)
+    expect(seen.filter((each) => errorOf(each).code === 'endpoints_rate_limited').length).toBeGreaterThanOrEqual(4)
+  })
+
   it('is refused at once, as not run, when all engines have reached theirs', async () => {
     const [one, two] = [await raw(stream([1], endStream)), await raw(stream([1], endStream))]
     const under = await ingress({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: HELD }, { id: 'b', raw: two, adapters: HELD }] })
