--- a/packages/soak/src/checks/endpoint-checks.ts
+++ b/packages/soak/src/checks/endpoint-checks.ts
@@ -11,6 +11,13 @@
 const FAULT_MARGIN_MILLISECONDS = 3_000
 /** Lease duration: minimum time between orders of two different load owners to one engine. */
 const LEASE_MILLISECONDS = 3_000
+/** Window in which a rate limit must hold, and the time after which it must once an endpoint has named it. */
+const RATE_WINDOW_MILLISECONDS = 4_000
+const RATE_STABILITY_MILLISECONDS = 3_000
+/** Time in which a limit that was just named reaches all instances. */
+const RATE_ONSET_MILLISECONDS = 1_000
+/** Allowed excess over a rate limit: a factor and a number of requests. */
+const RATE_TOLERANCE = { factor: 1.5, requests: 5 }
 
 function runsByRequest ({ deployment }: SoakEvidence): Map<string, StandInRun[]> {
   const runs = new Map<string, StandInRun[]>()
@@ -103,3 +110,24 @@
     })
   }
 }
+
+/** Checks that an endpoint that names a rate limit gets no more than that from all instances together. */
+export class RateLimitCheck extends SoakCheck {
+  override readonly promise = 'rate-limit'
+
+  override violations ({ record, deployment }: SoakEvidence): Violation[] {
+    return record.rateLimits.flatMap(({ endpoint, requestsPerSecond, span }) => {
+      const server = [...deployment.engines, ...deployment.webServers].find(({ options }) => options.id === endpoint)
+      const times = (server?.runs ?? []).map(({ at }) => at).filter((at) => at > span.from + RATE_ONSET_MILLISECONDS && at <= span.to)
+      const allowed = RATE_TOLERANCE.factor * requestsPerSecond * RATE_WINDOW_MILLISECONDS / 1_000 + RATE_TOLERANCE.requests
+      return times
+        .filter((end) => end >= span.from + RATE_STABILITY_MILLISECONDS)
+        .map((end) => ({ end, count: times.filter((at) => at > end - RATE_WINDOW_MILLISECONDS && at <= end).length }))
+        .filter(({ count }) => count > allowed)
+        .slice(0, 1)
+        .map(({ end, count }) => ({
+          message: `${endpoint} named ${requestsPerSecond} requests a second and got ${count} in one window, ${allowed} are allowed`, from: end - RATE_WINDOW_MILLISECONDS, to: end
+        }))
+    })
+  }
+}
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -1,7 +1,7 @@
 /** List of all checks of the soak. */
 import { ResponseDeadlineCheck, UnexpectedEndCheck, PlannedStopCheck, RecoveryCheck, CompleteStreamCheck } from './response-checks.js'
 import { CrashBudgetCheck, FalseQuarantineCheck } from './crash-checks.js'
-import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
+import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, RateLimitCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
 import { QuotaCheck, RevokedKeyCheck, TeamOfRunCheck } from './team-checks.js'
 import type { SoakCheck } from './soak-check.js'
 
@@ -9,5 +9,6 @@
 export const SOAK_CHECKS: readonly SoakCheck[] = [
   new CompleteStreamCheck(), new ResponseDeadlineCheck(), new PlannedStopCheck(), new RecoveryCheck(), new UnexpectedEndCheck(),
   new AtMostOnceCheck(), new NotRunClaimCheck(), new RightAdapterCheck(), new LeavingEndpointCheck(), new SlotCapacityCheck(), new SingleLoadOwnerCheck(),
-  new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck()
+  new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck(),
+  new RateLimitCheck()
 ]
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -33,6 +33,14 @@
   readonly at: number
 }
 
+/** A rate limit that an endpoint named. */
+export interface NamedLimit {
+  readonly endpoint: string
+  readonly requestsPerSecond: number
+  /** Time during which the endpoint named the limit. */
+  readonly span: FaultSpan
+}
+
 /** A path whose requests crash the servers that run them, if the body of the request says so. */
 export interface CrashingPath {
   /** Part of the path after the route's prefix. */
@@ -55,6 +63,7 @@
   readonly leavings: ObservedLeaving[] = []
   readonly crashingPaths: CrashingPath[] = []
   readonly revocations: Revocation[] = []
+  readonly rateLimits: NamedLimit[] = []
   /** Instances that ended unexpectedly, did not end when told to, or did not get ready. */
   readonly lost: LostInstance[] = []
   /** Requests that were sent after recovery from all faults, with their responses. */
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,9 +7,10 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
+const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
 describe('a short soak', () => {
@@ -26,7 +27,9 @@
     // A harmless request was quarantined after two attempts on crashed endpoints, although neither attempt had reached an endpoint.
     { seed: 3_006, ...USUAL_RUN, faultCount: 2, faults: CRASHING_REQUESTS },
     // Keys are taken away and a team floods while instances are killed, paused and cut off from the store.
-    { seed: 4_001, ...USUAL_RUN, faultCount: 10, hasTeams: true, faults: TEAM_FAULTS }
+    { seed: 4_001, ...USUAL_RUN, faultCount: 10, hasTeams: true, faults: TEAM_FAULTS },
+    // Endpoints name rate limits while instances are killed, paused and cut off from the store.
+    { seed: 5_001, ...USUAL_RUN, faultCount: 8, faults: RATE_LIMIT_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
     expect(outcome.violations).toEqual([])
