Search for a place: each endpoint with a limit is asked once before a request waits

Read in the code: with many limited engines the first refusal (0.1 s) ran out before the last one had answered, so that a search could go round until its caller left; and the last resort of a load could choose a full engine again without any wait. A search now keeps the engines that refused it until it has waited, in a class that the relay of plain services uses too.

--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -5,6 +5,7 @@
 import type { Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice } from '../routing/engine-router.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
+import { PlaceSearch } from '../rate-limits/place-search.js'
 import type { AdapterLocations } from './adapter-locations.js'
 
 /**
@@ -87,29 +88,28 @@
     const { clock, router, rateLimiter } = this.dependencies
     const startedAt = clock.now()
     const queuePosition = new QueuePosition()
-    /** Engines with a rate limit that load the adapter for this request, which has taken its place in the limit already. */
-    const reserved = new Set<EndpointId>()
+    const places = new PlaceSearch(rateLimiter, priority)
     for (let askings = 0; !signal.aborted; askings++) {
       const now = clock.now()
-      const choice = router.choose(withExcluded(search, rateLimiter.withoutRoom(priority)), now)
+      const choice = router.choose(withExcluded(search, places.full), now)
       if (choice !== undefined) {
-        // The next choice leaves out an engine that had no room.
-        if (!reserved.has(choice.endpoint.id) && !await rateLimiter.admit(choice.endpoint.id, priority)) continue
+        if (!await places.take(choice.endpoint.id)) continue
         this.requestCopy(search, choice, now)
         return { ...choice, stallMilliseconds: clock.now() - startedAt }
       }
-      const untilRoom = reserved.size === 0 ? this.millisecondsUntilRoom(search, now) : undefined
-      if (untilRoom !== undefined) {
-        if (now + untilRoom > until) return this.logNoEngine(search, 'its engines have reached their rate limits', askings, now - startedAt)
-        await clock.sleep(untilRoom, signal)
-        continue
-      }
       const isLate = now >= until
       if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) {
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
       }
       if (isLate) return this.logNoEngine(search, 'its search took too long', askings, now - startedAt)
-      await this.requestLoadAndWait(search, queuePosition, reserved)
+      const untilRoom = places.hasPlace ? undefined : this.millisecondsUntilRoom(search, now)
+      if (untilRoom === undefined) {
+        await this.requestLoadAndWait(search, queuePosition, places)
+        continue
+      }
+      if (now + untilRoom > until) return this.logNoEngine(search, 'its engines have reached their rate limits', askings, now - startedAt)
+      await clock.sleep(untilRoom, signal)
+      places.waited()
     }
     return this.logNoEngine(search, 'its request ended', undefined, clock.now() - startedAt)
   }
@@ -153,34 +153,33 @@
 
   /**
    * Asks the load owner of the best engine to load the adapter. Then waits until an engine holds the adapter, or until the load
-   * request must be repeated, so that the load owner does not drop it.
+   * request must be repeated, so that the load owner does not drop it. Returns at once when the best engine has no room for the request.
    */
-  private async requestLoadAndWait (search: EngineSearch, queuePosition: QueuePosition, reserved: Set<EndpointId>): Promise<void> {
-    const { clock, router, locations } = this.dependencies
+  private async requestLoadAndWait (search: EngineSearch, queuePosition: QueuePosition, places: PlaceSearch): Promise<void> {
+    const { clock, router, locations, rateLimiter } = this.dependencies
     const { facts, until, onTimeUntil, signal } = search
     const { adapter } = facts
     if (adapter === undefined) return
     const now = clock.now()
+    const wait = async (milliseconds: number): Promise<void> => {
+      await locations.waitForArrival(adapter.key, Math.max(1, Math.min(milliseconds, until - now)), signal)
+      places.waited()
+    }
     // Whole models are not loaded for one request, but an engine that holds the model may join or become available again.
-    if (adapter.name === undefined) return await locations.waitForArrival(adapter.key, Math.max(1, Math.min(NO_ENGINE_WAIT_MILLISECONDS, until - now)), signal)
-    const { rateLimiter } = this.dependencies
+    if (adapter.name === undefined) return await wait(NO_ENGINE_WAIT_MILLISECONDS)
     const { limited } = rateLimiter
     const bias = (endpoint: EndpointId): number => (
-      queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now) + (limited.has(endpoint) && !reserved.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0)
+      queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now) + (limited.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0)
     )
-    const recentlyRefusing = this.recentlyRefusing(adapter.key, now)
+    const unable = new Set([...this.recentlyRefusing(adapter.key, now), ...places.full])
     // A load on an engine that this request may not use again can only serve other requests, so such an engine is the last resort.
-    const choice = router.chooseForLoad(withExcluded(search, new Set([...recentlyRefusing, ...rateLimiter.withoutRoom(search.priority)])), bias, now) ??
-      router.chooseForLoad({ ...search, excluded: recentlyRefusing }, bias, now)
-    if (choice === undefined) return await locations.waitForArrival(adapter.key, Math.max(1, Math.min(NO_ENGINE_WAIT_MILLISECONDS, until - now)), signal)
+    const choice = router.chooseForLoad(withExcluded(search, unable), bias, now) ?? router.chooseForLoad({ ...search, excluded: unable }, bias, now)
+    if (choice === undefined) return await wait(NO_ENGINE_WAIT_MILLISECONDS)
     // An adapter that evicts another one for a request without a place in the rate limit would serve nobody.
-    if (limited.has(choice.endpoint.id) && !reserved.has(choice.endpoint.id)) {
-      if (!await rateLimiter.admit(choice.endpoint.id, search.priority)) return
-      reserved.add(choice.endpoint.id)
-    }
+    if (!await places.take(choice.endpoint.id)) return
     queuePosition.join(choice.endpoint.id, now)
     this.sendLoadRequest(choice, facts, { request: facts.requestId, onTimeMilliseconds: onTimeUntil - now }, now)
-    await locations.waitForArrival(adapter.key, Math.max(1, Math.min(LOAD_REQUEST_INTERVAL_MILLISECONDS, until - now)), signal)
+    await wait(LOAD_REQUEST_INTERVAL_MILLISECONDS)
   }
 
   /** @returns engines for which a load request was recently refused: the instance that received the request no longer owns the engine's loads */
--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -14,6 +14,8 @@
 const ANSWER_MILLISECONDS = 150
 /** Least time for which an endpoint that had no room is passed over, in milliseconds. */
 const LEAST_REFUSAL_MILLISECONDS = 50
+/** Time for which a refusal counts in the question when a request may fit, in milliseconds: asking many endpoints in turn takes about as long. */
+const RECENT_REFUSAL_MILLISECONDS = 250
 /** The least urgent priority that is told from the more urgent ones. */
 const LOWEST_PRIORITY = 4
 /** Part of the burst that is left to more urgent requests, for each step of the priority. */
@@ -87,15 +89,24 @@
     return this.division.subjects.length
   }
 
+  /** @returns whether requests to the endpoint need a place */
+  isLimited (endpoint: EndpointId): boolean {
+    return !this.limits.isEmpty && this.limits.ratePerSecond(endpoint) !== undefined
+  }
+
   /** Endpoints with a limit: no adapter should be loaded there only because requests find no room elsewhere. */
   get limited (): ReadonlySet<EndpointId> {
     return this.limits.isEmpty ? NONE : new Set(this.limits.limited())
   }
 
-  /** @returns endpoints that had no room for a request of this priority a moment ago */
-  withoutRoom (priority: number): ReadonlySet<EndpointId> {
+  /**
+   * @param priority - priority of a request, 0 being the most urgent
+   * @param milliseconds - how long ago the endpoint may have been passed over
+   * @returns endpoints that have no room for such a request, as far as this instance knows
+   */
+  withoutRoom (priority: number, milliseconds = 0): ReadonlySet<EndpointId> {
     if (this.refusals.size === 0) return NONE
-    const now = this.parts.clock.now()
+    const now = this.parts.clock.now() - milliseconds
     const floor = floorOf(priority)
     return new Set([...this.refusals].filter(([, refusal]) => refusal.until > now && floor >= refusal.floor).map(([endpoint]) => endpoint))
   }
@@ -107,9 +118,8 @@
    * @returns whether the request may be sent to the endpoint
    */
   async admit (endpoint: EndpointId, priority: number): Promise<boolean> {
-    const { limits } = this
     const { clock } = this.parts
-    if (limits.isEmpty || limits.ratePerSecond(endpoint) === undefined) return true
+    if (!this.isLimited(endpoint)) return true
     const floor = floorOf(priority)
     const taken = await this.client.take(endpoint, NO_HOLDINGS, { cost: 1, floor }, ANSWER_MILLISECONDS)
     this.parts.onDecision?.(endpoint, taken.isOk() ? 'admitted' : 'passed-over')
@@ -128,7 +138,7 @@
 
   /** @returns whether each endpoint of the service has a limit */
   areAllLimited (service: ServiceName): boolean {
-    return !this.limits.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.limits.ratePerSecond(endpoint) !== undefined)
+    return !this.limits.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint))
   }
 
   /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago; else undefined */
@@ -136,18 +146,18 @@
     return this.refusals.size === 0 ? undefined : this.millisecondsUntilRoomAt(this.parts.endpointsOf(service), priority)
   }
 
-  /** @returns milliseconds until a request may fit at one of the endpoints, if none of them had room a moment ago; else undefined */
+  /** @returns milliseconds until a request may fit at one of the endpoints, if none of them had room lately; else undefined */
   millisecondsUntilRoomAt (endpoints: readonly EndpointId[], priority: number): number | undefined {
-    const full = this.withoutRoom(priority)
+    const full = this.withoutRoom(priority, RECENT_REFUSAL_MILLISECONDS)
     if (endpoints.length === 0 || endpoints.some((endpoint) => !full.has(endpoint))) return undefined
     const now = this.parts.clock.now()
     const fitting = endpoints.map((endpoint) => (this.refusals.get(endpoint)?.fitsAt ?? now) - now)
     return Math.max(LEAST_REFUSAL_MILLISECONDS, Math.min(...fitting))
   }
 
-  /** @returns the error of a request for which no endpoint of its service has room; undefined if one may have */
+  /** @returns the error of a request that found room at no endpoint of its service; undefined if one of them has no limit or may have room */
   refusal (service: ServiceName, priority: number): LimpetwinchError | undefined {
-    const milliseconds = this.millisecondsUntilRoom(service, priority)
+    const milliseconds = this.areAllLimited(service) ? this.millisecondsUntilRoom(service, priority) : undefined
     if (milliseconds === undefined) return undefined
     return new LimpetwinchError('endpoints-rate-limited', { service }, { retryAfterSeconds: Math.ceil(milliseconds) / 1_000 })
   }
@@ -155,7 +165,7 @@
   /** Forgets what is not needed any more; called periodically. */
   maintain (): void {
     const now = this.parts.clock.now()
-    for (const [endpoint, { until }] of this.refusals) if (until <= now) this.refusals.delete(endpoint)
+    for (const [endpoint, { until }] of this.refusals) if (until + RECENT_REFUSAL_MILLISECONDS <= now) this.refusals.delete(endpoint)
     this.limits.maintain()
     this.client.releaseIdle()
     this.division.maintain()
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -3,6 +3,7 @@
 import type { ErrorRates } from '@limpetwinch/decisions'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
+import { PlaceSearch } from '../rate-limits/place-search.js'
 import type { RetryBudgets } from '../retries/retry-budgets.js'
 import type { Endpoint } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
@@ -127,17 +128,17 @@
   private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>): Promise<Endpoint | undefined> {
     const { clock, logger, router, budgets, rateLimiter, random } = this.parts
     const { service, facts, priority, signal } = request
+    const places = new PlaceSearch(rateLimiter, priority)
     let isBudgeted = attempted.size === 0
     while (!signal.aborted) {
-      const endpoint = router.choose(service.name, union(attempted, avoided, rateLimiter.withoutRoom(priority)), random, clock.now())
+      const endpoint = router.choose(service.name, union(attempted, avoided, places.full), random, clock.now())
       if (endpoint === undefined) return undefined
       isBudgeted ||= budgets.tryRetry(service.name, clock.now())
       if (!isBudgeted) {
         logger.debug('The retry budget does not allow a retry.', { request: facts.requestId, service: service.name, tries: attempted.size })
         return undefined
       }
-      // The next choice leaves out an endpoint that had no room.
-      if (await rateLimiter.admit(endpoint.id, priority)) return endpoint
+      if (await places.take(endpoint.id)) return endpoint
     }
     return undefined
   }
