Rate limits: few notices and lines for an endpoint that names another one each time

Read in the code: each change was broadcast to all instances and written as info by each of them, so an endpoint that names another value in each response would have cost a notice and a line a response at every instance. Notices on one endpoint are now 200 ms apart, changes of a value are debug lines.

--- a/packages/ingress/src/quotas/quota-client.ts
+++ b/packages/ingress/src/quotas/quota-client.ts
@@ -11,6 +11,7 @@
 const ANSWER_MILLISECONDS = 200
 /** Delay before the next ask, when the asked instance was not the owner: the two instances learn of a change at different times. */
 const NOT_OWNER_PAUSE_MILLISECONDS = 50
+
 /** The part of a quota that the holdings depend on. */
 export interface HeldQuota {
   readonly ratePerSecond: number
--- a/packages/ingress/src/rate-limits/named-rate-limits.ts
+++ b/packages/ingress/src/rate-limits/named-rate-limits.ts
@@ -9,6 +9,8 @@
  * its connection; it is then made good within this time.
  */
 const ANNOUNCEMENT_MILLISECONDS = 1_000
+/** Least time between two notices of an instance on one endpoint, in milliseconds: an endpoint may name another value in each response. */
+const CHANGE_MILLISECONDS = 200
 
 /** What the limits need of the instance. */
 export interface NamedRateLimitsDependencies {
@@ -23,9 +25,12 @@
 
 interface KnownLimit {
   readonly named: NamedRateLimit
-  /** Monotonic time of the latest statement that this instance has read itself, and of the one that it has told the others. */
+  /** Monotonic time of the latest response with which this instance has read the statement in force. */
   readAt: number
+  /** Monotonic time of the latest notice to the others. */
   announcedAt: number
+  /** Whether the others have not been told yet of a change that this instance has read. */
+  hasChanged: boolean
 }
 
 /** The limits of all endpoints that name one. */
@@ -72,7 +77,8 @@
     const known = this.limits.get(endpoint)
     if (known === undefined) return
     known.readAt = now
-    this.announce(endpoint, known)
+    known.hasChanged = true
+    this.announceWhenDue(endpoint, known)
   }
 
   /** Merges what another instance has read. */
@@ -99,7 +105,7 @@
     const now = this.parts.clock.now()
     for (const [endpoint, known] of this.limits) {
       if (known.named.isForgotten(now)) this.limits.delete(endpoint)
-      else if (known.readAt > known.announcedAt && now - known.announcedAt >= ANNOUNCEMENT_MILLISECONDS) this.announce(endpoint, known)
+      else this.announceWhenDue(endpoint, known)
     }
   }
 
@@ -121,7 +127,7 @@
 
   private open (endpoint: EndpointId, { limit, ...times }: RateLimitStatement, source: 'response' | 'peer'): boolean {
     if (limit === undefined) return false
-    this.limits.set(endpoint, { named: new NamedRateLimit({ limit, ...times }), readAt: -Infinity, announcedAt: -Infinity })
+    this.limits.set(endpoint, { named: new NamedRateLimit({ limit, ...times }), readAt: -Infinity, announcedAt: -Infinity, hasChanged: false })
     this.logChange(endpoint, limit, undefined, source)
     return true
   }
@@ -129,13 +135,19 @@
   private logChange (endpoint: EndpointId, requestsPerSecond: number | undefined, previous: number | undefined, source: 'response' | 'peer'): void {
     const { logger } = this.parts
     if (requestsPerSecond === undefined) logger.info('An endpoint names no rate limit any more.', { endpoint, previous, source })
-    else logger.info('An endpoint named a rate limit.', { endpoint, requestsPerSecond, previous, source })
+    else if (previous === undefined) logger.info('An endpoint named a rate limit.', { endpoint, requestsPerSecond, source })
+    else logger.debug('An endpoint named another rate limit.', { endpoint, requestsPerSecond, previous, source })
   }
 
-  private announce (endpoint: EndpointId, known: KnownLimit): void {
+  private announceWhenDue (endpoint: EndpointId, known: KnownLimit): void {
+    const { readAt, announcedAt, hasChanged } = known
+    const now = this.parts.clock.now()
+    const isNews = hasChanged || readAt > announcedAt
+    if (!isNews || now - announcedAt < (hasChanged ? CHANGE_MILLISECONDS : ANNOUNCEMENT_MILLISECONDS)) return
     const frame = this.frameOf(endpoint, known)
     if (frame === undefined) return
-    known.announcedAt = this.parts.clock.now()
+    known.announcedAt = now
+    known.hasChanged = false
     this.parts.broadcast(frame)
   }
 
