--- a/packages/entry/src/peers/handshake.ts
+++ b/packages/entry/src/peers/handshake.ts
@@ -1,7 +1,7 @@
 /** Opens connections to peers and exchanges the hello frames with which each connection starts. */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { LimpetwinchError } from '@limpetwinch/core'
+import { LimpetwinchError, splitAddress } from '@limpetwinch/core'
 import type { HelloFrame } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -95,9 +95,3 @@
   socket.write(hello.value)
   counter.sent('hello', hello.value.length)
 }
-
-/** @returns the host and the port of an address of the form `host:port` or `[host]:port` */
-export function splitAddress (address: string): { host: string, port: number } {
-  const at = address.lastIndexOf(':')
-  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
-}
--- a/packages/ingress/src/quarantine/crash-detector.ts
+++ b/packages/ingress/src/quarantine/crash-detector.ts
@@ -3,6 +3,7 @@
  * connection was reset or the endpoint broke off this one response; only a crashed endpoint refuses new connections.
  */
 import { connect } from 'node:net'
+import { splitAddress } from '@limpetwinch/core'
 import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
 import type { Endpoint } from '../routes/configuration.js'
 
@@ -89,9 +90,9 @@
 
 /** Opens a TCP connection to `host:port`. @returns whether a process listens there */
 export async function probeAddress (address: string): Promise<ProbeResult> {
-  const colon = address.lastIndexOf(':')
+  const { host, port } = splitAddress(address)
   return await new Promise((resolve) => {
-    const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) })
+    const socket = connect({ host, port })
     const finish = (result: ProbeResult): void => {
       socket.destroy()
       resolve(result)
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -1,7 +1,7 @@
 /** Accepts requests from callers, finds their route and passes them to a relay. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { LimpetwinchError } from '@limpetwinch/core'
+import { LimpetwinchError, splitAddress } from '@limpetwinch/core'
 import type { Clock, Logger } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -101,9 +101,7 @@
    * @throws the error of the socket when it cannot listen
    */
   async listen (address: string): Promise<void> {
-    const separator = address.lastIndexOf(':')
-    const host = address.slice(0, separator)
-    const port = Number(address.slice(separator + 1))
+    const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen({ host, port, backlog: BACKLOG }, () => resolve())
--- a/packages/ingress/src/runtime/monitoring-listeners.ts
+++ b/packages/ingress/src/runtime/monitoring-listeners.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import { splitAddress } from '@limpetwinch/core'
 
 const OK = 200
 const NOT_FOUND = 404
@@ -43,10 +44,10 @@
  */
 export async function listenAt (address: string, listener: RequestListener): Promise<Server> {
   const server = createServer(listener)
-  const separator = address.lastIndexOf(':')
+  const { host, port } = splitAddress(address)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => resolve())
+    server.listen(port, host, () => resolve())
   })
   return server
 }
