--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -2,9 +2,9 @@
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
 import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
+import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import { QuotaClient } from '../quotas/quota-client.js'
 import { QuotaDivision } from '../quotas/quota-division.js'
-import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { QuotaOwners } from '../quotas/quota-owners.js'
 import type { ServiceName } from '../routes/configuration.js'
 import { answerOfFrame, askOfFrame, EndpointRateQuotas, rateOfEndpoint } from './endpoint-rate-quotas.js'
@@ -46,7 +46,7 @@
 interface Refusal {
   /** Monotonic time until which the endpoint is passed over. */
   readonly until: number
-  /** Requests that are at least as urgent as no refused one may still find room. */
+  /** Lowest floor of the refused requests; a request with a lower floor may still find room. */
   readonly floor: number
   /** Monotonic time at which the request was expected to fit. */
   readonly fitsAt: number
@@ -84,11 +84,6 @@
     network.onNotice('rate-answer', (_from, frame) => this.client.handleAnswer(frame.endpoint as EndpointId, answerOfFrame(frame)))
   }
 
-  /** Number of endpoints whose limit this instance divides now. */
-  get dividedLimits (): number {
-    return this.division.subjects.length
-  }
-
   /** @returns whether requests to the endpoint need a place */
   isLimited (endpoint: EndpointId): boolean {
     return !this.limits.isEmpty && this.limits.ratePerSecond(endpoint) !== undefined
