--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -79,6 +79,16 @@
   return { record, runs: ids.map((id, index) => run({ request: id, at: AT + index, team: 'flooding' })), teams }
 }
 
+/** @returns evidence of an engine that names one request a second, and runs a number of requests within one second, some time after it named that first */
+function limited (requests: number, milliseconds: number): EvidenceOptions {
+  const ids = Array.from({ length: requests }, (_, index) => `r${index}`)
+  const record = recordOf((made) => {
+    made.requests.push(...ids.map((id) => seen({ id })))
+    made.rateLimits.push({ endpoint: 'engine', requestsPerSecond: 1, span: { kind: 'name-rate-limit', target: 'engine', from: AT - milliseconds, to: AT + 1_000 } })
+  })
+  return { record, runs: ids.map((id, index) => run({ request: id, at: AT + index })) }
+}
+
 const EVENTS = [{ id: 1, adapter: 'a1', version: 1 }, { id: 2, adapter: 'a1', version: 1 }]
 
 function stream (change: Partial<SampleAnswer>): EvidenceOptions {
@@ -91,6 +101,9 @@
     expect(violated({ ...stream({}), runs: [run({ adapter: 'a1' })] })).toEqual([])
     expect(violated(revoked(4_900))).toEqual([])
     expect(violated(flood(99))).toEqual([])
+    expect(violated(limited(11, 3_500))).toEqual([])
+    // The limit is too new to hold yet.
+    expect(violated(limited(12, 2_500))).toEqual([])
   })
 
   it.each<[string, string, EvidenceOptions]>([
@@ -98,6 +111,7 @@
     ['a request that ran as another team', 'team-of-run', { ...revoked(0), runs: [run({ team: 'steady' })] }],
     ['a key that reached a server', 'team-of-run', { ...revoked(0), runs: [run({ team: 'guests', hasKey: true })] }],
     ['a team that used more than its quota', 'quota', flood(100)],
+    ['more requests than an endpoint named', 'rate-limit', limited(12, 3_500)],
     ['an event that is missing', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, id: 3 }] })],
     ['an event that is received twice', 'whole-answer', stream({ events: [EVENTS[0]!, EVENTS[0]!] })],
     ['an event of another adapter', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, adapter: 'a2' }] })],
