--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -1,6 +1,5 @@
 /** One attempt of a request on one endpoint: sends the HTTP request on a connection and checks that the response is complete and belongs to the request. */
 import type { Dispatcher } from 'undici'
-import type { StatedRateLimit } from '../rate-limits/stated-rate-limit.js'
 import type { ResponseFacts, RequestCodec } from './request-codec.js'
 import type { EndpointConnection } from './endpoint-connections.js'
 
@@ -77,10 +76,11 @@
   }
 
   /** Log fields that describe the response. */
-  get logFields (): { readonly status: number | undefined, readonly framing: string, readonly connection: string, readonly rateLimit: StatedRateLimit } {
+  get logFields (): Readonly<Record<string, unknown>> {
     const headers = this.head?.headers
     const framing = headers?.['content-length'] !== undefined ? 'length' : headers?.['transfer-encoding'] !== undefined ? 'chunks' : 'end'
-    return { status: this.head?.status, framing, connection: this.connection.ended, rateLimit: this.head?.facts.rateLimit }
+    const { ended, isReused, connectMilliseconds } = this.connection
+    return { status: this.head?.status, framing, connection: ended, reused: isReused, connectMilliseconds, rateLimit: this.head?.facts.rateLimit }
   }
 
   /** Cancels the attempt by closing the connection, so that the endpoint drops the request. */
--- a/packages/ingress/src/relay/endpoint-connections.ts
+++ b/packages/ingress/src/relay/endpoint-connections.ts
@@ -23,6 +23,10 @@
   ended: 'not' | 'in-order' | 'by-error' = 'not'
   /** Whether the current response has neither a length nor chunks, so that the end of the connection marks the end of the response. */
   bodyEndsWithConnection = false
+  /** Whether the connection was open before the current request. */
+  isReused = false
+  /** Time that opening the connection took, in milliseconds; undefined until it is open. */
+  connectMilliseconds: number | undefined
   private orderlyEnd: Promise<boolean> | undefined
 
   /** @param address - `host:port` */
@@ -37,8 +41,10 @@
         this.ended = 'not'
         this.bodyEndsWithConnection = false
         this.orderlyEnd = undefined
+        const startedAt = performance.now()
         connectSocket(options, (error, socket) => {
           if (error !== null) return callback(error, null)
+          this.connectMilliseconds = Math.round(performance.now() - startedAt)
           // On a connection that the endpoint will close, undici takes the end of the connection for the end of the response, even
           // after a reset or without the last chunk, so a truncated response would look complete. These listeners run before
           // those of undici and record how the connection ended.
@@ -103,7 +109,10 @@
   acquire (now: number): EndpointConnection {
     this.busy += 1
     for (let idle = this.idle.pop(); idle !== undefined; idle = this.idle.pop()) {
-      if (now - idle.since < IDLE_MILLISECONDS && idle.connection.ended !== 'by-error' && !idle.connection.client.destroyed) return idle.connection
+      if (now - idle.since < IDLE_MILLISECONDS && idle.connection.ended !== 'by-error' && !idle.connection.client.destroyed) {
+        idle.connection.isReused = true
+        return idle.connection
+      }
       idle.connection.destroy()
     }
     return new EndpointConnection(this.address)
