--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -8,6 +8,7 @@
 import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame } from './cluster-frames.js'
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame } from './quarantine-frames.js'
+import type { UnreachableServicesFrame } from './path-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame } from './limit-frames.js'
 
 export type * from './connection-frames.js'
@@ -17,6 +18,7 @@
 export type * from './work-frames.js'
 export type * from './quarantine-frames.js'
 export type * from './limit-frames.js'
+export type * from './path-frames.js'
 
 /** Any frame between peers. */
 export type PeerFrame =
@@ -57,6 +59,7 @@
   | RateLimitFrame
   | RateAskFrame
   | RateAnswerFrame
+  | UnreachableServicesFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/decisions/src/routing/outlier-ejection.ts
+++ b/packages/decisions/src/routing/outlier-ejection.ts
@@ -92,6 +92,11 @@
     return [...available, ...ejected.slice(0, minimum - available.length)]
   }
 
+  /** Forgets the failures of an endpoint that turned out to be no failures of its own. */
+  forget (endpoint: EndpointId): void {
+    this.records.delete(endpoint)
+  }
+
   /** @returns whether the endpoint is ejected at this time */
   isEjected (endpoint: EndpointId, now: number): boolean {
     return this.ejectedUntil(endpoint) > now
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -205,7 +205,8 @@
     readMillisecondsAgo: z.number().min(0)
   }),
   'rate-ask': z.object({ endpoint: id, number: count, floors: z.array(z.number().min(0).max(1)) }),
-  'rate-answer': z.object({ endpoint: id, number: count, granted: z.array(z.boolean()), milliseconds: z.number().min(0), notOwner: z.boolean() })
+  'rate-answer': z.object({ endpoint: id, number: count, granted: z.array(z.boolean()), milliseconds: z.number().min(0), notOwner: z.boolean() }),
+  'unreachable-services': z.object({ services: z.array(z.string().max(400)), sequence: count })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -10,7 +10,7 @@
 /** Object kind shared by all these objects, so that one watch of the store covers them all. */
 export const CLUSTER_KIND = 'limpetwinch-cluster'
 
-const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional() })
+const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), tunnelAddress: z.string().optional() })
 const loadOwnerSchema = z.object({ holder: z.string(), previous: z.string().optional(), claimedAt: z.number() })
 const quarantineDecisionSchema = z.object({ crashes: z.number(), strikes: z.number(), certain: z.boolean(), untilWallTime: z.number() })
 
@@ -22,6 +22,8 @@
   readonly instance: InstanceId
   /** `host:port` on which the instance accepts connections of its peers. */
   readonly address: string
+  /** `host:port` at which the instance accepts requests for tunnels; undefined when it opens none. */
+  readonly tunnelAddress?: string | undefined
   readonly dataCentre: DataCentreId
   /** Processor share that the host grants the process, in cores; 0 when unknown. */
   readonly cores: number
@@ -89,10 +91,10 @@
   if (name.startsWith('member.')) {
     const decoded = memberSchema.safeParse(object.value)
     if (!decoded.success) return undefined
-    const { instance, address, dataCentre, cores = 0 } = decoded.data
+    const { instance, address, dataCentre, cores = 0, tunnelAddress } = decoded.data
     return {
       kind: 'member',
-      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, version: object.version }
+      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, tunnelAddress, version: object.version }
     }
   }
   if (name.startsWith('verdict.')) {
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -1,6 +1,8 @@
 /** Membership: instances register in the store at their start and unregister at their end; heartbeats show which instances are reachable. */
+import { splitAddress } from '@limpetwinch/core'
 import type { Clock, DataCentreId, DeletingObjectStore, InstanceId, Logger } from '@limpetwinch/core'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { TunnelPeer } from '../paths/tunnel-client.js'
 import { memberPath } from './cluster-objects.js'
 import type { Member } from './cluster-objects.js'
 
@@ -19,6 +21,7 @@
   readonly name: string
   readonly instance: InstanceId
   readonly address: string
+  readonly tunnelAddress?: string | undefined
   readonly dataCentre: DataCentreId
   /** Processor share that the host grants this process, in cores. */
   readonly cores: number
@@ -109,6 +112,21 @@
     return this.stopping ? others : [...others, this.self]
   }
 
+  /** @returns the other live members that open tunnels */
+  tunnelPeers (): TunnelPeer[] {
+    const peers: TunnelPeer[] = []
+    for (const { name, instance, tunnelAddress, dataCentre } of this.members.values()) {
+      if (tunnelAddress !== undefined && name !== this.self.name && this.isLive(name)) peers.push({ instance, dataCentre, address: tunnelAddress })
+    }
+    return peers
+  }
+
+  /** @returns the host of a registered instance; undefined when it is not registered */
+  hostOf (instance: InstanceId): string | undefined {
+    for (const member of this.members.values()) if (member.instance === instance) return splitAddress(member.address).host
+    return undefined
+  }
+
   /** Registers this instance, registers it again if its object in the store disappears, and deletes the objects of lost members. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -133,12 +151,12 @@
   }
 
   private async register (): Promise<void> {
-    const { name, instance, address, dataCentre, cores } = this.self
+    const { name, instance, address, tunnelAddress, dataCentre, cores } = this.self
     const present = this.members.get(name)
     if (present?.instance === instance) return
-    const ownRecord = await this.store.put({ path: memberPath(name), ifVersion: present?.version ?? 0, value: { instance, address, dataCentre, cores } })
+    const ownRecord = await this.store.put({ path: memberPath(name), ifVersion: present?.version ?? 0, value: { instance, address, tunnelAddress, dataCentre, cores } })
     if (ownRecord.isOk()) {
-      this.ownRecord = { name, instance, address, dataCentre, cores, version: ownRecord.value }
+      this.ownRecord = { name, instance, address, tunnelAddress, dataCentre, cores, version: ownRecord.value }
       this.members.set(name, this.ownRecord)
       this.presence.apply([...this.members.values()])
       this.logger.info('This instance was registered as a member.', { name, revision: ownRecord.value })
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -16,6 +16,10 @@
   readonly servableEndpoints: number
   /** Number of endpoints that name a rate limit. */
   readonly rateLimitedEndpoints: number
+  /** Number of endpoints to which the own path is lost. */
+  readonly lostPaths: number
+  /** Number of open connections that this instance carries for others. */
+  readonly tunnels: number
   /** Number of log lines dropped since the process started. */
   readonly droppedLogLines: number
   readonly requestsInProgress: number
@@ -50,6 +54,7 @@
   private readonly suspicions = this.counter('limpetwinch_quarantine_total', 'Suspected requests by what was done', ['action'])
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
   private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
+  private readonly tunnelDecisions = this.counter('limpetwinch_tunnels_total', 'Tunnels that other instances asked for, by what became of them', ['decision'])
   private readonly frames = this.counter('limpetwinch_peer_frames_total', 'Frames between instances', ['kind', 'direction'])
   private readonly frameBytes = this.counter('limpetwinch_peer_bytes_total', 'Bytes between instances', ['kind', 'direction'])
   private readonly read: () => GaugeReadings
@@ -69,6 +74,8 @@
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
     this.gauge('limpetwinch_rate_limited_endpoints', 'Endpoints that name a rate limit', () => read().rateLimitedEndpoints)
+    this.gauge('limpetwinch_lost_paths', 'Endpoints that this instance reaches through other instances only', () => read().lostPaths)
+    this.gauge('limpetwinch_tunnels', 'Connections to endpoints that this instance carries for others', () => read().tunnels)
     this.gauge('limpetwinch_dropped_log_lines', 'Log lines dropped since the start', () => read().droppedLogLines)
     this.gauge('limpetwinch_requests_in_progress', 'Requests in progress', () => read().requestsInProgress)
     this.gauge('limpetwinch_peer_connections', 'Connections to other instances', () => read().peerConnections)
@@ -106,6 +113,11 @@
     this.attempts.inc({ service: this.bounded(service), end })
   }
 
+  /** Counts a tunnel that another instance asked for. */
+  tunnelDecided (decision: string): void {
+    this.tunnelDecisions.inc({ decision })
+  }
+
   /** Counts an ejected endpoint. */
   endpointEjected (): void {
     this.ejections.inc()
--- /dev/null
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -0,0 +1,115 @@
+/** Creates the parts of one instance that open connections to endpoints, from the instance's other components. */
+import { splitAddress } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
+import type { NoticeFrame, PeerLinks, Supervisor } from '@limpetwinch/entry'
+import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import type { MemberList } from '../members/member-list.js'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { EndpointSenders } from '../relay/endpoint-senders.js'
+import type { Endpoint } from '../routes/configuration.js'
+import { CONNECT_MILLISECONDS, DirectDialler } from './endpoint-dialler.js'
+import type { EndpointDialler } from './endpoint-dialler.js'
+import { EndpointPaths } from './endpoint-paths.js'
+import { PathDialler } from './path-dialler.js'
+import { PathExchange } from './path-exchange.js'
+import { TunnelAdmission } from './tunnel-admission.js'
+import { openTunnel } from './tunnel-client.js'
+import { TunnelPeers } from './tunnel-peers.js'
+import { TunnelServer } from './tunnel-server.js'
+
+/** Time limit for connecting a tunnel to its endpoint, in milliseconds: the asking instance goes on to the next one while its request waits. */
+const TUNNEL_CONNECT_MILLISECONDS = 100
+
+/** The components that the paths need. */
+export interface PathComponents {
+  readonly self: InstanceId
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly directory: EndpointDirectory
+  readonly members: MemberList
+  readonly overlay: PeerOverlay
+  readonly metrics: IngressMetrics
+}
+
+/** The paths of one instance to the endpoints, its own and those through other instances. */
+export class InstancePaths {
+  readonly paths: EndpointPaths
+  readonly peers: TunnelPeers
+  readonly dialler: EndpointDialler
+  readonly server: TunnelServer
+  readonly exchange: PathExchange
+  private readonly parts: PathComponents
+
+  constructor (parts: PathComponents) {
+    this.parts = parts
+    const { self, clock, logger, directory, members, metrics } = parts
+    const direct = new DirectDialler(CONNECT_MILLISECONDS)
+    this.paths = new EndpointPaths({
+      clock,
+      logger,
+      directory,
+      tryOwnPath: async (endpoint) => await tryDial(direct, endpoint),
+      tryAnyPath: async (endpoint) => { await tryDial(this.dialler, endpoint) }
+    })
+    this.peers = new TunnelPeers({ clock, dataCentre: members.self.dataCentre, members: () => members.tunnelPeers(), random: Math.random })
+    const ownHost = splitAddress(members.self.address).host
+    this.dialler = new PathDialler({ self, ownHost, clock, paths: this.paths, peers: this.peers, direct, openTunnel })
+    const admission = new TunnelAdmission({
+      directory, paths: this.paths, dialler: new DirectDialler(TUNNEL_CONNECT_MILLISECONDS), hostOf: (instance) => members.hostOf(instance)
+    })
+    this.server = new TunnelServer({ logger, admission, onDecision: (decision) => metrics.tunnelDecided(decision) })
+    this.exchange = new PathExchange({
+      clock,
+      paths: this.paths,
+      peers: this.peers,
+      isMember: (instance) => members.hostOf(instance) !== undefined,
+      broadcast: (frame) => this.broadcast(frame)
+    })
+  }
+
+  /** Registers the handlers of notices and of changed paths. */
+  connect (network: Pick<PeerLinks, 'onNotice'>, senders: Pick<EndpointSenders, 'handlePathChange'>): void {
+    this.exchange.connect(network)
+    this.paths.onChange((endpoint, change) => senders.handlePathChange(endpoint, change))
+  }
+
+  /**
+   * Has an endpoint tried that an order did not reach. An order goes over the own path only, so its failure may be that of the path.
+   *
+   * @param onFailed - called at once, to count the failure as the endpoint's as long as nothing else is known
+   */
+  suspect (id: EndpointId, onFailed: () => void): void {
+    const endpoint = this.parts.directory.find(id)
+    if (endpoint !== undefined) this.paths.suspect(endpoint)
+    onFailed()
+  }
+
+  /** Closes idle tunnels of instances that end, and looks for a cut that no new connection has met yet; called periodically. */
+  maintain (senders: Pick<EndpointSenders, 'closeTunnelsOf' | 'silentEndpoint'>): void {
+    const { overlay } = this.parts
+    senders.closeTunnelsOf((instance) => overlay.isLeaving(instance) || !overlay.isReachable(instance))
+    const silent = senders.silentEndpoint()
+    if (silent !== undefined) this.paths.suspect(silent)
+  }
+
+  /** Starts the tasks. */
+  start (supervisor: Supervisor): void {
+    void supervisor.start('paths', async (signal) => { await this.paths.run(signal) })
+    void supervisor.start('path notices', async (signal) => { await this.exchange.run(signal) })
+  }
+
+  /** A frame of an unknown kind closes a direct connection to an instance of an earlier release; inside the overlay's batches it is only dropped. */
+  private broadcast (frame: NoticeFrame): void {
+    const { overlay, members } = this.parts
+    if (!overlay.isMesh) return overlay.broadcast(frame)
+    for (const { instance } of members.tunnelPeers()) overlay.notify(instance, frame)
+  }
+}
+
+/** Opens a connection and closes it. @returns whether it was opened */
+async function tryDial (dialler: EndpointDialler, endpoint: Endpoint): Promise<boolean> {
+  const dialled = await dialler.dial(endpoint, new AbortController().signal)
+  if (dialled.isOk()) dialled.value.socket.destroy()
+  return dialled.isOk()
+}
--- a/packages/ingress/src/quarantine/crash-detector.ts
+++ b/packages/ingress/src/quarantine/crash-detector.ts
@@ -2,9 +2,9 @@
  * Distinguishes a crashed endpoint from a lost connection. A truncated response looks the same whether the endpoint crashed, the
  * connection was reset or the endpoint broke off this one response; only a crashed endpoint refuses new connections.
  */
-import { connect } from 'node:net'
-import { splitAddress } from '@limpetwinch/core'
 import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
+import { DirectDialler } from '../paths/endpoint-dialler.js'
+import type { EndpointDialler } from '../paths/endpoint-dialler.js'
 import type { Endpoint } from '../routes/configuration.js'
 
 /**
@@ -12,14 +12,11 @@
  * socket among them. The second probe covers processes that end slowly.
  */
 const PROBE_DELAYS_MILLISECONDS = [40, 160] as const
-/** Connection timeout of a probe; the same as that of any new connection to an endpoint. */
-const CONNECT_MILLISECONDS = 250
 /**
  * How long the finding that an endpoint crashed is kept. Endpoint lists from before the crash still name the endpoint. Responses of the
  * same incarnation that are truncated within this time belong to the same crash, so the endpoint is not probed again for them.
  */
 const CRASH_MEMORY_MILLISECONDS = 10_000
-const REFUSED = 'ECONNREFUSED'
 
 /** One incarnation of an endpoint, that is, one run of its process, on which a response was truncated. */
 export interface EndpointIncarnation {
@@ -31,8 +28,8 @@
 /** Result of opening a new connection to an endpoint; `unknown` after a timeout or any error other than a refused connection. */
 export type ProbeResult = 'accepted' | 'refused' | 'unknown'
 
-/** Opens a connection to check whether a process listens at the address, given as `host:port`. */
-export type ConnectionProbe = (address: string) => Promise<ProbeResult>
+/** Opens a connection to check whether the process of an endpoint listens. */
+export type ConnectionProbe = (endpoint: Endpoint) => Promise<ProbeResult>
 
 /** Finds out whether an endpoint on which responses were truncated has crashed, by opening new connections to it. */
 export class CrashDetector {
@@ -46,7 +43,7 @@
    * @param logger - receives one line for each checked endpoint
    * @param probe - opens a connection to an endpoint
    */
-  constructor (clock: Clock, logger: Logger, probe: ConnectionProbe = probeAddress) {
+  constructor (clock: Clock, logger: Logger, probe: ConnectionProbe = probeBy(new DirectDialler())) {
     this.clock = clock
     this.logger = logger
     this.probe = probe
@@ -67,7 +64,7 @@
     let result: ProbeResult = 'unknown'
     for (const delay of PROBE_DELAYS_MILLISECONDS) {
       await this.clock.sleep(delay)
-      result = await this.probe(endpoint.address)
+      result = await this.probe(endpoint)
       if (result === 'refused') break
     }
     const crashed = result === 'refused'
@@ -88,17 +85,16 @@
   return life.slice(0, life.lastIndexOf('/')) as EndpointId
 }
 
-/** Opens a TCP connection to `host:port`. @returns whether a process listens there */
-export async function probeAddress (address: string): Promise<ProbeResult> {
-  const { host, port } = splitAddress(address)
-  return await new Promise((resolve) => {
-    const socket = connect({ host, port })
-    const finish = (result: ProbeResult): void => {
-      socket.destroy()
-      resolve(result)
-    }
-    socket.setTimeout(CONNECT_MILLISECONDS, () => finish('unknown'))
-    socket.once('connect', () => finish('accepted'))
-    socket.once('error', (error: NodeJS.ErrnoException) => finish(error.code === REFUSED ? 'refused' : 'unknown'))
-  })
+/**
+ * @param dialler - opens the connections. It must know paths through other instances: an instance whose own links to an endpoint are cut
+ *   would take the endpoint for crashed, and the requests that it ran for the cause.
+ * @returns a probe that opens a connection and closes it
+ */
+export function probeBy (dialler: EndpointDialler): ConnectionProbe {
+  return async (endpoint) => {
+    const dialled = await dialler.dial(endpoint, new AbortController().signal)
+    if (dialled.isErr()) return dialled.error.kind === 'refused' ? 'refused' : 'unknown'
+    dialled.value.socket.destroy()
+    return 'accepted'
+  }
 }
--- a/packages/ingress/src/quarantine/quarantine-exchange.ts
+++ b/packages/ingress/src/quarantine/quarantine-exchange.ts
@@ -6,8 +6,9 @@
 import type { QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
 import type { PeerLinks } from '@limpetwinch/entry'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { EndpointDialler } from '../paths/endpoint-dialler.js'
 import type { StoredQuarantineDecision } from '../members/cluster-objects.js'
-import { CrashDetector } from './crash-detector.js'
+import { CrashDetector, probeBy } from './crash-detector.js'
 import { QuarantineRecords } from './quarantine-records.js'
 import { RequestQuarantine, decisionFrame } from './request-quarantine.js'
 import type { QuarantineAnnouncer, RequestQuarantineDependencies } from './request-quarantine.js'
@@ -22,6 +23,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly store: DeletingObjectStore
+  /** Opens connections to endpoints that may have crashed. */
+  readonly dialler: EndpointDialler
   readonly network: Pick<PeerLinks, 'onNotice'>
   readonly overlay: Pick<PeerOverlay, 'broadcast' | 'notify' | 'replay' | 'onNeighbour' | 'noticeRoundTripMilliseconds'>
 }
@@ -43,7 +46,7 @@
       notify: (to, frame) => overlay.notify(to, frame),
       noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds
     })
-    this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger), announcer: this.announcer() })
+    this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger, probeBy(parts.dialler)), announcer: this.announcer() })
     this.records = new QuarantineRecords(store, {
       applyDecision: (decision, source) => this.quarantine.applyDecision(decision, source),
       release: (fingerprint, by) => this.quarantine.release(fingerprint, by)
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -79,8 +79,8 @@
   get logFields (): Readonly<Record<string, unknown>> {
     const headers = this.head?.headers
     const framing = headers?.['content-length'] !== undefined ? 'length' : headers?.['transfer-encoding'] !== undefined ? 'chunks' : 'end'
-    const { ended, isReused, connectMilliseconds } = this.connection
-    return { status: this.head?.status, framing, connection: ended, reused: isReused, connectMilliseconds, rateLimit: this.head?.facts.rateLimit }
+    const { ended, isReused, connectMilliseconds, via } = this.connection
+    return { status: this.head?.status, framing, connection: ended, reused: isReused, via, connectMilliseconds, rateLimit: this.head?.facts.rateLimit }
   }
 
   /** Cancels the attempt by closing the connection, so that the endpoint drops the request. */
--- /dev/null
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -0,0 +1,62 @@
+/** Creates the listener of one instance with its relays, from the instance's other components. */
+import type { Clock, Logger } from '@limpetwinch/core'
+import type { EngineSpeeds, ErrorRates, OutlierEjection } from '@limpetwinch/decisions'
+import type { AdapterLocations } from '../adapters/adapter-locations.js'
+import type { EngineFinder } from '../adapters/engine-finder.js'
+import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
+import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
+import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import type { MemberList } from '../members/member-list.js'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
+import { RetryBudgets } from '../retries/retry-budgets.js'
+import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
+import type { FirstEventForecast } from '../routing/first-event-forecast.js'
+import type { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
+import { ServiceRouter } from '../routing/service-router.js'
+import type { IngressSettings } from '../runtime/ingress-settings.js'
+import type { TeamAdmission } from '../teams/team-admission.js'
+import type { EndpointSenders } from './endpoint-senders.js'
+import type { RequestCodec } from './request-codec.js'
+import { RoutedListener } from './routed-listener.js'
+import { ServiceRelay } from './service-relay.js'
+import { StreamRelay } from './stream-relay.js'
+
+/** The components that the listener and its relays need. */
+export interface ListenerComponents {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: IngressMetrics
+  readonly settings: Pick<IngressSettings, 'repeats' | 'dataCentre'>
+  readonly codec: RequestCodec
+  readonly configuration: AcceptedConfiguration
+  readonly directory: EndpointDirectory
+  readonly members: MemberList
+  readonly locations: AdapterLocations
+  readonly versions: AdapterVersions
+  readonly engineFinder: EngineFinder
+  readonly workTracker: EndpointWorkTracker
+  readonly forecast: FirstEventForecast
+  readonly speeds: EngineSpeeds
+  readonly prefixes: PrefixCacheEstimate
+  readonly ejection: OutlierEjection
+  readonly errors: ErrorRates
+  readonly senders: EndpointSenders
+  readonly quarantine: RequestQuarantine
+  readonly rateLimiter: EndpointRateLimiter
+  readonly admission: TeamAdmission
+}
+
+/** @returns the listener, which does not listen yet */
+export function createListener (components: ListenerComponents): RoutedListener {
+  const { settings, directory, members, versions, workTracker, ejection, errors } = components
+  const shared = { ...components, random: Math.random, budgets: new RetryBudgets(settings.repeats, () => members.count) }
+  const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
+  const services = new ServiceRelay({ ...shared, router })
+  const streams = new StreamRelay({
+    ...shared,
+    expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
+  })
+  return new RoutedListener({ ...shared, streams, services })
+}
--- a/packages/ingress/src/relay/endpoint-connections.ts
+++ b/packages/ingress/src/relay/endpoint-connections.ts
@@ -1,12 +1,10 @@
 /** HTTP connections to one endpoint: each connection carries one request at a time, and is reused only after a complete response. */
-import type { Socket } from 'node:net'
-import { buildConnector, Client } from 'undici'
+import type { InstanceId } from '@limpetwinch/core'
+import { Client } from 'undici'
+import type { EndpointDialler } from '../paths/endpoint-dialler.js'
+import { provesOrderlyEnd } from '../paths/orderly-end.js'
+import type { Endpoint } from '../routes/configuration.js'
 
-/**
- * Connection timeout. Data centres are a few milliseconds apart, so an endpoint that does not accept a connection within this time is
- * unreachable or has left.
- */
-const CONNECT_MILLISECONDS = 250
 /**
  * Time after which an idle connection is closed. Endpoints close idle connections after a time that they do not always announce.
  * When an endpoint closes a connection just as a request is sent, nobody knows whether the request ran. So this instance closes
@@ -14,8 +12,6 @@
  */
 const IDLE_MILLISECONDS = 4_000
 
-const connectSocket = buildConnector({ timeout: CONNECT_MILLISECONDS })
-
 /** One connection to an endpoint, with a record of how its socket ended. */
 export class EndpointConnection {
   readonly client: Client
@@ -27,34 +23,41 @@
   isReused = false
   /** Time that opening the connection took, in milliseconds; undefined until it is open. */
   connectMilliseconds: number | undefined
+  /** The instance whose tunnel carries the connection; undefined for a connection over the own path. */
+  via: InstanceId | undefined
+  private readonly closing = new AbortController()
   private orderlyEnd: Promise<boolean> | undefined
 
-  /** @param address - `host:port` */
-  constructor (address: string) {
-    this.client = new Client(`http://${address}`, {
+  /**
+   * @param endpoint - the endpoint
+   * @param dialler - opens the connection
+   */
+  constructor (endpoint: Endpoint, dialler: EndpointDialler) {
+    this.client = new Client(`http://${endpoint.address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveMaxTimeout: IDLE_MILLISECONDS,
-      connect: (options, callback) => {
+      connect: (_options, callback) => {
         this.ended = 'not'
         this.bodyEndsWithConnection = false
         this.orderlyEnd = undefined
         const startedAt = performance.now()
-        connectSocket(options, (error, socket) => {
-          if (error !== null) return callback(error, null)
+        void dialler.dial(endpoint, this.closing.signal).then((dialled) => {
+          if (dialled.isErr()) return callback(dialled.error, null)
+          const { socket, via } = dialled.value
           this.connectMilliseconds = Math.round(performance.now() - startedAt)
+          this.via = via
           // On a connection that the endpoint will close, undici takes the end of the connection for the end of the response, even
           // after a reset or without the last chunk, so a truncated response would look complete. These listeners run before
           // those of undici and record how the connection ended.
-          const plain = socket as Socket
-          plain.prependListener('error', () => { this.ended = 'by-error' })
-          plain.prependListener('end', () => {
+          socket.prependListener('error', () => { this.ended = 'by-error' })
+          socket.prependListener('end', () => {
             this.ended = 'in-order'
-            if (this.bodyEndsWithConnection) this.orderlyEnd = provesOrderlyEnd(plain)
+            if (this.bodyEndsWithConnection) this.orderlyEnd = provesOrderlyEnd(socket)
           })
-          callback(null, plain)
+          callback(null, socket)
         })
       }
     })
@@ -67,32 +70,27 @@
 
   /** Closes the connection at once; the endpoint then drops the request that it runs for this connection. */
   destroy (): void {
+    this.closing.abort()
     void this.client.destroy().catch(() => {
       // The rejection repeats the error of the request in flight, which was already passed to the handler of that request.
     })
   }
 }
 
-/**
- * Checks by a write whether a connection was closed in order. A reset that arrives after the last bytes is read as an orderly end, so
- * a response that was truncated by the reset would look complete. The operating system reports the reset only to a write. Writing an
- * empty line, which endpoints ignore, fails on a connection that was reset and succeeds on one that was closed in order.
- */
-async function provesOrderlyEnd (socket: Socket): Promise<boolean> {
-  return await new Promise((resolve) => {
-    socket.write('\r\n', (error) => resolve(error === null || error === undefined))
-  })
-}
-
 /** Idle and busy connections to one endpoint. */
 export class EndpointConnections {
-  private readonly address: string
+  private readonly endpoint: Endpoint
+  private readonly dialler: EndpointDialler
   private readonly idle: { readonly connection: EndpointConnection, readonly since: number }[] = []
   private busy = 0
 
-  /** @param address - `host:port` */
-  constructor (address: string) {
-    this.address = address
+  /**
+   * @param endpoint - the endpoint
+   * @param dialler - opens the connections
+   */
+  constructor (endpoint: Endpoint, dialler: EndpointDialler) {
+    this.endpoint = endpoint
+    this.dialler = dialler
   }
 
   /** Number of connections in use. */
@@ -115,7 +113,7 @@
       }
       idle.connection.destroy()
     }
-    return new EndpointConnection(this.address)
+    return new EndpointConnection(this.endpoint, this.dialler)
   }
 
   /**
@@ -135,6 +133,15 @@
     while (this.idle[0] !== undefined && now - this.idle[0].since >= IDLE_MILLISECONDS) this.idle.shift()?.connection.destroy()
   }
 
+  /** Closes the idle connections that a condition holds for. @param isUnusable - called with the instance whose tunnel carries the connection, if any */
+  closeIdle (isUnusable: (via: InstanceId | undefined) => boolean): void {
+    const idle = this.idle.splice(0)
+    for (const each of idle) {
+      if (isUnusable(each.connection.via)) each.connection.destroy()
+      else this.idle.push(each)
+    }
+  }
+
   /** Closes all idle connections. */
   close (): void {
     for (const { connection } of this.idle.splice(0)) connection.destroy()
--- a/packages/ingress/src/relay/endpoint-contacts.ts
+++ b/packages/ingress/src/relay/endpoint-contacts.ts
@@ -10,6 +10,8 @@
 export class EndpointContacts {
   private readonly clock: Clock
   private readonly lastContacts = new Map<EndpointId, number>()
+  /** Monotonic time at which bytes last arrived from any endpoint. */
+  latestContactAt = -Infinity
 
   /** @param clock - monotonic time */
   constructor (clock: Clock) {
@@ -18,7 +20,7 @@
 
   /** Starts to record when the response of one attempt on the endpoint arrives. @returns the record of the attempt */
   watch (endpoint: EndpointId): AttemptContact {
-    return new AttemptContact(this.clock, (now) => { this.lastContacts.set(endpoint, now) }, () => this.lastContacts.get(endpoint))
+    return new AttemptContact(this.clock, (now) => this.recordContact(endpoint, now), () => this.lastContacts.get(endpoint))
   }
 
   /** @returns monotonic time at which the last response bytes arrived from the endpoint; undefined if none ever did */
@@ -30,6 +32,11 @@
   forget (endpoint: EndpointId): void {
     this.lastContacts.delete(endpoint)
   }
+
+  private recordContact (endpoint: EndpointId, now: number): void {
+    this.lastContacts.set(endpoint, now)
+    this.latestContactAt = now
+  }
 }
 
 /** Time at which the last response bytes of one attempt arrived; the time of sending while none have arrived. */
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -2,9 +2,10 @@
  * Sends attempts of requests to endpoints: takes a connection, adds headers, and reports lost connections to the quarantine and outcomes
  * to the outlier ejection.
  */
-import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { EndpointDialler } from '../paths/endpoint-dialler.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint } from '../routes/configuration.js'
@@ -14,6 +15,7 @@
 import { EndpointContacts } from './endpoint-contacts.js'
 import type { RequestCodec } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
+import { UnansweredAttempts } from './unanswered-attempts.js'
 
 /** Options of one attempt. */
 export interface SendOptions {
@@ -34,27 +36,36 @@
   readonly ended: Promise<AttemptEnd>
 }
 
+/**
+ * What an attempt showed about its endpoint: `unreachable` when no connection could be opened by any path, `failed` when the attempt was
+ * sent and failed.
+ */
+export type ObservedResult = 'answered' | 'failed' | 'unreachable'
+
+/** Dependencies of the senders. */
+export interface EndpointSendersDependencies {
+  readonly codec: RequestCodec
+  readonly ejection: OutlierEjection
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: IngressMetrics
+  readonly quarantine: RequestQuarantine
+  readonly rateLimits: NamedRateLimits
+  readonly dialler: EndpointDialler
+  /** @returns whether this instance has lost its own path to an endpoint that others reach */
+  readonly isPathLost: (endpoint: EndpointId) => boolean
+}
+
 /** Sends attempts to all endpoints. */
 export class EndpointSenders {
-  private readonly codec: RequestCodec
-  private readonly ejection: OutlierEjection
-  private readonly clock: Clock
-  private readonly logger: Logger
-  private readonly metrics: IngressMetrics
-  private readonly quarantine: RequestQuarantine
-  private readonly rateLimits: NamedRateLimits
+  private readonly parts: EndpointSendersDependencies
   private readonly contacts: EndpointContacts
+  private readonly unanswered = new UnansweredAttempts()
   private readonly connections = new Map<EndpointId, { readonly address: string, readonly pool: EndpointConnections }>()
 
-  constructor (codec: RequestCodec, ejection: OutlierEjection, clock: Clock, logger: Logger, metrics: IngressMetrics, quarantine: RequestQuarantine, rateLimits: NamedRateLimits) {
-    this.codec = codec
-    this.ejection = ejection
-    this.clock = clock
-    this.logger = logger
-    this.metrics = metrics
-    this.quarantine = quarantine
-    this.rateLimits = rateLimits
-    this.contacts = new EndpointContacts(clock)
+  constructor (parts: EndpointSendersDependencies) {
+    this.parts = parts
+    this.contacts = new EndpointContacts(parts.clock)
   }
 
   /** @returns number of requests that this instance has in flight on the endpoint */
@@ -64,18 +75,19 @@
 
   /** @returns milliseconds since this instance last received any bytes of a response from the endpoint; Infinity if it never did */
   millisecondsSinceContact (endpoint: EndpointId): number {
-    return this.clock.now() - (this.contacts.lastContactAt(endpoint) ?? -Infinity)
+    return this.parts.clock.now() - (this.contacts.lastContactAt(endpoint) ?? -Infinity)
   }
 
   /** Sends a request to an endpoint; the attempt is abandoned when the signal of the request is aborted. */
   send (request: RoutedRequest, options: SendOptions, sink: AttemptSink): RunningAttempt {
+    const { codec, clock, logger, metrics, quarantine } = this.parts
     const pool = this.pool(options.endpoint)
-    const connection = pool.acquire(this.clock.now())
-    const attempt = new Attempt(connection, this.codec)
+    const connection = pool.acquire(clock.now())
+    const attempt = new Attempt(connection, codec)
     const contact = this.contacts.watch(options.endpoint.id)
     const onAbort = (): void => attempt.abandon(request.exchange.left.aborted ? 'the caller left' : 'its time is over')
-    const millisecondsLeft = request.endsAt - this.clock.now()
-    const added = this.codec.write({
+    const millisecondsLeft = request.endsAt - clock.now()
+    const added = codec.write({
       endpoint: options.endpoint.id,
       millisecondsLeft,
       priority: request.facts.adapter === undefined ? undefined : request.priority,
@@ -83,7 +95,7 @@
       lastEventId: options.lastEventId,
       team: request.team?.name
     })
-    this.logger.debug('A request was sent.', {
+    logger.debug('A request was sent.', {
       request: request.facts.requestId,
       endpoint: options.endpoint.id,
       tries: options.earlierAttempts + 1,
@@ -94,7 +106,8 @@
       configuration: request.configurationVersion,
       ...options.grounds
     })
-    const sentAt = this.clock.now()
+    const sentAt = clock.now()
+    const unanswered = this.unanswered.begin(options.endpoint, sentAt)
     const ended = attempt.run({
       requestId: request.facts.requestId,
       method: request.method,
@@ -102,15 +115,16 @@
       headers: [...request.headers, ...added],
       body: request.body
     }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink))).then((end) => {
+      unanswered.ended()
       request.signal.removeEventListener('abort', onAbort)
-      pool.release(connection, end.kind === 'whole' && attempt.reusable, this.clock.now())
-      this.metrics.attemptEnded(request.service.name, end.kind)
-      this.logger.debug('An attempt ended.', {
+      pool.release(connection, end.kind === 'whole' && attempt.reusable, clock.now())
+      metrics.attemptEnded(request.service.name, end.kind)
+      logger.debug('An attempt ended.', {
         request: request.facts.requestId, endpoint: options.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.logFields, ...contact.logFields
       })
-      if (attempt.wasSent) this.quarantine.sent(request)
-      if (attempt.lostConnection) this.quarantine.lost(request, options.endpoint, this.clock.now() - sentAt)
-      this.quarantine.attemptFinished(request)
+      if (attempt.wasSent) quarantine.sent(request)
+      if (attempt.lostConnection) quarantine.lost(request, options.endpoint, clock.now() - sentAt)
+      quarantine.attemptFinished(request)
       return end
     })
     request.signal.addEventListener('abort', onAbort)
@@ -118,14 +132,19 @@
     return { attempt, ended }
   }
 
-  /** Records the outcome of an attempt for the outlier ejection: an endpoint with repeated failures gets no new requests for some time. */
-  observe (endpoint: EndpointId, result: 'answered' | 'failed', reason?: string): void {
-    const now = this.clock.now()
-    const wasEjected = this.ejection.isEjected(endpoint, now)
-    this.ejection.observe(endpoint, result, now)
-    if (wasEjected || !this.ejection.isEjected(endpoint, now)) return
-    this.metrics.endpointEjected()
-    this.logger.warn('An endpoint was ejected after repeated failures.', { endpoint, reason })
+  /**
+   * Records the outcome of an attempt for the outlier ejection: an endpoint with repeated failures gets no new requests for some time.
+   * While the own path to the endpoint is lost, an attempt that fails after it was sent tells nothing of the endpoint.
+   */
+  observe (endpoint: EndpointId, result: ObservedResult, reason?: string): void {
+    const { clock, ejection, metrics, logger, isPathLost } = this.parts
+    if (result === 'failed' && isPathLost(endpoint)) return
+    const now = clock.now()
+    const wasEjected = ejection.isEjected(endpoint, now)
+    ejection.observe(endpoint, result === 'answered' ? 'answered' : 'failed', now)
+    if (wasEjected || !ejection.isEjected(endpoint, now)) return
+    metrics.endpointEjected()
+    logger.warn('An endpoint was ejected after repeated failures.', { endpoint, reason })
   }
 
   /** Closes the connections to an endpoint that has left. */
@@ -135,9 +154,29 @@
     this.contacts.forget(endpoint)
   }
 
+  /**
+   * Called when the own path to an endpoint was lost or is back: the failures of the endpoint were those of the path, and idle
+   * connections over a lost path, or over a detour that is not needed any more, must not carry requests.
+   */
+  handlePathChange (endpoint: EndpointId, change: 'lost' | 'restored'): void {
+    if (change === 'lost') this.parts.ejection.forget(endpoint)
+    this.connections.get(endpoint)?.pool.closeIdle((via) => (via === undefined) === (change === 'lost'))
+  }
+
+  /** Closes the idle connections that the tunnels of an instance carry. */
+  closeTunnelsOf (isUnusable: (instance: InstanceId) => boolean): void {
+    for (const { pool } of this.connections.values()) pool.closeIdle((via) => via !== undefined && isUnusable(via))
+  }
+
+  /** @returns the endpoint of an attempt without a response, if no endpoint has sent anything for some time; else undefined */
+  silentEndpoint (): Endpoint | undefined {
+    const { clock } = this.parts
+    return this.unanswered.silentEndpoint(this.contacts.latestContactAt, clock.now())
+  }
+
   /** Closes connections that have been idle for longer than the idle timeout. */
   prune (): void {
-    for (const { pool } of this.connections.values()) pool.prune(this.clock.now())
+    for (const { pool } of this.connections.values()) pool.prune(this.parts.clock.now())
   }
 
   /** Closes all idle connections. */
@@ -149,7 +188,7 @@
   private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink): AttemptSink {
     return {
       head: (head) => {
-        this.rateLimits.recordResponse(endpoint, head.facts, sentAt)
+        this.parts.rateLimits.recordResponse(endpoint, head.facts, sentAt)
         sink.head(head)
       },
       data: (chunk) => sink.data(chunk)
@@ -160,7 +199,7 @@
     const known = this.connections.get(endpoint.id)
     if (known?.address === endpoint.address) return known.pool
     known?.pool.close()
-    const pool = new EndpointConnections(endpoint.address)
+    const pool = new EndpointConnections(endpoint, this.parts.dialler)
     this.connections.set(endpoint.id, { address: endpoint.address, pool })
     return pool
   }
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -288,7 +288,7 @@
     else this.record.unknown(endpoint.id, result.reason)
     // An engine that was replaced has not failed as long as it responds to other requests. An engine that responds to none was already reported.
     const wasReplaced = result.reason === REPLACED
-    if (!this.request.signal.aborted && !wasReplaced && !this.reportedUnresponsive.has(endpoint.id)) this.parts.senders.observe(endpoint.id, 'failed', result.reason)
+    if (!this.request.signal.aborted && !wasReplaced && !this.reportedUnresponsive.has(endpoint.id)) this.parts.senders.observe(endpoint.id, result.kind === 'not-sent' ? 'unreachable' : 'failed', result.reason)
   }
 
   private answered (): RelayOutcome {
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -190,7 +190,7 @@
   private classify (request: RoutedRequest, { end, head }: AttemptResult, endpoint: Endpoint, record: AttemptRecord): 'deliver' | 'server-error' | 'not-run' | 'unknown' {
     const { senders, errors, quarantine } = this.parts
     if (end.kind === 'not-sent') {
-      senders.observe(endpoint.id, 'failed', end.reason)
+      senders.observe(endpoint.id, 'unreachable', end.reason)
       record.notRun(endpoint.id, end.reason)
       return 'not-run'
     }
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -7,6 +7,7 @@
 import type { MemberList } from '../members/member-list.js'
 import type { GaugeReadings } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
+import type { InstancePaths } from '../paths/create-paths.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
@@ -21,6 +22,7 @@
   readonly members: MemberList
   readonly directory: EndpointDirectory
   readonly rateLimiter: EndpointRateLimiter
+  readonly paths: InstancePaths
   readonly sink: LineSink
   readonly listener: RoutedListener
   readonly overlay: PeerOverlay
@@ -30,7 +32,7 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine } = sources
+  const { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
@@ -38,6 +40,8 @@
     members: members.live().length,
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
     rateLimitedEndpoints: rateLimiter.limits.count,
+    lostPaths: paths.paths.lostCount,
+    tunnels: paths.server.count,
     droppedLogLines: sink.dropped,
     requestsInProgress: listener.requestsInProgress,
     peerConnections: overlay.neighbours().length,
--- a/packages/ingress/src/runtime/graceful-stop.ts
+++ b/packages/ingress/src/runtime/graceful-stop.ts
@@ -3,6 +3,7 @@
  * the requests in progress.
  */
 import type { Clock, Logger } from '@limpetwinch/core'
+import type { TunnelServer } from '../paths/tunnel-server.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
 
 /**
@@ -18,23 +19,27 @@
 /** The listener to stop, and how long that may take. */
 export interface GracefulStopOptions {
   readonly listener: RoutedListener
+  /** Carries connections of other instances, which close them once they know that this instance stops. */
+  readonly tunnels: Pick<TunnelServer, 'count' | 'startStopping' | 'destroy'>
   readonly clock: Clock
   readonly logger: Logger
   readonly graceMilliseconds: number
 }
 
 /** Resolves when no request is in progress, or shortly before the grace period ends; requests that are still open then are cut off. */
-export async function stopGracefully ({ listener, clock, logger, graceMilliseconds }: GracefulStopOptions): Promise<void> {
+export async function stopGracefully ({ listener, tunnels, clock, logger, graceMilliseconds }: GracefulStopOptions): Promise<void> {
   const startedAt = clock.now()
   const deadline = startedAt + graceMilliseconds - EXIT_MILLISECONDS
-  logger.info('This instance is stopping.', { inProgress: listener.requestsInProgress, graceMilliseconds })
+  logger.info('This instance is stopping.', { inProgress: listener.requestsInProgress, tunnels: tunnels.count, graceMilliseconds })
   listener.startStopping()
+  tunnels.startStopping()
   await clock.sleep(Math.min(ROTATION_MILLISECONDS, graceMilliseconds / 2))
   listener.stopAccepting()
-  while (listener.requestsInProgress > 0 && clock.now() < deadline) {
+  while (listener.requestsInProgress + tunnels.count > 0 && clock.now() < deadline) {
     await clock.sleep(POLL_MILLISECONDS)
     listener.stopAccepting()
   }
-  logger.info('No more requests are served.', { cutOff: listener.requestsInProgress, milliseconds: Math.round(clock.now() - startedAt) })
+  logger.info('No more requests are served.', { cutOff: listener.requestsInProgress, tunnels: tunnels.count, milliseconds: Math.round(clock.now() - startedAt) })
   listener.destroy()
+  tunnels.destroy()
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -21,12 +21,11 @@
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
 import { QuarantineExchange } from '../quarantine/quarantine-exchange.js'
+import { InstancePaths } from '../paths/create-paths.js'
 import { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
-import { RoutedListener } from '../relay/routed-listener.js'
-import { ServiceRelay } from '../relay/service-relay.js'
-import { StreamRelay } from '../relay/stream-relay.js'
-import { RetryBudgets } from '../retries/retry-budgets.js'
+import { createListener } from '../relay/create-listener.js'
+import type { RoutedListener } from '../relay/routed-listener.js'
 import type { Endpoint, ServiceName } from '../routes/configuration.js'
 import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
@@ -34,7 +33,6 @@
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
-import { ServiceRouter } from '../routing/service-router.js'
 import { WorkDigests } from '../routing/work-digests.js'
 import { Teams } from '../teams/teams.js'
 import type { IngressPlatform } from './ingress-platform.js'
@@ -85,6 +83,7 @@
   private readonly configuration: AcceptedConfiguration
   private readonly teams: Teams
   private readonly directory: EndpointDirectory
+  private readonly paths: InstancePaths
   private readonly engines: EngineInventory
   private readonly versions: AdapterVersions
   private readonly cluster: ClusterView
@@ -135,11 +134,13 @@
       remoteHeartbeatFactor: 1
     })
     this.health = new StoreHealth(logger.part('store'))
-    const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, dataCentre: settings.dataCentre, cores: settings.cores }
+    const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, tunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
     this.overlay = new PeerOverlay({ self, network: this.network, clock: this.clock, logger: logger.part('overlay') })
     this.members = new MemberList(self, this.platform.store, this.overlay, this.clock, logger.part('members'))
     this.configuration = new AcceptedConfiguration(logger.part('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
+    const { clock, directory, members, overlay, metrics } = this
+    this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
     this.cluster = new ClusterView(({ members, loadOwners, quarantineDecisions }, revision) => {
@@ -212,8 +213,30 @@
       metrics: this.metrics
     })
     this.quarantine = this.createQuarantine()
-    this.senders = new EndpointSenders(this.platform.codec, this.ejection, this.clock, logger.part('relay'), this.metrics, this.quarantine.quarantine, this.rateLimiter.limits)
-    this.listener = this.createListener()
+    this.senders = this.createSenders()
+    this.listener = createListener({
+      clock: this.clock,
+      logger: logger.part('relay'),
+      metrics: this.metrics,
+      settings,
+      codec: this.platform.codec,
+      configuration: this.configuration,
+      directory: this.directory,
+      members: this.members,
+      locations: this.locations,
+      versions: this.versions,
+      engineFinder: this.engineFinder,
+      workTracker: this.workTracker,
+      forecast: this.forecast,
+      speeds: this.speeds,
+      prefixes: this.prefixCache,
+      ejection: this.ejection,
+      errors: this.errors,
+      senders: this.senders,
+      quarantine: this.quarantine.quarantine,
+      rateLimiter: this.rateLimiter,
+      admission: this.teams.admission
+    })
     this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() })
     this.connectComponents()
   }
@@ -222,6 +245,7 @@
   async start (): Promise<void> {
     const { settings, logger } = this
     await this.listener.listen(settings.callerAddress)
+    if (settings.tunnelAddress !== undefined) await this.paths.server.listen(settings.tunnelAddress)
     const { supervisor, network } = this
     void supervisor.start('peers', async (signal) => { await network.run(signal) })
     void supervisor.start('overlay', async (signal) => { await this.overlay.run(signal) })
@@ -231,6 +255,7 @@
     void supervisor.start('quarantine', async (signal) => { await this.quarantine.run(signal) })
     void supervisor.start('beliefs', async (signal) => { await this.exchange.run(signal) })
     void supervisor.start('digests', async (signal) => { await this.digests.run(signal) })
+    this.paths.start(supervisor)
     void supervisor.start('teams', async (signal) => { await this.teams.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.runHousekeeping(signal) })
     void supervisor.start('pauses', async (signal) => { await watchForProcessPauses(this.clock, logger.part('clock'), () => this.handlePause(), signal) })
@@ -251,7 +276,7 @@
     this.stopping = true
     const deadline = this.clock.now() + this.settings.stopMilliseconds - EXIT_MILLISECONDS
     this.members.leave()
-    await stopGracefully({ listener: this.listener, clock: this.clock, logger: this.logger.part('stop'), graceMilliseconds: this.settings.stopMilliseconds })
+    await stopGracefully({ listener: this.listener, tunnels: this.paths.server, clock: this.clock, logger: this.logger.part('stop'), graceMilliseconds: this.settings.stopMilliseconds })
     this.teams.stop()
     // The load ownership stops only now, because requests at this and other instances may have waited for loads that it orders.
     this.loadOwnership.stop()
@@ -310,12 +335,27 @@
       isModelNeeded: (endpoint, model) => isModelNeeded(this.engines.usageOf(endpoint, model)),
       publish: (statement, urgency) => this.heldNotices.publish(statement, urgency),
       noticeRoundTripMilliseconds: () => this.overlay.noticeRoundTripMilliseconds,
-      onUnreachable: (endpoint, reason) => this.senders.observe(endpoint, 'failed', reason)
+      onUnreachable: (endpoint, reason) => this.paths.suspect(endpoint, () => this.senders.observe(endpoint, 'failed', reason))
+    })
+  }
+
+  private createSenders (): EndpointSenders {
+    const { clock, ejection, metrics, paths } = this
+    return new EndpointSenders({
+      codec: this.platform.codec,
+      ejection,
+      clock,
+      logger: this.logger.part('relay'),
+      metrics,
+      quarantine: this.quarantine.quarantine,
+      rateLimits: this.rateLimiter.limits,
+      dialler: paths.dialler,
+      isPathLost: (endpoint) => paths.paths.isLost(endpoint)
     })
   }
 
   private createQuarantine (): QuarantineExchange {
-    const { clock, logger, metrics, network, overlay, directory, versions } = this
+    const { clock, logger, metrics, network, overlay, directory, versions, paths } = this
     return new QuarantineExchange({
       self: this.instance,
       clock,
@@ -324,58 +364,13 @@
       network,
       overlay,
       store: this.platform.store,
+      dialler: paths.dialler,
       findEndpoint: (endpoint) => directory.find(endpoint),
       endpointCount: (service) => directory.servable(service as ServiceName).length,
       newestVersion: (key) => versions.newest(key)
     })
   }
 
-  private createListener (): RoutedListener {
-    const { clock, workTracker, senders, metrics } = this
-    const { quarantine } = this.quarantine
-    const budgets = new RetryBudgets(this.settings.repeats, () => this.members.count)
-    const logger = this.logger.part('relay')
-    const services = new ServiceRelay({
-      clock,
-      logger,
-      workTracker,
-      senders,
-      errors: this.errors,
-      budgets,
-      quarantine,
-      rateLimiter: this.rateLimiter,
-      random: Math.random,
-      router: new ServiceRouter(this.directory, workTracker, this.ejection, this.errors, this.settings.dataCentre)
-    })
-    const streams = new StreamRelay({
-      clock,
-      logger,
-      workTracker,
-      senders,
-      budgets,
-      quarantine,
-      engineFinder: this.engineFinder,
-      locations: this.locations,
-      forecast: this.forecast,
-      speeds: this.speeds,
-      prefixes: this.prefixCache,
-      expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : this.versions.expected(facts.adapter.key, now)
-    })
-    return new RoutedListener({
-      clock,
-      logger,
-      codec: this.platform.codec,
-      configuration: this.configuration,
-      budgets,
-      quarantine,
-      admission: this.teams.admission,
-      metrics,
-      random: Math.random,
-      streams,
-      services
-    })
-  }
-
   private followerDependencies (): FollowerDependencies {
     return {
       platform: this.platform,
@@ -407,6 +402,7 @@
     this.messaging.connect()
     this.rateLimiter.connect(this.network, this.overlay)
     this.teams.connect()
+    this.paths.connect(this.network, this.senders)
   }
 
   private endpointChanged (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving' | 'gone'): void {
@@ -415,6 +411,7 @@
       this.locations.remove(endpoint.id)
       this.messaging.forget(endpoint.id)
       this.senders.forget(endpoint.id)
+      this.paths.paths.forget(endpoint.id)
       this.errors.forget(endpoint.id)
     }
     if (change !== 'arrived') {
@@ -429,6 +426,7 @@
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
       this.directory.expire(this.clock.now())
       this.senders.prune()
+      this.paths.maintain(this.senders)
       this.errors.decay(ERROR_DECAY)
       this.teams.maintain()
       this.rateLimiter.maintain()
@@ -443,7 +441,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine } = this
-    return { teams, configuration, health, clock, members, directory, rateLimiter, sink, listener, overlay, network, quarantine: quarantine.quarantine }
+    const { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = this
+    return { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine: quarantine.quarantine }
   }
 }
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -33,6 +33,8 @@
   readonly callerAddress: string
   readonly readinessAddress: string
   readonly peerAddress: string
+  /** Address at which this instance carries connections of others to the endpoints; undefined when it carries none. */
+  readonly tunnelAddress?: string | undefined
   readonly metricsAddress: string
   readonly storeAddress: string
   /** Time from the stop signal until the process is killed. */
--- a/packages/ingress/test/attempt.failure.test.ts
+++ b/packages/ingress/test/attempt.failure.test.ts
@@ -2,9 +2,11 @@
 // answer to the question whether the request may have run. This happens when an endpoint fails in the middle of a response, responds
 // twice or responds to another request. Each test scripts the exact bytes that one endpoint sends.
 import { afterEach, describe, expect, it } from 'vitest'
+import { DirectDialler } from '../src/paths/endpoint-dialler.js'
 import { Attempt } from '../src/relay/attempt.js'
 import { EndpointConnection } from '../src/relay/endpoint-connections.js'
 import { framed, RawEndpoint } from './support/raw-endpoint.js'
+import { endpoint as sampleEndpoint } from './support/samples.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
 import { TestCodec } from './support/test-codec.js'
 
@@ -20,7 +22,7 @@
 async function connectionTo (...answers: readonly RawAnswer[]): Promise<EndpointConnection> {
   const endpoint = await RawEndpoint.start(...answers)
   endpoints.push(endpoint)
-  const connection = new EndpointConnection(endpoint.address)
+  const connection = new EndpointConnection(sampleEndpoint('p', { address: endpoint.address }), new DirectDialler())
   connections.push(connection)
   return connection
 }
@@ -94,7 +96,7 @@
     const endpoint = await RawEndpoint.start()
     const { address } = endpoint
     endpoint.stop()
-    const connection = new EndpointConnection(address)
+    const connection = new EndpointConnection(sampleEndpoint('p', { address }), new DirectDialler())
     connections.push(connection)
     expect((await attemptOn(connection)).kind).toBe('not-sent')
   })
--- a/packages/ingress/test/quarantine-fleet.failure.test.ts
+++ b/packages/ingress/test/quarantine-fleet.failure.test.ts
@@ -7,6 +7,7 @@
 import type { DataCentreId } from '@limpetwinch/core'
 import { afterEach, beforeAll, describe, expect, it } from 'vitest'
 import { IngressMetrics } from '../src/observability/ingress-metrics.js'
+import { DirectDialler } from '../src/paths/endpoint-dialler.js'
 import { QuarantineExchange } from '../src/quarantine/quarantine-exchange.js'
 import type { RequestQuarantine } from '../src/quarantine/request-quarantine.js'
 import type { RoutedRequest } from '../src/relay/routed-request.js'
@@ -60,6 +61,7 @@
       logger: silentLogger(),
       metrics,
       store: new MemoryStore(),
+      dialler: new DirectDialler(),
       network: instance.links,
       overlay: instance.overlay,
       findEndpoint: (id) => endpoint(id),
--- a/packages/ingress/test/stopping.failure.test.ts
+++ b/packages/ingress/test/stopping.failure.test.ts
@@ -11,6 +11,8 @@
 import { chunk, endStream, framed, RawEndpoint, silence, stream } from './support/raw-endpoint.js'
 import { key, route } from './support/samples.js'
 
+const NO_TUNNELS = { count: 0, startStopping: () => {}, destroy: () => {} }
+
 const ending: { stop: () => void }[] = []
 
 afterEach(() => {
@@ -84,7 +86,7 @@
     ending.push(plain, under)
     const asking = under.askAndPause('/', 3_000)
     await expect.poll(() => plain.requests.length).toBe(1)
-    await stopGracefully({ listener: under.listener, clock: new SystemClock(), logger: silentLogger(), graceMilliseconds: 6_000 })
+    await stopGracefully({ listener: under.listener, tunnels: NO_TUNNELS, clock: new SystemClock(), logger: silentLogger(), graceMilliseconds: 6_000 })
     const seen = await asking
     expect({ bytes: seen.body.length, whole: seen.whole }).toEqual({ bytes: body.length, whole: true })
   }, 10_000)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -13,6 +13,7 @@
 import { ConfigurationProof, momentOf } from '../../src/cluster-state/configuration-proof.js'
 import { EndpointDirectory } from '../../src/endpoints/endpoint-directory.js'
 import { IngressMetrics } from '../../src/observability/ingress-metrics.js'
+import { DirectDialler } from '../../src/paths/endpoint-dialler.js'
 import { CrashDetector } from '../../src/quarantine/crash-detector.js'
 import { RequestQuarantine } from '../../src/quarantine/request-quarantine.js'
 import { IsolatedRunClaims } from '../../src/quarantine/isolated-run-claims.js'
@@ -83,7 +84,7 @@
     const clock = new SystemClock()
     const { directory, locations } = this
     const logger = recordingLogger(this.lines)
-    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
+    const metrics = new IngressMetrics(() => ({ configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
@@ -104,7 +105,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders(codec, ejection, clock, logger, metrics, quarantine, this.rateLimits)
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, dialler: new DirectDialler(), isPathLost: () => false })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
-const MAXIMUM_KNOWN_RED = 4
+const MAXIMUM_KNOWN_RED = 3
 
 /** @returns the lines of the tests that may fail; the text before the first ` | ` of a line is the full name of the test */
 function readKnownRed () {
