An attempt that found no connection is no retry

Cause: the budget bounds what endpoints get beyond the first arrival, and was charged by the number of endpoints chosen. It is now charged once a request was sent. The test failed before (503 instead of the answer).

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -56,8 +56,10 @@
   private readonly attempted = new Set<EndpointId>()
   private readonly record = new AttemptRecord()
   private readonly progress: StreamProgress
-  /** Number of attempts that were sent. */
+  /** Number of attempts. */
   private sends = 0
+  /** Whether an engine may have received the request. */
+  private wasSent = false
   /** Number of attempts on which the request may have run. */
   private runs = 0
   /** Time that the searches waited for engines that hold the adapter, over all attempts. */
@@ -96,7 +98,7 @@
     if (this.sends >= MAXIMUM_SENDS || signal.aborted) return undefined
     const engine = await this.admittedEngine()
     if (engine === undefined || signal.aborted) return undefined
-    return this.sends === 0 || this.mayRetry() ? engine : undefined
+    return !this.wasSent || this.mayRetry() ? engine : undefined
   }
 
   /** @returns an engine for which the quarantine admits the request; undefined when there is none, or the quarantine refuses the request */
@@ -227,6 +229,7 @@
     this.attempted.add(endpoint.id)
     this.sends += 1
     const result = await stream.run((sink) => senders.send(request, options, sink))
+    if (result.kind !== 'not-sent') this.wasSent = true
     ticket.ended()
     if (stream.spacing.milliseconds !== undefined) speeds.recordEventSpacing(endpoint.id, stream.spacing.milliseconds)
     const replacement = await failover.end()
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -74,14 +74,15 @@
     const attempted = new Set<EndpointId>()
     const record = new AttemptRecord()
     const { quarantine } = this.parts
-    const next = async (): Promise<Endpoint | undefined> => quarantine.isUnsuspected(request) ? await this.nextEndpoint(request, attempted, NONE) : undefined
+    const next = async (): Promise<Endpoint | undefined> => quarantine.isUnsuspected(request) ? await this.nextEndpoint(request, attempted, NONE, true) : undefined
     let refusal: LimpetwinchError | undefined
     let runs = 0
+    let sent = 0
     let serverError: AttemptResult | undefined
     let replacement: Endpoint | undefined
     let replaced: EndpointId | undefined
     for (let sends = 0; sends < MAXIMUM_SENDS && !signal.aborted; sends++) {
-      const endpoint = replacement ?? await this.nextEndpoint(request, attempted, quarantine.endpointsToAvoid(request))
+      const endpoint = replacement ?? await this.nextEndpoint(request, attempted, quarantine.endpointsToAvoid(request), sent > 0)
       if (endpoint === undefined || signal.aborted) break
       const admission = await quarantine.admit(request, endpoint.id)
       if (admission.kind === 'elsewhere') continue
@@ -93,6 +94,7 @@
       const patience = sends + 1 < MAXIMUM_SENDS ? this.patience(request, runs) : undefined
       const result = await this.attemptOn(request, { endpoint, earlierAttempts: sends, patience, next })
       replacement = result.replacement
+      if (result.end.kind !== 'not-sent') sent += 1
       if (exchange.left.aborted) break
       const resultKind = this.classify(request, result, endpoint, record)
       if (resultKind === 'deliver' || (resultKind === 'server-error' && route.kind !== 'safe')) return deliver(request, result, sends + 1)
@@ -119,17 +121,19 @@
   }
 
   /**
-   * Chooses the endpoint of the next attempt. From the second attempt on, the choice takes a retry from the retry budget of the service.
+   * Chooses the endpoint of the next attempt. A request that was sent before takes a retry from the retry budget of the service; an
+   * attempt that found no connection reached no endpoint and is no retry.
    *
    * @param attempted - endpoints that the request was sent to before
    * @param avoided - endpoints that the quarantine excludes
+   * @param wasSent - whether an endpoint may have received the request before
    * @returns the endpoint; undefined when there is none or the retry budget is used up
    */
-  private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>): Promise<Endpoint | undefined> {
+  private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>, wasSent: boolean): Promise<Endpoint | undefined> {
     const { clock, logger, router, budgets, rateLimiter, random } = this.parts
     const { service, facts, priority, signal } = request
     const places = new PlaceSearch(rateLimiter, priority)
-    let isBudgeted = attempted.size === 0
+    let isBudgeted = !wasSent
     while (!signal.aborted) {
       const endpoint = router.choose(service.name, union(attempted, avoided, places.full), random, clock.now())
       if (endpoint === undefined) return undefined
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -88,6 +88,15 @@
   })
 
   // Guards against 502 for a request whose endpoint was still working, because the attempt was abandoned for a retry that was not allowed.
+  // Guards against retry budgets that are used up by attempts of which no endpoint saw anything: an instance that is cut off from some
+  // endpoints then refuses its callers although it reaches the others.
+  it('that found no connection is sent to another endpoint without a retry of the budget', async () => {
+    const [one, two] = [await raw(silence), await raw(framed(200, 'served'))]
+    const { ask } = await startIngress({ routes: [UNSAFE], endpoints: [{ id: 'a', raw: one }, { id: 'b', raw: two }], repeats: 0 })
+    one.stop()
+    expect((await ask('/')).body).toBe('served')
+  })
+
   it('that is safe and slow is answered by its endpoint when the retry budget is used up', async () => {
     const slow: RawAnswer = (socket, request) => { setTimeout(() => framed(200, 'late')(socket, request), 500) }
     const { ask } = await startIngress({ routes: [SAFE], repeats: 0, endpoints: [{ id: 'a', raw: await raw(slow) }, { id: 'b', raw: await raw(framed(200, 'again')) }] })
