Load owners that do not reach their engines pass the ownership on

An owner that has announced that it does not reach the engine's service is now passed over by load requests and, after a second, by the choice of the owner; the lease separates the two as after a loss, and nothing is handed back when the cut ends. Orders never take a tunnel: engines tell holders apart by the host that orders come from. The test fails without the announcement.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -8,7 +8,7 @@
 import { loadOwnerPath } from '../members/cluster-objects.js'
 import type { LoadOwner } from '../members/cluster-objects.js'
 import type { MemberList } from '../members/member-list.js'
-import type { AdapterKey, Endpoint, EngineShape } from '../routes/configuration.js'
+import type { AdapterKey, Endpoint, EngineShape, ServiceName } from '../routes/configuration.js'
 import { EndpointLoader } from './endpoint-loader.js'
 import type { LoaderDependencies } from './loader-dependencies.js'
 
@@ -25,6 +25,11 @@
  * the host returns, the grace period saves a lease during which nothing would be loaded.
  */
 const RESTART_GRACE_MILLISECONDS = 2_500
+/**
+ * How long a reachable load owner must have lost its path to the engines of a service before another instance claims them. A claim
+ * costs a lease without loads, more than a short cut does.
+ */
+const CUT_OFF_GRACE_MILLISECONDS = 1_000
 /**
  * Delay before an instance takes back engines of its data centre, counted from the time at which it may claim engines. By then it is
  * connected to all peers and has received their load queues.
@@ -60,6 +65,8 @@
   readonly leaseMilliseconds: number
   /** Whether endpoints check fencing tokens, and so refuse orders of an earlier load owner. */
   readonly fencedEndpoints: boolean
+  /** @returns whether an instance, this one or another, reaches the endpoints of a service over its own links; orders go over no others */
+  readonly reachesService: (instance: InstanceId, service: ServiceName) => boolean
 }
 
 /** A loader, and the controller that stops it. */
@@ -76,7 +83,7 @@
   private readonly running = new Map<EndpointId, Running>()
   /** Monotonic time at which an engine with a load owner object was first found to have left. */
   private readonly endpointMissingSince = new Map<EndpointId, number>()
-  /** Monotonic time at which an engine's load owner became unreachable; cleared while the store is unreachable. */
+  /** Monotonic time at which an engine's load owner became unable to order; cleared while the store is unreachable. */
   private readonly ownerAbsentSince = new Map<EndpointId, number>()
   /** Monotonic times of the claims that this process made. */
   private readonly claimedAt = new Map<EndpointId, number>()
@@ -112,12 +119,11 @@
     }
   }
 
-  /** @returns the load owner of an engine; undefined when there is none or it is unreachable */
+  /** @returns the load owner of an engine; undefined when there is none, it is unreachable, or it does not reach the engine's service */
   loadOwnerOf (endpoint: EndpointId): InstanceId | undefined {
     const owner = this.owners.get(endpoint)
     if (owner === undefined || !this.dependencies.members.isReachable(owner.holder)) return undefined
-    if (owner.holder === this.dependencies.members.self.name) return this.dependencies.members.self.instance
-    return this.dependencies.members.find(owner.holder)?.instance
+    return this.reachesServiceOf(endpoint, owner.holder) ? this.instanceOf(owner.holder) : undefined
   }
 
   /** @returns the loader of an engine that this instance owns */
@@ -178,12 +184,13 @@
     const { members } = this.dependencies
     const owner = this.owners.get(endpoint.id)
     if (owner?.holder === members.self.name) return this.startLoader(endpoint, owner, shape)
-    if (owner !== undefined && members.isReachable(owner.holder)) {
+    const isOwnerReachable = owner !== undefined && members.isReachable(owner.holder)
+    if (isOwnerReachable && this.reachesServiceOf(endpoint.id, owner.holder)) {
       this.ownerAbsentSince.delete(endpoint.id)
       if (this.shouldTakeBack(endpoint, owner)) await this.claim(endpoint, owner)
       return
     }
-    if (owner !== undefined && !this.isOwnerLost(endpoint.id)) return
+    if (owner !== undefined && !this.isOwnerLost(endpoint.id, isOwnerReachable ? CUT_OFF_GRACE_MILLISECONDS : RESTART_GRACE_MILLISECONDS)) return
     if (this.dependencies.clock.now() < (this.claimsAllowedFrom ?? Infinity) || this.preferredOwner(endpoint) !== members.self.name) return
     if (owner === undefined || await this.canReach(endpoint)) await this.claim(endpoint, owner)
   }
@@ -206,12 +213,24 @@
     return queueIsEmpty || clock.now() > since + TAKE_BACK_LATEST_MILLISECONDS
   }
 
-  /** @returns whether the load owner of the engine has been unreachable for longer than a restart takes */
-  private isOwnerLost (id: EndpointId): boolean {
+  /** @returns whether the load owner of the engine has been unable to order for longer than the grace period */
+  private isOwnerLost (id: EndpointId, graceMilliseconds: number): boolean {
     const now = this.dependencies.clock.now()
     const since = this.ownerAbsentSince.get(id) ?? now
     this.ownerAbsentSince.set(id, since)
-    return now - since >= RESTART_GRACE_MILLISECONDS
+    return now - since >= graceMilliseconds
+  }
+
+  /** @returns whether the member of this name reaches the service of the engine over its own links */
+  private reachesServiceOf (endpoint: EndpointId, name: string): boolean {
+    const instance = this.instanceOf(name)
+    const service = this.dependencies.directory.find(endpoint)?.service
+    return instance === undefined || service === undefined || this.dependencies.reachesService(instance, service)
+  }
+
+  private instanceOf (name: string): InstanceId | undefined {
+    const { members } = this.dependencies
+    return name === members.self.name ? members.self.instance : members.find(name)?.instance
   }
 
   /**
@@ -231,12 +250,13 @@
 
   /**
    * Chooses the preferred load owner by rendezvous hashing. Instances of the engine's own data centre take precedence: they can
-   * still send orders to the engine when the data centres are partitioned from each other.
+   * still send orders to the engine when the data centres are partitioned from each other. Members that do not reach the engine's service
+   * are passed over.
    *
    * @returns name of the member that should own the engine's loads; undefined without a live member
    */
   private preferredOwner (endpoint: Endpoint): string | undefined {
-    const live = this.dependencies.members.live()
+    const live = this.dependencies.members.live().filter(({ name }) => this.reachesServiceOf(endpoint.id, name))
     const local = live.filter((member) => member.dataCentre === endpoint.dataCentre)
     const candidates = local.length > 0 ? local : live
     let best: string | undefined
--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -7,7 +7,7 @@
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { EndpointSenders } from '../relay/endpoint-senders.js'
-import type { Endpoint } from '../routes/configuration.js'
+import type { Endpoint, ServiceName } from '../routes/configuration.js'
 import { CONNECT_MILLISECONDS, DirectDialler } from './endpoint-dialler.js'
 import type { EndpointDialler } from './endpoint-dialler.js'
 import { EndpointPaths } from './endpoint-paths.js'
@@ -68,6 +68,11 @@
     })
   }
 
+  /** @returns whether an instance, this one or another, reaches the endpoints of a service over its own links, as far as it has announced */
+  readonly reachesService = (instance: InstanceId, service: ServiceName): boolean => (
+    instance === this.parts.self ? this.paths.reaches(service) : this.peers.reaches(instance, service)
+  )
+
   /** Registers the handlers of notices and of changed paths. */
   connect (network: Pick<PeerLinks, 'onNotice'>, senders: Pick<EndpointSenders, 'handlePathChange'>): void {
     this.exchange.connect(network)
--- a/packages/ingress/src/paths/endpoint-paths.ts
+++ b/packages/ingress/src/paths/endpoint-paths.ts
@@ -19,6 +19,8 @@
 /** Longest sleep while no path is lost, in milliseconds. */
 const IDLE_MILLISECONDS = 5_000
 
+const NONE: ReadonlySet<ServiceName> = new Set()
+
 /** What the paths need of the instance. */
 export interface EndpointPathsDependencies {
   readonly clock: Clock
@@ -40,6 +42,7 @@
   private readonly lost = new Set<EndpointId>()
   private readonly listeners: PathListener[] = []
   private readonly wake = new Wake()
+  private unreachable: ReadonlySet<ServiceName> = NONE
   private isSweepDue = false
   private confirmedAt = -Infinity
 
@@ -62,14 +65,20 @@
     return this.lost.has(endpoint)
   }
 
-  /** @returns services of which this instance reaches less than half of the endpoints by its own paths */
-  unreachableServices (): ServiceName[] {
-    if (this.lost.size === 0) return []
-    const services = new Set([...this.lost].map((id) => this.parts.directory.find(id)?.service).filter((service) => service !== undefined))
-    return [...services].filter((service) => {
-      const endpoints = this.parts.directory.servable(service)
+  /** @returns whether this instance reaches at least half of the endpoints of a service by its own paths, as of the last update */
+  reaches (service: ServiceName): boolean {
+    return !this.unreachable.has(service)
+  }
+
+  /** Determines the services that this instance does not reach; called periodically. @returns the services */
+  updateUnreachableServices (): ReadonlySet<ServiceName> {
+    const { directory } = this.parts
+    const services = new Set([...this.lost].map((id) => directory.find(id)?.service).filter((service) => service !== undefined))
+    this.unreachable = new Set([...services].filter((service) => {
+      const endpoints = directory.servable(service)
       return endpoints.length > 0 && endpoints.filter(({ id }) => this.lost.has(id)).length >= endpoints.length * UNREACHABLE_SHARE
-    })
+    }))
+    return this.unreachable
   }
 
   /** Records that a connection over the own path was opened. */
--- a/packages/ingress/src/paths/path-exchange.ts
+++ b/packages/ingress/src/paths/path-exchange.ts
@@ -12,7 +12,7 @@
 /** What the exchange needs of the instance. */
 export interface PathExchangeDependencies {
   readonly clock: Clock
-  readonly paths: Pick<EndpointPaths, 'unreachableServices'>
+  readonly paths: Pick<EndpointPaths, 'updateUnreachableServices'>
   readonly peers: TunnelPeers
   readonly isMember: (instance: InstanceId) => boolean
   /** Sends a notice to all instances that know its kind. */
@@ -46,7 +46,7 @@
 
   private announceIfDue (): void {
     const now = this.parts.clock.now()
-    const services = this.parts.paths.unreachableServices().toSorted()
+    const services = [...this.parts.paths.updateUnreachableServices()].toSorted()
     const description = services.join()
     const isRepeat = description === this.announced
     if (isRepeat && (services.length === 0 || now - this.announcedAt < REPEAT_MILLISECONDS)) return
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -320,7 +320,8 @@
       directory: this.directory,
       configuration: this.configuration,
       leaseMilliseconds: this.settings.leaseMilliseconds,
-      fencedEndpoints: this.settings.fencedEndpoints
+      fencedEndpoints: this.settings.fencedEndpoints,
+      reachesService: this.paths.reachesService
     }
     return new LoadOwnership(dependencies, {
       control: this.platform.control,
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -65,6 +65,8 @@
   readonly reachable: Set<string>
   /** Names of the instances that cannot reach the engine. */
   readonly engineUnreachableFrom: Set<string>
+  /** Names of the instances that have announced that they do not reach the engines over their own links. */
+  readonly cutOff: Set<string>
   /** Data centres of the instances that are not in the engine's own data centre. */
   readonly dataCentres: Map<string, string>
 }
@@ -85,11 +87,12 @@
     engines: new EnginesUnderTest(clock, checksTokens),
     reachable: new Set(['one', 'two']),
     engineUnreachableFrom: new Set(),
+    cutOff: new Set(),
     dataCentres: new Map()
   }
 }
 
-function instance (name: string, { clock, store, engines, reachable, engineUnreachableFrom, dataCentres }: TestCluster, fencedEndpoints = true): Instance {
+function instance (name: string, { clock, store, engines, reachable, engineUnreachableFrom, cutOff, dataCentres }: TestCluster, fencedEndpoints = true): Instance {
   const logger = silentLogger()
   const health = new StoreHealth(logger)
   const configuration = new AcceptedConfiguration(logger)
@@ -104,10 +107,10 @@
     live,
     isLive: (each: string) => reachable.has(each),
     isReachable: (each: string) => reachable.has(each),
-    find: (each: string) => ({ dataCentre: dataCentreOf(each) })
+    find: (each: string) => ({ instance: each as InstanceId, dataCentre: dataCentreOf(each) })
   } as unknown as MemberList
   const ownership = new LoadOwnership({
-    store: store as unknown as DeletingObjectStore, health, clock, logger, members, directory, configuration, leaseMilliseconds: LEASE, fencedEndpoints
+    store: store as unknown as DeletingObjectStore, health, clock, logger, members, directory, configuration, leaseMilliseconds: LEASE, fencedEndpoints, reachesService: (each) => !cutOff.has(each)
   }, {
     control: engineControlOf(name, engines, engineUnreachableFrom),
     clock,
@@ -223,6 +226,34 @@
     expect(new Set(cluster.engines.seen.map(({ by }) => by)).size).toBe(1)
   })
 
+  // Guards against engines whose adapters nobody can load: their owner is alive to its peers and to the store, but has lost its links to the engines.
+  it('passes to an instance that reaches the engine when its owner does not, and stays there', async () => {
+    const cluster = testCluster()
+    const [one, two] = [instance('one', cluster), instance('two', cluster)]
+    await advance(4_000, cluster, one, two)
+    const first = cluster.engines.seen.at(-1)?.by ?? ''
+    cluster.engineUnreachableFrom.add(first)
+    cluster.cutOff.add(first)
+    await advance(8_000, cluster, one, two)
+    cluster.engineUnreachableFrom.clear()
+    cluster.cutOff.clear()
+    await advance(4_000, cluster, one, two)
+    const turns = cluster.engines.seen.filter(({ by }, index) => index > 0 && by !== cluster.engines.seen[index - 1]?.by)
+    const last = cluster.engines.seen.findLast(({ by }) => by === first)
+    expect({ turns: turns.length, apartByLease: (turns[0]?.at ?? 0) - (last?.at ?? 0) > LEASE }).toEqual({ turns: 1, apartByLease: true })
+  })
+
+  it('stays with its owner through a cut from the engines that is shorter than the lease that a claim costs', async () => {
+    const cluster = testCluster()
+    const [one, two] = [instance('one', cluster), instance('two', cluster)]
+    await advance(4_000, cluster, one, two)
+    cluster.cutOff.add(cluster.engines.seen.at(-1)?.by ?? '')
+    await advance(800, cluster, one, two)
+    cluster.cutOff.clear()
+    await advance(4_000, cluster, one, two)
+    expect(new Set(cluster.engines.seen.map(({ by }) => by)).size).toBe(1)
+  })
+
   // A data centre is partitioned together with its engine and the engine's load owner. If another instance claimed the engine, no instance
   // could order its loads, and after the partition none for another lease: requests for cold adapters would be refused all that time.
   it('is not claimed by an instance that cannot reach the engine', async () => {
