Endpoints that crash from refusing too many requests get what they hardly refuse

Seen on stand-ins with 1.5 times what they serve, 5 instances, 4 servers: all four fell within 8 s, since each instance fills the endpoint that looks emptiest to it.

The statement is read and passed on like a named rate limit (one mechanism, StatedLimits), and the quota owner divides a rate that it learns: 0.8 of what slots and durations show, less with each refusal that any instance saw, rising by 5% a second.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -9,7 +9,7 @@
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame } from './quarantine-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
-import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame } from './limit-frames.js'
+import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame } from './limit-frames.js'
 
 export type * from './connection-frames.js'
 export type * from './endpoint-owner-frames.js'
@@ -60,6 +60,7 @@
   | RateAskFrame
   | RateAnswerFrame
   | UnreachableServicesFrame
+  | BrittleEndpointFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/core/src/frames/limit-frames.ts
+++ b/packages/core/src/frames/limit-frames.ts
@@ -45,6 +45,15 @@
   readonly readMillisecondsAgo: number
 }
 
+/** What an endpoint said in a response of the refusals that it bears, with what the sender has seen of the endpoint since its last such frame. */
+export interface BrittleEndpointFrame extends Omit<RateLimitFrame, 'kind'> {
+  readonly kind: 'brittle-endpoint'
+  /** Number of requests of the sender that the endpoint refused for want of room. */
+  readonly refusals: number
+  /** Mean duration of the sender's requests there; undefined when none has ended. */
+  readonly meanMilliseconds?: number | undefined
+}
+
 /** Asks the quota owner of an endpoint, the instance that divides the endpoint's rate limit, whether requests may be sent. */
 export interface RateAskFrame {
   readonly kind: 'rate-ask'
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -206,7 +206,16 @@
   }),
   'rate-ask': z.object({ endpoint: id, number: count, floors: z.array(z.number().min(0).max(1)) }),
   'rate-answer': z.object({ endpoint: id, number: count, granted: z.array(z.boolean()), milliseconds: z.number().min(0), notOwner: z.boolean() }),
-  'unreachable-services': z.object({ services: z.array(z.string().max(400)), sequence: count })
+  'unreachable-services': z.object({ services: z.array(z.string().max(400)), sequence: count }),
+  'brittle-endpoint': z.object({
+    endpoint: id,
+    born: z.number(),
+    limit: z.number().min(0).optional(),
+    sentMillisecondsAgo: z.number().min(0),
+    readMillisecondsAgo: z.number().min(0),
+    refusals: count,
+    meanMilliseconds: z.number().min(0).optional()
+  })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/rate-limits/create-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/create-rate-limiter.ts
@@ -1,11 +1,12 @@
 /** Creates the rate limiter of one instance from the instance's other components. */
-import type { Clock, InstanceId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { MemberList } from '../members/member-list.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointRateLimiter } from './endpoint-rate-limiter.js'
+import { BrittleEndpoints } from './brittle-endpoints.js'
 import { NamedRateLimits } from './named-rate-limits.js'
 
 /** The components that the rate limiter needs. */
@@ -24,17 +25,20 @@
 
 /** @returns the rate limiter; {@link EndpointRateLimiter.connect} registers its handlers */
 export function createRateLimiter ({ self, clock, logger, directory, members, overlay, owners, metrics, areMembersKnown }: RateLimiterComponents): EndpointRateLimiter {
-  const limits = new NamedRateLimits({
+  const shared = {
     clock,
     logger,
-    bornOf: (endpoint) => directory.find(endpoint)?.born,
-    broadcast: (frame) => overlay.broadcast(frame),
+    bornOf: (endpoint: EndpointId) => directory.find(endpoint)?.born,
     noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds
-  })
+  }
+  const limits = new NamedRateLimits({ ...shared, broadcast: (frame) => overlay.broadcast(frame) })
+  const brittle = new BrittleEndpoints({ ...shared, broadcast: (frame) => overlay.broadcast(frame) })
   return new EndpointRateLimiter({
     self,
     clock,
     limits,
+    brittle,
+    slotsOf: (endpoint) => directory.find(endpoint)?.slots ?? 1,
     owners,
     instances: () => members.count,
     // An instance that knows no members yet would take all of a limit for itself.
--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -1,13 +1,15 @@
 /** Sends no more requests to an endpoint than the rate limit that it names, over all instances together. */
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
+import type { QuotaRate } from '@limpetwinch/decisions'
 import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import { QuotaClient } from '../quotas/quota-client.js'
 import { QuotaDivision } from '../quotas/quota-division.js'
 import type { QuotaOwners } from '../quotas/quota-owners.js'
 import type { ServiceName } from '../routes/configuration.js'
-import { answerOfFrame, askOfFrame, EndpointRateQuotas, rateOfEndpoint } from './endpoint-rate-quotas.js'
+import type { BrittleEndpoints } from './brittle-endpoints.js'
+import { answerOfFrame, askOfFrame, EndpointRateQuotas, partOfRate, rateOfEndpoint } from './endpoint-rate-quotas.js'
 import type { NamedRateLimits } from './named-rate-limits.js'
 
 /** Longest time that a request waits for the answer of the quota owner, in milliseconds. Then it is sent to another endpoint. */
@@ -29,6 +31,9 @@
   readonly self: InstanceId
   readonly clock: Clock
   readonly limits: NamedRateLimits
+  readonly brittle: BrittleEndpoints
+  /** @returns number of requests that the endpoint runs at one time */
+  readonly slotsOf: (endpoint: EndpointId) => number
   readonly owners: QuotaOwners
   /** @returns number of registered instances */
   readonly instances: () => number
@@ -56,6 +61,8 @@
 export class EndpointRateLimiter {
   /** The limits that endpoints name. */
   readonly limits: NamedRateLimits
+  /** The endpoints that crash when they refuse too many requests. */
+  readonly brittle: BrittleEndpoints
   private readonly parts: EndpointRateLimiterDependencies
   private readonly kind: EndpointRateQuotas
   private readonly client: QuotaClient<EndpointId>
@@ -65,20 +72,22 @@
   constructor (parts: EndpointRateLimiterDependencies) {
     this.parts = parts
     this.limits = parts.limits
-    const { self, clock, limits, owners, reachableShare, isReachable, notify } = parts
+    this.brittle = parts.brittle
+    const { self, clock, owners, reachableShare, isReachable, notify } = parts
     const kind = new EndpointRateQuotas(parts.instances)
     this.kind = kind
     this.client = new QuotaClient({ clock, kind, owners, notify })
-    const rateOf = (endpoint: EndpointId): ReturnType<typeof rateOfEndpoint> | undefined => {
-      const rate = limits.ratePerSecond(endpoint)
-      return rate === undefined ? undefined : rateOfEndpoint(rate, reachableShare())
+    const rateOf = (endpoint: EndpointId): QuotaRate | undefined => {
+      const rate = this.rateOf(endpoint)
+      return rate === undefined ? undefined : partOfRate(rate, reachableShare())
     }
     this.division = new QuotaDivision({ self, clock, kind, owners, rateOf, isReachable, notify })
   }
 
   /** Registers the handlers of the notices, and tells instances that connect later of the limits known by then. */
   connect (network: PeerLinks, overlay: Pick<PeerOverlay, 'onNeighbour' | 'replay'>): void {
-    overlay.onNeighbour((neighbour) => overlay.replay(neighbour, this.limits.frames().map((frame) => [this.parts.self, frame])))
+    overlay.onNeighbour((neighbour) => overlay.replay(neighbour, [...this.limits.frames(), ...this.brittle.frames()].map((frame) => [this.parts.self, frame])))
+    network.onNotice('brittle-endpoint', (_from, frame) => this.brittle.handleNotice(frame))
     network.onNotice('rate-limit', (_from, frame) => this.limits.handleNotice(frame))
     network.onNotice('rate-ask', (from, frame) => this.division.handleAsk(from, frame.endpoint as EndpointId, askOfFrame(frame)))
     network.onNotice('rate-answer', (_from, frame) => this.client.handleAnswer(frame.endpoint as EndpointId, answerOfFrame(frame)))
@@ -86,7 +95,7 @@
 
   /** @returns whether requests to the endpoint need a place */
   isLimited (endpoint: EndpointId): boolean {
-    return !this.limits.isEmpty && this.limits.ratePerSecond(endpoint) !== undefined
+    return !this.isEmpty && this.rateOf(endpoint) !== undefined
   }
 
   /** Endpoints with a limit: no adapter should be loaded there only because requests find no room elsewhere. */
@@ -133,7 +142,7 @@
 
   /** @returns whether each endpoint of the service has a limit */
   areAllLimited (service: ServiceName): boolean {
-    return !this.limits.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint))
+    return !this.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint))
   }
 
   /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago; else undefined */
@@ -162,6 +171,7 @@
     const now = this.parts.clock.now()
     for (const [endpoint, { until }] of this.refusals) if (until + RECENT_REFUSAL_MILLISECONDS <= now) this.refusals.delete(endpoint)
     this.limits.maintain()
+    this.brittle.maintain()
     this.client.releaseIdle()
     this.division.maintain()
   }
@@ -169,8 +179,23 @@
   /** Forgets an endpoint that has left or restarted. */
   forget (endpoint: EndpointId): void {
     this.limits.forget(endpoint)
+    this.brittle.forget(endpoint)
     this.refusals.delete(endpoint)
   }
+
+  private get isEmpty (): boolean {
+    return this.limits.isEmpty && this.brittle.isEmpty
+  }
+
+  /** @returns the rate of all instances together, by whichever limit is lower; undefined for no limit */
+  private rateOf (endpoint: EndpointId): QuotaRate | undefined {
+    const { limits, brittle, slotsOf } = this.parts
+    const named = limits.limit(endpoint)
+    const byName = named === undefined ? undefined : rateOfEndpoint(named)
+    const byRefusals = brittle.rateOf(endpoint, slotsOf(endpoint))
+    if (byName === undefined || byRefusals === undefined) return byName ?? byRefusals
+    return { tokensPerSecond: Math.min(byName.tokensPerSecond, byRefusals.tokensPerSecond), capacity: Math.min(byName.capacity, byRefusals.capacity) }
+  }
 }
 
 function floorOf (priority: number): number {
--- a/packages/ingress/src/rate-limits/endpoint-rate-quotas.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-quotas.ts
@@ -72,11 +72,16 @@
   return { number, granted, extra: 0, milliseconds, notOwner }
 }
 
-/** @returns the part of a rate limit that one owner may hand out when it reaches this part of all registered instances */
-export function rateOfEndpoint (requestsPerSecond: number, reachableShare: number): QuotaRate {
-  const share = reachableShare < LEAST_REACHABLE_SHARE ? 0 : reachableShare
+/** @returns the quota of all instances together for a rate limit */
+export function rateOfEndpoint (requestsPerSecond: number): QuotaRate {
   const rate = Math.max(PROBE_RATE, requestsPerSecond)
-  return { tokensPerSecond: rate * share, capacity: (BURST_REQUESTS + rate * BURST_SECONDS) * share }
+  return { tokensPerSecond: rate, capacity: BURST_REQUESTS + rate * BURST_SECONDS }
+}
+
+/** @returns the part of a quota that one owner may hand out when it reaches this part of all registered instances */
+export function partOfRate ({ tokensPerSecond, capacity }: QuotaRate, reachableShare: number): QuotaRate {
+  const share = reachableShare < LEAST_REACHABLE_SHARE ? 0 : reachableShare
+  return { tokensPerSecond: tokensPerSecond * share, capacity: capacity * share }
 }
 
 function rateLimited (endpoint: EndpointId, milliseconds: number): LimpetwinchError {
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -70,6 +70,11 @@
     return this.sent
   }
 
+  /** Whether the endpoint began to respond with the result of the request, and not with a proof that it did not run it. */
+  get wasServed (): boolean {
+    return this.head !== undefined && !this.head.facts.notRun
+  }
+
   /** Whether the endpoint or the network closed the connection after the request was sent. */
   get lostConnection (): boolean {
     return this.sent && this.abandonReason === undefined && this.connectionLost
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -7,6 +7,7 @@
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { EndpointDialler } from '../paths/endpoint-dialler.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { BrittleEndpoints } from '../rate-limits/brittle-endpoints.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint } from '../routes/configuration.js'
 import { Attempt } from './attempt.js'
@@ -51,6 +52,7 @@
   readonly metrics: IngressMetrics
   readonly quarantine: RequestQuarantine
   readonly rateLimits: NamedRateLimits
+  readonly brittle: BrittleEndpoints
   readonly dialler: EndpointDialler
   /** @returns whether this instance has lost its own path to an endpoint that others reach */
   readonly isPathLost: (endpoint: EndpointId) => boolean
@@ -80,7 +82,7 @@
 
   /** Sends a request to an endpoint; the attempt is abandoned when the signal of the request is aborted. */
   send (request: RoutedRequest, options: SendOptions, sink: AttemptSink): RunningAttempt {
-    const { codec, clock, logger, metrics, quarantine } = this.parts
+    const { codec, clock, logger, metrics, quarantine, brittle } = this.parts
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec)
@@ -116,6 +118,7 @@
       body: request.body
     }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink))).then((end) => {
       unanswered.ended()
+      if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
       pool.release(connection, end.kind === 'whole' && attempt.reusable, clock.now())
       metrics.attemptEnded(request.service.name, end.kind)
@@ -184,11 +187,12 @@
     for (const { pool } of this.connections.values()) pool.close()
   }
 
-  /** @returns a sink that records the rate limit of the response, which belongs to the request, and passes all on to the given sink */
+  /** @returns a sink that records the limits that the response states, which belongs to the request, and passes all on to the given sink */
   private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink): AttemptSink {
     return {
       head: (head) => {
         this.parts.rateLimits.recordResponse(endpoint, head.facts, sentAt)
+        this.parts.brittle.recordResponse(endpoint, head.facts, sentAt)
         sink.head(head)
       },
       data: (chunk) => sink.data(chunk)
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -64,6 +64,10 @@
   readonly encoded: boolean
   /** The rate limit that the endpoint names for itself. */
   readonly rateLimit: StatedRateLimit
+  /** Refusals in one second for want of room, more of which crash the endpoint; undefined for an endpoint that bears any number. */
+  readonly refusalLimit: StatedRateLimit
+  /** Whether the endpoint refused the request for want of room. */
+  readonly isFull: boolean
 }
 
 /** Reads and writes the headers that one platform uses. */
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -350,6 +350,7 @@
       metrics,
       quarantine: this.quarantine.quarantine,
       rateLimits: this.rateLimiter.limits,
+      brittle: this.rateLimiter.brittle,
       dialler: paths.dialler,
       isPathLost: (endpoint) => paths.paths.isLost(endpoint)
     })
--- a/packages/ingress/test/named-rate-limits.failure.test.ts
+++ b/packages/ingress/test/named-rate-limits.failure.test.ts
@@ -5,6 +5,7 @@
 import { NamedRateLimits } from '../src/rate-limits/named-rate-limits.js'
 import { endpointId } from './support/ingress-under-test.js'
 import { ManualClock } from './support/manual-clock.js'
+import { responseFacts } from './support/samples.js'
 import { recordingLogger } from './support/recording-logger.js'
 import type { RecordedLine } from './support/recording-logger.js'
 
@@ -32,7 +33,7 @@
 
 /** Reads a response whose request was sent a moment ago. */
 function read (rateLimit: number | undefined): void {
-  limits.recordResponse(ENDPOINT, { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit }, clock.now())
+  limits.recordResponse(ENDPOINT, responseFacts({ rateLimit }), clock.now())
 }
 
 describe('an endpoint that names another rate limit in each response', () => {
@@ -53,7 +54,7 @@
 describe('a notice on a rate limit', () => {
   it('is used', () => {
     limits.handleNotice(FRAME)
-    expect(limits.ratePerSecond(ENDPOINT)).toBe(2)
+    expect(limits.limit(ENDPOINT)).toBe(2)
   })
 
   it('of an earlier incarnation, or of an endpoint that is not known, is not used', () => {
@@ -68,6 +69,6 @@
     read(undefined)
     limits.handleNotice({ ...FRAME, sentMillisecondsAgo: 1_500, readMillisecondsAgo: 1_200 })
     await clock.advance(5_000)
-    expect(limits.ratePerSecond(ENDPOINT)).toBe(undefined)
+    expect(limits.limit(ENDPOINT)).toBe(undefined)
   })
 })
--- a/packages/ingress/test/rate-limited-relay.failure.test.ts
+++ b/packages/ingress/test/rate-limited-relay.failure.test.ts
@@ -78,7 +78,7 @@
     await askTimes(under, 2)
     expect(under.rateLimits.limited().length).toBe(1)
     // After its end the rate returns in steps, beginning above the limit.
-    expect((under.rateLimits.ratePerSecond(endpointId('a')) ?? 0) > 1_000).toBe(limits === 0)
+    expect((under.rateLimits.limit(endpointId('a')) ?? 0) > 1_000).toBe(limits === 0)
   })
 })
 
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -22,6 +22,7 @@
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
+import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
 import { EngineRouter } from '../../src/routing/engine-router.js'
@@ -34,7 +35,7 @@
 import { QuotaOwners } from '../../src/quotas/quota-owners.js'
 import { TeamAdmission } from '../../src/teams/team-admission.js'
 import { TeamQuotas } from '../../src/teams/team-quotas.js'
-import { endpoint, engineShape, service } from './samples.js'
+import { endpoint, engineShape, responseFacts, service } from './samples.js'
 import type { RawEndpoint } from './raw-endpoint.js'
 import { recordingLogger } from './recording-logger.js'
 import type { RecordedLine } from './recording-logger.js'
@@ -93,7 +94,9 @@
     const codec = new TestCodec()
     const random = (): number => 0
     const owners = new QuotaOwners({ self: 'here' as InstanceId, clock, candidates: () => [] })
-    this.rateLimits = new NamedRateLimits({ clock, logger, bornOf: (id) => directory.find(id)?.born, broadcast: () => {}, noticeRoundTripMilliseconds: () => 1 })
+    const stated = { clock, logger, bornOf: (id: EndpointId) => directory.find(id)?.born, broadcast: () => {}, noticeRoundTripMilliseconds: () => 1 }
+    this.rateLimits = new NamedRateLimits(stated)
+    const brittle = new BrittleEndpoints(stated)
     const quarantine = new RequestQuarantine({
       clock,
       logger,
@@ -105,13 +108,15 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, dialler: new DirectDialler(), isPathLost: () => false })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, dialler: new DirectDialler(), isPathLost: () => false })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
       self: 'here' as InstanceId,
       clock,
       limits: this.rateLimits,
+      brittle,
+      slotsOf: (id) => directory.find(id)?.slots ?? 1,
       owners,
       instances: () => 1,
       reachableShare: () => 1,
@@ -177,7 +182,7 @@
 
   /** Records that an endpoint has just named a rate limit. */
   nameLimit (endpoint: string, rateLimit: number): void {
-    this.rateLimits.recordResponse(endpointId(endpoint), { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit }, new SystemClock().now())
+    this.rateLimits.recordResponse(endpointId(endpoint), responseFacts({ rateLimit }), new SystemClock().now())
   }
 
   /** Sends a request and reads the response to its end. */
--- a/packages/ingress/test/support/rate-limit-fleet.ts
+++ b/packages/ingress/test/support/rate-limit-fleet.ts
@@ -1,12 +1,14 @@
 /** A fleet of instances before one endpoint that names rate limits and does not enforce them, under a test's clock and without a network. */
 import { silentLogger } from '@limpetwinch/core'
-import type { EndpointId, FrameOf, InstanceId } from '@limpetwinch/core'
+import type { EndpointId, FrameOf, InstanceId, RateLimitFrame } from '@limpetwinch/core'
 import type { NoticeFrame } from '@limpetwinch/entry'
 import { QuotaOwners } from '../../src/quotas/quota-owners.js'
+import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
-import type { NamedRateLimitsDependencies } from '../../src/rate-limits/named-rate-limits.js'
+import type { StatedLimitsDependencies } from '../../src/rate-limits/stated-limits.js'
 import { ManualClock } from './manual-clock.js'
+import { responseFacts } from './samples.js'
 import { SimulatedNetwork } from './simulated-links.js'
 import type { SimulatedInstance } from './simulated-links.js'
 
@@ -23,7 +25,7 @@
 
 /** How the instances of a fleet keep limits; tests replace parts to show that a check catches what goes wrong without them. */
 export interface FleetBehaviour {
-  readonly createLimits: (parts: NamedRateLimitsDependencies) => NamedRateLimits
+  readonly createLimits: (parts: StatedLimitsDependencies<RateLimitFrame>) => NamedRateLimits
   /** Whether each instance divides all limits by itself. */
   readonly dividesAlone: boolean
   /** Part of all instances that an instance believes to reach, instead of the one that it reaches. */
@@ -127,7 +129,7 @@
       if (limit !== undefined) this.firstNamedAt = Math.min(this.firstNamedAt, now)
       this.arrivals.push({ at: now, limit })
       await this.clock.sleep(this.responseMilliseconds())
-      if (simulated.links.isUp) limits.recordResponse(ENDPOINT, { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: limit }, sentAt)
+      if (simulated.links.isUp) limits.recordResponse(ENDPOINT, responseFacts({ rateLimit: limit }), sentAt)
     })
   }
 
@@ -142,17 +144,20 @@
     }
     const isReachable = (instance: InstanceId): boolean => instance === self || overlay.isReachable(instance)
     const members = (): readonly InstanceId[] => [...new Map(this.network.instances.map(({ member: { name, instance } }) => [name, instance])).values()]
-    const limits = behaviour.createLimits({
+    const stated = {
       clock,
       logger: silentLogger(),
       bornOf: () => BORN,
-      broadcast: (frame) => overlay.broadcast(frame),
+      broadcast: (frame: NoticeFrame) => overlay.broadcast(frame),
       noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds
-    })
+    }
+    const limits = behaviour.createLimits(stated)
     const limiter = new EndpointRateLimiter({
       self,
       clock,
       limits,
+      brittle: new BrittleEndpoints(stated),
+      slotsOf: () => 6,
       owners: new QuotaOwners({ self, clock, candidates: () => behaviour.dividesAlone ? [] : overlay.usableHubs() }),
       instances: () => members().length,
       reachableShare: () => behaviour.believedShare ?? members().filter(isReachable).length / members().length,
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -1,6 +1,6 @@
 /** Builders of small configurations and endpoints for tests. */
 import type { EndpointId, InstanceId } from '@limpetwinch/core'
-import type { AdapterKey, Endpoint, EngineShape, ModelName, Route, Service, ServiceName } from '@limpetwinch/ingress'
+import type { AdapterKey, Endpoint, EngineShape, ModelName, ResponseFacts, Route, Service, ServiceName } from '@limpetwinch/ingress'
 
 interface RouteSample extends Partial<Omit<Route, 'targets'>> {
   readonly targets?: readonly { readonly service: string, readonly weight: number }[]
@@ -68,5 +68,10 @@
   return `base/${adapter}` as AdapterKey
 }
 
+/** @returns the facts of a signed response that states no limit */
+export function responseFacts (sample: Partial<ResponseFacts> = {}): ResponseFacts {
+  return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, ...sample }
+}
+
 /** Process id of the load owner, which sends the notices about what an engine holds. */
 export const LOAD_OWNER = 'speaker' as InstanceId
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -38,7 +38,9 @@
       signed: headers['x-server-signature'] !== undefined,
       notRun: headers['x-not-run'] !== undefined,
       encoded: headers['content-encoding'] !== undefined,
-      rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit)
+      rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit),
+      refusalLimit: undefined,
+      isFull: false
     }
   }
 }
