--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -2,14 +2,15 @@
 import { splitAddress } from '@limpetwinch/core'
 import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { NoticeFrame, PeerLinks, Supervisor } from '@limpetwinch/entry'
+import type { Result } from 'neverthrow'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { MemberList } from '../members/member-list.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { EndpointSenders } from '../relay/endpoint-senders.js'
-import type { Endpoint, ServiceName } from '../routes/configuration.js'
+import type { ServiceName } from '../routes/configuration.js'
 import { CONNECT_MILLISECONDS, DirectDialler } from './endpoint-dialler.js'
-import type { EndpointDialler } from './endpoint-dialler.js'
+import type { DialError, EndpointSocket } from './endpoint-dialler.js'
 import { EndpointPaths } from './endpoint-paths.js'
 import { PathDialler } from './path-dialler.js'
 import { PathExchange } from './path-exchange.js'
@@ -36,7 +37,7 @@
 export class InstancePaths {
   readonly paths: EndpointPaths
   readonly peers: TunnelPeers
-  readonly dialler: EndpointDialler
+  readonly dialler: PathDialler
   readonly server: TunnelServer
   readonly exchange: PathExchange
   private readonly parts: PathComponents
@@ -49,8 +50,9 @@
       clock,
       logger,
       directory,
-      tryOwnPath: async (endpoint) => await tryDial(direct, endpoint),
-      tryAnyPath: async (endpoint) => { await tryDial(this.dialler, endpoint) }
+      tryOwnPath: async (endpoint) => close(await direct.dial(endpoint, notAborted())),
+      tryDetour: async (endpoint) => close(await this.dialler.dialThroughPeers(endpoint, notAborted())),
+      tryAnyPath: async (endpoint) => { close(await this.dialler.dial(endpoint, notAborted())) }
     })
     this.peers = new TunnelPeers({ clock, dataCentre: members.self.dataCentre, members: () => members.tunnelPeers(), random: Math.random })
     const ownHost = splitAddress(members.self.address).host
@@ -112,9 +114,12 @@
   }
 }
 
-/** Opens a connection and closes it. @returns whether it was opened */
-async function tryDial (dialler: EndpointDialler, endpoint: Endpoint): Promise<boolean> {
-  const dialled = await dialler.dial(endpoint, new AbortController().signal)
+/** Closes a connection that was opened as a trial. @returns whether it was opened */
+function close (dialled: Result<EndpointSocket, DialError>): boolean {
   if (dialled.isOk()) dialled.value.socket.destroy()
   return dialled.isOk()
 }
+
+function notAborted (): AbortSignal {
+  return new AbortController().signal
+}
--- a/packages/ingress/src/paths/endpoint-paths.ts
+++ b/packages/ingress/src/paths/endpoint-paths.ts
@@ -14,6 +14,8 @@
 const MOST_TRIALS = 64
 /** Shortest interval between two confirmations of suspicions, in milliseconds: each opens connections. */
 const CONFIRM_MILLISECONDS = 250
+/** Time after which a lost path on which nobody has reached the endpoint through another instance is checked, in milliseconds. */
+const DETOUR_VALID_MILLISECONDS = 2_000
 /** Part of the endpoints of a service whose paths must be lost before the service counts as unreachable. */
 const UNREACHABLE_SHARE = 0.5
 /** Longest sleep while no path is lost, in milliseconds. */
@@ -28,6 +30,8 @@
   readonly directory: Pick<EndpointDirectory, 'all' | 'find' | 'servable'>
   /** Opens a connection over the own path and closes it. @returns whether the endpoint accepted it */
   readonly tryOwnPath: (endpoint: Endpoint) => Promise<boolean>
+  /** Opens a connection through another instance and closes it. @returns whether the endpoint accepted it */
+  readonly tryDetour: (endpoint: Endpoint) => Promise<boolean>
   /** Opens a connection by any path and closes it; the dialler then reports what it found. */
   readonly tryAnyPath: (endpoint: Endpoint) => Promise<void>
 }
@@ -38,8 +42,11 @@
 /** The state of this instance's paths to all endpoints. Only lost paths use memory. */
 export class EndpointPaths {
   private readonly parts: EndpointPathsDependencies
-  /** Endpoints whose path is lost, the one that was tried longest ago first. */
-  private readonly lost = new Set<EndpointId>()
+  /**
+   * Endpoints whose path is lost, the one that was tried longest ago first, with the monotonic time at which another instance was last
+   * known to reach the endpoint.
+   */
+  private readonly lost = new Map<EndpointId, number>()
   private readonly listeners: PathListener[] = []
   private readonly wake = new Wake()
   private unreachable: ReadonlySet<ServiceName> = NONE
@@ -73,7 +80,7 @@
   /** Determines the services that this instance does not reach; called periodically. @returns the services */
   updateUnreachableServices (): ReadonlySet<ServiceName> {
     const { directory } = this.parts
-    const services = new Set([...this.lost].map((id) => directory.find(id)?.service).filter((service) => service !== undefined))
+    const services = new Set([...this.lost.keys()].map((id) => directory.find(id)?.service).filter((service) => service !== undefined))
     this.unreachable = new Set([...services].filter((service) => {
       const endpoints = directory.servable(service)
       return endpoints.length > 0 && endpoints.filter(({ id }) => this.lost.has(id)).length >= endpoints.length * UNREACHABLE_SHARE
@@ -98,6 +105,11 @@
     this.addLost(endpoint, reason)
   }
 
+  /** Records that a connection was opened through another instance. */
+  recordDetour (endpoint: EndpointId): void {
+    if (this.lost.has(endpoint)) this.lost.set(endpoint, this.parts.clock.now())
+  }
+
   /** Has an endpoint tried by any path, since nothing is heard from it; at most a few times a second. */
   suspect (endpoint: Endpoint): void {
     const now = this.parts.clock.now()
@@ -142,7 +154,7 @@
   /** @returns whether all of the tried paths are back, so that the others should be tried at once */
   private async tryLostPaths (signal: AbortSignal): Promise<boolean> {
     for (let count = FIRST_TRIALS; this.lost.size > 0 && !signal.aborted; count = Math.min(MOST_TRIALS, 2 * count)) {
-      const reached = await Promise.all([...this.lost].slice(0, count).map(async (id) => await this.tryLostPath(id)))
+      const reached = await Promise.all([...this.lost.keys()].slice(0, count).map(async (id) => await this.tryLostPath(id)))
       if (!reached.every((isReached) => isReached)) return false
     }
     return true
@@ -156,13 +168,25 @@
     }
     const isReached = await this.parts.tryOwnPath(endpoint)
     if (isReached) this.recordReached(id)
-    else if (this.lost.delete(id)) this.lost.add(id)
+    else await this.confirmLoss(endpoint)
     return isReached
   }
 
+  /** Moves a lost path to the end of the trials, or forgets it when no other instance reaches the endpoint either. */
+  private async confirmLoss (endpoint: Endpoint): Promise<void> {
+    const { clock, logger, tryDetour } = this.parts
+    const { id } = endpoint
+    const reachedAt = this.lost.get(id) ?? clock.now()
+    const isDue = clock.now() - reachedAt > DETOUR_VALID_MILLISECONDS
+    const isLost = !isDue || await tryDetour(endpoint)
+    if (!this.lost.delete(id)) return
+    if (isLost) this.lost.set(id, isDue ? clock.now() : reachedAt)
+    else logger.info('An endpoint that this instance does not reach is not reached by others either.', { endpoint: id, lost: this.lost.size })
+  }
+
   private addLost (endpoint: EndpointId, reason: string): void {
     if (this.lost.has(endpoint)) return
-    this.lost.add(endpoint)
+    this.lost.set(endpoint, this.parts.clock.now())
     this.parts.logger.warn('The path to an endpoint is lost.', { endpoint, reason, lost: this.lost.size })
     this.notify(endpoint, 'lost')
   }
--- a/packages/ingress/src/paths/path-dialler.ts
+++ b/packages/ingress/src/paths/path-dialler.ts
@@ -19,15 +19,17 @@
 const HEAD_START_MILLISECONDS = 50
 /** Time limit for opening a tunnel, in milliseconds; the other instance needs up to 100 ms to find an endpoint silent. */
 const TUNNEL_MILLISECONDS = 150
-/** Most instances that are asked for one connection. When some do not know yet that they are cut off too, another one may still reach the endpoint. */
-const MOST_PEERS = 3
+/** Most instances that are asked for one connection. */
+const MOST_PEERS = 8
+/** Most instances that try to connect to the endpoint for it: those that know that they are cut off too say so at once, the others do not know it yet. */
+const MOST_FAILED_TRIALS = 3
 
 /** What the dialler needs of the instance. */
 export interface PathDiallerDependencies {
   readonly self: InstanceId
   readonly ownHost: string
   readonly clock: Clock
-  readonly paths: Pick<EndpointPaths, 'isLost' | 'recordLost' | 'recordReached'>
+  readonly paths: Pick<EndpointPaths, 'isLost' | 'recordDetour' | 'recordLost' | 'recordReached'>
   readonly peers: Pick<TunnelPeers, 'candidates' | 'avoid'>
   readonly direct: EndpointDialler
   readonly openTunnel: typeof openTunnel
@@ -37,7 +39,7 @@
 
 /** Chooses the path of each connection. */
 export class PathDialler extends EndpointDialler {
-  private readonly parts: PathDiallerDependencies
+  protected readonly parts: PathDiallerDependencies
 
   constructor (parts: PathDiallerDependencies) {
     super()
@@ -47,9 +49,26 @@
   override async dial (endpoint: Endpoint, signal: AbortSignal): Promise<DialResult> {
     if (!this.parts.paths.isLost(endpoint.id)) return await this.race(endpoint, signal)
     const tunnel = await this.dialThroughPeers(endpoint, signal)
+    if (tunnel.isOk()) this.parts.paths.recordDetour(endpoint.id)
     return tunnel.isOk() || signal.aborted ? tunnel : await this.dialDirectly(endpoint, signal)
   }
 
+  /** Opens a connection through another instance. */
+  async dialThroughPeers (endpoint: Endpoint, signal: AbortSignal): Promise<DialResult> {
+    const { self, ownHost, peers } = this.parts
+    let last = new DialError('silent', 'no instance opened a tunnel')
+    let failedTrials = 0
+    for (const peer of peers.candidates(endpoint, MOST_PEERS)) {
+      if (signal.aborted || failedTrials >= MOST_FAILED_TRIALS) break
+      const opened = await this.parts.openTunnel(peer, { endpoint: endpoint.id, self, ownHost, milliseconds: TUNNEL_MILLISECONDS, signal })
+      if (opened.isOk()) return ok({ socket: opened.value, via: peer.instance })
+      if (!signal.aborted) peers.avoid(peer.instance, endpoint.id)
+      if (opened.error !== 'no-path') failedTrials += 1
+      last = new DialError(opened.error === 'refused' ? 'refused' : 'silent', `no tunnel to ${endpoint.address}: ${opened.error}`)
+    }
+    return err(last)
+  }
+
   /** Opens a connection over the own path, and a tunnel as well when that takes long or fails. The first open connection is used. */
   private async race (endpoint: Endpoint, signal: AbortSignal): Promise<DialResult> {
     const { clock } = this.parts
@@ -82,19 +101,6 @@
     if (result.isOk()) this.parts.paths.recordReached(endpoint.id)
     return result
   }
-
-  private async dialThroughPeers (endpoint: Endpoint, signal: AbortSignal): Promise<DialResult> {
-    const { self, ownHost, peers } = this.parts
-    let last = new DialError('silent', 'no instance opened a tunnel')
-    for (const peer of peers.candidates(endpoint, MOST_PEERS)) {
-      if (signal.aborted) break
-      const opened = await this.parts.openTunnel(peer, { endpoint: endpoint.id, self, ownHost, milliseconds: TUNNEL_MILLISECONDS, signal })
-      if (opened.isOk()) return ok({ socket: opened.value, via: peer.instance })
-      if (!signal.aborted) peers.avoid(peer.instance)
-      last = new DialError(opened.error === 'refused' ? 'refused' : 'silent', `no tunnel to ${endpoint.address}: ${opened.error}`)
-    }
-    return err(last)
-  }
 }
 
 function close (result: DialResult): void {
--- a/packages/ingress/src/paths/tunnel-peers.ts
+++ b/packages/ingress/src/paths/tunnel-peers.ts
@@ -1,10 +1,10 @@
 /** Chooses the instances that are asked for tunnels. */
-import type { Clock, DataCentreId, InstanceId } from '@limpetwinch/core'
+import type { Clock, DataCentreId, EndpointId, InstanceId } from '@limpetwinch/core'
 import type { Endpoint, ServiceName } from '../routes/configuration.js'
 import type { TunnelPeer } from './tunnel-client.js'
 
-/** Time for which an instance that opened no tunnel is asked after the others, in milliseconds. */
-const AVOID_MILLISECONDS = 1_000
+/** Time for which an instance that opened no tunnel is asked after the others for the same endpoint, in milliseconds. */
+const AVOID_MILLISECONDS = 3_000
 /** Time after which an announcement of unreachable services is not valid any more, in milliseconds; it is repeated more often than that. */
 const ANNOUNCEMENT_VALID_MILLISECONDS = 5_000
 
@@ -28,7 +28,8 @@
 export class TunnelPeers {
   private readonly parts: TunnelPeersDependencies
   private readonly announcements = new Map<InstanceId, Announcement>()
-  private readonly avoidedUntil = new Map<InstanceId, number>()
+  /** Monotonic time until which an instance is asked after the others for an endpoint, by the ids of both. */
+  private readonly avoidedUntil = new Map<string, number>()
 
   constructor (parts: TunnelPeersDependencies) {
     this.parts = parts
@@ -48,30 +49,39 @@
     return this.parts.clock.now() - announcement.receivedAt > ANNOUNCEMENT_VALID_MILLISECONDS
   }
 
-  /** Records that an instance opened no tunnel. */
-  avoid (instance: InstanceId): void {
-    this.avoidedUntil.set(instance, this.parts.clock.now() + AVOID_MILLISECONDS)
+  /** Records that an instance opened no tunnel to an endpoint. It says little of others: the endpoint may have ended. */
+  avoid (instance: InstanceId, endpoint: EndpointId): void {
+    this.avoidedUntil.set(pairOf(instance, endpoint), this.parts.clock.now() + AVOID_MILLISECONDS)
   }
 
   /**
    * @param most - largest number of instances
    * @returns the instances to ask for a tunnel to the endpoint, in order: one of the own data centre, which is the nearest, then one of another,
-   *   since a cut may cover a whole data centre, and so on. Those that failed lately come last.
+   *   since a cut may cover a whole data centre, and so on. After them come those that failed lately, and last those that reach little of the
+   *   service.
    */
-  candidates ({ service }: Endpoint, most: number): readonly TunnelPeer[] {
+  candidates ({ id, service }: Endpoint, most: number): readonly TunnelPeer[] {
     const { clock, dataCentre, members, random } = this.parts
     const now = clock.now()
-    const reaching = members().filter(({ instance }) => this.reaches(instance, service))
-    const ranked = reaching.map((peer) => ({ peer, rank: random() + (now < (this.avoidedUntil.get(peer.instance) ?? -Infinity) ? 1 : 0) })).toSorted((one, other) => one.rank - other.rank)
+    const rankOf = ({ instance }: TunnelPeer): number => {
+      if (!this.reaches(instance, service)) return 2
+      return now < (this.avoidedUntil.get(pairOf(instance, id)) ?? -Infinity) ? 1 : 0
+    }
+    const ranked = members().map((peer) => ({ peer, rank: rankOf(peer) + random() })).toSorted((one, other) => one.rank - other.rank)
     const near = ranked.filter(({ peer }) => peer.dataCentre === dataCentre)
     const far = ranked.filter(({ peer }) => peer.dataCentre !== dataCentre)
     const inTurns = Array.from({ length: Math.max(near.length, far.length) }, (_, index) => [near[index], far[index]]).flat().filter((each) => each !== undefined)
     return inTurns.toSorted((one, other) => Math.floor(one.rank) - Math.floor(other.rank)).slice(0, most).map(({ peer }) => peer)
   }
 
-  /** Forgets instances that are not registered any more; called periodically. */
+  /** Forgets instances that are not registered any more, and what is not valid any more; called periodically. */
   keepOnly (isMember: (instance: InstanceId) => boolean): void {
+    const now = this.parts.clock.now()
     for (const instance of this.announcements.keys()) if (!isMember(instance)) this.announcements.delete(instance)
-    for (const instance of this.avoidedUntil.keys()) if (!isMember(instance)) this.avoidedUntil.delete(instance)
+    for (const [pair, until] of this.avoidedUntil) if (until <= now) this.avoidedUntil.delete(pair)
   }
 }
+
+function pairOf (instance: InstanceId, endpoint: EndpointId): string {
+  return `${instance} ${endpoint}`
+}
