--- /dev/null
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -0,0 +1,152 @@
+// Guards against tunnels that change what a caller gets or what an endpoint sees: a truncated response that looks complete since the
+// carrying instance closed its side in order, a request that goes on after its caller left, and connections for strangers.
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { silentLogger } from '@limpetwinch/core'
+import type { EndpointId, InstanceId } from '@limpetwinch/core'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { afterEach, describe, expect, it } from 'vitest'
+import { DialError, DirectDialler, EndpointDialler } from '../src/paths/endpoint-dialler.js'
+import type { EndpointSocket } from '../src/paths/endpoint-dialler.js'
+import { TunnelAdmission } from '../src/paths/tunnel-admission.js'
+import { openTunnel } from '../src/paths/tunnel-client.js'
+import type { TunnelPeer } from '../src/paths/tunnel-client.js'
+import { TunnelServer } from '../src/paths/tunnel-server.js'
+import { Attempt } from '../src/relay/attempt.js'
+import { EndpointConnection } from '../src/relay/endpoint-connections.js'
+import type { Endpoint } from '../src/routes/configuration.js'
+import { framed, RawEndpoint, requestIdOf, silence } from './support/raw-endpoint.js'
+import type { RawAnswer } from './support/raw-endpoint.js'
+import { endpoint } from './support/samples.js'
+import { TestCodec } from './support/test-codec.js'
+
+const ASKING = 'asking' as InstanceId
+const HOST = '127.0.0.1'
+const PEER = { instance: 'carrying' as InstanceId, dataCentre: 'here' } as Pick<TunnelPeer, 'instance' | 'dataCentre'>
+const ending: { stop: () => void }[] = []
+
+afterEach(() => {
+  for (const each of ending.splice(0)) each.stop()
+})
+
+interface Carrying {
+  readonly server: TunnelServer
+  readonly peer: TunnelPeer
+  readonly raw: RawEndpoint
+  readonly target: Endpoint
+}
+
+async function carrying (answer: RawAnswer, { leaving = false, isLost = false } = {}): Promise<Carrying> {
+  const raw = await RawEndpoint.start(answer)
+  const target = endpoint('p', { address: raw.address, leaving })
+  const admission = new TunnelAdmission({
+    directory: { find: (id) => id === target.id ? target : undefined },
+    paths: { isLost: () => isLost, recordReached: () => {}, suspect: () => {} },
+    dialler: new DirectDialler(100),
+    hostOf: (instance) => instance === ASKING ? HOST : undefined
+  })
+  const server = new TunnelServer({ logger: silentLogger(), admission })
+  const address = `${HOST}:${await freePort()}`
+  await server.listen(address)
+  ending.push(raw, { stop: () => server.destroy() })
+  return { server, peer: { ...PEER, address }, raw, target }
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>((resolve) => server.close(() => resolve()))
+  return port
+}
+
+async function ask ({ peer }: Carrying, { self = ASKING, id = 'p' } = {}): ReturnType<typeof openTunnel> {
+  return await openTunnel(peer, { endpoint: id as EndpointId, self, ownHost: HOST, milliseconds: 500, signal: new AbortController().signal })
+}
+
+/** Opens all connections through the tunnel. */
+class TunnelDialler extends EndpointDialler {
+  constructor (private readonly through: Carrying) {
+    super()
+  }
+
+  override async dial (): Promise<Result<EndpointSocket, DialError>> {
+    const opened = await ask(this.through)
+    return opened.isOk() ? ok({ socket: opened.value, via: PEER.instance }) : err(new DialError('silent', opened.error))
+  }
+}
+
+/** Sends one request through the tunnel. @returns how the attempt ended, and the body */
+async function attempt (through: Carrying): Promise<{ readonly kind: string, readonly body: string }> {
+  const connection = new EndpointConnection(through.target, new TunnelDialler(through))
+  ending.push({ stop: () => connection.destroy() })
+  let body = ''
+  const end = await new Attempt(connection, new TestCodec()).run(
+    { requestId: 'one', method: 'GET', target: '/', headers: ['x-request-id', 'one'], body: undefined },
+    { head: () => {}, data: (chunk) => { body += String(chunk) } }
+  )
+  return { kind: end.kind, body }
+}
+
+function untilClosed (request: string): string {
+  return `HTTP/1.1 200 X\r\nX-Request-Id: ${requestIdOf(request)}\r\nX-Server-Signature: s\r\nConnection: close\r\n\r\nall`
+}
+
+describe('a request through a tunnel', () => {
+  it('gets the response of the endpoint', async () => {
+    expect(await attempt(await carrying(framed(200, 'hello')))).toEqual({ kind: 'whole', body: 'hello' })
+  })
+
+  it('gets a response without a length in whole when the endpoint closes its connection in order', async () => {
+    expect(await attempt(await carrying((socket, request) => { socket.end(untilClosed(request)) }))).toEqual({ kind: 'whole', body: 'all' })
+  })
+
+  it('sees that a response without a length was reset, right after its last bytes too', async () => {
+    const resets: RawAnswer = (socket, request) => { socket.write(untilClosed(request), () => socket.resetAndDestroy()) }
+    expect((await attempt(await carrying(resets))).kind).toBe('broken')
+  })
+
+  it('is cancelled at the endpoint when the asking instance closes the tunnel', async () => {
+    const through = await carrying(silence)
+    const opened = (await ask(through))._unsafeUnwrap()
+    opened.write('GET / HTTP/1.1\r\n\r\n')
+    await expect.poll(() => through.raw.requests.length).toBe(1)
+    opened.destroy()
+    await expect.poll(() => through.raw.connections).toBe(0)
+    expect(through.server.count).toBe(0)
+  })
+})
+
+describe('a tunnel is refused', () => {
+  it('to an instance that is not registered, and to an unknown endpoint', async () => {
+    const through = await carrying(silence)
+    const refusals = [await ask(through, { self: 'stranger' as InstanceId }), await ask(through, { id: 'other' })]
+    expect(refusals.map((refusal) => refusal._unsafeUnwrapErr())).toEqual(['unavailable', 'unavailable'])
+    expect(through.raw.connections).toBe(0)
+  })
+
+  it('to an endpoint that is leaving', async () => {
+    expect((await ask(await carrying(silence, { leaving: true })))._unsafeUnwrapErr()).toBe('unavailable')
+  })
+
+  it('at once by an instance that is cut off itself', async () => {
+    expect((await ask(await carrying(silence, { isLost: true })))._unsafeUnwrapErr()).toBe('no-path')
+  })
+
+  it('by an instance that is stopping, while open ones go on', async () => {
+    const through = await carrying(framed(200, 'served'))
+    const opened = (await ask(through))._unsafeUnwrap()
+    through.server.startStopping()
+    expect((await ask(through))._unsafeUnwrapErr()).toBe('unavailable')
+    const answered = new Promise<string>((resolve) => opened.once('data', (chunk) => resolve(String(chunk))))
+    opened.write('GET / HTTP/1.1\r\n\r\n')
+    expect(await answered).toContain('served')
+  })
+
+  it('when nothing listens at the endpoint', async () => {
+    const through = await carrying(silence)
+    through.raw.stop()
+    expect((await ask(through))._unsafeUnwrapErr()).toBe('refused')
+  })
+})
