--- a/packages/ingress/src/paths/endpoint-paths.ts
+++ b/packages/ingress/src/paths/endpoint-paths.ts
@@ -13,7 +13,7 @@
 const FIRST_TRIALS = 4
 const MOST_TRIALS = 64
 /** Shortest interval between two confirmations of suspicions, in milliseconds: each opens connections. */
-const CONFIRM_MILLISECONDS = 250
+const CONFIRM_MILLISECONDS = 500
 /** Time after which a lost path on which nobody has reached the endpoint through another instance is checked, in milliseconds. */
 const DETOUR_VALID_MILLISECONDS = 2_000
 /** Part of the endpoints of a service whose paths must be lost before the service counts as unreachable. */
--- a/packages/ingress/src/paths/tunnel-admission.ts
+++ b/packages/ingress/src/paths/tunnel-admission.ts
@@ -14,7 +14,7 @@
 /** What the admission needs of the instance. */
 export interface TunnelAdmissionDependencies {
   readonly directory: Pick<EndpointDirectory, 'find'>
-  readonly paths: Pick<EndpointPaths, 'isLost' | 'recordReached' | 'suspect'>
+  readonly paths: Pick<EndpointPaths, 'isLost' | 'recordReached'>
   /** Opens connections over the own links only, so that no connection takes a second detour. */
   readonly dialler: EndpointDialler
   /** @returns the host from which the instance connects; undefined when it is no registered member */
@@ -55,12 +55,10 @@
     if (this.isStopping || ask.tunnels > MAXIMUM_TUNNELS || !this.isMember(ask) || endpoint === undefined || endpoint.leaving) return err('unavailable')
     if (paths.isLost(endpoint.id)) return err('no-path')
     const dialled = await dialler.dial(endpoint, ask.signal)
-    if (dialled.isOk()) {
-      paths.recordReached(endpoint.id)
-      return ok(dialled.value.socket)
-    }
-    paths.suspect(endpoint)
-    return err(dialled.error.kind)
+    // A failure is only told to the asking instance. If it made this instance ask others, instances would ask each other for ever.
+    if (dialled.isErr()) return err(dialled.error.kind)
+    paths.recordReached(endpoint.id)
+    return ok(dialled.value.socket)
   }
 
   /** @returns whether the request comes from the host of the registered instance that it names */
--- a/packages/ingress/test/path-fleet.failure.test.ts
+++ b/packages/ingress/test/path-fleet.failure.test.ts
@@ -93,9 +93,12 @@
   const world = new PathWorld(5, 4, randomOf(7), behaviour)
   for (const { id } of world.endpoints) world.stop(id, failure)
   const opening = world.instances.flatMap((instance) => world.endpoints.map(async ({ id }) => await world.open(instance, id)))
-  await advance(world, STABILITY_MILLISECONDS)
+  const unreachable: string[] = []
+  for (let checks = 0; checks < STABILITY_MILLISECONDS / TRAFFIC_MILLISECONDS; checks += 1) {
+    await advance(world, TRAFFIC_MILLISECONDS)
+    unreachable.push(...world.instances.flatMap(({ paths }) => [...paths.updateUnreachableServices()]))
+  }
   const opened = await Promise.all(opening)
-  const unreachable = world.instances.flatMap(({ paths }) => [...paths.updateUnreachableServices()])
   world.end()
   return [...unreachable, ...opened.filter((path) => path !== undefined).map(() => 'opened')]
 }
@@ -144,6 +147,21 @@
     expect(await play({ instances: 2, endpoints: 2, steps: cuts, seed: 0 })).toEqual([])
   })
 
+  // Guards against instances that have each other try an ended endpoint again and again, long after the last request for it.
+  it('does not go on trying an endpoint that ended', async () => {
+    const world = new PathWorld(6, 3, randomOf(3))
+    const [ended] = world.endpoints
+    if (ended === undefined) throw new Error('there is no endpoint')
+    world.stop(ended.id, 'silent')
+    const opening = Promise.all(world.instances.map(async (instance) => await world.open(instance, ended.id)))
+    await advance(world, STABILITY_MILLISECONDS)
+    await opening
+    const before = world.trials
+    await advance(world, STABILITY_MILLISECONDS)
+    world.end()
+    expect(world.trials - before).toBe(0)
+  })
+
   it.each<LinkFailure>(['refused', 'silent'])('does not take an outage of the endpoints for a partition (%s)', async (failure) => {
     expect(await playOutage(failure)).toEqual([])
   })
--- a/packages/ingress/test/support/path-world.ts
+++ b/packages/ingress/test/support/path-world.ts
@@ -105,6 +105,8 @@
   readonly instances: PathInstance[] = []
   readonly behaviour: PathBehaviour
   readonly random: () => number
+  /** Number of connections that instances tried to open over their own links. */
+  trials = 0
   private readonly failures = new Map<string, LinkFailure>()
   private readonly down = new Map<EndpointId, LinkFailure>()
 
@@ -202,6 +204,7 @@
   }
 
   override async dial ({ id }: Endpoint, signal: AbortSignal): Promise<Result<EndpointSocket, DialError>> {
+    this.world.trials += 1
     const link = this.world.link(this.instance, id)
     await this.world.clock.sleep(link === 'silent' ? this.milliseconds : LINK_MILLISECONDS, signal)
     if (link !== 'open' || signal.aborted) return err(new DialError(link === 'refused' ? 'refused' : 'silent', link))
--- a/packages/ingress/test/tunnel.failure.test.ts
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -42,7 +42,7 @@
   const target = endpoint('p', { address: raw.address, leaving })
   const admission = new TunnelAdmission({
     directory: { find: (id) => id === target.id ? target : undefined },
-    paths: { isLost: () => isLost, recordReached: () => {}, suspect: () => {} },
+    paths: { isLost: () => isLost, recordReached: () => {} },
     dialler: new DirectDialler(100),
     hostOf: (instance) => instance === ASKING ? HOST : undefined
   })
