The senders suspect paths themselves; a test of short silences

The wiring handed failed orders and silences through the instance. An endpoint that is silent for a second is lost for nobody and is connected to directly afterwards.

--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -1,6 +1,6 @@
 /** Creates the parts of one instance that open connections to endpoints, from the instance's other components. */
 import { splitAddress } from '@limpetwinch/core'
-import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
+import type { Clock, InstanceId, Logger } from '@limpetwinch/core'
 import type { NoticeFrame, PeerLinks, Supervisor } from '@limpetwinch/entry'
 import type { Result } from 'neverthrow'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -81,23 +81,11 @@
     this.paths.onChange((endpoint, change) => senders.handlePathChange(endpoint, change))
   }
 
-  /**
-   * Has an endpoint tried that an order did not reach. An order goes over the own path only, so its failure may be that of the path.
-   *
-   * @param onFailed - called at once, to count the failure as the endpoint's as long as nothing else is known
-   */
-  suspect (id: EndpointId, onFailed: () => void): void {
-    const endpoint = this.parts.directory.find(id)
-    if (endpoint !== undefined) this.paths.suspect(endpoint)
-    onFailed()
-  }
-
   /** Closes idle tunnels of instances that end, and looks for a cut that no new connection has met yet; called periodically. */
-  maintain (senders: Pick<EndpointSenders, 'closeTunnelsOf' | 'silentEndpoint'>): void {
+  maintain (senders: Pick<EndpointSenders, 'closeTunnelsOf' | 'checkSilence'>): void {
     const { overlay } = this.parts
     senders.closeTunnelsOf((instance) => overlay.isLeaving(instance) || !overlay.isReachable(instance))
-    const silent = senders.silentEndpoint()
-    if (silent !== undefined) this.paths.suspect(silent)
+    senders.checkSilence()
   }
 
   /** Starts the tasks. */
--- a/packages/ingress/src/paths/endpoint-paths.ts
+++ b/packages/ingress/src/paths/endpoint-paths.ts
@@ -111,9 +111,10 @@
   }
 
   /** Has an endpoint tried by any path, since nothing is heard from it; at most a few times a second. */
-  suspect (endpoint: Endpoint): void {
+  suspect (id: EndpointId): void {
     const now = this.parts.clock.now()
-    if (this.lost.has(endpoint.id) || now - this.confirmedAt < CONFIRM_MILLISECONDS) return
+    const endpoint = this.parts.directory.find(id)
+    if (endpoint === undefined || this.lost.has(id) || now - this.confirmedAt < CONFIRM_MILLISECONDS) return
     this.confirmedAt = now
     void this.parts.tryAnyPath(endpoint)
   }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -6,6 +6,7 @@
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { EndpointDialler } from '../paths/endpoint-dialler.js'
+import type { EndpointPaths } from '../paths/endpoint-paths.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { BrittleEndpoints } from '../rate-limits/brittle-endpoints.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
@@ -54,8 +55,7 @@
   readonly rateLimits: NamedRateLimits
   readonly brittle: BrittleEndpoints
   readonly dialler: EndpointDialler
-  /** @returns whether this instance has lost its own path to an endpoint that others reach */
-  readonly isPathLost: (endpoint: EndpointId) => boolean
+  readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
 }
 
 /** Sends attempts to all endpoints. */
@@ -109,7 +109,7 @@
       ...options.grounds
     })
     const sentAt = clock.now()
-    const unanswered = this.unanswered.begin(options.endpoint, sentAt)
+    const unanswered = this.unanswered.begin(options.endpoint.id, sentAt)
     const ended = attempt.run({
       requestId: request.facts.requestId,
       method: request.method,
@@ -140,8 +140,8 @@
    * While the own path to the endpoint is lost, an attempt that fails after it was sent tells nothing of the endpoint.
    */
   observe (endpoint: EndpointId, result: ObservedResult, reason?: string): void {
-    const { clock, ejection, metrics, logger, isPathLost } = this.parts
-    if (result === 'failed' && isPathLost(endpoint)) return
+    const { clock, ejection, metrics, logger, paths } = this.parts
+    if (result === 'failed' && paths.isLost(endpoint)) return
     const now = clock.now()
     const wasEjected = ejection.isEjected(endpoint, now)
     ejection.observe(endpoint, result === 'answered' ? 'answered' : 'failed', now)
@@ -171,10 +171,17 @@
     for (const { pool } of this.connections.values()) pool.closeIdle((via) => via !== undefined && isUnusable(via))
   }
 
-  /** @returns the endpoint of an attempt without a response, if no endpoint has sent anything for some time; else undefined */
-  silentEndpoint (): Endpoint | undefined {
-    const { clock } = this.parts
-    return this.unanswered.silentEndpoint(this.contacts.latestContactAt, clock.now())
+  /** Records that an order did not reach an engine. An order goes over the own path only, so its failure may be that of the path. */
+  orderFailed (endpoint: EndpointId, reason: string): void {
+    this.parts.paths.suspect(endpoint)
+    this.observe(endpoint, 'failed', reason)
+  }
+
+  /** Has an endpoint tried that owes a response when no endpoint has sent anything for some time; called periodically. */
+  checkSilence (): void {
+    const { clock, paths } = this.parts
+    const silent = this.unanswered.silentEndpoint(this.contacts.latestContactAt, clock.now())
+    if (silent !== undefined) paths.suspect(silent)
   }
 
   /** Closes connections that have been idle for longer than the idle timeout. */
--- a/packages/ingress/src/relay/unanswered-attempts.ts
+++ b/packages/ingress/src/relay/unanswered-attempts.ts
@@ -1,5 +1,5 @@
 /** The attempts in flight, to notice when nothing is heard from any endpoint. */
-import type { Endpoint } from '../routes/configuration.js'
+import type { EndpointId } from '@limpetwinch/core'
 
 /**
  * Time without any bytes from any endpoint, while an attempt waits for its response, after which the path of that attempt is checked, in
@@ -8,7 +8,7 @@
 const SILENCE_MILLISECONDS = 300
 
 interface UnansweredAttempt {
-  readonly endpoint: Endpoint
+  readonly endpoint: EndpointId
   readonly sentAt: number
 }
 
@@ -17,7 +17,7 @@
   private readonly attempts = new Set<UnansweredAttempt>()
 
   /** Adds an attempt. @returns its end, to be called once */
-  begin (endpoint: Endpoint, sentAt: number): { readonly ended: () => void } {
+  begin (endpoint: EndpointId, sentAt: number): { readonly ended: () => void } {
     const attempt = { endpoint, sentAt }
     this.attempts.add(attempt)
     return { ended: () => { this.attempts.delete(attempt) } }
@@ -27,7 +27,7 @@
    * @param latestContactAt - monotonic time at which any endpoint last sent something
    * @returns the endpoint of the earliest attempt, if it has waited for some time and no endpoint has sent anything meanwhile; else undefined
    */
-  silentEndpoint (latestContactAt: number, now: number): Endpoint | undefined {
+  silentEndpoint (latestContactAt: number, now: number): EndpointId | undefined {
     if (now - latestContactAt < SILENCE_MILLISECONDS) return undefined
     const [earliest] = this.attempts
     return earliest !== undefined && now - earliest.sentAt >= SILENCE_MILLISECONDS ? earliest.endpoint : undefined
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -336,7 +336,7 @@
       isModelNeeded: (endpoint, model) => isModelNeeded(this.engines.usageOf(endpoint, model)),
       publish: (statement, urgency) => this.heldNotices.publish(statement, urgency),
       noticeRoundTripMilliseconds: () => this.overlay.noticeRoundTripMilliseconds,
-      onUnreachable: (endpoint, reason) => this.paths.suspect(endpoint, () => this.senders.observe(endpoint, 'failed', reason))
+      onUnreachable: (endpoint, reason) => this.senders.orderFailed(endpoint, reason)
     })
   }
 
@@ -352,7 +352,7 @@
       rateLimits: this.rateLimiter.limits,
       brittle: this.rateLimiter.brittle,
       dialler: paths.dialler,
-      isPathLost: (endpoint) => paths.paths.isLost(endpoint)
+      paths: paths.paths
     })
   }
 
--- a/packages/ingress/test/path-fleet.failure.test.ts
+++ b/packages/ingress/test/path-fleet.failure.test.ts
@@ -162,6 +162,22 @@
     expect(world.trials - before).toBe(0)
   })
 
+  // Guards against a sound endpoint that was silent for a moment and then counts as cut off, or gets its connections by detours.
+  it('opens direct connections again after an endpoint was silent for a second', async () => {
+    const world = new PathWorld(4, 2, randomOf(5))
+    const [silent] = world.endpoints
+    if (silent === undefined) throw new Error('there is no endpoint')
+    world.stop(silent.id, 'silent')
+    const during = Promise.all(world.instances.map(async (instance) => await world.open(instance, silent.id)))
+    await advance(world, 1_000)
+    world.resume(silent.id)
+    await during
+    const after = await world.openAll()
+    world.end()
+    expect({ hops: after.map((path) => path?.hops), lost: world.instances.map(({ paths }) => paths.lostCount) })
+      .toEqual({ hops: after.map(() => 0), lost: world.instances.map(() => 0) })
+  })
+
   it.each<LinkFailure>(['refused', 'silent'])('does not take an outage of the endpoints for a partition (%s)', async (failure) => {
     expect(await playOutage(failure)).toEqual([])
   })
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -108,7 +108,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, dialler: new DirectDialler(), isPathLost: () => false })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
--- a/packages/ingress/test/support/path-world.ts
+++ b/packages/ingress/test/support/path-world.ts
@@ -133,6 +133,11 @@
     this.down.set(id, failure)
   }
 
+  /** Lets an endpoint that was stopped go on. */
+  resume (id: EndpointId): void {
+    this.down.delete(id)
+  }
+
   /** @returns whether an instance reaches an endpoint over its own link; else how the link fails */
   link (instance: PathInstance, id: EndpointId): 'open' | LinkFailure {
     return this.down.get(id) ?? this.failures.get(`${instance.id} ${id}`) ?? 'open'
