Age of each kind of state: what an instance provably knows, in logs, metrics and offers

The record of CONFIG says neither by which version a served request was read nor how current an instance's state was. That the store answers was one fact for all kinds of objects: an instance whose watch of the configuration waits on a silent connection showed nothing. Now: the version at each answered, refused or cut request; at each applied version the time since the configuration was last proved; a gauge of the age of each kind; a line when it passes its limit and one when it ends; offers between instances state the ages, so that leaves have them as well. No decision uses them yet. Settings know the time until a configuration is in force and until a leaving endpoint gets nothing.

--- a/packages/core/src/frames/cluster-frames.ts
+++ b/packages/core/src/frames/cluster-frames.ts
@@ -18,6 +18,11 @@
    * the sender knows of none. A duration does not depend on synchronised clocks.
    */
   readonly readMillisecondsAgo?: number | undefined
+  /**
+   * For each part of the state, the time in milliseconds since the sender was last proved to know all of its changes; a part is absent
+   * if it never was, and all are in frames of an older release.
+   */
+  readonly provedMillisecondsAgo?: Partial<Record<keyof ClusterStateRevisions, number | undefined>> | undefined
 }
 
 /** Asks the receiver for all parts of the cluster state that are newer than the revisions in this frame. */
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -21,6 +21,8 @@
 }
 
 const stateRevisions = { configuration: count, endpoints: count, announcements: count, cluster: count.optional() }
+const age = z.number().min(0)
+const stateAges = z.object({ configuration: age.optional(), endpoints: age.optional(), announcements: age.optional(), cluster: age.optional() })
 const revisedValue = z.object({ revision: count, value: z.unknown() }).optional()
 const objectNames = z.array(id).optional()
 const changedObjects = z.object({ revision: count, value: z.unknown(), present: objectNames, lapsed: objectNames }).optional()
@@ -121,7 +123,7 @@
   'team-service': z.object({ tokens: z.array(z.object({ team: id, tokens: z.number() })) }),
   accepted: z.object({ call: count }),
   refused: z.object({ call: count, ...errorBody }),
-  'beliefs-offer': z.object({ ...stateRevisions, readMillisecondsAgo: z.number().min(0).optional() }),
+  'beliefs-offer': z.object({ ...stateRevisions, readMillisecondsAgo: age.optional(), provedMillisecondsAgo: stateAges.optional() }),
   'beliefs-ask': z.object(stateRevisions),
   beliefs: z.object({ configuration: revisedValue, endpoints: changedObjects, announcements: revisedValue, cluster: changedObjects }),
   'relay-load': z.object({
--- a/packages/ingress/src/cluster-state/accepted-configuration.ts
+++ b/packages/ingress/src/cluster-state/accepted-configuration.ts
@@ -15,12 +15,17 @@
 /** Holds the latest accepted configuration. Its version never decreases while the process runs. */
 export class AcceptedConfiguration {
   private readonly logger: Logger
+  private readonly provedMillisecondsAgo: () => number
   private readonly listeners: ((active: ActiveConfiguration) => void)[] = []
   private active: ActiveConfiguration | undefined
 
-  /** @param logger - receives a line for each applied configuration */
-  constructor (logger: Logger) {
+  /**
+   * @param logger - receives a line for each applied configuration
+   * @param provedMillisecondsAgo - returns the time since the configuration was last proved to be the newest one; logged
+   */
+  constructor (logger: Logger, provedMillisecondsAgo: () => number = () => Infinity) {
     this.logger = logger
+    this.provedMillisecondsAgo = provedMillisecondsAgo
   }
 
   /** @returns the version of the active configuration; 0 before the first one */
@@ -52,7 +57,9 @@
     const teams = new Map(configuration.teams.map((team) => [team.name, team]))
     const teamsByKey = new Map(configuration.teams.flatMap((team) => team.keys.map((key): [KeyDigest, Team] => [key, team])))
     this.active = { configuration, table: new RouteTable(configuration.routes), services, teams, teamsByKey }
-    this.logger.info('A configuration was applied.', { version: configuration.version, source, routes: configuration.routes.length })
+    this.logger.info('A configuration was applied.', {
+      version: configuration.version, source, routes: configuration.routes.length, provedMillisecondsAgo: Math.round(this.provedMillisecondsAgo())
+    })
     for (const listener of this.listeners) listener(this.active)
   }
 }
--- a/packages/ingress/src/cluster-state/state-exchange.ts
+++ b/packages/ingress/src/cluster-state/state-exchange.ts
@@ -11,6 +11,8 @@
 import type { AcceptedConfiguration } from './accepted-configuration.js'
 import type { AdapterVersions } from './adapter-versions.js'
 import type { ClusterView } from './cluster-view.js'
+import { STATE_KINDS } from './state-freshness.js'
+import type { StateFreshness, StateKind } from './state-freshness.js'
 import type { StoreHealth } from './store-health.js'
 
 /**
@@ -46,6 +48,7 @@
   readonly versions: AdapterVersions
   readonly cluster: ClusterView
   readonly health: StoreHealth
+  readonly freshness: StateFreshness
 }
 
 /** Offers the revisions of this instance's state to neighbours and requests the state that is newer there. */
@@ -109,7 +112,9 @@
     const neighbours = isUnchanged ? this.overlay.neighboursOf('leaf') : this.overlay.neighbours()
     if (isUnchanged && now - this.offeredAt < UNCHANGED_OFFER_MILLISECONDS) return
     this.offeredAt = now
-    this.network.notifyAll(neighbours, { kind: 'beliefs-offer', ...revisions, readMillisecondsAgo: this.readMillisecondsAgo(now) })
+    this.network.notifyAll(neighbours, {
+      kind: 'beliefs-offer', ...revisions, readMillisecondsAgo: this.readMillisecondsAgo(now), provedMillisecondsAgo: this.provedMillisecondsAgo()
+    })
   }
 
   /**
@@ -128,6 +133,27 @@
     return age === Infinity ? undefined : age
   }
 
+  private provedMillisecondsAgo (): Partial<Record<StateKind, number>> {
+    const { freshness } = this.state
+    const ages = STATE_KINDS.map((kind) => [kind, freshness.ageMilliseconds(kind)] as const)
+    return Object.fromEntries(ages.filter(([kind, age]) => freshness.isProved(kind) && age < Infinity))
+  }
+
+  /** Records what a peer knew when it sent an offer. An offer is on its way for milliseconds, which are not counted. */
+  private recordStatements (offer: BeliefsOfferFrame, now: number): void {
+    for (const kind of STATE_KINDS) {
+      // A peer of an older release states one time for all kinds.
+      const age = offer.provedMillisecondsAgo === undefined ? offer.readMillisecondsAgo : offer.provedMillisecondsAgo[kind]
+      if (age !== undefined) this.state.freshness.recordStatement(kind, { revision: offer[kind] ?? 0, provedAt: now - age })
+    }
+    this.useStatements()
+  }
+
+  private useStatements (): void {
+    const own = this.revisions()
+    for (const kind of STATE_KINDS) this.state.freshness.useStatement(kind, own[kind])
+  }
+
   private revisions (): Required<ClusterStateRevisions> {
     return {
       configuration: this.state.configuration.version,
@@ -141,6 +167,7 @@
     const own = this.revisions()
     const now = this.clock.now()
     if (offer.readMillisecondsAgo !== undefined) this.readAt = Math.max(this.readAt, now - offer.readMillisecondsAgo)
+    this.recordStatements(offer, now)
     const isBehind = offer.configuration > own.configuration || offer.endpoints > own.endpoints ||
       offer.announcements > own.announcements || (offer.cluster ?? 0) > own.cluster
     if (!isBehind) return
@@ -197,6 +224,7 @@
       versions.apply(frame.announcements.value as readonly AdapterAnnouncement[], 'peer', this.clock.now())
     }
     if (frame.cluster !== undefined) cluster.merge(frame.cluster.value as readonly ClusterObject[], frame.cluster.present ?? [], frame.cluster.revision)
+    this.useStatements()
   }
 
   private applyEndpoints ({ revision, value, present = [], lapsed = [] }: ChangedObjects): void {
--- a/packages/ingress/src/cluster-state/store-follower.ts
+++ b/packages/ingress/src/cluster-state/store-follower.ts
@@ -29,6 +29,8 @@
    * has stopped to wake its watches answers them without the changes.
    */
   readonly onCurrent?: (askedAt: Moment) => void
+  /** Called after each answer of a listing or a watch, with the monotonic time at which it was asked for. */
+  readonly onAnswer?: (askedAt: number) => void
   /** Called after each change with all decoded objects by path and the store's revision. */
   readonly apply: (objects: ReadonlyMap<string, Decoded>, revision: number) => void
   /** Longest wait of one watch call. A shorter wait detects an unresponsive connection sooner but makes more calls. */
@@ -97,6 +99,7 @@
     this.objects.clear()
     for (const object of listing.value.objects) this.applyChange(object)
     this.options.apply(this.objects, listing.value.cursor)
+    this.options.onAnswer?.(askedAt.monotonic)
     onCurrent?.(askedAt)
     return listing.value.cursor
   }
@@ -111,6 +114,7 @@
   private async watchFrom (cursor: number, signal: AbortSignal): Promise<boolean> {
     const { store, health, clock, kind, watchMilliseconds, paceMilliseconds } = this.options
     while (!signal.aborted) {
+      const askedAt = clock.now()
       const step = await store.watch(`${kind}/`, cursor, watchMilliseconds, signal)
       if (signal.aborted) return true
       if (step.isErr()) {
@@ -121,9 +125,12 @@
       }
       health.answered(clock.now())
       cursor = step.value.cursor
+      if (step.value.changes.length > 0) {
+        for (const object of step.value.changes) this.applyChange(object)
+        this.options.apply(this.objects, cursor)
+      }
+      this.options.onAnswer?.(askedAt)
       if (step.value.changes.length === 0) continue
-      for (const object of step.value.changes) this.applyChange(object)
-      this.options.apply(this.objects, cursor)
       await clock.sleep(paceMilliseconds(), signal)
     }
     return true
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -10,6 +10,8 @@
 /** Values of the gauges, read at each scrape: all but the dropped log lines and the frame counts describe the present. */
 export interface GaugeReadings {
   readonly configurationVersion: number
+  /** For each kind of state, the time since this instance was last proved to know all of it. */
+  readonly stateAgeSeconds: readonly (readonly [kind: string, seconds: number])[]
   /** Time since the latest response of the store. */
   readonly storeSilenceSeconds: number
   readonly members: number
@@ -70,6 +72,13 @@
     this.gauge('limpetwinch_configuration_proof_seconds', 'Since the configuration was last proved to be the newest one', () => read().configurationProofSeconds)
     this.gauge('limpetwinch_teams_in_use', 'Teams of which this instance holds quota tokens', () => read().teamsInUse)
     this.gauge('limpetwinch_owned_quotas', 'Teams whose quota this instance divides', () => read().ownedQuotas)
+    const stateAge = new Gauge({
+      name: 'limpetwinch_state_age_seconds',
+      help: 'Since each kind of state was last proved to be current',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect: () => { for (const [kind, seconds] of read().stateAgeSeconds) stateAge.set({ kind }, seconds) }
+    })
     this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -252,6 +252,7 @@
     logger.info(LOG_MESSAGES[outcome.outcome], {
       request: facts.requestId,
       route: route.name,
+      configuration: request.configurationVersion,
       team: request.team?.name,
       adapter: facts.adapter?.key,
       status: outcome.error?.status ?? outcome.status,
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -2,6 +2,8 @@
 import type { Clock, LineSink } from '@limpetwinch/core'
 import type { PeerLinks } from '@limpetwinch/entry'
 import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
+import { STATE_KINDS } from '../cluster-state/state-freshness.js'
+import type { StateFreshness } from '../cluster-state/state-freshness.js'
 import type { StoreHealth } from '../cluster-state/store-health.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { MemberList } from '../members/member-list.js'
@@ -18,6 +20,7 @@
   readonly teams: Teams
   readonly configuration: AcceptedConfiguration
   readonly health: StoreHealth
+  readonly freshness: StateFreshness
   readonly clock: Clock
   readonly members: MemberList
   readonly directory: EndpointDirectory
@@ -32,10 +35,11 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = sources
+  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
+    stateAgeSeconds: STATE_KINDS.map((kind) => [kind, freshness.ageMilliseconds(kind) / 1_000]),
     storeSilenceSeconds: health.millisecondsSinceAnswer(clock.now()) / 1_000,
     members: members.live().length,
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,7 +1,7 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
 import type { Clock, InstanceId, LineSink, Logger } from '@limpetwinch/core'
-import { EngineSpeeds, ErrorRates, OutlierEjection, StallEvictionPolicy } from '@limpetwinch/decisions'
+import { EngineSpeeds, ErrorRates, StallEvictionPolicy } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { EngineInventory } from '../adapters/engine-inventory.js'
@@ -14,6 +14,7 @@
 import { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
 import { AdapterVersions } from '../cluster-state/adapter-versions.js'
 import { StateExchange } from '../cluster-state/state-exchange.js'
+import { StateFreshness } from '../cluster-state/state-freshness.js'
 import { ClusterView } from '../cluster-state/cluster-view.js'
 import { StoreHealth } from '../cluster-state/store-health.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -29,6 +30,7 @@
 import type { Endpoint, ServiceName } from '../routes/configuration.js'
 import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
+import { createEjection } from '../routing/endpoint-ejection.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
@@ -38,6 +40,7 @@
 import type { IngressPlatform } from './ingress-platform.js'
 import type { IngressSettings } from './ingress-settings.js'
 import { PeerMessaging } from './peer-messaging.js'
+import { freshnessLimits } from './freshness-limits.js'
 import type { FollowerDependencies } from './platform-followers.js'
 import { readGauges } from './gauge-readings.js'
 import type { GaugeSources } from './gauge-readings.js'
@@ -57,14 +60,6 @@
 const ERROR_DECAY = 0.97
 /** Time after a process pause in which this instance sends no load orders, so that this instance reads the store again first. */
 const ORDER_PAUSE_MILLISECONDS = 1_000
-/**
- * Ejections are short, because an endpoint that recovers is needed at once and one that fails again is ejected for longer.
- *
- * When so many endpoints are ejected that less than the minimum usable share is left, ejected endpoints are used as well, up to
- * this share. The share is below one third, the part of all endpoints that one of three data centres has. When a data centre is cut off
- * from the other two, its own endpoints therefore suffice, and its instances do not keep trying the unreachable endpoints.
- */
-const EJECTION = { failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, recoveryMilliseconds: 4_000, minimumUsableShare: 0.25 }
 
 /** One ingress instance with all its components. */
 export class IngressInstance {
@@ -80,6 +75,7 @@
   private readonly overlay: PeerOverlay
   private readonly members: MemberList
   private readonly health: StoreHealth
+  private readonly freshness: StateFreshness
   private readonly configuration: AcceptedConfiguration
   private readonly teams: Teams
   private readonly directory: EndpointDirectory
@@ -95,7 +91,7 @@
   private readonly speeds = new EngineSpeeds()
   private readonly forecast = new FirstEventForecast(this.speeds)
   private readonly prefixCache = new PrefixCacheEstimate()
-  private readonly ejection = new OutlierEjection(EJECTION)
+  private readonly ejection = createEjection()
   private readonly errors = new ErrorRates()
   private readonly rateLimiter: EndpointRateLimiter
   private readonly policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
@@ -137,7 +133,8 @@
     const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, tunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
     this.overlay = new PeerOverlay({ self, network: this.network, clock: this.clock, logger: logger.part('overlay') })
     this.members = new MemberList(self, this.platform.store, this.overlay, this.clock, logger.part('members'))
-    this.configuration = new AcceptedConfiguration(logger.part('configuration'))
+    this.freshness = new StateFreshness(freshnessLimits(settings), this.clock, logger.part('state'))
+    this.configuration = new AcceptedConfiguration(logger.part('configuration'), () => this.freshness.ageMilliseconds('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     const { clock, directory, members, overlay, metrics } = this
     this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics })
@@ -154,7 +151,8 @@
       directory: this.directory,
       versions: this.versions,
       cluster: this.cluster,
-      health: this.health
+      health: this.health,
+      freshness: this.freshness
     }, this.clock)
     // An endpoint that does not check fencing tokens must not get load orders from two instances. Only an instance that reads the store
     // itself learns in time that it has lost the load ownership.
@@ -387,6 +385,7 @@
       },
       onAnnouncements: (announcements) => this.versions.apply(announcements, 'store', this.clock.now()),
       onCluster: (objects, revision) => this.cluster.apply(objects, revision),
+      onProved: (kind, provedAt) => this.freshness.record(kind, provedAt),
       isFirstStart: this.settings.isFirstStart,
       memberCount: () => this.members.count
     }
@@ -427,6 +426,7 @@
     while (!signal.aborted) {
       await this.clock.sleep(HOUSEKEEPING_MILLISECONDS, signal)
       this.directory.expire(this.clock.now())
+      this.freshness.report()
       this.senders.prune()
       this.paths.maintain(this.senders)
       this.errors.decay(ERROR_DECAY)
@@ -438,12 +438,13 @@
   private handlePause (): void {
     this.loadOwnership.pauseUntil(this.clock.now() + ORDER_PAUSE_MILLISECONDS)
     this.exchange.markStale()
+    this.freshness.forget()
     this.storeReader.reevaluate()
     this.storeReader.refresh()
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = this
-    return { teams, configuration, health, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine: quarantine.quarantine }
+    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = this
+    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine: quarantine.quarantine }
   }
 }
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -52,6 +52,10 @@
   readonly leaseMilliseconds: number
   /** Longest time from the announcement of a new adapter version until it must be in use. */
   readonly newVersionMilliseconds: number
+  /** Time from the acceptance of a configuration until it must be in force at every instance. */
+  readonly configurationMilliseconds: number
+  /** Time from the announcement that an endpoint leaves until it must receive no new requests. */
+  readonly drainMilliseconds: number
 }
 
 /** Default port of the metrics address: the one that metrics exporters commonly use. */
@@ -71,5 +75,7 @@
   /** Must be enabled explicitly, because endpoints that do not check fencing tokens need more careful load orders. */
   fencedEndpoints: false,
   leaseMilliseconds: 3_000,
-  newVersionMilliseconds: 5_000
+  newVersionMilliseconds: 5_000,
+  configurationMilliseconds: 4_000,
+  drainMilliseconds: 2_000
 } as const satisfies Partial<IngressSettings>
--- a/packages/ingress/src/runtime/platform-followers.ts
+++ b/packages/ingress/src/runtime/platform-followers.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, StoredObject } from '@limpetwinch/core'
 import { StoreFollower } from '../cluster-state/store-follower.js'
 import type { Moment } from '../cluster-state/configuration-proof.js'
+import type { StateKind } from '../cluster-state/state-freshness.js'
 import type { StoreHealth } from '../cluster-state/store-health.js'
 import { CLUSTER_KIND, decodeClusterObject } from '../members/cluster-objects.js'
 import type { ClusterObject } from '../members/cluster-objects.js'
@@ -49,6 +50,8 @@
   readonly onEndpoints: (endpoints: readonly Endpoint[], revision: number) => void
   readonly onAnnouncements: (announcements: Iterable<AdapterAnnouncement>) => void
   readonly onCluster: (objects: Iterable<ClusterObject>, revision: number) => void
+  /** Called when all changes of a kind are known that were accepted before a moment on the monotonic clock. */
+  readonly onProved: (kind: StateKind, provedAt: number) => void
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean
   /** @returns the number of members */
@@ -69,6 +72,7 @@
   readonly decode: (object: StoredObject) => Decoded | undefined
   readonly explain?: (object: StoredObject) => readonly string[]
   readonly onCurrent?: (askedAt: Moment) => void
+  readonly onAnswer?: (askedAt: number) => void
   readonly watchMilliseconds: number
   readonly paceMilliseconds: () => number
   readonly apply: (objects: ReadonlyMap<string, Decoded>, revision: number) => void
@@ -86,7 +90,10 @@
     kind: forms.configurationKind,
     decode: forms.decodeConfiguration,
     explain: forms.configurationProblems,
-    onCurrent: dependencies.onConfigurationCurrent,
+    onCurrent: (askedAt) => {
+      dependencies.onProved('configuration', askedAt.monotonic)
+      dependencies.onConfigurationCurrent(askedAt)
+    },
     apply: (objects) => { for (const each of objects.values()) dependencies.onConfiguration(each) }
   })
   const others = [
@@ -95,18 +102,21 @@
       ...ENDPOINT_PACES,
       kind: forms.endpointKind,
       decode: forms.decodeEndpoint,
+      onAnswer: (askedAt) => dependencies.onProved('endpoints', askedAt),
       apply: (objects, revision) => dependencies.onEndpoints([...objects.values()], revision)
     }),
     createFollower<AdapterAnnouncement>(dependencies, {
       ...OTHER_PACES,
       kind: forms.announcementKind,
       decode: forms.decodeAnnouncement,
+      onAnswer: (askedAt) => dependencies.onProved('announcements', askedAt),
       apply: (objects) => dependencies.onAnnouncements(objects.values())
     })
   ]
   const cluster = createFollower<ClusterObject>(dependencies, {
     kind: CLUSTER_KIND,
     decode: decodeClusterObject,
+    onAnswer: (askedAt) => dependencies.onProved('cluster', askedAt),
     watchMilliseconds: OTHER_WATCH_MILLISECONDS,
     paceMilliseconds: () => clusterPace(dependencies, startedAt),
     apply: (objects, revision) => dependencies.onCluster(objects.values(), revision)
--- a/packages/ingress/test/state-exchange.failure.test.ts
+++ b/packages/ingress/test/state-exchange.failure.test.ts
@@ -8,6 +8,7 @@
 import { AdapterVersions } from '../src/cluster-state/adapter-versions.js'
 import { StateExchange } from '../src/cluster-state/state-exchange.js'
 import { ClusterView } from '../src/cluster-state/cluster-view.js'
+import { StateFreshness } from '../src/cluster-state/state-freshness.js'
 import { StoreHealth } from '../src/cluster-state/store-health.js'
 import { EndpointDirectory } from '../src/endpoints/endpoint-directory.js'
 import type { LoadOwner } from '../src/members/cluster-objects.js'
@@ -21,6 +22,8 @@
 /** Time after an outage of the store in which lapsed entries are listed again or removed. */
 const LAPSE_MILLISECONDS = 2_000
 
+const LIMITS = { configuration: 3_000, endpoints: 3_000, announcements: 2_500, cluster: 3_000 }
+
 interface StatefulInstance {
   readonly directory: EndpointDirectory
   readonly health: StoreHealth
@@ -42,11 +45,12 @@
   const logger = silentLogger()
   const [directory, health] = [new EndpointDirectory(logger), new StoreHealth(logger)]
   const loadOwners = new Map<EndpointId, LoadOwner>()
+  const freshness = new StateFreshness(LIMITS, network.clock, logger)
   const cluster = new ClusterView(({ loadOwners: listed }) => {
     loadOwners.clear()
     for (const loadOwner of listed) loadOwners.set(loadOwner.endpoint, loadOwner)
   })
-  const state = { configuration: new AcceptedConfiguration(logger), directory, versions: new AdapterVersions(logger, 1), cluster, health }
+  const state = { configuration: new AcceptedConfiguration(logger), directory, versions: new AdapterVersions(logger, 1), cluster, health, freshness }
   const exchange = new StateExchange(links, overlay, state, network.clock)
   const controller = new AbortController()
   controllers.push(controller)
--- a/packages/ingress/test/store-reader.test.ts
+++ b/packages/ingress/test/store-reader.test.ts
@@ -44,6 +44,7 @@
     onEndpoints: () => {},
     onAnnouncements: () => {},
     onCluster: () => {},
+    onProved: () => {},
     isFirstStart,
     memberCount: () => 1
   }, { isNeeded: () => true, areMembersKnown: () => true }, clock, silentLogger())
