--- a/packages/load/src/faults/cuttable-link.ts
+++ b/packages/load/src/faults/cuttable-link.ts
@@ -7,6 +7,8 @@
   private readonly sockets = new Set<Socket>()
   private readonly server = createServer((incoming) => this.accept(incoming))
   private readonly target: URL
+  /** Both ends of each open connection. */
+  private readonly pairs = new Set<readonly [Socket, Socket]>()
   private isCut = false
 
   /** @param target - URL of the program that connections are forwarded to */
@@ -30,6 +32,18 @@
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
+  /**
+   * Lets open connections fall silent: they transfer no more bytes, and neither end receives an error. New connections work.
+   *
+   * @param picks - decides for each open connection whether it falls silent; all of them do by default
+   */
+  silenceOpen (picks: () => boolean = () => true): void {
+    for (const [incoming, outgoing] of this.pairs) {
+      if (!picks()) continue
+      for (const socket of [incoming, outgoing]) socket.unpipe().pause()
+    }
+  }
+
   /** Stops transferring bytes, on open connections and on new ones. */
   cut (): void {
     this.isCut = true
@@ -58,6 +72,9 @@
     this.track(outgoing)
     forward(incoming, outgoing)
     forward(outgoing, incoming)
+    const pair = [incoming, outgoing] as const
+    this.pairs.add(pair)
+    incoming.on('close', () => this.pairs.delete(pair))
   }
 
   private track (socket: Socket): void {
