CONFIG: each kind of state is proved to be current, and silent connections to the store are replaced

Callers saw requests run by the service that only an older version allows, and added routes refused with 404, for up to 9 s after the operator's change was acknowledged, at one instance or at all of a deployment.

Cause: 'the store answers' was kept as one fact about the store. The watch of the configuration waits up to 8 s; when its connection falls silent for good, the instance learns nothing for that time and 1 s of grace, since the watch of endpoints goes on and counts for all kinds: the instance takes no offers of peers that have the newer version ('the store was read 900 ms ago'), leaves trust their hub, nothing is logged.

What is needed is known by kind: the moment up to which an instance provably knows all changes. A prober asks the store at once, beside the watch that waits, for each kind that was not proved for a part of its limit (configuration: until in force; endpoints: drain; announcements: half of the time until a version is used; cluster objects: lease). A probe that gets no answer in 300 ms is repeated on new connections; if that one is answered, all watches are asked again. Offers state the age of each kind: a probe of one reader spares the others theirs, and a leaf reads the store itself once its hub's statement of any kind has run out, whatever the hub's other calls say. Offers of a newer configuration or announcement are always taken. A call that gets no answer in its time lets further calls use new connections.

Worst time by the constants: 0.5 of the limit, 300 ms, one answer: 1.3 s of 2 s. The test of leaves states what the hub knows by kind now, and one more says that the answers of other kinds do not count.

--- a/packages/core/src/platform/object-store.ts
+++ b/packages/core/src/platform/object-store.ts
@@ -54,6 +54,12 @@
    * @returns the next step, which may contain no changes
    */
   abstract watch (prefix: string, cursor: number, waitMilliseconds: number, signal?: AbortSignal): ResultAsync<WatchStep, LimpetwinchError>
+
+  /**
+   * Sends further calls on new connections, since those that are open may have fallen silent. Calls that are under way end on theirs.
+   * Does nothing in a store without connections.
+   */
+  renewConnections (): void {}
 }
 
 /** An {@link ObjectStore} whose objects can be deleted, so that objects left behind by an instance can be cleaned up. */
--- a/packages/core/src/platform/store-connection.ts
+++ b/packages/core/src/platform/store-connection.ts
@@ -44,7 +44,10 @@
 /** The connections to one store. */
 export class StoreConnection {
   private readonly base: string
-  private readonly agent: Agent
+  private readonly options: StoreConnectionOptions
+  private agent: Agent
+  /** Agents that were replaced and whose last calls are still under way. */
+  private readonly replaced = new Set<Agent>()
   private readonly maximumAnswerBytes: number
 
   /**
@@ -52,11 +55,10 @@
    * @param options - options of the connections
    */
   constructor (base: string, options: StoreConnectionOptions) {
-    const { connections, connectMilliseconds, maximumAnswerBytes = MAXIMUM_ANSWER_BYTES } = options
     this.base = base
-    this.maximumAnswerBytes = maximumAnswerBytes
-    // A cancelled or timed out call needs no cleanup here: undici closes its connection, which cannot be reused after a lost response.
-    this.agent = new Agent({ connections, pipelining: 1, ...(connectMilliseconds === undefined ? {} : { connect: { timeout: connectMilliseconds } }) })
+    this.options = options
+    this.maximumAnswerBytes = options.maximumAnswerBytes ?? MAXIMUM_ANSWER_BYTES
+    this.agent = createAgent(options)
   }
 
   /**
@@ -80,12 +82,32 @@
     return { status: response.statusCode, body: parseJson(text) }
   }
 
+  /** Sends further calls on new connections. Calls that are under way end on theirs, which are closed afterwards. */
+  renew (): void {
+    const { agent } = this
+    this.replaced.add(agent)
+    this.agent = createAgent(this.options)
+    const forget = (): void => { this.replaced.delete(agent) }
+    // Rejects if this object is closed first, which ends the calls of all agents.
+    void agent.close().then(forget, forget)
+  }
+
   /** Closes all connections. */
   async close (): Promise<void> {
-    await this.agent.destroy()
+    await Promise.all([this.agent, ...this.replaced].map(async (agent) => { await agent.destroy() }))
   }
 }
 
+/** A cancelled or timed out call needs no cleanup: undici closes its connection, which cannot be reused after a lost response. */
+function createAgent ({ connections, connectMilliseconds }: StoreConnectionOptions): Agent {
+  return new Agent({ connections, pipelining: 1, ...(connectMilliseconds === undefined ? {} : { connect: { timeout: connectMilliseconds } }) })
+}
+
+/** @returns whether the error of a call says that no answer came in its time */
+export function isTimeout (cause: unknown): boolean {
+  return cause instanceof DOMException && cause.name === 'TimeoutError'
+}
+
 /** @returns whether the status means that the store did not carry out the call */
 export function isRefusedStatus (status: number): boolean {
   return REFUSED_STATUSES.has(status)
--- a/packages/ingress/src/cluster-state/state-exchange.ts
+++ b/packages/ingress/src/cluster-state/state-exchange.ts
@@ -21,20 +21,23 @@
  */
 const OFFER_MILLISECONDS = 400
 /**
- * An instance that reads the store, and whose latest response from the store is younger than this, requests no state from a peer
- * that offers newer state. The instance will read the newer state from the store itself, and a request to the peer would transfer the
- * same bytes twice.
+ * An instance that reads the store, and was proved to know a kind of state less than this time ago, requests endpoints and cluster objects
+ * from no peer that offers newer ones. These change all the time, the instance will read the newer state from the store itself, and a
+ * request to the peer would transfer the same bytes twice.
  */
-const RECENT_READ_MILLISECONDS = 900
+const RECENT_PROOF_MILLISECONDS = 900
 /**
  * Minimum interval between requests for state. When the store rejects an instance, all peers of this instance make offers at once,
  * and one reply is enough.
  */
 const REQUEST_INTERVAL_MILLISECONDS = 150
-/** Interval at which an unchanged offer is sent again: the offer is the only sign for a leaf that its hub still reads the store. */
-const UNCHANGED_OFFER_MILLISECONDS = 1_000
-/** Longest age of the latest store read that a leaf knows of. When the read is older, the leaf reads the store itself. */
-const READ_VALID_MILLISECONDS = 2_500
+/**
+ * Interval at which an unchanged offer is sent again, as a part of the shortest limit on the age of state: the offer is the only sign for a
+ * leaf that its hub still reads the store.
+ */
+const UNCHANGED_OFFER_SHARE = 0.2
+/** Time for which a leaf trusts that a hub to which it has just attached reads the store. */
+const NEW_HUB_TRUSTED_MILLISECONDS = 2_500
 /**
  * Longest time between two responses of the store to an instance that reads it, because the watch of endpoints ends sooner. When
  * the latest response of a reachable store is older, the instance has only just begun to read the store again.
@@ -60,6 +63,9 @@
   private lastOffer = ''
   private offeredAt = -Infinity
   private requestedAt = -Infinity
+  /** Monotonic time in milliseconds until which the hub's statements suffice; from then on this instance reads the store itself. */
+  private trustedUntil = -Infinity
+  private readonly unchangedOfferMilliseconds: number
   /** Monotonic time in milliseconds of the latest store read by another instance, as far as this instance has learnt from offers. */
   private readAt = -Infinity
 
@@ -68,6 +74,7 @@
     this.overlay = overlay
     this.state = state
     this.clock = clock
+    this.unchangedOfferMilliseconds = UNCHANGED_OFFER_SHARE * Math.min(...Object.values(state.freshness.limits))
     network.onNotice('beliefs-offer', (from, frame) => this.handleOffer(from, frame))
     network.onNotice('beliefs-ask', (from, frame) => this.sendState(from, frame))
     network.onNotice('beliefs', (_from, frame) => this.applyState(frame))
@@ -75,21 +82,27 @@
   }
 
   /**
-   * Whether this instance must read the store itself: this instance is a hub, no hub reads the store for it, or the latest store
-   * read that it has learnt of is too old.
+   * Whether this instance must read the store itself: this instance is a hub, no hub reads the store for it, or what its hub says of
+   * some kind of state is too old. That the hub reads the store is not enough: it may lack one kind of state.
    */
   get needsStore (): boolean {
     if (this.overlay.isHub) return true
     if (!this.overlay.isAttached) return !this.overlay.isAwaitingHub
-    return this.clock.now() - this.readAt > READ_VALID_MILLISECONDS
+    return this.clock.now() > this.trustedUntil
   }
 
   /**
-   * Discards the time of the latest known store read after a process pause. That time is out of date, and the hub may have closed
-   * the connection without this instance having noticed.
+   * Discards what the hub has stated before a process pause. It is out of date, and the hub may have closed the connection without this
+   * instance having noticed.
    */
   markStale (): void {
     this.readAt = -Infinity
+    this.trustedUntil = -Infinity
+  }
+
+  /** Tells the hubs at once what this instance has learnt from the store, so that they need not ask the store for the same. */
+  shareProof (): void {
+    if (this.needsStore) this.network.notifyAll(this.overlay.neighboursOf('hub'), this.currentOffer())
   }
 
   /** Sends offers periodically, while this instance must read the store itself, until the signal aborts. */
@@ -101,8 +114,7 @@
   }
 
   private offer (): void {
-    const revisions = this.revisions()
-    const text = JSON.stringify(revisions)
+    const text = JSON.stringify(this.revisions())
     const now = this.clock.now()
     // Unchanged revisions were already offered to every neighbour. Only leaves get the same offer again, as the sign that their hub
     // still reads the store. A hub that did not receive the earlier offer keeps older state only until the revisions change and are
@@ -110,11 +122,18 @@
     const isUnchanged = text === this.lastOffer && this.state.health.reachable
     this.lastOffer = text
     const neighbours = isUnchanged ? this.overlay.neighboursOf('leaf') : this.overlay.neighbours()
-    if (isUnchanged && now - this.offeredAt < UNCHANGED_OFFER_MILLISECONDS) return
+    if (isUnchanged && now - this.offeredAt < this.unchangedOfferMilliseconds) return
     this.offeredAt = now
-    this.network.notifyAll(neighbours, {
-      kind: 'beliefs-offer', ...revisions, readMillisecondsAgo: this.readMillisecondsAgo(now), provedMillisecondsAgo: this.provedMillisecondsAgo()
-    })
+    this.network.notifyAll(neighbours, this.currentOffer())
+  }
+
+  private currentOffer (): BeliefsOfferFrame {
+    return {
+      kind: 'beliefs-offer',
+      ...this.revisions(),
+      readMillisecondsAgo: this.readMillisecondsAgo(this.clock.now()),
+      provedMillisecondsAgo: this.provedMillisecondsAgo()
+    }
   }
 
   /**
@@ -141,11 +160,15 @@
 
   /** Records what a peer knew when it sent an offer. An offer is on its way for milliseconds, which are not counted. */
   private recordStatements (offer: BeliefsOfferFrame, now: number): void {
+    const { freshness } = this.state
+    let statedUntil = Infinity
     for (const kind of STATE_KINDS) {
       // A peer of an older release states one time for all kinds.
-      const age = offer.provedMillisecondsAgo === undefined ? offer.readMillisecondsAgo : offer.provedMillisecondsAgo[kind]
-      if (age !== undefined) this.state.freshness.recordStatement(kind, { revision: offer[kind] ?? 0, provedAt: now - age })
+      const age = (offer.provedMillisecondsAgo === undefined ? offer.readMillisecondsAgo : offer.provedMillisecondsAgo[kind]) ?? Infinity
+      statedUntil = Math.min(statedUntil, now - age + freshness.limits[kind])
+      if (age < Infinity) freshness.recordStatement(kind, { revision: offer[kind] ?? 0, provedAt: now - age })
     }
+    this.trustedUntil = Math.max(this.trustedUntil, statedUntil)
     this.useStatements()
   }
 
@@ -164,16 +187,19 @@
   }
 
   private handleOffer (from: InstanceId, offer: BeliefsOfferFrame): void {
-    const own = this.revisions()
     const now = this.clock.now()
     if (offer.readMillisecondsAgo !== undefined) this.readAt = Math.max(this.readAt, now - offer.readMillisecondsAgo)
     this.recordStatements(offer, now)
-    const isBehind = offer.configuration > own.configuration || offer.endpoints > own.endpoints ||
-      offer.announcements > own.announcements || (offer.cluster ?? 0) > own.cluster
-    if (!isBehind) return
-    const hasRecentRead = this.needsStore && this.state.health.reachable && this.state.health.millisecondsSinceAnswer(now) < RECENT_READ_MILLISECONDS
-    if (hasRecentRead || now - this.requestedAt < REQUEST_INTERVAL_MILLISECONDS) return
-    this.requestState(from)
+    const own = this.revisions()
+    const isBehind = (kind: StateKind): boolean => (offer[kind] ?? 0) > this.state.freshness.knownRevision(kind, own[kind])
+    const isWanted = STATE_KINDS.some((kind) => isBehind(kind) && this.wants(kind))
+    if (isWanted && now - this.requestedAt >= REQUEST_INTERVAL_MILLISECONDS) this.requestState(from)
+  }
+
+  /** @returns whether newer state of a kind is requested from a peer; an instance that reads the store has most of it first */
+  private wants (kind: StateKind): boolean {
+    if (kind === 'configuration' || kind === 'announcements' || !this.needsStore) return true
+    return this.state.freshness.ageMilliseconds(kind) > RECENT_PROOF_MILLISECONDS
   }
 
   /**
@@ -182,6 +208,7 @@
    */
   private handleAttached (hub: InstanceId): void {
     this.readAt = this.clock.now()
+    this.trustedUntil = this.clock.now() + NEW_HUB_TRUSTED_MILLISECONDS
     this.requestState(hub)
   }
 
--- a/packages/ingress/src/cluster-state/state-freshness.ts
+++ b/packages/ingress/src/cluster-state/state-freshness.ts
@@ -29,6 +29,8 @@
   provedAt: number | undefined
   /** A statement about state that this instance does not have yet. */
   pending?: PeerStatement | undefined
+  /** Revision up to which the followers of the store know the kind; 0 if they do not say. */
+  revision: number
   isReported: boolean
 }
 
@@ -38,7 +40,7 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly startedAt: number
-  private readonly proofs = new Map<StateKind, KindProof>(STATE_KINDS.map((kind) => [kind, { provedAt: undefined, isReported: false }]))
+  private readonly proofs = new Map<StateKind, KindProof>(STATE_KINDS.map((kind) => [kind, { provedAt: undefined, revision: 0, isReported: false }]))
 
   /**
    * @param limits - time within which a change of each kind must be known
@@ -56,9 +58,11 @@
    * Records that this instance knows all changes of a kind that were accepted before a moment.
    *
    * @param provedAt - moment at which the question was sent, not that of the answer: a change may be accepted in between
+   * @param revision - revision of the store up to which all changes are known, also those that this kind was not affected by
    */
-  record (kind: StateKind, provedAt: number): void {
+  record (kind: StateKind, provedAt: number, revision = 0): void {
     const proof = this.proofOf(kind)
+    proof.revision = Math.max(proof.revision, revision)
     proof.provedAt = Math.max(proof.provedAt ?? -Infinity, provedAt)
   }
 
@@ -76,15 +80,24 @@
   /**
    * Uses the statement that is kept of a kind if this instance has the state it is about.
    *
-   * @param ownRevision - revision up to which this instance knows the kind
+   * @param ownRevision - revision of this instance's state
    */
   useStatement (kind: StateKind, ownRevision: number): void {
     const proof = this.proofOf(kind)
-    if (proof.pending === undefined || proof.pending.revision > ownRevision) return
+    if (proof.pending === undefined || proof.pending.revision > this.knownRevision(kind, ownRevision)) return
     this.record(kind, proof.pending.provedAt)
     proof.pending = undefined
   }
 
+  /**
+   * @param ownRevision - revision of this instance's state, which is that of the last change
+   * @returns the revision up to which this instance knows a kind: changes of other kinds raise the revision of the store, but not that
+   *   of the state
+   */
+  knownRevision (kind: StateKind, ownRevision: number): number {
+    return Math.max(ownRevision, this.proofOf(kind).revision)
+  }
+
   /** Forgets all proofs after a process pause: the moments on a clock that stood still say nothing. */
   forget (): void {
     for (const proof of this.proofs.values()) Object.assign(proof, { provedAt: -Infinity, pending: undefined })
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -146,18 +146,14 @@
       this.quarantine.apply(quarantineDecisions)
       this.storeReader.reevaluate()
     })
-    this.exchange = new StateExchange(this.network, this.overlay, {
-      configuration: this.configuration,
-      directory: this.directory,
-      versions: this.versions,
-      cluster: this.cluster,
-      health: this.health,
-      freshness: this.freshness
-    }, this.clock)
+    const { configuration, versions, cluster, health, freshness } = this
+    this.exchange = new StateExchange(this.network, this.overlay, { configuration, directory, versions, cluster, health, freshness }, this.clock)
     // An endpoint that does not check fencing tokens must not get load orders from two instances. Only an instance that reads the store
     // itself learns in time that it has lost the load ownership.
     const isNeeded = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
-    this.storeReader = new StoreReader(this.followerDependencies(), { isNeeded, areMembersKnown: () => this.cluster.revision > 0 }, this.clock, logger.part('store'))
+    this.storeReader = new StoreReader(this.followerDependencies(), {
+      isNeeded, areMembersKnown: () => this.cluster.revision > 0, onProbed: () => this.exchange.shareProof()
+    }, this.clock, logger.part('store'))
     const owners = new QuotaOwners({ self: this.instance, clock: this.clock, candidates: () => this.quotaOwnerCandidates() })
     this.teams = this.createTeams(owners)
     this.rateLimiter = createRateLimiter({
@@ -197,18 +193,9 @@
       requestLoad: (to, frame) => this.overlay.notify(to, frame),
       leastVersion: (facts, now) => facts.adapter === undefined ? 0 : this.versions.minimumUsable(facts.adapter.key, now)
     })
+    const { network, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder } = this
     this.messaging = new PeerMessaging({
-      self: this.instance,
-      network: this.network,
-      overlay: this.overlay,
-      clock: this.clock,
-      workTracker: this.workTracker,
-      digests: this.digests,
-      locations: this.locations,
-      heldNotices: this.heldNotices,
-      loadOwnership: this.loadOwnership,
-      engineFinder: this.engineFinder,
-      metrics: this.metrics
+      self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics
     })
     this.quarantine = this.createQuarantine()
     this.senders = this.createSenders()
@@ -385,7 +372,7 @@
       },
       onAnnouncements: (announcements) => this.versions.apply(announcements, 'store', this.clock.now()),
       onCluster: (objects, revision) => this.cluster.apply(objects, revision),
-      onProved: (kind, provedAt) => this.freshness.record(kind, provedAt),
+      freshness: this.freshness,
       isFirstStart: this.settings.isFirstStart,
       memberCount: () => this.members.count
     }
--- a/packages/ingress/src/runtime/platform-followers.ts
+++ b/packages/ingress/src/runtime/platform-followers.ts
@@ -2,7 +2,7 @@
 import type { Clock, Logger, StoredObject } from '@limpetwinch/core'
 import { StoreFollower } from '../cluster-state/store-follower.js'
 import type { Moment } from '../cluster-state/configuration-proof.js'
-import type { StateKind } from '../cluster-state/state-freshness.js'
+import type { StateFreshness, StateKind } from '../cluster-state/state-freshness.js'
 import type { StoreHealth } from '../cluster-state/store-health.js'
 import { CLUSTER_KIND, decodeClusterObject } from '../members/cluster-objects.js'
 import type { ClusterObject } from '../members/cluster-objects.js'
@@ -50,8 +50,7 @@
   readonly onEndpoints: (endpoints: readonly Endpoint[], revision: number) => void
   readonly onAnnouncements: (announcements: Iterable<AdapterAnnouncement>) => void
   readonly onCluster: (objects: Iterable<ClusterObject>, revision: number) => void
-  /** Called when all changes of a kind are known that were accepted before a moment on the monotonic clock. */
-  readonly onProved: (kind: StateKind, provedAt: number) => void
+  readonly freshness: StateFreshness
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean
   /** @returns the number of members */
@@ -60,10 +59,9 @@
 
 /** The followers with which one instance reads objects from the platform's store, one follower for each kind of object. */
 export interface PlatformFollowers {
-  /** Follows the cluster objects, by which instances find each other. */
-  readonly cluster: StoreFollower<unknown>
-  /** One of the others. */
-  readonly configuration: StoreFollower<unknown>
+  /** By the kind of state. The cluster objects are those by which instances find each other. */
+  readonly byKind: Readonly<Record<StateKind, StoreFollower<unknown>>>
+  /** All but that of the cluster objects. */
   readonly others: readonly StoreFollower<unknown>[]
 }
 
@@ -72,7 +70,8 @@
   readonly decode: (object: StoredObject) => Decoded | undefined
   readonly explain?: (object: StoredObject) => readonly string[]
   readonly onCurrent?: (askedAt: Moment) => void
-  readonly onAnswer?: (askedAt: number) => void
+  readonly onAnswer?: (askedAt: number, revision: number) => void
+  readonly probesByListing?: boolean
   readonly watchMilliseconds: number
   readonly paceMilliseconds: () => number
   readonly apply: (objects: ReadonlyMap<string, Decoded>, revision: number) => void
@@ -84,44 +83,43 @@
 /** @returns one follower for each kind of object, not yet running */
 export function createFollowers (dependencies: FollowerDependencies): PlatformFollowers {
   const { forms } = dependencies.platform
+  const { freshness } = dependencies
   const startedAt = dependencies.clock.now()
   const configuration = createFollower<Configuration>(dependencies, {
     ...OTHER_PACES,
     kind: forms.configurationKind,
+    probesByListing: true,
     decode: forms.decodeConfiguration,
     explain: forms.configurationProblems,
     onCurrent: (askedAt) => {
-      dependencies.onProved('configuration', askedAt.monotonic)
+      freshness.record('configuration', askedAt.monotonic)
       dependencies.onConfigurationCurrent(askedAt)
     },
     apply: (objects) => { for (const each of objects.values()) dependencies.onConfiguration(each) }
   })
-  const others = [
-    configuration,
-    createFollower<Endpoint>(dependencies, {
-      ...ENDPOINT_PACES,
-      kind: forms.endpointKind,
-      decode: forms.decodeEndpoint,
-      onAnswer: (askedAt) => dependencies.onProved('endpoints', askedAt),
-      apply: (objects, revision) => dependencies.onEndpoints([...objects.values()], revision)
-    }),
-    createFollower<AdapterAnnouncement>(dependencies, {
-      ...OTHER_PACES,
-      kind: forms.announcementKind,
-      decode: forms.decodeAnnouncement,
-      onAnswer: (askedAt) => dependencies.onProved('announcements', askedAt),
-      apply: (objects) => dependencies.onAnnouncements(objects.values())
-    })
-  ]
+  const endpoints = createFollower<Endpoint>(dependencies, {
+    ...ENDPOINT_PACES,
+    kind: forms.endpointKind,
+    decode: forms.decodeEndpoint,
+    onAnswer: (askedAt, revision) => freshness.record('endpoints', askedAt, revision),
+    apply: (objects, revision) => dependencies.onEndpoints([...objects.values()], revision)
+  })
+  const announcements = createFollower<AdapterAnnouncement>(dependencies, {
+    ...OTHER_PACES,
+    kind: forms.announcementKind,
+    decode: forms.decodeAnnouncement,
+    onAnswer: (askedAt) => freshness.record('announcements', askedAt),
+    apply: (objects) => dependencies.onAnnouncements(objects.values())
+  })
   const cluster = createFollower<ClusterObject>(dependencies, {
     kind: CLUSTER_KIND,
     decode: decodeClusterObject,
-    onAnswer: (askedAt) => dependencies.onProved('cluster', askedAt),
+    onAnswer: (askedAt, revision) => freshness.record('cluster', askedAt, revision),
     watchMilliseconds: OTHER_WATCH_MILLISECONDS,
     paceMilliseconds: () => clusterPace(dependencies, startedAt),
     apply: (objects, revision) => dependencies.onCluster(objects.values(), revision)
   })
-  return { cluster, configuration, others }
+  return { byKind: { configuration, endpoints, announcements, cluster }, others: [configuration, endpoints, announcements] }
 }
 
 function clusterPace ({ clock, isFirstStart, memberCount }: FollowerDependencies, startedAt: number): number {
--- a/packages/ingress/src/runtime/store-reader.ts
+++ b/packages/ingress/src/runtime/store-reader.ts
@@ -1,15 +1,18 @@
 /**
  * Runs the followers of all kinds of store objects, but only while the instance must read the platform's store itself. Each kind is
- * read by one follower of `cluster-state/store-follower.ts`.
+ * read by one follower of `cluster-state/store-follower.ts`. A prober asks beside them, also while a hub reads the store.
  */
 import type { Clock, Logger } from '@limpetwinch/core'
 import type { Supervisor } from '@limpetwinch/entry'
+import { StateProber } from '../cluster-state/state-prober.js'
 import { createFollowers, REGISTRATION_MILLISECONDS } from './platform-followers.js'
 import type { FollowerDependencies, PlatformFollowers } from './platform-followers.js'
 import { StoreGate } from './store-gate.js'
 
 /** Longest wait at the start for the listing of members, which takes some milliseconds. Afterwards the other objects are read anyway. */
 const FIRST_LISTING_MILLISECONDS = 100
+/** Time after that in which followers and hubs are expected to have brought all kinds of state, so that nothing is probed. */
+const FIRST_STATE_MILLISECONDS = 1_000
 
 /** Conditions that decide whether the store is read. */
 export interface StoreReaderConditions {
@@ -17,6 +20,8 @@
   readonly isNeeded: () => boolean
   /** @returns whether the members are known */
   readonly areMembersKnown: () => boolean
+  /** Called after probes that the store answered. */
+  readonly onProbed: () => void
 }
 
 /** Starts the followers of one instance and decides when they read. */
@@ -24,17 +29,33 @@
   private readonly followers: PlatformFollowers
   private readonly clusterGate: StoreGate
   private readonly gate: StoreGate
+  private readonly prober: StateProber
+  private readonly clock: Clock
+  private readonly isFirstStart: boolean
 
-  constructor (dependencies: FollowerDependencies, { isNeeded, areMembersKnown }: StoreReaderConditions, clock: Clock, logger: Logger) {
+  constructor (dependencies: FollowerDependencies, { isNeeded, areMembersKnown, onProbed }: StoreReaderConditions, clock: Clock, logger: Logger) {
+    const { platform, freshness, isFirstStart } = dependencies
+    this.clock = clock
+    this.isFirstStart = isFirstStart
     this.followers = createFollowers(dependencies)
     this.clusterGate = new StoreGate(isNeeded, clock, logger)
     const startedAt = clock.now()
     // The members decide whether a hub reads the other objects for this instance, so the members are read first.
     const isDue = (): boolean => {
       const milliseconds = clock.now() - startedAt
-      return dependencies.isFirstStart ? milliseconds > REGISTRATION_MILLISECONDS : areMembersKnown() || milliseconds > FIRST_LISTING_MILLISECONDS
+      return isFirstStart ? milliseconds > REGISTRATION_MILLISECONDS : areMembersKnown() || milliseconds > FIRST_LISTING_MILLISECONDS
     }
     this.gate = new StoreGate(() => isNeeded() && isDue(), clock, logger)
+    this.prober = new StateProber({
+      clock,
+      logger,
+      freshness,
+      sources: this.followers.byKind,
+      isReader: isNeeded,
+      renewConnections: () => platform.store.renewConnections(),
+      onAnswered: onProbed,
+      random: Math.random
+    })
   }
 
   /** Starts the tasks that read the store. */
@@ -42,8 +63,9 @@
     const { clusterGate, gate, followers } = this
     void supervisor.start('cluster gate', async (signal) => { await clusterGate.run(signal) })
     void supervisor.start('store gate', async (signal) => { await gate.run(signal) })
-    void supervisor.start('cluster follower', async (signal) => { await clusterGate.runWhileOpen(followers.cluster, signal) })
+    void supervisor.start('cluster follower', async (signal) => { await clusterGate.runWhileOpen(followers.byKind.cluster, signal) })
     for (const [index, follower] of followers.others.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.runWhileOpen(follower, signal) })
+    void supervisor.start('state prober', async (signal) => { await this.runProber(signal) })
   }
 
   /** Checks again whether the store must be read, after a change that may affect this. */
@@ -54,11 +76,17 @@
 
   /** Asks the store for the newest configuration at once, also while a hub reads the store for this instance. */
   async confirmConfiguration (): Promise<void> {
-    await this.followers.configuration.confirm()
+    await this.followers.byKind.configuration.confirm()
   }
 
   /** Lists all objects again, after a process pause in which any change may have been missed. */
   refresh (): void {
-    for (const follower of [this.followers.cluster, ...this.followers.others]) follower.refresh()
+    for (const follower of Object.values(this.followers.byKind)) follower.refresh()
+  }
+
+  private async runProber (signal: AbortSignal): Promise<void> {
+    const firstListing = this.isFirstStart ? REGISTRATION_MILLISECONDS : FIRST_LISTING_MILLISECONDS
+    await this.clock.sleep(firstListing + FIRST_STATE_MILLISECONDS, signal)
+    await this.prober.run(signal)
   }
 }
--- a/packages/ingress/test/state-exchange.failure.test.ts
+++ b/packages/ingress/test/state-exchange.failure.test.ts
@@ -8,7 +8,8 @@
 import { AdapterVersions } from '../src/cluster-state/adapter-versions.js'
 import { StateExchange } from '../src/cluster-state/state-exchange.js'
 import { ClusterView } from '../src/cluster-state/cluster-view.js'
-import { StateFreshness } from '../src/cluster-state/state-freshness.js'
+import { STATE_KINDS, StateFreshness } from '../src/cluster-state/state-freshness.js'
+import type { StateKind } from '../src/cluster-state/state-freshness.js'
 import { StoreHealth } from '../src/cluster-state/store-health.js'
 import { EndpointDirectory } from '../src/endpoints/endpoint-directory.js'
 import type { LoadOwner } from '../src/members/cluster-objects.js'
@@ -27,6 +28,7 @@
 interface StatefulInstance {
   readonly directory: EndpointDirectory
   readonly health: StoreHealth
+  readonly freshness: StateFreshness
   readonly cluster: ClusterView
   readonly exchange: StateExchange
   readonly loadOwners: Map<EndpointId, LoadOwner>
@@ -55,7 +57,7 @@
   const controller = new AbortController()
   controllers.push(controller)
   void exchange.run(controller.signal)
-  return { directory, health, cluster, exchange, loadOwners }
+  return { directory, health, freshness, cluster, exchange, loadOwners }
 }
 
 async function fleet (): Promise<{ readonly hub: StatefulInstance, readonly leaf: StatefulInstance, readonly hubs: readonly StatefulInstance[] }> {
@@ -71,6 +73,12 @@
   return { hub: hubState, leaf: leafState, hubs: hubs.flatMap((each) => states.get(each) ?? []) }
 }
 
+/** The store answers an instance: it reads it now and knows all kinds of state. */
+function answered (instance: StatefulInstance, kinds: readonly StateKind[] = STATE_KINDS): void {
+  instance.health.answered(network.clock.now())
+  for (const kind of kinds) instance.freshness.record(kind, network.clock.now())
+}
+
 function ids ({ directory }: StatefulInstance): readonly EndpointId[] {
   return directory.all().map(({ id }) => id)
 }
@@ -79,7 +87,7 @@
   it('follows the state of its hub, from the changed objects', async () => {
     const { hub, leaf } = await fleet()
     const loadOwner = (name: string, token: number): LoadOwner => ({ endpoint: name as EndpointId, holder: 'h', previous: undefined, claimedAt: 0, token: token as FencingToken })
-    hub.health.answered(network.clock.now())
+    answered(hub)
     hub.directory.apply({ revision: 5, endpoints: [endpoint('a', { revision: 2 }), endpoint('b', { revision: 5 })] }, undefined, network.clock.now())
     hub.cluster.apply([{ kind: 'holder', holder: loadOwner('a', 3) }, { kind: 'holder', holder: loadOwner('b', 4) }], 5)
     await network.clock.advance(EXCHANGE_MILLISECONDS)
@@ -104,7 +112,7 @@
 
   it('is read from the store only while no hub reads it', async () => {
     const { hub, leaf, hubs } = await fleet()
-    for (const each of hubs) each.health.answered(network.clock.now())
+    for (const each of hubs) answered(each)
     await network.clock.advance(EXCHANGE_MILLISECONDS)
     const whileHubReads = [hub.exchange.needsStore, leaf.exchange.needsStore]
     for (const each of hubs) each.health.failed('turned away', network.clock.now())
@@ -112,14 +120,29 @@
     expect([whileHubReads, leaf.exchange.needsStore]).toEqual([[true, false], true])
   })
 
+  // The watch of the configuration at the hub waits on a connection that has fallen silent, while its other calls are answered. If the leaf
+  // took these for a sign that the hub knows everything, a new configuration would be in force too late at all leaves of the hub.
+  it('is read from the store when its hub reads it but is not proved to know one kind of state', async () => {
+    const { hub, leaf } = await fleet()
+    const others = STATE_KINDS.filter((kind) => kind !== 'configuration')
+    answered(hub)
+    await network.clock.advance(EXCHANGE_MILLISECONDS)
+    const before = leaf.exchange.needsStore
+    for (let passed = 0; passed < LIMITS.configuration; passed += EXCHANGE_MILLISECONDS) {
+      answered(hub, others)
+      await network.clock.advance(EXCHANGE_MILLISECONDS)
+    }
+    expect([before, leaf.exchange.needsStore]).toEqual([false, true])
+  })
+
   // A leaf was paused: its hub may have dropped it without the leaf noticing yet, and its state is as old as the pause.
   it('is read from the store after a process pause, until the hub makes an offer again', async () => {
     const { hub, leaf } = await fleet()
-    hub.health.answered(network.clock.now())
+    answered(hub)
     await network.clock.advance(EXCHANGE_MILLISECONDS)
     leaf.exchange.markStale()
     const paused = leaf.exchange.needsStore
-    hub.health.answered(network.clock.now())
+    answered(hub)
     await network.clock.advance(2 * EXCHANGE_MILLISECONDS)
     expect([paused, leaf.exchange.needsStore]).toEqual([true, false])
   })
@@ -128,7 +151,7 @@
   // hub would pass that back and the leaf would stop reading before it has read anything.
   it('is not offered as recent by an instance whose last response from the store is long ago', async () => {
     const { leaf, hubs } = await fleet()
-    leaf.health.answered(network.clock.now())
+    answered(leaf)
     await network.clock.advance(10_000)
     const beforeOffers = leaf.exchange.needsStore
     await network.clock.advance(1_000)
@@ -139,7 +162,7 @@
   // is passed back and forth, both would consider it recent for ever, and no leaf would read the store itself.
   it('is read from the store when the hubs know of reads only from each other', async () => {
     const { leaf, hubs } = await fleet()
-    for (const each of hubs) each.health.answered(network.clock.now())
+    for (const each of hubs) answered(each)
     for (const [index, each] of hubs.entries()) each.directory.apply({ revision: 5 + index, endpoints: [endpoint('a')] }, undefined, network.clock.now())
     await network.clock.advance(EXCHANGE_MILLISECONDS)
     for (const each of hubs) each.health.failed('turned away', network.clock.now())
--- a/packages/ingress/test/store-reader.test.ts
+++ b/packages/ingress/test/store-reader.test.ts
@@ -6,12 +6,16 @@
 import { Supervisor } from '@limpetwinch/entry'
 import { ResultAsync } from 'neverthrow'
 import { describe, expect, it } from 'vitest'
+import { StateFreshness } from '../src/cluster-state/state-freshness.js'
 import { StoreHealth } from '../src/cluster-state/store-health.js'
 import type { IngressPlatform } from '../src/runtime/ingress-platform.js'
 import { StoreReader } from '../src/runtime/store-reader.js'
 import { ManualClock } from './support/manual-clock.js'
 import { MemoryStore } from './support/memory-store.js'
 
+/** Long enough that nothing is probed in this test. */
+const LIMITS = { configuration: 60_000, endpoints: 60_000, announcements: 60_000, cluster: 60_000 }
+
 /** A store that records which kinds of objects were listed, and whose watches wait until they are ended. */
 class CountingStore extends MemoryStore {
   readonly listed: string[] = []
@@ -44,10 +48,10 @@
     onEndpoints: () => {},
     onAnnouncements: () => {},
     onCluster: () => {},
-    onProved: () => {},
+    freshness: new StateFreshness(LIMITS, clock, silentLogger()),
     isFirstStart,
     memberCount: () => 1
-  }, { isNeeded: () => true, areMembersKnown: () => true }, clock, silentLogger())
+  }, { isNeeded: () => true, areMembersKnown: () => true, onProbed: () => {} }, clock, silentLogger())
   const supervisor = new Supervisor(silentLogger(), clock)
   reader.start(supervisor)
   await clock.advance(2_000)
