A request without a route gets 503 while the configuration may be out of date

Callers do not retry after 404. An instance whose configuration was not proved to be the newest within the time in which one must be in force cannot tell an unknown route from one that was added meanwhile: it refused with 404 for good what another instance serves. Now 503, not run, with a retry time.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -96,6 +96,12 @@
     outcome: 'not_run',
     message: ({ host, path }) => `No route of host '${host}' matches the path '${path}'. Ask the operators which routes are configured.`
   },
+  'configuration-outdated': {
+    title: 'No route matches the request, but the configuration may be out of date.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ host, path }) => `No route of host '${host}' matches the path '${path}', but this instance may lack a newer configuration. Retry after the time in Retry-After.`
+  },
   'headers-too-large': {
     title: 'The headers are too large.',
     status: 431,
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -5,6 +5,7 @@
 import type { EngineFinder } from '../adapters/engine-finder.js'
 import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
 import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
+import type { StateFreshness } from '../cluster-state/state-freshness.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { MemberList } from '../members/member-list.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
@@ -31,6 +32,7 @@
   readonly settings: Pick<IngressSettings, 'repeats' | 'dataCentre'>
   readonly codec: RequestCodec
   readonly configuration: AcceptedConfiguration
+  readonly freshness: StateFreshness
   readonly directory: EndpointDirectory
   readonly members: MemberList
   readonly locations: AdapterLocations
@@ -50,7 +52,7 @@
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { settings, directory, members, versions, workTracker, ejection, errors } = components
+  const { settings, freshness, directory, members, versions, workTracker, ejection, errors } = components
   const shared = { ...components, random: Math.random, budgets: new RetryBudgets(settings.repeats, () => members.count) }
   const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
@@ -58,5 +60,5 @@
     ...shared,
     expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
   })
-  return new RoutedListener({ ...shared, streams, services })
+  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services })
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -41,6 +41,12 @@
  */
 const STOPPING_RETRY_SECONDS = 0.05
 
+/**
+ * `retry-after` of requests without a route while the configuration may be out of date, in seconds: the next connection may reach an
+ * instance that has a newer one.
+ */
+const OUTDATED_RETRY_SECONDS = 0.5
+
 /** Serves one routed request to its end. */
 export interface RequestRelay {
   relay: (request: RoutedRequest) => Promise<RelayOutcome>
@@ -52,6 +58,8 @@
   readonly logger: Logger
   readonly codec: RequestCodec
   readonly configuration: AcceptedConfiguration
+  /** @returns whether no newer configuration can have been accepted for longer than it may take to be in force */
+  readonly isConfigurationCurrent: () => boolean
   readonly budgets: RetryBudgets
   readonly quarantine: RequestQuarantine
   readonly admission: TeamAdmission
@@ -203,12 +211,18 @@
     const host = incoming.headers.host ?? ''
     const target = targetOf(incoming)
     const route = inForce.table.match(host, target)
-    if (route === undefined) return err(new LimpetwinchError('unknown-route', { host, path: target.slice(0, 100) }))
+    if (route === undefined) return err(this.unmatched({ host, path: target.slice(0, 100) }))
     const service = this.serviceOf(route, inForce)
     if (service === undefined) return err(new LimpetwinchError('no-endpoint', { reason: `the route ${route.name} names no known service` }))
     return ok({ route, service, configuration })
   }
 
+  /** @returns the error of a request without a route. The route may be one that was added a moment ago, and callers do not retry after 404 */
+  private unmatched (details: { readonly host: string, readonly path: string }): LimpetwinchError {
+    if (this.parts.isConfigurationCurrent()) return new LimpetwinchError('unknown-route', details)
+    return new LimpetwinchError('configuration-outdated', details, { retryAfterSeconds: OUTDATED_RETRY_SECONDS })
+  }
+
   private async relay (request: RoutedRequest): Promise<RelayOutcome> {
     const { budgets, clock, streams, services } = this.parts
     budgets.request(request.service.name, clock.now())
--- a/packages/ingress/test/relay.failure.test.ts
+++ b/packages/ingress/test/relay.failure.test.ts
@@ -166,6 +166,14 @@
     expect([before, (await under.ask('/unknown/')).status]).toEqual([503, 404])
   })
 
+  // The route may be one that was added a moment ago, and callers do not retry after 404.
+  it('gets 503 with a retry time while the configuration may be out of date', async () => {
+    const { ask } = await startIngress({ routes: [route({ pathPrefix: '/known/' })], endpoints: [], isConfigurationCurrent: false })
+    const { status, body, headers } = await ask('/elsewhere/')
+    expect({ status, outcome: JSON.parse(body).error.outcome, code: JSON.parse(body).error.code, retryAfter: headers['retry-after'] })
+      .toEqual({ status: 503, outcome: 'not_run', code: 'configuration_outdated', retryAfter: '0.5' })
+  })
+
   it('is never routed by a configuration that is older than one already applied', async () => {
     const under = await ingress({ routes: [], endpoints: [] })
     under.configure([route({ pathPrefix: '/new/' })], 5)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -59,6 +59,8 @@
   readonly teams?: readonly Team[]
   /** Time after which keys need a new proof of the configuration, in milliseconds; no proof is needed by default. */
   readonly revocationMilliseconds?: number
+  /** Whether the configuration is proved to be current; it is by default. */
+  readonly isConfigurationCurrent?: boolean
   /** Answers each ask for quota tokens: whether the tokens are granted. All are granted by default. */
   readonly grantsTokens?: () => boolean
 }
@@ -150,7 +152,7 @@
       clock, configuration: this.configuration, proof: this.proof, revocationMilliseconds: setup.revocationMilliseconds, quotas, metrics
     })
     this.quotas = quotas
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, budgets, quarantine, admission, metrics, random, streams, services })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
