--- a/packages/soak/src/checks/endpoint-checks.ts
+++ b/packages/soak/src/checks/endpoint-checks.ts
@@ -75,7 +75,7 @@
     return record.leavings.flatMap(({ endpoint, at }) => {
       const runs = deployment.engines.find(({ options }) => options.id === endpoint)?.runs ?? []
       return runs
-        .filter((run) => run.at > at + LEAVING_PROPAGATION_MILLISECONDS && record.faultsDuring(at, run.at, FAULT_MARGIN_MILLISECONDS).every(({ target }) => target === endpoint))
+        .filter((run) => run.at > at + LEAVING_PROPAGATION_MILLISECONDS && record.disruptionsDuring(at, run.at, FAULT_MARGIN_MILLISECONDS).every(({ target }) => target === endpoint))
         .map((run) => violationOfRun(run, `${endpoint} was given ${run.request} ${run.at - at} ms after it was leaving`))
     })
   }
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -3,6 +3,7 @@
 import { CrashBudgetCheck, FalseQuarantineCheck } from './crash-checks.js'
 import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, RateLimitCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
 import { QuotaCheck, RevokedKeyCheck, TeamOfRunCheck } from './team-checks.js'
+import { AddedRouteCheck, NewVersionCheck } from './state-checks.js'
 import type { SoakCheck } from './soak-check.js'
 
 /** One check for each guarantee. */
@@ -10,5 +11,5 @@
   new CompleteStreamCheck(), new ResponseDeadlineCheck(), new PlannedStopCheck(), new RecoveryCheck(), new UnexpectedEndCheck(),
   new AtMostOnceCheck(), new NotRunClaimCheck(), new RightAdapterCheck(), new LeavingEndpointCheck(), new SlotCapacityCheck(), new SingleLoadOwnerCheck(),
   new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck(),
-  new RateLimitCheck()
+  new RateLimitCheck(), new AddedRouteCheck(), new NewVersionCheck()
 ]
--- a/packages/soak/src/faults/environment-faults.ts
+++ b/packages/soak/src/faults/environment-faults.ts
@@ -1,10 +1,14 @@
 /** Faults of the instances' environment: store, model servers, configuration. */
 import type { StoreServerFaults } from '@limpetwinch/platform'
 import type { SoakEnvironment } from '../soak-environment.js'
+import { IN_FORCE_MILLISECONDS } from '../soak-record.js'
 import { SoakFault } from './soak-fault.js'
 
 /** Range of the time for which a leaving endpoint keeps serving. */
 const LEAVING_MILLISECONDS = { minimum: 3_000, maximum: 4_500 }
+/** Adapters with lower numbers are requested more often. */
+const POPULAR_ADAPTERS = 4
+const ADDED_ROUTE_DEADLINE_MILLISECONDS = 1_500
 /** A shorter fault can end within the duration of one store call, and no instance notices it. */
 const MINIMUM_STORE_FAULT_MILLISECONDS = 500
 
@@ -101,12 +105,24 @@
   }
 }
 
-/** Writes a new configuration version to the store. */
+/** Writes a new configuration version with a further route to the store, and later sends requests on the route to all instances. */
 export class ChangeConfiguration extends SoakFault {
   override readonly kind = 'change-configuration'
 
   override async run (environment: SoakEnvironment): Promise<void> {
     environment.changeConfiguration()
+    const added = environment.record.addedRoutes.at(-1)
+    await environment.wait(IN_FORCE_MILLISECONDS, IN_FORCE_MILLISECONDS + 200)
+    if (added !== undefined) await environment.sendToAll(added.route, ADDED_ROUTE_DEADLINE_MILLISECONDS)
+  }
+}
+
+/** Announces a new version of an adapter that callers often ask for. */
+export class AnnounceVersion extends SoakFault {
+  override readonly kind = 'announce-version'
+
+  override async run (environment: SoakEnvironment): Promise<void> {
+    environment.announceVersion(`a${environment.random.between(1, POPULAR_ADAPTERS)}`)
     await environment.wait(50, 500)
   }
 }
--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -1,5 +1,6 @@
 /** Faults of ingress instances: signals sent to a process, and faults of its link to the store. */
 import type { SoakEnvironment } from '../soak-environment.js'
+import { SILENT_CONNECTIONS } from '../soak-record.js'
 import { SoakFault } from './soak-fault.js'
 
 /** Longer than an instance needs to end by itself after SIGTERM. */
@@ -98,6 +99,22 @@
   }
 }
 
+/** Lets open connections between instances and the store fall silent for good, all or half of them; new ones work. */
+export class SilenceStoreConnections extends SoakFault {
+  override readonly kind = SILENT_CONNECTIONS
+
+  override async run (environment: SoakEnvironment): Promise<void> {
+    const { random, instances } = environment
+    const picked = random.pick<'one' | 'all'>(['one', 'all'])
+    const isPartial = random.pick([true, false])
+    const indexes = picked === 'all' ? [...instances.keys()] : [random.between(0, instances.length - 1)]
+    await this.recordWhile(environment, undefined, async () => {
+      for (const index of indexes) environment.linkOf(index)?.silenceOpen(() => !isPartial || random.pick([true, false]))
+      await environment.wait(50, 300)
+    })
+  }
+}
+
 /** Resets the connections of an instance to the store. */
 export class ResetStoreLink extends SoakFault {
   override readonly kind = 'reset-from-store'
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -2,8 +2,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { CuttableLink } from '@limpetwinch/load'
 import type { SeededRandom } from '@limpetwinch/load'
-import { PlatformDeployment, SampleCaller } from '@limpetwinch/platform'
-import type { LaunchedInstance, SampleRequest } from '@limpetwinch/platform'
+import { PlatformDeployment, SAMPLE_MODEL, SampleCaller } from '@limpetwinch/platform'
+import type { LaunchedInstance, SampleRequest, SampleRoute } from '@limpetwinch/platform'
 import { SoakRecord } from './soak-record.js'
 import { SoakTeams, TEAM_BOUNDS } from './soak-teams.js'
 
@@ -34,6 +34,7 @@
   private readonly relaunches = new Map<number, Promise<void>>()
   private readonly seed: number
   private version = 1
+  private adapterVersion = 1
   private asked = 0
 
   /**
@@ -105,7 +106,10 @@
 
   /** Sends a request to a random instance on a new connection and records the response. */
   async sendRequest (request: Omit<SampleRequest, 'id'>): Promise<void> {
-    const instance = this.random.pick(this.instances)
+    await this.sendTo(this.random.pick(this.instances), request)
+  }
+
+  private async sendTo (instance: LaunchedInstance, request: Omit<SampleRequest, 'id'>): Promise<void> {
     const caller = new SampleCaller(instance.url)
     const identified = { ...request, id: `s${this.seed}-f${this.asked++}` }
     const sentAt = Date.now()
@@ -117,7 +121,25 @@
   /** Writes a new configuration version. */
   changeConfiguration (): void {
     this.version += this.random.between(1, 3)
-    this.deployment.configure(this.version, this.teams === undefined ? {} : { teams: this.teams.current() })
+    this.record.addedRoutes.push({ route: `added-${this.version}`, at: Date.now() })
+    const addedRoutes = this.record.addedRoutes.map(({ route }) => route)
+    this.deployment.configure(this.version, { addedRoutes, ...(this.teams === undefined ? {} : { teams: this.teams.current() }) })
+  }
+
+  /** Sends a request on a route to each instance, each on a new connection. */
+  async sendToAll (route: SampleRoute, deadlineMilliseconds: number): Promise<void> {
+    const key = this.teams === undefined ? {} : { key: this.teams.steadyKey }
+    await Promise.all(this.instances.map(async (instance) => { await this.sendTo(instance, { route, deadlineMilliseconds, ...key }) }))
+  }
+
+  /** Announces a new version of an adapter. */
+  announceVersion (adapter: string): void {
+    this.adapterVersion += 1
+    const path = `${SAMPLE_MODEL}.${adapter}`
+    const Spec = { Model: SAMPLE_MODEL, Adapter: adapter, Version: this.adapterVersion }
+    const { objects } = this.deployment.store
+    if (objects.create('versions', path, Spec).kind === 'conflict') objects.replace('versions', path, { Spec }, undefined)
+    this.record.announcedVersions.push({ adapter, version: this.adapterVersion, at: Date.now() })
   }
 
   /** Writes a new configuration version without one of the keys. */
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -1,5 +1,31 @@
 /** Record of a run: the injected faults, and the requests as callers observed them. Times are Unix milliseconds of this host. */
-import type { SampleAnswer, SampleRequest } from '@limpetwinch/platform'
+import type { SampleAnswer, SampleRequest, SampleRoute } from '@limpetwinch/platform'
+
+/** Time from the acceptance of a configuration until it must be in force, as the settings of the deployment say. */
+export const IN_FORCE_MILLISECONDS = 2_000
+/** Time from the announcement of a new adapter version until it must be in use, as the settings of the deployment say. */
+export const NEW_VERSION_MILLISECONDS = 5_000
+
+/**
+ * Kind of the fault that lets open connections to the store fall silent. It excuses nothing: new connections work, and instances must
+ * notice by themselves.
+ */
+export const SILENT_CONNECTIONS = 'silent-connections'
+
+/** A route that a configuration has added. */
+export interface AddedRoute {
+  readonly route: SampleRoute
+  /** Time at which the store accepted the configuration. */
+  readonly at: number
+}
+
+/** A new version of an adapter that was announced. */
+export interface AnnouncedVersion {
+  readonly adapter: string
+  readonly version: number
+  /** Time at which the store accepted the announcement. */
+  readonly at: number
+}
 
 /** The period of a fault. */
 export interface FaultSpan {
@@ -64,6 +90,8 @@
   readonly crashingPaths: CrashingPath[] = []
   readonly revocations: Revocation[] = []
   readonly rateLimits: NamedLimit[] = []
+  readonly addedRoutes: AddedRoute[] = []
+  readonly announcedVersions: AnnouncedVersion[] = []
   /** Instances that ended unexpectedly, did not end when told to, or did not get ready. */
   readonly lost: LostInstance[] = []
   /** Requests that were sent after recovery from all faults, with their responses. */
@@ -81,6 +109,11 @@
     this.lost.push({ instance, reason, at: Date.now() })
   }
 
+  /** @returns faults, but silent connections, that overlap a period extended by a margin on both sides */
+  disruptionsDuring (from: number, to: number, marginMilliseconds: number): FaultSpan[] {
+    return this.faultsDuring(from, to, marginMilliseconds).filter(({ kind }) => kind !== SILENT_CONNECTIONS)
+  }
+
   /** @returns faults that overlap a period extended by a margin on both sides */
   faultsDuring (from: number, to: number, marginMilliseconds: number): FaultSpan[] {
     return this.faults.filter((fault) => fault.from <= to + marginMilliseconds && fault.to >= from - marginMilliseconds)
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,10 +7,11 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
+const SILENCE_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['silent-connections', 'change-configuration', 'announce-version', 'leaving-engine', 'reload-instance'].includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
 describe('a short soak', () => {
@@ -29,7 +30,9 @@
     // Keys are taken away and a team floods while instances are killed, paused and cut off from the store.
     { seed: 4_001, ...USUAL_RUN, faultCount: 10, hasTeams: true, faults: TEAM_FAULTS },
     // Endpoints name rate limits while instances are killed, paused and cut off from the store.
-    { seed: 5_001, ...USUAL_RUN, faultCount: 8, faults: RATE_LIMIT_FAULTS }
+    { seed: 5_001, ...USUAL_RUN, faultCount: 8, faults: RATE_LIMIT_FAULTS },
+    // Open connections to the store fall silent while routes are added, adapter versions announced, engines leave and settings are reloaded.
+    { seed: 6_001, ...USUAL_RUN, faultCount: 16, faults: SILENCE_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
     expect(outcome.violations).toEqual([])
