Soak: a signal to an ended process does not mark its successor as ended by the soak

Two stop faults had picked the first process; the later one's SIGKILL found it ended, but noted its name as ended by the soak, so that the end of its successor (a SIGHUP right at its start ends a process before its handler is there) was not answered by a restart. A process that has ended is not signalled and its name not noted.

--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -78,9 +78,11 @@
 
   /** Sends a signal to an instance that this run started. */
   signal (instance: LaunchedInstance, signal: InstanceSignal): void {
-    const { processId } = instance.process
+    const { processId, hasEnded } = instance.process
+    // Another fault may have ended and replaced this process: its successor, which has the same name, is not ended by this signal.
+    if (hasEnded || processId === undefined) return
     if (signal === 'SIGTERM' || signal === 'SIGKILL') this.intentionallyEnded.add(instance.name)
-    if (processId !== undefined && !instance.process.hasEnded) process.kill(processId, signal)
+    process.kill(processId, signal)
   }
 
   /**
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -11,7 +11,9 @@
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
-const SILENCE_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['silent-connections', 'change-configuration', 'announce-version', 'leaving-engine', 'reload-instance'].includes(kind))
+const SILENCE_KINDS = ['silent-connections', 'change-configuration', 'announce-version', 'leaving-engine', 'reload-instance']
+const SILENCE_FAULTS = SOAK_FAULTS.filter(({ kind }) => SILENCE_KINDS.includes(kind))
+const OVERLAPPING_FAULTS = SOAK_FAULTS.filter(({ kind }) => [...SILENCE_KINDS, 'stop-instance', 'kill-instance', 'pause-instance', 'cut-from-store', 'store-down'].includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
 describe('a short soak', () => {
@@ -32,7 +34,9 @@
     // Endpoints name rate limits while instances are killed, paused and cut off from the store.
     { seed: 5_001, ...USUAL_RUN, faultCount: 8, faults: RATE_LIMIT_FAULTS },
     // Open connections to the store fall silent while routes are added, adapter versions announced, engines leave and settings are reloaded.
-    { seed: 6_001, ...USUAL_RUN, faultCount: 16, faults: SILENCE_FAULTS }
+    { seed: 6_001, ...USUAL_RUN, faultCount: 16, faults: SILENCE_FAULTS },
+    // An instance ended unexpectedly and was not started again, since a signal to its earlier process had marked its name as ended by the soak.
+    { seed: 6_123, ...USUAL_RUN, faultCount: 14, hasTeams: true, faults: OVERLAPPING_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
     expect(outcome.violations).toEqual([])
