Settings of entry instances are in force within four seconds when connections to the platform fall silent

Now 2 s and 1 s, which two watchers of each data centre pay with 0.3 more calls a second each (reckoned); a call that gets no answer in its time renews the connections, for both clients of a store in one place.

--- a/packages/core/src/platform/http-object-store.ts
+++ b/packages/core/src/platform/http-object-store.ts
@@ -11,7 +11,7 @@
 /** Timeout of each call except a watch. */
 const CALL_TIMEOUT_MILLISECONDS = 2_000
 /** How much longer than the requested wait a watch call may take before it times out. */
-const WATCH_GRACE_MILLISECONDS = 2_000
+const WATCH_GRACE_MILLISECONDS = 1_000
 /** Maximum number of simultaneous connections to the platform; each waiting watch occupies one. */
 const MAXIMUM_CONNECTIONS = 16
 
@@ -66,6 +66,10 @@
     return this.read(target, waitMilliseconds + WATCH_GRACE_MILLISECONDS, signal).andThen((answer) => parseAnswer(watchSchema, answer))
   }
 
+  override renewConnections (): void {
+    this.connection.renew()
+  }
+
   /** Closes all connections. */
   async close (): Promise<void> {
     await this.connection.close()
--- a/packages/core/src/platform/store-connection.ts
+++ b/packages/core/src/platform/store-connection.ts
@@ -62,13 +62,23 @@
   }
 
   /**
-   * Sends a call once.
+   * Sends a call once. If it gets no response in its time, further calls use new connections: the others that are open may have fallen
+   * silent with that of this call, and each would cost a call its time.
    *
    * @param call - the call to send
    * @returns the response
    * @throws the error of undici if no complete response was received; see {@link failedWriteError}
    */
   async send (call: StoreCall): Promise<StoreAnswer> {
+    try {
+      return await this.sendOnce(call)
+    } catch (cause) {
+      if (isTimeout(cause)) this.renew()
+      throw cause
+    }
+  }
+
+  private async sendOnce (call: StoreCall): Promise<StoreAnswer> {
     const timeout = AbortSignal.timeout(call.milliseconds)
     const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
     const response = await request(this.base + call.target, {
@@ -104,7 +114,7 @@
 }
 
 /** @returns whether the error of a call says that no answer came in its time */
-export function isTimeout (cause: unknown): boolean {
+function isTimeout (cause: unknown): boolean {
   return cause instanceof DOMException && cause.name === 'TimeoutError'
 }
 
--- a/packages/core/src/settings/instance-settings.ts
+++ b/packages/core/src/settings/instance-settings.ts
@@ -48,7 +48,7 @@
     /** Interval between reads of the instance list by each instance. Each read counts against the platform's rate limit. */
     instanceListMilliseconds: milliseconds.default(3_000),
     /** Maximum time that the platform may hold one watch call for settings while nothing changes. */
-    settingsWatchMilliseconds: milliseconds.default(5_000)
+    settingsWatchMilliseconds: milliseconds.default(2_000)
   }).prefault({})
 })
 
--- a/packages/entry/src/settings/settings-follower.ts
+++ b/packages/entry/src/settings/settings-follower.ts
@@ -26,7 +26,8 @@
   readonly random?: () => number
 }
 
-const DEFAULT_WATCH_MILLISECONDS = 5_000
+/** With the grace of a watch call, short enough that a connection that has fallen silent delays no setting beyond four seconds. */
+const DEFAULT_WATCH_MILLISECONDS = 2_000
 /** Time that the start waits for the first read of the store before it continues without that read. */
 const INITIAL_LIST_TIMEOUT_MILLISECONDS = 2_000
 
--- a/packages/entry/test/settings/deployment.ts
+++ b/packages/entry/test/settings/deployment.ts
@@ -33,7 +33,7 @@
   private heartbeat: NodeJS.Timeout | undefined
 
   /** Starts an instance. Unless `wait` is false, its settings are in force when the promise resolves. */
-  async start (name: string, store: ObjectStore, options: { dataCentre?: string, wait?: boolean, clock?: Clock } = {}): Promise<SettingsInstance> {
+  async start (name: string, store: ObjectStore, options: { dataCentre?: string, wait?: boolean, clock?: Clock, hasDefaultWatch?: boolean } = {}): Promise<SettingsInstance> {
     const instance = name as InstanceId
     const network = new TestNetwork(this, { instance, dataCentre: (options.dataCentre ?? 'north') as DataCentreId, address: name })
     const membership = new TestMembership(this)
@@ -41,7 +41,7 @@
     this.states.set(instance, 'alive')
     const logger = process.env['SHOW_LOGS'] === undefined ? silentLogger() : createLogger('text', 'debug').part(name)
     const clock = options.clock ?? new SystemClock()
-    const follower = new SettingsFollower({ store, network, membership, logger, clock, watchMilliseconds: WATCH_MILLISECONDS })
+    const follower = new SettingsFollower({ store, network, membership, logger, clock, ...options.hasDefaultWatch === true ? {} : { watchMilliseconds: WATCH_MILLISECONDS } })
     const history = new SettingsHistory(store)
     const writer = new SettingsWriter({ store, follower, history, logger, clock })
     const ending = new AbortController()
