Brittle endpoints that lose half of their room without a word are not brought down

Callers saw plain endpoints fall one after the other: endpoints say how many refusals a second bring them down, and from some seconds later take fewer requests than their slots without saying so. Cause: the learned rate used 0.8 of the slots and gave up 6% for each refusal, so that an endpoint had refused its five requests before the rate was below the room that was left. Now 0.6 of the capacity is used while an endpoint is brittle, and the first refusal of a group gives up half of the rate (less where an endpoint bears more), further ones of the same quarter of a second 6% each.

--- a/packages/decisions/src/limits/brittle-throttle.ts
+++ b/packages/decisions/src/limits/brittle-throttle.ts
@@ -1,17 +1,21 @@
 /** How many requests a second an endpoint gets while it crashes when it has to refuse too many. */
 
 /**
- * Part of the endpoint's capacity that is used. The rest takes up what varies: the durations of requests, and the room for waiting
- * requests, which the endpoint may take away.
+ * Part of the endpoint's capacity that is used. The rest takes up what varies: the durations of requests, and the room of the endpoint,
+ * half of which it may take away without a word.
  */
-const USED_SHARE = 0.8
+const USED_SHARE = 0.6
 /**
- * Part of the rate that is given up for as many refusals as the endpoint bears in a second. With the recovery below, refusals come to rest
- * at about a sixth of what the endpoint bears, so that a chance group of them does not bring it down.
+ * Part of the rate that is given up at the first refusal of a group, times the refusals that the endpoint bears in a second, and the most
+ * that is given up. An endpoint may lose half of its room at once: the rate must be below what is left before the endpoint has refused as
+ * many requests as it bears, and one refusal in a group is the first sign.
  */
-const PART_FOR_ALL_REFUSALS = 0.3
-/** Most of the rate that is given up for one refusal. */
-const MOST_FOR_ONE = 0.5
+const PART_FOR_GROUP = 4
+const MOST_FOR_GROUP = 0.5
+/** Time after the first refusal of a group in which others belong to it: they were on their way when the rate fell. */
+const GROUP_MILLISECONDS = 250
+/** Part of the rate that is given up for each further refusal of a group, times the refusals that the endpoint bears in a second. */
+const PART_FOR_FURTHER = 0.3
 /** Part of the full rate by which the rate rises again in a second without refusals. */
 const RECOVERY_PER_SECOND = 0.05
 /** Least part of the full rate; below it, nothing would show that the endpoint has room again. */
@@ -26,6 +30,8 @@
   private durationMilliseconds: number | undefined
   private share = 1
   private updatedAt: number
+  /** Monotonic time of the first refusal of the latest group. */
+  private groupBeganAt = -Infinity
 
   /** @param now - monotonic time */
   constructor (now: number) {
@@ -48,9 +54,13 @@
    * @param bearable - refusals in a second that the endpoint bears
    */
   recordRefusals (count: number, bearable: number, now: number): void {
+    if (count === 0) return
     this.recover(now)
-    const kept = 1 - Math.min(MOST_FOR_ONE, PART_FOR_ALL_REFUSALS / bearable)
-    this.share = Math.max(LEAST_SHARE, this.share * kept ** count)
+    const isNewGroup = now - this.groupBeganAt >= GROUP_MILLISECONDS
+    if (isNewGroup) this.groupBeganAt = now
+    const keptByGroup = isNewGroup ? keptPart(PART_FOR_GROUP / bearable) : 1
+    const further = isNewGroup ? count - 1 : count
+    this.share = Math.max(LEAST_SHARE, this.share * keptByGroup * keptPart(PART_FOR_FURTHER / bearable) ** further)
   }
 
   /**
@@ -68,3 +78,7 @@
     this.updatedAt = Math.max(now, this.updatedAt)
   }
 }
+
+function keptPart (givenUp: number): number {
+  return 1 - Math.min(MOST_FOR_GROUP, givenUp)
+}
