Leaves of a fleet that starts wait for the first statements of their hubs

In a start of forty processes, leaves asked for all kinds themselves in one second, about a hundred reads: hubs read the members alone for 3 s at a first start, so that their statements named no other kind, and the leaves' own ages counted from the start of the process. Now a leaf trusts a hub that says that it has not read a kind yet for 6 s from attaching, the newest statement of the hub replaces earlier ones, and the prober counts ages from its own start at the earliest. The test failed before with 36 leaves asking.

--- a/packages/ingress/src/cluster-state/state-exchange.ts
+++ b/packages/ingress/src/cluster-state/state-exchange.ts
@@ -38,6 +38,11 @@
 const UNCHANGED_OFFER_SHARE = 0.2
 /** Time for which a leaf trusts that a hub to which it has just attached reads the store. */
 const NEW_HUB_TRUSTED_MILLISECONDS = 2_500
+/**
+ * Time after attaching for which a leaf trusts a hub that says that it has not read some kind of state yet: when a whole fleet starts, hubs
+ * first read the members alone, and each leaf that did not wait for them would read everything itself.
+ */
+const UNREAD_TRUSTED_MILLISECONDS = 6_000
 /**
  * Longest time between two responses of the store to an instance that reads it, because the watch of endpoints ends sooner. When
  * the latest response of a reachable store is older, the instance has only just begun to read the store again.
@@ -65,8 +70,9 @@
   private requestedAt = -Infinity
   /** Monotonic time in milliseconds until which the hub's statements suffice; from then on this instance reads the store itself. */
   private trustedUntil = -Infinity
+  private attachedAt = -Infinity
   private readonly unchangedOfferMilliseconds: number
-  /** Monotonic time in milliseconds of the latest store read by another instance, as far as this instance has learnt from offers. */
+  /** Monotonic time in milliseconds of the latest store read by another instance, which is stated to instances of an older release. */
   private readAt = -Infinity
 
   constructor (network: PeerLinks, overlay: PeerOverlay, state: ExchangedState, clock: Clock) {
@@ -164,11 +170,12 @@
     let statedUntil = Infinity
     for (const kind of STATE_KINDS) {
       // A peer of an older release states one time for all kinds.
-      const age = (offer.provedMillisecondsAgo === undefined ? offer.readMillisecondsAgo : offer.provedMillisecondsAgo[kind]) ?? Infinity
-      statedUntil = Math.min(statedUntil, now - age + freshness.limits[kind])
-      if (age < Infinity) freshness.recordStatement(kind, { revision: offer[kind] ?? 0, provedAt: now - age })
+      const age = offer.provedMillisecondsAgo === undefined ? offer.readMillisecondsAgo : offer.provedMillisecondsAgo[kind]
+      const kindUntil = age === undefined ? this.attachedAt + UNREAD_TRUSTED_MILLISECONDS : now - age + freshness.limits[kind]
+      statedUntil = Math.min(statedUntil, kindUntil)
+      if (age !== undefined) freshness.recordStatement(kind, { revision: offer[kind] ?? 0, provedAt: now - age })
     }
-    this.trustedUntil = Math.max(this.trustedUntil, statedUntil)
+    this.trustedUntil = statedUntil
     this.useStatements()
   }
 
@@ -208,7 +215,8 @@
    */
   private handleAttached (hub: InstanceId): void {
     this.readAt = this.clock.now()
-    this.trustedUntil = this.clock.now() + NEW_HUB_TRUSTED_MILLISECONDS
+    this.attachedAt = this.clock.now()
+    this.trustedUntil = this.attachedAt + NEW_HUB_TRUSTED_MILLISECONDS
     this.requestState(hub)
   }
 
--- a/packages/ingress/src/cluster-state/state-prober.ts
+++ b/packages/ingress/src/cluster-state/state-prober.ts
@@ -58,6 +58,7 @@
 export class StateProber {
   private readonly parts: StateProberDependencies
   private spread: number
+  private startedAt = 0
 
   constructor (parts: StateProberDependencies) {
     this.parts = parts
@@ -68,6 +69,7 @@
   async run (signal: AbortSignal): Promise<void> {
     const { clock, random, onAnswered } = this.parts
     let pause = SHORTEST_PAUSE_MILLISECONDS
+    this.startedAt = clock.now()
     while (!signal.aborted) {
       await clock.sleep(this.millisecondsUntilDue(), signal)
       const kinds = this.dueKinds()
@@ -84,17 +86,15 @@
   }
 
   private millisecondsUntilDue (): number {
-    const { freshness } = this.parts
-    const left = this.probedKinds().map((kind) => this.dueAge(kind) - freshness.ageMilliseconds(kind))
+    const left = this.probedKinds().map((kind) => this.dueAge(kind) - this.ageMilliseconds(kind))
     return Math.max(SHORTEST_CHECK_MILLISECONDS, Math.min(LONGEST_CHECK_MILLISECONDS, ...left))
   }
 
   /** @returns the kinds to ask for now: none, or all that are due or almost due */
   private dueKinds (): readonly StateKind[] {
-    const { freshness } = this.parts
     const probed = this.probedKinds()
-    if (!probed.some((kind) => freshness.ageMilliseconds(kind) >= this.dueAge(kind))) return []
-    return probed.filter((kind) => freshness.ageMilliseconds(kind) >= TOGETHER_SHARE * this.dueAge(kind))
+    if (!probed.some((kind) => this.ageMilliseconds(kind) >= this.dueAge(kind))) return []
+    return probed.filter((kind) => this.ageMilliseconds(kind) >= TOGETHER_SHARE * this.dueAge(kind))
   }
 
   /** @returns all kinds except those that are being listed, which are read already */
@@ -102,6 +102,15 @@
     return STATE_KINDS.filter((kind) => this.parts.sources[kind].activity !== 'listing')
   }
 
+  /**
+   * Counted from the start of the prober at the earliest: when a large fleet starts, the hubs are about to send its leaves the first
+   * statements, and each leaf would ask the store for all kinds.
+   */
+  private ageMilliseconds (kind: StateKind): number {
+    const { clock, freshness } = this.parts
+    return Math.min(freshness.ageMilliseconds(kind), clock.now() - this.startedAt)
+  }
+
   private dueAge (kind: StateKind): number {
     const share = this.parts.isReader() ? READER_SHARE : OTHER_SHARE
     return (share + SPREAD_SHARE * this.spread) * this.parts.freshness.limits[kind]
--- a/packages/ingress/test/state-prober.failure.test.ts
+++ b/packages/ingress/test/state-prober.failure.test.ts
@@ -169,16 +169,16 @@
 interface ProbingInstance {
   readonly isHub: boolean
   readonly freshness: StateFreshness
+  readonly exchange: StateExchange
   /** Number of probes of this instance. */
   probes: number
 }
 
 /** Starts an exchange of state and a prober at an instance, whose probes are answered at once. */
-function startProbing (network: SimulatedNetwork, { links, overlay }: SimulatedInstance, index: number): ProbingInstance {
+function startProbing (network: SimulatedNetwork, { links, overlay }: SimulatedInstance, index: number, delayMilliseconds = 0): ProbingInstance {
   const { clock } = network
   const logger = silentLogger()
   const freshness = new StateFreshness(LIMITS, clock, logger)
-  const started: ProbingInstance = { isHub: overlay.isHub, freshness, probes: 0 }
   const exchange = new StateExchange(links, overlay, {
     configuration: new AcceptedConfiguration(logger),
     directory: new EndpointDirectory(logger),
@@ -187,6 +187,7 @@
     health: new StoreHealth(logger),
     freshness
   }, clock)
+  const started: ProbingInstance = { isHub: overlay.isHub, freshness, exchange, probes: 0 }
   const sources = Object.fromEntries(STATE_KINDS.map((kind) => [kind, {
     activity: 'watching',
     probe: async () => {
@@ -202,7 +203,7 @@
   const prober = new StateProber({ clock, logger, freshness, sources, isReader: () => exchange.needsStore, renewConnections: () => {}, onAnswered: () => exchange.shareProof(), random })
   const signal = untilEnd()
   void exchange.run(signal)
-  void prober.run(signal)
+  void clock.sleep(delayMilliseconds, signal).then(async () => { await prober.run(signal) })
   return started
 }
 
@@ -241,6 +242,25 @@
       .toEqual({ isMoreThanTwice: false, byLeaves: 0, areAllCurrent: true })
   }, 60_000)
 
+  // The first statements of the hubs arrive some seconds after the processes have started.
+  it('by no leaf whose hub is about to tell it for the first time', async () => {
+    const network = new SimulatedNetwork(new ManualClock())
+    network.start(2, 20)
+    const probing = network.instances.map((instance, index) => startProbing(network, instance, index, 4_000))
+    const hubs = probing.filter((_, index) => network.instances[index]?.overlay.isHub)
+    const leaves = probing.filter((each) => !hubs.includes(each))
+    const early: boolean[] = []
+    for (let passed = 0; passed < 3_000; passed += 100) {
+      await network.clock.advance(100)
+      early.push(leaves.some(({ exchange }) => exchange.needsStore))
+    }
+    for (const { freshness } of hubs) for (const kind of STATE_KINDS) freshness.record(kind, network.clock.now())
+    await network.clock.advance(6_000)
+    network.end()
+    expect({ leaves: leaves.length, isReadingEarly: early.slice(10).includes(true), probes: leaves.reduce((sum, { probes }) => sum + probes, 0) })
+      .toEqual({ leaves: 36, isReadingEarly: false, probes: 0 })
+  })
+
   it('by each instance itself when the connections between them are cut', async () => {
     const network = new SimulatedNetwork(new ManualClock())
     network.start(2, 2)
