Leaves do not ask the store for what their hub is about to state

Forty processes at rest: 18 to 31 reads in 10 s, where hubs need about 9 for the configuration. Cause: unchanged offers reached leaves every second tick of 400 ms, so that what they knew of announcements was up to 1.8 s old, where they ask from 1.75 s on; and a leaf lists what it asks for, all kinds that would be due soon among them. Offers reach leaves at each tick now, and a leaf asks only for a kind that is due.

--- a/packages/ingress/src/cluster-state/state-exchange.ts
+++ b/packages/ingress/src/cluster-state/state-exchange.ts
@@ -35,7 +35,7 @@
  * Interval at which an unchanged offer is sent again, as a part of the shortest limit on the age of state: the offer is the only sign for a
  * leaf that its hub still reads the store.
  */
-const UNCHANGED_OFFER_SHARE = 0.2
+const UNCHANGED_OFFER_SHARE = 0.1
 /** Time for which a leaf trusts that a hub to which it has just attached reads the store. */
 const NEW_HUB_TRUSTED_MILLISECONDS = 2_500
 /**
--- a/packages/ingress/src/cluster-state/state-prober.ts
+++ b/packages/ingress/src/cluster-state/state-prober.ts
@@ -18,7 +18,10 @@
 const OTHER_SHARE = 0.7
 /** Part of the limit over which the probes of instances are spread at random: the first one tells the others what it has learnt. */
 const SPREAD_SHARE = 0.15
-/** A kind that would be due soon is asked for together with one that is due: from this part of the age at which it would be. */
+/**
+ * An instance that reads the store asks for a kind that would be due soon together with one that is due: from this part of the age at which it
+ * would be. Another instance lists what it asks for, so it asks for no more than it has to.
+ */
 const TOGETHER_SHARE = 0.7
 /** Time without an answer after which a probe is repeated on new connections; the store answers within some tens of milliseconds when it is well. */
 const SILENT_AFTER_MILLISECONDS = 300
@@ -94,7 +97,8 @@
   private dueKinds (): readonly StateKind[] {
     const probed = this.probedKinds()
     if (!probed.some((kind) => this.ageMilliseconds(kind) >= this.dueAge(kind))) return []
-    return probed.filter((kind) => this.ageMilliseconds(kind) >= TOGETHER_SHARE * this.dueAge(kind))
+    const share = this.parts.isReader() ? TOGETHER_SHARE : 1
+    return probed.filter((kind) => this.ageMilliseconds(kind) >= share * this.dueAge(kind))
   }
 
   /** @returns all kinds except those that are being listed, which are read already */
