The prober runs from the start, so that hubs of a starting fleet state their members in time

Cause: hubs listed the members at about 0.5 s and then waited on a watch without changes; nothing was probed before 4 s, so that from 3.5 s on their statement of the cluster objects was older than its limit of 3 s, and each leaf took that for a hub that does not know them. Now the prober runs from the start. An instance that reads the store probes the kinds whose watch is running; another one counts ages from the time in which its hub is expected to state each kind.

--- a/packages/ingress/src/cluster-state/state-prober.ts
+++ b/packages/ingress/src/cluster-state/state-prober.ts
@@ -51,6 +51,8 @@
   readonly isReader: () => boolean
   /** Sends further calls to the store on new connections. */
   readonly renewConnections: () => void
+  /** Time after the start of this instance in which its hub is expected to state each kind for the first time. */
+  readonly firstStateMilliseconds: number
   /** Called after probes that the store answered. */
   readonly onAnswered: () => void
   /** @returns a random number from 0 to 1 */
@@ -101,18 +103,20 @@
     return probed.filter((kind) => this.ageMilliseconds(kind) >= share * this.dueAge(kind))
   }
 
-  /** @returns all kinds except those that are being listed, which are read already */
+  /** @returns all kinds except those that are being listed, or are about to be by an instance that reads the store */
   private probedKinds (): readonly StateKind[] {
-    return STATE_KINDS.filter((kind) => this.parts.sources[kind].activity !== 'listing')
+    const { sources, isReader } = this.parts
+    return STATE_KINDS.filter((kind) => isReader() ? sources[kind].activity === 'watching' : sources[kind].activity !== 'listing')
   }
 
   /**
-   * Counted from the start of the prober at the earliest: when a large fleet starts, the hubs are about to send its leaves the first
-   * statements, and each leaf would ask the store for all kinds.
+   * At an instance that does not read the store counted from {@link StateProberDependencies.firstStateMilliseconds} after its start at the
+   * earliest: when a large fleet starts, each leaf would ask the store for all kinds that its hub is about to state.
    */
   private ageMilliseconds (kind: StateKind): number {
-    const { clock, freshness } = this.parts
-    return Math.min(freshness.ageMilliseconds(kind), clock.now() - this.startedAt)
+    const { clock, freshness, isReader, firstStateMilliseconds } = this.parts
+    const waited = clock.now() - this.startedAt - (isReader() ? 0 : firstStateMilliseconds)
+    return Math.min(freshness.ageMilliseconds(kind), waited)
   }
 
   private dueAge (kind: StateKind): number {
--- a/packages/ingress/src/runtime/store-reader.ts
+++ b/packages/ingress/src/runtime/store-reader.ts
@@ -11,7 +11,7 @@
 
 /** Longest wait at the start for the listing of members, which takes some milliseconds. Afterwards the other objects are read anyway. */
 const FIRST_LISTING_MILLISECONDS = 100
-/** Time after that in which followers and hubs are expected to have brought all kinds of state, so that nothing is probed. */
+/** Time after the first listing in which a hub is expected to have stated all kinds of state. */
 const FIRST_STATE_MILLISECONDS = 1_000
 
 /** Conditions that decide whether the store is read. */
@@ -30,13 +30,9 @@
   private readonly clusterGate: StoreGate
   private readonly gate: StoreGate
   private readonly prober: StateProber
-  private readonly clock: Clock
-  private readonly isFirstStart: boolean
 
   constructor (dependencies: FollowerDependencies, { isNeeded, areMembersKnown, onProbed }: StoreReaderConditions, clock: Clock, logger: Logger) {
     const { platform, freshness, isFirstStart } = dependencies
-    this.clock = clock
-    this.isFirstStart = isFirstStart
     this.followers = createFollowers(dependencies)
     this.clusterGate = new StoreGate(isNeeded, clock, logger)
     const startedAt = clock.now()
@@ -53,6 +49,7 @@
       sources: this.followers.byKind,
       isReader: isNeeded,
       renewConnections: () => platform.store.renewConnections(),
+      firstStateMilliseconds: (isFirstStart ? REGISTRATION_MILLISECONDS : FIRST_LISTING_MILLISECONDS) + FIRST_STATE_MILLISECONDS,
       onAnswered: onProbed,
       random: Math.random
     })
@@ -65,7 +62,7 @@
     void supervisor.start('store gate', async (signal) => { await gate.run(signal) })
     void supervisor.start('cluster follower', async (signal) => { await clusterGate.runWhileOpen(followers.byKind.cluster, signal) })
     for (const [index, follower] of followers.others.entries()) void supervisor.start(`follower ${index}`, async (signal) => { await gate.runWhileOpen(follower, signal) })
-    void supervisor.start('state prober', async (signal) => { await this.runProber(signal) })
+    void supervisor.start('state prober', async (signal) => { await this.prober.run(signal) })
   }
 
   /** Checks again whether the store must be read, after a change that may affect this. */
@@ -83,10 +80,4 @@
   refresh (): void {
     for (const follower of Object.values(this.followers.byKind)) follower.refresh()
   }
-
-  private async runProber (signal: AbortSignal): Promise<void> {
-    const firstListing = this.isFirstStart ? REGISTRATION_MILLISECONDS : FIRST_LISTING_MILLISECONDS
-    await this.clock.sleep(firstListing + FIRST_STATE_MILLISECONDS, signal)
-    await this.prober.run(signal)
-  }
 }
--- a/packages/ingress/test/state-prober.failure.test.ts
+++ b/packages/ingress/test/state-prober.failure.test.ts
@@ -10,6 +10,7 @@
 import { StateExchange } from '../src/cluster-state/state-exchange.js'
 import { STATE_KINDS, StateFreshness } from '../src/cluster-state/state-freshness.js'
 import { StateProber } from '../src/cluster-state/state-prober.js'
+import type { StateKind } from '../src/cluster-state/state-freshness.js'
 import type { ProbedSource } from '../src/cluster-state/state-prober.js'
 import { StoreFollower } from '../src/cluster-state/store-follower.js'
 import { StoreHealth } from '../src/cluster-state/store-health.js'
@@ -125,7 +126,8 @@
     isReader: () => true,
     renewConnections: () => store.renewConnections(),
     onAnswered: () => {},
-    random: () => 1
+    random: () => 1,
+    firstStateMilliseconds: 0
   })
   const signal = untilEnd()
   void follower.run(signal)
@@ -172,10 +174,12 @@
   readonly exchange: StateExchange
   /** Number of probes of this instance. */
   probes: number
+  /** Lets the instance read a kind from the store and follow it. */
+  readonly follow: (kind: StateKind) => void
 }
 
 /** Starts an exchange of state and a prober at an instance, whose probes are answered at once. */
-function startProbing (network: SimulatedNetwork, { links, overlay }: SimulatedInstance, index: number, delayMilliseconds = 0): ProbingInstance {
+function startProbing (network: SimulatedNetwork, { links, overlay }: SimulatedInstance, index: number, firstStateMilliseconds?: number): ProbingInstance {
   const { clock } = network
   const logger = silentLogger()
   const freshness = new StateFreshness(LIMITS, clock, logger)
@@ -187,9 +191,19 @@
     health: new StoreHealth(logger),
     freshness
   }, clock)
-  const started: ProbingInstance = { isHub: overlay.isHub, freshness, exchange, probes: 0 }
+  const followed = new Set<StateKind>(firstStateMilliseconds === undefined && overlay.isHub ? STATE_KINDS : [])
+  const started: ProbingInstance = {
+    isHub: overlay.isHub,
+    freshness,
+    exchange,
+    probes: 0,
+    follow: (kind) => {
+      if (!followed.has(kind)) freshness.record(kind, clock.now())
+      followed.add(kind)
+    }
+  }
   const sources = Object.fromEntries(STATE_KINDS.map((kind) => [kind, {
-    activity: 'watching',
+    get activity () { return followed.has(kind) ? 'watching' : 'none' },
     probe: async () => {
       started.probes += 1
       const askedAt = clock.now()
@@ -200,10 +214,10 @@
     restartWatch: () => {}
   }])) as unknown as Record<typeof STATE_KINDS[number], ProbedSource>
   const random = sequence(index)
-  const prober = new StateProber({ clock, logger, freshness, sources, isReader: () => exchange.needsStore, renewConnections: () => {}, onAnswered: () => exchange.shareProof(), random })
+  const prober = new StateProber({ clock, logger, freshness, sources, isReader: () => exchange.needsStore, renewConnections: () => {}, onAnswered: () => exchange.shareProof(), random, firstStateMilliseconds: firstStateMilliseconds ?? 0 })
   const signal = untilEnd()
   void exchange.run(signal)
-  void clock.sleep(delayMilliseconds, signal).then(async () => { await prober.run(signal) })
+  void prober.run(signal)
   return started
 }
 
@@ -242,23 +256,22 @@
       .toEqual({ isMoreThanTwice: false, byLeaves: 0, areAllCurrent: true })
   }, 60_000)
 
-  // The first statements of the hubs arrive some seconds after the processes have started.
-  it('by no leaf whose hub is about to tell it for the first time', async () => {
+  // When a whole fleet starts, hubs read the members alone for three seconds, and no member changes after the first.
+  it('by no leaf of a fleet that starts', async () => {
     const network = new SimulatedNetwork(new ManualClock())
     network.start(2, 20)
     const probing = network.instances.map((instance, index) => startProbing(network, instance, index, 4_000))
     const hubs = probing.filter((_, index) => network.instances[index]?.overlay.isHub)
     const leaves = probing.filter((each) => !hubs.includes(each))
-    const early: boolean[] = []
-    for (let passed = 0; passed < 3_000; passed += 100) {
+    const readingAt: number[] = []
+    for (let passed = 100; passed <= 9_000; passed += 100) {
       await network.clock.advance(100)
-      early.push(leaves.some(({ exchange }) => exchange.needsStore))
+      if (passed === 500) for (const hub of hubs) hub.follow('cluster')
+      if (passed === 3_000) for (const hub of hubs) for (const kind of STATE_KINDS) hub.follow(kind)
+      if (passed >= 1_000 && leaves.some(({ exchange }) => exchange.needsStore)) readingAt.push(passed)
     }
-    for (const { freshness } of hubs) for (const kind of STATE_KINDS) freshness.record(kind, network.clock.now())
-    await network.clock.advance(6_000)
     network.end()
-    expect({ leaves: leaves.length, isReadingEarly: early.slice(10).includes(true), probes: leaves.reduce((sum, { probes }) => sum + probes, 0) })
-      .toEqual({ leaves: 36, isReadingEarly: false, probes: 0 })
+    expect({ leaves: leaves.length, readingAt, probes: leaves.reduce((sum, { probes }) => sum + probes, 0) }).toEqual({ leaves: 36, readingAt: [], probes: 0 })
   })
 
   it('by each instance itself when the connections between them are cut', async () => {
