--- a/packages/ingress/src/endpoints/endpoint-directory.ts
+++ b/packages/ingress/src/endpoints/endpoint-directory.ts
@@ -147,8 +147,8 @@
   }
 
   private announce (endpoint: Endpoint, change: 'arrived' | 'restarted' | 'leaving'): void {
-    const { id, service, address, born, leavesInMilliseconds } = endpoint
-    this.logger.info(CHANGE_MESSAGES[change], { endpoint: id, service, address, born, revision: this.appliedRevision, leavesInMilliseconds })
+    const { id, service, address, softwareVersion, born, leavesInMilliseconds } = endpoint
+    this.logger.info(CHANGE_MESSAGES[change], { endpoint: id, service, address, softwareVersion, born, revision: this.appliedRevision, leavesInMilliseconds })
     for (const listener of this.listeners) listener(endpoint, change)
   }
 
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -100,10 +100,12 @@
     logger.debug('A request was sent.', {
       request: request.facts.requestId,
       endpoint: options.endpoint.id,
+      softwareVersion: options.endpoint.softwareVersion,
       tries: options.earlierAttempts + 1,
       adapter: request.facts.adapter?.key,
       adapterVersion: options.adapterVersion,
       after: options.lastEventId,
+      firstAttempt: request.facts.firstAttempt,
       millisecondsLeft: Math.round(millisecondsLeft),
       configuration: request.configurationVersion,
       ...options.grounds
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -35,6 +35,8 @@
   readonly promptParts: readonly PromptPart[]
   /** Id of the last event that the caller has received; undefined when the caller does not resume a stream. */
   readonly lastEventId: string | undefined
+  /** Id of the caller's attempt that brought the first event of the stream that is resumed; undefined when the caller names none. */
+  readonly firstAttempt: string | undefined
 }
 
 /** What the system sends to an endpoint in addition to the caller's headers. */
--- a/packages/ingress/src/routes/configuration.ts
+++ b/packages/ingress/src/routes/configuration.ts
@@ -3,6 +3,8 @@
 
 /** Name of a service, which is a group of interchangeable endpoints. */
 export type ServiceName = Branded<string, 'ServiceName'>
+/** Version of the software that an endpoint runs, as opposed to the versions of models and adapters. Versions have no order. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>
 /** Name of a base model, as opposed to an adapter. */
 export type ModelName = Branded<string, 'ModelName'>
 
@@ -170,6 +172,8 @@
   /** `host:port`. */
   readonly address: string
   readonly dataCentre: string
+  /** Undefined when not stated, as in the state that an instance of an older release passes on. */
+  readonly softwareVersion?: SoftwareVersion | undefined
   /** Start time of this incarnation, Unix milliseconds; an endpoint may restart under the same id. 0 when not stated. */
   readonly born: number
   /** Number of this statement; grows with each entry that one incarnation writes. */
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -41,7 +41,7 @@
 
 function facts (promptTokens: number): RequestFacts {
   return {
-    requestId: 'r', caller: undefined, deadlineMilliseconds: 6_000, adapter: { key: REQUESTED, model: 'base', name: 'wanted' }, promptTokens, outputTokens: 10, key: undefined, tokens: 'stated', promptParts: [], lastEventId: undefined
+    requestId: 'r', caller: undefined, deadlineMilliseconds: 6_000, adapter: { key: REQUESTED, model: 'base', name: 'wanted' }, promptTokens, outputTokens: 10, key: undefined, tokens: 'stated', promptParts: [], lastEventId: undefined, firstAttempt: undefined
   }
 }
 
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -17,7 +17,8 @@
       promptTokens: 100,
       outputTokens: 10,
       promptParts: [],
-      lastEventId: headers['x-after'] as string | undefined
+      lastEventId: headers['x-after'] as string | undefined,
+      firstAttempt: headers['x-first-attempt'] as string | undefined
     }
   }
 
