--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -89,7 +89,7 @@
   return { record, runs: ids.map((id, index) => run({ request: id, at: AT + index })) }
 }
 
-const EVENTS = [{ id: 1, adapter: 'a1', version: 1 }, { id: 2, adapter: 'a1', version: 1 }]
+const EVENTS = [{ id: 1, adapter: 'a1', version: 1, softwareVersion: 'v1' }, { id: 2, adapter: 'a1', version: 1, softwareVersion: 'v1' }]
 
 function stream (change: Partial<SampleAnswer>): EvidenceOptions {
   return { record: recordOf((record) => record.requests.push(seen({ route: 'draft', adapter: 'a1', events: 2 }, { events: EVENTS, ...change }))) }
