A stream that is cut off goes on only at engines of the software version that began it

What callers saw: a whole answer with events of two software versions, when an engine crashed in the middle of a stream. Cause: what a stream kept of its attempts was the id of the last event; the search for the next engine knew nothing of the version that wrote it. Now the version of the engine whose first event arrives is kept with the stream, and each search, that of a replacement too, takes engines of that version only; an entry that states no version names no endpoint. Where only other versions are left, the answer is cut at once.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -156,6 +156,18 @@
     outcome: 'not_run',
     message: ({ team }) => `The instance that divides the quota of team '${team}' did not answer. Retry after the time in Retry-After.`
   },
+  'stream-origin-unknown': {
+    title: 'Where the stream began is not known.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ firstAttempt }) => `The software version at which the stream of request '${firstAttempt ?? 'unnamed'}' began is not known here, and another version cannot resume it. Retry after the time in Retry-After, or start the stream again.`
+  },
+  'stream-version-gone': {
+    title: 'No engine can resume the stream.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ softwareVersion }) => `No engine that can resume the stream runs the software version '${softwareVersion}' that began it. Retry after the time in Retry-After, or start the stream again.`
+  },
   'endpoints-rate-limited': {
     title: 'All endpoints of the service have reached their rate limits.',
     status: 503,
--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -3,7 +3,7 @@
 import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger } from '@limpetwinch/core'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Service } from '../routes/configuration.js'
-import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice } from '../routing/engine-router.js'
+import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice, UsableQuery } from '../routing/engine-router.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import { PlaceSearch } from '../rate-limits/place-search.js'
 import type { AdapterLocations } from './adapter-locations.js'
@@ -65,7 +65,7 @@
 }
 
 /** Why a search found no engine. */
-type SearchFailure = 'no engine may serve it' | 'its engines have reached their rate limits' | 'its search took too long' | 'its request ended'
+type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'its engines have reached their rate limits' | 'its search took too long' | 'its request ended'
 
 /** Finds engines for requests. */
 export class EngineFinder {
@@ -97,6 +97,9 @@
         this.requestCopy(search, choice, now)
         return { ...choice, stallMilliseconds: clock.now() - startedAt }
       }
+      if (router.isVersionGone(search)) {
+        return this.logNoEngine(search, 'no engine runs its software version', askings, now - startedAt)
+      }
       const isLate = now >= until
       if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) {
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
@@ -114,6 +117,11 @@
     return this.logNoEngine(search, 'its request ended', undefined, clock.now() - startedAt)
   }
 
+  /** @returns whether only engines of other software versions than the one that the query asks for are left */
+  isVersionGone (query: UsableQuery): boolean {
+    return this.dependencies.router.isVersionGone(query)
+  }
+
   /** @returns seconds after which a request that found no engine should be retried */
   retryAfterSeconds (service: Service): number {
     const wait = this.dependencies.router.shortestWait(service, this.dependencies.clock.now())
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -6,12 +6,15 @@
 import type { DataCentreId, EndpointId, FencingToken, InstanceId, StoredObject } from '@limpetwinch/core'
 import type { QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
 import { z } from 'zod'
+import type { ServiceName, SoftwareVersion } from '../routes/configuration.js'
 
 /** Object kind shared by all these objects, so that one watch of the store covers them all. */
 export const CLUSTER_KIND = 'limpetwinch-cluster'
 
-const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), tunnelAddress: z.string().optional() })
-const loadOwnerSchema = z.object({ holder: z.string(), previous: z.string().optional(), claimedAt: z.number() })
+const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), tunnelAddress: z.string().optional(), remembersStreams: z.boolean().optional() })
+const loadOwnerSchema = z.object({
+  holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), engine: z.object({ service: z.string(), softwareVersion: z.string() }).optional()
+})
 const quarantineDecisionSchema = z.object({ crashes: z.number(), strikes: z.number(), certain: z.boolean(), untilWallTime: z.number() })
 
 /** An instance, as it registered itself in the store at its start. */
@@ -24,6 +27,8 @@
   readonly address: string
   /** `host:port` at which the instance accepts requests for tunnels; undefined when it opens none. */
   readonly tunnelAddress?: string | undefined
+  /** Whether the instance remembers where streams of other instances began; undefined for an instance of an earlier release. */
+  readonly remembersStreams?: boolean | undefined
   readonly dataCentre: DataCentreId
   /** Processor share that the host grants the process, in cores; 0 when unknown. */
   readonly cores: number
@@ -39,6 +44,8 @@
   readonly previous: string | undefined
   /** Wall clock time of the claim, milliseconds. */
   readonly claimedAt: number
+  /** The engine at the time of the claim; undefined in a claim of an earlier release. */
+  readonly engine?: { readonly service: ServiceName, readonly softwareVersion: SoftwareVersion } | undefined
   /** Version of the stored object. The store issues each version once and in increasing order, as a fencing token requires. */
   readonly token: FencingToken
 }
@@ -91,10 +98,10 @@
   if (name.startsWith('member.')) {
     const decoded = memberSchema.safeParse(object.value)
     if (!decoded.success) return undefined
-    const { instance, address, dataCentre, cores = 0, tunnelAddress } = decoded.data
+    const { instance, address, dataCentre, cores = 0, tunnelAddress, remembersStreams } = decoded.data
     return {
       kind: 'member',
-      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, tunnelAddress, version: object.version }
+      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, tunnelAddress, remembersStreams, version: object.version }
     }
   }
   if (name.startsWith('verdict.')) {
@@ -104,5 +111,6 @@
   const decoded = loadOwnerSchema.safeParse(object.value)
   if (!decoded.success) return undefined
   const { holder, previous, claimedAt } = decoded.data
-  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, token: object.version as FencingToken } }
+  const engine = decoded.data.engine as LoadOwner['engine']
+  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, engine, token: object.version as FencingToken } }
 }
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -10,6 +10,9 @@
 import { AttemptRecord } from './attempt-record.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { RoutedRequest } from './routed-request.js'
+import type { Endpoint } from '../routes/configuration.js'
+import { UNSTATED_VERSION } from '../streams/software-versions.js'
+import type { StreamOrigin } from '../streams/stream-origin-table.js'
 import type { StreamRelayDependencies } from './stream-relay.js'
 import { StreamAttempt } from './stream-attempt.js'
 import type { IdleWatch, StreamProgress, StreamAttemptResult } from './stream-attempt.js'
@@ -68,6 +71,8 @@
   private readonly reportedUnresponsive = new Set<EndpointId>()
   /** The error with which the quarantine refused the request; undefined unless it did. */
   private refusal: LimpetwinchError | undefined
+  /** Where the stream began, and may go on; undefined before its first event. */
+  private origin: StreamOrigin | undefined
   /** The last engine that was unresponsive and that the stream left for another engine. */
   private left: EndpointId | undefined
 
@@ -133,6 +138,7 @@
       service,
       facts,
       gapMilliseconds: route.gapMilliseconds,
+      softwareVersion: this.origin?.softwareVersion,
       excluded: this.attempted,
       priority,
       onTimeUntil: arrivedAt + route.objectiveMilliseconds,
@@ -167,9 +173,9 @@
   /** @returns monotonic time until which to search for an engine */
   private searchEnd (): number {
     const { arrivedAt, endsAt, route, facts } = this.request
-    // Only a caller whose request has not run can retry after a refusal. Any other caller has no second chance to get a response, so the
-    // search goes on until that caller is expected to leave.
-    if (this.runs > 0 || this.progress.firstEventAt !== undefined) return this.callerLeavesAt()
+    // Only a caller whose request has not run can retry after a refusal. Any other caller, and one that resumes a stream, has no second chance
+    // to get a response, so the search goes on until that caller is expected to leave.
+    if (this.runs > 0 || this.origin !== undefined) return this.callerLeavesAt()
     // A request for the base model needs no adapter load, so its search does not wait.
     if (facts.adapter?.name === undefined) return arrivedAt
     return arrivedAt + longestAdapterWait({ timeToDeadline: endsAt - arrivedAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
@@ -196,11 +202,11 @@
 
   /**
    * @param runs - number of attempts on which the request may already have run before the next one
-   * @returns whether the route allows the stream to be resumed by one more attempt
+   * @returns whether the stream may be resumed by one more attempt: the route allows it, and the software version that began the stream is known
    */
   private mayRunAgain (runs: number): boolean {
     const { route } = this.request
-    return route.resumable && runs < route.mostAttempts
+    return route.resumable && runs < route.mostAttempts && this.origin?.softwareVersion !== UNSTATED_VERSION
   }
 
   private async attemptOn (engine: FoundEngine): Promise<AttemptOutcome> {
@@ -215,6 +221,7 @@
     const sentAt = clock.now()
     const failover = new FailoverSearch(async (ending) => await this.findReplacement(engine, ending), () => stream.fail(REPLACED))
     const stream = new StreamAttempt(request.exchange, progress, this.idleWatch(failover, forecastMilliseconds), clock, () => {
+      this.recordOrigin(endpoint)
       ticket.prefilled()
       forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.recordPrompt(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
@@ -237,6 +244,11 @@
     return { result, replacement }
   }
 
+  /** Called with the first event of an attempt, before the event is passed on. */
+  private recordOrigin ({ service, softwareVersion = UNSTATED_VERSION }: Endpoint): void {
+    this.origin ??= { service, softwareVersion }
+  }
+
   /** @returns what to do while the engine sends no event of the stream; undefined when the stream may not continue on another engine */
   private idleWatch (failover: FailoverSearch, forecastMilliseconds: number): IdleWatch | undefined {
     if (!this.mayRunAgain(this.runs + 1) || this.sends + 1 >= MAXIMUM_SENDS) return undefined
@@ -326,10 +338,16 @@
     if (this.record.isOutcomeUnknown) return this.record.finalError(retryAfterSeconds)
     const rateLimited = this.parts.engineFinder.rateLimitError(this.request.service, this.request.priority)
     if (rateLimited !== undefined) return rateLimited
+    if (this.isVersionGone()) return new LimpetwinchError('stream-version-gone', { softwareVersion: this.origin?.softwareVersion }, { retryAfterSeconds })
     if (adapter === undefined) return this.record.finalError(retryAfterSeconds)
     return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds })
   }
 
+  /** @returns whether no engine is left at which the stream could go on */
+  private isVersionGone (): boolean {
+    return this.parts.engineFinder.isVersionGone({ service: this.request.service, excluded: this.attempted, softwareVersion: this.origin?.softwareVersion })
+  }
+
   private times (): Pick<RelayOutcome, 'firstEventMilliseconds' | 'loadStallMilliseconds' | 'longestGapMilliseconds'> {
     const { firstEventAt, longestGap } = this.progress
     return {
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -9,7 +9,7 @@
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { RequestFacts } from '../relay/request-codec.js'
-import type { AdapterKey, Endpoint, EngineShape, ModelName, Service } from '../routes/configuration.js'
+import type { AdapterKey, Endpoint, EngineShape, ModelName, Service, SoftwareVersion } from '../routes/configuration.js'
 import type { FirstEventForecast } from './first-event-forecast.js'
 import type { EndpointWorkTracker } from './endpoint-work-tracker.js'
 import type { PrefixCacheEstimate } from './prefix-cache-estimate.js'
@@ -94,12 +94,17 @@
   readonly facts: RequestFacts
   /** The longest pause between two events of a stream that callers accept. */
   readonly gapMilliseconds: number
+  /** Software version that the engine must run, for a stream that began at it; undefined accepts any version. */
+  readonly softwareVersion?: SoftwareVersion | undefined
   /** Engines that must not be chosen, such as those that were attempted before or refused the request. */
   readonly excluded: ReadonlySet<EndpointId>
   /** Whether the request is suspected of crashing its engine, so that an engine with few running requests is best. */
   readonly isolated?: boolean
 }
 
+/** The part of a query that says which engines may serve it at all. */
+export type UsableQuery = Pick<EngineQuery, 'service' | 'excluded' | 'softwareVersion'>
+
 /** An engine chosen for a request. */
 export interface EngineChoice {
   readonly endpoint: Endpoint
@@ -170,11 +175,11 @@
    */
   chooseForLoad (query: EngineQuery, bias: (endpoint: EndpointId) => number, now: number): LoadChoice | undefined {
     const { locations, hasLoadOwner } = this.parts
-    const { service, facts, excluded, gapMilliseconds } = query
+    const { service, facts, gapMilliseconds } = query
     const shape = service.engine
     if (shape === undefined || facts.adapter === undefined) return undefined
     const { key, model } = facts.adapter
-    const usable = this.usableEngines(service, excluded, now)
+    const usable = this.usableEngines(query, now)
       .filter((endpoint) => hasLoadOwner(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
     // Computing the duration of a load goes over all engines, so it is done once and not for each engine.
     const storeMilliseconds = this.parts.loadMilliseconds()
@@ -213,10 +218,19 @@
     return load
   }
 
+  /**
+   * @returns whether engines of other software versions serve, and none of the one that the query asks for that is not excluded. While no engine
+   *   serves at all, one of that version is expected back.
+   */
+  isVersionGone ({ service, excluded, softwareVersion }: UsableQuery): boolean {
+    if (softwareVersion === undefined || this.ofVersion(service, softwareVersion).some(({ id }) => !excluded.has(id))) return false
+    return this.parts.directory.servable(service.name).some((engine) => engine.softwareVersion !== softwareVersion)
+  }
+
   /** @returns milliseconds until an adapter load that is requested now could be complete, on the engine with the shortest load queue */
   shortestWait (service: Service, now: number): number {
     let least = Infinity
-    for (const { id } of this.usableEngines(service, NONE, now)) {
+    for (const { id } of this.usableEngines({ service, excluded: NONE }, now)) {
       if (this.parts.hasLoadOwner(id)) least = Math.min(least, this.parts.locations.line(id)?.waitMilliseconds ?? 0)
     }
     return least + this.parts.loadMilliseconds()
@@ -241,11 +255,11 @@
   }
 
   /** @returns usable engines that hold the adapter in a version that a new request may start on */
-  holders ({ service, facts, excluded }: EngineQuery, now: number): Endpoint[] {
+  holders (query: EngineQuery, now: number): Endpoint[] {
     const { locations, leastVersion } = this.parts
-    const { adapter } = facts
+    const { adapter } = query.facts
     if (adapter === undefined) return []
-    const engines = this.usableEngines(service, excluded, now)
+    const engines = this.usableEngines(query, now)
     if (adapter.name === undefined) return engines.filter((endpoint) => endpoint.models.includes(adapter.model as ModelName))
     const least = leastVersion(adapter.key, now)
     const holders = locations.holders(adapter.key)
@@ -254,13 +268,19 @@
 
   /**
    * @returns servable engines that are neither ejected nor excluded. Outlier ejection always leaves a minimum of the given engines in use, so
-   *   all engines of the service are given. If only the few holders of one adapter were given, a failing holder would stay in use.
+   *   all engines of the service are given. If only the few holders of one adapter were given, a failing holder would stay in use. A stream
+   *   that can go on at one software version only has no others, so all engines of that version are given.
    */
-  private usableEngines (service: Service, excluded: ReadonlySet<EndpointId>, now: number): Endpoint[] {
-    const engines = this.parts.directory.servable(service.name).map((endpoint) => ({ endpoint: endpoint.id, entry: endpoint }))
+  private usableEngines ({ service, excluded, softwareVersion }: UsableQuery, now: number): Endpoint[] {
+    const engines = this.ofVersion(service, softwareVersion).map((endpoint) => ({ endpoint: endpoint.id, entry: endpoint }))
     return this.parts.ejection.usable(engines, now).map(({ entry }) => entry).filter((endpoint) => !excluded.has(endpoint.id))
   }
 
+  private ofVersion (service: Service, softwareVersion: SoftwareVersion | undefined): readonly Endpoint[] {
+    const engines = this.parts.directory.servable(service.name)
+    return softwareVersion === undefined ? engines : engines.filter((engine) => engine.softwareVersion === softwareVersion)
+  }
+
   /** @returns the engine with the forecast time until the first event, including the additions for other data centres and recent failures */
   private estimate (endpoint: Endpoint, shape: EngineShape, facts: RequestFacts, now: number): EngineChoice {
     const { workTracker, forecast, prefixes, ejection, dataCentre } = this.parts
--- /dev/null
+++ b/packages/ingress/src/streams/software-versions.ts
@@ -0,0 +1,87 @@
+/** Tracks which software versions the endpoints of each service run, and which they ran for as long as streams from then may be resumed. */
+import type { Clock } from '@limpetwinch/core'
+import type { LoadOwner } from '../members/cluster-objects.js'
+import type { Endpoint, ServiceName, SoftwareVersion } from '../routes/configuration.js'
+
+/** Longest time from the first event of a stream until its caller resumes it for the last time. */
+export const STREAM_LIFETIME_MILLISECONDS = 60_000
+
+/** Stands for the version of an endpoint that states none. It is the same as no other version, nor as that of another such endpoint. */
+export const UNSTATED_VERSION = '' as SoftwareVersion
+
+/** The software versions of all services. */
+export class SoftwareVersions {
+  private readonly clock: Clock
+  private readonly present = new Map<ServiceName, Set<SoftwareVersion>>()
+  /** Monotonic time at which each version was last seen, of versions that have left. */
+  private readonly lastSeen = new Map<ServiceName, Map<SoftwareVersion, number>>()
+  private readonly mixed = new Set<ServiceName>()
+  private readonly mixedListeners: ((service: ServiceName) => void)[] = []
+  private newestToken = 0
+
+  /** @param clock - its monotonic clock is used */
+  constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  /** Registers a listener that is called when endpoints of a second version join a service. */
+  onMixed (listener: (service: ServiceName) => void): void {
+    this.mixedListeners.push(listener)
+  }
+
+  /** Applies a listing of all endpoints, those that are leaving among them. */
+  applyEndpoints (endpoints: readonly Endpoint[]): void {
+    for (const [service, versions] of this.present) for (const version of versions) this.recordSeen(service, version)
+    this.present.clear()
+    for (const { service, softwareVersion = UNSTATED_VERSION } of endpoints) {
+      const versions = this.present.get(service) ?? new Set()
+      this.present.set(service, versions.add(softwareVersion))
+    }
+    for (const service of this.present.keys()) this.notifyIfMixed(service)
+  }
+
+  /**
+   * Applies the load owners in the store. Their objects name the versions of engines that have left a moment ago, also to a process that has
+   * just started and has seen none of these engines.
+   */
+  applyLoadOwners (owners: readonly LoadOwner[]): void {
+    const newest = Math.max(this.newestToken, ...owners.map(({ token }) => token))
+    for (const { token, engine } of owners) {
+      if (token > this.newestToken && engine !== undefined) this.recordSeen(engine.service, engine.softwareVersion)
+    }
+    this.newestToken = newest
+  }
+
+  /** @returns the versions that endpoints of the service run now, or ran so lately that streams from then may be resumed */
+  known (service: ServiceName): ReadonlySet<SoftwareVersion> {
+    const versions = new Set(this.present.get(service))
+    const seen = this.lastSeen.get(service)
+    for (const [version, at] of seen ?? []) {
+      if (this.clock.now() - at <= STREAM_LIFETIME_MILLISECONDS) versions.add(version)
+      else seen?.delete(version)
+    }
+    return versions
+  }
+
+  /** @returns whether streams of the service may have begun at more than one version */
+  isMixed (service: ServiceName): boolean {
+    const versions = this.known(service)
+    return versions.size > 1 || versions.has(UNSTATED_VERSION)
+  }
+
+  private recordSeen (service: ServiceName, version: SoftwareVersion): void {
+    const seen = this.lastSeen.get(service) ?? new Map<SoftwareVersion, number>()
+    this.lastSeen.set(service, seen.set(version, this.clock.now()))
+  }
+
+  private notifyIfMixed (service: ServiceName): void {
+    const isMixed = this.isMixed(service)
+    if (isMixed === this.mixed.has(service)) return
+    if (!isMixed) {
+      this.mixed.delete(service)
+      return
+    }
+    this.mixed.add(service)
+    for (const listener of this.mixedListeners) listener(service)
+  }
+}
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -1,6 +1,6 @@
 /** Builders of small configurations and endpoints for tests. */
 import type { EndpointId, InstanceId } from '@limpetwinch/core'
-import type { AdapterKey, Endpoint, EngineShape, ModelName, ResponseFacts, Route, Service, ServiceName } from '@limpetwinch/ingress'
+import type { AdapterKey, Endpoint, EngineShape, ModelName, ResponseFacts, Route, Service, ServiceName, SoftwareVersion } from '@limpetwinch/ingress'
 
 interface RouteSample extends Partial<Omit<Route, 'targets'>> {
   readonly targets?: readonly { readonly service: string, readonly weight: number }[]
@@ -43,6 +43,9 @@
   return { name: name as ServiceName, connectionLimit: 100, engine }
 }
 
+/** Software version of the sample endpoints. */
+export const SOFTWARE_VERSION = 'v1' as SoftwareVersion
+
 /** @returns an endpoint that is ready */
 export function endpoint (id: string, sample: Partial<Omit<Endpoint, 'id' | 'service' | 'models'>> & { readonly service?: string, readonly models?: readonly string[] } = {}): Endpoint {
   const { service: name = 'guide', models = ['base'], ...rest } = sample
@@ -52,6 +55,7 @@
     service: name as ServiceName,
     address: '127.0.0.1:1',
     dataCentre: 'here',
+    softwareVersion: SOFTWARE_VERSION,
     born: 100,
     statement: 1,
     slots: 6,
