Streams that callers take up elsewhere go on at the software version that began them

What callers saw: a stream that was cut off at one instance, or dropped, went on at another instance with events of another software version. Cause: the next instance searched an engine as for a new stream; the attempt that began the stream, which callers name, was read by nobody, and what knew where it began ended with the first instance. Now an instance that passes on a first event first tells four others, in three data centres where there are, where the stream began, while the service has or lately had several versions; streams that began before are told when a second version joins. A resumption asks them, then all hubs. Nothing is known: it goes on where only one version can have begun it, else it is refused at once. A process that has just started learns of versions that left from the load owners in the store, which name them at no further call.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -9,6 +9,7 @@
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame } from './quarantine-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
+import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame } from './limit-frames.js'
 
 export type * from './connection-frames.js'
@@ -19,6 +20,7 @@
 export type * from './quarantine-frames.js'
 export type * from './limit-frames.js'
 export type * from './path-frames.js'
+export type * from './stream-frames.js'
 
 /** Any frame between peers. */
 export type PeerFrame =
@@ -61,6 +63,9 @@
   | RateAnswerFrame
   | UnreachableServicesFrame
   | BrittleEndpointFrame
+  | StreamOriginsFrame
+  | StreamOriginAskFrame
+  | StreamOriginAnswerFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -27,6 +27,8 @@
 const objectNames = z.array(id).optional()
 const changedObjects = z.object({ revision: count, value: z.unknown(), present: objectNames, lapsed: objectNames }).optional()
 
+const streamOrigin = z.tuple([id, id, z.string().max(200)])
+
 const pin = { requestId: id, loadedName: z.string().max(400).optional(), team: id }
 
 /** Schemas by kind, without the field `kind`. Kinds are numbered on the wire in this order: append only. */
@@ -217,7 +219,10 @@
     readMillisecondsAgo: z.number().min(0),
     refusals: count,
     meanMilliseconds: z.number().min(0).optional()
-  })
+  }),
+  'stream-origins': z.object({ origins: z.array(streamOrigin) }),
+  'stream-origin-ask': z.object({ number: count, stream: id, service: id }),
+  'stream-origin-answer': z.object({ number: count, origin: streamOrigin.optional(), softwareVersions: z.array(z.string().max(200)) })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -4,6 +4,7 @@
 import { Backoff } from '@limpetwinch/entry'
 import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
 import type { StoreHealth } from '../cluster-state/store-health.js'
+import { STREAM_LIFETIME_MILLISECONDS } from '../streams/software-versions.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import { loadOwnerPath } from '../members/cluster-objects.js'
 import type { LoadOwner } from '../members/cluster-objects.js'
@@ -44,8 +45,11 @@
 const CLOCK_MARGIN_MILLISECONDS = 500
 /** A claim whose wall clock time is further than this from the present, in either direction, counts as made well over a lease ago. */
 const CERTAINLY_OLD_MILLISECONDS = 30_000
-/** Time after which the load owner object of an engine that has left is deleted; not at once, since an engine may return under the same id. */
-const DELETE_ORPHANED_AFTER_MILLISECONDS = 20_000
+/**
+ * Time after which the load owner object of an engine that has left is deleted; not at once, since an engine may return under the same id, and
+ * a process that starts learns from the object which software version streams may have begun at.
+ */
+const DELETE_ORPHANED_AFTER_MILLISECONDS = STREAM_LIFETIME_MILLISECONDS
 /** If endpoints do not check fencing tokens, an instance without a response from the store for this share of a lease stops sending orders. */
 const STORE_SILENCE_SHARE = 0.5
 
@@ -272,7 +276,7 @@
 
   private async claim (endpoint: Endpoint, before: LoadOwner | undefined): Promise<void> {
     const { store, members, logger } = this.dependencies
-    const value = { holder: members.self.name, ...(before === undefined ? {} : { previous: before.holder }), claimedAt: Date.now() }
+    const value = { holder: members.self.name, ...(before === undefined ? {} : { previous: before.holder }), claimedAt: Date.now(), engine: engineOf(endpoint) }
     const written = await store.put({ path: loadOwnerPath(endpoint.id), ifVersion: before?.token ?? 0, value })
     const outcome = written.isOk() ? 'done' : written.error.kind
     logger.info('This instance tried to claim the load ownership of an engine.', {
@@ -281,7 +285,7 @@
     if (written.isErr()) return
     this.claimedAt.set(endpoint.id, this.dependencies.clock.now())
     const owner: LoadOwner = {
-      endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, token: written.value as LoadOwner['token']
+      endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, engine: value.engine, token: written.value as LoadOwner['token']
     }
     const known = this.owners.get(endpoint.id)
     if (known !== undefined && known.token > owner.token) return
@@ -399,3 +403,8 @@
     }
   }
 }
+
+/** @returns the engine as its load owner object names it; undefined when its software version is not stated */
+function engineOf ({ service, softwareVersion }: Endpoint): LoadOwner['engine'] {
+  return softwareVersion === undefined ? undefined : { service, softwareVersion }
+}
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -121,10 +121,20 @@
     return peers
   }
 
+  /** @returns whether an instance remembers where streams began; this one does */
+  remembersStreams (instance: InstanceId): boolean {
+    return instance === this.self.instance || this.findInstance(instance)?.remembersStreams === true
+  }
+
+  /** @returns the data centre of a registered instance */
+  dataCentreOf (instance: InstanceId): DataCentreId | undefined {
+    return instance === this.self.instance ? this.self.dataCentre : this.findInstance(instance)?.dataCentre
+  }
+
   /** @returns the host of a registered instance; undefined when it is not registered */
   hostOf (instance: InstanceId): string | undefined {
-    for (const member of this.members.values()) if (member.instance === instance) return splitAddress(member.address).host
-    return undefined
+    const member = this.findInstance(instance)
+    return member === undefined ? undefined : splitAddress(member.address).host
   }
 
   /** Registers this instance, registers it again if its object in the store disappears, and deletes the objects of lost members. */
@@ -150,13 +160,18 @@
     if (removed.isErr()) this.logger.warn('The member object of this instance could not be removed.', { reason: removed.error.message })
   }
 
+  private findInstance (instance: InstanceId): Member | undefined {
+    for (const member of this.members.values()) if (member.instance === instance) return member
+    return undefined
+  }
+
   private async register (): Promise<void> {
-    const { name, instance, address, tunnelAddress, dataCentre, cores } = this.self
+    const { name, ...value } = { ...this.self, remembersStreams: true }
     const present = this.members.get(name)
-    if (present?.instance === instance) return
-    const ownRecord = await this.store.put({ path: memberPath(name), ifVersion: present?.version ?? 0, value: { instance, address, tunnelAddress, dataCentre, cores } })
+    if (present?.instance === value.instance) return
+    const ownRecord = await this.store.put({ path: memberPath(name), ifVersion: present?.version ?? 0, value })
     if (ownRecord.isOk()) {
-      this.ownRecord = { name, instance, address, tunnelAddress, dataCentre, cores, version: ownRecord.value }
+      this.ownRecord = { name, ...value, version: ownRecord.value }
       this.members.set(name, this.ownRecord)
       this.presence.apply([...this.members.values()])
       this.logger.info('This instance was registered as a member.', { name, revision: ownRecord.value })
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -20,6 +20,8 @@
   readonly rateLimitedEndpoints: number
   /** Number of endpoints to which the own path is lost. */
   readonly lostPaths: number
+  /** Number of streams of which this instance remembers where they began. */
+  readonly rememberedStreams: number
   /** Number of open connections that this instance carries for others. */
   readonly tunnels: number
   /** Number of log lines dropped since the process started. */
@@ -57,6 +59,7 @@
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
   private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
   private readonly tunnelDecisions = this.counter('limpetwinch_tunnels_total', 'Tunnels that other instances asked for, by what became of them', ['decision'])
+  private readonly resumptions = this.counter('limpetwinch_stream_resumptions_total', 'Streams that callers resumed, by service and how it was known where they began', ['service', 'origin'])
   private readonly frames = this.counter('limpetwinch_peer_frames_total', 'Frames between instances', ['kind', 'direction'])
   private readonly frameBytes = this.counter('limpetwinch_peer_bytes_total', 'Bytes between instances', ['kind', 'direction'])
   private readonly read: () => GaugeReadings
@@ -84,6 +87,7 @@
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
     this.gauge('limpetwinch_rate_limited_endpoints', 'Endpoints that name a rate limit', () => read().rateLimitedEndpoints)
     this.gauge('limpetwinch_lost_paths', 'Endpoints that this instance reaches through other instances only', () => read().lostPaths)
+    this.gauge('limpetwinch_remembered_streams', 'Streams of which this instance remembers where they began', () => read().rememberedStreams)
     this.gauge('limpetwinch_tunnels', 'Connections to endpoints that this instance carries for others', () => read().tunnels)
     this.gauge('limpetwinch_dropped_log_lines', 'Log lines dropped since the start', () => read().droppedLogLines)
     this.gauge('limpetwinch_requests_in_progress', 'Requests in progress', () => read().requestsInProgress)
@@ -122,6 +126,11 @@
     this.attempts.inc({ service: this.bounded(service), end })
   }
 
+  /** Counts a stream that a caller resumes, by how it is known where the stream began. */
+  streamResumed (service: string, origin: string): void {
+    this.resumptions.inc({ service: this.bounded(service), origin })
+  }
+
   /** Counts a tunnel that another instance asked for. */
   tunnelDecided (decision: string): void {
     this.tunnelDecisions.inc({ decision })
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -17,6 +17,7 @@
 import type { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
 import { ServiceRouter } from '../routing/service-router.js'
 import type { IngressSettings } from '../runtime/ingress-settings.js'
+import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
 import type { EndpointSenders } from './endpoint-senders.js'
 import type { RequestCodec } from './request-codec.js'
@@ -48,16 +49,18 @@
   readonly quarantine: RequestQuarantine
   readonly rateLimiter: EndpointRateLimiter
   readonly admission: TeamAdmission
+  readonly origins: StreamOrigins
 }
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { settings, freshness, directory, members, versions, workTracker, ejection, errors } = components
+  const { settings, configuration, freshness, directory, members, versions, workTracker, ejection, errors } = components
   const shared = { ...components, random: Math.random, budgets: new RetryBudgets(settings.repeats, () => members.count) }
   const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
     ...shared,
+    findService: (name) => configuration.current?.services.get(name),
     expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
   })
   return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services })
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -73,12 +73,15 @@
   private refusal: LimpetwinchError | undefined
   /** Where the stream began, and may go on; undefined before its first event. */
   private origin: StreamOrigin | undefined
+  private isOriginRecorded = false
   /** The last engine that was unresponsive and that the stream left for another engine. */
   private left: EndpointId | undefined
 
-  constructor (parts: StreamRelayDependencies, request: RoutedRequest) {
+  /** @param origin - where the stream began that the request resumes; undefined for a new stream */
+  constructor (parts: StreamRelayDependencies, request: RoutedRequest, origin?: StreamOrigin) {
     this.parts = parts
     this.request = request
+    this.origin = origin
     this.progress = { lastEventId: request.facts.lastEventId, firstEventAt: undefined, lastEventAt: undefined, longestGap: 0 }
   }
 
@@ -246,7 +249,11 @@
 
   /** Called with the first event of an attempt, before the event is passed on. */
   private recordOrigin ({ service, softwareVersion = UNSTATED_VERSION }: Endpoint): void {
+    const { facts: { requestId }, team } = this.request
     this.origin ??= { service, softwareVersion }
+    if (this.isOriginRecorded || requestId === undefined) return
+    this.isOriginRecorded = true
+    this.parts.origins.begun({ requestId, team: team?.name }, this.origin)
   }
 
   /** @returns what to do while the engine sends no event of the stream; undefined when the stream may not continue on another engine */
@@ -261,6 +268,7 @@
     if (result.kind === 'whole') {
       this.parts.senders.observe(engine.endpoint.id, 'answered')
       this.parts.quarantine.completed(this.request)
+      this.recordCompletion()
       return 'whole'
     }
     const mayHaveRun = result.kind === 'broken' || (result.kind === 'other-answer' && !result.head.facts.notRun)
@@ -275,6 +283,11 @@
     return result.kind === 'other-answer' ? 'pass-on' : 'give-up'
   }
 
+  private recordCompletion (): void {
+    const { facts: { requestId }, team } = this.request
+    if (requestId !== undefined) this.parts.origins.completed({ requestId, team: team?.name })
+  }
+
   /**
    * Called when an engine did not run the request. If that engine had replaced another one, and the replaced engine responds to other
    * requests, the replaced engine may be attempted again.
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -13,6 +13,7 @@
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
+import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { Teams } from '../teams/teams.js'
 
 /** The components that the gauges describe. */
@@ -26,6 +27,7 @@
   readonly directory: EndpointDirectory
   readonly rateLimiter: EndpointRateLimiter
   readonly paths: InstancePaths
+  readonly origins: StreamOrigins
   readonly sink: LineSink
   readonly listener: RoutedListener
   readonly overlay: PeerOverlay
@@ -35,7 +37,7 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = sources
+  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
@@ -45,6 +47,7 @@
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
     rateLimitedEndpoints: rateLimiter.limits.count,
     lostPaths: paths.paths.lostCount,
+    rememberedStreams: origins.count,
     tunnels: paths.server.count,
     droppedLogLines: sink.dropped,
     requestsInProgress: listener.requestsInProgress,
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -21,13 +21,16 @@
 import { MemberList } from '../members/member-list.js'
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
-import { QuarantineExchange } from '../quarantine/quarantine-exchange.js'
+import { createQuarantine } from '../quarantine/create-quarantine.js'
+import type { QuarantineExchange } from '../quarantine/quarantine-exchange.js'
 import { InstancePaths } from '../paths/create-paths.js'
 import { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
 import { createListener } from '../relay/create-listener.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
-import type { Endpoint, ServiceName } from '../routes/configuration.js'
+import type { Endpoint } from '../routes/configuration.js'
+import { createStreamOrigins } from '../streams/create-stream-origins.js'
+import type { StreamOrigins } from '../streams/stream-origins.js'
 import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import { createEjection } from '../routing/endpoint-ejection.js'
@@ -82,6 +85,7 @@
   private readonly paths: InstancePaths
   private readonly engines: EngineInventory
   private readonly versions: AdapterVersions
+  private readonly origins: StreamOrigins
   private readonly cluster: ClusterView
   private readonly exchange: StateExchange
   private readonly storeReader: StoreReader
@@ -143,17 +147,20 @@
     this.cluster = new ClusterView(({ members, loadOwners, quarantineDecisions }, revision) => {
       this.members.apply(members, revision)
       this.loadOwnership.apply(loadOwners, revision)
+      this.origins.applyLoadOwners(loadOwners)
       this.quarantine.apply(quarantineDecisions)
       this.storeReader.reevaluate()
     })
+    const areMembersKnown = (): boolean => this.cluster.revision > 0
     const { configuration, versions, cluster, health, freshness } = this
     this.exchange = new StateExchange(this.network, this.overlay, { configuration, directory, versions, cluster, health, freshness }, this.clock)
     // An endpoint that does not check fencing tokens must not get load orders from two instances. Only an instance that reads the store
     // itself learns in time that it has lost the load ownership.
     const isNeeded = (): boolean => !settings.fencedEndpoints || this.exchange.needsStore
     this.storeReader = new StoreReader(this.followerDependencies(), {
-      isNeeded, areMembersKnown: () => this.cluster.revision > 0, onProbed: () => this.exchange.shareProof()
+      isNeeded, areMembersKnown, onProbed: () => this.exchange.shareProof()
     }, this.clock, logger.part('store'))
+    this.origins = createStreamOrigins({ self: this.instance, clock, logger: logger.part('streams'), metrics, freshness, members, overlay, areMembersKnown })
     const owners = new QuotaOwners({ self: this.instance, clock: this.clock, candidates: () => this.quotaOwnerCandidates() })
     this.teams = this.createTeams(owners)
     this.rateLimiter = createRateLimiter({
@@ -165,7 +172,7 @@
       overlay: this.overlay,
       owners,
       metrics: this.metrics,
-      areMembersKnown: () => this.cluster.revision > 0
+      areMembersKnown
     })
     this.heldNotices = new HeldAdapterNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.digests = new WorkDigests(this.overlay, this.workTracker, () => this.members.count, this.clock)
@@ -197,7 +204,7 @@
     this.messaging = new PeerMessaging({
       self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics
     })
-    this.quarantine = this.createQuarantine()
+    this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
     this.senders = this.createSenders()
     this.listener = createListener({
       clock: this.clock,
@@ -221,7 +228,8 @@
       senders: this.senders,
       quarantine: this.quarantine.quarantine,
       rateLimiter: this.rateLimiter,
-      admission: this.teams.admission
+      admission: this.teams.admission,
+      origins: this.origins
     })
     this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() })
     this.connectComponents()
@@ -342,23 +350,6 @@
     })
   }
 
-  private createQuarantine (): QuarantineExchange {
-    const { clock, logger, metrics, network, overlay, directory, versions, paths } = this
-    return new QuarantineExchange({
-      self: this.instance,
-      clock,
-      logger: logger.part('quarantine'),
-      metrics,
-      network,
-      overlay,
-      store: this.platform.store,
-      dialler: paths.dialler,
-      findEndpoint: (endpoint) => directory.find(endpoint),
-      endpointCount: (service) => directory.servable(service as ServiceName).length,
-      newestVersion: (key) => versions.newest(key)
-    })
-  }
-
   private followerDependencies (): FollowerDependencies {
     return {
       platform: this.platform,
@@ -385,6 +376,7 @@
     }))
     this.directory.onChange((endpoint, change) => this.endpointChanged(endpoint, change))
     this.directory.onListing((endpoints) => { for (const endpoint of endpoints) this.locations.applyStatement(endpoint) })
+    this.origins.connect(this.network, this.directory)
     this.locations.inFlight.onCompleted((load) => this.storeLimiter.completed(load))
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
     this.workTracker.onUse((_endpoint, key) => this.policy.recordUse(key, '', 1, this.clock.now()))
@@ -420,6 +412,7 @@
       this.errors.decay(ERROR_DECAY)
       this.teams.maintain()
       this.rateLimiter.maintain()
+      this.origins.maintain()
     }
   }
 
@@ -432,7 +425,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine } = this
-    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, sink, listener, overlay, network, quarantine: quarantine.quarantine }
+    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine } = this
+    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine }
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -21,6 +21,7 @@
 import { RoutedListener } from '../../src/relay/routed-listener.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
+import type { StreamRelayDependencies } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
 import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
@@ -30,12 +31,12 @@
 import { EndpointWorkTracker } from '../../src/routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../../src/routing/prefix-cache-estimate.js'
 import { ServiceRouter } from '../../src/routing/service-router.js'
-import type { Endpoint, HeldAdapter, Route, Team } from '../../src/routes/configuration.js'
+import type { Endpoint, HeldAdapter, Route, SoftwareVersion, Team } from '../../src/routes/configuration.js'
 import { QuotaClient } from '../../src/quotas/quota-client.js'
 import { QuotaOwners } from '../../src/quotas/quota-owners.js'
 import { TeamAdmission } from '../../src/teams/team-admission.js'
 import { TeamQuotas } from '../../src/teams/team-quotas.js'
-import { endpoint, engineShape, responseFacts, service } from './samples.js'
+import { endpoint, engineShape, responseFacts, service, SOFTWARE_VERSION } from './samples.js'
 import type { RawEndpoint } from './raw-endpoint.js'
 import { recordingLogger } from './recording-logger.js'
 import type { RecordedLine } from './recording-logger.js'
@@ -53,7 +54,7 @@
 /** Routes and endpoints of an ingress under test. */
 export interface IngressSetup {
   readonly routes: readonly Route[]
-  readonly endpoints: readonly { readonly id: string, readonly raw: RawEndpoint, readonly adapters?: readonly HeldAdapter[] }[]
+  readonly endpoints: readonly { readonly id: string, readonly raw: RawEndpoint, readonly adapters?: readonly HeldAdapter[], readonly softwareVersion?: string }[]
   /** Retries that the budget allows for each service in a window. */
   readonly repeats?: number
   readonly teams?: readonly Team[]
@@ -61,10 +62,17 @@
   readonly revocationMilliseconds?: number
   /** Whether the configuration is proved to be current; it is by default. */
   readonly isConfigurationCurrent?: boolean
+  /** Where streams began, by the request that brought their first event; nothing is known of them by default. */
+  readonly origins?: StreamRelayDependencies['origins']
   /** Answers each ask for quota tokens: whether the tokens are granted. All are granted by default. */
   readonly grantsTokens?: () => boolean
 }
 
+/** The origins of an instance that knows of no stream, all of whose engines run the version of the sample endpoints. */
+const NO_ORIGINS: StreamRelayDependencies['origins'] = {
+  begun: () => {}, completed: () => {}, find: async (_first, { name }) => ({ service: name, softwareVersion: SOFTWARE_VERSION })
+}
+
 /** A running listener. The service of engines is named `engines`, the service of plain endpoints `guide`. */
 export class IngressUnderTest {
   /** Loads that the ingress has requested. */
@@ -87,7 +95,7 @@
     const clock = new SystemClock()
     const { directory, locations } = this
     const logger = recordingLogger(this.lines)
-    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
+    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, rememberedStreams: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
@@ -134,7 +142,7 @@
     })
     const errors = new ErrorRates()
     const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, 'here') })
-    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, expectedVersion: () => undefined })
+    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), expectedVersion: () => undefined })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
       clock,
@@ -229,8 +237,8 @@
     this.senders.close()
   }
 
-  private sample ({ id, raw, adapters }: IngressSetup['endpoints'][number]): Endpoint {
-    return endpoint(id, { address: raw.address, service: adapters === undefined ? 'guide' : 'engines', adapters: adapters ?? [] })
+  private sample ({ id, raw, adapters, softwareVersion = SOFTWARE_VERSION }: IngressSetup['endpoints'][number]): Endpoint {
+    return endpoint(id, { address: raw.address, service: adapters === undefined ? 'guide' : 'engines', adapters: adapters ?? [], softwareVersion: softwareVersion as SoftwareVersion })
   }
 }
 
