--- a/packages/soak/src/bin/limpetwinch-soak.ts
+++ b/packages/soak/src/bin/limpetwinch-soak.ts
@@ -25,6 +25,7 @@
     engines: Flags.integer({ default: 4, min: 1, max: 200, description: 'number of model servers' }),
     slots: Flags.integer({ default: 4, min: 1, max: 50, description: 'adapter slots of each model server' }),
     teams: Flags.boolean({ default: true, allowNo: true, description: 'requests need keys of teams, and one team has a quota' }),
+    versions: Flags.boolean({ default: false, description: 'engines of two software versions serve, and callers take up streams at other instances' }),
     keep: Flags.string({ description: 'folder for the logs of the instances; not kept by default' })
   }
 
@@ -37,7 +38,7 @@
     const runSeeds = async (): Promise<void> => {
       for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
         const size = { instances: flags.instances, engines: flags.engines, webServers: 2, adapterSlots: flags.slots }
-        const outcome = await new SoakRun({ seed, seconds: flags.seconds, size, faults, hasTeams: flags.teams, faultCount: flags.faults, onLog: createLogWriter(flags.keep, seed) }).run()
+        const outcome = await new SoakRun({ seed, seconds: flags.seconds, size, faults, hasTeams: flags.teams, hasVersions: flags.versions, faultCount: flags.faults, onLog: createLogWriter(flags.keep, seed) }).run()
         outcomes.push(outcome)
         this.printOutcome(outcome)
       }
--- a/packages/soak/src/faults/index.ts
+++ b/packages/soak/src/faults/index.ts
@@ -4,11 +4,13 @@
 import { NameRateLimit } from './rate-limit-faults.js'
 import { CrashingRequest } from './request-faults.js'
 import { FloodQuota, RevokeKey } from './team-faults.js'
+import { ReturnWithAnotherVersion, RollEngines } from './version-faults.js'
 import type { SoakFault } from './soak-fault.js'
 
 /** One fault of each kind. Append only: which faults a seed selects depends on the order of this list. */
 export const SOAK_FAULTS: readonly SoakFault[] = [
   new KillInstance(), new KillAllInstances(), new StopInstance(), new PauseInstance(), new ReloadInstance(), new StallStoreLink(), new ResetStoreLink(),
   new StoreDown(), new StoreSlow(), new StoreLosesResponses(), new CompactStore(), new CrashEngine(), new LeavingEngine(), new ChangeConfiguration(),
-  new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion()
+  new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion(),
+  new RollEngines(), new ReturnWithAnotherVersion()
 ]
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -42,15 +42,17 @@
    * @param seed - seed of the run
    * @param random - random numbers of the faults
    * @param hasTeams - whether requests need keys
+   * @param hasVersions - whether engines of two software versions serve
    * @param onLog - receives each log line of each instance
    */
-  constructor (size: SoakSize, seed: number, random: SeededRandom, hasTeams: boolean, onLog: (instance: string, line: string) => void) {
+  constructor (size: SoakSize, seed: number, random: SeededRandom, hasTeams: boolean, hasVersions: boolean, onLog: (instance: string, line: string) => void) {
     this.seed = seed
     this.random = random
     this.teams = hasTeams ? new SoakTeams() : undefined
     this.deployment = new PlatformDeployment({
       ...size,
       ...(this.teams === undefined ? {} : { teams: this.teams.current(), bounds: TEAM_BOUNDS }),
+      ...(hasVersions ? { softwareVersions: ['v1', 'v1.1'] } : {}),
       keepsIds: seed % 2 === 0,
       onLog: (name, line) => {
         this.instancesWithOutput.add(name)
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -1,5 +1,5 @@
 /** Record of a run: the injected faults, and the requests as callers observed them. Times are Unix milliseconds of this host. */
-import type { SampleAnswer, SampleRequest, SampleRoute } from '@limpetwinch/platform'
+import type { ResumedStream, SampleAnswer, SampleRequest, SampleRoute } from '@limpetwinch/platform'
 
 /** Time from the acceptance of a configuration until it must be in force, as the settings of the deployment say. */
 export const IN_FORCE_MILLISECONDS = 2_000
@@ -86,6 +86,8 @@
 export class SoakRecord {
   readonly faults: FaultSpan[] = []
   readonly requests: ObservedRequest[] = []
+  /** Streams of callers that take them up at other instances; their requests are among the others. */
+  readonly streams: ResumedStream[] = []
   readonly leavings: ObservedLeaving[] = []
   readonly crashingPaths: CrashingPath[] = []
   readonly revocations: Revocation[] = []
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -1,7 +1,7 @@
 /** One soak run: starts a deployment and callers, injects faults, which may overlap, and runs the checks. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { SeededRandom } from '@limpetwinch/load'
-import { SampleCaller } from '@limpetwinch/platform'
+import { requestStream, SampleCaller } from '@limpetwinch/platform'
 import type { SampleRequest, SampleRoute } from '@limpetwinch/platform'
 import { SOAK_CHECKS } from './checks/index.js'
 import type { SoakFault } from './faults/soak-fault.js'
@@ -39,6 +39,8 @@
   readonly faults: readonly SoakFault[]
   /** Whether requests need keys of teams; false by default. */
   readonly hasTeams?: boolean
+  /** Whether engines of two software versions serve, and callers drop some streams and take up streams that are cut off; false by default. */
+  readonly hasVersions?: boolean
   /** Number of faults to inject. */
   readonly faultCount: number
   readonly onLog: (instance: string, line: string) => void
@@ -75,7 +77,7 @@
   constructor (plan: SoakPlan) {
     this.plan = plan
     this.random = new SeededRandom(plan.seed)
-    this.environment = new SoakEnvironment(plan.size, plan.seed, new SeededRandom(plan.seed + 1), plan.hasTeams === true, (instance, line) => {
+    this.environment = new SoakEnvironment(plan.size, plan.seed, new SeededRandom(plan.seed + 1), plan.hasTeams === true, plan.hasVersions === true, (instance, line) => {
       this.monitor.addLine(instance, line)
       plan.onLog(instance, line)
     })
@@ -131,15 +133,36 @@
       const caller = new SampleCaller(instance.url)
       let usable = true
       while (usable && !this.over) {
-        const observed = await this.send(caller, instance.name, this.request(random))
-        this.environment.record.requests.push(observed)
-        usable = observed.answer.failure === undefined
+        usable = await this.serveCaller(random, caller, instance.name)
         await sleep(random.between(THINK_TIME_MILLISECONDS.minimum, THINK_TIME_MILLISECONDS.maximum))
       }
       await caller.close()
     }
   }
 
+  /** Sends the next request of a caller. @returns whether the caller keeps its connection */
+  private async serveCaller (random: SeededRandom, caller: SampleCaller, instance: string): Promise<boolean> {
+    const request = this.request(random)
+    if (this.plan.hasVersions === true && request.route === 'draft') {
+      await this.takeUpStream(random, request)
+      return true
+    }
+    const observed = await this.send(caller, instance, request)
+    this.environment.record.requests.push(observed)
+    return observed.answer.failure === undefined
+  }
+
+  /** Asks for a stream, drops it in some cases, and takes it up at other instances until it is whole or its time is over. */
+  private async takeUpStream (random: SeededRandom, request: SampleRequest): Promise<void> {
+    const { record, instances } = this.environment
+    const drops = random.pick([true, false, false])
+    const streamed = drops ? { ...request, dropAfterEvents: random.between(1, request.events ?? 1) } : request
+    const stream = await requestStream(streamed, () => random.pick(instances).url)
+    record.streams.push(stream)
+    const nameOf = (url: string): string => instances.find((instance) => instance.url === url)?.name ?? 'an instance that has ended'
+    record.requests.push(...stream.requests.map(({ url, ...observed }) => ({ instance: nameOf(url), ...observed })))
+  }
+
   private async probe (): Promise<void> {
     const callers = this.environment.instances.map((instance) => ({ instance, caller: new SampleCaller(instance.url) }))
     for (let probe = 0; probe < PROBE_COUNT; probe += 1) {
