An engine that has returned under its id gets no load orders before its entry says so

Cause: an engine ended and started again under its id and at its address with another version; its load owner met a conflict, read the report and went on ordering, and requests found the adapter there while the entry still named the earlier process. Reports state the start time of the process: one that differs from that of the entry stops the loader until the entry follows. A restarted engine holds nothing and refuses requests for adapters, so the load owner is the only way to it.

--- a/packages/ingress/src/adapters/engine-control.ts
+++ b/packages/ingress/src/adapters/engine-control.ts
@@ -45,6 +45,8 @@
 
 /** State that an engine reports about itself, some hundred milliseconds old. */
 export interface EngineReport {
+  /** Start time of the incarnation that reports, Unix milliseconds; undefined when not stated. */
+  readonly born?: number | undefined
   /** Number of orders accepted in this incarnation. */
   readonly sequence: number
   readonly busy: boolean
--- a/packages/ingress/src/adapters/loader-dependencies.ts
+++ b/packages/ingress/src/adapters/loader-dependencies.ts
@@ -28,8 +28,8 @@
   readonly publish: (update: HeldAdaptersUpdate, urgency: Urgency) => void
   /** @returns milliseconds within which all instances have received a notice and their replies have arrived */
   readonly noticeRoundTripMilliseconds: () => number
-  /** Called when the engine has a newer load owner, or another endpoint listens at its address. */
-  readonly onLost: (endpoint: EndpointId, reason: OrderAnswer) => void
+  /** Called when the engine has a newer load owner, another endpoint listens at its address, or it has restarted. */
+  readonly onLost: (endpoint: EndpointId, reason: OrderAnswer | 'restarted') => void
   /** Called when an order did not reach the engine. */
   readonly onUnreachable: (endpoint: EndpointId, reason: string) => void
 }
--- a/packages/ingress/src/adapters/order-dispatcher.ts
+++ b/packages/ingress/src/adapters/order-dispatcher.ts
@@ -6,7 +6,7 @@
 import type { PendingLoad } from '@limpetwinch/decisions'
 import { modelOf } from '../routes/configuration.js'
 import type { AdapterKey, Endpoint, ModelName } from '../routes/configuration.js'
-import type { EngineOrder, OrderAnswer } from './engine-control.js'
+import type { EngineOrder, EngineReport, OrderAnswer } from './engine-control.js'
 import { EngineOrders } from './engine-orders.js'
 import type { LoaderDependencies } from './loader-dependencies.js'
 import type { SlotReservations } from './slot-reservations.js'
@@ -30,6 +30,7 @@
   private readonly unanswered = new UnansweredOrders()
   private readonly onReconciled: () => void
   private conflicts = 0
+  private restarted = false
 
   /** @param onReconciled - called after a report of the engine was applied to the slot reservations */
   constructor (endpoint: Endpoint, token: FencingToken, reservations: SlotReservations, dependencies: LoaderDependencies, onReconciled: () => void) {
@@ -76,19 +77,31 @@
   /**
    * Reads the engine's report and applies it to the slot reservations. Waits first, so that the report includes the last order.
    *
-   * @returns whether a report was read
+   * @returns whether a report of this incarnation was read
    */
   async reconcile (signal: AbortSignal): Promise<boolean> {
     await this.dependencies.clock.sleep(REPORT_LAG_MILLISECONDS, signal)
     if (signal.aborted) return false
     const report = await this.orders.report()
-    if (report === undefined) return false
+    if (report === undefined || this.hasRestarted(report)) return false
     this.unanswered.sequenceReported(report.sequence)
     this.reservations.applyReport(report, this.dependencies.clock.now())
     this.onReconciled()
     return true
   }
 
+  /**
+   * An engine may return under its id before its entry says so, with another software version. An adapter that is loaded then would draw
+   * streams that count as begun at the version of the entry.
+   */
+  private hasRestarted ({ born }: EngineReport): boolean {
+    const { id, born: known } = this.endpoint
+    if (born === undefined || known === 0 || born === known) return false
+    this.dependencies.logger.info('An engine has restarted and its entry does not say so yet; it gets no orders.', { endpoint: id, born, known })
+    this.restarted = true
+    return true
+  }
+
   private async sendAdapterOrder (
     operation: 'load' | 'unload', key: AdapterKey, version: number, pendingLoad: PendingLoad | undefined, signal: AbortSignal
   ): Promise<OrderAnswer | undefined> {
@@ -135,5 +148,6 @@
     if (this.conflicts <= MAXIMUM_CONFLICT_PAUSES) return await clock.sleep(CONFLICT_PAUSE_MILLISECONDS, signal)
     this.conflicts = 0
     await this.reconcile(signal)
+    if (this.restarted) this.dependencies.onLost(this.endpoint.id, 'restarted')
   }
 }
