--- a/packages/load/src/faults/cuttable-link.ts
+++ b/packages/load/src/faults/cuttable-link.ts
@@ -2,13 +2,20 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 
+/** Both ends of one open connection. */
+interface OpenPair {
+  readonly incoming: Socket
+  readonly outgoing: Socket
+  /** The last bytes that the caller has sent. */
+  lastSent: string
+}
+
 /** Forwards TCP connections until the link is cut. A cut link transfers no bytes, and neither end receives an error. */
 export class CuttableLink {
   private readonly sockets = new Set<Socket>()
   private readonly server = createServer((incoming) => this.accept(incoming))
   private readonly target: URL
-  /** Both ends of each open connection. */
-  private readonly pairs = new Set<readonly [Socket, Socket]>()
+  private readonly pairs = new Set<OpenPair>()
   private isCut = false
 
   /** @param target - URL of the program that connections are forwarded to */
@@ -35,11 +42,11 @@
   /**
    * Lets open connections fall silent: they transfer no more bytes, and neither end receives an error. New connections work.
    *
-   * @param picks - decides for each open connection whether it falls silent; all of them do by default
+   * @param picks - decides for each open connection, by what its caller has sent last, whether it falls silent; all of them do by default
    */
-  silenceOpen (picks: () => boolean = () => true): void {
-    for (const [incoming, outgoing] of this.pairs) {
-      if (!picks()) continue
+  silenceOpen (picks: (lastSent: string) => boolean = () => true): void {
+    for (const { incoming, outgoing, lastSent } of this.pairs) {
+      if (!picks(lastSent)) continue
       for (const socket of [incoming, outgoing]) socket.unpipe().pause()
     }
   }
@@ -72,8 +79,9 @@
     this.track(outgoing)
     forward(incoming, outgoing)
     forward(outgoing, incoming)
-    const pair = [incoming, outgoing] as const
+    const pair: OpenPair = { incoming, outgoing, lastSent: '' }
     this.pairs.add(pair)
+    incoming.on('data', (chunk: Buffer) => { pair.lastSent = chunk.toString('latin1') })
     incoming.on('close', () => this.pairs.delete(pair))
   }
 
