An endpoint that the store removed is dropped at once although an instance that the store refused says that its entry lapsed

Cause: an outage was what one instance saw. Now an instance that has known all endpoints up to a moment ago, from peers, counts no outage in which entries can lapse, and an instance that reads the store and saw none does not take such a claim. Each half has its part of the test, red before.

--- a/packages/ingress/src/cluster-state/state-exchange.ts
+++ b/packages/ingress/src/cluster-state/state-exchange.ts
@@ -267,6 +267,9 @@
     const now = this.clock.now()
     const changed = new Map((value as readonly Endpoint[]).map((endpoint) => [endpoint.id, endpoint]))
     const endpoints = present.flatMap((id) => changed.get(id as EndpointId) ?? directory.find(id as EndpointId) ?? [])
-    directory.apply({ revision, endpoints, lapsed: new Set(lapsed as readonly EndpointId[]) }, health.recentOutageEnd(now), now)
+    const outageEndedAt = health.recentOutageEnd(now)
+    // An instance that the store has answered all the time knows that there was no outage in which an entry could lapse.
+    const sawNoOutage = this.needsStore && health.reachable && outageEndedAt === undefined
+    directory.apply({ revision, endpoints, lapsed: new Set(sawNoOutage ? [] : lapsed as readonly EndpointId[]) }, outageEndedAt, now)
   }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -133,7 +133,7 @@
       heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
       remoteHeartbeatFactor: 1
     })
-    this.health = new StoreHealth(logger.part('store'))
+    this.health = new StoreHealth(logger.part('store'), () => this.freshness.ageMilliseconds('endpoints'))
     const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, tunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
     this.overlay = new PeerOverlay({ self, network: this.network, clock: this.clock, logger: logger.part('overlay') })
     this.members = new MemberList(self, this.platform.store, this.overlay, this.clock, logger.part('members'))
--- a/packages/ingress/test/state-exchange.failure.test.ts
+++ b/packages/ingress/test/state-exchange.failure.test.ts
@@ -45,9 +45,10 @@
 
 function createState ({ links, overlay }: SimulatedInstance): StatefulInstance {
   const logger = silentLogger()
-  const [directory, health] = [new EndpointDirectory(logger), new StoreHealth(logger)]
+  const directory = new EndpointDirectory(logger)
   const loadOwners = new Map<EndpointId, LoadOwner>()
   const freshness = new StateFreshness(LIMITS, network.clock, logger)
+  const health = new StoreHealth(logger, () => freshness.ageMilliseconds('endpoints'))
   const cluster = new ClusterView(({ loadOwners: listed }) => {
     loadOwners.clear()
     for (const loadOwner of listed) loadOwners.set(loadOwner.endpoint, loadOwner)
@@ -110,6 +111,29 @@
     expect([during, ids(leaf)]).toEqual([['a', 'b'], ['a']])
   })
 
+  // Guards against an endpoint that gets requests for two seconds after it was removed, at all instances, because an instance that the store alone refused
+  // says of the entry that it lapsed in an outage.
+  it('drops an endpoint at once that an instance kept which the store alone has refused', async () => {
+    const { hub, hubs } = await fleet()
+    const refused = hubs.find((each) => each !== hub)
+    if (refused === undefined) throw new Error('the fleet has one hub only')
+    for (const each of [hub, refused]) each.directory.apply({ revision: 5, endpoints: [endpoint('a'), endpoint('b')] }, undefined, network.clock.now())
+    refused.health.failed('refused', network.clock.now())
+    for (let passed = 0; passed < 4_000; passed += EXCHANGE_MILLISECONDS / 2) {
+      answered(hub)
+      hub.exchange.shareProof()
+      await network.clock.advance(EXCHANGE_MILLISECONDS / 2)
+    }
+    answered(refused)
+    refused.directory.apply({ revision: 6, endpoints: [endpoint('a')] }, refused.health.recentOutageEnd(network.clock.now()), network.clock.now())
+    expect(ids(refused)).toEqual(['a'])
+    // One that is cut off from its peers too cannot tell, but the others can.
+    await network.clock.advance(EXCHANGE_MILLISECONDS)
+    refused.directory.apply({ revision: 7, endpoints: [] }, network.clock.now(), network.clock.now())
+    await network.clock.advance(EXCHANGE_MILLISECONDS)
+    expect([ids(refused), ids(hub)]).toEqual([['a'], []])
+  })
+
   it('is read from the store only while no hub reads it', async () => {
     const { hub, leaf, hubs } = await fleet()
     for (const each of hubs) answered(each)
