--- a/packages/ingress/src/quarantine/quarantine-records.ts
+++ b/packages/ingress/src/quarantine/quarantine-records.ts
@@ -38,6 +38,8 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private listed = new Map<RequestFingerprint, StoredQuarantineDecision>()
+  /** Monotonic time from which an expired record is removed again: after a failure only, since the next listing lacks a removed one. */
+  private readonly removalDueAt = new Map<RequestFingerprint, number>()
   private readonly pendingWrites = new Map<RequestFingerprint, PendingWrite>()
 
   constructor (store: DeletingObjectStore, listener: QuarantineListener, clock: Clock, logger: Logger) {
@@ -55,6 +57,7 @@
     for (const fingerprint of previous.keys()) {
       if (this.listed.has(fingerprint)) continue
       this.pendingWrites.delete(fingerprint)
+      this.removalDueAt.delete(fingerprint)
       this.listener.release(fingerprint, 'store')
     }
     for (const { untilWallTime, version: _version, ...decision } of decisions) {
@@ -71,13 +74,14 @@
     this.pendingWrites.set(decision.fingerprint, { decision, dueAt: this.clock.now() + (isOwn ? 0 : NON_DECIDER_DELAY_MILLISECONDS) })
   }
 
-  /** Revokes a decision: removes its record from the store. */
-  async removeRecord (fingerprint: RequestFingerprint): Promise<void> {
+  /** Revokes a decision: removes its record from the store. @returns whether the store has no such record any more */
+  async removeRecord (fingerprint: RequestFingerprint): Promise<boolean> {
     this.pendingWrites.delete(fingerprint)
     const listed = this.listed.get(fingerprint)
-    if (listed === undefined) return
+    if (listed === undefined) return true
     const removed = await this.store.remove(quarantineDecisionPath(fingerprint), listed.version)
     if (removed.isErr()) this.logger.warn('A quarantine decision could not be removed from the store.', { fingerprint, reason: removed.error.message })
+    return removed.isOk()
   }
 
   /** Writes due decisions to the store and removes expired records, until the signal is aborted. */
@@ -109,7 +113,9 @@
 
   private async removeExpired (): Promise<void> {
     for (const { fingerprint, untilWallTime } of this.listed.values()) {
-      if (this.clock.wallTime() - untilWallTime > RETENTION_MILLISECONDS) await this.removeRecord(fingerprint)
+      if (this.clock.wallTime() - untilWallTime <= RETENTION_MILLISECONDS || this.clock.now() < (this.removalDueAt.get(fingerprint) ?? -Infinity)) continue
+      const removed = await this.removeRecord(fingerprint)
+      this.removalDueAt.set(fingerprint, removed ? Infinity : this.clock.now() + RETRY_MILLISECONDS)
     }
   }
 }
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -62,7 +62,7 @@
 
   /** Whether the connection may carry another request. */
   get reusable (): boolean {
-    return this.head !== undefined && this.abandonReason === undefined && String(this.head.headers.connection ?? '').toLowerCase() !== 'close'
+    return this.head !== undefined && this.abandonReason === undefined && !namesClose(this.head.headers.connection)
   }
 
   /** Whether any byte of the request may have reached the endpoint. */
@@ -173,3 +173,8 @@
     this.settle({ kind: 'broken', reason })
   }
 }
+
+/** @returns whether a `connection` header announces that the connection will be closed, alone or among other options */
+function namesClose (header: string | string[] | undefined): boolean {
+  return [header ?? []].flat().some((value) => value.split(',').some((option) => option.trim().toLowerCase() === 'close'))
+}
--- a/packages/ingress/src/runtime/wait-at-most.ts
+++ b/packages/ingress/src/runtime/wait-at-most.ts
@@ -9,6 +9,5 @@
 export async function waitAtMost (milliseconds: number, work: Promise<unknown>): Promise<void> {
   let timer: NodeJS.Timeout | undefined
   const limit = new Promise<void>((resolve) => { timer = setTimeout(resolve, Math.max(0, milliseconds)) })
-  await Promise.race([work, limit])
-  clearTimeout(timer)
+  await Promise.race([work, limit]).finally(() => clearTimeout(timer))
 }
--- a/packages/ingress/test/attempt.failure.test.ts
+++ b/packages/ingress/test/attempt.failure.test.ts
@@ -48,6 +48,12 @@
     expect(await attemptOn(connection)).toEqual({ kind: 'whole', body: 'hello', reusable: false })
   })
 
+  // Guards against a request that is lost on a connection which its endpoint has announced to close, beside other options of the header.
+  it('leaves no connection for another request when the endpoint closes it, whatever else the header names', async () => {
+    const answer: RawAnswer = (socket) => { socket.write(`${HEAD}Connection: X-Hop, Close\r\nContent-Length: 5\r\n\r\nhello`) }
+    expect(await attemptOn(await connectionTo(answer))).toEqual({ kind: 'whole', body: 'hello', reusable: false })
+  })
+
   it('is broken when a response without a length is reset', async () => {
     const connection = await connectionTo((socket) => {
       socket.write(`${HEAD}Connection: close\r\n\r\nhel`, () => setTimeout(() => socket.resetAndDestroy(), 30))
--- a/packages/ingress/test/quarantine-records.failure.test.ts
+++ b/packages/ingress/test/quarantine-records.failure.test.ts
@@ -2,6 +2,7 @@
 import { silentLogger } from '@limpetwinch/core'
 import { joinFingerprint } from '@limpetwinch/decisions'
 import type { FingerprintPrefix, QuarantineDecision } from '@limpetwinch/decisions'
+import { okAsync } from 'neverthrow'
 import { describe, expect, it } from 'vitest'
 import { decodeClusterObject } from '../src/members/cluster-objects.js'
 import { QuarantineRecords } from '../src/quarantine/quarantine-records.js'
@@ -49,6 +50,18 @@
     expect({ writes: store.writes, events }).toEqual({ writes: 1, events: [`${CRASHING} held, 1`] })
   })
 
+  // Guards against calls to the store four times a second, each of which is paid, for one expired record until the next listing.
+  it('is removed once when it has expired long ago, however late the next listing is', async () => {
+    const { store, clock, ending, list } = setUp()
+    let removals = 0
+    store.remove = () => { removals += 1; return okAsync(undefined) }
+    await store.put({ path: `limpetwinch-cluster/verdict.${CRASHING}`, ifVersion: 0, value: { crashes: 3, strikes: 1, certain: true, untilWallTime: clock.wallTime() - 365 * 24 * 3_600 * SECONDS } })
+    list()
+    await clock.advance(3 * SECONDS)
+    ending.abort()
+    expect(removals).toBe(1)
+  })
+
   // Guards against one write by each instance that reached the same decision.
   it('is written by the instance that saw the deciding crash, and not again by others', async () => {
     const { store, clock, records, ending, list } = setUp()
--- a/packages/ingress/test/wait-at-most.failure.test.ts
+++ b/packages/ingress/test/wait-at-most.failure.test.ts
@@ -13,6 +13,13 @@
     expect(ended).toEqual(['work', 'hung'])
   })
 
+  // Guards against a process that stays alive after its stop because of the timer of work that failed.
+  it('leaves no timer behind when the work fails', async () => {
+    const timersBefore = process.getActiveResourcesInfo().filter((name) => name === 'Timeout').length
+    await expect(waitAtMost(10_000, Promise.reject(new Error('failed')))).rejects.toThrow('failed')
+    expect(process.getActiveResourcesInfo().filter((name) => name === 'Timeout').length).toBe(timersBefore)
+  })
+
   it('does not wait at all when no time is left', async () => {
     await expect(waitAtMost(-5, new Promise(() => { /* Never settled. */ }))).resolves.toBeUndefined()
   })
