--- a/packages/core/src/frames/stream-frames.ts
+++ b/packages/core/src/frames/stream-frames.ts
@@ -14,7 +14,8 @@
   readonly kind: 'stream-origin-ask'
   /** Number of this question among those of the sender. */
   readonly number: number
-  readonly stream: string
+  /** Undefined when the caller has not named the stream; the answer tells the software versions all the same. */
+  readonly stream?: string | undefined
   /** The service on which the stream is to go on. */
   readonly service: string
 }
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -27,7 +27,7 @@
 const objectNames = z.array(id).optional()
 const changedObjects = z.object({ revision: count, value: z.unknown(), present: objectNames, lapsed: objectNames }).optional()
 
-const streamOrigin = z.tuple([id, id, z.string().max(200)])
+const streamOrigin = z.tuple([id, z.string().max(400), z.string().max(200)])
 
 const pin = { requestId: id, loadedName: z.string().max(400).optional(), team: id }
 
@@ -221,7 +221,7 @@
     meanMilliseconds: z.number().min(0).optional()
   }),
   'stream-origins': z.object({ origins: z.array(streamOrigin) }),
-  'stream-origin-ask': z.object({ number: count, stream: id, service: id }),
+  'stream-origin-ask': z.object({ number: count, stream: id.optional(), service: z.string().max(400) }),
   'stream-origin-answer': z.object({ number: count, origin: streamOrigin.optional(), softwareVersions: z.array(z.string().max(200)) })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -60,7 +60,14 @@
     const origin = await this.findOrigin(request)
     const service = origin === undefined ? undefined : this.serviceOf(request, origin)
     if (origin === undefined || service === undefined) return this.refuse(request)
-    return await new RelayedStream(this.parts, { ...request, service }, origin).run()
+    if (service === request.service) return await new RelayedStream(this.parts, request, origin).run()
+    const rerouted = { ...request, service }
+    try {
+      return await new RelayedStream(this.parts, rerouted, origin).run()
+    } finally {
+      // The quarantine keeps what it knows of a request by the object, and the caller of this method has only the first one.
+      this.parts.quarantine.attemptFinished(rerouted)
+    }
   }
 
   private async findOrigin ({ facts: { firstAttempt }, team, service }: RoutedRequest): Promise<StreamOrigin | undefined> {
--- a/packages/ingress/src/streams/stream-origin-questions.ts
+++ b/packages/ingress/src/streams/stream-origin-questions.ts
@@ -41,7 +41,7 @@
   }
 
   /** @returns the answers: as soon as one instance knows the stream, all have answered, or the time is over */
-  async ask (stream: StreamKey, service: ServiceName, instances: readonly InstanceId[]): Promise<StreamOriginAnswers> {
+  async ask (stream: StreamKey | undefined, service: ServiceName, instances: readonly InstanceId[]): Promise<StreamOriginAnswers> {
     const question: OpenQuestion = { waiting: new Set(instances), softwareVersions: new Set(), origin: undefined, answered: new AbortController() }
     if (instances.length > 0) {
       this.asked += 1
--- a/packages/ingress/src/streams/stream-origins.ts
+++ b/packages/ingress/src/streams/stream-origins.ts
@@ -47,8 +47,11 @@
   readonly team: TeamId | undefined
 }
 
-/** How the origin of a stream is known. */
-type OriginSource = 'this instance' | 'another instance' | 'the only version'
+/** The origin of a stream, and how it is known. */
+interface FoundOrigin {
+  readonly origin: StreamOrigin
+  readonly source: 'this instance' | 'another instance' | 'the only version'
+}
 
 /** Where the streams of all instances began. */
 export class StreamOrigins {
@@ -132,31 +135,37 @@
     this.own.expire(now)
   }
 
-  private async search (stream: StreamKey | undefined, service: ServiceName): Promise<{ readonly origin: StreamOrigin, readonly source: OriginSource } | undefined> {
-    const { self, versions, recorders, areEndpointsCurrent, areAllReachable } = this.parts
-    const remembered = (): StreamOrigin | undefined => stream === undefined ? undefined : this.known.find(stream)
-    const here = remembered()
-    if (here !== undefined) return { origin: here, source: 'this instance' }
+  private async search (stream: StreamKey | undefined, service: ServiceName): Promise<FoundOrigin | undefined> {
+    const { versions, areEndpointsCurrent, areAllReachable } = this.parts
+    const here = this.remembered(stream)
+    if (here !== undefined) return here
     const seen = new Set(versions.known(service))
-    const candidates = recorders()
-    const first = stream === undefined ? [] : recordersOf(stream, candidates).filter((instance) => instance !== self)
-    const others = candidates.map(({ instance }) => instance).filter((instance) => instance !== self && !first.includes(instance))
     let areComplete = true
-    for (const asked of [first, others]) {
-      const answers = await this.questions.ask(stream ?? '' as StreamKey, service, asked)
+    for (const instances of this.instancesToAsk(stream)) {
+      const answers = await this.questions.ask(stream, service, instances)
       if (answers.origin !== undefined) return { origin: answers.origin, source: 'another instance' }
       for (const version of answers.softwareVersions) seen.add(version)
       areComplete &&= answers.areComplete
-      const only = onlyVersion(seen)
-      if (only !== undefined && areEndpointsCurrent()) return { origin: { service, softwareVersion: only }, source: 'the only version' }
+      if (areEndpointsCurrent() && isOneVersion(seen)) return onlyOrigin(service, seen)
     }
     // A record may have arrived meanwhile.
-    const later = remembered()
-    if (later !== undefined) return { origin: later, source: 'this instance' }
-    // An instance that may have missed an endpoint of another version is told of it if all others can be asked.
-    const only = onlyVersion(seen)
-    if (only === undefined || !areComplete || !areAllReachable()) return undefined
-    return { origin: { service, softwareVersion: only }, source: 'the only version' }
+    const later = this.remembered(stream)
+    if (later !== undefined) return later
+    // An instance that may have missed endpoints of another version is told of them if it can ask all others.
+    return areComplete && areAllReachable() && isOneVersion(seen) ? onlyOrigin(service, seen) : undefined
+  }
+
+  private remembered (stream: StreamKey | undefined): FoundOrigin | undefined {
+    const origin = stream === undefined ? undefined : this.known.find(stream)
+    return origin === undefined ? undefined : { origin, source: 'this instance' }
+  }
+
+  /** @returns the instances that would remember the stream, then all others that remember streams */
+  private instancesToAsk (stream: StreamKey | undefined): readonly (readonly InstanceId[])[] {
+    const candidates = this.parts.recorders()
+    const recorders = stream === undefined ? [] : recordersOf(stream, candidates)
+    const others = candidates.map(({ instance }) => instance).filter((instance) => !recorders.includes(instance))
+    return [recorders, others].map((instances) => instances.filter((instance) => instance !== this.parts.self))
   }
 
   private handleOrigins (from: InstanceId, origins: readonly StreamOriginItem[]): void {
@@ -171,11 +180,11 @@
   private handleAsk (from: InstanceId, { number, stream, service }: StreamOriginAskFrame): void {
     // Records that have arrived, but are not read yet, are read before the answer.
     setImmediate(() => {
-      const origin = this.known.find(stream as StreamKey)
+      const origin = stream === undefined ? undefined : this.known.find(stream as StreamKey)
       this.parts.notify(from, {
         kind: 'stream-origin-answer',
         number,
-        ...(origin === undefined ? {} : { origin: [stream, origin.service, origin.softwareVersion] as const }),
+        ...(origin === undefined || stream === undefined ? {} : { origin: [stream, origin.service, origin.softwareVersion] as const }),
         softwareVersions: [...this.parts.versions.known(service as ServiceName)]
       })
     })
@@ -210,8 +219,10 @@
   }
 }
 
-/** @returns the version if there is one only, and it is stated */
-function onlyVersion (versions: ReadonlySet<SoftwareVersion>): SoftwareVersion | undefined {
-  const [only, ...others] = versions
-  return others.length > 0 || only === UNSTATED_VERSION ? undefined : only
+function isOneVersion (versions: ReadonlySet<SoftwareVersion>): boolean {
+  return versions.size === 1 && !versions.has(UNSTATED_VERSION)
+}
+
+function onlyOrigin (service: ServiceName, [softwareVersion = UNSTATED_VERSION]: ReadonlySet<SoftwareVersion>): FoundOrigin {
+  return { origin: { service, softwareVersion }, source: 'the only version' }
 }
--- a/packages/ingress/test/relayed-stream-versions.failure.test.ts
+++ b/packages/ingress/test/relayed-stream-versions.failure.test.ts
@@ -47,6 +47,15 @@
     expect(one.lines.find(({ message }) => message === 'No engine was found.')?.fields).toMatchObject({ reason: 'no engine runs its software version' })
   })
 
+  // Guards against a stream that goes on at another service than the one that began it, where services share a route.
+  it('that a caller resumes goes to the service that began it, among those that share its route', async () => {
+    const engine = await raw(stream([3], endStream))
+    const shared = route({ ...PATIENT, targets: [{ service: 'guide' as ServiceName, weight: 1 }, { service: 'engines' as ServiceName, weight: 1 }] })
+    const origins = { begun: () => {}, completed: () => {}, find: async () => ({ service: 'engines' as ServiceName, softwareVersion: 'v1' as SoftwareVersion }) }
+    const under = await ingress({ routes: [shared], endpoints: [{ id: 'a', raw: engine, adapters: held }], origins })
+    expect(ids((await under.ask('/', { 'x-adapter': 'poem', 'x-after': '2', 'x-first-attempt': 'known' })).body)).toEqual(['3'])
+  })
+
   // Guards against a stream that is sent to another software version because nothing is known of where it began.
   it('that a caller resumes goes to the version that began it, and is refused at once with a retry time while that version is not known', async () => {
     const [older, newer] = [await raw(stream([3], endStream)), await raw(stream([3], endStream))]
--- a/packages/ingress/test/stream-origins.failure.test.ts
+++ b/packages/ingress/test/stream-origins.failure.test.ts
@@ -88,6 +88,15 @@
     expect(await resumeAll(instanceAt(0), streams)).toEqual({ right: 0, wrong: 0, unknown: STREAMS })
   })
 
+  // Guards against a question that other instances cannot read: they close the connection on which it arrives.
+  it('is not resumed when its caller names no request, and the instances stay connected', async () => {
+    fleet = await StreamFleet.start(1, 3, 'v1', 'v1.1')
+    expect(await fleet.resume(instanceAt(0), undefined)).toBeUndefined()
+    fleet.begin(instanceAt(0), 'r', 'v1')
+    await fleet.clock.advance(5)
+    expect(await fleet.resume(instanceAt(1), 'r')).toBe('v1')
+  })
+
   it('is resumed there by its own team only', async () => {
     fleet = await StreamFleet.start(1, 3, 'v1', 'v1.1')
     const [{ origins }] = fleet.instances as [StreamingInstance]
