Crash lines name the prompt parts of requests and how far their answers were

Sends name the parts as well, so that answered requests with the same parts can be found. No logic is changed.

--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -9,6 +9,8 @@
 import { CrashTracker } from '@limpetwinch/decisions'
 import type { InFlightRequest, EndpointCrash, FingerprintPrefix, QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { ResponseProgress } from '../relay/attempt.js'
+import { sharedPartIds } from '../relay/request-codec.js'
 import type { RoutedRequest } from '../relay/routed-request.js'
 import type { AdapterKey, Endpoint } from '../routes/configuration.js'
 import { endpointOfIncarnation, incarnationOf } from './crash-detector.js'
@@ -56,6 +58,13 @@
   readonly newestVersion: (key: AdapterKey) => number | undefined
 }
 
+/** A run of a request that ended with the connection to its endpoint. */
+export interface TruncatedRun {
+  /** How long the request had been in flight on the endpoint. */
+  readonly milliseconds: number
+  readonly response: ResponseProgress
+}
+
 /** A crash for which this instance still collects the requests that it had in flight. */
 interface PendingCrashReport {
   readonly crash: EndpointCrash
@@ -137,10 +146,10 @@
   /**
    * Called when the request lost its connection: starts to examine whether the endpoint crashed.
    *
-   * @param milliseconds - how long the request had been in flight on the endpoint
+   * @param run - the run that the lost connection ended
    */
-  lost (request: RoutedRequest, endpoint: Endpoint, milliseconds: number): void {
-    const examination = this.examine(request, endpoint, milliseconds)
+  lost (request: RoutedRequest, endpoint: Endpoint, run: TruncatedRun): void {
+    const examination = this.examine(request, endpoint, run)
     const previous = this.examinations.get(request)
     this.examinations.set(request, previous === undefined ? examination : previous.then(async () => await examination))
     this.connectionLossCounts.set(request, this.losses(request) + 1)
@@ -265,7 +274,7 @@
     return GRANTED
   }
 
-  private async examine (request: RoutedRequest, endpoint: Endpoint, milliseconds: number): Promise<void> {
+  private async examine (request: RoutedRequest, endpoint: Endpoint, { milliseconds, response }: TruncatedRun): Promise<void> {
     const { detector, findEndpoint, logger, clock } = this.parts
     // An endpoint that is marked as leaving, or that is no longer listed, stops on purpose; its end is not a crash.
     if (findEndpoint(endpoint.id)?.leaving !== false) return
@@ -273,7 +282,14 @@
     if (!await detector.hasCrashed({ endpoint, life })) return
     const fingerprint = this.fingerprint(request)
     logger.info('A request was aboard a crashed endpoint.', {
-      request: request.facts.requestId, endpoint: endpoint.id, fingerprint, adapter: request.facts.adapter?.key, milliseconds: Math.round(milliseconds), isolated: this.isolatedRuns.has(request)
+      request: request.facts.requestId,
+      endpoint: endpoint.id,
+      fingerprint,
+      adapter: request.facts.adapter?.key,
+      promptParts: sharedPartIds(request.facts),
+      response,
+      milliseconds: Math.round(milliseconds),
+      isolated: this.isolatedRuns.has(request)
     })
     const report = this.pendingReports.get(life) ?? this.collectReport({ life, service: endpoint.service, at: clock.now() })
     report.aboard.push({ fingerprint, milliseconds, isolated: this.isolatedRuns.has(request) })
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -40,6 +40,9 @@
   /** This instance cancelled the attempt after the request was sent. */
   | { readonly kind: 'abandoned', readonly reason: string }
 
+/** How much of a response has arrived: nothing, its status and headers only, or a part of its body as well. */
+export type ResponseProgress = 'none' | 'head' | 'body'
+
 /** Sends one HTTP request and passes its response to a sink. */
 export class Attempt {
   private readonly connection: EndpointConnection
@@ -47,6 +50,7 @@
   private sent = false
   private connectionLost = false
   private head: ResponseHead | undefined
+  private hasBody = false
   private abandonReason: string | undefined
   private controller: Dispatcher.DispatchController | undefined
   private settle: (end: AttemptEnd) => void = () => {}
@@ -75,6 +79,12 @@
     return this.head !== undefined && !this.head.facts.notRun
   }
 
+  /** How much of the response has arrived. */
+  get responseProgress (): ResponseProgress {
+    if (this.head === undefined) return 'none'
+    return this.hasBody ? 'body' : 'head'
+  }
+
   /** Whether the endpoint or the network closed the connection after the request was sent. */
   get lostConnection (): boolean {
     return this.sent && this.abandonReason === undefined && this.connectionLost
@@ -139,6 +149,7 @@
         sink.head(this.head)
       },
       onResponseData: (_controller, chunk) => {
+        this.hasBody = true
         if (this.abandonReason === undefined) sink.data(chunk)
       },
       onResponseEnd: () => {
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -15,6 +15,7 @@
 import type { AttemptEnd, AttemptSink } from './attempt.js'
 import { EndpointConnections } from './endpoint-connections.js'
 import { EndpointContacts } from './endpoint-contacts.js'
+import { sharedPartIds } from './request-codec.js'
 import type { RequestCodec } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
 import { UnansweredAttempts } from './unanswered-attempts.js'
@@ -104,6 +105,7 @@
       tries: options.earlierAttempts + 1,
       adapter: request.facts.adapter?.key,
       adapterVersion: options.adapterVersion,
+      promptParts: sharedPartIds(request.facts),
       after: options.lastEventId,
       firstAttempt: request.facts.firstAttempt,
       millisecondsLeft: Math.round(millisecondsLeft),
@@ -128,7 +130,7 @@
         request: request.facts.requestId, endpoint: options.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.logFields, ...contact.logFields
       })
       if (attempt.wasSent) quarantine.sent(request)
-      if (attempt.lostConnection) quarantine.lost(request, options.endpoint, clock.now() - sentAt)
+      if (attempt.lostConnection) quarantine.lost(request, options.endpoint, { milliseconds: clock.now() - sentAt, response: attempt.responseProgress })
       quarantine.attemptFinished(request)
       return end
     })
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -39,6 +39,11 @@
   readonly firstAttempt: string | undefined
 }
 
+/** @returns the ids of the parts of a prompt that other requests may share: all but the last, which belongs to the request or its session */
+export function sharedPartIds ({ promptParts }: Pick<RequestFacts, 'promptParts'>): readonly string[] {
+  return promptParts.slice(0, -1).map(({ id }) => id)
+}
+
 /** What the system sends to an endpoint in addition to the caller's headers. */
 export interface SendFacts {
   readonly endpoint: EndpointId
--- a/packages/ingress/test/quarantine-fleet.failure.test.ts
+++ b/packages/ingress/test/quarantine-fleet.failure.test.ts
@@ -87,7 +87,7 @@
     const admission = quarantine.admit(request, engine.id)
     await this.pass(SETTLED_MILLISECONDS)
     if ((await admission).kind !== 'granted') return false
-    quarantine.lost(request, engine, CRASHED_AFTER_MILLISECONDS)
+    quarantine.lost(request, engine, { milliseconds: CRASHED_AFTER_MILLISECONDS, response: 'body' })
     quarantine.attemptFinished(request)
     await this.pass(DECISION_MILLISECONDS)
     return true
@@ -113,7 +113,7 @@
     target: '/draft/guilty',
     route: route(),
     service: service('engines'),
-    facts: { requestId: 'any', caller: undefined, adapter: undefined },
+    facts: { requestId: 'any', caller: undefined, adapter: undefined, promptParts: [] },
     body: Buffer.from('guilty'),
     endsAt: world.clock.now() + 10_000
   } as unknown as RoutedRequest
