--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -22,7 +22,7 @@
 }
 
 function run (change: Partial<StandInRun> = {}): StandInRun {
-  return { request: 'r', at: AT, path: '/', adapter: undefined, version: undefined, team: undefined, hasKey: false, after: 0, outcome: 'finished', ...change }
+  return { request: 'r', at: AT, path: '/', adapter: undefined, version: undefined, team: undefined, hasKey: false, after: 0, promptParts: [], outcome: 'finished', ...change }
 }
 
 interface EvidenceOptions {
