--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -121,10 +121,10 @@
     message: ({ adapter, reason }) => `Adapter '${adapter}' could not be made ready in time (${reason}). Retry after the time in Retry-After.`
   },
   'request-quarantined': {
-    title: 'The request is quarantined because it crashes endpoints.',
+    title: 'The request is quarantined because it, or a part of its prompt, crashes endpoints.',
     status: 429,
     outcome: 'not_run',
-    message: ({ crashes }) => `This request is quarantined: ${crashes} endpoints crashed while they ran it. Change it, or retry after the time in Retry-After.`
+    message: ({ crashes, reason }) => `This request is quarantined because ${reason}: ${crashes} have crashed. Change it, or retry after the time in Retry-After.`
   },
   'request-on-trial': {
     title: 'Another copy of the request is running in isolation.',
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -7,7 +7,7 @@
 import type { SettingsChangeFrame, SettingsRevisionsFrame } from './settings-frames.js'
 import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame } from './cluster-frames.js'
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
-import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame } from './quarantine-frames.js'
+import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
 import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame } from './limit-frames.js'
@@ -55,6 +55,7 @@
   | OverlayBatchFrame
   | EndpointCrashFrame
   | RequestTrialFrame
+  | SoundPartsFrame
   | RequestVerdictFrame
   | QuotaAskFrame
   | QuotaAnswerFrame
--- a/packages/core/src/frames/quarantine-frames.ts
+++ b/packages/core/src/frames/quarantine-frames.ts
@@ -14,6 +14,18 @@
    * isolation from other suspected requests.
    */
   readonly aboard: readonly (readonly [fingerprint: string, milliseconds: number, isolated: boolean])[]
+  /**
+   * The runs of the sender that the crash ended before or shortly after their answers began. For each: how long it had been on the endpoint,
+   * in milliseconds, and the fingerprints of the parts of its prompt. Absent when there is none.
+   */
+  readonly accusedRuns?: readonly (readonly [milliseconds: number, parts: readonly string[]])[] | undefined
+}
+
+/** Reports parts of prompts that do not crash endpoints, because requests with them were answered. */
+export interface SoundPartsFrame {
+  readonly kind: 'sound-parts'
+  /** Fingerprints of the parts. */
+  readonly parts: readonly string[]
 }
 
 /**
@@ -35,9 +47,10 @@
   readonly milliseconds: number
 }
 
-/** Reports the quarantine of a request: no instance sends the request to endpoints, because the request is held responsible for crashes. */
+/** Reports a quarantine: no instance sends the request, or requests with the part of prompts, to endpoints, because it is held responsible for crashes. */
 export interface RequestVerdictFrame {
   readonly kind: 'request-verdict'
+  /** Of the request, or of the part of prompts. */
   readonly fingerprint: string
   /** Number of crashes that are attributed to the request. */
   readonly crashes: number
--- a/packages/decisions/src/quarantine/crash-tracker.ts
+++ b/packages/decisions/src/quarantine/crash-tracker.ts
@@ -1,4 +1,8 @@
 /** Finds and quarantines requests that crash the endpoints on which they run. */
+import { chanceOfCoincidence } from './crash-chance.js'
+import type { EndpointCrash } from './crash-chance.js'
+import { QuarantineDecisions, quarantineMilliseconds } from './quarantine-decisions.js'
+import type { QuarantineDecision } from './quarantine-decisions.js'
 import { prefixOf } from './request-fingerprint.js'
 import type { FingerprintPrefix, RequestFingerprint } from './request-fingerprint.js'
 
@@ -18,30 +22,11 @@
  * is lower than this.
  */
 const MAXIMUM_CHANCE = 0.00001
-/** Duration of a quarantine whose decision is certain, before one more trial run. */
-const CERTAIN_QUARANTINE_MILLISECONDS = 3_600_000
-/** Duration of the first quarantine of a request that may have been in flight by chance. Each repeated quarantine is longer by the factor below. */
-const UNCERTAIN_QUARANTINE_MILLISECONDS = 60_000
-const QUARANTINE_GROWTH_FACTOR = 10
-/**
- * Lengths of the time windows before a crash. The rate of unrelated crashes is measured in each window, and the highest rate counts,
- * since crashes come in bursts.
- */
-const CRASH_RATE_WINDOWS_MILLISECONDS = [10_000, 60_000] as const
 /** Age at which a crash is forgotten, and with it the suspicion against requests that were in flight at no later crash. */
 const RETENTION_MILLISECONDS = 600_000
 /** Maximum number of crashes kept, which bounds the memory of the tracker; the oldest are forgotten first. */
 const MAXIMUM_TRACKED_CRASHES = 250
 
-/** Crash of an endpoint, as observed by one or several instances. */
-export interface EndpointCrash {
-  /** Identifies the endpoint and its incarnation; equal on all instances. */
-  readonly life: string
-  readonly service: string
-  /** Monotonic time at which this instance learnt of the crash, milliseconds. */
-  readonly at: number
-}
-
 /** Request that was in flight when its endpoint crashed. */
 export interface InFlightRequest {
   readonly fingerprint: RequestFingerprint
@@ -60,18 +45,8 @@
   /** The request is not sent to endpoints. */
   | 'quarantined'
 
-/** Reason and duration of a quarantine. */
-export interface QuarantineDecision {
-  readonly fingerprint: RequestFingerprint
-  /** Crashes that are attributed to the request. */
-  readonly crashes: number
-  /** Number of quarantines in a row without a completed run between them. */
-  readonly strikes: number
-  /** Whether it is ruled out that the request was in flight at the crashes by coincidence. */
-  readonly certain: boolean
-  /** Monotonic time from which one trial run is allowed, milliseconds. */
-  readonly until: number
-}
+/** Decision to quarantine a request. */
+type RequestQuarantineDecision = QuarantineDecision<RequestFingerprint>
 
 interface CrashRecord extends EndpointCrash {
   /** Requests that were in flight at the crash, by fingerprint. A request that is cleared by a completed run is removed. */
@@ -83,14 +58,13 @@
  *
  * A request in flight at a crash may be its cause or its victim. Every such request is implicated; a completed run clears it.
  * A request that is implicated repeatedly becomes suspected and runs in isolation. A crash during an isolated run identifies the
- * request as the cause unless unrelated crashes are too frequent. Every quarantine ends with one trial run, since the adapter or the
- * engine may have been fixed, and a request that was quarantined by coincidence must not be refused for ever.
+ * request as the cause unless unrelated crashes are too frequent.
  */
 export class CrashTracker {
   private readonly crashes = new Map<string, CrashRecord>()
   /** For each request, the crashed incarnations of endpoints on which it was in flight, as far as the cause of the crash is unknown. */
   private readonly implicated = new Map<RequestFingerprint, Set<string>>()
-  private readonly decisions = new Map<RequestFingerprint, QuarantineDecision>()
+  private readonly decisions = new QuarantineDecisions<RequestFingerprint>()
   /** Number of times that each implicated request was sent after its third crash. */
   private readonly lateSends = new Map<RequestFingerprint, number>()
   /** Number of implicated and quarantined requests by fingerprint prefix. */
@@ -119,19 +93,17 @@
 
   /** @returns how the request is treated at this time */
   standing (fingerprint: RequestFingerprint, now: number): RequestStanding {
-    const decision = this.decisions.get(fingerprint)
-    if (decision !== undefined) return now < decision.until ? 'quarantined' : 'suspected'
-    return this.crashCount(fingerprint) >= CRASHES_TO_ISOLATE ? 'suspected' : 'unsuspected'
+    return this.decisions.standing(fingerprint, now) ?? (this.crashCount(fingerprint) >= CRASHES_TO_ISOLATE ? 'suspected' : 'unsuspected')
   }
 
   /** @returns the quarantine decision on the request, even if the quarantine has ended */
-  verdict (fingerprint: RequestFingerprint): QuarantineDecision | undefined {
+  verdict (fingerprint: RequestFingerprint): RequestQuarantineDecision | undefined {
     return this.decisions.get(fingerprint)
   }
 
   /** @returns all quarantine decisions, to be sent to an instance that has none */
-  allDecisions (): readonly QuarantineDecision[] {
-    return [...this.decisions.values()]
+  allDecisions (): readonly RequestQuarantineDecision[] {
+    return this.decisions.all()
   }
 
   /** @returns incarnations of endpoints that crashed, see {@link EndpointCrash.life} */
@@ -151,7 +123,7 @@
    * @param inFlight - requests that were in flight there
    * @returns existing quarantine decisions that the crash confirms; {@link decide} makes new ones
    */
-  record (crash: EndpointCrash, inFlight: readonly InFlightRequest[]): QuarantineDecision[] {
+  record (crash: EndpointCrash, inFlight: readonly InFlightRequest[]): RequestQuarantineDecision[] {
     const record = this.crashes.get(crash.life) ?? { ...crash, aboard: new Map() }
     const added = inFlight.filter(({ fingerprint }) => !record.aboard.has(fingerprint))
     this.crashes.set(crash.life, record)
@@ -159,7 +131,7 @@
     this.forgetOldest()
     const confirmed = added.flatMap(({ fingerprint }) => this.decisions.get(fingerprint) ?? [])
     if (confirmed.length > 0) this.explain(record)
-    if (this.isExplained(record)) return confirmed.map((decision) => this.extendQuarantine(decision, crash))
+    if (this.isExplained(record)) return confirmed.map((decision) => this.decisions.extend(decision, crash.at))
     for (const { fingerprint } of inFlight) this.implicate(fingerprint, crash.life)
     return []
   }
@@ -172,7 +144,7 @@
    * @param life - incarnation of the endpoint that crashed
    * @returns new quarantine decisions
    */
-  decide (life: string): QuarantineDecision[] {
+  decide (life: string): RequestQuarantineDecision[] {
     const record = this.crashes.get(life)
     if (record === undefined || this.isExplained(record)) return []
     const decisions = [...record.aboard.keys()].flatMap((fingerprint) => this.decisionOn(fingerprint, record) ?? [])
@@ -186,8 +158,7 @@
    * that run completes, {@link completed} lifts the quarantine.
    */
   sent (fingerprint: RequestFingerprint, now: number): void {
-    const decision = this.decisions.get(fingerprint)
-    if (decision !== undefined) return this.recordTrialSend(decision, now)
+    if (this.decisions.get(fingerprint) !== undefined) return this.decisions.trialSent(fingerprint, now)
     const crashes = this.crashCount(fingerprint)
     if (crashes < CRASHES_TO_QUARANTINE) return
     const sends = (this.lateSends.get(fingerprint) ?? 0) + 1
@@ -211,20 +182,18 @@
    * Quarantines a request and clears the other requests that were in flight at its crashes. Replaces an existing decision only if
    * the new one counts more quarantines in a row (`strikes`).
    */
-  quarantine (decision: QuarantineDecision): void {
-    const { fingerprint, strikes } = decision
-    const existing = this.decisions.get(fingerprint)
-    if (existing !== undefined && existing.strikes >= strikes) return
+  quarantine (decision: RequestQuarantineDecision): void {
+    const { fingerprint } = decision
+    const isNew = this.decisions.get(fingerprint) === undefined
+    if (!this.decisions.adopt(decision)) return
     this.clear(fingerprint)
-    this.decisions.set(fingerprint, decision)
-    if (existing === undefined) this.count(fingerprint, 1)
+    if (isNew) this.count(fingerprint, 1)
     for (const record of this.crashes.values()) if (record.aboard.has(fingerprint)) this.explain(record)
   }
 
   /** Ends the quarantine of a request now, so that one trial run is allowed. */
   reconsider (fingerprint: RequestFingerprint): void {
-    const decision = this.decisions.get(fingerprint)
-    if (decision !== undefined) this.decisions.set(fingerprint, { ...decision, until: -Infinity })
+    this.decisions.reconsider(fingerprint)
   }
 
   /**
@@ -234,7 +203,7 @@
    * @returns whether there was a decision
    */
   release (fingerprint: RequestFingerprint): boolean {
-    if (!this.decisions.delete(fingerprint)) return false
+    if (!this.decisions.remove(fingerprint)) return false
     this.count(fingerprint, -1)
     for (const record of this.crashes.values()) record.aboard.delete(fingerprint)
     return true
@@ -255,7 +224,7 @@
       .map(({ life, service, at, aboard }) => ({ life, service, at, aboard: [...aboard].map(([fingerprint, run]) => ({ fingerprint, ...run })) }))
   }
 
-  private decisionOn (fingerprint: RequestFingerprint, crash: EndpointCrash): QuarantineDecision | undefined {
+  private decisionOn (fingerprint: RequestFingerprint, crash: EndpointCrash): RequestQuarantineDecision | undefined {
     const crashes = this.crashesOf(fingerprint)
     if (crashes.length < CRASHES_TO_QUARANTINE) return undefined
     const certain = crashes.some((record) => this.isConclusive(record, fingerprint)) && this.chanceOf(fingerprint, crashes) < MAXIMUM_CHANCE
@@ -263,21 +232,6 @@
     return { fingerprint, crashes: crashes.length, strikes: 1, certain, until: crash.at + quarantineMilliseconds(certain, 1) }
   }
 
-  /** Extends a quarantine after a crash during the trial run or during a run that began before the decision. */
-  private extendQuarantine (decision: QuarantineDecision, { at }: EndpointCrash): QuarantineDecision {
-    const until = Math.max(decision.until, at + quarantineMilliseconds(decision.certain, decision.strikes))
-    const next = { ...decision, crashes: decision.crashes + 1, until }
-    this.decisions.set(decision.fingerprint, next)
-    return next
-  }
-
-  /** Uses up the one trial run after a quarantine. A send before the end of the quarantine changes nothing. */
-  private recordTrialSend (decision: QuarantineDecision, now: number): void {
-    if (now < decision.until) return
-    const strikes = decision.strikes + 1
-    this.decisions.set(decision.fingerprint, { ...decision, strikes, until: now + quarantineMilliseconds(decision.certain, strikes) })
-  }
-
   /**
    * @returns whether the request ran in isolation and no other request at the endpoint is suspected; another one may have become
    *   suspected only after the isolated run began
@@ -289,25 +243,9 @@
 
   /** @returns probability that an innocent request is in flight at all these crashes, given the rate of crashes without the request */
   private chanceOf (fingerprint: RequestFingerprint, crashes: readonly CrashRecord[]): number {
-    // Crashes with a known cause count as well. Otherwise each wrong decision would lower the rate and make the next wrong one more likely.
-    const others = [...this.crashes.values()].filter((record) => !record.aboard.has(fingerprint))
-    return crashes.reduce((chance, crash) => {
-      const milliseconds = Math.max(1, crash.aboard.get(fingerprint)?.milliseconds ?? 0)
-      return chance * (1 - Math.exp(-this.rateAt(crash, others) * milliseconds))
-    }, 1)
-  }
-
-  /**
-   * @returns crashes of the service per endpoint and millisecond shortly before this crash: the highest rate among the windows of
-   *   `CRASH_RATE_WINDOWS_MILLISECONDS`, where one crash is added to each so that no rate is 0
-   */
-  private rateAt ({ service, at }: EndpointCrash, others: readonly CrashRecord[]): number {
-    const endpoints = Math.max(1, this.endpointCount(service))
-    const rates = CRASH_RATE_WINDOWS_MILLISECONDS.map((milliseconds) => {
-      const near = others.filter((other) => other.service === service && other.at <= at && at - other.at < milliseconds)
-      return (near.length + 1) / (endpoints * milliseconds)
-    })
-    return Math.max(...rates)
+    const others = [...this.crashes.values()].filter(({ aboard }) => !aboard.has(fingerprint))
+    const withRequest = crashes.map(({ aboard, ...crash }) => ({ ...crash, milliseconds: aboard.get(fingerprint)?.milliseconds ?? 0 }))
+    return chanceOfCoincidence(withRequest, others, this.endpointCount)
   }
 
   private crashesOf (fingerprint: RequestFingerprint): CrashRecord[] {
@@ -316,7 +254,7 @@
 
   /** @returns whether a request with a quarantine decision was in flight, which makes it the cause of the crash */
   private isExplained ({ aboard }: CrashRecord): boolean {
-    return this.decisions.size > 0 && [...aboard.keys()].some((fingerprint) => this.decisions.has(fingerprint))
+    return this.decisions.size > 0 && [...aboard.keys()].some((fingerprint) => this.decisions.get(fingerprint) !== undefined)
   }
 
   /** Removes the suspicion from all requests in flight at a crash whose cause is known or no longer looked for. */
@@ -363,10 +301,6 @@
   }
 }
 
-function quarantineMilliseconds (certain: boolean, strikes: number): number {
-  return certain ? CERTAIN_QUARANTINE_MILLISECONDS : UNCERTAIN_QUARANTINE_MILLISECONDS * QUARANTINE_GROWTH_FACTOR ** (strikes - 1)
-}
-
 /** Adds a request to a crash. Several instances may have sent copies of the request to the endpoint, so an existing entry is merged. */
 function addInFlight ({ aboard }: CrashRecord, { fingerprint, milliseconds, isolated }: InFlightRequest): void {
   const existing = aboard.get(fingerprint)
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -176,8 +176,10 @@
     life: id,
     service: id,
     millisecondsAgo: z.number().min(0),
-    aboard: z.array(z.tuple([id, z.number().min(0), z.boolean()]))
+    aboard: z.array(z.tuple([id, z.number().min(0), z.boolean()])),
+    accusedRuns: z.array(z.tuple([z.number().min(0), z.array(id)])).optional()
   }),
+  'sound-parts': z.object({ parts: z.array(id) }),
   'request-trial': z.object({
     fingerprint: id,
     state: z.enum(['claimed', 'running', 'sent', 'over', 'completed']),
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -4,7 +4,7 @@
  * types, store paths and decoding.
  */
 import type { DataCentreId, EndpointId, FencingToken, InstanceId, StoredObject } from '@limpetwinch/core'
-import type { QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
+import type { QuarantineDecision, Suspect } from '@limpetwinch/decisions'
 import { z } from 'zod'
 import type { ServiceName, SoftwareVersion } from '../routes/configuration.js'
 
@@ -50,7 +50,7 @@
   readonly token: FencingToken
 }
 
-/** A quarantine decision on a request, as stored. */
+/** A quarantine decision on a request or a part of prompts, as stored. */
 export interface StoredQuarantineDecision extends Omit<QuarantineDecision, 'until'> {
   /** Wall clock time at which the quarantine ends, milliseconds. */
   readonly untilWallTime: number
@@ -85,8 +85,8 @@
   return `${CLUSTER_KIND}/holder.${endpoint}`
 }
 
-/** @returns the store path of the quarantine decision on a request */
-export function quarantineDecisionPath (fingerprint: RequestFingerprint): string {
+/** @returns the store path of the quarantine decision on a request or a part of prompts */
+export function quarantineDecisionPath (fingerprint: Suspect): string {
   return `${CLUSTER_KIND}/verdict.${fingerprint}`
 }
 
@@ -106,7 +106,7 @@
   }
   if (name.startsWith('verdict.')) {
     const decoded = quarantineDecisionSchema.safeParse(object.value)
-    return decoded.success ? { kind: 'verdict', verdict: { fingerprint: subject as RequestFingerprint, ...decoded.data, version: object.version } } : undefined
+    return decoded.success ? { kind: 'verdict', verdict: { fingerprint: subject as Suspect, ...decoded.data, version: object.version } } : undefined
   }
   const decoded = loadOwnerSchema.safeParse(object.value)
   if (!decoded.success) return undefined
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -43,6 +43,10 @@
   readonly accusedRequests: number
   /** Number of requests with a quarantine decision, including those whose quarantine has ended. */
   readonly quarantinedRequests: number
+  /** Number of parts of prompts that are at present implicated in a crash, and not quarantined. */
+  readonly accusedParts: number
+  /** Number of parts of prompts with a quarantine decision, including those whose quarantine has ended. */
+  readonly quarantinedParts: number
 }
 
 /** The metrics of one instance. */
@@ -95,6 +99,8 @@
     this.gauge('limpetwinch_overlay_hub', '1 for a hub, 0 for a leaf', () => read().isHub)
     this.gauge('limpetwinch_accused_requests', 'Requests that crashes of their endpoints speak against', () => read().accusedRequests)
     this.gauge('limpetwinch_quarantined_requests', 'Requests with a verdict', () => read().quarantinedRequests)
+    this.gauge('limpetwinch_accused_parts', 'Parts of prompts that crashes of endpoints speak against', () => read().accusedParts)
+    this.gauge('limpetwinch_quarantined_parts', 'Parts of prompts with a verdict', () => read().quarantinedParts)
     this.gauge('limpetwinch_overlay_leaves', 'Leaves attached to this hub', () => read().leaves)
   }
 
--- a/packages/ingress/src/quarantine/isolated-run-claims.ts
+++ b/packages/ingress/src/quarantine/isolated-run-claims.ts
@@ -1,11 +1,11 @@
 /**
- * Claims for isolated runs. In an isolated run, a request that is suspected of crashing endpoints is sent by one instance at a time, to an
+ * Claims for isolated runs. In an isolated run, a request that is suspected of crashing endpoints, or has a suspected part in its prompt, is sent by one instance at a time, to an
  * endpoint where no other suspected request runs; requests that are not suspected may run there too. Without claims, copies of the request
  * that arrive at several instances would each crash an endpoint. And when two suspected requests are in flight at one crash, the cause
  * could not be determined. Only when too few endpoints are left do several suspected requests share one (a shared claim).
  */
 import type { Clock, EndpointId, InstanceId, RequestTrialFrame } from '@limpetwinch/core'
-import type { RequestFingerprint } from '@limpetwinch/decisions'
+import type { Suspect } from '@limpetwinch/decisions'
 
 /** Dependencies of the claims. */
 export interface IsolatedRunClaimsDependencies {
@@ -35,7 +35,7 @@
 /** The claims of this instance and those that it received from other instances. */
 export class IsolatedRunClaims {
   private readonly parts: IsolatedRunClaimsDependencies
-  private readonly claims = new Map<RequestFingerprint, Claim>()
+  private readonly claims = new Map<Suspect, Claim>()
 
   constructor (parts: IsolatedRunClaimsDependencies) {
     this.parts = parts
@@ -50,7 +50,7 @@
    * @param milliseconds - time after which the claim lapses
    * @param isShared - whether other suspected requests may run on the endpoint at the same time, because too few endpoints are left
    */
-  async claim (fingerprint: RequestFingerprint, endpoint: EndpointId, milliseconds: number, isShared: boolean): Promise<ClaimOutcome> {
+  async claim (fingerprint: Suspect, endpoint: EndpointId, milliseconds: number, isShared: boolean): Promise<ClaimOutcome> {
     const { self, clock, broadcast, noticeRoundTripMilliseconds } = this.parts
     if (this.current(fingerprint) !== undefined) return 'taken'
     const own: Claim = { instance: self, endpoint, until: clock.now() + milliseconds, isEstablished: false }
@@ -71,27 +71,27 @@
   }
 
   /** Announces that the request of an own claim was sent to its endpoint. */
-  sent (fingerprint: RequestFingerprint): void {
+  sent (fingerprint: Suspect): void {
     const claim = this.current(fingerprint)
     if (claim?.instance !== this.parts.self) return
     this.parts.broadcast(this.frameOf(fingerprint, claim, 'sent'))
   }
 
   /** Ends an own claim, because its run has ended, and announces the end to all other instances. */
-  over (fingerprint: RequestFingerprint): void {
+  over (fingerprint: Suspect): void {
     if (this.current(fingerprint)?.instance !== this.parts.self) return
     this.claims.delete(fingerprint)
     this.announceEnd(fingerprint)
   }
 
   /** @returns endpoints that are claimed for suspected requests other than this one, on any instance */
-  occupied (except: RequestFingerprint): ReadonlySet<EndpointId> {
+  occupied (except: Suspect): ReadonlySet<EndpointId> {
     return new Set(this.others(except).map(([, { endpoint }]) => endpoint))
   }
 
   /** Applies a message of another instance, and objects to a claim that conflicts with an own claim. */
   applyFrame (from: InstanceId, { fingerprint: text, state, endpoint, milliseconds }: RequestTrialFrame): void {
-    const fingerprint = text as RequestFingerprint
+    const fingerprint = text as Suspect
     const current = this.current(fingerprint)
     if (endpoint === undefined) {
       if (current?.instance === from) this.claims.delete(fingerprint)
@@ -104,21 +104,21 @@
     this.claims.set(fingerprint, { instance: from, endpoint, until: this.parts.clock.now() + milliseconds, isEstablished: state !== 'claimed' })
   }
 
-  private announceEnd (fingerprint: RequestFingerprint): void {
+  private announceEnd (fingerprint: Suspect): void {
     this.parts.broadcast({ kind: 'request-trial', fingerprint, state: 'over', milliseconds: 0 })
   }
 
   /** Sends an own claim to an instance whose claim conflicts with it. */
-  private object (to: InstanceId, fingerprint: RequestFingerprint, claim: Claim): void {
+  private object (to: InstanceId, fingerprint: Suspect, claim: Claim): void {
     this.parts.notify(to, this.frameOf(fingerprint, claim, 'running'))
   }
 
-  private frameOf (fingerprint: RequestFingerprint, { endpoint, until }: Claim, state: 'running' | 'sent'): RequestTrialFrame {
+  private frameOf (fingerprint: Suspect, { endpoint, until }: Claim, state: 'running' | 'sent'): RequestTrialFrame {
     return { kind: 'request-trial', fingerprint, state, endpoint, milliseconds: Math.max(0, until - this.parts.clock.now()) }
   }
 
   /** @returns whether another claim for the endpoint takes precedence */
-  private mustYield (fingerprint: RequestFingerprint, endpoint: EndpointId): boolean {
+  private mustYield (fingerprint: Suspect, endpoint: EndpointId): boolean {
     return this.others(fingerprint).some(([other, claim]) => claim.endpoint === endpoint && (claim.isEstablished || other < fingerprint))
   }
 
@@ -126,7 +126,7 @@
     return claim.isEstablished && claim.instance === this.parts.self
   }
 
-  private others (except: RequestFingerprint): (readonly [RequestFingerprint, Claim])[] {
+  private others (except: Suspect): (readonly [Suspect, Claim])[] {
     return [...this.claims.keys()].flatMap((fingerprint) => {
       const claim = fingerprint === except ? undefined : this.current(fingerprint)
       return claim === undefined ? [] : [[fingerprint, claim] as const]
@@ -134,7 +134,7 @@
   }
 
   /** @returns the claim for a request, unless it has lapsed */
-  private current (fingerprint: RequestFingerprint): Claim | undefined {
+  private current (fingerprint: Suspect): Claim | undefined {
     const claim = this.claims.get(fingerprint)
     if (claim === undefined || claim.until > this.parts.clock.now()) return claim
     this.claims.delete(fingerprint)
--- a/packages/ingress/src/quarantine/quarantine-exchange.ts
+++ b/packages/ingress/src/quarantine/quarantine-exchange.ts
@@ -2,8 +2,8 @@
  * Exchanges quarantine state between instances: crashes, claims for isolated runs and quarantine decisions. One-way messages reach the
  * running instances at once; records in the store reach instances that start later.
  */
-import type { Clock, DeletingObjectStore, EndpointCrashFrame, InstanceId, Logger, RequestTrialFrame, RequestVerdictFrame } from '@limpetwinch/core'
-import type { QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
+import type { Clock, DeletingObjectStore, EndpointCrashFrame, InstanceId, Logger, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from '@limpetwinch/core'
+import type { PartFingerprint, QuarantineDecision, RequestFingerprint, Suspect } from '@limpetwinch/decisions'
 import type { PeerLinks } from '@limpetwinch/entry'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { EndpointDialler } from '../paths/endpoint-dialler.js'
@@ -13,6 +13,7 @@
 import { RequestQuarantine, decisionFrame } from './request-quarantine.js'
 import type { QuarantineAnnouncer, RequestQuarantineDependencies } from './request-quarantine.js'
 import { IsolatedRunClaims } from './isolated-run-claims.js'
+import { SoundPartNotices } from './sound-part-notices.js'
 
 /** Interval between two searches for expired crash records, which are then removed. */
 const EXPIRE_MILLISECONDS = 10_000
@@ -35,6 +36,7 @@
   private readonly parts: QuarantineExchangeDependencies
   private readonly claims: IsolatedRunClaims
   private readonly records: QuarantineRecords
+  private readonly soundParts: SoundPartNotices
 
   constructor (parts: QuarantineExchangeDependencies) {
     this.parts = parts
@@ -46,6 +48,7 @@
       notify: (to, frame) => overlay.notify(to, frame),
       noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds
     })
+    this.soundParts = new SoundPartNotices((frame) => overlay.broadcast(frame))
     this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger, probeBy(parts.dialler)), announcer: this.announcer() })
     this.records = new QuarantineRecords(store, {
       applyDecision: (decision, source) => this.quarantine.applyDecision(decision, source),
@@ -79,6 +82,8 @@
         if (isOwn) overlay.broadcast(decisionFrame(decision, clock.now()))
         this.records.keep(decision, isOwn)
       },
+      soundPart: (part) => this.soundParts.add(part),
+      released: (part) => { void this.records.removeRecord(part) },
       cleared: (fingerprint) => {
         overlay.broadcast({ kind: 'request-trial', fingerprint, state: 'completed', milliseconds: 0 })
         void this.records.removeRecord(fingerprint)
@@ -90,6 +95,7 @@
     const { network, overlay, self } = this.parts
     network.onNotice('endpoint-crash', (_from, frame) => this.applyCrashFrame(frame))
     network.onNotice('request-trial', (from, frame) => this.applyTrialFrame(from, frame))
+    network.onNotice('sound-parts', (_from, frame) => this.applySoundParts(frame))
     network.onNotice('request-verdict', (_from, frame) => this.quarantine.applyDecision(this.decisionFromFrame(frame), 'peer'))
     overlay.onNeighbour((neighbour) => {
       const { crashes, verdicts } = this.quarantine.framesForNewNeighbour()
@@ -97,19 +103,26 @@
     })
   }
 
-  private applyCrashFrame ({ life, service, millisecondsAgo, aboard }: EndpointCrashFrame): void {
+  private applyCrashFrame ({ life, service, millisecondsAgo, aboard, accusedRuns = [] }: EndpointCrashFrame): void {
     const crash = { life, service, at: this.parts.clock.now() - millisecondsAgo }
     const requests = aboard.map(([fingerprint, milliseconds, isolated]) => ({ fingerprint: fingerprint as RequestFingerprint, milliseconds, isolated }))
-    this.quarantine.applyPeerCrash(crash, requests)
+    const runs = accusedRuns.map(([milliseconds, parts]) => ({ milliseconds, parts: parts as readonly PartFingerprint[] }))
+    this.quarantine.applyPeerCrash(crash, requests, runs)
+  }
+
+  private applySoundParts (frame: SoundPartsFrame): void {
+    const parts = frame.parts as readonly PartFingerprint[]
+    this.soundParts.heard(parts)
+    for (const part of parts) this.quarantine.release(part, 'peer')
   }
 
   private applyTrialFrame (from: InstanceId, frame: RequestTrialFrame): void {
     this.claims.applyFrame(from, frame)
-    if (frame.state === 'sent') this.quarantine.applyPeerSent(frame.fingerprint as RequestFingerprint)
+    if (frame.state === 'sent') this.quarantine.applyPeerSent(frame.fingerprint as Suspect)
     if (frame.state === 'completed') this.quarantine.release(frame.fingerprint as RequestFingerprint, 'peer')
   }
 
   private decisionFromFrame ({ fingerprint, crashes, strikes, certain, remainingMilliseconds }: RequestVerdictFrame): QuarantineDecision {
-    return { fingerprint: fingerprint as RequestFingerprint, crashes, strikes, certain, until: this.parts.clock.now() + remainingMilliseconds }
+    return { fingerprint: fingerprint as Suspect, crashes, strikes, certain, until: this.parts.clock.now() + remainingMilliseconds }
   }
 }
--- a/packages/ingress/src/quarantine/quarantine-records.ts
+++ b/packages/ingress/src/quarantine/quarantine-records.ts
@@ -1,6 +1,6 @@
 /** Keeps quarantine decisions in the platform's store. Instances that start later read them there, even after all instances were restarted. */
 import type { Clock, DeletingObjectStore, Logger } from '@limpetwinch/core'
-import type { QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
+import type { QuarantineDecision, Suspect } from '@limpetwinch/decisions'
 import { quarantineDecisionPath } from '../members/cluster-objects.js'
 import type { StoredQuarantineDecision } from '../members/cluster-objects.js'
 
@@ -22,7 +22,7 @@
 /** Receives changes of the decisions in the store. */
 export interface QuarantineListener {
   readonly applyDecision: (decision: QuarantineDecision, source: 'store') => void
-  readonly release: (fingerprint: RequestFingerprint, by: 'store') => void
+  readonly release: (fingerprint: Suspect, by: 'store') => void
 }
 
 interface PendingWrite {
@@ -37,10 +37,10 @@
   private readonly listener: QuarantineListener
   private readonly clock: Clock
   private readonly logger: Logger
-  private listed = new Map<RequestFingerprint, StoredQuarantineDecision>()
+  private listed = new Map<Suspect, StoredQuarantineDecision>()
   /** Monotonic time from which an expired record is removed again: after a failure only, since the next listing lacks a removed one. */
-  private readonly removalDueAt = new Map<RequestFingerprint, number>()
-  private readonly pendingWrites = new Map<RequestFingerprint, PendingWrite>()
+  private readonly removalDueAt = new Map<Suspect, number>()
+  private readonly pendingWrites = new Map<Suspect, PendingWrite>()
 
   constructor (store: DeletingObjectStore, listener: QuarantineListener, clock: Clock, logger: Logger) {
     this.store = store
@@ -75,7 +75,7 @@
   }
 
   /** Revokes a decision: removes its record from the store. @returns whether the store has no such record any more */
-  async removeRecord (fingerprint: RequestFingerprint): Promise<boolean> {
+  async removeRecord (fingerprint: Suspect): Promise<boolean> {
     this.pendingWrites.delete(fingerprint)
     const listed = this.listed.get(fingerprint)
     if (listed === undefined) return true
--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -6,10 +6,9 @@
  */
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EndpointCrashFrame, EndpointId, Logger, RequestVerdictFrame } from '@limpetwinch/core'
-import { CrashTracker } from '@limpetwinch/decisions'
-import type { InFlightRequest, EndpointCrash, FingerprintPrefix, QuarantineDecision, RequestFingerprint } from '@limpetwinch/decisions'
+import { CrashTracker, isPartFingerprint } from '@limpetwinch/decisions'
+import type { AccusedRun, InFlightRequest, EndpointCrash, FingerprintPrefix, PartFingerprint, QuarantineDecision, RequestFingerprint, Suspect } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
-import type { ResponseProgress } from '../relay/attempt.js'
 import { sharedPartIds } from '../relay/request-codec.js'
 import type { RoutedRequest } from '../relay/routed-request.js'
 import type { AdapterKey, Endpoint } from '../routes/configuration.js'
@@ -17,6 +16,8 @@
 import type { CrashDetector } from './crash-detector.js'
 import { fingerprintOf, fingerprintPrefix } from './fingerprint.js'
 import type { IsolatedRunClaims } from './isolated-run-claims.js'
+import { PromptPartQuarantine, SOUND_AFTER_MILLISECONDS } from './prompt-part-quarantine.js'
+import type { EndedRun } from './prompt-part-quarantine.js'
 
 /** `retry-after` for a copy of a request whose isolated run is in progress, in seconds: such a run takes about this long. */
 const ISOLATED_RUN_RETRY_SECONDS = 1
@@ -41,6 +42,10 @@
   readonly convicted: (decision: QuarantineDecision, isOwn: boolean) => void
   /** A suspected request was answered, so it is suspected no longer. */
   readonly cleared: (fingerprint: RequestFingerprint) => void
+  /** A part of prompts that crashes implicated is sound: it was answered on without a crash. */
+  readonly soundPart: (part: PartFingerprint) => void
+  /** The quarantine of a part of prompts has ended, because it is sound. */
+  readonly released: (part: PartFingerprint) => void
 }
 
 /** Dependencies of the quarantine. */
@@ -58,17 +63,11 @@
   readonly newestVersion: (key: AdapterKey) => number | undefined
 }
 
-/** A run of a request that ended with the connection to its endpoint. */
-export interface TruncatedRun {
-  /** How long the request had been in flight on the endpoint. */
-  readonly milliseconds: number
-  readonly response: ResponseProgress
-}
-
 /** A crash for which this instance still collects the requests that it had in flight. */
 interface PendingCrashReport {
   readonly crash: EndpointCrash
   readonly aboard: InFlightRequest[]
+  readonly accusedRuns: AccusedRun[]
   /** Resolves when the crash was recorded and the decision on its cause was made. */
   readonly recorded: Promise<void>
 }
@@ -80,11 +79,14 @@
 export class RequestQuarantine {
   private readonly parts: RequestQuarantineDependencies
   private readonly crashTracker: CrashTracker
+  private readonly promptParts: PromptPartQuarantine
   private readonly prefixes = new WeakMap<RoutedRequest, FingerprintPrefix>()
   private readonly fingerprints = new WeakMap<RoutedRequest, RequestFingerprint>()
-  private readonly isolatedRuns = new Map<RoutedRequest, RequestFingerprint>()
+  private readonly isolatedRuns = new Map<RoutedRequest, Suspect>()
   /** By request: resolves when it is known whether the endpoints to which the request lost its connections have crashed. */
   private readonly examinations = new WeakMap<RoutedRequest, Promise<void>>()
+  /** By request whose answer ended with its connection: resolves with whether its endpoint has crashed. */
+  private readonly unprovenEnds = new WeakMap<RoutedRequest, Promise<boolean>>()
   /** How many connections to endpoints each request has lost. */
   private readonly connectionLossCounts = new WeakMap<RoutedRequest, number>()
   private readonly pendingReports = new Map<string, PendingCrashReport>()
@@ -97,6 +99,10 @@
   constructor (parts: RequestQuarantineDependencies) {
     this.parts = parts
     this.crashTracker = new CrashTracker(parts.endpointCount)
+    const { logger, metrics, endpointCount, announcer } = parts
+    this.promptParts = new PromptPartQuarantine({
+      logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
+    })
   }
 
   /** Number of requests that crashes implicate, and number of quarantine decisions. */
@@ -104,27 +110,28 @@
     return { implicated: this.crashTracker.implicatedCount, verdicts: this.crashTracker.quarantineCount }
   }
 
-  /** @returns the error with which a quarantined request is refused; undefined for every other request */
+  /** The same for parts of prompts. */
+  get partCounts (): { readonly implicated: number, readonly verdicts: number } {
+    return this.promptParts.counts
+  }
+
+  /** @returns the error with which a request is refused that is quarantined, or has a quarantined part in its prompt; undefined for every other request */
   refusal (request: RoutedRequest): LimpetwinchError | undefined {
-    const fingerprint = this.implicatedFingerprint(request)
-    if (fingerprint === undefined || this.standing(request, fingerprint) !== 'quarantined') return undefined
-    const decision = this.crashTracker.verdict(fingerprint)
-    const seconds = Math.ceil(((decision?.until ?? 0) - this.parts.clock.now()) / 1_000)
+    const decision = this.decisionAgainst(request)
+    if (decision === undefined) return undefined
     this.parts.metrics.quarantineActionTaken('refused')
-    return new LimpetwinchError('request-quarantined', { crashes: decision?.crashes, fingerprint, reason: 'it crashes endpoints' }, { retryAfterSeconds: Math.max(1, seconds) })
+    return this.quarantineError(decision)
   }
 
   /** @returns whether the request is not suspected; only then may it be sent to a second endpoint while the first endpoint still runs it */
   isUnsuspected (request: RoutedRequest): boolean {
-    const fingerprint = this.implicatedFingerprint(request)
-    return fingerprint === undefined || this.standing(request, fingerprint) === 'unsuspected'
+    return this.suspectOf(request) === undefined && this.promptParts.suspectedPart(request) === undefined
   }
 
   /** @returns endpoints that a suspected request must avoid: those where other suspected requests run, and those that have crashed */
   endpointsToAvoid (request: RoutedRequest): ReadonlySet<EndpointId> {
-    const fingerprint = this.implicatedFingerprint(request)
-    if (fingerprint === undefined || this.standing(request, fingerprint) === 'unsuspected') return NONE
-    return new Set([...this.occupied(request, fingerprint), ...this.crashed()])
+    const suspect = this.suspectOf(request)
+    return suspect === undefined ? NONE : new Set([...this.occupied(request, suspect), ...this.crashed()])
   }
 
   /**
@@ -135,12 +142,13 @@
   async admit (request: RoutedRequest, endpoint: EndpointId): Promise<Admission> {
     // A request that no crash implicates is retried at once after its first lost connection. Finding out whether the endpoint crashed would
     // take too long. In all other cases the result of the examination is awaited.
-    if (this.implicatedFingerprint(request) !== undefined || this.losses(request) > 1) await this.examinations.get(request)
-    const fingerprint = this.implicatedFingerprint(request)
-    if (fingerprint === undefined) return GRANTED
-    const standing = this.standing(request, fingerprint)
-    if (standing === 'unsuspected') return GRANTED
-    return this.refused(request) ?? await this.isolate(request, fingerprint, endpoint)
+    if (this.implicatedFingerprint(request) !== undefined || this.losses(request) > 1 || (this.losses(request) > 0 && !this.isUnsuspected(request))) await this.examinations.get(request)
+    const refused = this.refused(request)
+    if (refused !== undefined) return refused
+    const suspectedPart = this.losses(request) > 0 ? this.promptParts.suspectedPart(request) : undefined
+    if (suspectedPart !== undefined) return { kind: 'refused', error: this.quarantineError({ fingerprint: suspectedPart, crashes: this.promptParts.crashCount(suspectedPart), until: this.parts.clock.now() }) }
+    const suspect = this.suspectOf(request)
+    return suspect === undefined ? GRANTED : await this.isolate(request, suspect, endpoint)
   }
 
   /**
@@ -148,19 +156,44 @@
    *
    * @param run - the run that the lost connection ended
    */
-  lost (request: RoutedRequest, endpoint: Endpoint, run: TruncatedRun): void {
-    const examination = this.examine(request, endpoint, run)
-    const previous = this.examinations.get(request)
-    this.examinations.set(request, previous === undefined ? examination : previous.then(async () => await examination))
+  lost (request: RoutedRequest, endpoint: Endpoint, run: EndedRun): void {
+    this.awaitExamination(request, this.examine(request, endpoint, run))
     this.connectionLossCounts.set(request, this.losses(request) + 1)
   }
 
+  /**
+   * Called when bytes of an answer arrive.
+   *
+   * @param answerMilliseconds - time since the first byte of the response body
+   */
+  answering (request: RoutedRequest, answerMilliseconds: number): void {
+    if (this.promptParts.isTracking) this.promptParts.answering(request, answerMilliseconds)
+  }
+
+  /**
+   * Called when the endpoint has answered the request completely. While crashes are known, an end shortly after the beginning shows nothing
+   * yet: the crash may follow. And a process that crashes closes its connections as one does that ends its answer with the connection.
+   *
+   * @param endedWithConnection - whether the end of the connection marked the end of the answer
+   */
+  answered (request: RoutedRequest, endpoint: Endpoint, run: EndedRun, endedWithConnection: boolean): void {
+    if (!this.promptParts.isTracking) return
+    if (endedWithConnection) {
+      const examination = this.examine(request, endpoint, run)
+      this.unprovenEnds.set(request, examination)
+      this.awaitExamination(request, examination)
+      void examination.then((hasCrashed) => { if (!hasCrashed) this.promptParts.recordSound(request) })
+      return
+    }
+    setTimeout(() => this.proveSound(request, endpoint, run), Math.max(0, SOUND_AFTER_MILLISECONDS - (run.answerMilliseconds ?? 0))).unref()
+  }
+
   /** Called when the request was sent to its endpoint, whatever the outcome. */
   sent (request: RoutedRequest): void {
-    const fingerprint = this.isolatedRuns.get(request)
-    if (fingerprint === undefined) return
-    this.crashTracker.sent(fingerprint, this.parts.clock.now())
-    this.parts.claims.sent(fingerprint)
+    const suspect = this.isolatedRuns.get(request)
+    if (suspect === undefined) return
+    this.applyPeerSent(suspect)
+    this.parts.claims.sent(suspect)
   }
 
   /**
@@ -178,6 +211,12 @@
 
   /** Called when the endpoint has answered the request, whatever the response. The answer shows that the request does not crash endpoints. */
   completed (request: RoutedRequest): void {
+    const unproven = this.unprovenEnds.get(request)
+    if (unproven === undefined) this.clearRequest(request)
+    else void unproven.then((hasCrashed) => { if (!hasCrashed) this.clearRequest(request) })
+  }
+
+  private clearRequest (request: RoutedRequest): void {
     const fingerprint = this.implicatedFingerprint(request)
     if (fingerprint === undefined || !this.crashTracker.completed(fingerprint)) return
     this.parts.logger.info('A suspected request was answered and is no longer suspected.', { request: request.facts.requestId, fingerprint })
@@ -186,20 +225,25 @@
   }
 
   /** Applies a crash that another instance saw, with the requests that the other instance had in flight there. */
-  applyPeerCrash (crash: EndpointCrash, aboard: readonly InFlightRequest[]): void {
-    for (const decision of this.crashTracker.record(crash, aboard)) this.logDecision(decision, 'crashes seen elsewhere')
+  applyPeerCrash (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
+    const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, false)]
+    for (const decision of confirmed) this.logDecision(decision, 'crashes seen elsewhere')
     void this.awaitDecision(crash.life)
   }
 
-  /** Called when another instance has sent a suspected request to an endpoint: the sends of all instances count towards its quarantine. */
-  applyPeerSent (fingerprint: RequestFingerprint): void {
-    this.crashTracker.sent(fingerprint, this.parts.clock.now())
+  /** Called when this or another instance has sent a suspected request to an endpoint: the sends of all instances count towards its quarantine. */
+  applyPeerSent (suspect: Suspect): void {
+    const now = this.parts.clock.now()
+    if (isPartFingerprint(suspect)) this.promptParts.sent(suspect, now)
+    else this.crashTracker.sent(suspect, now)
   }
 
   /** Applies a quarantine decision of another instance or of the store. */
   applyDecision (decision: QuarantineDecision, source: 'peer' | 'store'): void {
-    if ((this.crashTracker.verdict(decision.fingerprint)?.strikes ?? 0) >= decision.strikes) return
-    this.crashTracker.quarantine(decision)
+    const { fingerprint } = decision
+    if ((this.verdict(fingerprint)?.strikes ?? 0) >= decision.strikes) return
+    if (isPartFingerprint(fingerprint)) this.promptParts.adopt({ ...decision, fingerprint })
+    else this.crashTracker.quarantine({ ...decision, fingerprint })
     this.logDecision(decision, source)
   }
 
@@ -207,7 +251,11 @@
    * Ends the suspicion against a request or its quarantine. The reason is that an endpoint answered the request to another instance, or
    * that the decision was removed from the store, for example by an operator.
    */
-  release (fingerprint: RequestFingerprint, by: 'peer' | 'store'): void {
+  release (fingerprint: Suspect, by: 'peer' | 'store'): void {
+    if (isPartFingerprint(fingerprint)) {
+      this.promptParts.clear(fingerprint, by)
+      return
+    }
     if (this.crashTracker.completed(fingerprint)) this.parts.logger.info('A request is no longer suspected or quarantined.', { fingerprint, by })
     this.refusedVersions.delete(fingerprint)
   }
@@ -215,15 +263,21 @@
   /** @returns messages that bring an instance without any quarantine state up to date */
   framesForNewNeighbour (): { readonly crashes: readonly EndpointCrashFrame[], readonly verdicts: readonly RequestVerdictFrame[] } {
     const now = this.parts.clock.now()
+    const { crashes, decisions } = this.promptParts.evidence()
     return {
-      crashes: this.crashTracker.unexplainedCrashes().map(({ aboard, ...crash }) => crashFrame(crash, aboard, now)),
-      verdicts: this.crashTracker.allDecisions().map((decision) => decisionFrame(decision, now))
+      crashes: [
+        ...this.crashTracker.unexplainedCrashes().map(({ aboard, ...crash }) => crashFrame(crash, aboard, [], now)),
+        ...crashes.map(({ runs, ...crash }) => crashFrame(crash, [], runs, now))
+      ],
+      verdicts: [...this.crashTracker.allDecisions(), ...decisions].map((decision) => decisionFrame(decision, now))
     }
   }
 
   /** Removes crash records that are too old to matter. */
   expire (): void {
-    this.crashTracker.expire(this.parts.clock.now())
+    const now = this.parts.clock.now()
+    this.crashTracker.expire(now)
+    this.promptParts.expire(now)
   }
 
   private losses (request: RoutedRequest): number {
@@ -235,7 +289,44 @@
     return error === undefined ? undefined : { kind: 'refused', error }
   }
 
-  private occupied (request: RoutedRequest, fingerprint: RequestFingerprint): ReadonlySet<EndpointId> {
+  /** @returns the decision for which the request is refused: on the request itself, or on a part of its prompt */
+  private decisionAgainst (request: RoutedRequest): QuarantineDecision | undefined {
+    const fingerprint = this.implicatedFingerprint(request)
+    if (fingerprint !== undefined && this.standing(request, fingerprint) === 'quarantined') return this.crashTracker.verdict(fingerprint)
+    return this.promptParts.decisionAgainst(request, this.parts.clock.now())
+  }
+
+  private quarantineError ({ fingerprint, crashes, until }: Pick<QuarantineDecision, 'fingerprint' | 'crashes' | 'until'>): LimpetwinchError {
+    const reason = isPartFingerprint(fingerprint) ? 'a part of its prompt crashes endpoints' : 'it crashes endpoints'
+    const seconds = Math.ceil((until - this.parts.clock.now()) / 1_000)
+    return new LimpetwinchError('request-quarantined', { crashes, fingerprint, reason }, { retryAfterSeconds: Math.max(1, seconds) })
+  }
+
+  /** @returns the suspect for which the request may only be sent in an isolated run: the request itself or a part of its prompt */
+  private suspectOf (request: RoutedRequest): Suspect | undefined {
+    const fingerprint = this.implicatedFingerprint(request)
+    if (fingerprint !== undefined && this.standing(request, fingerprint) !== 'unsuspected') return fingerprint
+    return this.promptParts.partOnTrial(request, this.parts.clock.now())
+  }
+
+  private verdict (suspect: Suspect): QuarantineDecision | undefined {
+    return isPartFingerprint(suspect) ? this.promptParts.verdict(suspect) : this.crashTracker.verdict(suspect)
+  }
+
+  private awaitExamination (request: RoutedRequest, examination: Promise<unknown>): void {
+    const previous = this.examinations.get(request) ?? Promise.resolve()
+    this.examinations.set(request, previous.then(async () => { await examination }))
+  }
+
+  /** Called when an answer that ended early has had the time after which it is sound, unless its endpoint has crashed meanwhile. */
+  private proveSound (request: RoutedRequest, endpoint: Endpoint, run: EndedRun): void {
+    const life = incarnationOf(endpoint)
+    if (!this.promptParts.hasCrashed(life)) return this.promptParts.recordSound(request)
+    const accused = this.promptParts.accusedRun(request, run)
+    if (accused !== undefined) this.reportOf(endpoint, life).accusedRuns.push(accused)
+  }
+
+  private occupied (request: RoutedRequest, fingerprint: Suspect): ReadonlySet<EndpointId> {
     const occupied = this.parts.claims.occupied(fingerprint)
     return occupied.size <= MAXIMUM_OCCUPIED_SHARE * this.parts.endpointCount(request.service.name) ? occupied : NONE
   }
@@ -251,11 +342,11 @@
     })
   }
 
-  private async isolate (request: RoutedRequest, fingerprint: RequestFingerprint, endpoint: EndpointId): Promise<Admission> {
+  private async isolate (request: RoutedRequest, fingerprint: Suspect, endpoint: EndpointId): Promise<Admission> {
     const { clock, claims, logger, metrics } = this.parts
     const occupied = this.occupied(request, fingerprint)
     if (occupied.has(endpoint)) return { kind: 'elsewhere' }
-    const crashes = this.crashTracker.verdict(fingerprint)?.crashes ?? this.crashTracker.crashCount(fingerprint)
+    const crashes = this.verdict(fingerprint)?.crashes ?? (isPartFingerprint(fingerprint) ? this.promptParts.crashCount(fingerprint) : this.crashTracker.crashCount(fingerprint))
     const isShared = occupied.size === 0 && claims.occupied(fingerprint).size > 0
     const outcome = await claims.claim(fingerprint, endpoint, Math.max(1, request.endsAt - clock.now()), isShared)
     if (outcome === 'occupied') return { kind: 'elsewhere' }
@@ -274,26 +365,37 @@
     return GRANTED
   }
 
-  private async examine (request: RoutedRequest, endpoint: Endpoint, { milliseconds, response }: TruncatedRun): Promise<void> {
-    const { detector, findEndpoint, logger, clock } = this.parts
+  /** @returns whether the endpoint of a run that has ended has crashed; resolves when the crash was recorded and its cause decided on */
+  private async examine (request: RoutedRequest, endpoint: Endpoint, run: EndedRun): Promise<boolean> {
+    const { detector, findEndpoint, logger } = this.parts
     // An endpoint that is marked as leaving, or that is no longer listed, stops on purpose; its end is not a crash.
-    if (findEndpoint(endpoint.id)?.leaving !== false) return
+    if (findEndpoint(endpoint.id)?.leaving !== false) return false
     const life = incarnationOf(endpoint)
-    if (!await detector.hasCrashed({ endpoint, life })) return
+    if (!await detector.hasCrashed({ endpoint, life })) return false
     const fingerprint = this.fingerprint(request)
+    const isolated = this.isolatedRuns.has(request)
     logger.info('A request was aboard a crashed endpoint.', {
       request: request.facts.requestId,
       endpoint: endpoint.id,
       fingerprint,
       adapter: request.facts.adapter?.key,
       promptParts: sharedPartIds(request.facts),
-      response,
-      milliseconds: Math.round(milliseconds),
-      isolated: this.isolatedRuns.has(request)
+      response: run.response,
+      milliseconds: Math.round(run.milliseconds),
+      answerMilliseconds: run.answerMilliseconds === undefined ? undefined : Math.round(run.answerMilliseconds),
+      isolated
     })
-    const report = this.pendingReports.get(life) ?? this.collectReport({ life, service: endpoint.service, at: clock.now() })
-    report.aboard.push({ fingerprint, milliseconds, isolated: this.isolatedRuns.has(request) })
+    const report = this.reportOf(endpoint, life)
+    report.aboard.push({ fingerprint, milliseconds: run.milliseconds, isolated })
+    const accused = this.promptParts.accusedRun(request, run)
+    if (accused !== undefined) report.accusedRuns.push(accused)
     await report.recorded
+    return true
+  }
+
+  /** @returns the report of this instance on a crash, which is recorded and announced soon */
+  private reportOf ({ service }: Endpoint, life: string): PendingCrashReport {
+    return this.pendingReports.get(life) ?? this.collectReport({ life, service, at: this.parts.clock.now() })
   }
 
   /**
@@ -302,22 +404,24 @@
    */
   private collectReport (crash: EndpointCrash): PendingCrashReport {
     const aboard: InFlightRequest[] = []
+    const accusedRuns: AccusedRun[] = []
     const recorded = new Promise<void>((resolve) => setImmediate(() => {
       this.pendingReports.delete(crash.life)
-      this.record(crash, aboard)
+      this.record(crash, aboard, accusedRuns)
       resolve(this.awaitDecision(crash.life))
     }))
-    const report = { crash, aboard, recorded }
+    const report = { crash, aboard, accusedRuns, recorded }
     this.pendingReports.set(crash.life, report)
     return report
   }
 
-  private record (crash: EndpointCrash, aboard: readonly InFlightRequest[]): void {
+  private record (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
     const { announcer, clock, metrics } = this.parts
     metrics.endpointCrashed(crash.service)
     this.undecidedOwnCrashes.add(crash.life)
-    for (const decision of this.crashTracker.record(crash, aboard)) this.announceDecision(decision, true)
-    announcer.crashed(crashFrame(crash, aboard, clock.now()))
+    const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, true)]
+    for (const decision of confirmed) this.announceDecision(decision, true)
+    announcer.crashed(crashFrame(crash, aboard, accusedRuns, clock.now()))
   }
 
   /** Waits until all instances have reported the requests that they had in flight at a crash, and then looks for the request that caused it. */
@@ -331,7 +435,9 @@
     await this.parts.clock.sleep(REPORT_WINDOW_MILLISECONDS)
     this.pendingDecisions.delete(life)
     const isOwn = this.undecidedOwnCrashes.delete(life)
-    for (const decision of this.crashTracker.decide(life)) this.announceDecision(decision, isOwn)
+    const part = this.promptParts.decide(life)
+    const decisions = [...this.crashTracker.decide(life), ...(part === undefined ? [] : [part])]
+    for (const decision of decisions) this.announceDecision(decision, isOwn)
   }
 
   /** @param isOwn - whether this instance saw the crash that led to the decision */
@@ -341,10 +447,11 @@
   }
 
   private logDecision ({ fingerprint, crashes, strikes, certain, until }: QuarantineDecision, grounds: string): void {
-    this.parts.metrics.quarantineActionTaken('convicted')
-    this.parts.logger.warn('A request crashes endpoints and is held back.', {
-      fingerprint, crashes, strikes, certain, grounds, seconds: Math.round((until - this.parts.clock.now()) / 1_000)
-    })
+    const { metrics, logger, clock } = this.parts
+    metrics.quarantineActionTaken('convicted')
+    const seconds = Math.round((until - clock.now()) / 1_000)
+    if (isPartFingerprint(fingerprint)) logger.warn('A part of prompts crashes endpoints and is held back.', { fingerprint, crashes, strikes, certain, grounds, seconds })
+    else logger.warn('A request crashes endpoints and is held back.', { fingerprint, crashes, strikes, certain, grounds, seconds })
   }
 
   /**
@@ -387,8 +494,13 @@
   return { kind: 'request-verdict', fingerprint, crashes, strikes, certain, remainingMilliseconds: Math.max(0, until - now) }
 }
 
-function crashFrame ({ life, service, at }: EndpointCrash, aboard: readonly InFlightRequest[], now: number): EndpointCrashFrame {
+function crashFrame ({ life, service, at }: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[], now: number): EndpointCrashFrame {
   return {
-    kind: 'endpoint-crash', life, service, millisecondsAgo: Math.max(0, now - at), aboard: aboard.map(({ fingerprint, milliseconds, isolated }) => [fingerprint, milliseconds, isolated])
+    kind: 'endpoint-crash',
+    life,
+    service,
+    millisecondsAgo: Math.max(0, now - at),
+    aboard: aboard.map(({ fingerprint, milliseconds, isolated }) => [fingerprint, milliseconds, isolated]),
+    ...(accusedRuns.length === 0 ? {} : { accusedRuns: accusedRuns.map(({ milliseconds, parts }) => [milliseconds, parts] as const) })
   }
 }
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -85,6 +85,11 @@
     return this.hasBody ? 'body' : 'head'
   }
 
+  /** Whether the end of the connection marked the end of the response. */
+  get endedWithConnection (): boolean {
+    return this.connection.bodyEndsWithConnection && this.connection.ended !== 'not'
+  }
+
   /** Whether the endpoint or the network closed the connection after the request was sent. */
   get lostConnection (): boolean {
     return this.sent && this.abandonReason === undefined && this.connectionLost
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -113,6 +113,11 @@
       ...options.grounds
     })
     const sentAt = clock.now()
+    let answerBeganAt: number | undefined
+    const followAnswer = (): void => {
+      answerBeganAt ??= clock.now()
+      quarantine.answering(request, clock.now() - answerBeganAt)
+    }
     const unanswered = this.unanswered.begin(options.endpoint.id, sentAt)
     const ended = attempt.run({
       requestId: request.facts.requestId,
@@ -120,7 +125,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink))).then((end) => {
+    }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink, followAnswer))).then((end) => {
       unanswered.ended()
       if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
@@ -130,7 +135,10 @@
         request: request.facts.requestId, endpoint: options.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.logFields, ...contact.logFields
       })
       if (attempt.wasSent) quarantine.sent(request)
-      if (attempt.lostConnection) quarantine.lost(request, options.endpoint, { milliseconds: clock.now() - sentAt, response: attempt.responseProgress })
+      const endedAt = clock.now()
+      const run = { milliseconds: endedAt - sentAt, answerMilliseconds: answerBeganAt === undefined ? undefined : endedAt - answerBeganAt, response: attempt.responseProgress }
+      if (attempt.lostConnection) quarantine.lost(request, options.endpoint, run)
+      else if (end.kind === 'whole' && attempt.wasServed) quarantine.answered(request, options.endpoint, run, attempt.endedWithConnection)
       quarantine.attemptFinished(request)
       return end
     })
@@ -198,15 +206,21 @@
     for (const { pool } of this.connections.values()) pool.close()
   }
 
-  /** @returns a sink that records the limits that the response states, which belongs to the request, and passes all on to the given sink */
-  private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink): AttemptSink {
+  /**
+   * @param onData - called with each part of the body, before it is passed on
+   * @returns a sink that records the limits that the response states, which belongs to the request, and passes all on to the given sink
+   */
+  private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
     return {
       head: (head) => {
         this.parts.rateLimits.recordResponse(endpoint, head.facts, sentAt)
         this.parts.brittle.recordResponse(endpoint, head.facts, sentAt)
         sink.head(head)
       },
-      data: (chunk) => sink.data(chunk)
+      data: (chunk) => {
+        onData()
+        sink.data(chunk)
+      }
     }
   }
 
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -56,6 +56,8 @@
     leaves: overlay.leafCount,
     peerFrames: network.counts(),
     accusedRequests: quarantine.counts.implicated,
-    quarantinedRequests: quarantine.counts.verdicts
+    quarantinedRequests: quarantine.counts.verdicts,
+    accusedParts: quarantine.partCounts.implicated,
+    quarantinedParts: quarantine.partCounts.verdicts
   }
 }
--- a/packages/ingress/test/quarantine-fleet.failure.test.ts
+++ b/packages/ingress/test/quarantine-fleet.failure.test.ts
@@ -87,7 +87,7 @@
     const admission = quarantine.admit(request, engine.id)
     await this.pass(SETTLED_MILLISECONDS)
     if ((await admission).kind !== 'granted') return false
-    quarantine.lost(request, engine, { milliseconds: CRASHED_AFTER_MILLISECONDS, response: 'body' })
+    quarantine.lost(request, engine, { milliseconds: CRASHED_AFTER_MILLISECONDS, answerMilliseconds: undefined, response: 'none' })
     quarantine.attemptFinished(request)
     await this.pass(DECISION_MILLISECONDS)
     return true
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -25,6 +25,8 @@
   readonly record = new SoakRecord()
   readonly deployment: PlatformDeployment
   readonly random: SeededRandom
+  /** Parts of prompts that crash the model servers that answer on them, with the time to the crash. */
+  readonly crashingParts = new Map<string, number>()
   /** Undefined when requests need no key. */
   readonly teams: SoakTeams | undefined
   private readonly links = new Map<number, CuttableLink>()
@@ -54,6 +56,7 @@
       ...(this.teams === undefined ? {} : { teams: this.teams.current(), bounds: TEAM_BOUNDS }),
       ...(hasVersions ? { softwareVersions: ['v1', 'v1.1'] } : {}),
       keepsIds: seed % 2 === 0,
+      crashingParts: this.crashingParts,
       onLog: (name, line) => {
         this.instancesWithOutput.add(name)
         onLog(name, line)
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -75,6 +75,13 @@
   readonly crashesAfterMilliseconds: number
 }
 
+/** A part of prompts that crashes the model servers that answer on it. */
+export interface CrashingPart {
+  readonly part: string
+  /** Time from the start of an answer to the crash. */
+  readonly crashesAfterMilliseconds: number
+}
+
 /** An instance that ended unexpectedly, did not end when told to, or did not get ready. */
 export interface LostInstance {
   readonly instance: string
@@ -90,6 +97,7 @@
   readonly streams: ResumedStream[] = []
   readonly leavings: ObservedLeaving[] = []
   readonly crashingPaths: CrashingPath[] = []
+  readonly crashingParts: CrashingPart[] = []
   readonly revocations: Revocation[] = []
   readonly rateLimits: NamedLimit[] = []
   readonly addedRoutes: AddedRoute[] = []
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -8,6 +8,7 @@
 import { RunMonitor } from './observation/run-monitor.js'
 import type { ObservedRequest } from './soak-record.js'
 import { SoakEnvironment } from './soak-environment.js'
+import { usualPromptParts } from './usual-prompts.js'
 import type { SoakSize } from './soak-environment.js'
 
 /** Number of callers per instance; each caller keeps one connection open. */
@@ -196,6 +197,7 @@
     const adapterCount = Math.ceil(engines * adapterSlots * ADAPTERS_PER_SLOT)
     // The smaller of two random numbers, so that adapters with low numbers are requested more often.
     const adapter = `a${Math.min(random.between(1, adapterCount), random.between(1, adapterCount))}`
-    return { id, route, adapter, events: random.between(MINIMUM_EVENTS, MAXIMUM_EVENTS), deadlineMilliseconds }
+    const promptParts = [...usualPromptParts(this.sent), id]
+    return { id, route, adapter, events: random.between(MINIMUM_EVENTS, MAXIMUM_EVENTS), deadlineMilliseconds, promptParts }
   }
 }
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,7 +7,7 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
