--- a/packages/soak/src/checks/crash-checks.ts
+++ b/packages/soak/src/checks/crash-checks.ts
@@ -36,7 +36,6 @@
     const third = runs[MAXIMUM_CRASHES - 1]
     return third === undefined ? [] : runs.filter(({ at }) => at > third.at + crashesAfterMilliseconds + PROPAGATION_MILLISECONDS)
   }
-
 }
 
 /** @returns whether the sending instance was stopped, paused or disconnected shortly before the run and so could not learn of the quarantine */
