A crashing part of prompts is found among many crashes a second, and beside a second one

Cause: evidence was only counted at crashes where no other suspected part was in flight, and only where three of four other runs were sound; when most engines are down, neither holds. Now another part is a rival only if it was in flight, in requests without the part, at nearly all of the part's crashes, and the runs of others are weighed by the chance that as many in a row fail. From the fifth crash without a sound run requests with the part run one at a time, twice at most, before it is quarantined, which also lets engines return and clears the parts of sound requests.

--- a/packages/decisions/src/quarantine/prompt-part-tracker.ts
+++ b/packages/decisions/src/quarantine/prompt-part-tracker.ts
@@ -9,16 +9,28 @@
 const CRASHES_TO_SUSPECT = 2
 /** Minimum number of such crashes for a decision to quarantine a part. */
 const CRASHES_TO_QUARANTINE = 3
-/** A part with this many such crashes is quarantined even if they may be coincidence. */
+/**
+ * A part with this many such crashes is quarantined even if they may be coincidence. If the cause cannot be told from others, requests with the
+ * part run one at a time over all instances.
+ */
 const MAXIMUM_CRASHES = 5
+/**
+ * Maximum number of such isolated runs; then the part is quarantined. A send counts even if the endpoint refuses the request, and the last one
+ * counts before its outcome is known: a sound run ends the quarantine.
+ */
+const MAXIMUM_ISOLATED_SENDS = 2
 /**
  * A decision is certain only if the probability that an innocent part was in flight at all of its crashes is lower than this. Prompts
  * have thousands of different parts, and each of them is a chance for a coincidence.
  */
 const MAXIMUM_CHANCE = 0.000_000_1
-/** Sound runs of other requests that an instance must have seen since the first crash of a part, besides a multiple of those that failed. */
-const MINIMUM_SOUND_RUNS = 3
-const SOUND_RUNS_PER_FAILED_RUN = 3
+/**
+ * Largest probability that as many runs in a row fail as those with the part did, if they fail as often as the other runs that this instance
+ * has sent since. Endpoints may crash for a common reason; then the runs of all parts fail.
+ */
+const MAXIMUM_CHANCE_TO_FAIL = 0.001
+/** A part that was in flight beside another part, in other requests, at this share of that part's crashes may have caused them as well. */
+const RIVAL_SHARE = 0.8
 /** Age at which a crash is forgotten. */
 const RETENTION_MILLISECONDS = 600_000
 /** Maximum number of crashes kept, which bounds the memory of the tracker; the oldest are forgotten first. */
@@ -53,6 +65,8 @@
   /** For each part, the incarnations of endpoints that crashed under accused runs with it since its last sound run, as far as the cause is unknown. */
   private readonly implicated = new Map<PartFingerprint, Set<string>>()
   private readonly decisions = new QuarantineDecisions<PartFingerprint>()
+  /** Number of isolated runs of each suspected part without a decision. */
+  private readonly isolatedSends = new Map<PartFingerprint, number>()
   private readonly endpointCount: (service: string) => number
   private soundRuns = 0
 
@@ -86,9 +100,9 @@
     return this.implicated.get(part)?.size ?? 0
   }
 
-  /** @returns whether the part is in quarantine or awaits its trial run; undefined when there is no decision on it */
+  /** @returns whether requests with the part are refused, or run one at a time; undefined when they are treated like all others */
   standing (part: PartFingerprint, now: number): 'quarantined' | 'suspected' | undefined {
-    return this.decisions.standing(part, now)
+    return this.decisions.standing(part, now) ?? (this.crashCount(part) >= MAXIMUM_CRASHES ? 'suspected' : undefined)
   }
 
   /** @returns whether crashes implicate the part so strongly that a request with it is not sent again after its own connection was lost */
@@ -148,12 +162,17 @@
   quarantine (decision: PartQuarantineDecision): void {
     if (!this.decisions.adopt(decision)) return
     for (const record of this.crashes.values()) if (partsOf(record).includes(decision.fingerprint)) this.explain(record)
-    this.implicated.delete(decision.fingerprint)
+    this.forgetPart(decision.fingerprint)
   }
 
-  /** Records that a request with the part was sent to an endpoint: uses up the one trial run after a quarantine. */
+  /** Records that this or another instance sent a request with a suspected part to an endpoint, in an isolated run. */
   sent (part: PartFingerprint, now: number): void {
-    this.decisions.trialSent(part, now)
+    if (this.decisions.get(part) !== undefined) return this.decisions.trialSent(part, now)
+    const crashes = this.crashCount(part)
+    if (crashes < MAXIMUM_CRASHES) return
+    const sends = (this.isolatedSends.get(part) ?? 0) + 1
+    this.isolatedSends.set(part, sends)
+    if (sends >= MAXIMUM_ISOLATED_SENDS) this.quarantine({ fingerprint: part, crashes, strikes: 1, certain: false, until: now + quarantineMilliseconds(false, 1) })
   }
 
   /** Counts a sound run that this instance has seen. */
@@ -168,7 +187,7 @@
    */
   clear (part: PartFingerprint): boolean {
     const wasQuarantined = this.decisions.remove(part)
-    return this.implicated.delete(part) || wasQuarantined
+    return this.forgetPart(part) || wasQuarantined
   }
 
   /** Forgets crashes that are older than the retention time. To be called regularly. */
@@ -186,28 +205,31 @@
 
   private decisionOn (part: PartFingerprint, crash: CrashRecord): PartQuarantineDecision | undefined {
     const crashes = [...this.implicated.get(part) ?? []].flatMap((life) => this.crashes.get(life) ?? [])
-    const conclusive = crashes.filter((record) => this.isConclusive(record, part))
-    if (conclusive.length < CRASHES_TO_QUARANTINE || !this.doOthersSucceed(part, crashes)) return undefined
+    if (crashes.length < CRASHES_TO_QUARANTINE || this.hasRival(part, crashes) || !this.doOthersSucceed(part, crashes)) return undefined
     const certain = this.chanceOf(part, crashes) < MAXIMUM_CHANCE
-    if (!certain && conclusive.length < MAXIMUM_CRASHES) return undefined
+    if (!certain && crashes.length < MAXIMUM_CRASHES) return undefined
     return { fingerprint: part, crashes: crashes.length, strikes: 1, certain, until: crash.at + quarantineMilliseconds(certain, 1) }
   }
 
-  /** @returns whether no accused run without the part has another suspected part, which may have caused the crash as well */
-  private isConclusive ({ runs }: CrashRecord, part: PartFingerprint): boolean {
-    return runs.every(({ parts }) => parts.includes(part) || parts.every((other) => this.crashCount(other) < CRASHES_TO_SUSPECT))
+  /** @returns whether another suspected part was in flight at nearly all of the part's crashes, in requests without the part */
+  private hasRival (part: PartFingerprint, crashes: readonly CrashRecord[]): boolean {
+    const beside = crashes.flatMap(({ runs }) => partsOf({ runs: runs.filter(({ parts }) => !parts.includes(part)) }))
+    const numbers = new Map<PartFingerprint, number>()
+    for (const other of beside) numbers.set(other, (numbers.get(other) ?? 0) + 1)
+    return [...numbers].some(([other, number]) => number >= RIVAL_SHARE * crashes.length && this.crashCount(other) >= CRASHES_TO_SUSPECT)
   }
 
   /**
-   * @returns whether most runs without the part succeed, by what this instance has seen since the first crash. When all endpoints of a
-   *   service crash for a common reason, no run succeeds, and the parts of popular prompts are in flight at every crash.
+   * @returns whether runs without the part succeed so often, by what this instance has seen since the first crash, that the crashes are
+   *   no accident of a service whose endpoints all crash
    */
   private doOthersSucceed (part: PartFingerprint, crashes: readonly CrashRecord[]): boolean {
     const [first] = crashes
     if (first === undefined) return false
     const since = [...this.crashes.values()].filter(({ at }) => at >= first.at)
     const failed = since.flatMap(({ runs }) => runs).filter(({ parts, isOwn }) => isOwn && !parts.includes(part)).length
-    return this.soundRuns - first.soundRunsBefore >= MINIMUM_SOUND_RUNS + SOUND_RUNS_PER_FAILED_RUN * failed
+    const sound = this.soundRuns - first.soundRunsBefore
+    return ((failed + 1) / (failed + sound + 2)) ** crashes.length < MAXIMUM_CHANCE_TO_FAIL
   }
 
   /** @returns probability that an innocent part is in flight at all these crashes, given the rate of crashes without the part */
@@ -229,10 +251,16 @@
   private explain (record: CrashRecord): void {
     for (const part of partsOf(record)) {
       const incarnations = this.implicated.get(part)
-      if (incarnations?.delete(record.life) === true && incarnations.size === 0) this.implicated.delete(part)
+      if (incarnations?.delete(record.life) === true && incarnations.size === 0) this.forgetPart(part)
     }
   }
 
+  /** Removes all evidence against a part. @returns whether there was any */
+  private forgetPart (part: PartFingerprint): boolean {
+    this.isolatedSends.delete(part)
+    return this.implicated.delete(part)
+  }
+
   private implicate (part: PartFingerprint, life: string): void {
     const incarnations = this.implicated.get(part) ?? new Set()
     this.implicated.set(part, incarnations.add(life))
--- a/packages/decisions/test/prompt-part-tracker.failure.test.ts
+++ b/packages/decisions/test/prompt-part-tracker.failure.test.ts
@@ -111,6 +111,20 @@
     expect(fleet.trackers[0]!.standing(first(0), fleet.now)).toBeUndefined()
   })
 
+  // Guards against crashes without end while nothing succeeds by which the cause could be told: requests with the part run one at a time, twice.
+  it('runs in isolation after five crashes without any sound run, and is sent twice more', () => {
+    const { trackers: [tracker] } = new Fleet() as { trackers: [PromptPartTracker] }
+    for (let crash = 0; crash < CRASHES_ALLOWED; crash += 1) tracker.record({ life: `life-${crash}`, service: SERVICE, at: crash }, [run(first(crash), BAD)], false)
+    expect(tracker.decide('life-4')).toBeUndefined()
+    expect(tracker.standing(BAD, 0)).toBe('suspected')
+    expect([1, 2].map(() => {
+      tracker.sent(BAD, 0)
+      return tracker.standing(BAD, 0)
+    })).toEqual(['suspected', 'quarantined'])
+    expect(tracker.clear(BAD)).toBe(true)
+    expect(tracker.standing(BAD, 0)).toBeUndefined()
+  })
+
   // Guards against a part that is refused for ever, and against sends without end after its quarantine.
   it('gets one trial run after its quarantine, and a sound run clears it', () => {
     const fleet = new Fleet()
--- a/packages/ingress/src/quarantine/prompt-part-quarantine.ts
+++ b/packages/ingress/src/quarantine/prompt-part-quarantine.ts
@@ -66,10 +66,11 @@
     return part === undefined ? undefined : this.tracker.verdict(part)
   }
 
-  /** @returns a part of the prompt whose quarantine has ended, so that one trial run is allowed; undefined when there is none */
+  /** @returns the part of the prompt for which requests run one at a time, the most implicated one if there are several; undefined when there is none */
   partOnTrial (request: RoutedRequest, now: number): PartFingerprint | undefined {
-    if (this.tracker.quarantineCount === 0) return undefined
-    return this.partsOf(request).find((part) => this.tracker.standing(part, now) === 'suspected')
+    if (!this.isTracking) return undefined
+    const onTrial = this.partsOf(request).filter((part) => this.tracker.standing(part, now) === 'suspected')
+    return onTrial.sort((one, other) => this.tracker.crashCount(other) - this.tracker.crashCount(one))[0]
   }
 
   /** @returns a part of the prompt that is suspected, for which the request is not sent again after its own connection was lost */
