--- a/packages/decisions/test/prompt-part-tracker.failure.test.ts
+++ b/packages/decisions/test/prompt-part-tracker.failure.test.ts
@@ -113,7 +113,7 @@
 
   // Guards against crashes without end while nothing succeeds by which the cause could be told: requests with the part run one at a time, twice.
   it('runs in isolation after five crashes without any sound run, and is sent twice more', () => {
-    const { trackers: [tracker] } = new Fleet() as { trackers: [PromptPartTracker] }
+    const tracker = new Fleet().trackers[0]!
     for (let crash = 0; crash < CRASHES_ALLOWED; crash += 1) tracker.record({ life: `life-${crash}`, service: SERVICE, at: crash }, [run(first(crash), BAD)], false)
     expect(tracker.decide('life-4')).toBeUndefined()
     expect(tracker.standing(BAD, 0)).toBe('suspected')
