Soak: a load balancer that hands most new connections to one instance, and checks of both new faults

First seen failing on evidence made for it (checks.test.ts): 12 runs on a crashing part, and 11 of 40 requests not served while most connections go to one instance.

--- a/packages/soak/src/checks/response-checks.ts
+++ b/packages/soak/src/checks/response-checks.ts
@@ -1,5 +1,6 @@
 /** Checks of the responses that callers receive, and of instances that end unexpectedly. */
-import type { ObservedRequest } from '../soak-record.js'
+import { FAVOURED_INSTANCE } from '../soak-record.js'
+import type { FaultSpan, ObservedRequest, SoakRecord } from '../soak-record.js'
 import { SoakCheck } from './soak-check.js'
 import type { SoakEvidence, Violation } from './soak-check.js'
 
@@ -75,6 +76,28 @@
   }
 }
 
+/** Checks that requests are served as before while most new connections go to one instance. Periods with other faults are left out. */
+export class FavouredInstanceCheck extends SoakCheck {
+  override readonly promise = 'favoured-instance'
+  private readonly settleMilliseconds = 3_000
+  private readonly minimumShare = 0.75
+  private readonly minimumRequests = 20
+
+  override violations ({ record }: SoakEvidence): Violation[] {
+    return record.faults.filter(({ kind }) => kind === FAVOURED_INSTANCE).flatMap((span) => this.violationsIn(record, span))
+  }
+
+  private violationsIn (record: SoakRecord, { from, to }: FaultSpan): Violation[] {
+    if (record.disruptionsDuring(from - this.settleMilliseconds, to, FAULT_MARGIN_MILLISECONDS).length > 0) return []
+    const before = record.requests.filter(({ sentAt }) => sentAt >= from - this.settleMilliseconds && sentAt < from)
+    const during = record.requests.filter(({ sentAt }) => sentAt >= from + this.settleMilliseconds && sentAt < to)
+    if (before.length < this.minimumRequests || during.length < this.minimumRequests) return []
+    const [shareBefore, shareDuring] = [before, during].map((requests) => requests.filter(isServed).length / requests.length) as [number, number]
+    if (shareDuring >= this.minimumShare * shareBefore) return []
+    return [{ message: `${shareDuring.toFixed(2)} of ${during.length} requests were served while most connections went to one instance, ${shareBefore.toFixed(2)} before`, from, to }]
+  }
+}
+
 /** Checks that no instance ends by itself, and that each one ends when told to. */
 export class UnexpectedEndCheck extends SoakCheck {
   override readonly promise = 'no-lost-instance'
--- a/packages/soak/src/faults/environment-faults.ts
+++ b/packages/soak/src/faults/environment-faults.ts
@@ -1,7 +1,7 @@
 /** Faults of the instances' environment: store, model servers, configuration. */
 import type { StoreServerFaults } from '@limpetwinch/platform'
 import type { SoakEnvironment } from '../soak-environment.js'
-import { IN_FORCE_MILLISECONDS } from '../soak-record.js'
+import { FAVOURED_INSTANCE, IN_FORCE_MILLISECONDS } from '../soak-record.js'
 import { SoakFault } from './soak-fault.js'
 
 /** Range of the time for which a leaving endpoint keeps serving. */
@@ -9,6 +9,8 @@
 /** Adapters with lower numbers are requested more often. */
 const POPULAR_ADAPTERS = 4
 const ADDED_ROUTE_DEADLINE_MILLISECONDS = 1_500
+/** Longer than the time after which callers must be served as before. */
+const FAVOUR_MILLISECONDS = { minimum: 5_000, maximum: 8_000 }
 /** A shorter fault can end within the duration of one store call, and no instance notices it. */
 const MINIMUM_STORE_FAULT_MILLISECONDS = 500
 
@@ -126,3 +128,18 @@
     await environment.wait(50, 500)
   }
 }
+
+/** The load balancer hands most new connections to one instance, and callers open new connections more often. */
+export class FavourInstance extends SoakFault {
+  override readonly kind = FAVOURED_INSTANCE
+
+  override async run (environment: SoakEnvironment): Promise<void> {
+    const picked = this.pickRunningInstance(environment)
+    if (picked === undefined || environment.favoured !== undefined) return
+    await this.recordWhile(environment, undefined, async () => {
+      environment.favoured = picked.instance.name
+      await environment.wait(FAVOUR_MILLISECONDS.minimum, FAVOUR_MILLISECONDS.maximum)
+      environment.favoured = undefined
+    })
+  }
+}
--- a/packages/soak/src/faults/index.ts
+++ b/packages/soak/src/faults/index.ts
@@ -1,6 +1,6 @@
 /** List of all faults of the soak. */
 import { StallStoreLink, KillAllInstances, KillInstance, PauseInstance, ReloadInstance, ResetStoreLink, SilenceStoreConnections, StopInstance } from './instance-faults.js'
-import { AnnounceVersion, ChangeConfiguration, CrashEngine, LeavingEngine, StoreDown, CompactStore, StoreLosesResponses, StoreSlow } from './environment-faults.js'
+import { AnnounceVersion, ChangeConfiguration, CrashEngine, FavourInstance, LeavingEngine, StoreDown, CompactStore, StoreLosesResponses, StoreSlow } from './environment-faults.js'
 import { NameRateLimit } from './rate-limit-faults.js'
 import { CrashingPromptPart, CrashingRequest } from './request-faults.js'
 import { FloodQuota, RevokeKey } from './team-faults.js'
@@ -12,5 +12,5 @@
   new KillInstance(), new KillAllInstances(), new StopInstance(), new PauseInstance(), new ReloadInstance(), new StallStoreLink(), new ResetStoreLink(),
   new StoreDown(), new StoreSlow(), new StoreLosesResponses(), new CompactStore(), new CrashEngine(), new LeavingEngine(), new ChangeConfiguration(),
   new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion(),
-  new RollEngines(), new ReturnWithAnotherVersion(), new CrashingPromptPart()
+  new RollEngines(), new ReturnWithAnotherVersion(), new CrashingPromptPart(), new FavourInstance()
 ]
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -10,6 +10,8 @@
 /** Signals sent to an instance. */
 export type InstanceSignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'
 
+/** Share of new connections that the favoured instance gets, in percent. */
+const FAVOURED_PERCENT = 85
 const HANGUP_REASON = 'signal SIGHUP'
 
 /** Size of the deployment of a run. */
@@ -27,6 +29,8 @@
   readonly random: SeededRandom
   /** Parts of prompts that crash the model servers that answer on them, with the time to the crash. */
   readonly crashingParts = new Map<string, number>()
+  /** The instance to which the load balancer hands most new connections; undefined when all instances get the same share. */
+  favoured: LaunchedInstance['name'] | undefined
   /** Undefined when requests need no key. */
   readonly teams: SoakTeams | undefined
   private readonly links = new Map<number, CuttableLink>()
@@ -111,9 +115,16 @@
     await relaunched
   }
 
+  /** @returns the instance to which the load balancer hands a new connection */
+  instanceForConnection (random: SeededRandom): LaunchedInstance {
+    const favoured = this.instances.find(({ name, process }) => name === this.favoured && !process.hasEnded)
+    const chosen = random.pick(this.instances)
+    return favoured !== undefined && random.between(0, 99) < FAVOURED_PERCENT ? favoured : chosen
+  }
+
   /** Sends a request to a random instance on a new connection and records the response. */
   async sendRequest (request: Omit<SampleRequest, 'id'>): Promise<void> {
-    await this.sendTo(this.random.pick(this.instances), request)
+    await this.sendTo(this.instanceForConnection(this.random), request)
   }
 
   private async sendTo (instance: LaunchedInstance, request: Omit<SampleRequest, 'id'>): Promise<void> {
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -12,6 +12,9 @@
  */
 export const SILENT_CONNECTIONS = 'silent-connections'
 
+/** Kind of the fault that hands most new connections to one instance. It excuses nothing: its callers are served as before. */
+export const FAVOURED_INSTANCE = 'favoured-instance'
+
 /** A route that a configuration has added. */
 export interface AddedRoute {
   readonly route: SampleRoute
@@ -119,9 +122,9 @@
     this.lost.push({ instance, reason, at: Date.now() })
   }
 
-  /** @returns faults, but silent connections, that overlap a period extended by a margin on both sides */
+  /** @returns faults, but those that excuse nothing, that overlap a period extended by a margin on both sides */
   disruptionsDuring (from: number, to: number, marginMilliseconds: number): FaultSpan[] {
-    return this.faultsDuring(from, to, marginMilliseconds).filter(({ kind }) => kind !== SILENT_CONNECTIONS)
+    return this.faultsDuring(from, to, marginMilliseconds).filter(({ kind }) => kind !== SILENT_CONNECTIONS && kind !== FAVOURED_INSTANCE)
   }
 
   /** @returns faults that overlap a period extended by a margin on both sides */
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -130,10 +130,10 @@
   private async call (): Promise<void> {
     const random = new SeededRandom(this.random.between(1, 2 ** 30))
     while (!this.over) {
-      const instance = random.pick(this.environment.instances)
+      const instance = this.environment.instanceForConnection(random)
       const caller = new SampleCaller(instance.url)
       let usable = true
-      while (usable && !this.over) {
+      while (usable && !this.over && !this.opensAnotherConnection(random, instance.name)) {
         usable = await this.serveCaller(random, caller, instance.name)
         await sleep(random.between(THINK_TIME_MILLISECONDS.minimum, THINK_TIME_MILLISECONDS.maximum))
       }
@@ -141,6 +141,12 @@
     }
   }
 
+  /** @returns whether a caller leaves its connection, as callers do more often while the load balancer favours an instance */
+  private opensAnotherConnection (random: SeededRandom, instance: string): boolean {
+    const { favoured } = this.environment
+    return favoured !== undefined && instance !== favoured && random.between(0, 1) === 0
+  }
+
   /** Sends the next request of a caller. @returns whether the caller keeps its connection */
   private async serveCaller (random: SeededRandom, caller: SampleCaller, instance: string): Promise<boolean> {
     const request = this.request(random)
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -89,6 +89,28 @@
   return { record, runs: ids.map((id, index) => run({ request: id, at: AT + index })) }
 }
 
+/** @returns evidence of one run a second on a crashing part, the last ones after the fifth crash */
+function crashingPart (runs: number): EvidenceOptions {
+  const ids = Array.from({ length: runs }, (_, index) => `r${index}`)
+  const record = recordOf((made) => {
+    made.crashingParts.push({ part: 'bad', crashesAfterMilliseconds: 10 })
+    made.requests.push(...ids.map((id) => seen({ id })))
+  })
+  return { record, runs: ids.map((id, index) => run({ request: id, at: AT + 1_000 * index, promptParts: ['first', 'bad', 'own'] })) }
+}
+
+/** @returns evidence of requests before and during the time in which most connections go to one instance, some of the latter not served */
+function favoured (unserved: number): EvidenceOptions {
+  return {
+    record: recordOf((made) => {
+      made.faults.push({ kind: 'favoured-instance', target: undefined, from: AT + 3_000, to: AT + 9_000 })
+      for (let index = 0; index < 40; index += 1) {
+        made.requests.push(seen({}, {}, AT + 1_000), seen({}, index < unserved ? { status: 503, saysNotRun: true } : {}, AT + 7_000))
+      }
+    })
+  }
+}
+
 const EVENTS = [{ id: 1, adapter: 'a1', version: 1, softwareVersion: 'v1' }, { id: 2, adapter: 'a1', version: 1, softwareVersion: 'v1' }]
 
 function stream (change: Partial<SampleAnswer>): EvidenceOptions {
@@ -102,6 +124,8 @@
     expect(violated(revoked(4_900))).toEqual([])
     expect(violated(flood(99))).toEqual([])
     expect(violated(limited(11, 3_500))).toEqual([])
+    expect(violated(crashingPart(11)).filter((promise) => promise === 'part-budget')).toEqual([])
+    expect(violated(favoured(10)).filter((promise) => promise === 'favoured-instance')).toEqual([])
     // The limit is too new to hold yet.
     expect(violated(limited(12, 2_500))).toEqual([])
   })
@@ -112,6 +136,8 @@
     ['a key that reached a server', 'team-of-run', { ...revoked(0), runs: [run({ team: 'guests', hasKey: true })] }],
     ['a team that used more than its quota', 'quota', flood(100)],
     ['more requests than an endpoint named', 'rate-limit', limited(12, 3_500)],
+    ['requests with a crashing part that still reach servers', 'part-budget', crashingPart(12)],
+    ['callers of a crowded instance that are not served', 'favoured-instance', favoured(11)],
     ['an event that is missing', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, id: 3 }] })],
     ['an event that is received twice', 'whole-answer', stream({ events: [EVENTS[0]!, EVENTS[0]!] })],
     ['an event of another adapter', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, adapter: 'a2' }] })],
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,7 +7,7 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part', 'favoured-instance'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
@@ -16,6 +16,8 @@
 const OVERLAPPING_FAULTS = SOAK_FAULTS.filter(({ kind }) => [...SILENCE_KINDS, 'stop-instance', 'kill-instance', 'pause-instance', 'cut-from-store', 'store-down'].includes(kind))
 const VERSION_KINDS = ['roll-engines', 'return-with-another-version', 'crash-engine', 'kill-instance', 'stop-instance', 'pause-instance', 'cut-from-store', 'store-down', 'silent-connections']
 const VERSION_FAULTS = SOAK_FAULTS.filter(({ kind }) => VERSION_KINDS.includes(kind))
+const PART_KINDS = ['crashing-part', 'favoured-instance', 'kill-instance', 'pause-instance', 'crash-engine']
+const PART_FAULTS = SOAK_FAULTS.filter(({ kind }) => PART_KINDS.includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
 describe('a short soak', () => {
@@ -40,7 +42,9 @@
     // An instance ended unexpectedly and was not started again, since a signal to its earlier process had marked its name as ended by the soak.
     { seed: 6_123, ...USUAL_RUN, faultCount: 14, hasTeams: true, faults: OVERLAPPING_FAULTS },
     // Engines of other software versions join and return while instances are killed, paused and cut off, and callers take streams up elsewhere.
-    { seed: 7_001, ...USUAL_RUN, faultCount: 10, hasVersions: true, faults: VERSION_FAULTS }
+    { seed: 7_001, ...USUAL_RUN, faultCount: 10, hasVersions: true, faults: VERSION_FAULTS },
+    // Parts of prompts crash engines, and most connections go to one instance, while instances are killed and paused and engines crash.
+    { seed: 8_001, ...USUAL_RUN, size: { ...USUAL_RUN.size, engines: 6 }, faultCount: 6, faults: PART_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
     expect(outcome.violations).toEqual([])
