--- a/packages/ingress/src/quarantine/isolated-run-claims.ts
+++ b/packages/ingress/src/quarantine/isolated-run-claims.ts
@@ -1,8 +1,8 @@
 /**
- * Claims for isolated runs. In an isolated run, a request that is suspected of crashing endpoints, or has a suspected part in its prompt, is sent by one instance at a time, to an
- * endpoint where no other suspected request runs; requests that are not suspected may run there too. Without claims, copies of the request
- * that arrive at several instances would each crash an endpoint. And when two suspected requests are in flight at one crash, the cause
- * could not be determined. Only when too few endpoints are left do several suspected requests share one (a shared claim).
+ * Claims for isolated runs. In an isolated run, a request that is suspected of crashing endpoints, itself or by a part of its prompt, is sent by
+ * one instance at a time, to an endpoint where no other suspected request runs; requests that are not suspected may run there too. Without
+ * claims, copies of the request that arrive at several instances would each crash an endpoint. And when two suspected requests are in flight
+ * at one crash, the cause could not be determined. Only when too few endpoints are left do several suspected requests share one (a shared claim).
  */
 import type { Clock, EndpointId, InstanceId, RequestTrialFrame } from '@limpetwinch/core'
 import type { Suspect } from '@limpetwinch/decisions'
--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -1,5 +1,5 @@
 /**
- * Stops a request that crashes its endpoints from reaching further endpoints, on all instances. Requests that were only in flight on the
+ * Stops a request that crashes its endpoints, itself or by a part of its prompt, from reaching further endpoints, on all instances. Requests that were only in flight on the
  * same endpoints are still served. A request that was in flight at a crash is implicated. After several crashes it is suspected, and then
  * it is sent only in isolated runs, on an endpoint without other suspected requests. For requests that no crash implicates, the check is
  * one lookup in a table that is mostly empty.
@@ -15,6 +15,9 @@
 import { endpointOfIncarnation, incarnationOf } from './crash-detector.js'
 import type { CrashDetector } from './crash-detector.js'
 import { fingerprintOf, fingerprintPrefix } from './fingerprint.js'
+import { CrashReports } from './crash-reports.js'
+import type { CrashReport } from './crash-reports.js'
+import { crashFrame, decisionFrame } from './quarantine-frames.js'
 import type { IsolatedRunClaims } from './isolated-run-claims.js'
 import { PromptPartQuarantine, SOUND_AFTER_MILLISECONDS } from './prompt-part-quarantine.js'
 import type { EndedRun } from './prompt-part-quarantine.js'
@@ -24,9 +27,6 @@
 /** Largest share of a service's endpoints that isolated runs may occupy. Above it, too few endpoints are left, so suspected requests share endpoints. */
 const MAXIMUM_OCCUPIED_SHARE = 0.5
 
-/** Wait between a crash and the decision on its cause: within this time, all instances have reported the requests that they had in flight at the crash. */
-const REPORT_WINDOW_MILLISECONDS = 300
-
 /** Whether a request may be sent to an endpoint. */
 export type Admission =
   | { readonly kind: 'granted' }
@@ -63,15 +63,6 @@
   readonly newestVersion: (key: AdapterKey) => number | undefined
 }
 
-/** A crash for which this instance still collects the requests that it had in flight. */
-interface PendingCrashReport {
-  readonly crash: EndpointCrash
-  readonly aboard: InFlightRequest[]
-  readonly accusedRuns: AccusedRun[]
-  /** Resolves when the crash was recorded and the decision on its cause was made. */
-  readonly recorded: Promise<void>
-}
-
 const GRANTED: Admission = { kind: 'granted' }
 const NONE: ReadonlySet<EndpointId> = new Set()
 
@@ -89,10 +80,7 @@
   private readonly unprovenEnds = new WeakMap<RoutedRequest, Promise<boolean>>()
   /** How many connections to endpoints each request has lost. */
   private readonly connectionLossCounts = new WeakMap<RoutedRequest, number>()
-  private readonly pendingReports = new Map<string, PendingCrashReport>()
-  /** Incarnations that crashed under requests of this instance and for which no decision was made yet. */
-  private readonly undecidedOwnCrashes = new Set<string>()
-  private readonly pendingDecisions = new Map<string, Promise<void>>()
+  private readonly reports: CrashReports
   /** By quarantined request: latest version of its adapter when the request first arrived after the quarantine decision. */
   private readonly refusedVersions = new Map<RequestFingerprint, number>()
 
@@ -103,6 +91,7 @@
     this.promptParts = new PromptPartQuarantine({
       logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
     })
+    this.reports = new CrashReports(parts.clock, (report) => this.record(report), (life, isOwn) => this.decide(life, isOwn))
   }
 
   /** Number of requests that crashes implicate, and number of quarantine decisions. */
@@ -142,11 +131,10 @@
   async admit (request: RoutedRequest, endpoint: EndpointId): Promise<Admission> {
     // A request that no crash implicates is retried at once after its first lost connection. Finding out whether the endpoint crashed would
     // take too long. In all other cases the result of the examination is awaited.
-    if (this.implicatedFingerprint(request) !== undefined || this.losses(request) > 1 || (this.losses(request) > 0 && !this.isUnsuspected(request))) await this.examinations.get(request)
-    const refused = this.refused(request)
+    const hasLostEndpoint = this.losses(request) > 0
+    if (this.implicatedFingerprint(request) !== undefined || this.losses(request) > 1 || (hasLostEndpoint && !this.isUnsuspected(request))) await this.examinations.get(request)
+    const refused = this.refused(request) ?? (hasLostEndpoint ? this.refusedRepeat(request) : undefined)
     if (refused !== undefined) return refused
-    const suspectedPart = this.losses(request) > 0 ? this.promptParts.suspectedPart(request) : undefined
-    if (suspectedPart !== undefined) return { kind: 'refused', error: this.quarantineError({ fingerprint: suspectedPart, crashes: this.promptParts.crashCount(suspectedPart), until: this.parts.clock.now() }) }
     const suspect = this.suspectOf(request)
     return suspect === undefined ? GRANTED : await this.isolate(request, suspect, endpoint)
   }
@@ -228,7 +216,7 @@
   applyPeerCrash (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, false)]
     for (const decision of confirmed) this.logDecision(decision, 'crashes seen elsewhere')
-    void this.awaitDecision(crash.life)
+    void this.reports.awaitDecision(crash.life)
   }
 
   /** Called when this or another instance has sent a suspected request to an endpoint: the sends of all instances count towards its quarantine. */
@@ -323,7 +311,14 @@
     const life = incarnationOf(endpoint)
     if (!this.promptParts.hasCrashed(life)) return this.promptParts.recordSound(request)
     const accused = this.promptParts.accusedRun(request, run)
-    if (accused !== undefined) this.reportOf(endpoint, life).accusedRuns.push(accused)
+    if (accused !== undefined) this.reports.of({ life, service: endpoint.service }).accusedRuns.push(accused)
+  }
+
+  /** @returns the refusal of a request that has lost an endpoint and has a suspected part in its prompt, so that it may crash another endpoint */
+  private refusedRepeat (request: RoutedRequest): Admission | undefined {
+    const part = this.promptParts.suspectedPart(request)
+    if (part === undefined) return undefined
+    return { kind: 'refused', error: this.quarantineError({ fingerprint: part, crashes: this.promptParts.crashCount(part), until: this.parts.clock.now() }) }
   }
 
   private occupied (request: RoutedRequest, fingerprint: Suspect): ReadonlySet<EndpointId> {
@@ -385,7 +380,7 @@
       answerMilliseconds: run.answerMilliseconds === undefined ? undefined : Math.round(run.answerMilliseconds),
       isolated
     })
-    const report = this.reportOf(endpoint, life)
+    const report = this.reports.of({ life, service: endpoint.service })
     report.aboard.push({ fingerprint, milliseconds: run.milliseconds, isolated })
     const accused = this.promptParts.accusedRun(request, run)
     if (accused !== undefined) report.accusedRuns.push(accused)
@@ -393,48 +388,16 @@
     return true
   }
 
-  /** @returns the report of this instance on a crash, which is recorded and announced soon */
-  private reportOf ({ service }: Endpoint, life: string): PendingCrashReport {
-    return this.pendingReports.get(life) ?? this.collectReport({ life, service, at: this.parts.clock.now() })
-  }
-
-  /**
-   * Starts to collect the requests that this instance had in flight at a crash. Their responses are truncated at the same time, so they are
-   * recorded and announced together.
-   */
-  private collectReport (crash: EndpointCrash): PendingCrashReport {
-    const aboard: InFlightRequest[] = []
-    const accusedRuns: AccusedRun[] = []
-    const recorded = new Promise<void>((resolve) => setImmediate(() => {
-      this.pendingReports.delete(crash.life)
-      this.record(crash, aboard, accusedRuns)
-      resolve(this.awaitDecision(crash.life))
-    }))
-    const report = { crash, aboard, accusedRuns, recorded }
-    this.pendingReports.set(crash.life, report)
-    return report
-  }
-
-  private record (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
+  private record ({ crash, aboard, accusedRuns }: CrashReport): void {
     const { announcer, clock, metrics } = this.parts
     metrics.endpointCrashed(crash.service)
-    this.undecidedOwnCrashes.add(crash.life)
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, true)]
     for (const decision of confirmed) this.announceDecision(decision, true)
     announcer.crashed(crashFrame(crash, aboard, accusedRuns, clock.now()))
   }
 
-  /** Waits until all instances have reported the requests that they had in flight at a crash, and then looks for the request that caused it. */
-  private async awaitDecision (life: string): Promise<void> {
-    const decision = this.pendingDecisions.get(life) ?? this.decide(life)
-    this.pendingDecisions.set(life, decision)
-    await decision
-  }
-
-  private async decide (life: string): Promise<void> {
-    await this.parts.clock.sleep(REPORT_WINDOW_MILLISECONDS)
-    this.pendingDecisions.delete(life)
-    const isOwn = this.undecidedOwnCrashes.delete(life)
+  /** @param isOwn - whether this instance saw the crash */
+  private decide (life: string, isOwn: boolean): void {
     const part = this.promptParts.decide(life)
     const decisions = [...this.crashTracker.decide(life), ...(part === undefined ? [] : [part])]
     for (const decision of decisions) this.announceDecision(decision, isOwn)
@@ -488,19 +451,3 @@
     return fingerprint
   }
 }
-
-/** @returns the message that announces a quarantine decision to other instances */
-export function decisionFrame ({ fingerprint, crashes, strikes, certain, until }: QuarantineDecision, now: number): RequestVerdictFrame {
-  return { kind: 'request-verdict', fingerprint, crashes, strikes, certain, remainingMilliseconds: Math.max(0, until - now) }
-}
-
-function crashFrame ({ life, service, at }: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[], now: number): EndpointCrashFrame {
-  return {
-    kind: 'endpoint-crash',
-    life,
-    service,
-    millisecondsAgo: Math.max(0, now - at),
-    aboard: aboard.map(({ fingerprint, milliseconds, isolated }) => [fingerprint, milliseconds, isolated]),
-    ...(accusedRuns.length === 0 ? {} : { accusedRuns: accusedRuns.map(({ milliseconds, parts }) => [milliseconds, parts] as const) })
-  }
-}
