A paused instance does not take a crashing part of prompts for sound

What callers would see: a part in quarantine, or about to be, is cleared and crashes engines again. Cause: the time for which an answer went on was that of the monotonic clock, so an answer that a crash ended after some milliseconds, but that a paused or blocked instance read late, counted as long. Found in the trace of the process test on an overloaded host: with the process of the stand-ins blocked for 450 ms at a time, one run on the part was taken for sound, and 13 runs with 4 late followed. The time stands still now while the process does; it runs only while crashes are known.

--- a/packages/ingress/src/quarantine/prompt-part-quarantine.ts
+++ b/packages/ingress/src/quarantine/prompt-part-quarantine.ts
@@ -20,7 +20,7 @@
 export interface EndedRun {
   /** How long the request had been in flight on the endpoint. */
   readonly milliseconds: number
-  /** Time since the first byte of the response body; undefined when none has arrived. */
+  /** Time that this process ran since the first byte of the response body; undefined when none has arrived. */
   readonly answerMilliseconds: number | undefined
   readonly response: ResponseProgress
 }
--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -21,6 +21,7 @@
 import type { IsolatedRunClaims } from './isolated-run-claims.js'
 import { PromptPartQuarantine, SOUND_AFTER_MILLISECONDS } from './prompt-part-quarantine.js'
 import type { EndedRun } from './prompt-part-quarantine.js'
+import { RunningTime } from './running-time.js'
 
 /** `retry-after` for a copy of a request whose isolated run is in progress, in seconds: such a run takes about this long. */
 const ISOLATED_RUN_RETRY_SECONDS = 1
@@ -71,6 +72,8 @@
   private readonly parts: RequestQuarantineDependencies
   private readonly crashTracker: CrashTracker
   private readonly promptParts: PromptPartQuarantine
+  /** Times answers, while any crash is known. */
+  readonly answerTime: RunningTime
   private readonly prefixes = new WeakMap<RoutedRequest, FingerprintPrefix>()
   private readonly fingerprints = new WeakMap<RoutedRequest, RequestFingerprint>()
   private readonly isolatedRuns = new Map<RoutedRequest, Suspect>()
@@ -87,6 +90,7 @@
   constructor (parts: RequestQuarantineDependencies) {
     this.parts = parts
     this.crashTracker = new CrashTracker(parts.endpointCount)
+    this.answerTime = new RunningTime(parts.clock)
     const { logger, metrics, endpointCount, announcer } = parts
     this.promptParts = new PromptPartQuarantine({
       logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
@@ -152,7 +156,7 @@
   /**
    * Called when bytes of an answer arrive.
    *
-   * @param answerMilliseconds - time since the first byte of the response body
+   * @param answerMilliseconds - time since the first byte of the response body, by {@link answerTime}
    */
   answering (request: RoutedRequest, answerMilliseconds: number): void {
     if (this.promptParts.isTracking) this.promptParts.answering(request, answerMilliseconds)
@@ -173,7 +177,7 @@
       void examination.then((hasCrashed) => { if (!hasCrashed) this.promptParts.recordSound(request) })
       return
     }
-    setTimeout(() => this.proveSound(request, endpoint, run), Math.max(0, SOUND_AFTER_MILLISECONDS - (run.answerMilliseconds ?? 0))).unref()
+    void this.answerTime.elapsed(SOUND_AFTER_MILLISECONDS - (run.answerMilliseconds ?? 0)).then(() => this.proveSound(request, endpoint, run))
   }
 
   /** Called when the request was sent to its endpoint, whatever the outcome. */
@@ -215,6 +219,7 @@
   /** Applies a crash that another instance saw, with the requests that the other instance had in flight there. */
   applyPeerCrash (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, false)]
+    this.answerTime.keepOn(true)
     for (const decision of confirmed) this.logDecision(decision, 'crashes seen elsewhere')
     void this.reports.awaitDecision(crash.life)
   }
@@ -232,6 +237,7 @@
     if ((this.verdict(fingerprint)?.strikes ?? 0) >= decision.strikes) return
     if (isPartFingerprint(fingerprint)) this.promptParts.adopt({ ...decision, fingerprint })
     else this.crashTracker.quarantine({ ...decision, fingerprint })
+    this.answerTime.keepOn(true)
     this.logDecision(decision, source)
   }
 
@@ -266,6 +272,7 @@
     const now = this.parts.clock.now()
     this.crashTracker.expire(now)
     this.promptParts.expire(now)
+    this.answerTime.keepOn(this.promptParts.isTracking)
   }
 
   private losses (request: RoutedRequest): number {
@@ -392,6 +399,7 @@
     const { announcer, clock, metrics } = this.parts
     metrics.endpointCrashed(crash.service)
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, true)]
+    this.answerTime.keepOn(true)
     for (const decision of confirmed) this.announceDecision(decision, true)
     announcer.crashed(crashFrame(crash, aboard, accusedRuns, clock.now()))
   }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -115,8 +115,8 @@
     const sentAt = clock.now()
     let answerBeganAt: number | undefined
     const followAnswer = (): void => {
-      answerBeganAt ??= clock.now()
-      quarantine.answering(request, clock.now() - answerBeganAt)
+      answerBeganAt ??= quarantine.answerTime.now()
+      quarantine.answering(request, quarantine.answerTime.now() - answerBeganAt)
     }
     const unanswered = this.unanswered.begin(options.endpoint.id, sentAt)
     const ended = attempt.run({
@@ -135,8 +135,8 @@
         request: request.facts.requestId, endpoint: options.endpoint.id, end: end.kind, reason: end.kind === 'whole' ? undefined : end.reason, ...attempt.logFields, ...contact.logFields
       })
       if (attempt.wasSent) quarantine.sent(request)
-      const endedAt = clock.now()
-      const run = { milliseconds: endedAt - sentAt, answerMilliseconds: answerBeganAt === undefined ? undefined : endedAt - answerBeganAt, response: attempt.responseProgress }
+      const answerMilliseconds = answerBeganAt === undefined ? undefined : quarantine.answerTime.now() - answerBeganAt
+      const run = { milliseconds: clock.now() - sentAt, answerMilliseconds, response: attempt.responseProgress }
       if (attempt.lostConnection) quarantine.lost(request, options.endpoint, run)
       else if (end.kind === 'whole' && attempt.wasServed) quarantine.answered(request, options.endpoint, run, attempt.endedWithConnection)
       quarantine.attemptFinished(request)
