Retry budget: each decision names what was used, what was allowed and by how many instances it was divided

Needed to tell the hypotheses of the incident apart: nothing said how many retries an instance made. One line and one counter for both relays; the line of a refused retry stood in both.

--- a/packages/decisions/src/retries/share-retry-budget.ts
+++ b/packages/decisions/src/retries/share-retry-budget.ts
@@ -11,6 +11,12 @@
   readonly windowMilliseconds?: number
 }
 
+/** How much of a budget is used. */
+export interface RetryBudgetUse {
+  readonly retries: number
+  readonly allowed: number
+}
+
 interface Bucket {
   number: number
   attempts: number
@@ -41,6 +47,15 @@
 
   withdraw (now: number): boolean {
     const current = this.bucketAt(now)
+    const { retries, allowed } = this.use(now)
+    if (retries + 1 > allowed) return false
+    current.retries += 1
+    return true
+  }
+
+  /** @returns the retries in the window, and how many are allowed there */
+  use (now: number): RetryBudgetUse {
+    this.bucketAt(now)
     let attempts = 0
     let retries = 0
     for (const bucket of this.buckets) {
@@ -48,9 +63,7 @@
       retries += bucket.retries
     }
     // Only first attempts add to the budget. If retries did as well, each retry would pay for the next one.
-    if (retries + 1 > this.minimumRetries() + this.share * attempts) return false
-    current.retries += 1
-    return true
+    return { retries, allowed: this.minimumRetries() + this.share * attempts }
   }
 
   private bucketAt (now: number): Bucket {
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -54,8 +54,9 @@
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { settings, configuration, freshness, directory, members, versions, workTracker, ejection, errors } = components
-  const shared = { ...components, random: Math.random, budgets: new RetryBudgets(settings.repeats, () => members.count) }
+  const { logger, metrics, settings, configuration, freshness, directory, members, versions, workTracker, ejection, errors } = components
+  const budgets = new RetryBudgets({ settings: settings.repeats, instances: () => members.count, logger, metrics })
+  const shared = { ...components, random: Math.random, budgets }
   const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -196,11 +196,9 @@
 
   /** Takes one retry from the retry budget of the service. @returns whether the budget allowed the retry */
   private mayRetry (): boolean {
-    const { clock, logger, budgets } = this.parts
+    const { clock, budgets } = this.parts
     const { service, facts } = this.request
-    if (budgets.tryRetry(service.name, clock.now())) return true
-    logger.debug('The retry budget does not allow a retry.', { request: facts.requestId, service: service.name, tries: this.sends })
-    return false
+    return budgets.tryRetry({ service: service.name, requestId: facts.requestId, tries: this.sends }, clock.now())
   }
 
   /**
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -130,18 +130,15 @@
    * @returns the endpoint; undefined when there is none or the retry budget is used up
    */
   private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>, wasSent: boolean): Promise<Endpoint | undefined> {
-    const { clock, logger, router, budgets, rateLimiter, random } = this.parts
+    const { clock, router, budgets, rateLimiter, random } = this.parts
     const { service, facts, priority, signal } = request
     const places = new PlaceSearch(rateLimiter, priority)
     let isBudgeted = !wasSent
     while (!signal.aborted) {
       const endpoint = router.choose(service.name, union(attempted, avoided, places.full), random, clock.now())
       if (endpoint === undefined) return undefined
-      isBudgeted ||= budgets.tryRetry(service.name, clock.now())
-      if (!isBudgeted) {
-        logger.debug('The retry budget does not allow a retry.', { request: facts.requestId, service: service.name, tries: attempted.size })
-        return undefined
-      }
+      isBudgeted ||= budgets.tryRetry({ service: service.name, requestId: facts.requestId, tries: attempted.size }, clock.now())
+      if (!isBudgeted) return undefined
       if (await places.take(endpoint.id)) return endpoint
     }
     return undefined
--- a/packages/ingress/src/retries/retry-budgets.ts
+++ b/packages/ingress/src/retries/retry-budgets.ts
@@ -1,5 +1,7 @@
 /** Limits the retries that this instance may send to each service. */
+import type { Logger } from '@limpetwinch/core'
 import { ShareRetryBudget } from '@limpetwinch/decisions'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { ServiceName } from '../routes/configuration.js'
 import type { RetryBudgetSettings } from '../runtime/ingress-settings.js'
 
@@ -10,6 +12,24 @@
  */
 const USED_SHARE = 0.8
 
+/** What the budgets need of the instance. */
+export interface RetryBudgetsDependencies {
+  /** The bound on retries. */
+  readonly settings: RetryBudgetSettings
+  /** @returns the number of instances that share the slack */
+  readonly instances: () => number
+  readonly logger: Logger
+  readonly metrics: Pick<IngressMetrics, 'retryDecided'>
+}
+
+/** A request that wants to be retried. */
+export interface RetryNeed {
+  readonly service: ServiceName
+  readonly requestId: string | undefined
+  /** Number of attempts that were made. */
+  readonly tries: number
+}
+
 /**
  * One retry budget per service. The configured bound on retries applies to all instances together: per time window, a fixed fraction
  * of the requests, plus the slack, a number of retries that is allowed whatever the number of requests. Each instance may send
@@ -17,17 +37,11 @@
  * without communication, even when the instances are partitioned.
  */
 export class RetryBudgets {
-  private readonly settings: RetryBudgetSettings
-  private readonly instances: () => number
+  private readonly parts: RetryBudgetsDependencies
   private readonly budgets = new Map<ServiceName, ShareRetryBudget>()
 
-  /**
-   * @param settings - the bound on retries
-   * @param instances - returns the number of instances that share the slack
-   */
-  constructor (settings: RetryBudgetSettings, instances: () => number) {
-    this.settings = settings
-    this.instances = instances
+  constructor (parts: RetryBudgetsDependencies) {
+    this.parts = parts
   }
 
   /** Counts a request to a service, which adds to its budget. */
@@ -40,17 +54,25 @@
    *
    * @returns whether the retry is allowed; it is then counted
    */
-  tryRetry (service: ServiceName, now: number): boolean {
-    return this.budget(service).withdraw(now)
+  tryRetry ({ service, requestId, tries }: RetryNeed, now: number): boolean {
+    const budget = this.budget(service)
+    const isAllowed = budget.withdraw(now)
+    const { logger, metrics, instances } = this.parts
+    metrics.retryDecided(service, isAllowed ? 'allowed' : 'refused')
+    logger.debug(isAllowed ? 'The retry budget allows a retry.' : 'The retry budget does not allow a retry.', {
+      request: requestId, service, tries, instances: instances(), ...budget.use(now)
+    })
+    return isAllowed
   }
 
   private budget (service: ServiceName): ShareRetryBudget {
     let budget = this.budgets.get(service)
     if (budget === undefined) {
+      const { settings, instances } = this.parts
       budget = new ShareRetryBudget({
-        share: this.settings.share * USED_SHARE,
-        minimumRetries: () => this.settings.slack * USED_SHARE / this.instances(),
-        windowMilliseconds: this.settings.windowMilliseconds
+        share: settings.share * USED_SHARE,
+        minimumRetries: () => settings.slack * USED_SHARE / instances(),
+        windowMilliseconds: settings.windowMilliseconds
       })
       this.budgets.set(service, budget)
     }
