--- a/packages/ingress/src/retries/retry-budgets.ts
+++ b/packages/ingress/src/retries/retry-budgets.ts
@@ -58,9 +58,10 @@
     const budget = this.budget(service)
     const isAllowed = budget.withdraw(now)
     const { logger, metrics, instances } = this.parts
+    const { retries, allowed } = budget.use(now)
     metrics.retryDecided(service, isAllowed ? 'allowed' : 'refused')
     logger.debug(isAllowed ? 'The retry budget allows a retry.' : 'The retry budget does not allow a retry.', {
-      request: requestId, service, tries, instances: instances(), ...budget.use(now)
+      request: requestId, service, tries, instances: instances(), retries, allowed
     })
     return isAllowed
   }
