The window of a retry budget is as long as the bound's

Cause: the window was kept in ten parts, of which the oldest was dropped whole, so it held the last 9 to 10 s.

--- a/packages/decisions/test/properties.test.ts
+++ b/packages/decisions/test/properties.test.ts
@@ -90,8 +90,8 @@
           budget.deposit(now)
           attempts.push(now)
         } else if (budget.withdraw(now)) retries.push(now)
-        const within = (at: number) => at > now - 900
-        const allowed = 2 + 0.2 * attempts.filter((at) => at > now - 1000).length
+        const within = (at: number) => at > now - 1000
+        const allowed = 2 + 0.2 * attempts.filter(within).length
         expect(retries.filter(within).length).toBeLessThanOrEqual(allowed + 1e-9)
       }
     }), settings)
--- a/packages/ingress/src/retries/retry-budgets.ts
+++ b/packages/ingress/src/retries/retry-budgets.ts
@@ -7,8 +7,8 @@
 
 /**
  * Fraction of the configured bound on retries that the instances use; the rest is a margin. The bound applies to any time window
- * over all instances. The windows here advance in steps of a tenth of a window, and when instances join or leave, each instance
- * recomputes its part of the slack (the retries allowed whatever the number of requests) at a slightly different time.
+ * over all instances. When instances join or leave, each instance recomputes its part of the slack (the retries allowed whatever the
+ * number of requests) at a slightly different time.
  */
 const USED_SHARE = 0.8
 
