A process that starts uses no slack of the retry bound before it was listed for a window

What callers and endpoints saw: more retries over all instances than the bound allows, where instances are killed, replaced, or start while the store is away. Cause: the slack (retries that are allowed whatever the number of requests) belonged to a process from its first millisecond, although its predecessor of the same name had spent it; a process without a listing divided by one and took all of it; a member that left gave its part to the others at once. Now the slack is divided between all names that were listed within the last window, and a process uses its part only after it has seen its own name listed for a window: whatever any predecessor or leaver spent is out of every window that the part is used in.

--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -57,6 +57,11 @@
     return this.listingApplied
   }
 
+  /** @returns names of the registered members, reachable or not; undefined before the first listing */
+  listedNames (): ReadonlySet<string> | undefined {
+    return this.listingApplied ? new Set(this.members.keys()) : undefined
+  }
+
   /** Number of registered members, reachable or not, including this instance; at least 1. */
   get count (): number {
     return Math.max(1, this.members.size + (this.members.has(this.self.name) ? 0 : 1))
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -7,11 +7,10 @@
 import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
 import type { StateFreshness } from '../cluster-state/state-freshness.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import type { MemberList } from '../members/member-list.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
-import { RetryBudgets } from '../retries/retry-budgets.js'
+import type { RetryBudgets } from '../retries/retry-budgets.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
 import type { FirstEventForecast } from '../routing/first-event-forecast.js'
 import type { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
@@ -30,12 +29,12 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: IngressMetrics
-  readonly settings: Pick<IngressSettings, 'repeats' | 'dataCentre'>
+  readonly settings: Pick<IngressSettings, 'dataCentre'>
   readonly codec: RequestCodec
   readonly configuration: AcceptedConfiguration
   readonly freshness: StateFreshness
   readonly directory: EndpointDirectory
-  readonly members: MemberList
+  readonly budgets: RetryBudgets
   readonly locations: AdapterLocations
   readonly versions: AdapterVersions
   readonly engineFinder: EngineFinder
@@ -54,9 +53,8 @@
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { logger, metrics, settings, configuration, freshness, directory, members, versions, workTracker, ejection, errors } = components
-  const budgets = new RetryBudgets({ settings: settings.repeats, instances: () => members.count, logger, metrics })
-  const shared = { ...components, random: Math.random, budgets }
+  const { settings, configuration, freshness, directory, versions, workTracker, ejection, errors } = components
+  const shared = { ...components, random: Math.random }
   const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
--- a/packages/ingress/src/retries/retry-budgets.ts
+++ b/packages/ingress/src/retries/retry-budgets.ts
@@ -4,11 +4,11 @@
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { ServiceName } from '../routes/configuration.js'
 import type { RetryBudgetSettings } from '../runtime/ingress-settings.js'
+import type { SlackPart } from './slack-part.js'
 
 /**
  * Fraction of the configured bound on retries that the instances use; the rest is a margin. The bound applies to any time window
- * over all instances. When instances join or leave, each instance recomputes its part of the slack (the retries allowed whatever the
- * number of requests) at a slightly different time.
+ * over all instances, and retries reach endpoints some time after they were allowed.
  */
 const USED_SHARE = 0.8
 
@@ -16,8 +16,7 @@
 export interface RetryBudgetsDependencies {
   /** The bound on retries. */
   readonly settings: RetryBudgetSettings
-  /** @returns the number of instances that share the slack */
-  readonly instances: () => number
+  readonly slackPart: SlackPart
   readonly logger: Logger
   readonly metrics: Pick<IngressMetrics, 'retryDecided'>
 }
@@ -33,8 +32,8 @@
 /**
  * One retry budget per service. The configured bound on retries applies to all instances together: per time window, a fixed fraction
  * of the requests, plus the slack, a number of retries that is allowed whatever the number of requests. Each instance may send
- * retries for this fraction of its own requests, plus an equal part of the slack. The sum over all instances stays within the bound
- * without communication, even when the instances are partitioned.
+ * retries for this fraction of its own requests, plus its {@link SlackPart}. The sum over all instances stays within the bound without
+ * communication, even when the instances are partitioned or start again.
  */
 export class RetryBudgets {
   private readonly parts: RetryBudgetsDependencies
@@ -57,22 +56,27 @@
   tryRetry ({ service, requestId, tries }: RetryNeed, now: number): boolean {
     const budget = this.budget(service)
     const isAllowed = budget.withdraw(now)
-    const { logger, metrics, instances } = this.parts
+    const { logger, metrics, slackPart } = this.parts
     const { retries, allowed } = budget.use(now)
     metrics.retryDecided(service, isAllowed ? 'allowed' : 'refused')
     logger.debug(isAllowed ? 'The retry budget allows a retry.' : 'The retry budget does not allow a retry.', {
-      request: requestId, service, tries, instances: instances(), retries, allowed
+      request: requestId, service, tries, instances: slackPart.sharers, retries, allowed
     })
     return isAllowed
   }
 
+  /** Notices instances that have left; called periodically. */
+  maintain (now: number): void {
+    this.parts.slackPart.update(now)
+  }
+
   private budget (service: ServiceName): ShareRetryBudget {
     let budget = this.budgets.get(service)
     if (budget === undefined) {
-      const { settings, instances } = this.parts
+      const { settings, slackPart } = this.parts
       budget = new ShareRetryBudget({
         share: settings.share * USED_SHARE,
-        minimumRetries: () => settings.slack * USED_SHARE / instances(),
+        minimumRetries: (now) => settings.slack * USED_SHARE * slackPart.at(now),
         windowMilliseconds: settings.windowMilliseconds
       })
       this.budgets.set(service, budget)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -31,6 +31,8 @@
 import type { Endpoint } from '../routes/configuration.js'
 import { createStreamOrigins } from '../streams/create-stream-origins.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
+import { createRetryBudgets } from '../retries/create-retry-budgets.js'
+import type { RetryBudgets } from '../retries/retry-budgets.js'
 import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import { createEjection } from '../routing/endpoint-ejection.js'
@@ -98,6 +100,7 @@
   private readonly ejection = createEjection()
   private readonly errors = new ErrorRates()
   private readonly rateLimiter: EndpointRateLimiter
+  private readonly budgets: RetryBudgets
   private readonly policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   private readonly heldNotices: HeldAdapterNotices
   private readonly digests: WorkDigests
@@ -204,6 +207,7 @@
     this.messaging = new PeerMessaging({
       self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics
     })
+    this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
     this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
     this.senders = this.createSenders()
     this.listener = createListener({
@@ -215,7 +219,7 @@
       configuration,
       freshness,
       directory,
-      members,
+      budgets: this.budgets,
       locations: this.locations,
       versions: this.versions,
       engineFinder: this.engineFinder,
@@ -412,6 +416,7 @@
       this.errors.decay(ERROR_DECAY)
       this.teams.maintain()
       this.rateLimiter.maintain()
+      this.budgets.maintain(this.clock.now())
       this.origins.maintain()
     }
   }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -23,6 +23,7 @@
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import type { StreamRelayDependencies } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
+import { SlackPart } from '../../src/retries/slack-part.js'
 import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
@@ -73,6 +74,13 @@
   begun: () => {}, completed: () => {}, find: async (_first, { name }) => ({ service: name, softwareVersion: SOFTWARE_VERSION })
 }
 
+/** The slack of an instance that has been listed alone for long. */
+class WholeSlack extends SlackPart {
+  constructor () {
+    super({ self: 'here', listedNames: () => new Set(['here']), windowMilliseconds: 0 })
+  }
+}
+
 /** A running listener. The service of engines is named `engines`, the service of plain endpoints `guide`. */
 export class IngressUnderTest {
   /** Loads that the ingress has requested. */
@@ -135,7 +143,7 @@
       endpointsOf: (name) => directory.servable(name).map(({ id }) => id)
     })
     rateLimiter.connect(peers.links, { onNeighbour: () => {}, replay: () => {} })
-    const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.8, windowMilliseconds: 10_000 }, instances: () => 1, logger, metrics })
+    const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.8, windowMilliseconds: 10_000 }, slackPart: new WholeSlack(), logger, metrics })
     const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
     const engineFinder = new EngineFinder({
       clock, logger, router, rateLimiter, locations, loadOwnerOf: () => 'holder' as InstanceId, requestLoad: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
--- a/packages/ingress/test/support/retry-fleet.ts
+++ b/packages/ingress/test/support/retry-fleet.ts
@@ -1,6 +1,7 @@
 /** A fleet of instances before one service that refuses requests, under simulated time and without a network: counts the retries that arrive there. */
 import { silentLogger } from '@limpetwinch/core'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
+import { SlackPart } from '../../src/retries/slack-part.js'
 import type { ServiceName } from '../../src/routes/configuration.js'
 
 export const SERVICE = 'guide' as ServiceName
@@ -37,8 +38,11 @@
 }
 
 /** @returns the budgets that an instance of the product has */
-export const createBudgets: CreateBudgets = ({ names }) => new RetryBudgets({
-  settings: SETTINGS, instances: () => Math.max(1, names()?.size ?? 0), logger: silentLogger(), metrics: { retryDecided: () => {} }
+export const createBudgets: CreateBudgets = ({ names, self }) => new RetryBudgets({
+  settings: SETTINGS,
+  slackPart: new SlackPart({ self, listedNames: names, windowMilliseconds: SETTINGS.windowMilliseconds }),
+  logger: silentLogger(),
+  metrics: { retryDecided: () => {} }
 })
 
 /** The fleet, its callers and the arrivals at the service. */
