--- a/packages/ingress/test/retry-fleet.failure.test.ts
+++ b/packages/ingress/test/retry-fleet.failure.test.ts
@@ -92,6 +92,26 @@
       const both = halves(fleet)
       for (let index = 0; index < 6; index++) killAndStart(fleet, both[index % 2] ?? [], 14_000 + 4_000 * index + 2_000 * random())
     }
+  },
+  'endpoints refuse requests just before half of the instances end for good and their callers move': {
+    size: 8,
+    requestsPerSecond: 150,
+    refusedShare: (now) => now > 18_000 && now < 30_000 ? 0.9 : 0.01,
+    disturb: (fleet) => fleet.at(20_000, () => { for (const name of halves(fleet)[0]) fleet.kill(name) })
+  },
+  'all callers move within a period of refusals': {
+    size: 8,
+    requestsPerSecond: 150,
+    refusedShare: (now) => now > 18_500 && now < 32_000 ? 0.9 : 0.01,
+    disturb: () => {},
+    chooses: (fleet) => halves(fleet)[fleet.now < 20_000 ? 0 : 1] ?? []
+  },
+  'callers move from one half of the instances to the other': {
+    size: 8,
+    requestsPerSecond: 120,
+    refusedShare: bursts(5_000),
+    disturb: () => {},
+    chooses: (fleet) => halves(fleet)[Math.floor(fleet.now / 5_000) % 2] ?? []
   }
 }
 
@@ -111,4 +131,10 @@
       expect(Math.max(...used)).toBeLessThanOrEqual(1)
     })
   }
+
+  it('and use most of it where they are wanted all the time', () => {
+    const { 'nobody is disturbed': undisturbed } = PLAYS
+    if (undisturbed === undefined) throw new Error('a play is missing')
+    expect(play(undisturbed, 1).mostUsed).toBeGreaterThanOrEqual(0.85)
+  })
 })
