--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -97,10 +97,10 @@
 
   /** Log fields that describe the response. */
   get logFields (): Readonly<Record<string, unknown>> {
-    const headers = this.head?.headers
+    const { headers, facts } = this.head ?? {}
     const framing = headers?.['content-length'] !== undefined ? 'length' : headers?.['transfer-encoding'] !== undefined ? 'chunks' : 'end'
     const { ended, isReused, connectMilliseconds, via } = this.connection
-    return { status: this.head?.status, framing, connection: ended, reused: isReused, via, connectMilliseconds, rateLimit: this.head?.facts.rateLimit }
+    return { status: this.head?.status, framing, connection: ended, reused: isReused, via, connectMilliseconds, rateLimit: facts?.rateLimit, restMilliseconds: facts?.restMilliseconds, endpointLeaving: facts?.isLeaving === true ? true : undefined }
   }
 
   /** Cancels the attempt by closing the connection, so that the endpoint drops the request. */
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -75,6 +75,15 @@
   readonly refusalLimit: StatedRateLimit
   /** Whether the endpoint refused the request for want of room. */
   readonly isFull: boolean
+  /**
+   * Time for which the endpoint wants no requests from the instance that it answers, in milliseconds; undefined when it asks for none, and
+   * `malformed` when the value cannot be read.
+   */
+  readonly restMilliseconds: number | 'malformed' | undefined
+  /** Whether the endpoint says that it is leaving. */
+  readonly isLeaving: boolean
+  /** Id of the endpoint that answered; undefined when the response does not name it. */
+  readonly answeredBy: string | undefined
 }
 
 /** Reads and writes the headers that one platform uses. */
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -74,7 +74,7 @@
 
 /** @returns the facts of a signed response that states no limit */
 export function responseFacts (sample: Partial<ResponseFacts> = {}): ResponseFacts {
-  return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, ...sample }
+  return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, restMilliseconds: undefined, isLeaving: false, answeredBy: undefined, ...sample }
 }
 
 /** Process id of the load owner, which sends the notices about what an engine holds. */
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -41,7 +41,10 @@
       encoded: headers['content-encoding'] !== undefined,
       rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit),
       refusalLimit: undefined,
-      isFull: false
+      isFull: false,
+      restMilliseconds: headers['x-rest'] === undefined ? undefined : Number(headers['x-rest']),
+      isLeaving: headers['x-leaving'] !== undefined,
+      answeredBy: undefined
     }
   }
 }
