An endpoint that asks an instance for rest gets it

What callers and endpoints saw: an endpoint turned requests away with 503 and Retry-After, and got up to six more from the same instance within that time; each of those requests lost time there, and some were refused after two such endpoints although others had room. Cause: a value that a server sends in an answer and nobody reads. Such a refusal counted as one of an endpoint that is full for a moment, and an endpoint that refuses is empty, so that it was the best choice for the next request. Now the rest is one of the reasons for which an endpoint has no room (rate-limits): it is passed over by first attempts, retries, isolated runs and loads until the latest end that any answer named; held back right before the send where it began while the request waited; over with a new start of the endpoint. Requests are refused at once with the earliest end while all endpoints rest, bounded since another instance may be welcome. Its load owner gives no orders and refuses load requests, so that they go to another engine. After its end it is chosen less readily for two seconds.

--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -1,4 +1,7 @@
-/** Sends no more requests to an endpoint than the rate limit that it names, over all instances together. */
+/**
+ * Sends no more requests to an endpoint than the rate limit that it names, over all instances together, and none to one that has asked this
+ * instance for rest.
+ */
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
 import type { QuotaRate } from '@limpetwinch/decisions'
@@ -10,6 +13,7 @@
 import type { ServiceName } from '../routes/configuration.js'
 import type { BrittleEndpoints } from './brittle-endpoints.js'
 import { answerOfFrame, askOfFrame, EndpointRateQuotas, partOfRate, rateOfEndpoint } from './endpoint-rate-quotas.js'
+import type { EndpointRests } from './endpoint-rests.js'
 import type { NamedRateLimits } from './named-rate-limits.js'
 
 /** Longest time that a request waits for the answer of the quota owner, in milliseconds. Then it is sent to another endpoint. */
@@ -24,6 +28,11 @@
 const FLOOR_STEP = 0.2
 /** Nothing is held ahead, so the rate does not matter to the client. */
 const NO_HOLDINGS = { ratePerSecond: 1 }
+/**
+ * Longest `retry-after` while all endpoints rest, in milliseconds: the caller's next request may reach an instance of which no endpoint wants
+ * rest.
+ */
+const LONGEST_RETRY_AFTER_MILLISECONDS = 1_500
 const NONE: ReadonlySet<EndpointId> = new Set()
 
 /** What the limiter needs of the instance. */
@@ -32,6 +41,7 @@
   readonly clock: Clock
   readonly limits: NamedRateLimits
   readonly brittle: BrittleEndpoints
+  readonly rests: EndpointRests
   /** @returns number of requests that the endpoint runs at one time */
   readonly slotsOf: (endpoint: EndpointId) => number
   readonly owners: QuotaOwners
@@ -63,6 +73,8 @@
   readonly limits: NamedRateLimits
   /** The endpoints that crash when they refuse too many requests. */
   readonly brittle: BrittleEndpoints
+  /** The endpoints that want no requests from this instance for some time. */
+  readonly rests: EndpointRests
   private readonly parts: EndpointRateLimiterDependencies
   private readonly kind: EndpointRateQuotas
   private readonly client: QuotaClient<EndpointId>
@@ -73,6 +85,7 @@
     this.parts = parts
     this.limits = parts.limits
     this.brittle = parts.brittle
+    this.rests = parts.rests
     const { self, clock, owners, reachableShare, isReachable, notify } = parts
     const kind = new EndpointRateQuotas(parts.instances)
     this.kind = kind
@@ -109,10 +122,11 @@
    * @returns endpoints that have no room for such a request, as far as this instance knows
    */
   withoutRoom (priority: number, milliseconds = 0): ReadonlySet<EndpointId> {
-    if (this.refusals.size === 0) return NONE
+    if (this.refusals.size === 0) return this.rests.resting()
     const now = this.parts.clock.now() - milliseconds
     const floor = floorOf(priority)
-    return new Set([...this.refusals].filter(([, refusal]) => refusal.until > now && floor >= refusal.floor).map(([endpoint]) => endpoint))
+    const full = [...this.refusals].filter(([, refusal]) => refusal.until > now && floor >= refusal.floor).map(([endpoint]) => endpoint)
+    return new Set([...full, ...this.rests.resting()])
   }
 
   /**
@@ -140,14 +154,16 @@
     return false
   }
 
-  /** @returns whether each endpoint of the service has a limit */
+  /** @returns whether each endpoint of the service has a limit or rests */
   areAllLimited (service: ServiceName): boolean {
-    return !this.isEmpty && this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint))
+    if (this.isEmpty && this.rests.isEmpty) return false
+    return this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint) || this.rests.isResting(endpoint))
   }
 
-  /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago; else undefined */
+  /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago or all rest; else undefined */
   millisecondsUntilRoom (service: ServiceName, priority: number): number | undefined {
-    return this.refusals.size === 0 ? undefined : this.millisecondsUntilRoomAt(this.parts.endpointsOf(service), priority)
+    if (this.refusals.size === 0 && this.rests.isEmpty) return undefined
+    return this.millisecondsUntilRoomAt(this.parts.endpointsOf(service), priority)
   }
 
   /** @returns milliseconds until a request may fit at one of the endpoints, if none of them had room lately; else undefined */
@@ -155,14 +171,17 @@
     const full = this.withoutRoom(priority, RECENT_REFUSAL_MILLISECONDS)
     if (endpoints.length === 0 || endpoints.some((endpoint) => !full.has(endpoint))) return undefined
     const now = this.parts.clock.now()
-    const fitting = endpoints.map((endpoint) => (this.refusals.get(endpoint)?.fitsAt ?? now) - now)
+    const fitting = endpoints.map((endpoint) => Math.max(this.rests.millisecondsLeft(endpoint), (this.refusals.get(endpoint)?.fitsAt ?? now) - now))
     return Math.max(LEAST_REFUSAL_MILLISECONDS, Math.min(...fitting))
   }
 
-  /** @returns the error of a request that found room at no endpoint of its service; undefined if one of them has no limit or may have room */
+  /** @returns the error of a request that found room at no endpoint of its service; undefined if one of them may have room */
   refusal (service: ServiceName, priority: number): LimpetwinchError | undefined {
     const milliseconds = this.areAllLimited(service) ? this.millisecondsUntilRoom(service, priority) : undefined
     if (milliseconds === undefined) return undefined
+    if (this.parts.endpointsOf(service).every((endpoint) => this.rests.isResting(endpoint))) {
+      return new LimpetwinchError('endpoints-resting', { service }, { retryAfterSeconds: Math.ceil(Math.min(milliseconds, LONGEST_RETRY_AFTER_MILLISECONDS)) / 1_000 })
+    }
     return new LimpetwinchError('endpoints-rate-limited', { service }, { retryAfterSeconds: Math.ceil(milliseconds) / 1_000 })
   }
 
@@ -172,6 +191,7 @@
     for (const [endpoint, { until }] of this.refusals) if (until + RECENT_REFUSAL_MILLISECONDS <= now) this.refusals.delete(endpoint)
     this.limits.maintain()
     this.brittle.maintain()
+    this.rests.maintain()
     this.client.releaseIdle()
     this.division.maintain()
   }
@@ -180,6 +200,7 @@
   forget (endpoint: EndpointId): void {
     this.limits.forget(endpoint)
     this.brittle.forget(endpoint)
+    this.rests.forget(endpoint)
     this.refusals.delete(endpoint)
   }
 
--- /dev/null
+++ b/packages/ingress/src/rate-limits/endpoint-rests.ts
@@ -0,0 +1,128 @@
+/** The rest that endpoints ask of this instance when they turn its requests away. */
+import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
+import type { ResponseFacts } from '../relay/request-codec.js'
+
+/** Longest rest that is granted at once, in milliseconds. After it, the answer to one request shows whether the endpoint still wants rest. */
+const LONGEST_REST_MILLISECONDS = 600_000
+/** Time after a rest in which the endpoint is chosen less readily. An endpoint that had nothing to do looks better than all others. */
+const RECOVERY_MILLISECONDS = 2_000
+const NONE: ReadonlySet<EndpointId> = new Set()
+
+/** What the rests need of the instance. */
+export interface EndpointRestsDependencies {
+  readonly clock: Clock
+  readonly logger: Logger
+  /** @returns start time of the endpoint's process; undefined when the endpoint is not known */
+  readonly bornOf: (endpoint: EndpointId) => number | undefined
+}
+
+/** A rest that was asked of this instance. */
+export interface Rest {
+  readonly endpoint: EndpointId
+  /** Start time of the endpoint's process that asked for it. */
+  readonly born: number
+  readonly milliseconds: number
+}
+
+interface KnownRest {
+  readonly born: number
+  /** Monotonic time at which the rest ends. */
+  until: number
+}
+
+/** Listener for rests that begin or become longer. */
+export type RestListener = (rest: Rest) => void
+
+/**
+ * The endpoints that want no requests from this instance for some time. A rest belongs to the endpoint and the instance that it answered; the
+ * other instances go on, except that one which opens tunnels for another instance takes over the rest that the other one's requests brought.
+ */
+export class EndpointRests {
+  private readonly parts: EndpointRestsDependencies
+  private readonly rests = new Map<EndpointId, KnownRest>()
+  private readonly malformed = new Set<EndpointId>()
+  private readonly listeners: RestListener[] = []
+
+  constructor (parts: EndpointRestsDependencies) {
+    this.parts = parts
+  }
+
+  /** Whether no endpoint rests or did a moment ago. */
+  get isEmpty (): boolean {
+    return this.rests.size === 0
+  }
+
+  /** Registers a listener that is called with each rest that begins or becomes longer. */
+  onRest (listener: RestListener): void {
+    this.listeners.push(listener)
+  }
+
+  /**
+   * Records what a response of an endpoint to a request of this instance states.
+   *
+   * @param born - start time of the endpoint's process that the request was sent to
+   */
+  recordResponse (endpoint: EndpointId, { restMilliseconds, answeredBy }: ResponseFacts, born: number): void {
+    if (restMilliseconds === undefined || restMilliseconds === 0) return
+    // Another endpoint may listen at the address by now.
+    if (answeredBy !== undefined && answeredBy !== endpoint) return
+    if (restMilliseconds === 'malformed') return this.logMalformed(endpoint)
+    this.begin({ endpoint, born, milliseconds: restMilliseconds })
+  }
+
+  /** Begins a rest. One that ends sooner than the rest in progress changes nothing: the endpoint asked for each of them. */
+  begin ({ endpoint, born, milliseconds }: Rest): void {
+    const { clock, logger, bornOf } = this.parts
+    if (bornOf(endpoint) !== born) return
+    const bounded = Math.min(milliseconds, LONGEST_REST_MILLISECONDS)
+    const until = clock.now() + bounded
+    const known = this.rests.get(endpoint)
+    if (known !== undefined && known.until >= until) return
+    const isNew = known === undefined || known.until <= clock.now()
+    this.rests.set(endpoint, { born, until })
+    if (isNew) logger.info('An endpoint asked for rest.', { endpoint, milliseconds: bounded })
+    for (const listener of this.listeners) listener({ endpoint, born, milliseconds: bounded })
+  }
+
+  /** @returns whether the endpoint must get nothing from this instance now */
+  isResting (endpoint: EndpointId): boolean {
+    return this.millisecondsLeft(endpoint) > 0
+  }
+
+  /** @returns milliseconds until the endpoint may get requests again; 0 if it may */
+  millisecondsLeft (endpoint: EndpointId): number {
+    if (this.isEmpty) return 0
+    return Math.max(0, (this.rests.get(endpoint)?.until ?? -Infinity) - this.parts.clock.now())
+  }
+
+  /** @returns the endpoints that must get nothing from this instance now */
+  resting (): ReadonlySet<EndpointId> {
+    return this.isEmpty ? NONE : new Set([...this.rests.keys()].filter((endpoint) => this.isResting(endpoint)))
+  }
+
+  /** @returns how much less readily the endpoint should be chosen, from 1 at the end of its rest to 0 some time later */
+  penalty (endpoint: EndpointId): number {
+    if (this.isEmpty) return 0
+    const { until } = this.rests.get(endpoint) ?? { until: -Infinity }
+    return Math.max(0, Math.min(1, 1 - (this.parts.clock.now() - until) / RECOVERY_MILLISECONDS))
+  }
+
+  /** Forgets rests that ended some time ago; called periodically. */
+  maintain (): void {
+    const now = this.parts.clock.now()
+    for (const [endpoint, { until }] of this.rests) if (until + RECOVERY_MILLISECONDS <= now) this.rests.delete(endpoint)
+  }
+
+  /** Forgets the rest that an earlier process of an endpoint asked for, or all of an endpoint that has left. */
+  forget (endpoint: EndpointId): void {
+    const { bornOf } = this.parts
+    this.malformed.delete(endpoint)
+    if (this.rests.get(endpoint)?.born !== bornOf(endpoint)) this.rests.delete(endpoint)
+  }
+
+  private logMalformed (endpoint: EndpointId): void {
+    if (this.malformed.has(endpoint)) return
+    this.malformed.add(endpoint)
+    this.parts.logger.warn('An endpoint asked for rest with a value that cannot be read.', { endpoint })
+  }
+}
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -53,9 +53,9 @@
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { settings, configuration, freshness, directory, versions, workTracker, ejection, errors } = components
+  const { settings, configuration, freshness, directory, versions, workTracker, ejection, errors, rateLimiter } = components
   const shared = { ...components, random: Math.random }
-  const router = new ServiceRouter(directory, workTracker, ejection, errors, settings.dataCentre)
+  const router = new ServiceRouter(directory, workTracker, ejection, errors, rateLimiter.rests, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
     ...shared,
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -9,6 +9,7 @@
 import type { EndpointPaths } from '../paths/endpoint-paths.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { BrittleEndpoints } from '../rate-limits/brittle-endpoints.js'
+import type { EndpointRests } from '../rate-limits/endpoint-rests.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint } from '../routes/configuration.js'
 import { Attempt } from './attempt.js'
@@ -35,7 +36,7 @@
 
 /** An attempt in progress. */
 export interface RunningAttempt {
-  readonly attempt: Attempt
+  readonly attempt: Pick<Attempt, 'abandon' | 'pause' | 'resume'>
   readonly ended: Promise<AttemptEnd>
 }
 
@@ -45,6 +46,9 @@
  */
 export type ObservedResult = 'answered' | 'failed' | 'unreachable'
 
+/** Reason of an attempt that was not made because its endpoint rests. */
+const HELD_BACK = 'the endpoint asked for rest'
+
 /** Dependencies of the senders. */
 export interface EndpointSendersDependencies {
   readonly codec: RequestCodec
@@ -55,6 +59,7 @@
   readonly quarantine: RequestQuarantine
   readonly rateLimits: NamedRateLimits
   readonly brittle: BrittleEndpoints
+  readonly rests: EndpointRests
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
 }
@@ -83,7 +88,8 @@
 
   /** Sends a request to an endpoint; the attempt is abandoned when the signal of the request is aborted. */
   send (request: RoutedRequest, options: SendOptions, sink: AttemptSink): RunningAttempt {
-    const { codec, clock, logger, metrics, quarantine, brittle } = this.parts
+    const { codec, clock, logger, metrics, quarantine, brittle, rests } = this.parts
+    if (rests.isResting(options.endpoint.id)) return this.holdBack(request, options.endpoint)
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec)
@@ -125,7 +131,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(this.readRateLimit(options.endpoint.id, sentAt, sink, followAnswer))).then((end) => {
+    }, contact.through(this.readLimits(options.endpoint, sentAt, sink, followAnswer))).then((end) => {
       unanswered.ended()
       if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
@@ -149,11 +155,12 @@
 
   /**
    * Records the outcome of an attempt for the outlier ejection: an endpoint with repeated failures gets no new requests for some time.
-   * While the own path to the endpoint is lost, an attempt that fails after it was sent tells nothing of the endpoint.
+   * An attempt that was held back tells nothing of the endpoint, nor does one that was sent and fails while the own path to the endpoint is
+   * lost.
    */
   observe (endpoint: EndpointId, result: ObservedResult, reason?: string): void {
     const { clock, ejection, metrics, logger, paths } = this.parts
-    if (result === 'failed' && paths.isLost(endpoint)) return
+    if ((result === 'failed' && paths.isLost(endpoint)) || reason === HELD_BACK) return
     const now = clock.now()
     const wasEjected = ejection.isEjected(endpoint, now)
     ejection.observe(endpoint, result === 'answered' ? 'answered' : 'failed', now)
@@ -206,15 +213,28 @@
     for (const { pool } of this.connections.values()) pool.close()
   }
 
+  /**
+   * Ends an attempt before it begins. An endpoint may ask for rest after it was chosen, while the quarantine decides on the request or the
+   * engine that it replaces is given up.
+   */
+  private holdBack (request: RoutedRequest, { id }: Endpoint): RunningAttempt {
+    const { logger, quarantine } = this.parts
+    logger.debug('A request was held back from an endpoint that rests.', { request: request.facts.requestId, endpoint: id })
+    quarantine.attemptFinished(request)
+    return { attempt: { abandon: () => {}, pause: () => {}, resume: () => {} }, ended: Promise.resolve({ kind: 'not-sent', reason: HELD_BACK }) }
+  }
+
   /**
    * @param onData - called with each part of the body, before it is passed on
    * @returns a sink that records the limits that the response states, which belongs to the request, and passes all on to the given sink
    */
-  private readRateLimit (endpoint: EndpointId, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
+  private readLimits ({ id, born }: Endpoint, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
+    const { rateLimits, brittle, rests } = this.parts
     return {
       head: (head) => {
-        this.parts.rateLimits.recordResponse(endpoint, head.facts, sentAt)
-        this.parts.brittle.recordResponse(endpoint, head.facts, sentAt)
+        rateLimits.recordResponse(id, head.facts, sentAt)
+        brittle.recordResponse(id, head.facts, sentAt)
+        rests.recordResponse(id, head.facts, born)
         sink.head(head)
       },
       data: (chunk) => {
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -8,6 +8,7 @@
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import type { EndpointRests } from '../rate-limits/endpoint-rests.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { AdapterKey, Endpoint, EngineShape, ModelName, Service, SoftwareVersion } from '../routes/configuration.js'
 import type { FirstEventForecast } from './first-event-forecast.js'
@@ -130,6 +131,7 @@
   readonly speeds: EngineSpeeds
   readonly prefixes: PrefixCacheEstimate
   readonly ejection: OutlierEjection
+  readonly rests: Pick<EndpointRests, 'penalty' | 'resting'>
   readonly dataCentre: string
   /** @returns the lowest version of the adapter with which a new request may start */
   readonly leastVersion: (key: AdapterKey, now: number) => number
@@ -230,7 +232,7 @@
   /** @returns milliseconds until an adapter load that is requested now could be complete, on the engine with the shortest load queue */
   shortestWait (service: Service, now: number): number {
     let least = Infinity
-    for (const { id } of this.usableEngines({ service, excluded: NONE }, now)) {
+    for (const { id } of this.usableEngines({ service, excluded: this.parts.rests.resting() }, now)) {
       if (this.parts.hasLoadOwner(id)) least = Math.min(least, this.parts.locations.line(id)?.waitMilliseconds ?? 0)
     }
     return least + this.parts.loadMilliseconds()
@@ -283,7 +285,7 @@
 
   /** @returns the engine with the forecast time until the first event, including the additions for other data centres and recent failures */
   private estimate (endpoint: Endpoint, shape: EngineShape, facts: RequestFacts, now: number): EngineChoice {
-    const { workTracker, forecast, prefixes, ejection, dataCentre } = this.parts
+    const { workTracker, forecast, prefixes, dataCentre } = this.parts
     const key = facts.adapter?.key
     const cachedTokens = key === undefined ? 0 : prefixes.cachedTokens(endpoint.id, key, facts.promptParts)
     const uncachedTokens = Math.max(0, facts.promptTokens - cachedTokens)
@@ -291,10 +293,16 @@
     const memoryTokens = facts.promptTokens + facts.outputTokens
     const expected = forecast.milliseconds(endpoint.id, shape, outstanding, uncachedTokens, memoryTokens)
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
-    const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
+    const penalty = this.penalty(endpoint.id, now)
     return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
   }
 
+  /** @returns the cost of an engine that has just failed or rested, in milliseconds */
+  private penalty (endpoint: EndpointId, now: number): number {
+    const { ejection, rests } = this.parts
+    return Math.max(ejection.penalty(endpoint, now), rests.penalty(endpoint)) * PENALTY_MILLISECONDS
+  }
+
   /** @returns the cost for the running streams of the engine when the engine reads a prompt of this many tokens now, in milliseconds of waiting */
   private pauseCost (endpoint: Endpoint, tokens: number, gapMilliseconds: number, now: number): number {
     const { speeds, workTracker } = this.parts
@@ -308,7 +316,7 @@
 
   /** @returns milliseconds until the adapter could be used on the engine, plus the cost of the load for other requests */
   private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, storeMilliseconds: number, now: number): number {
-    const { workTracker, forecast, locations, dataCentre, ejection, leastVersion } = this.parts
+    const { workTracker, forecast, locations, dataCentre, leastVersion } = this.parts
     const reading = forecast.milliseconds(endpoint.id, shape, workTracker.outstanding(endpoint.id, now), 0, 0)
     const queue = locations.line(endpoint.id)
     // Joining a load that is already pending takes nothing more from the weight store.
@@ -322,11 +330,10 @@
     // wait until these runs end before a new load.
     const evictionWait = workTracker.running(endpoint.id, key, now) > 0 ? RUN_MILLISECONDS : 0
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
-    const penalty = ejection.penalty(endpoint.id, now) * PENALTY_MILLISECONDS
+    const penalty = this.penalty(endpoint.id, now)
     const home = HOME_MILLISECONDS * (1 - rendezvousWeight(key, endpoint.id))
     return reading + loadMilliseconds + queueWait + evictionWait + remote + penalty + home
   }
 }
 
-const NONE: ReadonlySet<EndpointId> = new Set()
 const unbiased = (): number => 0
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,6 +1,6 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, InstanceId, LineSink, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LineSink, Logger } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates, StallEvictionPolicy } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -188,6 +188,7 @@
       speeds: this.speeds,
       prefixes: this.prefixCache,
       ejection: this.ejection,
+      rests: this.rateLimiter.rests,
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.minimumUsable(key, now),
       loadMilliseconds: () => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now())),
@@ -319,7 +320,8 @@
       configuration: this.configuration,
       leaseMilliseconds: this.settings.leaseMilliseconds,
       fencedEndpoints: this.settings.fencedEndpoints,
-      reachesService: this.paths.reachesService
+      reachesService: this.paths.reachesService,
+      isResting: (endpoint: EndpointId) => this.rateLimiter.rests.isResting(endpoint)
     }
     return new LoadOwnership(dependencies, {
       control: this.platform.control,
@@ -349,6 +351,7 @@
       quarantine: this.quarantine.quarantine,
       rateLimits: this.rateLimiter.limits,
       brittle: this.rateLimiter.brittle,
+      rests: this.rateLimiter.rests,
       dialler: paths.dialler,
       paths: paths.paths
     })
--- /dev/null
+++ b/packages/ingress/test/endpoint-rests.failure.test.ts
@@ -0,0 +1,124 @@
+// Guards against an endpoint that gets requests within the rest that it asked for, or none although its rest is over: answers that name other
+// times, values that cannot be read, answers of another endpoint, and endpoints that start again.
+import { afterEach, describe, expect, it } from 'vitest'
+import type { EndpointId } from '@limpetwinch/core'
+import { EndpointRests } from '../src/rate-limits/endpoint-rests.js'
+import { endpointId, IngressUnderTest } from './support/ingress-under-test.js'
+import type { CallerView } from './support/ingress-under-test.js'
+import { ManualClock } from './support/manual-clock.js'
+import { framed, RawEndpoint } from './support/raw-endpoint.js'
+import type { RawAnswer } from './support/raw-endpoint.js'
+import { recordingLogger } from './support/recording-logger.js'
+import type { RecordedLine } from './support/recording-logger.js'
+import { key, responseFacts, route } from './support/samples.js'
+
+const ENDPOINT = 'i-1' as EndpointId
+const PLAIN = route({ kind: 'safe' })
+const STREAM = route({ kind: 'stream', targets: [{ service: 'engines', weight: 1 }], timeoutMilliseconds: 1_500 })
+const HELD = [{ key: key('a1'), version: 1 }]
+const ending: { stop: () => void }[] = []
+
+afterEach(() => {
+  for (const each of ending.splice(0)) each.stop()
+})
+
+function restsUnderTest (): { readonly clock: ManualClock, readonly rests: EndpointRests, readonly lines: RecordedLine[], readonly born: Map<EndpointId, number> } {
+  const clock = new ManualClock()
+  const lines: RecordedLine[] = []
+  const born = new Map([[ENDPOINT, 100]])
+  return { clock, lines, born, rests: new EndpointRests({ clock, logger: recordingLogger(lines), bornOf: (endpoint) => born.get(endpoint) }) }
+}
+
+const asking = (restMilliseconds: number | 'malformed', answeredBy?: string): ReturnType<typeof responseFacts> => responseFacts({ restMilliseconds, answeredBy })
+
+describe('the rest that an endpoint asks for', () => {
+  it('lasts until the latest end that any answer named', async () => {
+    const { clock, rests } = restsUnderTest()
+    rests.recordResponse(ENDPOINT, asking(3_000), 100)
+    rests.recordResponse(ENDPOINT, asking(500), 100)
+    expect([rests.isResting(ENDPOINT), rests.millisecondsLeft(ENDPOINT)]).toEqual([true, 3_000])
+    await clock.advance(2_000)
+    rests.recordResponse(ENDPOINT, asking(4_000), 100)
+    expect(rests.millisecondsLeft(ENDPOINT)).toBe(4_000)
+    await clock.advance(4_000)
+    expect([rests.isResting(ENDPOINT), [...rests.resting()]]).toEqual([false, []])
+  })
+
+  it('ends when the endpoint starts again, and an answer of the earlier process begins none', () => {
+    const { rests, born } = restsUnderTest()
+    rests.recordResponse(ENDPOINT, asking(3_000), 100)
+    rests.forget(ENDPOINT)
+    expect(rests.isResting(ENDPOINT)).toBe(true)
+    born.set(ENDPOINT, 200)
+    rests.forget(ENDPOINT)
+    rests.recordResponse(ENDPOINT, asking(3_000), 100)
+    expect(rests.isResting(ENDPOINT)).toBe(false)
+  })
+
+  it('is none when the value cannot be read, which is logged once, or when another endpoint answered', () => {
+    const { rests, lines } = restsUnderTest()
+    rests.recordResponse(ENDPOINT, asking('malformed'), 100)
+    rests.recordResponse(ENDPOINT, asking('malformed'), 100)
+    rests.recordResponse(ENDPOINT, asking(3_000, 'i-2'), 100)
+    expect([rests.isResting(ENDPOINT), lines.length]).toEqual([false, 1])
+  })
+
+  it('makes the endpoint a worse choice for some time after its end, and less so as time passes', async () => {
+    const { clock, rests } = restsUnderTest()
+    rests.recordResponse(ENDPOINT, asking(1_000), 100)
+    const penalties: number[] = []
+    for (let step = 0; step < 4; step++) {
+      await clock.advance(1_000)
+      penalties.push(rests.penalty(ENDPOINT))
+    }
+    expect(penalties).toEqual([1, 0.5, 0, 0])
+  })
+})
+
+async function raw (...answers: readonly RawAnswer[]): Promise<RawEndpoint> {
+  const endpoint = await RawEndpoint.start(...answers)
+  ending.push(endpoint)
+  return endpoint
+}
+
+function resting (milliseconds: number): RawAnswer {
+  return framed(503, '', `X-Not-Run: 1\r\nX-Rest: ${milliseconds}\r\n`)
+}
+
+function errorOf ({ body }: CallerView): { readonly code?: string, readonly outcome?: string } {
+  return JSON.parse(body).error
+}
+
+describe('a service whose endpoints ask for rest', () => {
+  it('is served by the other endpoints', async () => {
+    const [one, two] = [await raw(resting(60_000)), await raw(framed(200, 'served'))]
+    const under = await IngressUnderTest.start({ routes: [PLAIN], endpoints: [{ id: 'a', raw: one }, { id: 'b', raw: two }] })
+    ending.push(under)
+    const statuses: number[] = []
+    for (let time = 0; time < 8; time++) statuses.push((await under.ask('/')).status)
+    expect([statuses, one.requests.length]).toEqual([Array(8).fill(200), 1])
+  })
+
+  it.each([['a plain service', PLAIN, {}], ['engines', STREAM, { adapters: HELD }]])('refuses at once and says when to come back while all rest: %s', async (_what, eachRoute, shape) => {
+    const only = await raw(resting(60_000))
+    const under = await IngressUnderTest.start({ routes: [eachRoute], endpoints: [{ id: 'a', raw: only, ...shape }] })
+    ending.push(under)
+    const headers = { 'x-adapter': 'a1' }
+    await under.ask('/', headers)
+    const startedAt = performance.now()
+    const second = await under.ask('/', headers)
+    expect({ status: second.status, ...errorOf(second) }).toMatchObject({ status: 503, code: 'endpoints_resting', outcome: 'not_run' })
+    expect(Number(second.headers['retry-after'])).toBeGreaterThan(0.5)
+    expect([only.requests.length, performance.now() - startedAt < 500]).toEqual([1, true])
+  })
+
+  it('loads the adapter of a resting engine on another one', async () => {
+    const [one, two] = [await raw(resting(60_000)), await raw(framed(200, 'served'))]
+    const under = await IngressUnderTest.start({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: HELD }, { id: 'b', raw: two, adapters: [] }] })
+    ending.push(under)
+    const answer = under.ask('/', { 'x-adapter': 'a1' })
+    await expect.poll(() => under.asked.map(({ endpoint }) => endpoint)).toContain(endpointId('b'))
+    await answer
+    expect(under.asked.map(({ endpoint }) => endpoint)).not.toContain(endpointId('a'))
+  })
+})
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -77,5 +77,8 @@
   return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, restMilliseconds: undefined, isLeaving: false, answeredBy: undefined, ...sample }
 }
 
+/** The rests of an instance of which no endpoint wants any. */
+export const NO_RESTS = { penalty: () => 0, resting: () => new Set<EndpointId>() }
+
 /** Process id of the load owner, which sends the notices about what an engine holds. */
 export const LOAD_OWNER = 'speaker' as InstanceId
