--- a/packages/core/src/errors/limpetwinch-error.ts
+++ b/packages/core/src/errors/limpetwinch-error.ts
@@ -1,6 +1,7 @@
 /** The error class of the project. Titles, HTTP statuses and messages of the errors are in the error table in errors-data.ts. */
 import { ERRORS } from './errors-data.js'
-import type { ErrorName, Outcome } from './errors-data.js'
+import type { Outcome } from './error-data.js'
+import type { ErrorName } from './errors-data.js'
 
 /** Optional properties of one raised error, in addition to its row of the table. */
 export interface ErrorOptions {
--- a/packages/core/src/frames/connection-frames.ts
+++ b/packages/core/src/frames/connection-frames.ts
@@ -1,5 +1,6 @@
 /** Frames of the connection between two instances, whatever it is used for. */
-import type { ErrorName, Outcome } from '../errors/errors-data.js'
+import type { Outcome } from '../errors/error-data.js'
+import type { ErrorName } from '../errors/errors-data.js'
 import type { DataCentreId, InstanceId } from '../ids/ids.js'
 
 /** The first frame in each direction of a connection, which identifies the sender. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Code shared by all packages: ids, errors, logger, clock, settings, frames and abstract clients of external systems. */
 export * from './ids/ids.js'
 export * from './ids/adapter-reference.js'
+export type * from './errors/error-data.js'
 export * from './errors/errors-data.js'
 export * from './errors/limpetwinch-error.js'
 export * from './logger/logger.js'
