An endpoint that says in an answer that it is leaving gets no more work

What endpoints saw: after an answer with Server-Leaving, 14 (plain) and 64 (engine) requests in three seconds from four instances that kept to its entry, which said that it was ready. Cause: a value that a server sends in an answer and nobody reads. Now the first such answer makes the endpoint leaving in the directory, as its entry would, and all instances are told with the start time of its process; entries of the same process do not take it back, nor a lapse of the entry; a new start does. The instance needs no store for any of it.

--- a/packages/core/src/frames/cluster-frames.ts
+++ b/packages/core/src/frames/cluster-frames.ts
@@ -91,3 +91,11 @@
   /** Time in milliseconds from the read of the list until this frame was sent. A duration does not depend on synchronised clocks. */
   readonly readMillisecondsAgo: number
 }
+
+/** Says that an endpoint has stated in a response that it is leaving, whatever its entry says. */
+export interface EndpointLeavingFrame {
+  readonly kind: 'endpoint-leaving'
+  readonly endpoint: string
+  /** Start time of the endpoint's process, which tells one incarnation from the next. */
+  readonly born: number
+}
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -5,7 +5,7 @@
 import type { HelloFrame, HeartbeatFrame, GoodbyeFrame, AcceptedFrame, RefusedFrame } from './connection-frames.js'
 import type { AdmissionAskFrame, AdmissionGrantedFrame, AdmissionRefusedFrame, AdmissionDoneFrame, PinsAskFrame, PinsReportFrame, EndpointDigestFrame, OwnershipFrame, HandOverFrame, LoadTurnAskFrame, LoadTurnDoneFrame, TeamServiceFrame } from './endpoint-owner-frames.js'
 import type { SettingsChangeFrame, SettingsRevisionsFrame } from './settings-frames.js'
-import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame } from './cluster-frames.js'
+import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame, EndpointLeavingFrame } from './cluster-frames.js'
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
@@ -67,6 +67,7 @@
   | StreamOriginsFrame
   | StreamOriginAskFrame
   | StreamOriginAnswerFrame
+  | EndpointLeavingFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/ingress/src/endpoints/endpoint-directory.ts
+++ b/packages/ingress/src/endpoints/endpoint-directory.ts
@@ -8,6 +8,9 @@
  */
 const LAPSE_GRACE_MILLISECONDS = 2_000
 
+/** Time for which it is remembered that an endpoint without an entry has said that it is leaving, in milliseconds: its entry may come back. */
+const SAID_LEAVING_MILLISECONDS = 60_000
+
 /** All endpoint entries of the store at one revision. */
 export interface EndpointListing {
   /** Store revision of the listing; it only grows. */
@@ -27,9 +30,18 @@
   removedAt: number | undefined
 }
 
+/** A process of an endpoint that has said in a response that it is leaving. */
+interface SaidLeaving {
+  readonly born: number
+  /** Monotonic time at which its entry was last known; undefined before the first check. */
+  knownAt: number | undefined
+}
+
 /** The endpoints known to this instance. */
 export class EndpointDirectory {
   private readonly records = new Map<EndpointId, EndpointRecord>()
+  /** What endpoints said of themselves in responses; their entries do not take it back. */
+  private readonly leavingByResponse = new Map<EndpointId, SaidLeaving>()
   private readonly byService = new Map<ServiceName, Endpoint[]>()
   private readonly listeners: EndpointListener[] = []
   private readonly listingListeners: ((endpoints: readonly Endpoint[]) => void)[] = []
@@ -104,6 +116,30 @@
     for (const listener of this.listingListeners) listener(this.all())
   }
 
+  /**
+   * Records that an endpoint has said in a response that it is leaving.
+   *
+   * @param born - start time of the process that said so
+   * @param source - whether this instance or another one received the response
+   * @returns whether this is new
+   */
+  markLeaving (id: EndpointId, born: number, source: 'response' | 'peer'): boolean {
+    const record = this.records.get(id)
+    if (record === undefined || record.endpoint.born !== born || this.leavingByResponse.get(id)?.born === born) return false
+    this.leavingByResponse.set(id, { born, knownAt: undefined })
+    this.logger.info('An endpoint said in a response that it is leaving.', { endpoint: id, born, source })
+    if (record.endpoint.leaving) return true
+    record.endpoint = { ...record.endpoint, leaving: true }
+    this.announce(record.endpoint, 'leaving')
+    this.rebuild()
+    return true
+  }
+
+  /** @returns the endpoints that have said in responses that they are leaving */
+  saidLeaving (): readonly Pick<Endpoint, 'id' | 'born'>[] {
+    return [...this.leavingByResponse].map(([id, { born }]) => ({ id, born }))
+  }
+
   /** Removes endpoints whose lapsed entries were not written again in time; to be called every few hundred milliseconds. */
   expire (now: number): void {
     let changed = false
@@ -113,10 +149,21 @@
       changed = true
     }
     if (changed) this.rebuild()
+    this.forgetSaidLeaving(now)
+  }
+
+  private forgetSaidLeaving (now: number): void {
+    for (const [id, said] of this.leavingByResponse) {
+      if (this.records.has(id)) said.knownAt = now
+      else if (now - (said.knownAt ?? now) > SAID_LEAVING_MILLISECONDS) this.leavingByResponse.delete(id)
+    }
   }
 
-  private applyEntry (endpoint: Endpoint): void {
-    const record = this.records.get(endpoint.id)
+  private applyEntry (entry: Endpoint): void {
+    const record = this.records.get(entry.id)
+    const saidLeaving = this.leavingByResponse.get(entry.id)
+    if (saidLeaving !== undefined && entry.born > saidLeaving.born) this.leavingByResponse.delete(entry.id)
+    const endpoint = saidLeaving?.born === entry.born ? { ...entry, leaving: true } : entry
     if (record === undefined) {
       this.records.set(endpoint.id, { endpoint, removedAt: undefined })
       return this.announce(endpoint, 'arrived')
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -5,6 +5,7 @@
 import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { LeavingNotices } from '../endpoints/leaving-notices.js'
 import type { EndpointDialler } from '../paths/endpoint-dialler.js'
 import type { EndpointPaths } from '../paths/endpoint-paths.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
@@ -60,6 +61,7 @@
   readonly rateLimits: NamedRateLimits
   readonly brittle: BrittleEndpoints
   readonly rests: EndpointRests
+  readonly leaving: Pick<LeavingNotices, 'recordResponse'>
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
 }
@@ -131,7 +133,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(this.readLimits(options.endpoint, sentAt, sink, followAnswer))).then((end) => {
+    }, contact.through(this.readStatements(options.endpoint, sentAt, sink, followAnswer))).then((end) => {
       unanswered.ended()
       if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
@@ -226,15 +228,17 @@
 
   /**
    * @param onData - called with each part of the body, before it is passed on
-   * @returns a sink that records the limits that the response states, which belongs to the request, and passes all on to the given sink
+   * @returns a sink that records what the endpoint states of itself in the response, and passes all on to the given sink
    */
-  private readLimits ({ id, born }: Endpoint, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
-    const { rateLimits, brittle, rests } = this.parts
+  private readStatements (endpoint: Endpoint, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
+    const { rateLimits, brittle, rests, leaving } = this.parts
+    const { id, born } = endpoint
     return {
       head: (head) => {
         rateLimits.recordResponse(id, head.facts, sentAt)
         brittle.recordResponse(id, head.facts, sentAt)
         rests.recordResponse(id, head.facts, born)
+        leaving.recordResponse(endpoint, head.facts)
         sink.head(head)
       },
       data: (chunk) => {
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,15 +1,14 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, EndpointId, InstanceId, LineSink, Logger } from '@limpetwinch/core'
-import { EngineSpeeds, ErrorRates, StallEvictionPolicy } from '@limpetwinch/decisions'
+import type { Clock, InstanceId, LineSink, Logger } from '@limpetwinch/core'
+import { EngineSpeeds, ErrorRates } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { EngineInventory } from '../adapters/engine-inventory.js'
 import { EngineFinder } from '../adapters/engine-finder.js'
 import { HeldAdapterNotices } from '../adapters/held-adapter-notices.js'
-import { LoadOwnership } from '../adapters/load-ownership.js'
-import { isModelNeeded } from '../adapters/model-need.js'
-import { ModelLoadRateLimiter } from '../adapters/model-load-rate-limiter.js'
+import { createLoadOwnership } from '../adapters/create-load-ownership.js'
+import type { LoadOwnership } from '../adapters/load-ownership.js'
 import { WeightStoreLimiter } from '../adapters/weight-store-limiter.js'
 import { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
 import { AdapterVersions } from '../cluster-state/adapter-versions.js'
@@ -18,6 +17,7 @@
 import { ClusterView } from '../cluster-state/cluster-view.js'
 import { StoreHealth } from '../cluster-state/store-health.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import { LeavingNotices } from '../endpoints/leaving-notices.js'
 import { MemberList } from '../members/member-list.js'
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
@@ -101,7 +101,7 @@
   private readonly errors = new ErrorRates()
   private readonly rateLimiter: EndpointRateLimiter
   private readonly budgets: RetryBudgets
-  private readonly policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
+  private readonly leavingNotices: LeavingNotices
   private readonly heldNotices: HeldAdapterNotices
   private readonly digests: WorkDigests
   private readonly loadOwnership: LoadOwnership
@@ -144,6 +144,7 @@
     this.configuration = new AcceptedConfiguration(logger.part('configuration'), () => this.freshness.ageMilliseconds('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     const { clock, directory, members, overlay, metrics } = this
+    this.leavingNotices = new LeavingNotices({ self: this.instance, directory, broadcast: (frame) => overlay.broadcast(frame) })
     this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
@@ -310,33 +311,27 @@
   }
 
   private createLoadOwnership (): LoadOwnership {
-    const dependencies = {
+    const { clock, logger, settings, health, members, directory, configuration, locations, workTracker, storeLimiter, versions, engines, heldNotices, overlay, rateLimiter } = this
+    return createLoadOwnership({
+      clock,
+      logger: logger.part('loads'),
+      settings,
       store: this.platform.store,
-      health: this.health,
-      clock: this.clock,
-      logger: this.logger.part('loads'),
-      members: this.members,
-      directory: this.directory,
-      configuration: this.configuration,
-      leaseMilliseconds: this.settings.leaseMilliseconds,
-      fencedEndpoints: this.settings.fencedEndpoints,
-      reachesService: this.paths.reachesService,
-      isResting: (endpoint: EndpointId) => this.rateLimiter.rests.isResting(endpoint)
-    }
-    return new LoadOwnership(dependencies, {
       control: this.platform.control,
-      clock: this.clock,
-      logger: this.logger.part('loads'),
-      locations: this.locations,
-      workTracker: this.workTracker,
-      policy: this.policy,
-      modelLoadLimiter: new ModelLoadRateLimiter(this.clock, () => this.members.count),
-      storeLimiter: this.storeLimiter,
-      latestVersion: (key) => this.versions.newest(key) ?? 0,
-      isModelNeeded: (endpoint, model) => isModelNeeded(this.engines.usageOf(endpoint, model)),
-      publish: (statement, urgency) => this.heldNotices.publish(statement, urgency),
-      noticeRoundTripMilliseconds: () => this.overlay.noticeRoundTripMilliseconds,
-      onUnreachable: (endpoint, reason) => this.senders.orderFailed(endpoint, reason)
+      health,
+      members,
+      directory,
+      configuration,
+      reachesService: this.paths.reachesService,
+      locations,
+      workTracker,
+      storeLimiter,
+      versions,
+      engines,
+      heldNotices,
+      overlay,
+      rateLimiter,
+      senders: () => this.senders
     })
   }
 
@@ -352,6 +347,7 @@
       rateLimits: this.rateLimiter.limits,
       brittle: this.rateLimiter.brittle,
       rests: this.rateLimiter.rests,
+      leaving: this.leavingNotices,
       dialler: paths.dialler,
       paths: paths.paths
     })
@@ -386,9 +382,9 @@
     this.origins.connect(this.network, this.directory)
     this.locations.inFlight.onCompleted((load) => this.storeLimiter.completed(load))
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
-    this.workTracker.onUse((_endpoint, key) => this.policy.recordUse(key, '', 1, this.clock.now()))
     this.messaging.connect()
     this.rateLimiter.connect(this.network, this.overlay)
+    this.leavingNotices.connect(this.network, this.overlay)
     this.teams.connect()
     this.paths.connect(this.network, this.senders)
   }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -12,6 +12,7 @@
 import { AcceptedConfiguration } from '../../src/cluster-state/accepted-configuration.js'
 import { ConfigurationProof, momentOf } from '../../src/cluster-state/configuration-proof.js'
 import { EndpointDirectory } from '../../src/endpoints/endpoint-directory.js'
+import { LeavingNotices } from '../../src/endpoints/leaving-notices.js'
 import { IngressMetrics } from '../../src/observability/ingress-metrics.js'
 import { DirectDialler } from '../../src/paths/endpoint-dialler.js'
 import { CrashDetector } from '../../src/quarantine/crash-detector.js'
@@ -128,7 +129,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, rests, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, rests, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
