Where the whole deployment starts for the first time, the slack is there at once

Seen in the process tests after the slack was withheld from fresh processes: a stream on a deployment of two instances was not resumed after its engine crashed, two seconds after the start: no slack, and too few requests for a token. No process has a predecessor then, and the platform says so in the settings. Restarted and added instances still wait for a window. The stand-in deployment says it of the processes that it starts with.

--- a/packages/ingress/src/retries/create-retry-budgets.ts
+++ b/packages/ingress/src/retries/create-retry-budgets.ts
@@ -8,14 +8,14 @@
 
 /** The components that the retry budgets need. */
 export interface RetryBudgetComponents {
-  readonly settings: Pick<IngressSettings, 'name' | 'repeats'>
+  readonly settings: Pick<IngressSettings, 'name' | 'repeats' | 'isFirstStart'>
   readonly members: MemberList
   readonly logger: Logger
   readonly metrics: IngressMetrics
 }
 
 /** @returns the retry budgets */
-export function createRetryBudgets ({ settings: { name, repeats }, members, logger, metrics }: RetryBudgetComponents): RetryBudgets {
-  const slackPart = new SlackPart({ self: name, listedNames: () => members.listedNames(), windowMilliseconds: repeats.windowMilliseconds })
+export function createRetryBudgets ({ settings: { name, repeats, isFirstStart }, members, logger, metrics }: RetryBudgetComponents): RetryBudgets {
+  const slackPart = new SlackPart({ self: name, listedNames: () => members.listedNames(), windowMilliseconds: repeats.windowMilliseconds, isFirstStart })
   return new RetryBudgets({ settings: repeats, slackPart, logger, metrics })
 }
--- a/packages/ingress/src/retries/slack-part.ts
+++ b/packages/ingress/src/retries/slack-part.ts
@@ -8,12 +8,14 @@
   readonly listedNames: () => ReadonlySet<string> | undefined
   /** Length of the sliding window of the bound on retries. */
   readonly windowMilliseconds: number
+  /** Whether the whole deployment starts for the first time, so that no process has a predecessor. */
+  readonly isFirstStart: boolean
 }
 
 /**
  * The part of the slack that this instance may use: an equal one for each instance that was listed within the last window, since what an
- * instance spent before it left counts for a window. A process uses none before it has seen its own name listed for a window: its predecessor
- * of the same name may have spent the whole part just before it ended.
+ * instance spent before it left counts for a window. A process uses none before it has seen its own name listed for a window, unless the whole
+ * deployment starts: its predecessor of the same name may have spent the whole part just before it ended.
  */
 export class SlackPart {
   private readonly parts: SlackPartDependencies
@@ -44,7 +46,8 @@
   at (now: number): number {
     this.update(now)
     const { listedSince, sharers } = this
-    const isSettled = listedSince !== undefined && now - listedSince >= this.parts.windowMilliseconds
-    return isSettled ? 1 / sharers : 0
+    const { isFirstStart, windowMilliseconds } = this.parts
+    if (listedSince === undefined) return 0
+    return isFirstStart || now - listedSince >= windowMilliseconds ? 1 / sharers : 0
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -79,7 +79,7 @@
 /** The slack of an instance that has been listed alone for long. */
 class WholeSlack extends SlackPart {
   constructor () {
-    super({ self: 'here', listedNames: () => new Set(['here']), windowMilliseconds: 0 })
+    super({ self: 'here', listedNames: () => new Set(['here']), windowMilliseconds: 0, isFirstStart: true })
   }
 }
 
--- a/packages/ingress/test/support/retry-fleet.ts
+++ b/packages/ingress/test/support/retry-fleet.ts
@@ -19,6 +19,8 @@
   /** @returns names of the listed members; undefined before the first listing */
   readonly names: () => ReadonlySet<string> | undefined
   readonly self: string
+  /** Whether the process is one of those with which the fleet starts for the first time. */
+  readonly isFirstStart: boolean
 }
 
 /** One process of the fleet. */
@@ -38,9 +40,9 @@
 }
 
 /** @returns the budgets that an instance of the product has */
-export const createBudgets: CreateBudgets = ({ names, self }) => new RetryBudgets({
+export const createBudgets: CreateBudgets = ({ names, self, isFirstStart }) => new RetryBudgets({
   settings: SETTINGS,
-  slackPart: new SlackPart({ self, listedNames: names, windowMilliseconds: SETTINGS.windowMilliseconds }),
+  slackPart: new SlackPart({ self, listedNames: names, windowMilliseconds: SETTINGS.windowMilliseconds, isFirstStart }),
   logger: silentLogger(),
   metrics: { retryDecided: () => {} }
 })
@@ -82,7 +84,7 @@
       }
       return known
     }
-    this.instances.set(name, { name, budgets: this.create({ names, self: name }) })
+    this.instances.set(name, { name, budgets: this.create({ names, self: name, isFirstStart: this.now === 0 }) })
   }
 
   /** Kills a process; its name stays listed. */
