--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -4,6 +4,7 @@
 import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, RateLimitCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
 import { QuotaCheck, RevokedKeyCheck, TeamOfRunCheck } from './team-checks.js'
 import { AddedRouteCheck, NewVersionCheck } from './state-checks.js'
+import { RestCheck, RetryBoundCheck, SaidLeavingCheck } from './statement-checks.js'
 import { ResumptionCheck, SoftwareVersionCheck } from './stream-checks.js'
 import type { SoakCheck } from './soak-check.js'
 
@@ -12,5 +13,6 @@
   new CompleteStreamCheck(), new ResponseDeadlineCheck(), new PlannedStopCheck(), new RecoveryCheck(), new UnexpectedEndCheck(),
   new AtMostOnceCheck(), new NotRunClaimCheck(), new RightAdapterCheck(), new LeavingEndpointCheck(), new SlotCapacityCheck(), new SingleLoadOwnerCheck(),
   new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck(),
-  new RateLimitCheck(), new AddedRouteCheck(), new NewVersionCheck(), new SoftwareVersionCheck(), new ResumptionCheck(), new PartBudgetCheck(), new FavouredInstanceCheck()
+  new RateLimitCheck(), new AddedRouteCheck(), new NewVersionCheck(), new SoftwareVersionCheck(), new ResumptionCheck(), new PartBudgetCheck(), new FavouredInstanceCheck(),
+  new RetryBoundCheck(), new RestCheck(), new SaidLeavingCheck()
 ]
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -1,7 +1,7 @@
 // Guards against a check that never finds a violation. Each check gets evidence in which only its own guarantee is violated, and evidence
 // in which the guarantee holds or a fault excuses the violation.
 import { describe, expect, it } from 'vitest'
-import type { SampleAnswer, SampleRequest, StandInRun } from '@limpetwinch/platform'
+import type { SampleAnswer, SampleRequest, StandInArrival, StandInRun } from '@limpetwinch/platform'
 import { SOAK_CHECKS } from '../src/checks/index.js'
 import type { SoakEvidence } from '../src/checks/soak-check.js'
 import { SoakRecord } from '../src/soak-record.js'
@@ -28,13 +28,14 @@
 interface EvidenceOptions {
   readonly record?: SoakRecord
   readonly runs?: readonly StandInRun[]
+  readonly arrivals?: readonly StandInArrival[]
   readonly orders?: readonly { at: number, holder: string, status: number }[]
   readonly mostOccupied?: number
   readonly teams?: SoakTeams
 }
 
-function evidence ({ record = new SoakRecord(), runs = [], orders = [], mostOccupied = SLOTS, teams }: EvidenceOptions): SoakEvidence {
-  const engine = { options: { id: 'engine' }, runs, orders, mostOccupied }
+function evidence ({ record = new SoakRecord(), runs = [], arrivals = [], orders = [], mostOccupied = SLOTS, teams }: EvidenceOptions): SoakEvidence {
+  const engine = { options: { id: 'engine' }, runs, arrivals, orders, mostOccupied }
   return { record, deployment: { engines: [engine], webServers: [] } as unknown as SoakEvidence['deployment'], adapterSlots: SLOTS, teams }
 }
 
@@ -111,6 +112,42 @@
   }
 }
 
+/** @returns evidence of requests each of which reached an engine twice, within one window */
+function retried (requests: number): EvidenceOptions {
+  const ids = Array.from({ length: requests }, (_, index) => `r${index}`)
+  return {
+    record: recordOf((made) => { made.requests.push(...ids.map((id) => seen({ id, route: 'draft', adapter: 'a1', events: 2 }, { events: EVENTS }))) }),
+    arrivals: ids.flatMap((id, index) => [arrival(id, AT + index), arrival(id, AT + index + 5)])
+  }
+}
+
+/** @returns evidence of an engine that asked for three seconds of rest, and of requests of one instance in that time, with a fault of an instance */
+function rested (requests: number, kind = 'any', target = 'one'): EvidenceOptions {
+  const ids = Array.from({ length: requests + 1 }, (_, index) => `r${index}`)
+  return {
+    record: recordOf((made) => {
+      made.requests.push(...ids.map((id) => seen({ id })))
+      made.faults.push({ kind, target, from: AT + 600, to: AT + 900 })
+    }),
+    arrivals: ids.map((id, index) => arrival(id, index === 0 ? AT : AT + 1_000 + index, index === 0 ? { askedRestSeconds: 3 } : {}))
+  }
+}
+
+/** @returns evidence of an engine that said that it is leaving, and of a request that was sent some time after the answer that said so */
+function saidLeaving (milliseconds: number, kind = 'any'): EvidenceOptions {
+  return {
+    record: recordOf((made) => {
+      made.requests.push(seen({ id: 'r0' }), seen({ id: 'r1' }, {}, AT + 40 + milliseconds))
+      made.faults.push({ kind, target: 'one', from: AT + 600, to: AT + 900 })
+    }),
+    arrivals: [arrival('r0', AT, { saidLeaving: true }), arrival('r1', AT + 40 + milliseconds, { saidLeaving: true })]
+  }
+}
+
+function arrival (request: string, at: number, change: Partial<StandInArrival> = {}): StandInArrival {
+  return { request, at, saidLeaving: false, askedRestSeconds: undefined, ...change }
+}
+
 const EVENTS = [{ id: 1, adapter: 'a1', version: 1, softwareVersion: 'v1' }, { id: 2, adapter: 'a1', version: 1, softwareVersion: 'v1' }]
 
 function stream (change: Partial<SampleAnswer>): EvidenceOptions {
@@ -126,6 +163,7 @@
     expect(violated(limited(11, 3_500))).toEqual([])
     expect(violated(crashingPart(11)).filter((promise) => promise === 'part-budget')).toEqual([])
     expect(violated(favoured(10)).filter((promise) => promise === 'favoured-instance')).toEqual([])
+    expect([violated(retried(65)), violated(rested(2)), violated(saidLeaving(2_000))]).toEqual([[], [], []])
     // The limit is too new to hold yet.
     expect(violated(limited(12, 2_500))).toEqual([])
   })
@@ -138,6 +176,9 @@
     ['more requests than an endpoint named', 'rate-limit', limited(12, 3_500)],
     ['requests with a crashing part that still reach servers', 'part-budget', crashingPart(12)],
     ['callers of a crowded instance that are not served', 'favoured-instance', favoured(11)],
+    ['more retries than all instances may send', 'retry-bound', retried(66)],
+    ['requests to an endpoint that asked for rest', 'rest', rested(3)],
+    ['a request to an endpoint that said that it is leaving', 'said-leaving', saidLeaving(2_001)],
     ['an event that is missing', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, id: 3 }] })],
     ['an event that is received twice', 'whole-answer', stream({ events: [EVENTS[0]!, EVENTS[0]!] })],
     ['an event of another adapter', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, adapter: 'a2' }] })],
@@ -188,6 +229,10 @@
     expect([violated(crashing(3)), violated(crashing(4, 'one')), violated(crashing(4, 'two'))]).toEqual([[], [], ['crash-budget']])
   })
 
+  it('excuse requests to an endpoint that asked for rest, or said that it is leaving, only by an instance that was ended or paused', () => {
+    expect([rested(3, 'kill-instance'), rested(3, 'pause-instance', 'two'), rested(3, 'store-down'), saidLeaving(2_001, 'pause-instance')].map(violated)).toEqual([[], ['rest'], ['rest'], []])
+  })
+
   it('ignore orders that the engine refused because of a stale token', () => {
     expect(violated({ orders: [{ at: AT, holder: 'one', status: 202 }, { at: AT + 100, holder: 'two', status: 412 }, { at: AT + 200, holder: 'one', status: 200 }] })).toEqual([])
   })
