The rest that an endpoint asks for through a tunnel is kept by the instance that carries the tunnel

Seen by reading: a request through another instance's tunnel reaches the endpoint from that instance, so that the rest it asks for is that instance's, which sees only bytes and went on: it opened further tunnels there, for others too, and sent its own requests. Now the instance that reads the answer tells the one that carries the tunnel, which keeps the rest, refuses tunnels to the endpoint and tells the other instances whose tunnels there it carries. A notice that is some milliseconds late does not make a rest longer, so that notices do not go round.

--- a/packages/core/src/frames/limit-frames.ts
+++ b/packages/core/src/frames/limit-frames.ts
@@ -76,3 +76,15 @@
   /** Whether the answering instance is not the quota owner of the endpoint; it granted nothing then. */
   readonly notOwner: boolean
 }
+
+/**
+ * Says that an endpoint wants no requests for some time from the instance that is told. The endpoint asked for it in a response that came through
+ * that instance, which opens a tunnel for another one and sees only bytes, or at the end of whose tunnel the receiver is.
+ */
+export interface EndpointRestFrame {
+  readonly kind: 'endpoint-rest'
+  readonly endpoint: string
+  /** Start time of the endpoint's process, which tells one incarnation from the next. */
+  readonly born: number
+  readonly milliseconds: number
+}
--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -1,6 +1,6 @@
 /** Creates the parts of one instance that open connections to endpoints, from the instance's other components. */
 import { splitAddress } from '@limpetwinch/core'
-import type { Clock, InstanceId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { NoticeFrame, PeerLinks, Supervisor } from '@limpetwinch/entry'
 import type { Result } from 'neverthrow'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -31,6 +31,8 @@
   readonly members: MemberList
   readonly overlay: PeerOverlay
   readonly metrics: IngressMetrics
+  /** @returns whether the endpoint has asked this instance for rest */
+  readonly isResting: (endpoint: EndpointId) => boolean
 }
 
 /** The paths of one instance to the endpoints, its own and those through other instances. */
@@ -44,7 +46,7 @@
 
   constructor (parts: PathComponents) {
     this.parts = parts
-    const { self, clock, logger, directory, members, metrics } = parts
+    const { self, clock, logger, directory, members, metrics, isResting } = parts
     const direct = new DirectDialler(CONNECT_MILLISECONDS)
     this.paths = new EndpointPaths({
       clock,
@@ -58,7 +60,7 @@
     const ownHost = splitAddress(members.self.address).host
     this.dialler = new PathDialler({ self, ownHost, clock, paths: this.paths, peers: this.peers, direct, openTunnel })
     const admission = new TunnelAdmission({
-      directory, paths: this.paths, dialler: new DirectDialler(TUNNEL_CONNECT_MILLISECONDS), hostOf: (instance) => members.hostOf(instance)
+      directory, paths: this.paths, isResting, dialler: new DirectDialler(TUNNEL_CONNECT_MILLISECONDS), hostOf: (instance) => members.hostOf(instance)
     })
     this.server = new TunnelServer({ logger, admission, onDecision: (decision) => metrics.tunnelDecided(decision) })
     this.exchange = new PathExchange({
--- a/packages/ingress/src/paths/tunnel-server.ts
+++ b/packages/ingress/src/paths/tunnel-server.ts
@@ -4,7 +4,7 @@
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 import { splitAddress } from '@limpetwinch/core'
-import type { EndpointId, Logger } from '@limpetwinch/core'
+import type { EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import { provesOrderlyEnd } from './orderly-end.js'
 import type { TunnelAdmission } from './tunnel-admission.js'
 import { INSTANCE_HEADER, REFUSAL_HEADER } from './tunnel-client.js'
@@ -21,11 +21,17 @@
   readonly onDecision?: (decision: 'carried' | TunnelRefusal) => void
 }
 
+/** A tunnel that is open or being opened. */
+interface Tunnel {
+  readonly endpoint: EndpointId
+  readonly from: InstanceId
+}
+
 /** Accepts requests for tunnels of registered instances. */
 export class TunnelServer {
   private readonly parts: TunnelServerDependencies
   private readonly server: Server
-  private readonly tunnels = new Set<Duplex>()
+  private readonly tunnels = new Map<Duplex, Tunnel>()
 
   constructor (parts: TunnelServerDependencies) {
     this.parts = parts
@@ -40,6 +46,12 @@
     return this.tunnels.size
   }
 
+  /** @returns the instances for which this one carries tunnels to the endpoint */
+  carriedFor (endpoint: EndpointId): readonly InstanceId[] {
+    const instances = [...this.tunnels.values()].filter((tunnel) => tunnel.endpoint === endpoint).map(({ from }) => from)
+    return [...new Set(instances)]
+  }
+
   /**
    * Starts to listen.
    *
@@ -63,7 +75,7 @@
   destroy (): void {
     this.server.close()
     this.server.closeAllConnections()
-    for (const tunnel of this.tunnels) tunnel.destroy()
+    for (const tunnel of this.tunnels.keys()) tunnel.destroy()
   }
 
   private async handleRequest (request: IncomingMessage, caller: Socket): Promise<void> {
@@ -71,7 +83,7 @@
     const endpoint = request.url as EndpointId
     const from = String(request.headers[INSTANCE_HEADER])
     const left = new AbortController()
-    this.tunnels.add(caller)
+    this.tunnels.set(caller, { endpoint, from: from as InstanceId })
     caller.on('error', () => caller.destroy())
     caller.once('close', () => {
       left.abort()
--- a/packages/ingress/src/rate-limits/create-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/create-rate-limiter.ts
@@ -39,7 +39,7 @@
     clock,
     limits,
     brittle,
-    rests: new EndpointRests(shared),
+    rests: new EndpointRests({ ...shared, notify: (to, frame) => overlay.notify(to, frame) }),
     slotsOf: (endpoint) => directory.find(endpoint)?.slots ?? 1,
     owners,
     instances: () => members.count,
--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -101,6 +101,7 @@
   connect (network: PeerLinks, overlay: Pick<PeerOverlay, 'onNeighbour' | 'replay'>): void {
     overlay.onNeighbour((neighbour) => overlay.replay(neighbour, [...this.limits.frames(), ...this.brittle.frames()].map((frame) => [this.parts.self, frame])))
     network.onNotice('brittle-endpoint', (_from, frame) => this.brittle.handleNotice(frame))
+    network.onNotice('endpoint-rest', (_from, frame) => this.rests.handleNotice(frame))
     network.onNotice('rate-limit', (_from, frame) => this.limits.handleNotice(frame))
     network.onNotice('rate-ask', (from, frame) => this.division.handleAsk(from, frame.endpoint as EndpointId, askOfFrame(frame)))
     network.onNotice('rate-answer', (_from, frame) => this.client.handleAnswer(frame.endpoint as EndpointId, answerOfFrame(frame)))
--- a/packages/ingress/src/rate-limits/endpoint-rests.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rests.ts
@@ -1,11 +1,13 @@
 /** The rest that endpoints ask of this instance when they turn its requests away. */
-import type { Clock, EndpointId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, EndpointRestFrame, InstanceId, Logger } from '@limpetwinch/core'
 import type { ResponseFacts } from '../relay/request-codec.js'
 
 /** Longest rest that is granted at once, in milliseconds. After it, the answer to one request shows whether the endpoint still wants rest. */
 const LONGEST_REST_MILLISECONDS = 600_000
 /** Time after a rest in which the endpoint is chosen less readily. An endpoint that had nothing to do looks better than all others. */
 const RECOVERY_MILLISECONDS = 2_000
+/** Time by which a notice may make a known rest look longer, in milliseconds. */
+const NOTICE_MILLISECONDS = 20
 const NONE: ReadonlySet<EndpointId> = new Set()
 
 /** What the rests need of the instance. */
@@ -14,6 +16,7 @@
   readonly logger: Logger
   /** @returns start time of the endpoint's process; undefined when the endpoint is not known */
   readonly bornOf: (endpoint: EndpointId) => number | undefined
+  readonly notify: (to: InstanceId, frame: EndpointRestFrame) => void
 }
 
 /** A rest that was asked of this instance. */
@@ -30,18 +33,16 @@
   until: number
 }
 
-/** Listener for rests that begin or become longer. */
-export type RestListener = (rest: Rest) => void
-
 /**
- * The endpoints that want no requests from this instance for some time. A rest belongs to the endpoint and the instance that it answered; the
- * other instances go on, except that one which opens tunnels for another instance takes over the rest that the other one's requests brought.
+ * The endpoints that want no requests from this instance for some time. A rest belongs to the endpoint and the instance that it answered; other
+ * instances go on. For a request through a tunnel, the endpoint answered the instance that carries the tunnel: that one is told, and it tells the
+ * others whose tunnels to the endpoint it carries.
  */
 export class EndpointRests {
   private readonly parts: EndpointRestsDependencies
   private readonly rests = new Map<EndpointId, KnownRest>()
   private readonly malformed = new Set<EndpointId>()
-  private readonly listeners: RestListener[] = []
+  private carriedFor: (endpoint: EndpointId) => readonly InstanceId[] = () => []
 
   constructor (parts: EndpointRestsDependencies) {
     this.parts = parts
@@ -52,36 +53,45 @@
     return this.rests.size === 0
   }
 
-  /** Registers a listener that is called with each rest that begins or becomes longer. */
-  onRest (listener: RestListener): void {
-    this.listeners.push(listener)
+  /** @param carriedFor - returns the instances for which this one carries tunnels to an endpoint */
+  connect (carriedFor: (endpoint: EndpointId) => readonly InstanceId[]): void {
+    this.carriedFor = carriedFor
   }
 
   /**
    * Records what a response of an endpoint to a request of this instance states.
    *
    * @param born - start time of the endpoint's process that the request was sent to
+   * @param via - the instance whose tunnel carried the request; undefined for the own path
    */
-  recordResponse (endpoint: EndpointId, { restMilliseconds, answeredBy }: ResponseFacts, born: number): void {
+  recordResponse (endpoint: EndpointId, { restMilliseconds, answeredBy }: ResponseFacts, born: number, via?: InstanceId): void {
     if (restMilliseconds === undefined || restMilliseconds === 0) return
     // Another endpoint may listen at the address by now.
     if (answeredBy !== undefined && answeredBy !== endpoint) return
     if (restMilliseconds === 'malformed') return this.logMalformed(endpoint)
-    this.begin({ endpoint, born, milliseconds: restMilliseconds })
+    const rest = { endpoint, born, milliseconds: restMilliseconds }
+    if (via !== undefined) this.parts.notify(via, { kind: 'endpoint-rest', ...rest })
+    this.begin(rest)
+  }
+
+  /** Handles what another instance was told by an endpoint, by a request that this one carried or that was carried for this one. */
+  handleNotice ({ endpoint, born, milliseconds }: EndpointRestFrame): void {
+    this.begin({ endpoint: endpoint as EndpointId, born, milliseconds })
   }
 
   /** Begins a rest. One that ends sooner than the rest in progress changes nothing: the endpoint asked for each of them. */
-  begin ({ endpoint, born, milliseconds }: Rest): void {
+  private begin ({ endpoint, born, milliseconds }: Rest): void {
     const { clock, logger, bornOf } = this.parts
     if (bornOf(endpoint) !== born) return
     const bounded = Math.min(milliseconds, LONGEST_REST_MILLISECONDS)
     const until = clock.now() + bounded
     const known = this.rests.get(endpoint)
-    if (known !== undefined && known.until >= until) return
+    // A notice about a rest that is already known arrives somewhat later than the response, and must not go round.
+    if (known !== undefined && known.until >= until - NOTICE_MILLISECONDS) return
     const isNew = known === undefined || known.until <= clock.now()
     this.rests.set(endpoint, { born, until })
     if (isNew) logger.info('An endpoint asked for rest.', { endpoint, milliseconds: bounded })
-    for (const listener of this.listeners) listener({ endpoint, born, milliseconds: bounded })
+    for (const instance of this.carriedFor(endpoint)) this.parts.notify(instance, { kind: 'endpoint-rest', endpoint, born, milliseconds: bounded })
   }
 
   /** @returns whether the endpoint must get nothing from this instance now */
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -16,6 +16,7 @@
 import { Attempt } from './attempt.js'
 import type { AttemptEnd, AttemptSink } from './attempt.js'
 import { EndpointConnections } from './endpoint-connections.js'
+import type { EndpointConnection } from './endpoint-connections.js'
 import { EndpointContacts } from './endpoint-contacts.js'
 import { sharedPartIds } from './request-codec.js'
 import type { RequestCodec } from './request-codec.js'
@@ -133,7 +134,7 @@
       target: request.target,
       headers: [...request.headers, ...added],
       body: request.body
-    }, contact.through(this.readStatements(options.endpoint, sentAt, sink, followAnswer))).then((end) => {
+    }, contact.through(this.readStatements(options.endpoint, connection, sentAt, sink, followAnswer))).then((end) => {
       unanswered.ended()
       if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
@@ -230,14 +231,14 @@
    * @param onData - called with each part of the body, before it is passed on
    * @returns a sink that records what the endpoint states of itself in the response, and passes all on to the given sink
    */
-  private readStatements (endpoint: Endpoint, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
+  private readStatements (endpoint: Endpoint, connection: EndpointConnection, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
     const { rateLimits, brittle, rests, leaving } = this.parts
     const { id, born } = endpoint
     return {
       head: (head) => {
         rateLimits.recordResponse(id, head.facts, sentAt)
         brittle.recordResponse(id, head.facts, sentAt)
-        rests.recordResponse(id, head.facts, born)
+        rests.recordResponse(id, head.facts, born, connection.via)
         leaving.recordResponse(endpoint, head.facts)
         sink.head(head)
       },
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -145,7 +145,7 @@
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     const { clock, directory, members, overlay, metrics } = this
     this.leavingNotices = new LeavingNotices({ self: this.instance, directory, broadcast: (frame) => overlay.broadcast(frame) })
-    this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics })
+    this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics, isResting: (endpoint) => this.rateLimiter.rests.isResting(endpoint) })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
     this.cluster = new ClusterView(({ members, loadOwners, quarantineDecisions }, revision) => {
@@ -384,6 +384,7 @@
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
     this.messaging.connect()
     this.rateLimiter.connect(this.network, this.overlay)
+    this.rateLimiter.rests.connect((endpoint) => this.paths.server.carriedFor(endpoint))
     this.leavingNotices.connect(this.network, this.overlay)
     this.teams.connect()
     this.paths.connect(this.network, this.senders)
--- a/packages/ingress/test/endpoint-rests.failure.test.ts
+++ b/packages/ingress/test/endpoint-rests.failure.test.ts
@@ -1,7 +1,7 @@
 // Guards against an endpoint that gets requests within the rest that it asked for, or none although its rest is over: answers that name other
 // times, values that cannot be read, answers of another endpoint, and endpoints that start again.
 import { afterEach, describe, expect, it } from 'vitest'
-import type { EndpointId } from '@limpetwinch/core'
+import type { EndpointId, EndpointRestFrame, InstanceId } from '@limpetwinch/core'
 import { EndpointRests } from '../src/rate-limits/endpoint-rests.js'
 import { endpointId, IngressUnderTest } from './support/ingress-under-test.js'
 import type { CallerView } from './support/ingress-under-test.js'
@@ -22,11 +22,20 @@
   for (const each of ending.splice(0)) each.stop()
 })
 
-function restsUnderTest (): { readonly clock: ManualClock, readonly rests: EndpointRests, readonly lines: RecordedLine[], readonly born: Map<EndpointId, number> } {
-  const clock = new ManualClock()
+interface RestsUnderTest {
+  readonly clock: ManualClock
+  readonly rests: EndpointRests
+  readonly lines: RecordedLine[]
+  readonly born: Map<EndpointId, number>
+  /** Notices to other instances. */
+  readonly sent: (readonly [InstanceId, EndpointRestFrame])[]
+}
+
+function restsUnderTest (clock = new ManualClock()): RestsUnderTest {
+  const sent: (readonly [InstanceId, EndpointRestFrame])[] = []
   const lines: RecordedLine[] = []
   const born = new Map([[ENDPOINT, 100]])
-  return { clock, lines, born, rests: new EndpointRests({ clock, logger: recordingLogger(lines), bornOf: (endpoint) => born.get(endpoint) }) }
+  return { clock, lines, born, sent, rests: new EndpointRests({ clock, logger: recordingLogger(lines), bornOf: (endpoint) => born.get(endpoint), notify: (to, frame) => { sent.push([to, frame]) } }) }
 }
 
 const asking = (restMilliseconds: number | 'malformed', answeredBy?: string): ReturnType<typeof responseFacts> => responseFacts({ restMilliseconds, answeredBy })
@@ -75,6 +84,32 @@
   })
 })
 
+describe('the rest that an endpoint asks for through a tunnel', () => {
+  const [ASKER, CARRIER, THIRD] = ['asker' as InstanceId, 'carrier' as InstanceId, 'third' as InstanceId]
+  const FRAME: EndpointRestFrame = { kind: 'endpoint-rest', endpoint: ENDPOINT, born: 100, milliseconds: 3_000 }
+
+  it('is kept by the instance that asked and by the one that carries the tunnel, which is told', () => {
+    const [asker, carrier] = [restsUnderTest(), restsUnderTest()]
+    asker.rests.recordResponse(ENDPOINT, asking(3_000), 100, CARRIER)
+    expect(asker.sent).toEqual([[CARRIER, FRAME]])
+    carrier.rests.handleNotice(FRAME)
+    expect([asker.rests.isResting(ENDPOINT), carrier.rests.isResting(ENDPOINT)]).toEqual([true, true])
+  })
+
+  it('is told to each instance whose tunnels there are carried, and does not go round', async () => {
+    const clock = new ManualClock()
+    const [asker, carrier] = [restsUnderTest(clock), restsUnderTest(clock)]
+    asker.rests.connect(() => [CARRIER])
+    carrier.rests.connect(() => [ASKER, THIRD])
+    asker.rests.handleNotice(FRAME)
+    await clock.advance(3)
+    carrier.rests.handleNotice(FRAME)
+    await clock.advance(3)
+    asker.rests.handleNotice(FRAME)
+    expect([asker.sent.map(([to]) => to), carrier.sent.map(([to]) => to)]).toEqual([[CARRIER], [ASKER, THIRD]])
+  })
+})
+
 async function raw (...answers: readonly RawAnswer[]): Promise<RawEndpoint> {
   const endpoint = await RawEndpoint.start(...answers)
   ending.push(endpoint)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -117,7 +117,7 @@
     const stated = { clock, logger, bornOf: (id: EndpointId) => directory.find(id)?.born, broadcast: () => {}, noticeRoundTripMilliseconds: () => 1 }
     this.rateLimits = new NamedRateLimits(stated)
     const brittle = new BrittleEndpoints(stated)
-    const rests = new EndpointRests(stated)
+    const rests = new EndpointRests({ ...stated, notify: () => {} })
     const quarantine = new RequestQuarantine({
       clock,
       logger,
--- a/packages/ingress/test/support/rate-limit-fleet.ts
+++ b/packages/ingress/test/support/rate-limit-fleet.ts
@@ -158,7 +158,7 @@
       clock,
       limits,
       brittle: new BrittleEndpoints(stated),
-      rests: new EndpointRests(stated),
+      rests: new EndpointRests({ ...stated, notify }),
       slotsOf: () => 6,
       owners: new QuotaOwners({ self, clock, candidates: () => behaviour.dividesAlone ? [] : overlay.usableHubs() }),
       instances: () => members().length,
--- a/packages/ingress/test/tunnel.failure.test.ts
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -37,12 +37,13 @@
   readonly target: Endpoint
 }
 
-async function carrying (answer: RawAnswer, { leaving = false, isLost = false } = {}): Promise<Carrying> {
+async function carrying (answer: RawAnswer, { leaving = false, isLost = false, isResting = false } = {}): Promise<Carrying> {
   const raw = await RawEndpoint.start(answer)
   const target = endpoint('p', { address: raw.address, leaving })
   const admission = new TunnelAdmission({
     directory: { find: (id) => id === target.id ? target : undefined },
     paths: { isLost: () => isLost, recordReached: () => {} },
+    isResting: () => isResting,
     dialler: new DirectDialler(100),
     hostOf: (instance) => instance === ASKING ? HOST : undefined
   })
@@ -130,6 +131,12 @@
     expect((await ask(await carrying(silence, { leaving: true })))._unsafeUnwrapErr()).toBe('unavailable')
   })
 
+  it('to an endpoint that has asked the instance for rest', async () => {
+    const through = await carrying(silence, { isResting: true })
+    expect((await ask(through))._unsafeUnwrapErr()).toBe('unavailable')
+    expect(through.raw.connections).toBe(0)
+  })
+
   it('at once by an instance that is cut off itself', async () => {
     expect((await ask(await carrying(silence, { isLost: true })))._unsafeUnwrapErr()).toBe('no-path')
   })
