--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -161,11 +161,11 @@
     outcome: 'not_run',
     message: ({ service }) => `Every endpoint of service '${service}' names a rate limit and has reached it. Retry after the time in Retry-After.`
   },
-  'endpoints-resting': {
-    title: 'All endpoints of the service have asked this instance for rest.',
+  'endpoints-backing-off': {
+    title: 'All endpoints of the service have asked this instance to back off.',
     status: 503,
     outcome: 'not_run',
-    message: ({ service }) => `Every endpoint of service '${service}' has turned this instance away and asked it for rest. Retry after the time in Retry-After.`
+    message: ({ service }) => `Every endpoint of service '${service}' has refused requests of this instance and asked it to back off. Retry after the time in Retry-After.`
   },
   'unknown-path': {
     title: 'Nothing is served under this path.',
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -10,7 +10,7 @@
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
 import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
-import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame, EndpointRestFrame } from './limit-frames.js'
+import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame, EndpointBackoffFrame } from './limit-frames.js'
 
 export type * from './connection-frames.js'
 export type * from './endpoint-owner-frames.js'
@@ -68,7 +68,7 @@
   | StreamOriginAskFrame
   | StreamOriginAnswerFrame
   | EndpointLeavingFrame
-  | EndpointRestFrame
+  | EndpointBackoffFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/core/src/frames/limit-frames.ts
+++ b/packages/core/src/frames/limit-frames.ts
@@ -78,11 +78,11 @@
 }
 
 /**
- * Says that an endpoint wants no requests for some time from the instance that is told. The endpoint asked for it in a response that came through
+ * Says that an endpoint asks the instance that is told to back off for some time. The endpoint asked for it in a response that came through
  * that instance, which opens a tunnel for another one and sees only bytes, or at the end of whose tunnel the receiver is.
  */
-export interface EndpointRestFrame {
-  readonly kind: 'endpoint-rest'
+export interface EndpointBackoffFrame {
+  readonly kind: 'endpoint-backoff'
   readonly endpoint: string
   /** Start time of the endpoint's process, which tells one incarnation from the next. */
   readonly born: number
--- a/packages/ingress/src/adapters/create-load-ownership.ts
+++ b/packages/ingress/src/adapters/create-load-ownership.ts
@@ -50,8 +50,8 @@
   const { clock, logger, settings: { leaseMilliseconds, fencedEndpoints }, store, health, members, directory, configuration, reachesService, locations, workTracker, storeLimiter, versions, engines, heldNotices, overlay, rateLimiter, senders } = components
   const policy = new StallEvictionPolicy({ minimumResidenceMilliseconds: 1_500, loadsPerSecond: 30 })
   workTracker.onUse((_endpoint, key) => policy.recordUse(key, '', 1, clock.now()))
-  const isResting = (endpoint: EndpointId): boolean => rateLimiter.rests.isResting(endpoint)
-  const dependencies = { store, health, clock, logger, members, directory, configuration, leaseMilliseconds, fencedEndpoints, reachesService, isResting }
+  const isBackingOff = (endpoint: EndpointId): boolean => rateLimiter.backoffs.isBackingOff(endpoint)
+  const dependencies = { store, health, clock, logger, members, directory, configuration, leaseMilliseconds, fencedEndpoints, reachesService, isBackingOff }
   return new LoadOwnership(dependencies, {
     control: components.control,
     clock,
--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -71,8 +71,8 @@
   readonly fencedEndpoints: boolean
   /** @returns whether an instance, this one or another, reaches the endpoints of a service over its own links; orders go over no others */
   readonly reachesService: (instance: InstanceId, service: ServiceName) => boolean
-  /** @returns whether the endpoint has asked this instance for rest; it gets no orders either */
-  readonly isResting: (endpoint: EndpointId) => boolean
+  /** @returns whether the endpoint has asked this instance to back off; it gets no orders either */
+  readonly isBackingOff: (endpoint: EndpointId) => boolean
 }
 
 /** A loader, and the controller that stops it. */
@@ -363,15 +363,15 @@
     return clock.now() + Math.min(separation, Math.max(0, separation + CLOCK_MARGIN_MILLISECONDS - Math.max(0, age)))
   }
 
-  /** @returns whether the engine gets no orders because it has asked this instance for rest */
-  isResting (endpoint: EndpointId): boolean {
-    return this.dependencies.isResting(endpoint)
+  /** @returns whether the engine gets no orders because it has asked this instance to back off */
+  isBackingOff (endpoint: EndpointId): boolean {
+    return this.dependencies.isBackingOff(endpoint)
   }
 
   private mayOrder (owner: LoadOwner): boolean {
-    const { clock, health, fencedEndpoints, leaseMilliseconds, isResting } = this.dependencies
+    const { clock, health, fencedEndpoints, leaseMilliseconds, isBackingOff } = this.dependencies
     const now = clock.now()
-    if (isResting(owner.endpoint)) return false
+    if (isBackingOff(owner.endpoint)) return false
     if (this.stopping || now < this.pausedUntil || this.owners.get(owner.endpoint)?.token !== owner.token) return false
     // An endpoint that checks fencing tokens refuses orders of an owner that has lost the ownership without knowing it. An endpoint
     // that does not check them must receive no order from that owner, so the owner stops before any other instance may begin.
--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -31,8 +31,8 @@
   readonly members: MemberList
   readonly overlay: PeerOverlay
   readonly metrics: IngressMetrics
-  /** @returns whether the endpoint has asked this instance for rest */
-  readonly isResting: (endpoint: EndpointId) => boolean
+  /** @returns whether the endpoint has asked this instance to back off */
+  readonly isBackingOff: (endpoint: EndpointId) => boolean
 }
 
 /** The paths of one instance to the endpoints, its own and those through other instances. */
@@ -46,7 +46,7 @@
 
   constructor (parts: PathComponents) {
     this.parts = parts
-    const { self, clock, logger, directory, members, metrics, isResting } = parts
+    const { self, clock, logger, directory, members, metrics, isBackingOff } = parts
     const direct = new DirectDialler(CONNECT_MILLISECONDS)
     this.paths = new EndpointPaths({
       clock,
@@ -60,7 +60,7 @@
     const ownHost = splitAddress(members.self.address).host
     this.dialler = new PathDialler({ self, ownHost, clock, paths: this.paths, peers: this.peers, direct, openTunnel })
     const admission = new TunnelAdmission({
-      directory, paths: this.paths, isResting, dialler: new DirectDialler(TUNNEL_CONNECT_MILLISECONDS), hostOf: (instance) => members.hostOf(instance)
+      directory, paths: this.paths, isBackingOff, dialler: new DirectDialler(TUNNEL_CONNECT_MILLISECONDS), hostOf: (instance) => members.hostOf(instance)
     })
     this.server = new TunnelServer({ logger, admission, onDecision: (decision) => metrics.tunnelDecided(decision) })
     this.exchange = new PathExchange({
--- a/packages/ingress/src/paths/tunnel-admission.ts
+++ b/packages/ingress/src/paths/tunnel-admission.ts
@@ -15,8 +15,8 @@
 export interface TunnelAdmissionDependencies {
   readonly directory: Pick<EndpointDirectory, 'find'>
   readonly paths: Pick<EndpointPaths, 'isLost' | 'recordReached'>
-  /** @returns whether the endpoint has asked this instance for rest */
-  readonly isResting: (endpoint: EndpointId) => boolean
+  /** @returns whether the endpoint has asked this instance to back off */
+  readonly isBackingOff: (endpoint: EndpointId) => boolean
   /** Opens connections over the own links only, so that no connection takes a second detour. */
   readonly dialler: EndpointDialler
   /** @returns the host from which the instance connects; undefined when it is no registered member */
@@ -52,10 +52,10 @@
 
   /** @returns a connection to the endpoint, or why there is none */
   async connect (ask: TunnelAsk): Promise<Result<Socket, TunnelRefusal>> {
-    const { directory, paths, dialler, isResting } = this.parts
+    const { directory, paths, dialler, isBackingOff } = this.parts
     const endpoint = directory.find(ask.endpoint)
     if (this.isStopping || ask.tunnels > MAXIMUM_TUNNELS || !this.isMember(ask) || endpoint === undefined || endpoint.leaving) return err('unavailable')
-    if (isResting(endpoint.id)) return err('unavailable')
+    if (isBackingOff(endpoint.id)) return err('unavailable')
     if (paths.isLost(endpoint.id)) return err('no-path')
     const dialled = await dialler.dial(endpoint, ask.signal)
     // A failure is only told to the asking instance. If it made this instance ask others, instances would ask each other for ever.
--- a/packages/ingress/src/rate-limits/create-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/create-rate-limiter.ts
@@ -7,7 +7,7 @@
 import type { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointRateLimiter } from './endpoint-rate-limiter.js'
 import { BrittleEndpoints } from './brittle-endpoints.js'
-import { EndpointRests } from './endpoint-rests.js'
+import { EndpointBackoffs } from './endpoint-backoffs.js'
 import { NamedRateLimits } from './named-rate-limits.js'
 
 /** The components that the rate limiter needs. */
@@ -39,7 +39,7 @@
     clock,
     limits,
     brittle,
-    rests: new EndpointRests({ ...shared, notify: (to, frame) => overlay.notify(to, frame) }),
+    backoffs: new EndpointBackoffs({ ...shared, notify: (to, frame) => overlay.notify(to, frame) }),
     slotsOf: (endpoint) => directory.find(endpoint)?.slots ?? 1,
     owners,
     instances: () => members.count,
--- a/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
+++ b/packages/ingress/src/rate-limits/endpoint-rate-limiter.ts
@@ -1,6 +1,6 @@
 /**
  * Sends no more requests to an endpoint than the rate limit that it names, over all instances together, and none to one that has asked this
- * instance for rest.
+ * instance to back off.
  */
 import { LimpetwinchError } from '@limpetwinch/core'
 import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
@@ -13,7 +13,7 @@
 import type { ServiceName } from '../routes/configuration.js'
 import type { BrittleEndpoints } from './brittle-endpoints.js'
 import { answerOfFrame, askOfFrame, EndpointRateQuotas, partOfRate, rateOfEndpoint } from './endpoint-rate-quotas.js'
-import type { EndpointRests } from './endpoint-rests.js'
+import type { EndpointBackoffs } from './endpoint-backoffs.js'
 import type { NamedRateLimits } from './named-rate-limits.js'
 
 /** Longest time that a request waits for the answer of the quota owner, in milliseconds. Then it is sent to another endpoint. */
@@ -29,8 +29,8 @@
 /** Nothing is held ahead, so the rate does not matter to the client. */
 const NO_HOLDINGS = { ratePerSecond: 1 }
 /**
- * Longest `retry-after` while all endpoints rest, in milliseconds: the caller's next request may reach an instance of which no endpoint wants
- * rest.
+ * Longest `retry-after` while all endpoints ask to back off, in milliseconds: the caller's next request may reach an instance that none of
+ * them has refused.
  */
 const LONGEST_RETRY_AFTER_MILLISECONDS = 1_500
 const NONE: ReadonlySet<EndpointId> = new Set()
@@ -41,7 +41,7 @@
   readonly clock: Clock
   readonly limits: NamedRateLimits
   readonly brittle: BrittleEndpoints
-  readonly rests: EndpointRests
+  readonly backoffs: EndpointBackoffs
   /** @returns number of requests that the endpoint runs at one time */
   readonly slotsOf: (endpoint: EndpointId) => number
   readonly owners: QuotaOwners
@@ -73,8 +73,8 @@
   readonly limits: NamedRateLimits
   /** The endpoints that crash when they refuse too many requests. */
   readonly brittle: BrittleEndpoints
-  /** The endpoints that want no requests from this instance for some time. */
-  readonly rests: EndpointRests
+  /** The endpoints that have asked this instance to back off. */
+  readonly backoffs: EndpointBackoffs
   private readonly parts: EndpointRateLimiterDependencies
   private readonly kind: EndpointRateQuotas
   private readonly client: QuotaClient<EndpointId>
@@ -85,7 +85,7 @@
     this.parts = parts
     this.limits = parts.limits
     this.brittle = parts.brittle
-    this.rests = parts.rests
+    this.backoffs = parts.backoffs
     const { self, clock, owners, reachableShare, isReachable, notify } = parts
     const kind = new EndpointRateQuotas(parts.instances)
     this.kind = kind
@@ -101,7 +101,7 @@
   connect (network: PeerLinks, overlay: Pick<PeerOverlay, 'onNeighbour' | 'replay'>): void {
     overlay.onNeighbour((neighbour) => overlay.replay(neighbour, [...this.limits.frames(), ...this.brittle.frames()].map((frame) => [this.parts.self, frame])))
     network.onNotice('brittle-endpoint', (_from, frame) => this.brittle.handleNotice(frame))
-    network.onNotice('endpoint-rest', (_from, frame) => this.rests.handleNotice(frame))
+    network.onNotice('endpoint-backoff', (_from, frame) => this.backoffs.handleNotice(frame))
     network.onNotice('rate-limit', (_from, frame) => this.limits.handleNotice(frame))
     network.onNotice('rate-ask', (from, frame) => this.division.handleAsk(from, frame.endpoint as EndpointId, askOfFrame(frame)))
     network.onNotice('rate-answer', (_from, frame) => this.client.handleAnswer(frame.endpoint as EndpointId, answerOfFrame(frame)))
@@ -123,11 +123,11 @@
    * @returns endpoints that have no room for such a request, as far as this instance knows
    */
   withoutRoom (priority: number, milliseconds = 0): ReadonlySet<EndpointId> {
-    if (this.refusals.size === 0) return this.rests.resting()
+    if (this.refusals.size === 0) return this.backoffs.backingOff()
     const now = this.parts.clock.now() - milliseconds
     const floor = floorOf(priority)
     const full = [...this.refusals].filter(([, refusal]) => refusal.until > now && floor >= refusal.floor).map(([endpoint]) => endpoint)
-    return new Set([...full, ...this.rests.resting()])
+    return new Set([...full, ...this.backoffs.backingOff()])
   }
 
   /**
@@ -155,15 +155,15 @@
     return false
   }
 
-  /** @returns whether each endpoint of the service has a limit or rests */
+  /** @returns whether each endpoint of the service has a limit or asks to back off */
   areAllLimited (service: ServiceName): boolean {
-    if (this.isEmpty && this.rests.isEmpty) return false
-    return this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint) || this.rests.isResting(endpoint))
+    if (this.isEmpty && this.backoffs.isEmpty) return false
+    return this.parts.endpointsOf(service).every((endpoint) => this.isLimited(endpoint) || this.backoffs.isBackingOff(endpoint))
   }
 
-  /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago or all rest; else undefined */
+  /** @returns milliseconds until a request to the service may fit, if none of its endpoints had room a moment ago or all ask to back off; else undefined */
   millisecondsUntilRoom (service: ServiceName, priority: number): number | undefined {
-    if (this.refusals.size === 0 && this.rests.isEmpty) return undefined
+    if (this.refusals.size === 0 && this.backoffs.isEmpty) return undefined
     return this.millisecondsUntilRoomAt(this.parts.endpointsOf(service), priority)
   }
 
@@ -172,7 +172,7 @@
     const full = this.withoutRoom(priority, RECENT_REFUSAL_MILLISECONDS)
     if (endpoints.length === 0 || endpoints.some((endpoint) => !full.has(endpoint))) return undefined
     const now = this.parts.clock.now()
-    const fitting = endpoints.map((endpoint) => Math.max(this.rests.millisecondsLeft(endpoint), (this.refusals.get(endpoint)?.fitsAt ?? now) - now))
+    const fitting = endpoints.map((endpoint) => Math.max(this.backoffs.millisecondsLeft(endpoint), (this.refusals.get(endpoint)?.fitsAt ?? now) - now))
     return Math.max(LEAST_REFUSAL_MILLISECONDS, Math.min(...fitting))
   }
 
@@ -180,8 +180,8 @@
   refusal (service: ServiceName, priority: number): LimpetwinchError | undefined {
     const milliseconds = this.areAllLimited(service) ? this.millisecondsUntilRoom(service, priority) : undefined
     if (milliseconds === undefined) return undefined
-    if (this.parts.endpointsOf(service).every((endpoint) => this.rests.isResting(endpoint))) {
-      return new LimpetwinchError('endpoints-resting', { service }, { retryAfterSeconds: Math.ceil(Math.min(milliseconds, LONGEST_RETRY_AFTER_MILLISECONDS)) / 1_000 })
+    if (this.parts.endpointsOf(service).every((endpoint) => this.backoffs.isBackingOff(endpoint))) {
+      return new LimpetwinchError('endpoints-backing-off', { service }, { retryAfterSeconds: Math.ceil(Math.min(milliseconds, LONGEST_RETRY_AFTER_MILLISECONDS)) / 1_000 })
     }
     return new LimpetwinchError('endpoints-rate-limited', { service }, { retryAfterSeconds: Math.ceil(milliseconds) / 1_000 })
   }
@@ -192,7 +192,7 @@
     for (const [endpoint, { until }] of this.refusals) if (until + RECENT_REFUSAL_MILLISECONDS <= now) this.refusals.delete(endpoint)
     this.limits.maintain()
     this.brittle.maintain()
-    this.rests.maintain()
+    this.backoffs.maintain()
     this.client.releaseIdle()
     this.division.maintain()
   }
@@ -201,7 +201,7 @@
   forget (endpoint: EndpointId): void {
     this.limits.forget(endpoint)
     this.brittle.forget(endpoint)
-    this.rests.forget(endpoint)
+    this.backoffs.forget(endpoint)
     this.refusals.delete(endpoint)
   }
 
--- a/packages/ingress/src/rate-limits/place-search.ts
+++ b/packages/ingress/src/rate-limits/place-search.ts
@@ -29,13 +29,13 @@
   get full (): ReadonlySet<EndpointId> {
     const full = this.limiter.withoutRoom(this.priority)
     if (full.size === 0 && this.refused.size === 0) return NONE
-    const { rests } = this.limiter
-    return new Set([...full, ...this.refused].filter((endpoint) => !this.taken.has(endpoint) || rests.isResting(endpoint)))
+    const { backoffs } = this.limiter
+    return new Set([...full, ...this.refused].filter((endpoint) => !this.taken.has(endpoint) || backoffs.isBackingOff(endpoint)))
   }
 
   /** Takes a place for the request unless it has one there already. @returns whether the endpoint may get the request */
   async take (endpoint: EndpointId): Promise<boolean> {
-    if (this.limiter.rests.isResting(endpoint)) return false
+    if (this.limiter.backoffs.isBackingOff(endpoint)) return false
     if (this.taken.has(endpoint)) return true
     if (!this.limiter.isLimited(endpoint)) return true
     if (await this.limiter.admit(endpoint, this.priority)) {
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -100,7 +100,7 @@
     const { headers, facts } = this.head ?? {}
     const framing = headers?.['content-length'] !== undefined ? 'length' : headers?.['transfer-encoding'] !== undefined ? 'chunks' : 'end'
     const { ended, isReused, connectMilliseconds, via } = this.connection
-    return { status: this.head?.status, framing, connection: ended, reused: isReused, via, connectMilliseconds, rateLimit: facts?.rateLimit, restMilliseconds: facts?.restMilliseconds, endpointLeaving: facts?.isLeaving === true ? true : undefined }
+    return { status: this.head?.status, framing, connection: ended, reused: isReused, via, connectMilliseconds, rateLimit: facts?.rateLimit, backoffMilliseconds: facts?.backoffMilliseconds, endpointLeaving: facts?.isLeaving === true ? true : undefined }
   }
 
   /** Cancels the attempt by closing the connection, so that the endpoint drops the request. */
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -55,7 +55,7 @@
 export function createListener (components: ListenerComponents): RoutedListener {
   const { settings, configuration, freshness, directory, versions, workTracker, ejection, errors, rateLimiter } = components
   const shared = { ...components, random: Math.random }
-  const router = new ServiceRouter(directory, workTracker, ejection, errors, rateLimiter.rests, settings.dataCentre)
+  const router = new ServiceRouter(directory, workTracker, ejection, errors, rateLimiter.backoffs, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
     ...shared,
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -10,7 +10,7 @@
 import type { EndpointPaths } from '../paths/endpoint-paths.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { BrittleEndpoints } from '../rate-limits/brittle-endpoints.js'
-import type { EndpointRests } from '../rate-limits/endpoint-rests.js'
+import type { EndpointBackoffs } from '../rate-limits/endpoint-backoffs.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint } from '../routes/configuration.js'
 import { Attempt } from './attempt.js'
@@ -48,8 +48,8 @@
  */
 export type ObservedResult = 'answered' | 'failed' | 'unreachable'
 
-/** Reason of an attempt that was not made because its endpoint rests. */
-const HELD_BACK = 'the endpoint asked for rest'
+/** Reason of an attempt that was not made because its endpoint asked to back off. */
+const HELD_BACK = 'the endpoint asked this instance to back off'
 
 /** Dependencies of the senders. */
 export interface EndpointSendersDependencies {
@@ -61,7 +61,7 @@
   readonly quarantine: RequestQuarantine
   readonly rateLimits: NamedRateLimits
   readonly brittle: BrittleEndpoints
-  readonly rests: EndpointRests
+  readonly backoffs: EndpointBackoffs
   readonly leaving: Pick<LeavingNotices, 'recordResponse'>
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
@@ -91,8 +91,8 @@
 
   /** Sends a request to an endpoint; the attempt is abandoned when the signal of the request is aborted. */
   send (request: RoutedRequest, options: SendOptions, sink: AttemptSink): RunningAttempt {
-    const { codec, clock, logger, metrics, quarantine, brittle, rests } = this.parts
-    if (rests.isResting(options.endpoint.id)) return this.holdBack(request, options.endpoint)
+    const { codec, clock, logger, metrics, quarantine, brittle, backoffs } = this.parts
+    if (backoffs.isBackingOff(options.endpoint.id)) return this.holdBack(request, options.endpoint)
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec)
@@ -217,12 +217,12 @@
   }
 
   /**
-   * Ends an attempt before it begins. An endpoint may ask for rest after it was chosen, while the quarantine decides on the request or the
+   * Ends an attempt before it begins. An endpoint may ask to back off after it was chosen, while the quarantine decides on the request or the
    * engine that it replaces is given up.
    */
   private holdBack (request: RoutedRequest, { id }: Endpoint): RunningAttempt {
     const { logger, quarantine } = this.parts
-    logger.debug('A request was held back from an endpoint that rests.', { request: request.facts.requestId, endpoint: id })
+    logger.debug('A request was held back from an endpoint that asked to back off.', { request: request.facts.requestId, endpoint: id })
     quarantine.attemptFinished(request)
     return { attempt: { abandon: () => {}, pause: () => {}, resume: () => {} }, ended: Promise.resolve({ kind: 'not-sent', reason: HELD_BACK }) }
   }
@@ -232,13 +232,13 @@
    * @returns a sink that records what the endpoint states of itself in the response, and passes all on to the given sink
    */
   private readStatements (endpoint: Endpoint, connection: EndpointConnection, sentAt: number, sink: AttemptSink, onData: () => void): AttemptSink {
-    const { rateLimits, brittle, rests, leaving } = this.parts
+    const { rateLimits, brittle, backoffs, leaving } = this.parts
     const { id, born } = endpoint
     return {
       head: (head) => {
         rateLimits.recordResponse(id, head.facts, sentAt)
         brittle.recordResponse(id, head.facts, sentAt)
-        rests.recordResponse(id, head.facts, born, connection.via)
+        backoffs.recordResponse(id, head.facts, born, connection.via)
         leaving.recordResponse(endpoint, head.facts)
         sink.head(head)
       },
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -76,10 +76,10 @@
   /** Whether the endpoint refused the request for want of room. */
   readonly isFull: boolean
   /**
-   * Time for which the endpoint wants no requests from the instance that it answers, in milliseconds; undefined when it asks for none, and
+   * Time for which the endpoint asks the instance that it answers to back off, in milliseconds; undefined when it does not, and
    * `malformed` when the value cannot be read.
    */
-  readonly restMilliseconds: number | 'malformed' | undefined
+  readonly backoffMilliseconds: number | 'malformed' | undefined
   /** Whether the endpoint says that it is leaving. */
   readonly isLeaving: boolean
   /** Id of the endpoint that answered; undefined when the response does not name it. */
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -8,7 +8,7 @@
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import type { EndpointRests } from '../rate-limits/endpoint-rests.js'
+import type { EndpointBackoffs } from '../rate-limits/endpoint-backoffs.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { AdapterKey, Endpoint, EngineShape, ModelName, Service, SoftwareVersion } from '../routes/configuration.js'
 import type { FirstEventForecast } from './first-event-forecast.js'
@@ -131,7 +131,7 @@
   readonly speeds: EngineSpeeds
   readonly prefixes: PrefixCacheEstimate
   readonly ejection: OutlierEjection
-  readonly rests: Pick<EndpointRests, 'penalty' | 'resting'>
+  readonly backoffs: Pick<EndpointBackoffs, 'penalty' | 'backingOff'>
   readonly dataCentre: string
   /** @returns the lowest version of the adapter with which a new request may start */
   readonly leastVersion: (key: AdapterKey, now: number) => number
@@ -232,7 +232,7 @@
   /** @returns milliseconds until an adapter load that is requested now could be complete, on the engine with the shortest load queue */
   shortestWait (service: Service, now: number): number {
     let least = Infinity
-    for (const { id } of this.usableEngines({ service, excluded: this.parts.rests.resting() }, now)) {
+    for (const { id } of this.usableEngines({ service, excluded: this.parts.backoffs.backingOff() }, now)) {
       if (this.parts.hasLoadOwner(id)) least = Math.min(least, this.parts.locations.line(id)?.waitMilliseconds ?? 0)
     }
     return least + this.parts.loadMilliseconds()
@@ -297,10 +297,10 @@
     return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
   }
 
-  /** @returns the cost of an engine that has just failed or rested, in milliseconds */
+  /** @returns the cost of an engine that has just failed or asked to back off, in milliseconds */
   private penalty (endpoint: EndpointId, now: number): number {
-    const { ejection, rests } = this.parts
-    return Math.max(ejection.penalty(endpoint, now), rests.penalty(endpoint)) * PENALTY_MILLISECONDS
+    const { ejection, backoffs } = this.parts
+    return Math.max(ejection.penalty(endpoint, now), backoffs.penalty(endpoint)) * PENALTY_MILLISECONDS
   }
 
   /** @returns the cost for the running streams of the engine when the engine reads a prompt of this many tokens now, in milliseconds of waiting */
--- a/packages/ingress/src/routing/service-router.ts
+++ b/packages/ingress/src/routing/service-router.ts
@@ -5,13 +5,13 @@
 import type { ErrorRates, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import type { EndpointRests } from '../rate-limits/endpoint-rests.js'
+import type { EndpointBackoffs } from '../rate-limits/endpoint-backoffs.js'
 import type { Endpoint, ServiceName } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from './endpoint-work-tracker.js'
 
 /** Slots that are added to the load of an endpoint in another data centre. Less than one, so they decide only between endpoints that are about equally loaded. */
 const REMOTE_SLOTS = 0.6
-/** Slots that are added to the load of an endpoint that has just failed or rested. The addition falls to 0 over a recovery time. */
+/** Slots that are added to the load of an endpoint that has just failed or asked to back off. The addition falls to 0 over a recovery time. */
 const PENALTY_SLOTS = 3
 /** Slots that are added to the load of an endpoint that responds with errors more often than its peers, so that it is chosen last. */
 const CONSPICUOUS_SLOTS = 12
@@ -22,15 +22,15 @@
   private readonly workTracker: EndpointWorkTracker
   private readonly ejection: OutlierEjection
   private readonly errors: ErrorRates
-  private readonly rests: Pick<EndpointRests, 'penalty'>
+  private readonly backoffs: Pick<EndpointBackoffs, 'penalty'>
   private readonly dataCentre: string
 
-  constructor (directory: EndpointDirectory, workTracker: EndpointWorkTracker, ejection: OutlierEjection, errors: ErrorRates, rests: Pick<EndpointRests, 'penalty'>, dataCentre: string) {
+  constructor (directory: EndpointDirectory, workTracker: EndpointWorkTracker, ejection: OutlierEjection, errors: ErrorRates, backoffs: Pick<EndpointBackoffs, 'penalty'>, dataCentre: string) {
     this.directory = directory
     this.workTracker = workTracker
     this.ejection = ejection
     this.errors = errors
-    this.rests = rests
+    this.backoffs = backoffs
     this.dataCentre = dataCentre
   }
 
@@ -62,7 +62,7 @@
   /** @returns the load of an endpoint as a share of its slots, with the additions for distance, failures and errors */
   private fullness (endpoint: Endpoint, all: readonly EndpointId[], now: number): number {
     const remote = endpoint.dataCentre === this.dataCentre ? 0 : REMOTE_SLOTS
-    const penalty = PENALTY_SLOTS * Math.max(this.ejection.penalty(endpoint.id, now), this.rests.penalty(endpoint.id))
+    const penalty = PENALTY_SLOTS * Math.max(this.ejection.penalty(endpoint.id, now), this.backoffs.penalty(endpoint.id))
     const conspicuous = this.errors.isOutlier(endpoint.id, all) ? CONSPICUOUS_SLOTS : 0
     return (this.workTracker.outstanding(endpoint.id, now).requests + remote + penalty + conspicuous) / endpoint.slots
   }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -145,7 +145,7 @@
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     const { clock, directory, members, overlay, metrics } = this
     this.leavingNotices = new LeavingNotices({ self: this.instance, directory, broadcast: (frame) => overlay.broadcast(frame) })
-    this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics, isResting: (endpoint) => this.rateLimiter.rests.isResting(endpoint) })
+    this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics, isBackingOff: (endpoint) => this.rateLimiter.backoffs.isBackingOff(endpoint) })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
     this.cluster = new ClusterView(({ members, loadOwners, quarantineDecisions }, revision) => {
@@ -189,7 +189,7 @@
       speeds: this.speeds,
       prefixes: this.prefixCache,
       ejection: this.ejection,
-      rests: this.rateLimiter.rests,
+      backoffs: this.rateLimiter.backoffs,
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.minimumUsable(key, now),
       loadMilliseconds: () => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now())),
@@ -346,7 +346,7 @@
       quarantine: this.quarantine.quarantine,
       rateLimits: this.rateLimiter.limits,
       brittle: this.rateLimiter.brittle,
-      rests: this.rateLimiter.rests,
+      backoffs: this.rateLimiter.backoffs,
       leaving: this.leavingNotices,
       dialler: paths.dialler,
       paths: paths.paths
@@ -384,7 +384,7 @@
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
     this.messaging.connect()
     this.rateLimiter.connect(this.network, this.overlay)
-    this.rateLimiter.rests.connect((endpoint) => this.paths.server.carriedFor(endpoint))
+    this.rateLimiter.backoffs.connect((endpoint) => this.paths.server.carriedFor(endpoint))
     this.leavingNotices.connect(this.network, this.overlay)
     this.teams.connect()
     this.paths.connect(this.network, this.senders)
--- a/packages/ingress/src/runtime/peer-messaging.ts
+++ b/packages/ingress/src/runtime/peer-messaging.ts
@@ -85,7 +85,7 @@
     const { endpoint, key, version } = frame
     const loader = loadOwnership.loader(endpoint)
     if (loader === undefined) return overlay.notify(from, { kind: 'load-refused', endpoint, key, reason: 'this instance does not order its loads' })
-    if (loadOwnership.isResting(endpoint)) return overlay.notify(from, { kind: 'load-refused', endpoint, key, reason: 'the endpoint asked for rest' })
+    if (loadOwnership.isBackingOff(endpoint)) return overlay.notify(from, { kind: 'load-refused', endpoint, key, reason: 'the endpoint asked this instance to back off' })
     loader.requestLoad(key as AdapterKey, version, waitingRequestOf(frame, from))
   }
 
--- a/packages/ingress/test/endpoint-rests.failure.test.ts
+++ b/packages/ingress/test/endpoint-backoffs.failure.test.ts
@@ -1,8 +1,8 @@
-// Guards against an endpoint that gets requests within the rest that it asked for, or none although its rest is over: answers that name other
+// Guards against an endpoint that gets requests within the backoff that it asked for, or none although that is over: answers that name other
 // times, values that cannot be read, answers of another endpoint, and endpoints that start again.
 import { afterEach, describe, expect, it } from 'vitest'
-import type { EndpointId, EndpointRestFrame, InstanceId } from '@limpetwinch/core'
-import { EndpointRests } from '../src/rate-limits/endpoint-rests.js'
+import type { EndpointId, EndpointBackoffFrame, InstanceId } from '@limpetwinch/core'
+import { EndpointBackoffs } from '../src/rate-limits/endpoint-backoffs.js'
 import { endpointId, IngressUnderTest } from './support/ingress-under-test.js'
 import type { CallerView } from './support/ingress-under-test.js'
 import { ManualClock } from './support/manual-clock.js'
@@ -22,90 +22,90 @@
   for (const each of ending.splice(0)) each.stop()
 })
 
-interface RestsUnderTest {
+interface BackoffsUnderTest {
   readonly clock: ManualClock
-  readonly rests: EndpointRests
+  readonly backoffs: EndpointBackoffs
   readonly lines: RecordedLine[]
   readonly born: Map<EndpointId, number>
   /** Notices to other instances. */
-  readonly sent: (readonly [InstanceId, EndpointRestFrame])[]
+  readonly sent: (readonly [InstanceId, EndpointBackoffFrame])[]
 }
 
-function restsUnderTest (clock = new ManualClock()): RestsUnderTest {
-  const sent: (readonly [InstanceId, EndpointRestFrame])[] = []
+function backoffsUnderTest (clock = new ManualClock()): BackoffsUnderTest {
+  const sent: (readonly [InstanceId, EndpointBackoffFrame])[] = []
   const lines: RecordedLine[] = []
   const born = new Map([[ENDPOINT, 100]])
-  return { clock, lines, born, sent, rests: new EndpointRests({ clock, logger: recordingLogger(lines), bornOf: (endpoint) => born.get(endpoint), notify: (to, frame) => { sent.push([to, frame]) } }) }
+  return { clock, lines, born, sent, backoffs: new EndpointBackoffs({ clock, logger: recordingLogger(lines), bornOf: (endpoint) => born.get(endpoint), notify: (to, frame) => { sent.push([to, frame]) } }) }
 }
 
-const asking = (restMilliseconds: number | 'malformed', answeredBy?: string): ReturnType<typeof responseFacts> => responseFacts({ restMilliseconds, answeredBy })
+const asking = (backoffMilliseconds: number | 'malformed', answeredBy?: string): ReturnType<typeof responseFacts> => responseFacts({ backoffMilliseconds, answeredBy })
 
-describe('the rest that an endpoint asks for', () => {
+describe('the backoff that an endpoint asks for', () => {
   it('lasts until the latest end that any answer named', async () => {
-    const { clock, rests } = restsUnderTest()
-    rests.recordResponse(ENDPOINT, asking(3_000), 100)
-    rests.recordResponse(ENDPOINT, asking(500), 100)
-    expect([rests.isResting(ENDPOINT), rests.millisecondsLeft(ENDPOINT)]).toEqual([true, 3_000])
+    const { clock, backoffs } = backoffsUnderTest()
+    backoffs.recordResponse(ENDPOINT, asking(3_000), 100)
+    backoffs.recordResponse(ENDPOINT, asking(500), 100)
+    expect([backoffs.isBackingOff(ENDPOINT), backoffs.millisecondsLeft(ENDPOINT)]).toEqual([true, 3_000])
     await clock.advance(2_000)
-    rests.recordResponse(ENDPOINT, asking(4_000), 100)
-    expect(rests.millisecondsLeft(ENDPOINT)).toBe(4_000)
+    backoffs.recordResponse(ENDPOINT, asking(4_000), 100)
+    expect(backoffs.millisecondsLeft(ENDPOINT)).toBe(4_000)
     await clock.advance(4_000)
-    expect([rests.isResting(ENDPOINT), [...rests.resting()]]).toEqual([false, []])
+    expect([backoffs.isBackingOff(ENDPOINT), [...backoffs.backingOff()]]).toEqual([false, []])
   })
 
   it('ends when the endpoint starts again, and an answer of the earlier process begins none', () => {
-    const { rests, born } = restsUnderTest()
-    rests.recordResponse(ENDPOINT, asking(3_000), 100)
-    rests.forget(ENDPOINT)
-    expect(rests.isResting(ENDPOINT)).toBe(true)
+    const { backoffs, born } = backoffsUnderTest()
+    backoffs.recordResponse(ENDPOINT, asking(3_000), 100)
+    backoffs.forget(ENDPOINT)
+    expect(backoffs.isBackingOff(ENDPOINT)).toBe(true)
     born.set(ENDPOINT, 200)
-    rests.forget(ENDPOINT)
-    rests.recordResponse(ENDPOINT, asking(3_000), 100)
-    expect(rests.isResting(ENDPOINT)).toBe(false)
+    backoffs.forget(ENDPOINT)
+    backoffs.recordResponse(ENDPOINT, asking(3_000), 100)
+    expect(backoffs.isBackingOff(ENDPOINT)).toBe(false)
   })
 
   it('is none when the value cannot be read, which is logged once, or when another endpoint answered', () => {
-    const { rests, lines } = restsUnderTest()
-    rests.recordResponse(ENDPOINT, asking('malformed'), 100)
-    rests.recordResponse(ENDPOINT, asking('malformed'), 100)
-    rests.recordResponse(ENDPOINT, asking(3_000, 'i-2'), 100)
-    expect([rests.isResting(ENDPOINT), lines.length]).toEqual([false, 1])
+    const { backoffs, lines } = backoffsUnderTest()
+    backoffs.recordResponse(ENDPOINT, asking('malformed'), 100)
+    backoffs.recordResponse(ENDPOINT, asking('malformed'), 100)
+    backoffs.recordResponse(ENDPOINT, asking(3_000, 'i-2'), 100)
+    expect([backoffs.isBackingOff(ENDPOINT), lines.length]).toEqual([false, 1])
   })
 
   it('makes the endpoint a worse choice for some time after its end, and less so as time passes', async () => {
-    const { clock, rests } = restsUnderTest()
-    rests.recordResponse(ENDPOINT, asking(1_000), 100)
+    const { clock, backoffs } = backoffsUnderTest()
+    backoffs.recordResponse(ENDPOINT, asking(1_000), 100)
     const penalties: number[] = []
     for (let step = 0; step < 4; step++) {
       await clock.advance(1_000)
-      penalties.push(rests.penalty(ENDPOINT))
+      penalties.push(backoffs.penalty(ENDPOINT))
     }
     expect(penalties).toEqual([1, 0.5, 0, 0])
   })
 })
 
-describe('the rest that an endpoint asks for through a tunnel', () => {
+describe('the backoff that an endpoint asks for through a tunnel', () => {
   const [ASKER, CARRIER, THIRD] = ['asker' as InstanceId, 'carrier' as InstanceId, 'third' as InstanceId]
-  const FRAME: EndpointRestFrame = { kind: 'endpoint-rest', endpoint: ENDPOINT, born: 100, milliseconds: 3_000 }
+  const FRAME: EndpointBackoffFrame = { kind: 'endpoint-backoff', endpoint: ENDPOINT, born: 100, milliseconds: 3_000 }
 
   it('is kept by the instance that asked and by the one that carries the tunnel, which is told', () => {
-    const [asker, carrier] = [restsUnderTest(), restsUnderTest()]
-    asker.rests.recordResponse(ENDPOINT, asking(3_000), 100, CARRIER)
+    const [asker, carrier] = [backoffsUnderTest(), backoffsUnderTest()]
+    asker.backoffs.recordResponse(ENDPOINT, asking(3_000), 100, CARRIER)
     expect(asker.sent).toEqual([[CARRIER, FRAME]])
-    carrier.rests.handleNotice(FRAME)
-    expect([asker.rests.isResting(ENDPOINT), carrier.rests.isResting(ENDPOINT)]).toEqual([true, true])
+    carrier.backoffs.handleNotice(FRAME)
+    expect([asker.backoffs.isBackingOff(ENDPOINT), carrier.backoffs.isBackingOff(ENDPOINT)]).toEqual([true, true])
   })
 
   it('is told to each instance whose tunnels there are carried, and does not go round', async () => {
     const clock = new ManualClock()
-    const [asker, carrier] = [restsUnderTest(clock), restsUnderTest(clock)]
-    asker.rests.connect(() => [CARRIER])
-    carrier.rests.connect(() => [ASKER, THIRD])
-    asker.rests.handleNotice(FRAME)
+    const [asker, carrier] = [backoffsUnderTest(clock), backoffsUnderTest(clock)]
+    asker.backoffs.connect(() => [CARRIER])
+    carrier.backoffs.connect(() => [ASKER, THIRD])
+    asker.backoffs.handleNotice(FRAME)
     await clock.advance(3)
-    carrier.rests.handleNotice(FRAME)
+    carrier.backoffs.handleNotice(FRAME)
     await clock.advance(3)
-    asker.rests.handleNotice(FRAME)
+    asker.backoffs.handleNotice(FRAME)
     expect([asker.sent.map(([to]) => to), carrier.sent.map(([to]) => to)]).toEqual([[CARRIER], [ASKER, THIRD]])
   })
 })
@@ -116,17 +116,17 @@
   return endpoint
 }
 
-function resting (milliseconds: number): RawAnswer {
-  return framed(503, '', `X-Not-Run: 1\r\nX-Rest: ${milliseconds}\r\n`)
+function askingToBackOff (milliseconds: number): RawAnswer {
+  return framed(503, '', `X-Not-Run: 1\r\nX-Backoff: ${milliseconds}\r\n`)
 }
 
 function errorOf ({ body }: CallerView): { readonly code?: string, readonly outcome?: string } {
   return JSON.parse(body).error
 }
 
-describe('a service whose endpoints ask for rest', () => {
+describe('a service whose endpoints ask to back off', () => {
   it('is served by the other endpoints', async () => {
-    const [one, two] = [await raw(resting(60_000)), await raw(framed(200, 'served'))]
+    const [one, two] = [await raw(askingToBackOff(60_000)), await raw(framed(200, 'served'))]
     const under = await IngressUnderTest.start({ routes: [PLAIN], endpoints: [{ id: 'a', raw: one }, { id: 'b', raw: two }] })
     ending.push(under)
     const statuses: number[] = []
@@ -134,21 +134,21 @@
     expect([statuses, one.requests.length]).toEqual([Array(8).fill(200), 1])
   })
 
-  it.each([['a plain service', PLAIN, {}], ['engines', STREAM, { adapters: HELD }]])('refuses at once and says when to come back while all rest: %s', async (_what, eachRoute, shape) => {
-    const only = await raw(resting(60_000))
+  it.each([['a plain service', PLAIN, {}], ['engines', STREAM, { adapters: HELD }]])('refuses at once and says when to come back while all ask for it: %s', async (_what, eachRoute, shape) => {
+    const only = await raw(askingToBackOff(60_000))
     const under = await IngressUnderTest.start({ routes: [eachRoute], endpoints: [{ id: 'a', raw: only, ...shape }] })
     ending.push(under)
     const headers = { 'x-adapter': 'a1' }
     await under.ask('/', headers)
     const startedAt = performance.now()
     const second = await under.ask('/', headers)
-    expect({ status: second.status, ...errorOf(second) }).toMatchObject({ status: 503, code: 'endpoints_resting', outcome: 'not_run' })
+    expect({ status: second.status, ...errorOf(second) }).toMatchObject({ status: 503, code: 'endpoints_backing_off', outcome: 'not_run' })
     expect(Number(second.headers['retry-after'])).toBeGreaterThan(0.5)
     expect([only.requests.length, performance.now() - startedAt < 500]).toEqual([1, true])
   })
 
-  it('loads the adapter of a resting engine on another one', async () => {
-    const [one, two] = [await raw(resting(60_000)), await raw(framed(200, 'served'))]
+  it('loads the adapter of an engine that asks to back off on another one', async () => {
+    const [one, two] = [await raw(askingToBackOff(60_000)), await raw(framed(200, 'served'))]
     const under = await IngressUnderTest.start({ routes: [STREAM], endpoints: [{ id: 'a', raw: one, adapters: HELD }, { id: 'b', raw: two, adapters: [] }] })
     ending.push(under)
     const answer = under.ask('/', { 'x-adapter': 'a1' })
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -14,7 +14,7 @@
 import { EndpointWorkTracker } from '../src/routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../src/routing/prefix-cache-estimate.js'
 import type { RequestFacts } from '../src/relay/request-codec.js'
-import { endpoint, engineShape, key, service, LOAD_OWNER, NO_RESTS } from './support/samples.js'
+import { endpoint, engineShape, key, service, LOAD_OWNER, NO_BACKOFFS } from './support/samples.js'
 
 const NOW = 10_000
 const SHAPE = engineShape({ adapterSlots: 2, batchSlots: 64, memoryTokens: 200_000 })
@@ -67,7 +67,7 @@
   }
   const ejection = new OutlierEjection({ failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, recoveryMilliseconds: 4_000, minimumUsableShare: 0.25 })
   return new EngineRouter({
-    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), rests: NO_RESTS, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true
+    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true
   })
 }
 
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -110,7 +110,7 @@
     find: (each: string) => ({ instance: each as InstanceId, dataCentre: dataCentreOf(each) })
   } as unknown as MemberList
   const ownership = new LoadOwnership({
-    store: store as unknown as DeletingObjectStore, health, clock, logger, members, directory, configuration, leaseMilliseconds: LEASE, fencedEndpoints, reachesService: (each) => !cutOff.has(each), isResting: () => false
+    store: store as unknown as DeletingObjectStore, health, clock, logger, members, directory, configuration, leaseMilliseconds: LEASE, fencedEndpoints, reachesService: (each) => !cutOff.has(each), isBackingOff: () => false
   }, {
     control: engineControlOf(name, engines, engineUnreachableFrom),
     clock,
--- a/packages/ingress/test/place-search.failure.test.ts
+++ b/packages/ingress/test/place-search.failure.test.ts
@@ -12,7 +12,7 @@
   const asked: string[] = []
   const limiter = {
     isLimited: () => true,
-    rests: { isResting: () => false },
+    backoffs: { isBackingOff: () => false },
     withoutRoom: () => new Set(),
     admit: async (endpoint: string) => {
       asked.push(endpoint)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -27,7 +27,7 @@
 import { SlackPart } from '../../src/retries/slack-part.js'
 import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
-import { EndpointRests } from '../../src/rate-limits/endpoint-rests.js'
+import { EndpointBackoffs } from '../../src/rate-limits/endpoint-backoffs.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
 import { EngineRouter } from '../../src/routing/engine-router.js'
 import { FirstEventForecast } from '../../src/routing/first-event-forecast.js'
@@ -117,7 +117,7 @@
     const stated = { clock, logger, bornOf: (id: EndpointId) => directory.find(id)?.born, broadcast: () => {}, noticeRoundTripMilliseconds: () => 1 }
     this.rateLimits = new NamedRateLimits(stated)
     const brittle = new BrittleEndpoints(stated)
-    const rests = new EndpointRests({ ...stated, notify: () => {} })
+    const backoffs = new EndpointBackoffs({ ...stated, notify: () => {} })
     const quarantine = new RequestQuarantine({
       clock,
       logger,
@@ -129,7 +129,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, rests, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
@@ -137,7 +137,7 @@
       clock,
       limits: this.rateLimits,
       brittle,
-      rests,
+      backoffs,
       slotsOf: (id) => directory.find(id)?.slots ?? 1,
       owners,
       instances: () => 1,
@@ -148,12 +148,12 @@
     })
     rateLimiter.connect(peers.links, { onNeighbour: () => {}, replay: () => {} })
     const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.88, windowMilliseconds: 10_000 }, slackPart: new WholeSlack(), logger, metrics })
-    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, rests, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
+    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
     const engineFinder = new EngineFinder({
       clock, logger, router, rateLimiter, locations, loadOwnerOf: () => 'holder' as InstanceId, requestLoad: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
     })
     const errors = new ErrorRates()
-    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, rests, 'here') })
+    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
     const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), expectedVersion: () => undefined })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
--- a/packages/ingress/test/support/path-world.ts
+++ b/packages/ingress/test/support/path-world.ts
@@ -76,7 +76,7 @@
     const parts = { self: this.id, ownHost: id, clock, paths: this.paths, peers: this.peers, direct }
     this.dialler = behaviour.createDialler({ ...parts, openTunnel: async (peer, asked) => await world.openTunnel(peer, asked) })
     const carrying = behaviour.takesSecondDetour ? this.dialler : new SimulatedDialler(world, this, TUNNEL_CONNECT_MILLISECONDS)
-    this.admission = new TunnelAdmission({ directory, paths: this.paths, dialler: carrying, isResting: () => false, hostOf: (instance) => instance })
+    this.admission = new TunnelAdmission({ directory, paths: this.paths, dialler: carrying, isBackingOff: () => false, hostOf: (instance) => instance })
     const exchange = new PathExchange({
       clock,
       paths: this.paths,
--- a/packages/ingress/test/support/rate-limit-fleet.ts
+++ b/packages/ingress/test/support/rate-limit-fleet.ts
@@ -5,7 +5,7 @@
 import { QuotaOwners } from '../../src/quotas/quota-owners.js'
 import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
 import { EndpointRateLimiter } from '../../src/rate-limits/endpoint-rate-limiter.js'
-import { EndpointRests } from '../../src/rate-limits/endpoint-rests.js'
+import { EndpointBackoffs } from '../../src/rate-limits/endpoint-backoffs.js'
 import { NamedRateLimits } from '../../src/rate-limits/named-rate-limits.js'
 import type { StatedLimitsDependencies } from '../../src/rate-limits/stated-limits.js'
 import { ManualClock } from './manual-clock.js'
@@ -158,7 +158,7 @@
       clock,
       limits,
       brittle: new BrittleEndpoints(stated),
-      rests: new EndpointRests({ ...stated, notify }),
+      backoffs: new EndpointBackoffs({ ...stated, notify }),
       slotsOf: () => 6,
       owners: new QuotaOwners({ self, clock, candidates: () => behaviour.dividesAlone ? [] : overlay.usableHubs() }),
       instances: () => members().length,
--- a/packages/ingress/test/support/samples.ts
+++ b/packages/ingress/test/support/samples.ts
@@ -74,11 +74,11 @@
 
 /** @returns the facts of a signed response that states no limit */
 export function responseFacts (sample: Partial<ResponseFacts> = {}): ResponseFacts {
-  return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, restMilliseconds: undefined, isLeaving: false, answeredBy: undefined, ...sample }
+  return { requestId: undefined, signed: true, notRun: false, encoded: false, rateLimit: undefined, refusalLimit: undefined, isFull: false, backoffMilliseconds: undefined, isLeaving: false, answeredBy: undefined, ...sample }
 }
 
-/** The rests of an instance of which no endpoint wants any. */
-export const NO_RESTS = { penalty: () => 0, resting: () => new Set<EndpointId>() }
+/** The backoffs of an instance that no endpoint has asked to back off. */
+export const NO_BACKOFFS = { penalty: () => 0, backingOff: () => new Set<EndpointId>() }
 
 /** Process id of the load owner, which sends the notices about what an engine holds. */
 export const LOAD_OWNER = 'speaker' as InstanceId
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -42,7 +42,7 @@
       rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit),
       refusalLimit: undefined,
       isFull: false,
-      restMilliseconds: headers['x-rest'] === undefined ? undefined : Number(headers['x-rest']),
+      backoffMilliseconds: headers['x-backoff'] === undefined ? undefined : Number(headers['x-backoff']),
       isLeaving: headers['x-leaving'] !== undefined,
       answeredBy: undefined
     }
--- a/packages/ingress/test/tunnel.failure.test.ts
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -37,13 +37,13 @@
   readonly target: Endpoint
 }
 
-async function carrying (answer: RawAnswer, { leaving = false, isLost = false, isResting = false } = {}): Promise<Carrying> {
+async function carrying (answer: RawAnswer, { leaving = false, isLost = false, isBackingOff = false } = {}): Promise<Carrying> {
   const raw = await RawEndpoint.start(answer)
   const target = endpoint('p', { address: raw.address, leaving })
   const admission = new TunnelAdmission({
     directory: { find: (id) => id === target.id ? target : undefined },
     paths: { isLost: () => isLost, recordReached: () => {} },
-    isResting: () => isResting,
+    isBackingOff: () => isBackingOff,
     dialler: new DirectDialler(100),
     hostOf: (instance) => instance === ASKING ? HOST : undefined
   })
@@ -131,8 +131,8 @@
     expect((await ask(await carrying(silence, { leaving: true })))._unsafeUnwrapErr()).toBe('unavailable')
   })
 
-  it('to an endpoint that has asked the instance for rest', async () => {
-    const through = await carrying(silence, { isResting: true })
+  it('to an endpoint that has asked the instance to back off', async () => {
+    const through = await carrying(silence, { isBackingOff: true })
     expect((await ask(through))._unsafeUnwrapErr()).toBe('unavailable')
     expect(through.raw.connections).toBe(0)
   })
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -4,7 +4,7 @@
 import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, RateLimitCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
 import { QuotaCheck, RevokedKeyCheck, TeamOfRunCheck } from './team-checks.js'
 import { AddedRouteCheck, NewVersionCheck } from './state-checks.js'
-import { RestCheck, RetryBoundCheck, SaidLeavingCheck } from './statement-checks.js'
+import { BackoffCheck, RetryBoundCheck, SaidLeavingCheck } from './statement-checks.js'
 import { ResumptionCheck, SoftwareVersionCheck } from './stream-checks.js'
 import type { SoakCheck } from './soak-check.js'
 
@@ -14,5 +14,5 @@
   new AtMostOnceCheck(), new NotRunClaimCheck(), new RightAdapterCheck(), new LeavingEndpointCheck(), new SlotCapacityCheck(), new SingleLoadOwnerCheck(),
   new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck(),
   new RateLimitCheck(), new AddedRouteCheck(), new NewVersionCheck(), new SoftwareVersionCheck(), new ResumptionCheck(), new PartBudgetCheck(), new FavouredInstanceCheck(),
-  new RetryBoundCheck(), new RestCheck(), new SaidLeavingCheck()
+  new RetryBoundCheck(), new BackoffCheck(), new SaidLeavingCheck()
 ]
--- a/packages/soak/src/checks/statement-checks.ts
+++ b/packages/soak/src/checks/statement-checks.ts
@@ -1,4 +1,4 @@
-/** Checks of retries over all instances, and of what endpoints say of themselves in responses: that they want rest, or are leaving. */
+/** Checks of retries over all instances, and of what endpoints say of themselves in responses: that they ask an instance to back off, or are leaving. */
 import type { RegisteredStandIn, StandInArrival } from '@limpetwinch/platform'
 import type { ObservedRequest } from '../soak-record.js'
 import { SoakCheck } from './soak-check.js'
@@ -10,9 +10,9 @@
 const RETRY_SLACK = 52
 /** Routes to engines; all others lead to web servers. */
 const ENGINE_ROUTES: ReadonlySet<string> = new Set(['draft', 'once'])
-/** Time in which requests that were on their way may still reach a resting endpoint, and the number that may arrive later. */
+/** Time in which requests that were on their way may still reach an endpoint that asked to back off, and the number that may arrive later. */
 const ON_THEIR_WAY_MILLISECONDS = 500
-const ALLOWED_IN_REST = 2
+const ALLOWED_IN_BACKOFF = 2
 /** Time after which an endpoint gets nothing from an instance that has received an answer that says that the endpoint is leaving. */
 const LEAVING_MILLISECONDS = 2_000
 /** Faults that excuse an instance that forgets, or does not act in time. */
@@ -75,19 +75,19 @@
   }
 }
 
-/** Checks that an endpoint gets hardly anything from an instance that it has asked for rest, unless that instance was ended or paused. */
-export class RestCheck extends SoakCheck {
-  override readonly promise = 'rest'
+/** Checks that an endpoint gets hardly anything from an instance that it has asked to back off, unless that instance was ended or paused. */
+export class BackoffCheck extends SoakCheck {
+  override readonly promise = 'backoff'
 
   override violations (evidence: SoakEvidence): Violation[] {
     const sent = sentRequests(evidence)
     return endpointsOf(evidence).flatMap((endpoint) => {
       const arrivals = traced(endpoint, sent)
-      return arrivals.flatMap(({ at, sentTo, askedRestSeconds = 0 }) => {
-        const until = at + askedRestSeconds * 1_000
+      return arrivals.flatMap(({ at, sentTo, askedBackoffSeconds = 0 }) => {
+        const until = at + askedBackoffSeconds * 1_000
         const within = arrivals.filter((other) => other.sentTo === sentTo && other.at > at + ON_THEIR_WAY_MILLISECONDS && other.at <= until)
-        if (within.length <= ALLOWED_IN_REST || isExcused(evidence, sentTo, at, until)) return []
-        return [{ message: `${endpoint.options.id} asked ${sentTo} for ${askedRestSeconds} s of rest and got ${within.length} requests`, from: at, to: until, instance: sentTo }]
+        if (within.length <= ALLOWED_IN_BACKOFF || isExcused(evidence, sentTo, at, until)) return []
+        return [{ message: `${endpoint.options.id} asked ${sentTo} to back off for ${askedBackoffSeconds} s and got ${within.length} requests`, from: at, to: until, instance: sentTo }]
       })
     })
   }
--- a/packages/soak/src/faults/index.ts
+++ b/packages/soak/src/faults/index.ts
@@ -3,7 +3,7 @@
 import { AnnounceVersion, ChangeConfiguration, CrashEngine, FavourInstance, LeavingEngine, StoreDown, CompactStore, StoreLosesResponses, StoreSlow } from './environment-faults.js'
 import { NameRateLimit } from './rate-limit-faults.js'
 import { CrashingPromptPart, CrashingRequest } from './request-faults.js'
-import { AskForRest, RefuseRequests, SayLeaving } from './statement-faults.js'
+import { RequestBackoff, RefuseRequests, SayLeaving } from './statement-faults.js'
 import { FloodQuota, RevokeKey } from './team-faults.js'
 import { ReturnWithAnotherVersion, RollEngines } from './version-faults.js'
 import type { SoakFault } from './soak-fault.js'
@@ -14,5 +14,5 @@
   new StoreDown(), new StoreSlow(), new StoreLosesResponses(), new CompactStore(), new CrashEngine(), new LeavingEngine(), new ChangeConfiguration(),
   new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion(),
   new RollEngines(), new ReturnWithAnotherVersion(), new CrashingPromptPart(), new FavourInstance(),
-  new RefuseRequests(), new AskForRest(), new SayLeaving()
+  new RefuseRequests(), new RequestBackoff(), new SayLeaving()
 ]
--- a/packages/soak/src/faults/statement-faults.ts
+++ b/packages/soak/src/faults/statement-faults.ts
@@ -1,12 +1,12 @@
-/** Endpoints that turn requests away, ask for rest, or say in their responses that they are leaving. */
+/** Endpoints that refuse requests, ask to back off, or say in their responses that they are leaving. */
 import type { RegisteredStandIn } from '@limpetwinch/platform'
 import type { SoakEnvironment } from '../soak-environment.js'
 import { SoakFault } from './soak-fault.js'
 
 const REFUSED_SHARE = 0.9
 const REFUSAL_MILLISECONDS = { minimum: 3_000, maximum: 9_000 }
-const REST_SECONDS = [0.7, 1.5, 3] as const
-const RESTING_MILLISECONDS = { minimum: 2_000, maximum: 6_000 }
+const BACKOFF_SECONDS = [0.7, 1.5, 3] as const
+const BACKOFF_MILLISECONDS = { minimum: 2_000, maximum: 6_000 }
 /** Time for which an endpoint goes on after it has said that it is leaving. */
 const LEAVING_MILLISECONDS = { minimum: 4_000, maximum: 7_000 }
 
@@ -31,22 +31,22 @@
   }
 }
 
-/** Lets a model server or a web server turn all requests away and ask for rest. */
-export class AskForRest extends SoakFault {
-  override readonly kind = 'ask-for-rest'
+/** Lets a model server or a web server refuse all requests and ask to back off. */
+export class RequestBackoff extends SoakFault {
+  override readonly kind = 'request-backoff'
 
   override async run (environment: SoakEnvironment): Promise<void> {
     const { random } = environment
     const unused = unusedEndpoints(environment)
     if (unused.length === 0) return
     const endpoint = random.pick(unused)
-    const seconds = random.pick(REST_SECONDS)
+    const seconds = random.pick(BACKOFF_SECONDS)
     await this.recordWhile(environment, endpoint.options.id, async () => {
-      endpoint.restSeconds = seconds
+      endpoint.backoffSeconds = seconds
       endpoint.refusedShare = 1
-      await environment.wait(RESTING_MILLISECONDS.minimum, RESTING_MILLISECONDS.maximum)
+      await environment.wait(BACKOFF_MILLISECONDS.minimum, BACKOFF_MILLISECONDS.maximum)
       endpoint.refusedShare = 0
-      endpoint.restSeconds = undefined
+      endpoint.backoffSeconds = undefined
     })
   }
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -121,15 +121,15 @@
   }
 }
 
-/** @returns evidence of an engine that asked for three seconds of rest, and of requests of one instance in that time, with a fault of an instance */
-function rested (requests: number, kind = 'any', target = 'one'): EvidenceOptions {
+/** @returns evidence of an engine that asked to back off for three seconds, and of requests of one instance in that time, with a fault of an instance */
+function backedOff (requests: number, kind = 'any', target = 'one'): EvidenceOptions {
   const ids = Array.from({ length: requests + 1 }, (_, index) => `r${index}`)
   return {
     record: recordOf((made) => {
       made.requests.push(...ids.map((id) => seen({ id })))
       made.faults.push({ kind, target, from: AT + 600, to: AT + 900 })
     }),
-    arrivals: ids.map((id, index) => arrival(id, index === 0 ? AT : AT + 1_000 + index, index === 0 ? { askedRestSeconds: 3 } : {}))
+    arrivals: ids.map((id, index) => arrival(id, index === 0 ? AT : AT + 1_000 + index, index === 0 ? { askedBackoffSeconds: 3 } : {}))
   }
 }
 
@@ -145,7 +145,7 @@
 }
 
 function arrival (request: string, at: number, change: Partial<StandInArrival> = {}): StandInArrival {
-  return { request, at, saidLeaving: false, askedRestSeconds: undefined, ...change }
+  return { request, at, saidLeaving: false, askedBackoffSeconds: undefined, ...change }
 }
 
 const EVENTS = [{ id: 1, adapter: 'a1', version: 1, softwareVersion: 'v1' }, { id: 2, adapter: 'a1', version: 1, softwareVersion: 'v1' }]
@@ -163,7 +163,7 @@
     expect(violated(limited(11, 3_500))).toEqual([])
     expect(violated(crashingPart(11)).filter((promise) => promise === 'part-budget')).toEqual([])
     expect(violated(favoured(10)).filter((promise) => promise === 'favoured-instance')).toEqual([])
-    expect([violated(retried(65)), violated(rested(2)), violated(saidLeaving(2_000))]).toEqual([[], [], []])
+    expect([violated(retried(65)), violated(backedOff(2)), violated(saidLeaving(2_000))]).toEqual([[], [], []])
     // The limit is too new to hold yet.
     expect(violated(limited(12, 2_500))).toEqual([])
   })
@@ -177,7 +177,7 @@
     ['requests with a crashing part that still reach servers', 'part-budget', crashingPart(12)],
     ['callers of a crowded instance that are not served', 'favoured-instance', favoured(11)],
     ['more retries than all instances may send', 'retry-bound', retried(66)],
-    ['requests to an endpoint that asked for rest', 'rest', rested(3)],
+    ['requests to an endpoint that asked to back off', 'backoff', backedOff(3)],
     ['a request to an endpoint that said that it is leaving', 'said-leaving', saidLeaving(2_001)],
     ['an event that is missing', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, id: 3 }] })],
     ['an event that is received twice', 'whole-answer', stream({ events: [EVENTS[0]!, EVENTS[0]!] })],
@@ -229,8 +229,8 @@
     expect([violated(crashing(3)), violated(crashing(4, 'one')), violated(crashing(4, 'two'))]).toEqual([[], [], ['crash-budget']])
   })
 
-  it('excuse requests to an endpoint that asked for rest, or said that it is leaving, only by an instance that was ended or paused', () => {
-    expect([rested(3, 'kill-instance'), rested(3, 'pause-instance', 'two'), rested(3, 'store-down'), saidLeaving(2_001, 'pause-instance')].map(violated)).toEqual([[], ['rest'], ['rest'], []])
+  it('excuse requests to an endpoint that asked to back off, or said that it is leaving, only by an instance that was ended or paused', () => {
+    expect([backedOff(3, 'kill-instance'), backedOff(3, 'pause-instance', 'two'), backedOff(3, 'store-down'), saidLeaving(2_001, 'pause-instance')].map(violated)).toEqual([[], ['backoff'], ['backoff'], []])
   })
 
   it('ignore orders that the engine refused because of a stale token', () => {
--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,7 +7,7 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part', 'favoured-instance', 'refuse-requests', 'ask-for-rest', 'say-leaving'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part', 'favoured-instance', 'refuse-requests', 'request-backoff', 'say-leaving'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
@@ -18,7 +18,7 @@
 const VERSION_FAULTS = SOAK_FAULTS.filter(({ kind }) => VERSION_KINDS.includes(kind))
 const PART_KINDS = ['crashing-part', 'favoured-instance', 'kill-instance', 'pause-instance', 'crash-engine']
 const PART_FAULTS = SOAK_FAULTS.filter(({ kind }) => PART_KINDS.includes(kind))
-const STATEMENT_KINDS = ['refuse-requests', 'ask-for-rest', 'say-leaving', 'kill-instance', 'kill-all-instances', 'stop-instance', 'pause-instance', 'cut-from-store', 'crash-engine']
+const STATEMENT_KINDS = ['refuse-requests', 'request-backoff', 'say-leaving', 'kill-instance', 'kill-all-instances', 'stop-instance', 'pause-instance', 'cut-from-store', 'crash-engine']
 const STATEMENT_FAULTS = SOAK_FAULTS.filter(({ kind }) => STATEMENT_KINDS.includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
@@ -47,7 +47,7 @@
     { seed: 7_001, ...USUAL_RUN, faultCount: 10, hasVersions: true, faults: VERSION_FAULTS },
     // Parts of prompts crash engines, and most connections go to one instance, while instances are killed and paused and engines crash.
     { seed: 8_001, ...USUAL_RUN, size: { ...USUAL_RUN.size, engines: 6 }, faultCount: 6, faults: PART_FAULTS },
-    // Endpoints refuse most requests, ask for rest and say that they are leaving, while instances are killed in series, stopped and paused.
+    // Endpoints refuse most requests, ask to back off and say that they are leaving, while instances are killed in series, stopped and paused.
     { seed: 9_001, ...USUAL_RUN, seconds: 20, faultCount: 12, faults: STATEMENT_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
