An endpoint that said that it is leaving is forgotten a minute after its entry has gone

Found on reading the diff: the time of an endpoint that went before the first check was never set, so it was remembered for ever. Test red before. The share of the retry budget that entry instances use takes a number again; nothing passes a function any more.

--- a/packages/decisions/src/retries/share-retry-budget.ts
+++ b/packages/decisions/src/retries/share-retry-budget.ts
@@ -6,17 +6,11 @@
   /** Number of retries allowed per first attempt in the window, for example 0.1. */
   readonly share?: number
   /** Number of retries allowed in a window in any case, so that a team with few requests can retry at all. */
-  readonly minimumRetries?: number | ((now: number) => number)
+  readonly minimumRetries?: number
   /** Length of the sliding window in which first attempts and retries are counted. */
   readonly windowMilliseconds?: number
 }
 
-/** How much of a budget is used. */
-export interface RetryBudgetUse {
-  readonly retries: number
-  readonly allowed: number
-}
-
 /** First attempts that were made within a short time. */
 interface AttemptCount {
   readonly since: number
@@ -29,7 +23,7 @@
 /** Budget over a sliding window: a retry is allowed only while the retries in the window stay within `minimumRetries + share × first attempts`. */
 export class ShareRetryBudget extends RetryBudget {
   private readonly share: number
-  private readonly minimumRetries: (now: number) => number
+  private readonly minimumRetries: number
   private readonly windowMilliseconds: number
   private counts: AttemptCount[] = []
   /** Times of the retries in the window. A time for each, since retries that leave the window too soon would be allowed once more within it. */
@@ -38,8 +32,7 @@
   constructor (options: ShareRetryBudgetOptions = {}) {
     super()
     this.share = options.share ?? 0.1
-    const { minimumRetries = 3 } = options
-    this.minimumRetries = typeof minimumRetries === 'number' ? () => minimumRetries : minimumRetries
+    this.minimumRetries = options.minimumRetries ?? 3
     this.windowMilliseconds = options.windowMilliseconds ?? 10_000
   }
 
@@ -54,18 +47,12 @@
   }
 
   withdraw (now: number): boolean {
-    const { retries, allowed } = this.use(now)
-    if (retries + 1 > allowed) return false
-    this.retriedAt.push(now)
-    return true
-  }
-
-  /** @returns the retries in the window, and how many are allowed there */
-  use (now: number): RetryBudgetUse {
     this.forgetOld(now)
     const attempts = this.counts.reduce((sum, each) => sum + each.attempts, 0)
     // Only first attempts add to the budget. If retries did as well, each retry would pay for the next one.
-    return { retries: this.retriedAt.length, allowed: this.minimumRetries(now) + this.share * attempts }
+    if (this.retriedAt.length + 1 > this.minimumRetries + this.share * attempts) return false
+    this.retriedAt.push(now)
+    return true
   }
 
   private forgetOld (now: number): void {
--- a/packages/ingress/src/endpoints/endpoint-directory.ts
+++ b/packages/ingress/src/endpoints/endpoint-directory.ts
@@ -33,8 +33,8 @@
 /** A process of an endpoint that has said in a response that it is leaving. */
 interface SaidLeaving {
   readonly born: number
-  /** Monotonic time at which its entry was last known; undefined before the first check. */
-  knownAt: number | undefined
+  /** Monotonic time at which its entry was found missing; undefined while it has one. */
+  missingSince: number | undefined
 }
 
 /** The endpoints known to this instance. */
@@ -126,7 +126,7 @@
   markLeaving (id: EndpointId, born: number, source: 'response' | 'peer'): boolean {
     const record = this.records.get(id)
     if (record === undefined || record.endpoint.born !== born || this.leavingByResponse.get(id)?.born === born) return false
-    this.leavingByResponse.set(id, { born, knownAt: undefined })
+    this.leavingByResponse.set(id, { born, missingSince: undefined })
     this.logger.info('An endpoint said in a response that it is leaving.', { endpoint: id, born, source })
     if (record.endpoint.leaving) return true
     record.endpoint = { ...record.endpoint, leaving: true }
@@ -154,8 +154,8 @@
 
   private forgetSaidLeaving (now: number): void {
     for (const [id, said] of this.leavingByResponse) {
-      if (this.records.has(id)) said.knownAt = now
-      else if (now - (said.knownAt ?? now) > SAID_LEAVING_MILLISECONDS) this.leavingByResponse.delete(id)
+      said.missingSince = this.records.has(id) ? undefined : said.missingSince ?? now
+      if (said.missingSince !== undefined && now - said.missingSince > SAID_LEAVING_MILLISECONDS) this.leavingByResponse.delete(id)
     }
   }
 
--- a/packages/ingress/test/leaving-notices.failure.test.ts
+++ b/packages/ingress/test/leaving-notices.failure.test.ts
@@ -40,6 +40,17 @@
     expect(isUsed(directory)).toBe(false)
   })
 
+  it('is forgotten a minute after its entry has gone', () => {
+    const { directory, notices } = underTest()
+    notices.recordResponse(ENDPOINT, responseFacts({ isLeaving: true }))
+    directory.apply({ revision: 2, endpoints: [] }, undefined, 1_000)
+    directory.expire(1_000)
+    directory.expire(60_000)
+    expect(directory.saidLeaving().length).toBe(1)
+    directory.expire(61_001)
+    expect(directory.saidLeaving().length).toBe(0)
+  })
+
   it('is used again once it has started again', () => {
     const { directory, notices } = underTest()
     notices.recordResponse(ENDPOINT, responseFacts({ isLeaving: true }))
