Soak: slow endpoints, long prompts beside short streams, and two checks

Nothing of the soak made endpoints uneven, or prompts long enough to pause other streams. An engine and a web server now turn slow without saying so, and callers send long prompts; the checks of callers served as before share their code. Both checks are seen failing on evidence (checks.test.ts).

--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -1,5 +1,5 @@
 /** List of all checks of the soak. */
-import { FavouredInstanceCheck, ResponseDeadlineCheck, UnexpectedEndCheck, PlannedStopCheck, RecoveryCheck, CompleteStreamCheck } from './response-checks.js'
+import { FavouredInstanceCheck, LongPromptCheck, SlowEndpointCheck, ResponseDeadlineCheck, UnexpectedEndCheck, PlannedStopCheck, RecoveryCheck, CompleteStreamCheck } from './response-checks.js'
 import { CrashBudgetCheck, FalseQuarantineCheck, PartBudgetCheck } from './crash-checks.js'
 import { AtMostOnceCheck, LeavingEndpointCheck, NotRunClaimCheck, RateLimitCheck, SingleLoadOwnerCheck, RightAdapterCheck, SlotCapacityCheck } from './endpoint-checks.js'
 import { QuotaCheck, RevokedKeyCheck, TeamOfRunCheck } from './team-checks.js'
@@ -14,5 +14,5 @@
   new AtMostOnceCheck(), new NotRunClaimCheck(), new RightAdapterCheck(), new LeavingEndpointCheck(), new SlotCapacityCheck(), new SingleLoadOwnerCheck(),
   new CrashBudgetCheck(), new FalseQuarantineCheck(), new RevokedKeyCheck(), new TeamOfRunCheck(), new QuotaCheck(),
   new RateLimitCheck(), new AddedRouteCheck(), new NewVersionCheck(), new SoftwareVersionCheck(), new ResumptionCheck(), new PartBudgetCheck(), new FavouredInstanceCheck(),
-  new RetryBoundCheck(), new BackoffCheck(), new SaidLeavingCheck()
+  new RetryBoundCheck(), new BackoffCheck(), new SaidLeavingCheck(), new SlowEndpointCheck(), new LongPromptCheck()
 ]
--- a/packages/soak/src/checks/response-checks.ts
+++ b/packages/soak/src/checks/response-checks.ts
@@ -1,5 +1,5 @@
 /** Checks of the responses that callers receive, and of instances that end unexpectedly. */
-import { FAVOURED_INSTANCE } from '../soak-record.js'
+import { FAVOURED_INSTANCE, LONG_PROMPTS, SLOW_ENDPOINT } from '../soak-record.js'
 import type { FaultSpan, ObservedRequest, SoakRecord } from '../soak-record.js'
 import { SoakCheck } from './soak-check.js'
 import type { SoakEvidence, Violation } from './soak-check.js'
@@ -76,28 +76,54 @@
   }
 }
 
-/** Checks that requests are served as before while most new connections go to one instance. Periods with other faults are left out. */
-export class FavouredInstanceCheck extends SoakCheck {
-  override readonly promise = 'favoured-instance'
+/** Checks that callers are served as before while a fault of one kind lasts. Periods with other faults are left out. */
+export abstract class ServedAsBeforeCheck extends SoakCheck {
+  /** Kind of the fault. */
+  protected abstract readonly kind: string
+  /** What happens meanwhile, for the message. */
+  protected abstract readonly period: string
   private readonly settleMilliseconds = 3_000
   private readonly minimumShare = 0.75
   private readonly minimumRequests = 20
 
   override violations ({ record }: SoakEvidence): Violation[] {
-    return record.faults.filter(({ kind }) => kind === FAVOURED_INSTANCE).flatMap((span) => this.violationsIn(record, span))
+    return record.faults.filter(({ kind }) => kind === this.kind).flatMap((span) => this.violationsIn(record, span))
   }
 
-  private violationsIn (record: SoakRecord, { from, to }: FaultSpan): Violation[] {
-    if (record.disruptionsDuring(from - this.settleMilliseconds, to, FAULT_MARGIN_MILLISECONDS).length > 0) return []
+  private violationsIn (record: SoakRecord, span: FaultSpan): Violation[] {
+    const { from, to } = span
+    const others = record.disruptionsDuring(from - this.settleMilliseconds, to, FAULT_MARGIN_MILLISECONDS).filter((fault) => fault !== span)
+    if (others.length > 0) return []
     const before = record.requests.filter(({ sentAt }) => sentAt >= from - this.settleMilliseconds && sentAt < from)
     const during = record.requests.filter(({ sentAt }) => sentAt >= from + this.settleMilliseconds && sentAt < to)
     if (before.length < this.minimumRequests || during.length < this.minimumRequests) return []
     const [shareBefore, shareDuring] = [before, during].map((requests) => requests.filter(isServed).length / requests.length) as [number, number]
     if (shareDuring >= this.minimumShare * shareBefore) return []
-    return [{ message: `${shareDuring.toFixed(2)} of ${during.length} requests were served while most connections went to one instance, ${shareBefore.toFixed(2)} before`, from, to }]
+    return [{ message: `${shareDuring.toFixed(2)} of ${during.length} requests were served while ${this.period}, ${shareBefore.toFixed(2)} before`, from, to }]
   }
 }
 
+/** Checks that callers are served as before while most new connections go to one instance. */
+export class FavouredInstanceCheck extends ServedAsBeforeCheck {
+  override readonly promise = 'favoured-instance'
+  protected override readonly kind = FAVOURED_INSTANCE
+  protected override readonly period = 'most connections went to one instance'
+}
+
+/** Checks that callers are served as before while one engine and one web server are slow. */
+export class SlowEndpointCheck extends ServedAsBeforeCheck {
+  override readonly promise = 'slow-endpoint'
+  protected override readonly kind = SLOW_ENDPOINT
+  protected override readonly period = 'an engine and a web server were slow'
+}
+
+/** Checks that callers are served as before while engines read many long prompts. */
+export class LongPromptCheck extends ServedAsBeforeCheck {
+  override readonly promise = 'long-prompts'
+  protected override readonly kind = LONG_PROMPTS
+  protected override readonly period = 'engines read long prompts'
+}
+
 /** Checks that no instance ends by itself, and that each one ends when told to. */
 export class UnexpectedEndCheck extends SoakCheck {
   override readonly promise = 'no-lost-instance'
--- a/packages/soak/src/faults/index.ts
+++ b/packages/soak/src/faults/index.ts
@@ -1,6 +1,7 @@
 /** List of all faults of the soak. */
 import { StallStoreLink, KillAllInstances, KillInstance, PauseInstance, ReloadInstance, ResetStoreLink, SilenceStoreConnections, StopInstance } from './instance-faults.js'
 import { AnnounceVersion, ChangeConfiguration, CrashEngine, FavourInstance, LeavingEngine, StoreDown, CompactStore, StoreLosesResponses, StoreSlow } from './environment-faults.js'
+import { LongPrompts, SlowEndpoint } from './load-faults.js'
 import { NameRateLimit } from './rate-limit-faults.js'
 import { CrashingPromptPart, CrashingRequest } from './request-faults.js'
 import { RequestBackoff, RefuseRequests, SayLeaving } from './statement-faults.js'
@@ -14,5 +15,6 @@
   new StoreDown(), new StoreSlow(), new StoreLosesResponses(), new CompactStore(), new CrashEngine(), new LeavingEngine(), new ChangeConfiguration(),
   new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion(),
   new RollEngines(), new ReturnWithAnotherVersion(), new CrashingPromptPart(), new FavourInstance(),
-  new RefuseRequests(), new RequestBackoff(), new SayLeaving()
+  new RefuseRequests(), new RequestBackoff(), new SayLeaving(),
+  new SlowEndpoint(), new LongPrompts()
 ]
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -15,6 +15,12 @@
 /** Kind of the fault that hands most new connections to one instance. It excuses nothing: its callers are served as before. */
 export const FAVOURED_INSTANCE = 'favoured-instance'
 
+/** Kind of the fault that makes an engine and a web server slow, which neither of them states. */
+export const SLOW_ENDPOINT = 'slow-endpoint'
+
+/** Kind of the fault in which callers send long prompts, which pause the other streams of the engines that read them. */
+export const LONG_PROMPTS = 'long-prompts'
+
 /** A route that a configuration has added. */
 export interface AddedRoute {
   readonly route: SampleRoute
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -100,11 +100,11 @@
   return { record, runs: ids.map((id, index) => run({ request: id, at: AT + 1_000 * index, promptParts: ['first', 'bad', 'own'] })) }
 }
 
-/** @returns evidence of requests before and during the time in which most connections go to one instance, some of the latter not served */
-function favoured (unserved: number): EvidenceOptions {
+/** @returns evidence of requests before and during a fault, some of the latter not served */
+function favoured (unserved: number, kind = 'favoured-instance'): EvidenceOptions {
   return {
     record: recordOf((made) => {
-      made.faults.push({ kind: 'favoured-instance', target: undefined, from: AT + 3_000, to: AT + 9_000 })
+      made.faults.push({ kind, target: undefined, from: AT + 3_000, to: AT + 9_000 })
       for (let index = 0; index < 40; index += 1) {
         made.requests.push(seen({}, {}, AT + 1_000), seen({}, index < unserved ? { status: 503, saysNotRun: true } : {}, AT + 7_000))
       }
@@ -163,6 +163,7 @@
     expect(violated(limited(11, 3_500))).toEqual([])
     expect(violated(crashingPart(11)).filter((promise) => promise === 'part-budget')).toEqual([])
     expect(violated(favoured(10)).filter((promise) => promise === 'favoured-instance')).toEqual([])
+    for (const kind of ['slow-endpoint', 'long-prompts']) expect(violated(favoured(10, kind)).filter((promise) => promise === kind)).toEqual([])
     expect([violated(retried(65)), violated(backedOff(2)), violated(saidLeaving(2_000))]).toEqual([[], [], []])
     // The limit is too new to hold yet.
     expect(violated(limited(12, 2_500))).toEqual([])
@@ -176,6 +177,8 @@
     ['more requests than an endpoint named', 'rate-limit', limited(12, 3_500)],
     ['requests with a crashing part that still reach servers', 'part-budget', crashingPart(12)],
     ['callers of a crowded instance that are not served', 'favoured-instance', favoured(11)],
+    ['callers who are not served while endpoints are slow', 'slow-endpoint', favoured(11, 'slow-endpoint')],
+    ['callers who are not served while engines read long prompts', 'long-prompts', favoured(11, 'long-prompts')],
     ['more retries than all instances may send', 'retry-bound', retried(66)],
     ['requests to an endpoint that asked to back off', 'backoff', backedOff(3)],
     ['a request to an endpoint that said that it is leaving', 'said-leaving', saidLeaving(2_001)],
