The cost of pauses moves out of the engine router

The decision on how much a prompt's pause costs the streams of an engine is pure, and the router reads the figures it needs. No change of what is chosen.

--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -3,7 +3,7 @@
  * When no engine holds the adapter, it is the engine that should load the adapter. All costs are in milliseconds of waiting; the engine
  * with the lowest cost is chosen.
  */
-import { rendezvousWeight } from '@limpetwinch/decisions'
+import { pauseCost, rendezvousWeight } from '@limpetwinch/decisions'
 import type { EngineSpeeds, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -45,26 +45,6 @@
 const COPY_GAIN_MILLISECONDS = 400
 /** Shortest interval between requests for further copies of one adapter, so that the effect of the previous copy shows before the next request. */
 const COPY_INTERVAL_MILLISECONDS = 500
-/**
- * Cost of each stream on an engine that would be paused for longer than callers accept, because the engine reads a long prompt. Each such
- * stream is late, which costs its caller as much as half a second or more of waiting would. The constant is lower than that because
- * some streams end before the pause.
- */
-const PAUSED_STREAM_MILLISECONDS = 200
-/**
- * Largest share of the longest accepted pause that reading one prompt may take. The rest is a margin, since prompts that are read at the same
- * time add to the pause. For a longer prompt, all streams on the engine count as paused for too long.
- */
-const PAUSE_SHARE = 0.9
-/**
- * Cost of each stream on an engine when reading a prompt takes less than the longest accepted pause, but may exceed that pause together with
- * a prompt that is read right before or after it. The more prompt tokens are still to be read, the likelier such a joint pause is. So the
- * constant is multiplied by the square of the share of the longest pause that all these prompts take. The constant is half of
- * {@link PAUSED_STREAM_MILLISECONDS}, since the prompts may also not be read together.
- */
-const JOINT_PAUSE_MILLISECONDS = PAUSED_STREAM_MILLISECONDS / 2
-/** A prompt whose reading takes less than this share of the longest accepted pause is read between two events, without a noticeable pause. */
-const SHORT_PROMPT_SHARE = 0.1
 /**
  * An engine is crowded when the number of its requests reaches both this multiple of the mean over the engines of its service and this share
  * of its batch slots. Below that share, batch steps are as short as on other engines. Crowding comes about when a few popular adapters
@@ -304,14 +284,10 @@
   }
 
   /** @returns the cost for the running streams of the engine when the engine reads a prompt of this many tokens now, in milliseconds of waiting */
-  private pauseCost (endpoint: Endpoint, tokens: number, gapMilliseconds: number, now: number): number {
+  private pauseCost (endpoint: Endpoint, promptTokens: number, gapMilliseconds: number, now: number): number {
     const { speeds, workTracker } = this.parts
-    const alone = speeds.prefillMilliseconds(endpoint.id, tokens) / gapMilliseconds
-    if (alone < SHORT_PROMPT_SHARE) return 0
     const { requests, prefillTokens } = workTracker.outstanding(endpoint.id, now)
-    if (alone >= PAUSE_SHARE) return requests * PAUSED_STREAM_MILLISECONDS
-    const joint = Math.min(1, speeds.prefillMilliseconds(endpoint.id, prefillTokens + tokens) / gapMilliseconds)
-    return requests * JOINT_PAUSE_MILLISECONDS * joint ** 2
+    return pauseCost({ promptTokens, gapMilliseconds, requests, prefillTokens }, (tokens) => speeds.prefillMilliseconds(endpoint.id, tokens))
   }
 
   /** @returns milliseconds until the adapter could be used on the engine, plus the cost of the load for other requests */
