Speeds of engines are measured by all instances together

Each instance of a large fleet saw so few streams of each engine that it counted slow engines like the others: in 8 s, 39 of 5,481 pairs of instance and engine had the three streams that an estimate needs. Samples now go to the load owner of the engine, which publishes the median of the latest nine (at most three of one instance) when it changes noticeably; new neighbours get what was published.

Engines are compared within their service, with the fastest tenth.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -8,6 +8,7 @@
 import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame, EndpointLeavingFrame } from './cluster-frames.js'
 import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
+import type { EngineSamplesFrame, EngineSpeedsFrame } from './speed-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
 import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame, EndpointBackoffFrame } from './limit-frames.js'
@@ -17,6 +18,7 @@
 export type * from './settings-frames.js'
 export type * from './cluster-frames.js'
 export type * from './work-frames.js'
+export type * from './speed-frames.js'
 export type * from './quarantine-frames.js'
 export type * from './limit-frames.js'
 export type * from './path-frames.js'
@@ -69,6 +71,8 @@
   | StreamOriginAnswerFrame
   | EndpointLeavingFrame
   | EndpointBackoffFrame
+  | EngineSamplesFrame
+  | EngineSpeedsFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -226,7 +226,11 @@
   'stream-origin-ask': z.object({ number: count, stream: id.optional(), service: z.string().max(400) }),
   'stream-origin-answer': z.object({ number: count, origin: streamOrigin.optional(), softwareVersions: z.array(z.string().max(200)) }),
   'endpoint-leaving': z.object({ endpoint: id, born: z.number() }),
-  'endpoint-backoff': z.object({ endpoint: id, born: z.number(), milliseconds: z.number().min(0) })
+  'endpoint-backoff': z.object({ endpoint: id, born: z.number(), milliseconds: z.number().min(0) }),
+  'engine-samples': z.object({
+    engines: z.array(z.tuple([id, count, z.array(z.number().positive()), z.array(z.number().positive())]))
+  }),
+  'engine-speeds': z.object({ speeds: z.array(z.tuple([id, count, count, z.number().min(0), z.number().min(0), count, count])) })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -47,6 +47,8 @@
   readonly accusedParts: number
   /** Number of parts of prompts with a quarantine decision, including those whose quarantine has ended. */
   readonly quarantinedParts: number
+  /** For each measured engine whose load owner is this instance: how many times slower it counts than the fastest, and on how many streams. */
+  readonly ownedEngines: readonly (readonly [endpoint: string, slowness: number, streams: number])[]
 }
 
 /** The metrics of one instance. */
@@ -87,6 +89,8 @@
       registers: [this.registry],
       collect: () => { for (const [kind, seconds] of read().stateAgeSeconds) stateAge.set({ kind }, seconds) }
     })
+    this.engineGauge('limpetwinch_engine_slowness', 'How many times slower than the fastest of its service an engine counts, at its load owner', (engine) => engine[1])
+    this.engineGauge('limpetwinch_engine_speed_streams', 'Streams on which the speed of an engine is estimated, at its load owner', (engine) => engine[2])
     this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
@@ -207,6 +211,14 @@
     }
   }
 
+  private engineGauge (name: string, help: string, value: (engine: GaugeReadings['ownedEngines'][number]) => number): void {
+    const collect = (): void => {
+      gauge.reset()
+      for (const engine of this.read().ownedEngines) gauge.set({ endpoint: engine[0] }, value(engine))
+    }
+    const gauge = new Gauge({ name, help, labelNames: ['endpoint'], registers: [this.registry], collect })
+  }
+
   private gauge (name: string, help: string, read: () => number): void {
     const gauge = new Gauge({ name, help, registers: [this.registry], collect: () => { gauge.set(read()) } })
   }
--- a/packages/ingress/src/routing/endpoint-work-tracker.ts
+++ b/packages/ingress/src/routing/endpoint-work-tracker.ts
@@ -131,6 +131,13 @@
     return (this.own.get(endpoint)?.running.get(key) ?? 0) + (this.peerTotals.get(endpoint)?.running.get(key) ?? 0)
   }
 
+  /** @returns the age of the oldest report of a peer that counts, milliseconds; 0 without reports */
+  oldestReportMilliseconds (now: number): number {
+    this.dropExpiredReports(now)
+    const [oldest] = this.peers.values()
+    return oldest === undefined ? 0 : now - oldest.receivedAt
+  }
+
   /** @returns the number of adapters that requests of any instance use on the endpoint now */
   adaptersInUse (endpoint: EndpointId, now: number): number {
     this.dropExpiredReports(now)
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -5,6 +5,7 @@
 import { STATE_KINDS } from '../cluster-state/state-freshness.js'
 import type { StateFreshness } from '../cluster-state/state-freshness.js'
 import type { StoreHealth } from '../cluster-state/store-health.js'
+import type { EngineFigures } from '../engine-figures/engine-figures.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { MemberList } from '../members/member-list.js'
 import type { GaugeReadings } from '../observability/ingress-metrics.js'
@@ -33,11 +34,12 @@
   readonly overlay: PeerOverlay
   readonly network: PeerLinks
   readonly quarantine: RequestQuarantine
+  readonly figures: EngineFigures
 }
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine } = sources
+  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
@@ -58,6 +60,7 @@
     accusedRequests: quarantine.counts.implicated,
     quarantinedRequests: quarantine.counts.verdicts,
     accusedParts: quarantine.partCounts.implicated,
-    quarantinedParts: quarantine.partCounts.verdicts
+    quarantinedParts: quarantine.partCounts.verdicts,
+    ownedEngines: figures.ownedEngines()
   }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,6 +1,6 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, InstanceId, LineSink, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LineSink, Logger } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -16,6 +16,8 @@
 import { StateFreshness } from '../cluster-state/state-freshness.js'
 import { ClusterView } from '../cluster-state/cluster-view.js'
 import { StoreHealth } from '../cluster-state/store-health.js'
+import { createEngineFigures } from '../engine-figures/create-engine-figures.js'
+import type { EngineFigures } from '../engine-figures/engine-figures.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import { LeavingNotices } from '../endpoints/leaving-notices.js'
 import { MemberList } from '../members/member-list.js'
@@ -40,7 +42,6 @@
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
-import { WorkDigests } from '../routing/work-digests.js'
 import { Teams } from '../teams/teams.js'
 import type { IngressPlatform } from './ingress-platform.js'
 import type { IngressSettings } from './ingress-settings.js'
@@ -94,7 +95,7 @@
   private readonly locations = new AdapterLocations()
   private readonly storeLimiter = new WeightStoreLimiter(() => this.engines.engineCount)
   private readonly workTracker = new EndpointWorkTracker()
-  private readonly speeds = new EngineSpeeds()
+  private readonly speeds = new EngineSpeeds((endpoint) => this.directory.find(endpoint as EndpointId)?.service ?? '')
   private readonly forecast = new FirstEventForecast(this.speeds)
   private readonly prefixCache = new PrefixCacheEstimate()
   private readonly ejection = createEjection()
@@ -103,7 +104,7 @@
   private readonly budgets: RetryBudgets
   private readonly leavingNotices: LeavingNotices
   private readonly heldNotices: HeldAdapterNotices
-  private readonly digests: WorkDigests
+  private readonly figures: EngineFigures
   private readonly loadOwnership: LoadOwnership
   private readonly engineFinder: EngineFinder
   private readonly messaging: PeerMessaging
@@ -143,7 +144,7 @@
     this.freshness = new StateFreshness(freshnessLimits(settings), this.clock, logger.part('state'))
     this.configuration = new AcceptedConfiguration(logger.part('configuration'), () => this.freshness.ageMilliseconds('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
-    const { clock, directory, members, overlay, metrics } = this
+    const { clock, directory, members, overlay, metrics, speeds, workTracker } = this
     this.leavingNotices = new LeavingNotices({ self: this.instance, directory, broadcast: (frame) => overlay.broadcast(frame) })
     this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics, isBackingOff: (endpoint) => this.rateLimiter.backoffs.isBackingOff(endpoint) })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
@@ -179,7 +180,7 @@
       areMembersKnown
     })
     this.heldNotices = new HeldAdapterNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
-    this.digests = new WorkDigests(this.overlay, this.workTracker, () => this.members.count, this.clock)
+    this.figures = createEngineFigures({ self: this.instance, clock, logger: logger.part('engines'), directory, overlay, speeds, workTracker, members, loadOwnership: () => this.loadOwnership })
     this.loadOwnership = this.createLoadOwnership()
     const router = new EngineRouter({
       directory: this.directory,
@@ -205,10 +206,8 @@
       requestLoad: (to, frame) => this.overlay.notify(to, frame),
       leastVersion: (facts, now) => facts.adapter === undefined ? 0 : this.versions.minimumUsable(facts.adapter.key, now)
     })
-    const { network, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder } = this
-    this.messaging = new PeerMessaging({
-      self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics
-    })
+    const { network, locations, heldNotices, loadOwnership, engineFinder, figures: { digests } } = this
+    this.messaging = new PeerMessaging({ self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics })
     this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
     this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
     this.senders = this.createSenders()
@@ -254,7 +253,7 @@
     void supervisor.start('load duty', async (signal) => { await this.loadOwnership.run(signal) })
     void supervisor.start('quarantine', async (signal) => { await this.quarantine.run(signal) })
     void supervisor.start('beliefs', async (signal) => { await this.exchange.run(signal) })
-    void supervisor.start('digests', async (signal) => { await this.digests.run(signal) })
+    void supervisor.start('engine figures', async (signal) => { await this.figures.run(signal) })
     this.paths.start(supervisor)
     void supervisor.start('teams', async (signal) => { await this.teams.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.runHousekeeping(signal) })
@@ -383,6 +382,7 @@
     this.locations.inFlight.onCompleted((load) => this.storeLimiter.completed(load))
     this.versions.onNewVersion((key, version) => this.loadOwnership.versionAnnounced(key, version))
     this.messaging.connect()
+    this.figures.connect(this.network)
     this.rateLimiter.connect(this.network, this.overlay)
     this.rateLimiter.backoffs.connect((endpoint) => this.paths.server.carriedFor(endpoint))
     this.leavingNotices.connect(this.network, this.overlay)
@@ -430,7 +430,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine } = this
-    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine }
+    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = this
+    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine, figures }
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -105,7 +105,7 @@
     const clock = new SystemClock()
     const { directory, locations } = this
     const logger = recordingLogger(this.lines)
-    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, rememberedStreams: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, accusedParts: 0, quarantinedParts: 0, configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
+    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, rememberedStreams: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, accusedParts: 0, quarantinedParts: 0, ownedEngines: [], configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
