Spacing of events is reported after six gaps, not at the end of the stream

A stream of 36 events told of its engine more than a second after it began, and samples then waited up to 200 ms; in the first seconds of a load all engines counted alike for that long. A second estimate follows after 24 gaps.

--- a/packages/decisions/test/engine-speeds.test.ts
+++ b/packages/decisions/test/engine-speeds.test.ts
@@ -40,6 +40,24 @@
   })
 })
 
+describe('the speeds that all instances have measured', () => {
+  it('take precedence over those of this instance, until they are unknown', () => {
+    const speeds = new EngineSpeeds()
+    for (const engine of ['fast', 'slow']) for (let stream = 0; stream < 3; stream += 1) speeds.recordEventSpacing(engine, 28)
+    speeds.setShared('slow', { spacingMilliseconds: 42, prefillTokensPerMillisecond: 20 })
+    const shared = [speeds.slowness('slow'), speeds.prefillMilliseconds('fast', 3_000), speeds.prefillMilliseconds('slow', 3_000)]
+    speeds.setShared('slow', undefined)
+    expect([shared, speeds.slowness('slow')]).toEqual([[1.5, 100, 150], 1])
+  })
+
+  // Two services may run models of different sizes. An engine of the larger model is not slow.
+  it('are compared within a service only', () => {
+    const speeds = new EngineSpeeds((endpoint) => endpoint.slice(0, 1))
+    for (const [engine, spacingMilliseconds] of [['a1', 20], ['b1', 60], ['b2', 90]] as const) speeds.setShared(engine, { spacingMilliseconds, prefillTokensPerMillisecond: undefined })
+    expect(['a1', 'b1', 'b2'].map((engine) => speeds.slowness(engine))).toEqual([1, 1, 1.5])
+  })
+})
+
 describe('the event spacing of a stream', () => {
   it('excludes pauses for the prefill of other prompts and events that arrive together', () => {
     const spacing = new EventSpacing()
@@ -47,6 +65,14 @@
     expect(spacing.milliseconds).toBe(28)
   })
 
+  it('is reported while the stream runs, as soon as there are enough gaps', () => {
+    const reported: number[] = []
+    const spacing = new EventSpacing()
+    spacing.onEstimate((milliseconds) => reported.push(milliseconds))
+    for (let gap = 0; gap < 40; gap += 1) spacing.recordGap(gap < 6 ? 30 : 28)
+    expect(reported).toEqual([30, 28])
+  })
+
   it('is undefined after only a few events', () => {
     const spacing = new EventSpacing()
     for (const gap of [28, 28, 28]) spacing.recordGap(gap)
--- a/packages/ingress/src/engine-figures/engine-figures.ts
+++ b/packages/ingress/src/engine-figures/engine-figures.ts
@@ -16,7 +16,7 @@
 import { SpeedSamples } from './speed-samples.js'
 
 /** Interval at which samples are sent and estimates published. */
-const FLUSH_MILLISECONDS = 200
+const FLUSH_MILLISECONDS = 100
 /**
  * Least publication interval for each instance of the fleet. It bounds the frames with estimates that each instance receives to 200 a second
  * when all load owners publish at every opportunity.
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -227,6 +227,7 @@
       forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.recordPrompt(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
     })
+    stream.spacing.onEstimate((milliseconds) => speeds.recordEventSpacing(endpoint.id, milliseconds))
     const options = {
       endpoint,
       lastEventId: progress.lastEventId,
@@ -239,7 +240,6 @@
     const result = await stream.run((sink) => senders.send(request, options, sink))
     if (result.kind !== 'not-sent') this.wasSent = true
     ticket.ended()
-    if (stream.spacing.milliseconds !== undefined) speeds.recordEventSpacing(endpoint.id, stream.spacing.milliseconds)
     const replacement = await failover.end()
     if (replacement !== undefined) this.left = endpoint.id
     return { result, replacement }
