Calls to the store and to engines are bounded in interim responses, held bytes and time

A store or an engine that answers with bytes without an end (interim responses, header lines, trailers, chunk extensions, a body) could hold 64 MB for each of 12 calls, a watch for its whole wait, and a call could read interim responses until its timeout.

--- a/packages/core/src/platform/store-connection.ts
+++ b/packages/core/src/platform/store-connection.ts
@@ -3,11 +3,18 @@
  * call may have taken effect.
  */
 import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
 import { LimpetwinchError } from '../errors/limpetwinch-error.js'
-import { readBoundedBytes } from '../http/bounded-text.js'
+import { boundedCall } from '../http/bounded-call.js'
+import { OversizedResponseError, readBoundedBytes } from '../http/bounded-text.js'
 
 /** Default maximum size of a response body in bytes (64 MiB), large enough for a list of all objects of a deployment. */
 const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+/**
+ * Time from the first byte of a response body to its last, in milliseconds. A watch may wait for long, but once its response has begun, one that
+ * never ends would hold back the state that it brings.
+ */
+const BODY_MILLISECONDS = 2_000
 /** Statuses by which a store says that it did not carry out a write: it was too large, over the rate limit, or sent during an outage. */
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([413, 429, 503])
 
@@ -39,6 +46,8 @@
   readonly connectMilliseconds?: number
   /** Maximum size of a response body in bytes. */
   readonly maximumAnswerBytes?: number
+  /** Maximum size of all response bodies that are being read at one time, in bytes; that of one body by default. */
+  readonly maximumHeldBytes?: number
 }
 
 /** The connections to one store. */
@@ -49,6 +58,9 @@
   /** Agents that were replaced and whose last calls are still under way. */
   private readonly replaced = new Set<Agent>()
   private readonly maximumAnswerBytes: number
+  private readonly maximumHeldBytes: number
+  /** Bytes of the response bodies that are being read. */
+  private heldBytes = 0
 
   /**
    * @param base - the base URL of the store
@@ -58,6 +70,7 @@
     this.base = base
     this.options = options
     this.maximumAnswerBytes = options.maximumAnswerBytes ?? MAXIMUM_ANSWER_BYTES
+    this.maximumHeldBytes = options.maximumHeldBytes ?? this.maximumAnswerBytes
     this.agent = createAgent(options)
   }
 
@@ -79,19 +92,35 @@
   }
 
   private async sendOnce (call: StoreCall): Promise<StoreAnswer> {
-    const timeout = AbortSignal.timeout(call.milliseconds)
-    const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
     const response = await request(this.base + call.target, {
       method: call.method,
       dispatcher: this.agent,
-      signal,
+      ...boundedCall(call.milliseconds, call.signal),
       ...(call.body === undefined ? {} : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } })
     })
     // Invalid UTF-8 is replaced and not rejected, so that one object with invalid bytes does not hide all other objects of a list.
-    const text = (await readBoundedBytes(response.body, this.maximumAnswerBytes)).toString('utf8')
+    const text = (await readBoundedBytes(this.counted(response.body), this.maximumAnswerBytes)).toString('utf8')
     return { status: response.statusCode, body: parseJson(text) }
   }
 
+  /** @returns the chunks of a body, which count as held until all of them have been read */
+  private async * counted (body: Dispatcher.ResponseData['body']): AsyncGenerator<Buffer> {
+    let bytes = 0
+    let timer: NodeJS.Timeout | undefined
+    try {
+      for await (const chunk of body as AsyncIterable<Buffer>) {
+        timer ??= setTimeout(() => { body.destroy(new Error('the body of the answer did not end in time')) }, BODY_MILLISECONDS)
+        bytes += chunk.length
+        this.heldBytes += chunk.length
+        if (this.heldBytes > this.maximumHeldBytes) throw new OversizedResponseError(this.maximumHeldBytes)
+        yield chunk
+      }
+    } finally {
+      clearTimeout(timer)
+      this.heldBytes -= bytes
+    }
+  }
+
   /** Sends further calls on new connections. Calls that are under way end on theirs, which are closed afterwards. */
   renew (): void {
     const { agent } = this
