An endpoint whose responses have no end is out of use at all instances after three of them

Each instance learnt for itself, over two failures, and tried again alone, so one such endpoint of six kept getting requests of all instances. Now each response without an end, also to an order, is told to all; three within 30 s put the endpoint out of use everywhere; one instance in turn tries it with one request at a time, and after three whole answers it gets its share back over 4 s. Tests: fleet-ejection, unbounded-responses (ingress, and with processes in platform/test).

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -10,6 +10,7 @@
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
 import type { EngineSamplesFrame, EngineSpeedsFrame } from './speed-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
+import type { UnboundedResponseFrame } from './response-frames.js'
 import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame, EndpointBackoffFrame } from './limit-frames.js'
 
@@ -23,6 +24,7 @@
 export type * from './limit-frames.js'
 export type * from './path-frames.js'
 export type * from './stream-frames.js'
+export type * from './response-frames.js'
 
 /** Any frame between peers. */
 export type PeerFrame =
@@ -73,6 +75,7 @@
   | EndpointBackoffFrame
   | EngineSamplesFrame
   | EngineSpeedsFrame
+  | UnboundedResponseFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,8 @@
  */
 export * from './routing/routing-policy.js'
 export * from './responses/response-progress-meter.js'
+export * from './routing/endpoint-hold.js'
+export * from './routing/fleet-ejection.js'
 export * from './routing/outlier-ejection.js'
 export * from './routing/error-rates.js'
 export * from './routing/engine-speeds.js'
--- a/packages/decisions/src/routing/outlier-ejection.ts
+++ b/packages/decisions/src/routing/outlier-ejection.ts
@@ -1,5 +1,6 @@
 /** Outlier ejection: keeps requests away from endpoints that fail repeatedly. */
 import type { EndpointId } from '@limpetwinch/core'
+import type { EndpointHold } from './endpoint-hold.js'
 
 /** Thresholds and durations of {@link OutlierEjection}. */
 export interface OutlierEjectionOptions {
@@ -33,6 +34,7 @@
   private readonly longestEjectionMilliseconds: number
   private readonly minimumUsableShare: number
   private readonly recoveryMilliseconds: number
+  private hold: EndpointHold | undefined
 
   constructor (options: OutlierEjectionOptions = {}) {
     this.failuresToEject = options.failuresToEject ?? 3
@@ -42,6 +44,11 @@
     this.recoveryMilliseconds = options.recoveryMilliseconds ?? 10_000
   }
 
+  /** Ejects endpoints also while a hold keeps them from requests. */
+  holdWith (hold: EndpointHold): void {
+    this.hold = hold
+  }
+
   /** Records the result of an attempt. */
   observe (endpoint: EndpointId, result: 'answered' | 'failed', now: number): void {
     const record = this.records.get(endpoint)
@@ -83,7 +90,7 @@
    * @returns the candidates that are not ejected, plus ejected ones up to the minimum fraction
    */
   usable<Item extends { readonly endpoint: EndpointId }> (endpoints: readonly Item[], now: number): readonly Item[] {
-    if (this.records.size === 0) return endpoints
+    if (this.records.size === 0 && this.hold?.isEmpty !== false) return endpoints
     const available = endpoints.filter((item) => !this.isEjected(item.endpoint, now))
     const minimum = Math.ceil(endpoints.length * this.minimumUsableShare)
     if (available.length >= minimum) return available
@@ -99,7 +106,7 @@
 
   /** @returns whether the endpoint is ejected at this time */
   isEjected (endpoint: EndpointId, now: number): boolean {
-    return this.ejectedUntil(endpoint) > now
+    return (this.records.get(endpoint)?.ejectedUntil ?? -Infinity) > now || this.hold?.isHeld(endpoint, now) === true
   }
 
   /**
@@ -107,13 +114,14 @@
    *   the recovery time
    */
   penalty (endpoint: EndpointId, now: number): number {
+    const held = this.hold?.penalty(endpoint, now) ?? 0
     const record = this.records.get(endpoint)
-    if (record === undefined) return 0
+    if (record === undefined) return held
     const since = now - Math.max(record.lastFailureAt, record.ejectedUntil)
-    return Math.max(0, Math.min(1, 1 - since / this.recoveryMilliseconds))
+    return Math.max(held, Math.min(1, 1 - since / this.recoveryMilliseconds))
   }
 
   private ejectedUntil (endpoint: EndpointId): number {
-    return this.records.get(endpoint)?.ejectedUntil ?? -Infinity
+    return Math.max(this.records.get(endpoint)?.ejectedUntil ?? -Infinity, this.hold?.heldUntil(endpoint) ?? -Infinity)
   }
 }
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -230,7 +230,14 @@
   'engine-samples': z.object({
     engines: z.array(z.tuple([id, count, z.array(z.number().positive()), z.array(z.number().positive())]))
   }),
-  'engine-speeds': z.object({ speeds: z.array(z.tuple([id, count, count, z.number().min(0), z.number().min(0), count, count])) })
+  'engine-speeds': z.object({ speeds: z.array(z.tuple([id, count, count, z.number().min(0), z.number().min(0), count, count])) }),
+  'unbounded-response': z.object({
+    endpoint: id,
+    born: z.number(),
+    state: z.enum(['failed', 'out', 'restored']),
+    ejections: count.optional(),
+    milliseconds: z.number().min(0).optional()
+  })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/adapters/create-load-ownership.ts
+++ b/packages/ingress/src/adapters/create-load-ownership.ts
@@ -11,6 +11,8 @@
 import type { EndpointSenders } from '../relay/endpoint-senders.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
 import type { IngressSettings } from '../runtime/ingress-settings.js'
+import { ReportingEngineControl } from '../unbounded-responses/reporting-engine-control.js'
+import type { UnboundedResponses } from '../unbounded-responses/unbounded-responses.js'
 import type { AdapterLocations } from './adapter-locations.js'
 import type { EngineControl } from './engine-control.js'
 import type { EngineInventory } from './engine-inventory.js'
@@ -28,6 +30,7 @@
   readonly settings: Pick<IngressSettings, 'leaseMilliseconds' | 'fencedEndpoints'>
   readonly store: DeletingObjectStore
   readonly control: EngineControl
+  readonly unbounded: Pick<UnboundedResponses, 'recordFailure'>
   readonly health: StoreHealth
   readonly members: MemberList
   readonly directory: EndpointDirectory
@@ -53,7 +56,7 @@
   const isBackingOff = (endpoint: EndpointId): boolean => rateLimiter.backoffs.isBackingOff(endpoint)
   const dependencies = { store, health, clock, logger, members, directory, configuration, leaseMilliseconds, fencedEndpoints, reachesService, isBackingOff }
   return new LoadOwnership(dependencies, {
-    control: components.control,
+    control: new ReportingEngineControl(components.control, components.unbounded, directory),
     clock,
     logger,
     locations,
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -16,6 +16,8 @@
   readonly storeSilenceSeconds: number
   readonly members: number
   readonly servableEndpoints: number
+  /** Number of endpoints that are out of use since their responses have no end, or are tried again. */
+  readonly unboundedEndpoints?: number | undefined
   /** Number of endpoints that name a rate limit. */
   readonly rateLimitedEndpoints: number
   /** Number of endpoints to which the own path is lost. */
@@ -60,6 +62,7 @@
   private readonly storeCalls = this.counter('limpetwinch_store_calls_total', 'Calls to the platform store', ['kind', 'outcome'])
   private readonly adapterNotices = this.counter('limpetwinch_adapter_notices_total', 'Statements on held adapters, sent or taken', ['direction'])
   private readonly ejections = this.counter('limpetwinch_ejections_total', 'Endpoints that were kept from new work after failures', [])
+  private readonly unbounded = this.counter('limpetwinch_unbounded_responses_total', 'Responses without an end, by what had no end and by what they answered', ['kind', 'source'])
   private readonly crashes = this.counter('limpetwinch_endpoint_crashes_total', 'Endpoints that crashed under requests of this instance, by service', ['service'])
   private readonly suspicions = this.counter('limpetwinch_quarantine_total', 'Suspected requests by what was done', ['action'])
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
@@ -94,6 +97,7 @@
     this.gauge('limpetwinch_store_silence_seconds', 'Since the last answer of the store', () => read().storeSilenceSeconds)
     this.gauge('limpetwinch_members', 'Instances written down in the store', () => read().members)
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
+    this.gauge('limpetwinch_unbounded_endpoints', 'Endpoints out of use, or tried, since their responses have no end', () => read().unboundedEndpoints ?? 0)
     this.gauge('limpetwinch_rate_limited_endpoints', 'Endpoints that name a rate limit', () => read().rateLimitedEndpoints)
     this.gauge('limpetwinch_lost_paths', 'Endpoints that this instance reaches through other instances only', () => read().lostPaths)
     this.gauge('limpetwinch_remembered_streams', 'Streams of which this instance remembers where they began', () => read().rememberedStreams)
@@ -109,6 +113,11 @@
     this.gauge('limpetwinch_overlay_leaves', 'Leaves attached to this hub', () => read().leaves)
   }
 
+  /** Counts a response without an end. */
+  unboundedResponse (kind: string, source: string): void {
+    this.unbounded.inc({ kind, source })
+  }
+
   /** Counts a finished request and records how long it took. */
   requestEnded (route: string, outcome: string, reason: string, milliseconds: number): void {
     const label = this.bounded(route)
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -13,6 +13,7 @@
 import type { EndpointBackoffs } from '../rate-limits/endpoint-backoffs.js'
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint, Route } from '../routes/configuration.js'
+import type { UnboundedResponses } from '../unbounded-responses/unbounded-responses.js'
 import { Attempt } from './attempt.js'
 import type { AttemptEnd, AttemptSink } from './attempt.js'
 import { EndpointConnections } from './endpoint-connections.js'
@@ -70,6 +71,7 @@
   readonly brittle: BrittleEndpoints
   readonly backoffs: EndpointBackoffs
   readonly leaving: Pick<LeavingNotices, 'recordResponse'>
+  readonly unbounded: Pick<UnboundedResponses, 'begin'>
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
 }
@@ -136,6 +138,7 @@
       quarantine.answering(request, quarantine.answerTime.now() - answerBeganAt)
     }
     const unanswered = this.unanswered.begin(options.endpoint.id, sentAt)
+    const followed = this.parts.unbounded.begin(options.endpoint, () => attempt.failIfFiller())
     const ended = attempt.run({
       requestId: request.facts.requestId,
       method: request.method,
@@ -144,6 +147,7 @@
       body: request.body
     }, contact.through(this.readStatements(options.endpoint, connection, sentAt, sink, followAnswer))).then((end) => {
       unanswered.ended()
+      followed.ended(end.kind === 'whole' && attempt.wasServed, attempt.unboundedKind)
       if (end.kind === 'whole' && attempt.wasServed) brittle.recordDuration(options.endpoint.id, clock.now() - sentAt)
       request.signal.removeEventListener('abort', onAbort)
       pool.release(connection, end.kind === 'whole' && attempt.reusable, clock.now())
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -15,10 +15,12 @@
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
+import type { UnboundedResponses } from '../unbounded-responses/unbounded-responses.js'
 import type { Teams } from '../teams/teams.js'
 
 /** The components that the gauges describe. */
 export interface GaugeSources {
+  readonly unbounded: Pick<UnboundedResponses, 'ejectedCount'>
   readonly teams: Teams
   readonly configuration: AcceptedConfiguration
   readonly health: StoreHealth
@@ -39,7 +41,7 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = sources
+  const { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
@@ -47,6 +49,7 @@
     storeSilenceSeconds: health.millisecondsSinceAnswer(clock.now()) / 1_000,
     members: members.live().length,
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
+    unboundedEndpoints: unbounded.ejectedCount,
     rateLimitedEndpoints: rateLimiter.limits.count,
     lostPaths: paths.paths.lostCount,
     rememberedStreams: origins.count,
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -19,7 +19,7 @@
 import { createEngineFigures } from '../engine-figures/create-engine-figures.js'
 import type { EngineFigures } from '../engine-figures/engine-figures.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import { LeavingNotices } from '../endpoints/leaving-notices.js'
+import { createEndpointNotices } from '../endpoints/create-endpoint-notices.js'
 import { MemberList } from '../members/member-list.js'
 import { IngressMetrics } from '../observability/ingress-metrics.js'
 import { PeerOverlay } from '../overlay/peer-overlay.js'
@@ -102,7 +102,7 @@
   private readonly errors = new ErrorRates()
   private readonly rateLimiter: EndpointRateLimiter
   private readonly budgets: RetryBudgets
-  private readonly leavingNotices: LeavingNotices
+  private readonly endpointNotices: ReturnType<typeof createEndpointNotices>
   private readonly heldNotices: HeldAdapterNotices
   private readonly figures: EngineFigures
   private readonly loadOwnership: LoadOwnership
@@ -145,7 +145,7 @@
     this.configuration = new AcceptedConfiguration(logger.part('configuration'), () => this.freshness.ageMilliseconds('configuration'))
     this.directory = new EndpointDirectory(logger.part('endpoints'))
     const { clock, directory, members, overlay, metrics, speeds, workTracker } = this
-    this.leavingNotices = new LeavingNotices({ self: this.instance, directory, broadcast: (frame) => overlay.broadcast(frame) })
+    this.endpointNotices = createEndpointNotices({ clock, logger, directory, members, overlay, metrics, ejection: this.ejection })
     this.paths = new InstancePaths({ self: this.instance, clock, logger: logger.part('paths'), directory, members, overlay, metrics, isBackingOff: (endpoint) => this.rateLimiter.backoffs.isBackingOff(endpoint) })
     this.engines = new EngineInventory(this.directory, this.configuration, this.workTracker, this.clock)
     this.versions = new AdapterVersions(logger.part('versions'), settings.newVersionMilliseconds)
@@ -316,7 +316,7 @@
       logger: logger.part('loads'),
       settings,
       store: this.platform.store,
-      control: this.platform.control,
+      control: this.platform.control, ...this.endpointNotices,
       health,
       members,
       directory,
@@ -346,7 +346,7 @@
       rateLimits: this.rateLimiter.limits,
       brittle: this.rateLimiter.brittle,
       backoffs: this.rateLimiter.backoffs,
-      leaving: this.leavingNotices,
+      ...this.endpointNotices,
       dialler: paths.dialler,
       paths: paths.paths
     })
@@ -385,7 +385,7 @@
     this.figures.connect(this.network)
     this.rateLimiter.connect(this.network, this.overlay)
     this.rateLimiter.backoffs.connect((endpoint) => this.paths.server.carriedFor(endpoint))
-    this.leavingNotices.connect(this.network, this.overlay)
+    this.endpointNotices.connect(this.network)
     this.teams.connect()
     this.paths.connect(this.network, this.senders)
   }
@@ -430,7 +430,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = this
-    return { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine, figures }
+    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures, endpointNotices: { unbounded } } = this
+    return { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine, figures }
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -129,7 +129,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), unbounded: { begin: () => ({ ended: () => {} }) }, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
