--- a/packages/soak/src/faults/index.ts
+++ b/packages/soak/src/faults/index.ts
@@ -7,6 +7,7 @@
 import { RequestBackoff, RefuseRequests, SayLeaving } from './statement-faults.js'
 import { FloodQuota, RevokeKey } from './team-faults.js'
 import { ReturnWithAnotherVersion, RollEngines } from './version-faults.js'
+import { AnswerWithoutEnd } from './unbounded-faults.js'
 import type { SoakFault } from './soak-fault.js'
 
 /** One fault of each kind. Append only: which faults a seed selects depends on the order of this list. */
@@ -16,5 +17,5 @@
   new CrashingRequest(), new RevokeKey(), new FloodQuota(), new NameRateLimit(), new SilenceStoreConnections(), new AnnounceVersion(),
   new RollEngines(), new ReturnWithAnotherVersion(), new CrashingPromptPart(), new FavourInstance(),
   new RefuseRequests(), new RequestBackoff(), new SayLeaving(),
-  new SlowEndpoint(), new LongPrompts()
+  new SlowEndpoint(), new LongPrompts(), new AnswerWithoutEnd()
 ]
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -14,6 +14,8 @@
 
 /** Kind of the fault that hands most new connections to one instance. It excuses nothing: its callers are served as before. */
 export const FAVOURED_INSTANCE = 'favoured-instance'
+/** Kind of the fault in which an endpoint answers with bytes without an end. */
+export const UNBOUNDED_ANSWERS = 'answer-without-end'
 
 /** Kind of the fault that makes an engine and a web server slow, which neither of them states. */
 export const SLOW_ENDPOINT = 'slow-endpoint'
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -145,7 +145,18 @@
 }
 
 function arrival (request: string, at: number, change: Partial<StandInArrival> = {}): StandInArrival {
-  return { request, at, saidLeaving: false, askedBackoffSeconds: undefined, ...change }
+  return { request, at, saidLeaving: false, isEndless: false, askedBackoffSeconds: undefined, ...change }
+}
+
+/** @returns evidence of an endpoint that answered without an end three times, and so many times some time later */
+function endless (later: number, kind = 'any'): EvidenceOptions {
+  const at = [0, 10, 20, ...Array.from({ length: later }, () => 3_100)]
+  return {
+    record: recordOf((made) => {
+      made.faults.push({ kind: 'answer-without-end', target: 'engine', from: AT, to: AT + 5_000 }, { kind, target: 'one', from: AT, to: AT + 100 })
+    }),
+    arrivals: at.map((each, index) => arrival(`r${index}`, AT + each, { isEndless: true }))
+  }
 }
 
 const EVENTS = [{ id: 1, adapter: 'a1', version: 1, softwareVersion: 'v1' }, { id: 2, adapter: 'a1', version: 1, softwareVersion: 'v1' }]
@@ -165,6 +176,7 @@
     expect(violated(favoured(10)).filter((promise) => promise === 'favoured-instance')).toEqual([])
     for (const kind of ['slow-endpoint', 'long-prompts']) expect(violated(favoured(10, kind)).filter((promise) => promise === kind)).toEqual([])
     expect([violated(retried(65)), violated(backedOff(2)), violated(saidLeaving(2_000))]).toEqual([[], [], []])
+    expect([violated(endless(4)), violated(endless(5, 'kill-instance'))]).toEqual([[], []])
     // The limit is too new to hold yet.
     expect(violated(limited(12, 2_500))).toEqual([])
   })
@@ -182,6 +194,7 @@
     ['more retries than all instances may send', 'retry-bound', retried(66)],
     ['requests to an endpoint that asked to back off', 'backoff', backedOff(3)],
     ['a request to an endpoint that said that it is leaving', 'said-leaving', saidLeaving(2_001)],
+    ['requests to an endpoint whose answers have no end', 'unbounded-answers', endless(5)],
     ['an event that is missing', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, id: 3 }] })],
     ['an event that is received twice', 'whole-answer', stream({ events: [EVENTS[0]!, EVENTS[0]!] })],
     ['an event of another adapter', 'whole-answer', stream({ events: [EVENTS[0]!, { ...EVENTS[1]!, adapter: 'a2' }] })],
