--- a/packages/soak/test/soak.failure.test.ts
+++ b/packages/soak/test/soak.failure.test.ts
@@ -7,7 +7,7 @@
 const USUAL_RUN = { seconds: 15, size: { instances: 3, engines: 4, webServers: 2, adapterSlots: 4 }, faultCount: 6 }
 
 /** The faults that existed when the seeds failed: which faults a seed selects depends on this list. */
-const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part', 'favoured-instance', 'refuse-requests', 'request-backoff', 'say-leaving', 'slow-endpoint', 'long-prompts'])
+const LATER_KINDS: ReadonlySet<string> = new Set(['crashing-request', 'revoke-key', 'flood-quota', 'name-rate-limit', 'silent-connections', 'announce-version', 'roll-engines', 'return-with-another-version', 'crashing-part', 'favoured-instance', 'refuse-requests', 'request-backoff', 'say-leaving', 'slow-endpoint', 'long-prompts', 'answer-without-end'])
 const EARLIER_FAULTS = SOAK_FAULTS.filter(({ kind }) => !LATER_KINDS.has(kind))
 const TEAM_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['revoke-key', 'flood-quota', 'store-down', 'kill-instance', 'pause-instance', 'cut-from-store'].includes(kind))
 const RATE_LIMIT_FAULTS = SOAK_FAULTS.filter(({ kind }) => ['name-rate-limit', 'kill-instance', 'pause-instance', 'cut-from-store', 'crash-engine'].includes(kind))
@@ -20,7 +20,7 @@
 const PART_FAULTS = SOAK_FAULTS.filter(({ kind }) => PART_KINDS.includes(kind))
 const STATEMENT_KINDS = ['refuse-requests', 'request-backoff', 'say-leaving', 'kill-instance', 'kill-all-instances', 'stop-instance', 'pause-instance', 'cut-from-store', 'crash-engine']
 const STATEMENT_FAULTS = SOAK_FAULTS.filter(({ kind }) => STATEMENT_KINDS.includes(kind))
-const LOAD_KINDS = ['slow-endpoint', 'long-prompts', 'kill-instance', 'pause-instance']
+const LOAD_KINDS = ['slow-endpoint', 'long-prompts', 'answer-without-end', 'kill-instance', 'pause-instance']
 const LOAD_FAULTS = SOAK_FAULTS.filter(({ kind }) => LOAD_KINDS.includes(kind))
 const CRASHING_REQUESTS = SOAK_FAULTS.filter(({ kind }) => kind === 'crashing-request')
 
@@ -51,7 +51,7 @@
     { seed: 8_001, ...USUAL_RUN, size: { ...USUAL_RUN.size, engines: 6 }, faultCount: 6, faults: PART_FAULTS },
     // Endpoints refuse most requests, ask to back off and say that they are leaving, while instances are killed in series, stopped and paused.
     { seed: 9_001, ...USUAL_RUN, seconds: 20, faultCount: 12, faults: STATEMENT_FAULTS },
-    // Engines and web servers turn slow, and long prompts pause short streams, while instances are killed and paused.
+    // Engines and web servers turn slow or answer without an end, and long prompts pause short streams, while instances are killed and paused.
     { seed: 10_001, ...USUAL_RUN, seconds: 20, faultCount: 6, faults: LOAD_FAULTS }
   ])('keeps every promise with seed $seed', async (plan) => {
     const outcome = await new SoakRun({ ...plan, onLog: () => {} }).run()
