Streams whose adapter no engine holds are admitted by forecast, and loads go by urgency and share

Callers who asked for adapters for which there was no room were told so when their search had ended, after seconds, with a retry-after that did not say when there was room; an urgent request waited behind less urgent ones in the load queues, and a team that floods got most loads.

A request whose adapter no engine holds is now judged once when it arrives: the forecast over all engines says when its adapter could be used. If that is after the end of its search, or while refused callers of more urgent requests have yet to return, or if a less urgent response would be late anyway while others need the room, it is refused at once (no-room-in-time, 503, not run) with that time, and its place in the load queue is kept. Load queues go by priority, then by how much of its quota the team used over all instances (the quota owner says so in its answers), then by the weights they had. Without teams and with one priority nothing changes.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -107,6 +107,12 @@
     outcome: 'not_run',
     message: ({ adapter, reason }) => `Adapter '${adapter}' could not be made ready in time (${reason}). Retry after the time in Retry-After.`
   },
+  'no-room-in-time': {
+    title: 'There is no room for the request in time.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ adapter, reason }) => `By the forecast over all engines, adapter '${adapter}' cannot be used in time (${reason}). Retry after the time in Retry-After, when there is room.`
+  },
   'request-quarantined': {
     title: 'The request is quarantined because it, or a part of its prompt, crashes endpoints.',
     status: 429,
--- a/packages/core/src/frames/limit-frames.ts
+++ b/packages/core/src/frames/limit-frames.ts
@@ -29,6 +29,8 @@
   readonly milliseconds: number
   /** Whether the answering instance is not the quota owner of the team; it granted nothing then. */
   readonly notOwner: boolean
+  /** Tokens that the team used in the last seconds over all instances, divided by those of its quota; absent in frames of an older release. */
+  readonly usedShare?: number | undefined
 }
 
 /** What an endpoint said of its rate limit in a response, passed on to all instances. */
--- a/packages/core/src/frames/work-frames.ts
+++ b/packages/core/src/frames/work-frames.ts
@@ -39,6 +39,11 @@
   readonly waiting?: readonly string[] | undefined
   /** Expected wait of one more load for its turn, in milliseconds; absent in frames of an older release. */
   readonly waitMilliseconds?: number | undefined
+  /**
+   * The same for a load of each priority, from 0 on, in milliseconds: it goes behind the loads that are at least as urgent. Less urgent loads than
+   * those listed wait as long as the last one. Absent while no load is pending, and in frames of an older release.
+   */
+  readonly waits?: readonly number[] | undefined
 }
 
 /**
@@ -59,6 +64,8 @@
   readonly waitingAdded: readonly string[]
   readonly waitingRemoved: readonly string[]
   readonly waitMilliseconds: number
+  /** See {@link AdaptersHeldFrame.waits}. */
+  readonly waits?: readonly number[] | undefined
 }
 
 /** Asks the load owner of an endpoint to load an adapter. */
@@ -77,6 +84,15 @@
    * late already. Absent in frames of an older release.
    */
   readonly onTimeMilliseconds?: number | undefined
+  /** Priority of the waiting request, 0 being the most urgent; absent in frames of an older release, and then 0. */
+  readonly priority?: number | undefined
+  /** Recent service of the request's team over all instances, divided by its share; absent if it is not known. */
+  readonly shareUsed?: number | undefined
+  /**
+   * Time until the caller of the request, who was refused, returns as told, in milliseconds. Its place in the load queue is kept for that long.
+   * Absent for a request that waits.
+   */
+  readonly returnsInMilliseconds?: number | undefined
 }
 
 /** Tells the instance that sent a `load-ask` that the load was not ordered, so that this instance chooses another endpoint. */
--- a/packages/decisions/src/limits/quota-ledger.ts
+++ b/packages/decisions/src/limits/quota-ledger.ts
@@ -37,6 +37,8 @@
 const RESERVED_SHARE = 0.25
 /** Time in which refused tokens are forgotten, in milliseconds: callers that were refused have returned or given up by then. */
 const REFUSED_MEMORY_MILLISECONDS = 1_000
+/** Time after which a token that was used counts 1/e as much as a new one in the used share, in milliseconds. */
+const USED_MEMORY_MILLISECONDS = 3_000
 /** Lower bound of the time after which a refused caller may retry, so that no caller retries at once. */
 const MINIMUM_RETRY_MILLISECONDS = 50
 /** Upper bound of that time, which is infinite while nothing accrues. */
@@ -57,6 +59,8 @@
   private held = 0
   /** Tokens that were refused in the last moments; their callers will return and compete for the tokens that accrue. */
   private refused = 0
+  /** Tokens granted and not given back in the last seconds, decayed. */
+  private used = 0
 
   /**
    * @param quota - rate and capacity
@@ -82,10 +86,17 @@
     this.refill(now)
   }
 
+  /** @returns tokens used in the last seconds over all instances, divided by those that accrue in that time; above 1 more than the quota was used */
+  usedShare (now: number): number {
+    this.refill(now)
+    return Math.max(0, this.used) / (this.quota.tokensPerSecond * USED_MEMORY_MILLISECONDS / 1_000)
+  }
+
   /** Grants tokens to an instance. */
   answer (holder: string, ask: QuotaAsk, now: number): QuotaGrant {
     this.setHeld(holder, ask.held)
     this.available += ask.returned
+    this.used -= ask.returned
     this.refill(now)
     const granted = ask.needs.map((need, index) => this.tryTake(need, ask.floors?.[index] ?? 0))
     const refused = ask.needs.filter((_need, index) => granted[index] === false)
@@ -103,6 +114,7 @@
   private tryTake (need: number, floor: number): boolean {
     if (this.available > floor * this.quota.capacity) {
       this.available -= need
+      this.used += need
       return true
     }
     this.refused += need
@@ -114,6 +126,7 @@
     const spare = Math.min(this.available - capacity * RESERVED_SHARE, capacity * HELD_SHARE - this.held)
     const extra = Math.max(0, Math.min(wanted, spare))
     this.available -= extra
+    this.used += extra
     return extra
   }
 
@@ -135,5 +148,6 @@
     this.updatedAt = Math.max(now, this.updatedAt)
     this.available = Math.min(this.quota.capacity - this.held, this.available + elapsed * this.quota.tokensPerSecond / 1_000)
     this.refused *= Math.exp(-elapsed / REFUSED_MEMORY_MILLISECONDS)
+    this.used *= Math.exp(-elapsed / USED_MEMORY_MILLISECONDS)
   }
 }
--- a/packages/decisions/src/loads/load-queue.ts
+++ b/packages/decisions/src/loads/load-queue.ts
@@ -1,4 +1,6 @@
 /** Queue of the adapters to be loaded on one engine. It decides which adapter is loaded next. */
+import { compareClaims, MOST_URGENT_PRIORITY, strongerClaim, UNKNOWN_SHARE } from './load-claim.js'
+import type { LoadClaim } from './load-claim.js'
 
 /**
  * For each request that waits for an adapter, a load request is sent to the queue and repeated every 300 ms. A waiting request whose
@@ -38,9 +40,11 @@
 export type LoadDelayReason = 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine' | 'runs of the old version'
 
 /** A request that waits for an adapter. */
-interface WaitingRequest {
+interface WaitingRequest extends LoadClaim {
   /** Monotonic time after which the response to this request is late, milliseconds. */
   readonly onTimeUntil: number
+  /** Monotonic time at which the refused caller was told to return, milliseconds; -Infinity for a request that waits. */
+  readonly returnsAt: number
   /** Monotonic time of the latest load request for this request, milliseconds. */
   requestedAt: number
 }
@@ -51,6 +55,12 @@
   readonly request: string
   /** Time from this load request until the response is late, milliseconds; undefined if the request has no known latency objective. */
   readonly onTimeMilliseconds: number | undefined
+  /** Priority of the request, 0 being the most urgent; 0 by default. */
+  readonly priority?: number | undefined
+  /** Recent service of the request's team divided by its share; 1 is fair, and assumed by default. */
+  readonly shareUsed?: number | undefined
+  /** Time until the caller, who was refused, was told to return; undefined for a request that waits. Its place in the queue is kept until then. */
+  readonly returnsInMilliseconds?: number | undefined
 }
 
 /** Adapter that waits to be loaded. */
@@ -108,7 +118,7 @@
     }
     const known = entry.waitingRequests.get(waiting.request)
     if (known !== undefined) known.requestedAt = now
-    else entry.waitingRequests.set(waiting.request, { requestedAt: now, onTimeUntil: now + (waiting.onTimeMilliseconds ?? DEFAULT_ON_TIME_MILLISECONDS) })
+    else entry.waitingRequests.set(waiting.request, newWaitingRequest(waiting, now))
   }
 
   /** @returns the pending load of an adapter, or undefined */
@@ -129,39 +139,93 @@
   /** Removes waiting requests whose load request was not repeated in time, and pending loads that no load request asks for any more. */
   expire (now: number): void {
     for (const entry of this.entries.values()) {
-      for (const [id, request] of entry.waitingRequests) if (now - request.requestedAt > REQUEST_EXPIRY_MILLISECONDS) entry.waitingRequests.delete(id)
+      for (const [id, request] of entry.waitingRequests) if (now - lastHeardOf(request) > REQUEST_EXPIRY_MILLISECONDS) entry.waitingRequests.delete(id)
       if (entry.waitingRequests.size === 0 && now - entry.copyRequestedAt > REQUEST_EXPIRY_MILLISECONDS) this.entries.delete(entry.key)
     }
   }
 
+  /** @returns number of pending loads by the most urgent priority of the requests that wait for them, from the most urgent one on */
+  lengthsByPriority (now: number): readonly number[] {
+    const lengths: number[] = []
+    for (const entry of this.entries.values()) {
+      const { priority } = claimOf(activeRequests(entry, now, 0))
+      if (!Number.isFinite(priority)) continue
+      while (lengths.length <= priority) lengths.push(0)
+      lengths[priority] = (lengths[priority] ?? 0) + 1
+    }
+    return lengths
+  }
+
   /**
-   * Chooses the load to run next by its weight. The weight of a load rises with the number of its waiting requests, more for those that
+   * Chooses the load to run next. The load of the most urgent request goes first. Of equally urgent ones, that of the team that is furthest below
+   * its share of the service goes first. Loads that are equal in both go by their weight. The weight of a load rises with the number of its waiting requests, more for those that
    * can still be served on time, and with the time since the load was first requested. A load from the cache of the engine weighs more.
    *
    * @param isBlocked - whether an adapter cannot be loaded now
    * @param isCached - whether the engine has the adapter in its cache and loads it without the weight store
    * @param loadMilliseconds - duration of a load from the weight store, used to tell which requests can still be served on time
    * @param now - monotonic milliseconds
-   * @returns the pending load with the highest weight, or undefined when none can be loaded
+   * @returns the pending load that goes first, or undefined when none can be loaded
    */
   next (isBlocked: (key: Key) => boolean, isCached: (key: Key) => boolean, loadMilliseconds: number, now: number): PendingLoad<Key> | undefined {
-    let best: QueueEntry<Key> | undefined
-    let bestWeight = -1
+    let best: RankedEntry<Key> | undefined
     for (const entry of this.entries.values()) {
       if (isBlocked(entry.key)) continue
-      const weight = weightOf(entry, isCached(entry.key), loadMilliseconds, now)
-      if (weight <= bestWeight) continue
-      best = entry
-      bestWeight = weight
+      const ranked = rank(entry, isCached(entry.key), loadMilliseconds, now)
+      if (best === undefined || goesBefore(ranked, best)) best = ranked
     }
-    return best
+    return best?.entry
+  }
+}
+
+/** A pending load with what its place in the order depends on. */
+interface RankedEntry<Key extends string> {
+  readonly entry: QueueEntry<Key>
+  readonly claim: LoadClaim
+  readonly weight: number
+}
+
+function newWaitingRequest ({ onTimeMilliseconds, priority, shareUsed, returnsInMilliseconds }: WaitingRequestFacts, now: number): WaitingRequest {
+  // A caller that returns is judged anew from its return on.
+  const returnsAt = returnsInMilliseconds === undefined ? -Infinity : now + returnsInMilliseconds
+  return {
+    requestedAt: now,
+    returnsAt,
+    onTimeUntil: Math.max(now, returnsAt) + (onTimeMilliseconds ?? DEFAULT_ON_TIME_MILLISECONDS),
+    priority: priority ?? MOST_URGENT_PRIORITY,
+    shareUsed: shareUsed ?? UNKNOWN_SHARE
   }
 }
 
-function weightOf (entry: QueueEntry<string>, cached: boolean, loadMilliseconds: number, now: number): number {
+/** @returns time since which nothing was heard of the request; a refused caller is not expected before it was told to return */
+function lastHeardOf ({ requestedAt, returnsAt }: WaitingRequest): number {
+  return Math.max(requestedAt, returnsAt)
+}
+
+/** @returns requests that are about to use the adapter: those whose load request was repeated in time, and refused callers that return before the load is complete */
+function activeRequests (entry: QueueEntry<string>, now: number, loadMilliseconds: number): readonly WaitingRequest[] {
+  return [...entry.waitingRequests.values()].filter((request) => (
+    now - lastHeardOf(request) <= REQUEST_OVERDUE_MILLISECONDS && request.returnsAt <= now + loadMilliseconds
+  ))
+}
+
+/** @returns the claim of the request that goes first; a load for which no request is about to come goes last */
+function claimOf (requests: readonly WaitingRequest[]): LoadClaim {
+  return requests.reduce<LoadClaim>(strongerClaim, { priority: Infinity, shareUsed: Infinity })
+}
+
+function rank<Key extends string> (entry: QueueEntry<Key>, cached: boolean, loadMilliseconds: number, now: number): RankedEntry<Key> {
+  const active = activeRequests(entry, now, cached ? 0 : loadMilliseconds)
+  return { entry, claim: claimOf(active), weight: weightOf(entry, active, cached, loadMilliseconds, now) }
+}
+
+function goesBefore (one: RankedEntry<string>, other: RankedEntry<string>): boolean {
+  return (compareClaims(one.claim, other.claim) || other.weight - one.weight) < 0
+}
+
+function weightOf (entry: QueueEntry<string>, active: readonly WaitingRequest[], cached: boolean, loadMilliseconds: number, now: number): number {
   // A load that no request waits for makes another copy of an adapter, and another engine serves the requests for that adapter as well.
   if (entry.waitingRequests.size === 0) return 0
-  const active = [...entry.waitingRequests.values()].filter(({ requestedAt }) => now - requestedAt <= REQUEST_OVERDUE_MILLISECONDS)
   const weight = active.length === 0
     ? OVERDUE_WEIGHT
     : weightOfRequests(active, cached ? now : now + loadMilliseconds) + WEIGHT_PER_SECOND * (now - entry.firstRequestedAt) / 1_000
--- a/packages/decisions/src/loads/queue-pace.ts
+++ b/packages/decisions/src/loads/queue-pace.ts
@@ -39,8 +39,27 @@
 
   /** @returns expected wait of one more load behind `length` others, milliseconds */
   waitMilliseconds (length: number, now: number): number {
+    return this.waitBehind(length, length, now)
+  }
+
+  /**
+   * @param lengths - number of pending loads by priority, the most urgent first; loads for which no request is about to come are left out
+   * @param length - number of all pending loads
+   * @returns expected wait of one more load of each priority, which goes behind those that are at least as urgent, milliseconds; less urgent ones
+   *   than those listed wait as long as the last one. Empty while no load is pending
+   */
+  waitsByPriority (lengths: readonly number[], length: number, now: number): readonly number[] {
+    if (length === 0) return []
+    let ahead = 0
+    return (lengths.length === 0 ? [0] : lengths).map((atPriority) => {
+      ahead += atPriority
+      return this.waitBehind(ahead, length, now)
+    })
+  }
+
+  private waitBehind (ahead: number, length: number, now: number): number {
     if (length === 0) return 0
     const elapsed = this.waitingSince === undefined ? 0 : now - this.waitingSince
-    return length * this.interval + Math.max(0, elapsed - this.interval)
+    return ahead * this.interval + Math.max(0, elapsed - this.interval)
   }
 }
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -29,6 +29,8 @@
 
 const streamOrigin = z.tuple([id, z.string().max(400), z.string().max(200)])
 
+const waitsByPriority = z.array(z.number().min(0)).max(20).optional()
+
 const pin = { requestId: id, loadedName: z.string().max(400).optional(), team: id }
 
 /** Schemas by kind, without the field `kind`. Kinds are numbered on the wire in this order: append only. */
@@ -145,7 +147,8 @@
     held: z.array(z.tuple([z.string().max(400), count])),
     inFlight: z.array(z.string().max(400)),
     waiting: z.array(z.string().max(400)).optional(),
-    waitMilliseconds: z.number().min(0).optional()
+    waitMilliseconds: z.number().min(0).optional(),
+    waits: waitsByPriority
   }),
   'load-ask': z.object({
     endpoint: id,
@@ -153,7 +156,10 @@
     version: count,
     waiting: z.boolean(),
     request: z.string().max(200).optional(),
-    onTimeMilliseconds: z.number().optional()
+    onTimeMilliseconds: z.number().optional(),
+    priority: count.optional(),
+    shareUsed: z.number().min(0).optional(),
+    returnsInMilliseconds: z.number().min(0).max(60_000).optional()
   }),
   'load-refused': z.object({ endpoint: id, key: z.string().max(400), reason: z.string().max(200) }),
   'endpoints-leaving': z.object({ leaving: z.array(id), readMillisecondsAgo: z.number().min(0) }),
@@ -167,7 +173,8 @@
     inFlight: z.array(z.string().max(400)),
     waitingAdded: z.array(z.string().max(400)),
     waitingRemoved: z.array(z.string().max(400)),
-    waitMilliseconds: z.number().min(0)
+    waitMilliseconds: z.number().min(0),
+    waits: waitsByPriority
   }),
   'overlay-role': z.object({ role: z.enum(['hub', 'leaf']) }),
   'overlay-presence': z.object({ connected: z.array(id), leaving: z.array(id), sequence: count.optional() }),
@@ -201,7 +208,8 @@
     granted: z.array(z.boolean()),
     extra: z.number().min(0),
     milliseconds: z.number().min(0),
-    notOwner: z.boolean()
+    notOwner: z.boolean(),
+    usedShare: z.number().min(0).optional()
   }),
   'rate-limit': z.object({
     endpoint: id,
--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -22,6 +22,8 @@
   readonly waiting: ReadonlySet<string>
   /** Expected wait of one more load in the queue, milliseconds. */
   readonly waitMilliseconds: number
+  /** The same for a load of each priority, from the most urgent one on; less urgent loads wait as long as the last one. */
+  readonly waits: readonly number[]
   readonly receivedAt: number
 }
 
@@ -67,7 +69,7 @@
     const held = new Set(frame.held.map(([key]) => key))
     const isCached = (key: string): boolean => this.isCached(frame.endpoint, key as AdapterKey, 0)
     this.inFlight.replace(frame.endpoint, frame.inFlight, (key) => held.has(key), isCached, now)
-    this.loadQueues.set(frame.endpoint, { waiting: new Set(frame.waiting), waitMilliseconds: frame.waitMilliseconds ?? 0, receivedAt: now })
+    this.loadQueues.set(frame.endpoint, { waiting: new Set(frame.waiting), waitMilliseconds: frame.waitMilliseconds ?? 0, waits: frame.waits ?? [], receivedAt: now })
     return this.replace(frame.endpoint, frame.held.map(([key, version]) => ({ key: key as AdapterKey, version })))
   }
 
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -63,7 +63,7 @@
     const { queue, hidden } = this
     this.reservations = new SlotReservations(shape.adapterSlots, mostCached(shape.adapterSlots))
     this.publisher = new HeldAdapterPublisher(dependencies.clock, (now) => ({
-      endpoint, token, reservations: this.reservations, hidden, waiting: queue.keys(), waitMilliseconds: this.queuePace.waitMilliseconds(queue.length, now)
+      endpoint, token, reservations: this.reservations, hidden, waiting: queue.keys(), waitMilliseconds: this.queuePace.waitMilliseconds(queue.length, now), waits: this.queuePace.waitsByPriority(queue.lengthsByPriority(now), queue.length, now)
     }), dependencies.publish)
     this.dispatcher = new OrderDispatcher(endpoint, token, this.reservations, dependencies, () => this.showSettledAdapters())
     this.evictions = new Evictions({
--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -1,6 +1,8 @@
 /** Finds an engine for a request, and requests a load of the adapter when no engine holds it. */
 import { QueuePosition } from '@limpetwinch/decisions'
-import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger, TeamId } from '@limpetwinch/core'
+import { waitOf } from '../admission/load-forecast.js'
+import type { KeptPlace, StreamAdmission } from '../admission/stream-admission.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice, UsableQuery } from '../routing/engine-router.js'
@@ -45,6 +47,9 @@
   readonly requestLoad: (to: InstanceId, frame: LoadAskFrame) => void
   /** @returns the lowest adapter version that a new request may start on */
   readonly leastVersion: (request: RequestFacts, now: number) => number
+  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf'>
+  /** @returns recent service of a team over all instances, divided by its share; undefined if it is not known */
+  readonly shareUsed: (team: TeamId) => number | undefined
 }
 
 /** An engine that was found, and how long the search waited for it. */
@@ -56,6 +61,10 @@
 export interface EngineSearch extends EngineQuery {
   /** Priority of the request, 0 being the most urgent. */
   readonly priority: number
+  /** Team of the request; undefined when it belongs to none. */
+  readonly team: TeamId | undefined
+  /** Whether the request was sent to no engine yet, and begins a new stream, so that its caller loses nothing when it is refused at once. */
+  readonly isNew: boolean
   /** Monotonic time after which a response misses its latency objective. */
   readonly onTimeUntil: number
   /** Monotonic time at which the search times out. */
@@ -64,8 +73,14 @@
   readonly signal: AbortSignal
 }
 
+/** The engine that is asked for a load, and the cost for which it was chosen. */
+interface LoadTarget {
+  readonly endpoint: EndpointId
+  readonly costMilliseconds: number
+}
+
 /** Why a search found no engine. */
-type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'its engines have reached their rate limits' | 'its search took too long' | 'its request ended'
+type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'its engines have reached their rate limits' | 'the forecast shows no room in time' | 'its search took too long' | 'its request ended'
 
 /** Finds engines for requests. */
 export class EngineFinder {
@@ -105,6 +120,11 @@
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
       }
       if (isLate) return this.logNoEngine(search, 'its search took too long', askings, now - startedAt)
+      const kept = askings === 0 && search.isNew ? this.dependencies.admission.refuse(withExcluded(search, places.full)) : undefined
+      if (kept !== undefined) {
+        this.keepPlace(search, kept, now)
+        return this.logNoEngine(search, 'the forecast shows no room in time', askings, now - startedAt)
+      }
       const untilRoom = places.hasPlace ? undefined : this.millisecondsUntilRoom(search, now)
       if (untilRoom === undefined) {
         await this.requestLoadAndWait(search, queuePosition, places)
@@ -128,9 +148,21 @@
     return Math.min(LONGEST_RETRY_AFTER_MILLISECONDS, Math.max(SHORTEST_RETRY_AFTER_MILLISECONDS, wait)) / 1_000
   }
 
-  /** @returns the error of a request while all engines of the service have reached their rate limits; else undefined */
-  rateLimitError (service: Service, priority: number): LimpetwinchError | undefined {
-    return this.dependencies.rateLimiter.refusal(service.name, priority)
+  /** @returns the error of a request that was refused by forecast, or while all engines of its service have reached their rate limits; else undefined */
+  refusalOf ({ facts, service, priority }: Pick<EngineSearch, 'facts' | 'service' | 'priority'>): LimpetwinchError | undefined {
+    const { admission, rateLimiter } = this.dependencies
+    return admission.refusalOf(facts) ?? rateLimiter.refusal(service.name, priority)
+  }
+
+  /** Asks the load owner to keep the place of a refused request in its load queue until the caller returns. */
+  private keepPlace (search: EngineSearch, { endpoint, returnMilliseconds }: KeptPlace, now: number): void {
+    const onTimeMilliseconds = search.onTimeUntil - now
+    this.sendLoadRequest({ endpoint, costMilliseconds: returnMilliseconds }, search, { ...this.claimOf(search), onTimeMilliseconds, returnsInMilliseconds: Math.round(returnMilliseconds) }, now)
+  }
+
+  /** @returns the part of a load request that says how the waiting request is ordered among others */
+  private claimOf ({ facts, priority, team }: EngineSearch): Pick<LoadAskFrame, 'request' | 'priority' | 'shareUsed'> {
+    return { request: facts.requestId, priority, shareUsed: team === undefined ? undefined : this.dependencies.shareUsed(team) }
   }
 
   /**
@@ -176,9 +208,12 @@
     // Whole models are not loaded for one request, but an engine that holds the model may join or become available again.
     if (adapter.name === undefined) return await wait(NO_ENGINE_WAIT_MILLISECONDS)
     const { limited } = rateLimiter
-    const bias = (endpoint: EndpointId): number => (
-      queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now) + (limited.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0)
-    )
+    const bias = (endpoint: EndpointId): number => {
+      const queue = locations.line(endpoint)
+      // The router counts all pending loads; this request goes before the less urgent ones.
+      const passed = queue === undefined ? 0 : queue.waitMilliseconds - waitOf(queue, search.priority)
+      return queuePosition.bias(endpoint, queue?.receivedAt, now) + (limited.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0) - passed
+    }
     const unable = new Set([...this.recentlyRefusing(adapter.key, now), ...places.full])
     // A load on an engine that this request may not use again can only serve other requests, so such an engine is the last resort.
     const choice = router.chooseForLoad(withExcluded(search, unable), bias, now) ?? router.chooseForLoad({ ...search, excluded: unable }, bias, now)
@@ -186,7 +221,7 @@
     // An adapter that evicts another one for a request without a place in the rate limit would serve nobody.
     if (!await places.take(choice.endpoint.id)) return
     queuePosition.join(choice.endpoint.id, now)
-    this.sendLoadRequest(choice, facts, { request: facts.requestId, onTimeMilliseconds: onTimeUntil - now }, now)
+    this.sendLoadRequest(targetOf(choice), search, { ...this.claimOf(search), onTimeMilliseconds: onTimeUntil - now }, now)
     await wait(LOAD_REQUEST_INTERVAL_MILLISECONDS)
   }
 
@@ -203,23 +238,28 @@
   private requestCopy (question: EngineQuery, choice: EngineChoice, now: number): void {
     const { router, rateLimiter } = this.dependencies
     const copy = router.chooseForCopy(question, choice, rateLimiter.limited, now)
-    if (copy !== undefined) this.sendLoadRequest(copy, question.facts, undefined, now)
+    if (copy !== undefined) this.sendLoadRequest(targetOf(copy), question, undefined, now)
   }
 
   private sendLoadRequest (
-    { endpoint, costMilliseconds }: LoadChoice, facts: RequestFacts, waitingRequest: Pick<LoadAskFrame, 'request' | 'onTimeMilliseconds'> | undefined, now: number
+    { endpoint, costMilliseconds }: LoadTarget, { facts }: Pick<EngineQuery, 'facts'>, waitingRequest: Partial<LoadAskFrame> | undefined, now: number
   ): void {
-    const owner = this.dependencies.loadOwnerOf(endpoint.id)
+    const owner = this.dependencies.loadOwnerOf(endpoint)
     if (owner === undefined || facts.adapter === undefined) return
     const version = this.dependencies.leastVersion(facts, now)
     const waiting = waitingRequest !== undefined
+    const { key } = facts.adapter
     this.dependencies.logger.debug('A load was asked for.', {
-      request: facts.requestId, adapter: facts.adapter.key, endpoint: endpoint.id, of: owner, version, waiting, costMilliseconds: Math.round(costMilliseconds)
+      request: facts.requestId, adapter: key, endpoint, of: owner, version, waiting, costMilliseconds: Math.round(costMilliseconds), returnsInMilliseconds: waitingRequest?.returnsInMilliseconds
     })
-    this.dependencies.requestLoad(owner, { kind: 'load-ask', endpoint: endpoint.id, key: facts.adapter.key, version, waiting, ...waitingRequest })
+    this.dependencies.requestLoad(owner, { ...waitingRequest, kind: 'load-ask', endpoint, key, version, waiting })
   }
 }
 
+function targetOf ({ endpoint, costMilliseconds }: LoadChoice): LoadTarget {
+  return { endpoint: endpoint.id, costMilliseconds }
+}
+
 /** @returns the query with further engines excluded */
 function withExcluded<Query extends EngineQuery> (query: Query, engines: ReadonlySet<EndpointId>): Query {
   return engines.size === 0 ? query : { ...query, excluded: new Set([...query.excluded, ...engines]) }
--- a/packages/ingress/src/adapters/held-adapter-deltas.ts
+++ b/packages/ingress/src/adapters/held-adapter-deltas.ts
@@ -9,7 +9,7 @@
 
 /** @returns the delta from one notice to the next */
 export function deltaBetween (before: AdaptersHeldFrame, after: AdaptersHeldFrame): AdaptersChangedFrame {
-  const { endpoint, born, token, sequence, inFlight } = after
+  const { endpoint, born, token, sequence, inFlight, waits } = after
   const held = new Map(before.held)
   const heldAfter = new Set(after.held.map(([key]) => key))
   return {
@@ -23,19 +23,20 @@
     removed: before.held.filter(([key]) => !heldAfter.has(key)).map(([key]) => key),
     waitingAdded: missing(before.waiting ?? [], after.waiting ?? []),
     waitingRemoved: missing(after.waiting ?? [], before.waiting ?? []),
-    waitMilliseconds: after.waitMilliseconds ?? 0
+    waitMilliseconds: after.waitMilliseconds ?? 0,
+    ...(waits === undefined ? {} : { waits })
   }
 }
 
 /** @returns the full notice that results from applying a delta to the notice before it */
 export function applyDelta (before: AdaptersHeldFrame, delta: AdaptersChangedFrame): AdaptersHeldFrame {
-  const { endpoint, born, token, sequence, inFlight, waitMilliseconds } = delta
+  const { endpoint, born, token, sequence, inFlight, waitMilliseconds, waits } = delta
   const held = new Map(before.held)
   for (const key of delta.removed) held.delete(key)
   for (const [key, version] of delta.added) held.set(key, version)
   const noLongerWaiting = new Set(delta.waitingRemoved)
   const waiting = [...(before.waiting ?? []).filter((key) => !noLongerWaiting.has(key)), ...delta.waitingAdded]
-  return { kind: 'adapters-held', endpoint, born, token, sequence, inFlight, waitMilliseconds, held: [...held], waiting }
+  return { kind: 'adapters-held', endpoint, born, token, sequence, inFlight, waitMilliseconds, held: [...held], waiting, ...(waits === undefined ? {} : { waits }) }
 }
 
 /** Keeps the last full notice about each engine, which the sender's next delta is applied to. */
--- a/packages/ingress/src/adapters/held-adapter-notices.ts
+++ b/packages/ingress/src/adapters/held-adapter-notices.ts
@@ -28,6 +28,8 @@
   readonly waiting: readonly AdapterKey[]
   /** Expected wait of one more load in the engine's load queue. */
   readonly waitMilliseconds: number
+  /** The same for a load of each priority, from the most urgent one on. */
+  readonly waits: readonly number[]
 }
 
 /** Sends notices about held adapters to all peers, and the last notice about each engine to a peer that connects. */
@@ -53,7 +55,7 @@
    *
    * @param urgency - `urgent` when the notice changes where requests may go; otherwise `patient`, which allows a slight delay for batching
    */
-  publish ({ endpoint, token, sequence, reservations, hidden, waiting, waitMilliseconds }: HeldAdaptersUpdate, urgency: Urgency): void {
+  publish ({ endpoint, token, sequence, reservations, hidden, waiting, waitMilliseconds, waits }: HeldAdaptersUpdate, urgency: Urgency): void {
     const held = [...reservations.held].filter(([key]) => !hidden.has(key)).map(([key, slot]): [string, number] => [key, slot.version])
     const frame: AdaptersHeldFrame = {
       kind: 'adapters-held',
@@ -64,7 +66,8 @@
       held,
       inFlight: [...reservations.inFlight.keys()],
       waiting,
-      waitMilliseconds: Math.round(waitMilliseconds)
+      waitMilliseconds: Math.round(waitMilliseconds),
+      ...(waits.length === 0 ? {} : { waits: waits.map(Math.round) })
     }
     const before = this.last.get(endpoint.id)
     this.last.set(endpoint.id, frame)
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -67,6 +67,7 @@
   private readonly suspicions = this.counter('limpetwinch_quarantine_total', 'Suspected requests by what was done', ['action'])
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
   private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
+  private readonly admissions = this.counter('limpetwinch_admission_total', 'Requests for adapters that no engine held by what the admission by forecast decided', ['decision'])
   private readonly retries = this.counter('limpetwinch_retries_total', 'Retries by service and whether the retry budget allowed them', ['service', 'decision'])
   private readonly tunnelDecisions = this.counter('limpetwinch_tunnels_total', 'Tunnels that other instances asked for, by what became of them', ['decision'])
   private readonly resumptions = this.counter('limpetwinch_stream_resumptions_total', 'Streams that callers resumed, by service and how it was known where they began', ['service', 'origin'])
@@ -141,6 +142,11 @@
     this.rateLimitDecisions.inc({ service: this.bounded(service), decision })
   }
 
+  /** Counts a decision of the admission by forecast: `admitted`, or why the request was refused. */
+  admissionDecided (decision: string): void {
+    this.admissions.inc({ decision })
+  }
+
   /** Counts whether the retry budget allowed a retry. */
   retryDecided (service: string, decision: 'allowed' | 'refused'): void {
     this.retries.inc({ service: this.bounded(service), decision })
--- a/packages/ingress/src/quotas/quota-client.ts
+++ b/packages/ingress/src/quotas/quota-client.ts
@@ -56,6 +56,8 @@
   refusedFloor = 0
   /** Monotonic time at which the quota owner expected the last refused request to fit. */
   fitsAt = -Infinity
+  /** Use of the quota over all instances, as the quota owner said last. */
+  usedShare: number | undefined
 
   constructor (quota: HeldQuota) {
     this.quota = quota
@@ -98,6 +100,11 @@
     return await this.waitForTokens(subject, account, { cost, floor }, milliseconds)
   }
 
+  /** @returns tokens of the subject that were used in the last seconds over all instances, divided by those of its quota; undefined if it is not known */
+  usedShare (subject: Subject): number | undefined {
+    return this.accounts.get(subject)?.usedShare
+  }
+
   /** Returns the tokens of a request that did not run. */
   giveBack (subject: Subject, cost: number): void {
     this.accounts.get(subject)?.holding.add(cost)
@@ -111,6 +118,7 @@
     answered.abort()
     account.ask = undefined
     if (answer.notOwner) return this.askLater(subject, account)
+    account.usedShare = answer.usedShare ?? account.usedShare
     account.holding.add(answer.extra)
     for (const [index, request] of requests.entries()) this.settleAnswered(subject, account, request, answer, index)
     if (account.waiting.length > 0) this.sendAsk(subject, account)
--- a/packages/ingress/src/quotas/quota-division.ts
+++ b/packages/ingress/src/quotas/quota-division.ts
@@ -47,8 +47,10 @@
       const granted = ask.needs.map(() => false)
       return notify(from, kind.answerFrame(subject, { number, granted, extra: 0, milliseconds: 0, notOwner: true }))
     }
-    const grant = owned.ledger.answer(from, ask, clock.now())
-    notify(from, kind.answerFrame(subject, { number, ...grant, notOwner: false }))
+    const now = clock.now()
+    const grant = owned.ledger.answer(from, ask, now)
+    const usedShare = owned.ledger.usedShare(now)
+    notify(from, kind.answerFrame(subject, { number, ...grant, notOwner: false, usedShare: Number.isFinite(usedShare) ? usedShare : undefined }))
   }
 
   /** @returns subjects whose quota this instance divides now */
--- a/packages/ingress/src/quotas/quota-kind.ts
+++ b/packages/ingress/src/quotas/quota-kind.ts
@@ -13,6 +13,8 @@
   readonly number: number
   /** Whether the answering instance is not the quota owner of the subject; it granted nothing then. */
   readonly notOwner: boolean
+  /** Tokens used in the last seconds over all instances, divided by those of the quota; undefined if it is not known. */
+  readonly usedShare?: number | undefined
 }
 
 /** The frames, errors and times of the quotas of one kind. */
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -111,12 +111,11 @@
 
   /** @returns an engine for which the quarantine admits the request; undefined when there is none, or the quarantine refuses the request */
   private async admittedEngine (): Promise<FoundEngine | undefined> {
-    const { quarantine } = this.parts
     for (let search = 0; search < MAXIMUM_SEARCHES; search += 1) {
       const engine = await this.findAdmissibleEngine()
       if (engine === undefined || this.request.signal.aborted) return undefined
       this.totalStallMilliseconds += engine.stallMilliseconds
-      const admission = await quarantine.admit(this.request, engine.endpoint.id)
+      const admission = await this.parts.quarantine.admit(this.request, engine.endpoint.id)
       if (admission.kind === 'granted') return engine
       if (admission.kind === 'elsewhere') continue
       this.refusal = admission.error
@@ -136,7 +135,7 @@
   }
 
   private async findEngine (choice: Partial<EngineSearch> = {}): Promise<FoundEngine | undefined> {
-    const { service, facts, route, arrivedAt, signal, priority } = this.request
+    const { service, facts, route, arrivedAt, signal, priority, team } = this.request
     return await this.parts.engineFinder.find({
       service,
       facts,
@@ -144,6 +143,8 @@
       softwareVersion: this.origin?.softwareVersion,
       excluded: this.attempted,
       priority,
+      team: team?.name,
+      isNew: this.sends === 0 && this.origin === undefined,
       onTimeUntil: arrivedAt + route.objectiveMilliseconds,
       until: this.searchEnd(),
       signal,
@@ -345,10 +346,9 @@
 
   private finalError (retryAfterSeconds: number): LimpetwinchError {
     const { adapter } = this.request.facts
-    if (this.refusal !== undefined && !this.record.isOutcomeUnknown) return this.refusal
     if (this.record.isOutcomeUnknown) return this.record.finalError(retryAfterSeconds)
-    const rateLimited = this.parts.engineFinder.rateLimitError(this.request.service, this.request.priority)
-    if (rateLimited !== undefined) return rateLimited
+    const refusal = this.refusal ?? this.parts.engineFinder.refusalOf(this.request)
+    if (refusal !== undefined) return refusal
     if (this.isVersionGone()) return new LimpetwinchError('stream-version-gone', { softwareVersion: this.origin?.softwareVersion }, { retryAfterSeconds })
     if (adapter === undefined) return this.record.finalError(retryAfterSeconds)
     return new LimpetwinchError('adapter-not-ready', { adapter: adapter.key, reason: 'no engine took it' }, { retryAfterSeconds })
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -1,11 +1,12 @@
 /** One ingress instance: creates its components, runs their tasks and stops them in order. */
 import { newInstanceId, SystemClock } from '@limpetwinch/core'
-import type { Clock, EndpointId, InstanceId, LineSink, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LineSink, Logger, TeamId } from '@limpetwinch/core'
 import { EngineSpeeds, ErrorRates } from '@limpetwinch/decisions'
 import { Supervisor, TcpPeerNetwork } from '@limpetwinch/entry'
 import { AdapterLocations } from '../adapters/adapter-locations.js'
 import { EngineInventory } from '../adapters/engine-inventory.js'
-import { EngineFinder } from '../adapters/engine-finder.js'
+import { createEngineFinder } from '../admission/create-engine-finder.js'
+import type { EngineFinder } from '../adapters/engine-finder.js'
 import { HeldAdapterNotices } from '../adapters/held-adapter-notices.js'
 import { createLoadOwnership } from '../adapters/create-load-ownership.js'
 import type { LoadOwnership } from '../adapters/load-ownership.js'
@@ -196,17 +197,10 @@
       loadMilliseconds: () => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now())),
       hasLoadOwner: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint) !== undefined
     })
-    this.engineFinder = new EngineFinder({
-      clock: this.clock,
-      logger: logger.part('relay'),
-      router,
-      rateLimiter: this.rateLimiter,
-      locations: this.locations,
-      loadOwnerOf: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint),
-      requestLoad: (to, frame) => this.overlay.notify(to, frame),
-      leastVersion: (facts, now) => facts.adapter === undefined ? 0 : this.versions.minimumUsable(facts.adapter.key, now)
-    })
-    const { network, locations, heldNotices, loadOwnership, engineFinder, figures: { digests } } = this
+    const { rateLimiter, storeLimiter, forecast, ejection, locations, loadOwnership } = this
+    const shareUsed = (team: TeamId): number | undefined => this.teams.shareUsed(team)
+    this.engineFinder = createEngineFinder({ clock, logger: logger.part('relay'), metrics, configuration, router, rateLimiter, locations, storeLimiter, versions, overlay, directory, loadOwnership, workTracker, forecast, ejection, shareUsed })
+    const { network, heldNotices, engineFinder, figures: { digests } } = this
     this.messaging = new PeerMessaging({ self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics })
     this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
     this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
--- a/packages/ingress/src/runtime/peer-messaging.ts
+++ b/packages/ingress/src/runtime/peer-messaging.ts
@@ -118,5 +118,6 @@
 
 /** Describes the request that waits for a load. An instance of a release that sends no request ids counts as one waiting request. */
 function waitingRequestOf (frame: LoadAskFrame, from: InstanceId): WaitingRequestFacts | undefined {
-  return frame.waiting ? { request: frame.request ?? from, onTimeMilliseconds: frame.onTimeMilliseconds } : undefined
+  const { waiting, request = from, onTimeMilliseconds, priority, shareUsed, returnsInMilliseconds } = frame
+  return waiting ? { request, onTimeMilliseconds, priority, shareUsed, returnsInMilliseconds } : undefined
 }
--- a/packages/ingress/src/teams/teams.ts
+++ b/packages/ingress/src/teams/teams.ts
@@ -90,6 +90,11 @@
     this.proof.record(this.parts.configuration.version, askedAt)
   }
 
+  /** @returns recent use of the team's quota over all instances, 1 being all of it; undefined if it is not known */
+  shareUsed (team: TeamId): number | undefined {
+    return this.quotaClient.usedShare(team)
+  }
+
   /** Fields of each heartbeat by which peers learn of the proof. */
   heartbeatFields (): Pick<HeartbeatFrame, 'provedConfiguration' | 'provedMillisecondsAgo'> {
     return this.proof.statement()
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -9,6 +9,8 @@
 import type { NoticeFrame, PeerLinks } from '@limpetwinch/entry'
 import { AdapterLocations } from '../../src/adapters/adapter-locations.js'
 import { EngineFinder } from '../../src/adapters/engine-finder.js'
+import { LoadForecast } from '../../src/admission/load-forecast.js'
+import { StreamAdmission } from '../../src/admission/stream-admission.js'
 import { AcceptedConfiguration } from '../../src/cluster-state/accepted-configuration.js'
 import { ConfigurationProof, momentOf } from '../../src/cluster-state/configuration-proof.js'
 import { EndpointDirectory } from '../../src/endpoints/endpoint-directory.js'
@@ -150,7 +152,22 @@
     const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.88, windowMilliseconds: 10_000 }, slackPart: new WholeSlack(), logger, metrics })
     const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
     const engineFinder = new EngineFinder({
-      clock, logger, router, rateLimiter, locations, loadOwnerOf: () => 'holder' as InstanceId, requestLoad: (_to, frame) => { this.asked.push(frame) }, leastVersion: () => 0
+      clock,
+      logger,
+      router,
+      rateLimiter,
+      locations,
+      loadOwnerOf: () => 'holder' as InstanceId,
+      requestLoad: (_to, frame) => { this.asked.push(frame) },
+      leastVersion: () => 0,
+      shareUsed: () => undefined,
+      admission: new StreamAdmission({
+        clock,
+        logger,
+        metrics,
+        competes: () => true,
+        forecast: new LoadForecast({ directory, locations, workTracker, ejection, firstEvent: forecast, leastVersion: () => 0, loadMilliseconds: () => 270, hasStoreCapacity: () => true, hasLoadOwner: () => true })
+      })
     })
     const errors = new ErrorRates()
     const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
