Parts that many prompts share are not put on trial when many endpoints crash at once

Callers who had done nothing were refused as request_on_trial for seconds after ten engines had crashed within 30 ms: parts that many prompts share were in flight at five to nine of the crashes and counted as suspected, so that of all requests with such a part one ran at a time. Streams with these parts went on at other engines and cleared them, but the reports of the other instances on the same crashes arrived one after the other and implicated them again, and an answer counted as sound only once.

A sound answer now also outweighs reports on crashes from before it that arrive later, and an answer that still goes on clears its parts again after each report. A part on which no answer goes on is treated as before.

--- a/packages/decisions/src/quarantine/prompt-part-tracker.ts
+++ b/packages/decisions/src/quarantine/prompt-part-tracker.ts
@@ -31,6 +31,11 @@
 const MAXIMUM_CHANCE_TO_FAIL = 0.001
 /** A part that was in flight beside another part, in other requests, at this share of that part's crashes may have caused them as well. */
 const RIVAL_SHARE = 0.8
+/**
+ * How long the time of a sound run is kept. The reports of other instances on a crash arrive within some hundred milliseconds, and a part that
+ * was sound after the crash is not implicated by a report that arrives later.
+ */
+const SOUND_MEMORY_MILLISECONDS = 5_000
 /** Age at which a crash is forgotten. */
 const RETENTION_MILLISECONDS = 600_000
 /** Maximum number of crashes kept, which bounds the memory of the tracker; the oldest are forgotten first. */
@@ -69,6 +74,9 @@
   private readonly isolatedSends = new Map<PartFingerprint, number>()
   private readonly endpointCount: (service: string) => number
   private soundRuns = 0
+  /** Monotonic time of the last sound run with each part, milliseconds. */
+  private readonly soundAt = new Map<PartFingerprint, number>()
+  private reports = 0
 
   /** @param endpointCount - number of endpoints of a service, by which the crash rate of the service is divided */
   constructor (endpointCount: (service: string) => number) {
@@ -90,6 +98,11 @@
     return this.decisions.size
   }
 
+  /** Number of reports on crashes so far, of this and of other instances. */
+  get reportCount (): number {
+    return this.reports
+  }
+
   /** @returns whether an endpoint is known to have crashed in this incarnation, see {@link EndpointCrash.life} */
   hasCrashed (life: string): boolean {
     return this.crashes.has(life)
@@ -129,6 +142,7 @@
    * @returns existing quarantine decisions that the crash confirms; {@link decide} makes new ones
    */
   record (crash: EndpointCrash, runs: readonly AccusedRun[], isOwn: boolean): PartQuarantineDecision[] {
+    this.reports += 1
     const known = this.crashes.get(crash.life)
     const record = known ?? { ...crash, runs: [], soundRunsBefore: this.soundRuns }
     const wasExplained = this.isExplained(record)
@@ -137,7 +151,7 @@
     this.forgetOldest()
     const confirmed = wasExplained ? [] : partsOf(record).flatMap((part) => this.decisions.get(part) ?? [])
     if (confirmed.length > 0) this.explain(record)
-    if (!this.isExplained(record)) for (const run of runs) for (const part of run.parts) this.implicate(part, crash.life)
+    if (!this.isExplained(record)) for (const run of runs) for (const part of run.parts) this.implicate(part, record)
     return confirmed.map((decision) => this.decisions.extend(decision, crash.at))
   }
 
@@ -183,15 +197,18 @@
   /**
    * Clears a part after a sound run, on this or another instance.
    *
+   * @param at - monotonic time at which the run was seen to be sound; undefined if the part is cleared for another reason
    * @returns whether the part was implicated or quarantined
    */
-  clear (part: PartFingerprint): boolean {
+  clear (part: PartFingerprint, at?: number): boolean {
+    if (at !== undefined) this.soundAt.set(part, at)
     const wasQuarantined = this.decisions.remove(part)
     return this.forgetPart(part) || wasQuarantined
   }
 
   /** Forgets crashes that are older than the retention time. To be called regularly. */
   expire (now: number): void {
+    for (const [part, at] of this.soundAt) if (now - at > SOUND_MEMORY_MILLISECONDS) this.soundAt.delete(part)
     for (const record of this.crashes.values()) {
       if (now - record.at < RETENTION_MILLISECONDS) return
       this.forget(record)
@@ -261,7 +278,8 @@
     return this.implicated.delete(part)
   }
 
-  private implicate (part: PartFingerprint, life: string): void {
+  private implicate (part: PartFingerprint, { life, at }: EndpointCrash): void {
+    if ((this.soundAt.get(part) ?? -Infinity) >= at) return
     const incarnations = this.implicated.get(part) ?? new Set()
     this.implicated.set(part, incarnations.add(life))
   }
--- a/packages/ingress/src/quarantine/prompt-part-quarantine.ts
+++ b/packages/ingress/src/quarantine/prompt-part-quarantine.ts
@@ -27,6 +27,8 @@
 
 /** Dependencies of the quarantine of prompt parts. */
 export interface PromptPartQuarantineDependencies {
+  /** @returns monotonic time, milliseconds */
+  readonly now: () => number
   readonly logger: Logger
   readonly metrics: IngressMetrics
   readonly endpointCount: (service: string) => number
@@ -41,8 +43,8 @@
   private readonly dependencies: PromptPartQuarantineDependencies
   private readonly tracker: PromptPartTracker
   private readonly parts = new WeakMap<RoutedRequest, readonly PartFingerprint[]>()
-  /** Requests whose answers went on without a crash. */
-  private readonly sound = new WeakSet<RoutedRequest>()
+  /** By request whose answer went on without a crash: number of reports on crashes that were known then. */
+  private readonly soundAfter = new WeakMap<RoutedRequest, number>()
 
   constructor (dependencies: PromptPartQuarantineDependencies) {
     this.dependencies = dependencies
@@ -108,13 +110,18 @@
     if (answerMilliseconds >= SOUND_AFTER_MILLISECONDS) this.recordSound(request)
   }
 
-  /** Records that an answer went on or ended without a crash, and clears the parts of its prompt on all instances. */
+  /**
+   * Records that an answer went on or ended without a crash, and clears the parts of its prompt on all instances. An answer that still goes on clears
+   * them again after each further report on a crash: when many endpoints crash for a common reason, parts that many prompts share were in flight
+   * at all of them, and the reports arrive one after the other.
+   */
   recordSound (request: RoutedRequest): void {
-    if (!this.isTracking || this.sound.has(request)) return
+    const reports = this.soundAfter.get(request)
+    if (!this.isTracking || reports === this.tracker.reportCount) return
     const parts = this.partsOf(request)
     if (parts.length === 0) return
-    this.sound.add(request)
-    this.tracker.countSoundRun()
+    this.soundAfter.set(request, this.tracker.reportCount)
+    if (reports === undefined) this.tracker.countSoundRun()
     const cleared = parts.filter((part) => this.clear(part, 'answered'))
     for (const part of cleared) this.dependencies.announceSound(part)
     if (cleared.length > 0) this.dependencies.logger.debug('A sound answer cleared parts of prompts.', { request: request.facts.requestId, parts: cleared })
@@ -123,7 +130,7 @@
   /** Clears a part: another instance has seen a sound answer on it, or its decision was removed from the store. @returns whether it was implicated */
   clear (part: PartFingerprint, by: 'answered' | 'peer' | 'store'): boolean {
     const hadDecision = this.tracker.verdict(part) !== undefined
-    const wasImplicated = this.tracker.clear(part)
+    const wasImplicated = this.tracker.clear(part, by === 'store' ? undefined : this.dependencies.now())
     if (!hadDecision) return wasImplicated
     this.dependencies.logger.info('A part of prompts is no longer quarantined.', { fingerprint: part, by })
     this.dependencies.metrics.quarantineActionTaken('cleared')
--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -93,7 +93,7 @@
     this.answerTime = new RunningTime(parts.clock)
     const { logger, metrics, endpointCount, announcer } = parts
     this.promptParts = new PromptPartQuarantine({
-      logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
+      now: () => parts.clock.now(), logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
     })
     this.reports = new CrashReports(parts.clock, (report) => this.record(report), (life, isOwn) => this.decide(life, isOwn))
   }
