Notices that a request waits for hardly wait to be batched

An urgent notice waits up to 10 ms at each of three hops to be batched, which is as long as some requests take. Immediate notices wait 1 ms. Hubs of an older release batch them as urgent ones.

--- a/packages/core/src/frames/cluster-frames.ts
+++ b/packages/core/src/frames/cluster-frames.ts
@@ -81,6 +81,8 @@
   readonly items: readonly OverlayItem[]
   /** Indexes in `items` of the frames that may be delayed to be batched with later ones; absent in frames of an older release. */
   readonly patient?: readonly number[] | undefined
+  /** Indexes in `items` of the frames that a request waits for; absent in frames of an older release. */
+  readonly immediate?: readonly number[] | undefined
 }
 
 /** Endpoints that the platform lists as leaving. Sent for peers whose copy of the platform's list is older, or that cannot reach the platform. */
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -178,7 +178,7 @@
   }),
   'overlay-role': z.object({ role: z.enum(['hub', 'leaf']) }),
   'overlay-presence': z.object({ connected: z.array(id), leaving: z.array(id), sequence: count.optional() }),
-  'overlay-batch': z.object({ items: z.array(z.tuple([id, z.string().max(200), count, z.instanceof(Uint8Array)])), patient: z.array(count).optional() }),
+  'overlay-batch': z.object({ items: z.array(z.tuple([id, z.string().max(200), count, z.instanceof(Uint8Array)])), patient: z.array(count).optional(), immediate: z.array(count).optional() }),
   'endpoint-crash': z.object({
     life: id,
     service: id,
--- a/packages/ingress/src/overlay/notice-outbox.ts
+++ b/packages/ingress/src/overlay/notice-outbox.ts
@@ -12,9 +12,15 @@
  * periodically, at longer intervals than this.
  */
 const PATIENT_FLUSH_MILLISECONDS = 50
+/** Time for which an immediate notice waits to be batched: a request of some 20 ms waits for the reply to it. */
+const IMMEDIATE_FLUSH_MILLISECONDS = 1
 
-/** How soon a notice must be sent: `patient` notices wait longer to be batched. */
-export type Urgency = 'urgent' | 'patient'
+/** How soon a notice must be sent: `patient` notices wait longer to be batched, `immediate` ones hardly. */
+export type Urgency = 'immediate' | 'urgent' | 'patient'
+
+const WAIT_MILLISECONDS: Readonly<Record<Urgency, number>> = { immediate: IMMEDIATE_FLUSH_MILLISECONDS, urgent: FLUSH_MILLISECONDS, patient: PATIENT_FLUSH_MILLISECONDS }
+/** For each urgency those whose scheduled flush comes at least as soon. */
+const COVERED_BY: Readonly<Record<Urgency, readonly Urgency[]>> = { immediate: ['immediate'], urgent: ['immediate', 'urgent'], patient: ['immediate', 'urgent', 'patient'] }
 
 /** A notice that waits to be sent. */
 export interface QueuedItem {
@@ -39,7 +45,7 @@
   private forLeaves: QueuedItem[] = []
   private forHubs: QueuedItem[] = []
   private forOne = new Map<InstanceId, QueuedItem[]>()
-  private readonly scheduled: Record<Urgency, boolean> = { urgent: false, patient: false }
+  private readonly scheduled: Record<Urgency, boolean> = { immediate: false, urgent: false, patient: false }
 
   constructor (clock: Clock, neighbours: OutboxNeighbours, send: SendItems) {
     this.clock = clock
@@ -68,10 +74,9 @@
   }
 
   private schedule (urgency: Urgency): void {
-    if (this.scheduled.urgent || this.scheduled[urgency]) return
+    if (COVERED_BY[urgency].some((sooner) => this.scheduled[sooner])) return
     this.scheduled[urgency] = true
-    const milliseconds = urgency === 'urgent' ? FLUSH_MILLISECONDS : PATIENT_FLUSH_MILLISECONDS
-    void this.clock.sleep(milliseconds).then(() => {
+    void this.clock.sleep(WAIT_MILLISECONDS[urgency]).then(() => {
       this.scheduled[urgency] = false
       this.flush()
     })
--- a/packages/ingress/src/overlay/notice-router.ts
+++ b/packages/ingress/src/overlay/notice-router.ts
@@ -72,10 +72,10 @@
   }
 
   /** Sends a notice to one instance; the notice is lost when the instance cannot be reached. */
-  notify (to: InstanceId, frame: NoticeFrame): void {
+  notify (to: InstanceId, frame: NoticeFrame, urgency: Urgency): void {
     if (to === this.view.self || this.network.isConnected(to)) return this.network.notify(to, frame)
     const item = this.itemOf(this.view.self, to, frame)
-    if (item !== undefined) this.route({ item, urgency: 'urgent' }, to)
+    if (item !== undefined) this.route({ item, urgency }, to)
   }
 
   /**
@@ -96,16 +96,17 @@
     }
   }
 
-  private handleBatch (from: InstanceId, { items, patient = [] }: OverlayBatchFrame): void {
+  private handleBatch (from: InstanceId, { items, patient = [], immediate = [] }: OverlayBatchFrame): void {
     const { self } = this.view
     const isFromLeaf = this.view.isLeaf(from)
     const isPatient = new Set(patient)
+    const isImmediate = new Set(immediate)
     for (const [index, [origin, to, hops, frame]] of items.entries()) {
       // A notice for all leaves is also sent back to the leaf that created it.
       if (origin === self) continue
       if (to === ALL || to === self) this.network.deliverForwarded(origin, frame)
       if (to === self || hops >= MAXIMUM_HOPS) continue
-      const next: QueuedItem = { item: [origin, to, hops + 1, frame], urgency: isPatient.has(index) ? 'patient' : 'urgent' }
+      const next: QueuedItem = { item: [origin, to, hops + 1, frame], urgency: isImmediate.has(index) ? 'immediate' : isPatient.has(index) ? 'patient' : 'urgent' }
       if (to === ALL) this.forward(next, isFromLeaf)
       else this.route(next, to)
     }
@@ -140,6 +141,11 @@
 
 function batchOf (queued: readonly QueuedItem[]): OverlayBatchFrame {
   const items = queued.map(({ item }) => item)
-  const patient = [...queued.keys()].filter((index) => queued[index]?.urgency === 'patient')
-  return patient.length === 0 ? { kind: 'overlay-batch', items } : { kind: 'overlay-batch', items, patient }
+  const patient = indexesOf(queued, 'patient')
+  const immediate = indexesOf(queued, 'immediate')
+  return { kind: 'overlay-batch', items, ...(patient.length > 0 && { patient }), ...(immediate.length > 0 && { immediate }) }
+}
+
+function indexesOf (queued: readonly QueuedItem[], urgency: Urgency): readonly number[] {
+  return [...queued.keys()].filter((index) => queued[index]?.urgency === urgency)
 }
--- a/packages/ingress/src/overlay/peer-overlay.ts
+++ b/packages/ingress/src/overlay/peer-overlay.ts
@@ -184,9 +184,13 @@
     this.notices.broadcast(frame, urgency)
   }
 
-  /** Sends a notice to one instance; the notice is lost when the instance cannot be reached. */
-  notify (to: InstanceId, frame: NoticeFrame): void {
-    this.notices.notify(to, frame)
+  /**
+   * Sends a notice to one instance; the notice is lost when the instance cannot be reached.
+   *
+   * @param urgency - `immediate` for a notice that a request waits for
+   */
+  notify (to: InstanceId, frame: NoticeFrame, urgency: Urgency = 'urgent'): void {
+    this.notices.notify(to, frame, urgency)
   }
 
   /**
