Divide the few places of a plain service between the instances

Cause: each instance learns little by itself, and peers' figures are older than the work.

Change: where a plain service has at most two slots for each instance, a place owner (a hub by rendezvous, as for quotas) lends the places of all its endpoints. An instance asks right before each attempt and gives the place back with the measured duration; without an answer it uses its own part of the slots.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -161,6 +161,12 @@
     outcome: 'not_run',
     message: ({ softwareVersion }) => `No engine that can resume the stream runs the software version '${softwareVersion}' that began it. Retry after the time in Retry-After, or start the stream again.`
   },
+  'places-taken': {
+    title: 'All endpoints of the service are busy.',
+    status: 503,
+    outcome: 'not_run',
+    message: ({ service }) => `Every place at the endpoints of service '${service}' is taken for longer than the request may wait. Retry after the time in Retry-After.`
+  },
   'endpoints-rate-limited': {
     title: 'All endpoints of the service have reached their rate limits.',
     status: 503,
--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -13,6 +13,7 @@
 import type { UnboundedResponseFrame } from './response-frames.js'
 import type { StreamOriginsFrame, StreamOriginAskFrame, StreamOriginAnswerFrame } from './stream-frames.js'
 import type { QuotaAskFrame, QuotaAnswerFrame, RateLimitFrame, RateAskFrame, RateAnswerFrame, BrittleEndpointFrame, EndpointBackoffFrame } from './limit-frames.js'
+import type { PlaceAskFrame, PlaceAnswerFrame, PlaceReturnFrame } from './place-frames.js'
 
 export type * from './connection-frames.js'
 export type * from './endpoint-owner-frames.js'
@@ -22,6 +23,7 @@
 export type * from './speed-frames.js'
 export type * from './quarantine-frames.js'
 export type * from './limit-frames.js'
+export type * from './place-frames.js'
 export type * from './path-frames.js'
 export type * from './stream-frames.js'
 export type * from './response-frames.js'
@@ -76,6 +78,9 @@
   | EngineSamplesFrame
   | EngineSpeedsFrame
   | UnboundedResponseFrame
+  | PlaceAskFrame
+  | PlaceAnswerFrame
+  | PlaceReturnFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -245,6 +245,28 @@
     state: z.enum(['failed', 'out', 'restored']),
     ejections: count.optional(),
     milliseconds: z.number().min(0).optional()
+  }),
+  'place-ask': z.object({
+    service: z.string().max(400),
+    number: count,
+    priority: z.number(),
+    excluded: z.array(id),
+    dataCentre: z.string().max(200),
+    onTimeMilliseconds: z.number(),
+    timeLeftMilliseconds: z.number()
+  }),
+  'place-answer': z.object({
+    service: z.string().max(400),
+    number: count,
+    decision: z.enum(['granted', 'queued', 'refused', 'not-owner']),
+    endpoint: id.optional(),
+    milliseconds: z.number().min(0)
+  }),
+  'place-return': z.object({
+    service: z.string().max(400),
+    number: count,
+    end: z.enum(['answered', 'error', 'full', 'failed', 'abandoned']),
+    milliseconds: z.number().min(0)
   })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -20,6 +20,10 @@
   readonly unboundedEndpoints?: number | undefined
   /** Number of endpoints that name a rate limit. */
   readonly rateLimitedEndpoints: number
+  /** Number of places at plain services that this instance has lent to requests of any instance. */
+  readonly placesHeld: number
+  /** Number of requests of any instance that wait here for a place. */
+  readonly placesWaiting: number
   /** Number of endpoints to which the own path is lost. */
   readonly lostPaths: number
   /** Number of streams of which this instance remembers where they began. */
@@ -68,6 +72,7 @@
   private readonly quotaTokens = this.counter('limpetwinch_quota_tokens_total', 'Tokens of requests by team and decision of the quota', ['team', 'decision'])
   private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
   private readonly admissions = this.counter('limpetwinch_admission_total', 'Requests for adapters that no engine held by what the admission by forecast decided', ['decision'])
+  private readonly placeAsks = this.counter('limpetwinch_place_asks_total', 'Requests that needed a place at a plain service, by service and what became of them', ['service', 'outcome'])
   private readonly retries = this.counter('limpetwinch_retries_total', 'Retries by service and whether the retry budget allowed them', ['service', 'decision'])
   private readonly tunnelDecisions = this.counter('limpetwinch_tunnels_total', 'Tunnels that other instances asked for, by what became of them', ['decision'])
   private readonly resumptions = this.counter('limpetwinch_stream_resumptions_total', 'Streams that callers resumed, by service and how it was known where they began', ['service', 'origin'])
@@ -77,6 +82,7 @@
   private readonly requestSeconds = this.histogram('limpetwinch_request_seconds', 'From the request to the end of its answer', ['route', 'outcome'])
   private readonly firstEvent = this.histogram('limpetwinch_first_event_seconds', 'From the request to its first event', ['route'])
   private readonly loadStall = this.histogram('limpetwinch_load_stall_seconds', 'Waiting for an adapter to be loaded', ['route'])
+  private readonly placeWait = this.histogram('limpetwinch_place_wait_seconds', 'Waiting for a place at a plain service', ['service'])
   private readonly storeSeconds = this.histogram('limpetwinch_store_call_seconds', 'Calls to the platform store, watches left out', ['kind'])
 
   /** @param read - returns the values of all gauges; called once for each gauge at a scrape */
@@ -100,6 +106,8 @@
     this.gauge('limpetwinch_servable_endpoints', 'Endpoints that may get work', () => read().servableEndpoints)
     this.gauge('limpetwinch_unbounded_endpoints', 'Endpoints out of use, or tried, since their responses have no end', () => read().unboundedEndpoints ?? 0)
     this.gauge('limpetwinch_rate_limited_endpoints', 'Endpoints that name a rate limit', () => read().rateLimitedEndpoints)
+    this.gauge('limpetwinch_places_held', 'Places at plain services that this instance has lent', () => read().placesHeld)
+    this.gauge('limpetwinch_places_waiting', 'Requests that wait at this instance for a place at a plain service', () => read().placesWaiting)
     this.gauge('limpetwinch_lost_paths', 'Endpoints that this instance reaches through other instances only', () => read().lostPaths)
     this.gauge('limpetwinch_remembered_streams', 'Streams of which this instance remembers where they began', () => read().rememberedStreams)
     this.gauge('limpetwinch_tunnels', 'Connections to endpoints that this instance carries for others', () => read().tunnels)
@@ -147,6 +155,12 @@
     this.admissions.inc({ decision })
   }
 
+  /** Counts what became of an ask for a place at a plain service, and records how long the request waited for it. */
+  placeDecided (service: string, outcome: string, milliseconds: number): void {
+    this.placeAsks.inc({ service: this.bounded(service), outcome })
+    this.placeWait.observe({ service: this.bounded(service) }, milliseconds / 1_000)
+  }
+
   /** Counts whether the retry budget allowed a retry. */
   retryDecided (service: string, decision: 'allowed' | 'refused'): void {
     this.retries.inc({ service: this.bounded(service), decision })
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -8,6 +8,7 @@
 import type { StateFreshness } from '../cluster-state/state-freshness.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { ServicePlaces } from '../places/service-places.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RetryBudgets } from '../retries/retry-budgets.js'
@@ -47,6 +48,7 @@
   readonly senders: EndpointSenders
   readonly quarantine: RequestQuarantine
   readonly rateLimiter: EndpointRateLimiter
+  readonly places: ServicePlaces
   readonly admission: TeamAdmission
   readonly origins: StreamOrigins
 }
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -1,16 +1,15 @@
 /** Relays requests to plain services: a response is received completely before any of it is sent to the caller. */
-import type { Clock, EndpointId, LimpetwinchError, Logger } from '@limpetwinch/core'
-import type { ErrorRates } from '@limpetwinch/decisions'
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { EndpointId, Logger } from '@limpetwinch/core'
+import type { ErrorRates, PlaceEnd } from '@limpetwinch/decisions'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
-import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
-import { PlaceSearch } from '../rate-limits/place-search.js'
-import type { RetryBudgets } from '../retries/retry-budgets.js'
 import type { Endpoint } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
-import type { ServiceRouter } from '../routing/service-router.js'
 import type { ResponseHead, AttemptEnd } from './attempt.js'
 import type { EndpointSenders } from './endpoint-senders.js'
 import { AttemptRecord } from './attempt-record.js'
+import { ServiceEndpointSearch } from './service-endpoint-search.js'
+import type { FoundEndpoint, ServiceEndpointSearchDependencies } from './service-endpoint-search.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { RoutedRequest } from './routed-request.js'
 
@@ -28,17 +27,12 @@
 const FIRST_SERVER_ERROR = 500
 
 /** Dependencies of the relay. */
-export interface ServiceRelayDependencies {
-  readonly clock: Clock
+export interface ServiceRelayDependencies extends ServiceEndpointSearchDependencies {
   readonly logger: Logger
-  readonly router: ServiceRouter
   readonly workTracker: EndpointWorkTracker
   readonly senders: EndpointSenders
   readonly errors: ErrorRates
-  readonly budgets: RetryBudgets
   readonly quarantine: RequestQuarantine
-  readonly rateLimiter: EndpointRateLimiter
-  readonly random: () => number
 }
 
 interface AttemptResult {
@@ -46,26 +40,28 @@
   readonly head: ResponseHead | undefined
   readonly body: Buffer
   /** Endpoint of the next attempt, when this attempt was abandoned in favour of that endpoint. */
-  readonly replacement: Endpoint | undefined
+  readonly replacement: FoundEndpoint | undefined
 }
 
 /** Where one attempt is sent, and when another endpoint may replace that endpoint. */
 interface AttemptPlan {
-  readonly endpoint: Endpoint
+  readonly found: FoundEndpoint
   /** Number of attempts of the same request that were made before this one. */
   readonly earlierAttempts: number
   /** Time without a response after which another endpoint is searched for, milliseconds; undefined for never. */
   readonly patience: number | undefined
   /** @returns another endpoint that the request may be sent to, if any */
-  readonly next: () => Promise<Endpoint | undefined>
+  readonly next: () => Promise<FoundEndpoint | undefined>
 }
 
 /** Relays requests of plain routes. */
 export class ServiceRelay {
   private readonly parts: ServiceRelayDependencies
+  private readonly search: ServiceEndpointSearch
 
   constructor (parts: ServiceRelayDependencies) {
     this.parts = parts
+    this.search = new ServiceEndpointSearch(parts)
   }
 
   /** Serves the request to its end. @returns how it ended */
@@ -74,25 +70,30 @@
     const attempted = new Set<EndpointId>()
     const record = new AttemptRecord()
     const { quarantine } = this.parts
-    const next = async (): Promise<Endpoint | undefined> => quarantine.isUnsuspected(request) ? await this.nextEndpoint(request, attempted, NONE, true) : undefined
+    const next = async (): Promise<FoundEndpoint | undefined> => {
+      const found = quarantine.isUnsuspected(request) ? await this.search.next(request, { attempted, avoided: NONE, wasSent: true }) : undefined
+      return found instanceof LimpetwinchError ? undefined : found
+    }
     let refusal: LimpetwinchError | undefined
     let runs = 0
     let sent = 0
     let serverError: AttemptResult | undefined
-    let replacement: Endpoint | undefined
+    let replacement: FoundEndpoint | undefined
     let replaced: EndpointId | undefined
     for (let sends = 0; sends < MAXIMUM_SENDS && !signal.aborted; sends++) {
-      const endpoint = replacement ?? await this.nextEndpoint(request, attempted, quarantine.endpointsToAvoid(request), sent > 0)
-      if (endpoint === undefined || signal.aborted) break
-      const admission = await quarantine.admit(request, endpoint.id)
+      const found = replacement ?? await this.search.next(request, { attempted, avoided: quarantine.endpointsToAvoid(request), wasSent: sent > 0 })
+      if (found instanceof LimpetwinchError) refusal = found
+      if (found === undefined || found instanceof LimpetwinchError) break
+      const { endpoint } = found
+      const admission = signal.aborted ? undefined : await quarantine.admit(request, endpoint.id)
+      if (admission?.kind !== 'granted') found.giveBack('abandoned', 0)
+      if (admission?.kind === 'refused') refusal = admission.error
+      if (admission === undefined || admission.kind === 'refused') break
+      replacement = undefined
       if (admission.kind === 'elsewhere') continue
-      if (admission.kind === 'refused') {
-        refusal = admission.error
-        break
-      }
       attempted.add(endpoint.id)
       const patience = sends + 1 < MAXIMUM_SENDS ? this.patience(request, runs) : undefined
-      const result = await this.attemptOn(request, { endpoint, earlierAttempts: sends, patience, next })
+      const result = await this.attemptOn(request, { found, earlierAttempts: sends, patience, next })
       replacement = result.replacement
       if (result.end.kind !== 'not-sent') sent += 1
       if (exchange.left.aborted) break
@@ -120,37 +121,14 @@
     return rateLimited ?? record.finalError(RETRY_AFTER_SECONDS)
   }
 
-  /**
-   * Chooses the endpoint of the next attempt. A request that was sent before takes a retry from the retry budget of the service; an
-   * attempt that found no connection reached no endpoint and is no retry.
-   *
-   * @param attempted - endpoints that the request was sent to before
-   * @param avoided - endpoints that the quarantine excludes
-   * @param wasSent - whether an endpoint may have received the request before
-   * @returns the endpoint; undefined when there is none or the retry budget is used up
-   */
-  private async nextEndpoint (request: RoutedRequest, attempted: ReadonlySet<EndpointId>, avoided: ReadonlySet<EndpointId>, wasSent: boolean): Promise<Endpoint | undefined> {
-    const { clock, router, budgets, rateLimiter, random } = this.parts
-    const { service, facts, priority, signal } = request
-    const places = new PlaceSearch(rateLimiter, priority)
-    let isBudgeted = !wasSent
-    while (!signal.aborted) {
-      const endpoint = router.choose(service.name, union(attempted, avoided, places.full), random, clock.now())
-      if (endpoint === undefined) return undefined
-      isBudgeted ||= budgets.tryRetry({ service: service.name, requestId: facts.requestId, tries: attempted.size }, clock.now())
-      if (!isBudgeted) return undefined
-      if (await places.take(endpoint.id)) return endpoint
-    }
-    return undefined
-  }
-
-  private async attemptOn (request: RoutedRequest, { endpoint, earlierAttempts, patience, next }: AttemptPlan): Promise<AttemptResult> {
+  private async attemptOn (request: RoutedRequest, { found: { endpoint, giveBack }, earlierAttempts, patience, next }: AttemptPlan): Promise<AttemptResult> {
     const { clock, workTracker, senders } = this.parts
+    const startedAt = clock.now()
     const ticket = workTracker.begin(endpoint.id, { prefillTokens: 0, memoryTokens: 0, adapter: undefined })
     const chunks: Buffer[] = []
     let bytes = 0
     let head: ResponseHead | undefined
-    let replacement: Endpoint | undefined
+    let replacement: FoundEndpoint | undefined
     const inHand = workTracker.outstanding(endpoint.id, clock.now()).requests
     const sending = senders.send(request, { endpoint, lastEventId: undefined, adapterVersion: undefined, earlierAttempts, grounds: { inHand } }, {
       head: (answer) => { head = answer },
@@ -164,6 +142,7 @@
     const switchEndpoint = async (): Promise<void> => {
       // Without another endpoint, the attempt goes on: its late response is the only one that the caller can get.
       const found = await next()
+      if (hasEnded) found?.giveBack('abandoned', 0)
       if (found === undefined || hasEnded) return
       replacement = found
       sending.attempt.abandon('no answer within the objective')
@@ -176,9 +155,19 @@
     clearTimeout(timer)
     clearImmediate(pendingSwitch)
     ticket.ended()
+    giveBack(this.placeEnd(request, end, head, endpoint), clock.now() - startedAt)
     return { end, head, body: Buffer.concat(chunks), replacement }
   }
 
+  /** @returns how the use of the place at the endpoint ended */
+  private placeEnd ({ exchange, signal }: RoutedRequest, end: AttemptEnd, head: ResponseHead | undefined, endpoint: Endpoint): PlaceEnd {
+    if (head?.facts.notRun === true) return head.facts.isFull ? 'full' : 'abandoned'
+    if (end.kind === 'whole' && head !== undefined && head.status >= FIRST_SERVER_ERROR) return 'error'
+    if (end.kind === 'whole' && head?.facts.signed === true) return 'answered'
+    const isGivenUp = exchange.left.aborted || (end.kind === 'abandoned' && !signal.aborted) || this.parts.rateLimiter.backoffs.isBackingOff(endpoint.id)
+    return isGivenUp ? 'abandoned' : 'failed'
+  }
+
   /** @returns how long to wait for a response before another endpoint is searched for, milliseconds; undefined to wait until the request times out */
   private patience (request: RoutedRequest, runs: number): number | undefined {
     const { route, arrivedAt } = request
@@ -229,8 +218,3 @@
   request.exchange.answer(result.head, result.body)
   return { outcome: 'answered', status: result.head.status, tries }
 }
-
-/** @returns the members of all sets */
-function union (first: ReadonlySet<EndpointId>, ...others: readonly ReadonlySet<EndpointId>[]): ReadonlySet<EndpointId> {
-  return others.every((other) => other.size === 0) ? first : new Set([first, ...others].flatMap((members) => [...members]))
-}
--- a/packages/ingress/src/routing/service-router.ts
+++ b/packages/ingress/src/routing/service-router.ts
@@ -45,12 +45,9 @@
    */
   choose (service: ServiceName, excluded: ReadonlySet<EndpointId>, random: () => number, now: number): Endpoint | undefined {
     const all = this.directory.servable(service).map(({ id }) => id)
-    const candidates = this.directory.servable(service)
-      .filter((endpoint) => !excluded.has(endpoint.id))
-      .map((endpoint) => ({ endpoint: endpoint.id, entry: endpoint }))
     let best: Endpoint | undefined
     let least = Infinity
-    for (const { entry } of this.ejection.usable(candidates, now)) {
+    for (const entry of this.usable(service, excluded, now)) {
       const fullness = this.fullness(entry, all, now) + random() / (10 * entry.slots)
       if (fullness >= least) continue
       best = entry
@@ -59,6 +56,24 @@
     return best
   }
 
+  /** @returns the endpoints that a request may be sent to: not excluded, and not ejected after failures unless most are */
+  usable (service: ServiceName, excluded: ReadonlySet<EndpointId>, now: number): readonly Endpoint[] {
+    const candidates = this.directory.servable(service)
+      .filter((endpoint) => !excluded.has(endpoint.id))
+      .map((endpoint) => ({ endpoint: endpoint.id, entry: endpoint }))
+    return this.ejection.usable(candidates, now).map(({ entry }) => entry)
+  }
+
+  /** @returns ids of the endpoints of the service that are not among these */
+  allExcept (service: ServiceName, endpoints: readonly Endpoint[]): ReadonlySet<EndpointId> {
+    return new Set(this.directory.servable(service).filter((endpoint) => !endpoints.includes(endpoint)).map(({ id }) => id))
+  }
+
+  /** @returns an endpoint of the service; undefined when it may get no requests any more */
+  find (service: ServiceName, id: EndpointId): Endpoint | undefined {
+    return this.directory.servable(service).find((endpoint) => endpoint.id === id)
+  }
+
   /** @returns the load of an endpoint as a share of its slots, with the additions for distance, failures and errors */
   private fullness (endpoint: Endpoint, all: readonly EndpointId[], now: number): number {
     const remote = endpoint.dataCentre === this.dataCentre ? 0 : REMOTE_SLOTS
--- a/packages/ingress/src/runtime/gauge-readings.ts
+++ b/packages/ingress/src/runtime/gauge-readings.ts
@@ -11,6 +11,7 @@
 import type { GaugeReadings } from '../observability/ingress-metrics.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { InstancePaths } from '../paths/create-paths.js'
+import type { ServicePlaces } from '../places/service-places.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
@@ -29,6 +30,7 @@
   readonly members: MemberList
   readonly directory: EndpointDirectory
   readonly rateLimiter: EndpointRateLimiter
+  readonly places: ServicePlaces
   readonly paths: InstancePaths
   readonly origins: StreamOrigins
   readonly sink: LineSink
@@ -41,7 +43,7 @@
 
 /** @returns the present value of each gauge */
 export function readGauges (sources: GaugeSources): GaugeReadings {
-  const { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures } = sources
+  const { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, places, paths, origins, sink, listener, overlay, network, quarantine, figures } = sources
   return {
     ...teams.gauges(),
     configurationVersion: configuration.version,
@@ -51,6 +53,8 @@
     servableEndpoints: directory.all().filter((endpoint) => !endpoint.leaving).length,
     unboundedEndpoints: unbounded.ejectedCount,
     rateLimitedEndpoints: rateLimiter.limits.count,
+    placesHeld: places.heldCount,
+    placesWaiting: places.waitingCount,
     lostPaths: paths.paths.lostCount,
     rememberedStreams: origins.count,
     tunnels: paths.server.count,
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -38,6 +38,8 @@
 import type { RetryBudgets } from '../retries/retry-budgets.js'
 import { createRateLimiter } from '../rate-limits/create-rate-limiter.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
+import { createPlaces } from '../places/create-places.js'
+import type { ServicePlaces } from '../places/service-places.js'
 import { createEjection } from '../routing/endpoint-ejection.js'
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
@@ -102,6 +104,7 @@
   private readonly ejection = createEjection()
   private readonly errors = new ErrorRates()
   private readonly rateLimiter: EndpointRateLimiter
+  private readonly places: ServicePlaces
   private readonly budgets: RetryBudgets
   private readonly endpointNotices: ReturnType<typeof createEndpointNotices>
   private readonly heldNotices: HeldAdapterNotices
@@ -169,17 +172,9 @@
     this.origins = createStreamOrigins({ self: this.instance, clock, logger: logger.part('streams'), metrics, freshness, members, overlay, areMembersKnown })
     const owners = new QuotaOwners({ self: this.instance, clock: this.clock, candidates: () => this.quotaOwnerCandidates() })
     this.teams = this.createTeams(owners)
-    this.rateLimiter = createRateLimiter({
-      self: this.instance,
-      clock: this.clock,
-      logger: logger.part('limits'),
-      directory: this.directory,
-      members: this.members,
-      overlay: this.overlay,
-      owners,
-      metrics: this.metrics,
-      areMembersKnown
-    })
+    const shared = { self: this.instance, clock, directory, members, overlay, owners, metrics }
+    this.rateLimiter = createRateLimiter({ ...shared, logger: logger.part('limits'), areMembersKnown })
+    this.places = createPlaces({ ...shared, logger: logger.part('places'), dataCentre: settings.dataCentre })
     this.heldNotices = new HeldAdapterNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.figures = createEngineFigures({ self: this.instance, clock, logger: logger.part('engines'), directory, overlay, speeds, workTracker, members, loadOwnership: () => this.loadOwnership })
     this.loadOwnership = this.createLoadOwnership()
@@ -227,6 +222,7 @@
       senders: this.senders,
       quarantine: this.quarantine.quarantine,
       rateLimiter: this.rateLimiter,
+      places: this.places,
       admission: this.teams.admission,
       origins: this.origins
     })
@@ -378,6 +374,7 @@
     this.messaging.connect()
     this.figures.connect(this.network)
     this.rateLimiter.connect(this.network, this.overlay)
+    this.places.connect(this.network)
     this.rateLimiter.backoffs.connect((endpoint) => this.paths.server.carriedFor(endpoint))
     this.endpointNotices.connect(this.network)
     this.teams.connect()
@@ -410,6 +407,7 @@
       this.errors.decay(ERROR_DECAY)
       this.teams.maintain()
       this.rateLimiter.maintain()
+      this.places.maintain()
       this.budgets.maintain(this.clock.now())
       this.origins.maintain()
     }
@@ -424,7 +422,7 @@
   }
 
   private gaugeSources (): GaugeSources {
-    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine, figures, endpointNotices: { unbounded } } = this
-    return { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine, figures }
+    const { teams, configuration, health, freshness, clock, members, directory, rateLimiter, places, paths, origins, sink, listener, overlay, network, quarantine, figures, endpointNotices: { unbounded } } = this
+    return { unbounded, teams, configuration, health, freshness, clock, members, directory, rateLimiter, places, paths, origins, sink, listener, overlay, network, quarantine: quarantine.quarantine, figures }
   }
 }
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -107,7 +107,7 @@
     const clock = new SystemClock()
     const { directory, locations } = this
     const logger = recordingLogger(this.lines)
-    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, lostPaths: 0, rememberedStreams: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, accusedParts: 0, quarantinedParts: 0, ownedEngines: [], configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
+    const metrics = new IngressMetrics(() => ({ stateAgeSeconds: [], configurationVersion: 0, storeSilenceSeconds: 0, members: 1, servableEndpoints: 0, rateLimitedEndpoints: 0, placesHeld: 0, placesWaiting: 0, lostPaths: 0, rememberedStreams: 0, tunnels: 0, droppedLogLines: 0, requestsInProgress: 0, peerConnections: 0, isHub: 1, leaves: 0, peerFrames: {}, accusedRequests: 0, quarantinedRequests: 0, accusedParts: 0, quarantinedParts: 0, ownedEngines: [], configurationProofSeconds: 0, teamsInUse: 0, ownedQuotas: 0 }))
     const workTracker = new EndpointWorkTracker()
     const speeds = new EngineSpeeds()
     const forecast = new FirstEventForecast(speeds)
@@ -170,7 +170,7 @@
       })
     })
     const errors = new ErrorRates()
-    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
+    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, places: { isDivided: () => false, take: async () => await Promise.reject(new Error('places are not divided here')) }, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
     const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), expectedVersion: () => undefined })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
