--- a/packages/ingress/src/relay/service-endpoint-search.ts
+++ b/packages/ingress/src/relay/service-endpoint-search.ts
@@ -82,7 +82,8 @@
     const place = await places.take({
       service: name, priority, excluded: router.allExcept(name, usable), onTimeAt: arrivedAt + route.objectiveMilliseconds, endsAt, signal
     })
-    if (place instanceof LimpetwinchError) return place
+    // A request that ended while it waited gets the error of its end, not that of the places.
+    if (place instanceof LimpetwinchError) return signal.aborted ? undefined : place
     const endpoint = router.find(name, place.endpoint)
     if (endpoint !== undefined && !signal.aborted) return { endpoint, giveBack: place.giveBack }
     place.giveBack('abandoned', 0)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -23,6 +23,7 @@
 import { EndpointSenders } from '../../src/relay/endpoint-senders.js'
 import { RoutedListener } from '../../src/relay/routed-listener.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
+import type { ServiceRelayDependencies } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import type { StreamRelayDependencies } from '../../src/relay/stream-relay.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
@@ -69,6 +70,8 @@
   readonly isConfigurationCurrent?: boolean
   /** Where streams began, by the request that brought their first event; nothing is known of them by default. */
   readonly origins?: StreamRelayDependencies['origins']
+  /** The places of plain services; they are not divided by default. */
+  readonly places?: ServiceRelayDependencies['places']
   /** Answers each ask for quota tokens: whether the tokens are granted. All are granted by default. */
   readonly grantsTokens?: () => boolean
 }
@@ -78,6 +81,9 @@
   begun: () => {}, completed: () => {}, find: async (_first, { name }) => ({ service: name, softwareVersion: SOFTWARE_VERSION })
 }
 
+/** The places of a service that has many slots for each instance. */
+const NOT_DIVIDED: ServiceRelayDependencies['places'] = { isDivided: () => false, take: async () => await Promise.reject(new Error('the places are not divided')) }
+
 /** The slack of an instance that has been listed alone for long. */
 class WholeSlack extends SlackPart {
   constructor () {
@@ -170,7 +176,7 @@
       })
     })
     const errors = new ErrorRates()
-    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, places: { isDivided: () => false, take: async () => await Promise.reject(new Error('places are not divided here')) }, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
+    const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, places: setup.places ?? NOT_DIVIDED, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
     const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), expectedVersion: () => undefined })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
--- a/packages/ingress/test/support/test-codec.ts
+++ b/packages/ingress/test/support/test-codec.ts
@@ -2,7 +2,7 @@
 import { adapterKey, digestOfKey, RequestCodec } from '@limpetwinch/ingress'
 import type { ResponseFacts, RequestFacts, SendFacts } from '@limpetwinch/ingress'
 
-/** Reads and writes the headers `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-model`, `x-after`, `x-secret`, `x-team`, `x-limit`. */
+/** Reads and writes the headers `x-request-id`, `x-server-signature`, `x-not-run`, `x-adapter`, `x-model`, `x-after`, `x-secret`, `x-team`, `x-limit`, `x-full`. */
 export class TestCodec extends RequestCodec {
   override read (headers: NodeJS.Dict<string | string[]>): RequestFacts {
     const name = headers['x-adapter'] as string | undefined
@@ -41,7 +41,7 @@
       encoded: headers['content-encoding'] !== undefined,
       rateLimit: limit === undefined ? undefined : Number.isNaN(Number(limit)) ? 'malformed' : Number(limit),
       refusalLimit: undefined,
-      isFull: false,
+      isFull: headers['x-full'] !== undefined,
       backoffMilliseconds: headers['x-backoff'] === undefined ? undefined : Number(headers['x-backoff']),
       isLeaving: headers['x-leaving'] !== undefined,
       answeredBy: undefined
