Events of up to 1 MB are served as before, also over a slow link

The bound of 256 KB for one event, and the time for pieces of an event, ended streams whose large events had been served before (relay.failure: a slow caller with events of 900 KB). An event may hold 1 MB again, and pieces of one event may come for any time at 512 KB a second or more, until they pass that bound.

--- a/packages/decisions/src/responses/response-progress-meter.ts
+++ b/packages/decisions/src/responses/response-progress-meter.ts
@@ -3,8 +3,11 @@
  * or the pieces of one event, without an end. Silence is no such response: an engine that reads a long prompt sends nothing for seconds.
  */
 
-/** Bytes of a response that may arrive without progress: more than any head, and than an event of a few tokens. */
-export const MAXIMUM_FILLER_BYTES = 262_144
+/** Bytes of a response that may arrive without progress: more than any head, and than the largest accepted event in its chunks. */
+export const MAXIMUM_FILLER_BYTES = 1_179_648
+/** Rate of bytes at which the pieces of one event may come for any time, bytes a second: a large event on a slow link. At this rate it soon exceeds its bound. */
+const LEAST_EVENT_RATE = 524_288
+const MILLISECONDS_PER_SECOND = 1_000
 /**
  * Arrivals of bytes without progress, below which time alone says nothing: keep-alive comments come about once a second, and the segments of
  * one head or event may be delayed on their way.
@@ -23,6 +26,8 @@
   /** Arrivals since the latest progress, and the time of the first of them. */
   private fillerArrivals = 0
   private firstFillerAt = 0
+  /** Bytes of the event that is not complete yet which have arrived since the latest progress. */
+  private pieceBytes = 0
   private bodyArrivals = 0
   private bodyBeganAt: number | undefined
   private isPaused = false
@@ -46,18 +51,30 @@
   arrived (totalBytes: number, now: number): 'filler-bytes' | 'filler-time' | undefined {
     if (this.isPaused) return undefined
     if (this.fillerArrivals === 0) this.firstFillerAt = now
-    const fault = this.arrivedBytes - this.progressBytes > MAXIMUM_FILLER_BYTES
-      ? 'filler-bytes'
-      : this.fillerArrivals >= MINIMUM_FILLER_ARRIVALS && now - this.firstFillerAt >= this.fillerMilliseconds ? 'filler-time' : undefined
+    const fillerBytes = this.arrivedBytes - this.progressBytes
+    const isLong = this.isFillerLong(now)
     this.fillerArrivals += 1
     this.arrivedBytes = totalBytes
-    return fault
+    if (fillerBytes > MAXIMUM_FILLER_BYTES) return 'filler-bytes'
+    return isLong ? 'filler-time' : undefined
+  }
+
+  private isFillerLong (now: number): boolean {
+    const milliseconds = now - this.firstFillerAt
+    if (this.fillerArrivals < MINIMUM_FILLER_ARRIVALS || milliseconds < this.fillerMilliseconds) return false
+    return this.pieceBytes < LEAST_EVENT_RATE * milliseconds / MILLISECONDS_PER_SECOND
   }
 
   /** Records that the bytes that have arrived became a part of the answer: its final head, a part of its body or a complete event. */
   progressed (): void {
     this.progressBytes = this.arrivedBytes
     this.fillerArrivals = 0
+    this.pieceBytes = 0
+  }
+
+  /** Records that a piece of an event arrived that is not complete yet. @param bytes - length of the piece */
+  pieceArrived (bytes: number): void {
+    this.pieceBytes += bytes
   }
 
   /** Records that a part of a body arrived that is complete only with its last byte. */
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -26,9 +26,14 @@
 
 /**
  * What a chunk of a body became: `event` when it completed an event for the caller, `part` when it is a part of an answer that only its end
- * completes, and `filler` when it is nothing that the caller waits for, such as a comment or a piece of an event.
+ * completes, `piece` when it is a piece of an event that is not complete yet, and `filler` when it is nothing that the caller waits for, such as a comment.
  */
-export type ChunkUse = 'event' | 'part' | 'filler'
+export type ChunkUse = 'event' | 'part' | 'piece' | 'filler'
+
+/** @returns whether the chunk brings the caller nearer to an answer */
+export function isProgress (use: ChunkUse): boolean {
+  return use === 'event' || use === 'part'
+}
 
 /** Receives a response as it arrives. */
 export interface AttemptSink {
@@ -249,7 +254,8 @@
 
   private pass (chunk: Buffer, sink: AttemptSink): void {
     const use = sink.data(chunk)
-    if (use === 'filler') return
+    if (use === 'piece') this.meter.pieceArrived(chunk.length)
+    if (!isProgress(use)) return
     this.hasBody = true
     this.meter.progressed()
     if (use === 'part') this.meter.bodyArrived(performance.now())
--- a/packages/ingress/src/relay/endpoint-contacts.ts
+++ b/packages/ingress/src/relay/endpoint-contacts.ts
@@ -4,6 +4,7 @@
  * connections, the run of the request is paused. An endpoint without contact on any connection is lost.
  */
 import type { Clock, EndpointId } from '@limpetwinch/core'
+import { isProgress } from './attempt.js'
 import type { AttemptSink } from './attempt.js'
 
 /** Monotonic time at which this instance last received response headers or body bytes from each endpoint. */
@@ -62,7 +63,7 @@
       },
       data: (chunk) => {
         const use = sink.data(chunk)
-        if (use !== 'filler') this.recordContact()
+        if (isProgress(use)) this.recordContact()
         return use
       }
     }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -14,7 +14,7 @@
 import type { NamedRateLimits } from '../rate-limits/named-rate-limits.js'
 import type { Endpoint, Route } from '../routes/configuration.js'
 import type { UnboundedResponses } from '../unbounded-responses/unbounded-responses.js'
-import { Attempt } from './attempt.js'
+import { Attempt, isProgress } from './attempt.js'
 import type { AttemptEnd, AttemptSink } from './attempt.js'
 import { EndpointConnections } from './endpoint-connections.js'
 import type { EndpointConnection } from './endpoint-connections.js'
@@ -256,7 +256,7 @@
       },
       data: (chunk) => {
         const use = sink.data(chunk)
-        if (use !== 'filler') onData()
+        if (isProgress(use)) onData()
         return use
       }
     }
--- a/packages/ingress/src/relay/event-splitter.ts
+++ b/packages/ingress/src/relay/event-splitter.ts
@@ -9,7 +9,7 @@
 }
 
 /** Largest accepted event. A stream that sends more bytes than this without the end of an event is malformed. */
-export const MAXIMUM_EVENT_BYTES = 262_144
+export const MAXIMUM_EVENT_BYTES = 1_048_576
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const ID_FIELD = /^id:[ ]?([^\r\n]*)/m
--- a/packages/ingress/src/relay/stream-attempt.ts
+++ b/packages/ingress/src/relay/stream-attempt.ts
@@ -132,7 +132,7 @@
     if (!this.isStream) return this.handleOtherChunk(chunk)
     const events = this.splitter.append(chunk)
     if (this.sending?.attempt.holds(this.splitter.pendingBytes, MAXIMUM_EVENT_BYTES, 'event') === false) return 'filler'
-    if (events.filter((event) => this.isAdvance(event.id)).length === 0) return 'filler'
+    if (events.filter((event) => this.isAdvance(event.id)).length === 0) return events.length === 0 && !this.splitter.isBetweenEvents ? 'piece' : 'filler'
     this.passOn(events)
     return 'event'
   }
--- a/packages/ingress/test/unbounded-attempt.failure.test.ts
+++ b/packages/ingress/test/unbounded-attempt.failure.test.ts
@@ -133,6 +133,17 @@
     expect([result.kind, attempt.unboundedKind]).toEqual(['whole', undefined])
   })
 
+  it('is whole when one large event comes over a slow link', async () => {
+    const piece = 'x'.repeat(20_000)
+    const { result, attempt } = await streamed((socket, request) => {
+      stream([], () => {})(socket, request)
+      socket.write(chunk('id: 1\ndata: '))
+      for (let part = 1; part <= 30; part += 1) setTimeout(() => { socket.write(chunk(piece)) }, part * 15)
+      setTimeout(() => { socket.write(chunk('\n\n')); endStream(socket) }, 500)
+    })
+    expect([result.kind, attempt.unboundedKind]).toEqual(['whole', undefined])
+  })
+
   it('is whole for a caller that reads slowly while the engine sends on', async () => {
     const ids = Array.from({ length: 12 }, (_each, index) => index + 1)
     const { result, attempt } = await streamed((socket, request) => {
