--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -23,7 +23,7 @@
  */
 const PATIENCE_OBJECTIVE_SHARE = 0.9
 /** `retry-after` of the errors that callers receive, in seconds: slots of an endpoint become free within a fraction of a second. */
-const RETRY_AFTER_SECONDS = 0.25
+export const RETRY_AFTER_SECONDS = 0.25
 const FIRST_SERVER_ERROR = 500
 
 /** Dependencies of the relay. */
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -93,6 +93,8 @@
   readonly forecastMilliseconds: number
   /** Prompt tokens that the engine has to read, since it has not cached them. */
   readonly uncachedTokens: number
+  /** What was compared with the other engines; absent in an estimate that was compared with none. */
+  readonly costMilliseconds?: number
 }
 
 /** An engine chosen to load an adapter. */
@@ -141,7 +143,7 @@
       const running = this.parts.workTracker.outstanding(endpoint.id, now).requests * (query.isolated === true ? CRASH_RISK_MILLISECONDS : RUNNING_MILLISECONDS)
       const cost = choice.forecastMilliseconds + running + this.pauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now)
       if (cost >= least) continue
-      best = choice
+      best = { ...choice, costMilliseconds: cost }
       least = cost
     }
     return best
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -53,6 +53,7 @@
 import type { FollowerDependencies } from './platform-followers.js'
 import { readGauges } from './gauge-readings.js'
 import type { GaugeSources } from './gauge-readings.js'
+import { createRequestExplainer } from '../operator/create-request-explainer.js'
 import { MonitoringServers } from './monitoring-servers.js'
 import { StoreReader } from './store-reader.js'
 import { watchForProcessPauses } from './pause-watch.js'
@@ -178,18 +179,19 @@
     this.heldNotices = new HeldAdapterNotices(this.overlay, this.locations, this.metrics, this.clock, this.instance)
     this.figures = createEngineFigures({ self: this.instance, clock, logger: logger.part('engines'), directory, overlay, speeds, workTracker, members, loadOwnership: () => this.loadOwnership })
     this.loadOwnership = this.createLoadOwnership()
+    const loadMilliseconds = (): number => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now()))
     const router = new EngineRouter({
-      directory: this.directory,
+      directory,
+      workTracker,
+      speeds,
       locations: this.locations,
-      workTracker: this.workTracker,
       forecast: this.forecast,
-      speeds: this.speeds,
       prefixes: this.prefixCache,
       ejection: this.ejection,
       backoffs: this.rateLimiter.backoffs,
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.minimumUsable(key, now),
-      loadMilliseconds: () => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now())),
+      loadMilliseconds,
       hasLoadOwner: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint) !== undefined
     })
     const { rateLimiter, storeLimiter, forecast, ejection, locations, loadOwnership } = this
@@ -200,22 +202,14 @@
     this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
     this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
     this.senders = this.createSenders()
-    this.listener = createListener({
-      clock: this.clock,
+    const wired = { clock, metrics, settings, configuration, freshness, directory, locations, workTracker, engineFinder, speeds }
+    const relays = {
+      ...wired,
       logger: logger.part('relay'),
-      metrics: this.metrics,
-      settings,
       codec: this.platform.codec,
-      configuration,
-      freshness,
-      directory,
       budgets: this.budgets,
-      locations: this.locations,
       versions: this.versions,
-      engineFinder: this.engineFinder,
-      workTracker: this.workTracker,
       forecast: this.forecast,
-      speeds: this.speeds,
       prefixes: this.prefixCache,
       ejection: this.ejection,
       errors: this.errors,
@@ -225,8 +219,10 @@
       places: this.places,
       admission: this.teams.admission,
       origins: this.origins
-    })
-    this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text() })
+    }
+    this.listener = createListener(relays)
+    const explainer = createRequestExplainer({ ...relays, instance: settings.name, router, figures: this.figures, loadMilliseconds })
+    this.monitoring = new MonitoringServers({ isReady: () => this.isReady(), metrics: async () => await this.metrics.text(), explainer })
     this.connectComponents()
   }
 
@@ -306,7 +302,8 @@
       logger: logger.part('loads'),
       settings,
       store: this.platform.store,
-      control: this.platform.control, ...this.endpointNotices,
+      ...this.endpointNotices,
+      control: this.platform.control,
       health,
       members,
       directory,
