Long prompts are announced, and reported prompts count as read in time

Digests of work are 653 ms old at 87 instances, while an engine reads a prompt in 70 to 400 ms: many instances sent long prompts to the same engine at once. An instance now tells all 20 ms after it sent a long prompt (at most 150 such notices a second of all instances together), and prompts that peers reported count as read after the time that the engine needs for them. Digests, and with them the adapters in use on which evictions depend, stay as they are.

--- a/packages/core/src/frames/frames.ts
+++ b/packages/core/src/frames/frames.ts
@@ -6,7 +6,7 @@
 import type { AdmissionAskFrame, AdmissionGrantedFrame, AdmissionRefusedFrame, AdmissionDoneFrame, PinsAskFrame, PinsReportFrame, EndpointDigestFrame, OwnershipFrame, HandOverFrame, LoadTurnAskFrame, LoadTurnDoneFrame, TeamServiceFrame } from './endpoint-owner-frames.js'
 import type { SettingsChangeFrame, SettingsRevisionsFrame } from './settings-frames.js'
 import type { BeliefsOfferFrame, BeliefsAskFrame, BeliefsFrame, OverlayRoleFrame, OverlayPresenceFrame, OverlayBatchFrame, EndpointsLeavingFrame, EndpointLeavingFrame } from './cluster-frames.js'
-import type { RelayLoadFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
+import type { RelayLoadFrame, WorkChangedFrame, AdaptersHeldFrame, AdaptersChangedFrame, LoadAskFrame, LoadRefusedFrame } from './work-frames.js'
 import type { EndpointCrashFrame, RequestTrialFrame, RequestVerdictFrame, SoundPartsFrame } from './quarantine-frames.js'
 import type { EngineSamplesFrame, EngineSpeedsFrame } from './speed-frames.js'
 import type { UnreachableServicesFrame } from './path-frames.js'
@@ -81,6 +81,7 @@
   | PlaceAskFrame
   | PlaceAnswerFrame
   | PlaceReturnFrame
+  | WorkChangedFrame
   | AcceptedFrame
   | RefusedFrame
 
--- a/packages/core/src/frames/work-frames.ts
+++ b/packages/core/src/frames/work-frames.ts
@@ -19,6 +19,11 @@
   readonly loads: readonly RelayedLoad[]
 }
 
+/** The sender's present totals on one endpoint, sent when it has just sent a long prompt there; its other work is as in its last `relay-load`. */
+export interface WorkChangedFrame extends Omit<RelayedLoad, 'adapters'> {
+  readonly kind: 'work-changed'
+}
+
 /** The adapters of an endpoint as known to its load owner, the instance that orders its loads. */
 export interface AdaptersHeldFrame {
   readonly kind: 'adapters-held'
--- a/packages/decisions/src/routing/engine-speeds.ts
+++ b/packages/decisions/src/routing/engine-speeds.ts
@@ -65,6 +65,7 @@
   private references: ReadonlyMap<string, Reference> | undefined
   private changes = 0
   private prefillTokensPerMillisecond = INITIAL_PREFILL_TOKENS_PER_MILLISECOND
+  private isPrefillMeasured = false
 
   /** @param serviceOf - returns the service of an engine; only engines of one service are compared with each other */
   constructor (serviceOf: (endpoint: string) => string = () => '') {
@@ -91,6 +92,7 @@
   /** Records that the engine took this time to prefill a prompt of this many tokens. */
   recordPrefill (endpoint: string, tokens: number, milliseconds: number): void {
     if (tokens < MINIMUM_PROMPT_TOKENS || milliseconds <= 0) return
+    this.isPrefillMeasured = true
     const sample = tokens / milliseconds * this.slowness(endpoint)
     const before = this.prefillTokensPerMillisecond
     const bounded = Math.min(before * MAXIMUM_CHANGE_FACTOR, Math.max(before / MAXIMUM_CHANGE_FACTOR, sample))
@@ -119,6 +121,12 @@
     return tokens / rate * this.slowness(endpoint)
   }
 
+  /** @returns prompt tokens that the engine reads per millisecond; undefined before any prompt was measured */
+  prefillRate (endpoint: string): number | undefined {
+    const isMeasured = this.isPrefillMeasured || this.reference(endpoint)?.prefillTokensPerMillisecond !== undefined
+    return isMeasured ? 1 / this.prefillMilliseconds(endpoint, 1) : undefined
+  }
+
   /** Drops the measurements of an engine that was removed or restarted. */
   forget (endpoint: string): void {
     this.spacings.delete(endpoint)
--- a/packages/entry/src/peers/frame-schemas.ts
+++ b/packages/entry/src/peers/frame-schemas.ts
@@ -267,7 +267,8 @@
     number: count,
     end: z.enum(['answered', 'error', 'full', 'failed', 'abandoned']),
     milliseconds: z.number().min(0)
-  })
+  }),
+  'work-changed': z.object({ endpoint: id, requests: count, prefillTokens: count, memoryTokens: count })
 } as const satisfies Record<FrameKind, z.ZodObject>
 
 /** Kinds of frames, indexed by their number on the wire. */
--- a/packages/ingress/src/routing/endpoint-work-tracker.ts
+++ b/packages/ingress/src/routing/endpoint-work-tracker.ts
@@ -8,6 +8,9 @@
 /** Age at which the report of a peer expires, so that the work of an unresponsive peer does not count for ever. */
 const PEER_REPORT_MILLISECONDS = 5_000
 
+/** Prompt tokens from which the reading of a prompt takes long enough to change where other requests should go. */
+const LONG_PROMPT_TOKENS = 2_000
+
 /** Requests that an endpoint has received and not finished yet, and the capacity that they need. */
 export interface OutstandingWork {
   readonly requests: number
@@ -35,17 +38,27 @@
   readonly sent: Map<AdapterKey, number>
 }
 
+/** The latest report of one peer about one endpoint. */
+interface ReportedLoad {
+  readonly load: RelayedLoad
+  /** Monotonic time at which this instance received it. */
+  readonly receivedAt: number
+}
+
 /** The latest report of one peer. */
 interface PeerReport {
   /** Monotonic time at which this instance received the report. */
   readonly receivedAt: number
-  readonly loads: readonly RelayedLoad[]
+  readonly loads: Map<EndpointId, ReportedLoad>
 }
 
 /** Total work of all peers on one endpoint. */
 interface PeerTotals {
   requests: number
+  /** Prompt tokens as reported. */
   prefillTokens: number
+  /** Sum of the reported prompt tokens, each multiplied by the time at which its report was received. */
+  prefillTokenTimes: number
   memoryTokens: number
   /** Number of running requests by adapter. */
   readonly running: Map<string, number>
@@ -71,6 +84,18 @@
   private readonly peerTotals = new Map<EndpointId, PeerTotals>()
   private readonly releaseListeners: ((endpoint: EndpointId) => void)[] = []
   private readonly useListeners: ((endpoint: EndpointId, key: AdapterKey, uses: number) => void)[] = []
+  private readonly longPromptListeners: ((endpoint: EndpointId) => void)[] = []
+  private readonly prefillRateOf: (endpoint: EndpointId) => number | undefined
+
+  /** @param prefillRateOf - returns how many prompt tokens an engine reads per millisecond; undefined for other endpoints */
+  constructor (prefillRateOf: (endpoint: EndpointId) => number | undefined = () => undefined) {
+    this.prefillRateOf = prefillRateOf
+  }
+
+  /** Calls the listener when this instance has sent a long prompt to an engine, of which peers should know before the next digest. */
+  onLongPrompt (listener: (endpoint: EndpointId) => void): void {
+    this.longPromptListeners.push(listener)
+  }
 
   /** Calls the listener when requests that use an adapter are sent to an endpoint, by this instance or, as reported, by peers; `uses` is their number. */
   onUse (listener: (endpoint: EndpointId, key: AdapterKey, uses: number) => void): void {
@@ -88,6 +113,7 @@
       own.sent.set(work.adapter, (own.sent.get(work.adapter) ?? 0) + 1)
       for (const listener of this.useListeners) listener(endpoint, work.adapter, 1)
     }
+    if (work.prefillTokens >= LONG_PROMPT_TOKENS) for (const listener of this.longPromptListeners) listener(endpoint)
     let isReading = true
     let isRunning = true
     const prefilled = (): void => {
@@ -115,7 +141,7 @@
     const peers = this.peerTotals.get(endpoint)
     return {
       requests: (own?.requests ?? 0) + (peers?.requests ?? 0),
-      prefillTokens: (own?.prefillTokens ?? 0) + (peers?.prefillTokens ?? 0),
+      prefillTokens: (own?.prefillTokens ?? 0) + (peers === undefined ? 0 : this.unreadTokens(endpoint, peers, now)),
       memoryTokens: (own?.memoryTokens ?? 0) + (peers?.memoryTokens ?? 0)
     }
   }
@@ -151,8 +177,9 @@
   /** Replaces the previous report of a peer by a newer report. */
   applyPeerReport (from: InstanceId, loads: readonly RelayedLoad[], now: number): void {
     this.forgetPeer(from)
-    this.peers.set(from, { receivedAt: now, loads })
-    for (const load of loads) this.addToTotals(load, 1)
+    const report = { receivedAt: now, loads: new Map<EndpointId, ReportedLoad>() }
+    this.peers.set(from, report)
+    for (const load of loads) this.setReported(report, load, now)
     for (const load of loads) {
       for (const [key, , sent] of load.adapters) {
         if (sent > 0) for (const listener of this.useListeners) listener(load.endpoint, key as AdapterKey, sent)
@@ -160,9 +187,20 @@
     }
   }
 
+  /**
+   * Updates the latest report of a peer by its present totals on one endpoint. The adapters in use there remain as reported, and the report
+   * expires as before: the peer has confirmed nothing about other endpoints.
+   */
+  applyPeerChange (from: InstanceId, { endpoint, requests, prefillTokens, memoryTokens }: Omit<RelayedLoad, 'adapters'>, now: number): void {
+    const report = this.peers.get(from) ?? { receivedAt: now, loads: new Map<EndpointId, ReportedLoad>() }
+    if (!this.peers.has(from)) this.peers.set(from, report)
+    const adapters = report.loads.get(endpoint)?.load.adapters ?? []
+    this.setReported(report, { endpoint, requests, prefillTokens, memoryTokens, adapters }, now)
+  }
+
   /** Removes the report of a peer that has left. */
   forgetPeer (instance: InstanceId): void {
-    for (const load of this.peers.get(instance)?.loads ?? []) this.addToTotals(load, -1)
+    for (const reported of this.peers.get(instance)?.loads.values() ?? []) this.addToTotals(reported, -1)
     this.peers.delete(instance)
   }
 
@@ -178,6 +216,11 @@
     }))
   }
 
+  /** @returns the current totals of this instance on one endpoint */
+  presentTotals (endpoint: EndpointId): Omit<RelayedLoad, 'adapters'> {
+    return ownTotals(endpoint, this.ownWork(endpoint))
+  }
+
   /** @returns the current work of this instance, for all peers; the requests sent since the last digest are reset, so each one is reported once */
   digest (): RelayedLoad[] {
     const loads: RelayedLoad[] = []
@@ -199,12 +242,33 @@
     }
   }
 
+  /**
+   * Estimates how many of the reported prompt tokens of the peers are still unread. Reports are older than most prompts take to be read, and
+   * an engine would count as occupied until the next report of each peer.
+   */
+  private unreadTokens (endpoint: EndpointId, { prefillTokens, prefillTokenTimes }: PeerTotals, now: number): number {
+    const rate = prefillTokens > 0 ? this.prefillRateOf(endpoint) : undefined
+    if (rate === undefined) return prefillTokens
+    const meanAge = now - prefillTokenTimes / prefillTokens
+    return Math.max(0, Math.min(prefillTokens, prefillTokens - rate * meanAge))
+  }
+
+  private setReported (report: PeerReport, load: RelayedLoad, now: number): void {
+    const before = report.loads.get(load.endpoint)
+    if (before !== undefined) this.addToTotals(before, -1)
+    const reported = { load, receivedAt: now }
+    report.loads.set(load.endpoint, reported)
+    this.addToTotals(reported, 1)
+  }
+
   /** Adds or subtracts the work of one peer on one endpoint. @param sign - 1 to add, -1 to subtract */
-  private addToTotals (load: RelayedLoad, sign: 1 | -1): void {
-    const peerTotals = this.peerTotals.get(load.endpoint) ?? { requests: 0, prefillTokens: 0, memoryTokens: 0, running: new Map() }
+  private addToTotals ({ load, receivedAt }: ReportedLoad, sign: 1 | -1): void {
+    const peerTotals = this.peerTotals.get(load.endpoint) ?? { requests: 0, prefillTokens: 0, prefillTokenTimes: 0, memoryTokens: 0, running: new Map() }
     this.peerTotals.set(load.endpoint, peerTotals)
     peerTotals.requests += sign * load.requests
     peerTotals.prefillTokens += sign * load.prefillTokens
+    // The times are rounded so that sums are exact, and nothing is left over when all reports have been subtracted again.
+    peerTotals.prefillTokenTimes += sign * load.prefillTokens * Math.round(receivedAt)
     peerTotals.memoryTokens += sign * load.memoryTokens
     for (const [key, running] of load.adapters) {
       const sum = (peerTotals.running.get(key) ?? 0) + sign * running
--- a/packages/ingress/src/routing/work-digests.ts
+++ b/packages/ingress/src/routing/work-digests.ts
@@ -2,7 +2,7 @@
  * Sends work digests to the other instances (peers). A digest is a summary of the outstanding work that this instance has on each endpoint:
  * numbers of requests and tokens. The routers of the peers need it to know the load of an endpoint over all instances.
  */
-import type { Clock, InstanceId } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId } from '@limpetwinch/core'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { EndpointWorkTracker } from './endpoint-work-tracker.js'
 
@@ -22,6 +22,20 @@
  */
 const SEND_SOON_MILLISECONDS = 20
 
+/**
+ * Time in which long prompts that this instance sends are combined into one notice for each engine. It is short against the time that an
+ * engine takes to read such a prompt.
+ */
+const CHANGE_MILLISECONDS = 20
+/**
+ * Notices about long prompts per second of all instances together, which bounds what each instance receives. Beyond it, peers learn of long
+ * prompts from the next digest.
+ */
+const CHANGES_PER_SECOND = 150
+/** Notices that an instance may send at once after it has sent none for a while. */
+const CHANGE_BURST = 3
+const MILLISECONDS_PER_SECOND = 1_000
+
 /** Sends the work digests of this instance to its peers. */
 export class WorkDigests {
   private readonly peers: Pick<PeerOverlay, 'notify' | 'broadcast'>
@@ -29,6 +43,10 @@
   private readonly members: () => number
   private readonly clock: Clock
   private readonly soon = new Set<InstanceId>()
+  /** Engines to which this instance has just sent a long prompt. */
+  private readonly changed = new Set<EndpointId>()
+  private allowance = CHANGE_BURST
+  private allowanceAt = -Infinity
 
   /** @param members - returns the number of instances */
   constructor (peers: Pick<PeerOverlay, 'notify' | 'broadcast'>, workTracker: EndpointWorkTracker, members: () => number, clock: Clock) {
@@ -53,6 +71,15 @@
     }, SEND_SOON_MILLISECONDS)
   }
 
+  /**
+   * Tells all peers soon that this instance has sent a long prompt to an engine. The age of digests grows with the fleet, and at 66 instances
+   * many would send prompts to the same engine before they learn of each other's.
+   */
+  announce (endpoint: EndpointId): void {
+    if (this.changed.size === 0) void this.clock.sleep(CHANGE_MILLISECONDS).then(() => this.sendChanges())
+    this.changed.add(endpoint)
+  }
+
   /** Sends digests to all peers until the signal is aborted. An empty digest is sent once, so that peers drop the previous one. */
   async run (signal: AbortSignal): Promise<void> {
     let wasEmpty = true
@@ -64,4 +91,17 @@
       this.peers.broadcast({ kind: 'relay-load', loads }, 'patient')
     }
   }
+
+  private sendChanges (): void {
+    const now = this.clock.now()
+    const rate = CHANGES_PER_SECOND / Math.max(1, this.members()) / MILLISECONDS_PER_SECOND
+    this.allowance = Math.min(CHANGE_BURST, this.allowance + (now - this.allowanceAt) * rate)
+    this.allowanceAt = now
+    for (const endpoint of this.changed) {
+      if (this.allowance < 1) break
+      this.allowance -= 1
+      this.peers.broadcast({ kind: 'work-changed', ...this.workTracker.presentTotals(endpoint) })
+    }
+    this.changed.clear()
+  }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -98,7 +98,7 @@
   private readonly storeReader: StoreReader
   private readonly locations = new AdapterLocations()
   private readonly storeLimiter = new WeightStoreLimiter(() => this.engines.engineCount)
-  private readonly workTracker = new EndpointWorkTracker()
+  private readonly workTracker = new EndpointWorkTracker((endpoint) => this.speeds.prefillRate(endpoint))
   private readonly speeds = new EngineSpeeds((endpoint) => this.directory.find(endpoint as EndpointId)?.service ?? '')
   private readonly forecast = new FirstEventForecast(this.speeds)
   private readonly prefixCache = new PrefixCacheEstimate()
--- a/packages/ingress/src/runtime/peer-messaging.ts
+++ b/packages/ingress/src/runtime/peer-messaging.ts
@@ -43,8 +43,10 @@
 
   /** Registers the handlers and listeners. */
   connect (): void {
-    const { network, overlay, workTracker, loadOwnership, engineFinder, clock } = this.dependencies
+    const { network, overlay, workTracker, digests, loadOwnership, engineFinder, clock } = this.dependencies
     workTracker.onReleased((endpoint) => this.announceRelease(endpoint))
+    workTracker.onLongPrompt((endpoint) => digests.announce(endpoint))
+    network.onNotice('work-changed', (from, frame) => workTracker.applyPeerChange(from, frame, clock.now()))
     network.onNotice('relay-load', (from, frame) => {
       workTracker.applyPeerReport(from, frame.loads, clock.now())
       loadOwnership.runsEnded()
--- a/packages/ingress/test/endpoint-work-tracker.failure.test.ts
+++ b/packages/ingress/test/endpoint-work-tracker.failure.test.ts
@@ -67,6 +67,21 @@
       })
     }), { seed: 8, numRuns: 300 })
   })
+
+  // Reports of peers are older than a prompt takes to be read. Every engine that read a prompt half a second ago would still count as
+  // occupied, and prompts would go to engines that are busier.
+  it('counts reported prompts as read after the time that the engine needs for them', () => {
+    const workTracker = new EndpointWorkTracker((endpoint) => endpoint === ENGINE ? 40 : undefined)
+    const unread = (now: number): number => workTracker.outstanding(ENGINE, now).prefillTokens
+    const report = (peer: string, prefillTokens: number, now: number): void => {
+      workTracker.applyPeerReport(peer as InstanceId, [{ endpoint: ENGINE, requests: 1, prefillTokens, memoryTokens: 0, adapters: [] }], now)
+    }
+    report('p', 8_000, 1_000)
+    const [begun, half, read] = [unread(1_000), unread(1_100), unread(1_500)]
+    report('q', 4_000, 1_500)
+    report('p', 8_000, 1_500)
+    expect([begun, half, read, unread(1_500), unread(1_900)]).toEqual([8_000, 4_000, 0, 12_000, 0])
+  })
 })
 
 function sum (numbers: readonly number[]): number {
