--- a/packages/ingress/src/engine-figures/engine-figures.ts
+++ b/packages/ingress/src/engine-figures/engine-figures.ts
@@ -31,7 +31,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly directory: Pick<EndpointDirectory, 'find' | 'onChange'>
-  readonly overlay: Pick<PeerOverlay, 'notify' | 'broadcast' | 'replay' | 'onNeighbour' | 'neighboursOf' | 'isHub' | 'isMesh'>
+  readonly overlay: Pick<PeerOverlay, 'notify' | 'broadcast' | 'replay' | 'onNeighbour' | 'neighboursOf' | 'isReachable' | 'isHub' | 'isMesh'>
   readonly speeds: EngineSpeeds
   readonly workTracker: Pick<EndpointWorkTracker, 'outstanding' | 'oldestReportMilliseconds'>
   /** Reports of the outstanding work of this instance. */
@@ -162,12 +162,14 @@
 
   /**
    * Sends a new neighbour what has been published, so that an instance that has just started knows the speeds before it serves requests. A
-   * hub sends a leaf what all load owners have published, and another hub what its leaves have.
+   * hub sends a leaf what all load owners have published, and another hub what its leaves have. Everybody sends what lost load owners have
+   * published, since one of them may be the new neighbour's previous process.
    */
   private replay (neighbour: InstanceId, role: OverlayRole): void {
     const { self, clock, overlay } = this.parts
     const leaves = new Set(overlay.isHub && !overlay.isMesh ? overlay.neighboursOf('leaf') : [])
-    const isForwarded = (owner: InstanceId): boolean => owner === self || leaves.has(owner) || (overlay.isHub && !overlay.isMesh && role === 'leaf')
+    const sendsAll = overlay.isHub && !overlay.isMesh && role === 'leaf'
+    const isForwarded = (owner: InstanceId): boolean => sendsAll || owner === self || leaves.has(owner) || !overlay.isReachable(owner)
     const frames = [...this.known.present(clock.now())].filter(([owner]) => isForwarded(owner))
     overlay.replay(neighbour, frames.map(([owner, speeds]) => [owner, { kind: 'engine-speeds', speeds }]))
   }
--- a/packages/ingress/src/engine-figures/speed-samples.ts
+++ b/packages/ingress/src/engine-figures/speed-samples.ts
@@ -4,7 +4,7 @@
 /** Samples of one engine and kind that are sent together. More of them would not count, see `SpeedWindow`. */
 const MAXIMUM_SAMPLES = 2
 /** Engines whose samples are sent together, which bounds the messages of a busy instance. */
-const MAXIMUM_ENGINES = 8
+const MAXIMUM_ENGINES = 2
 /** Engines of which samples are kept while they have no load owner. */
 const MAXIMUM_WAITING = 64
 
--- a/packages/ingress/test/engine-figures.failure.test.ts
+++ b/packages/ingress/test/engine-figures.failure.test.ts
@@ -115,4 +115,17 @@
     await fleet.clock.advance(2_000)
     expect(ENGINES.map((engine) => Math.round(fresh.speeds.slowness(engine) * 10) / 10)).toEqual(ENGINES.map((_, index) => index % 4 === 0 ? 1.8 : 1))
   })
+  // In a small fleet nobody forwards notices. A load owner that was killed starts anew, and nobody but the others knows what it published.
+  it('are known to the fresh process of a load owner in a small fleet', async () => {
+    for (const { stop } of fleet.instances) stop()
+    fleet = new FiguresFleet()
+    await fleet.start(2, 3, ENGINES)
+    await serve(4)
+    const owner = fleet.at(0)
+    fleet.kill(owner)
+    await fleet.clock.advance(1_000)
+    const fresh = fleet.restart(owner)
+    await fleet.clock.advance(2_000)
+    expect(ENGINES.map((engine) => Math.round(fresh.speeds.slowness(engine) * 10) / 10)).toEqual(ENGINES.map((_, index) => index % 4 === 0 ? 1.8 : 1))
+  })
 })
