--- a/packages/ingress/test/engine-figures.failure.test.ts
+++ b/packages/ingress/test/engine-figures.failure.test.ts
@@ -128,4 +128,17 @@
     await fleet.clock.advance(2_000)
     expect(ENGINES.map((engine) => Math.round(fresh.speeds.slowness(engine) * 10) / 10)).toEqual(ENGINES.map((_, index) => index % 4 === 0 ? 1.8 : 1))
   })
+  // All instances are killed at once, so that nobody knows a speed. The first streams must be enough for all, whichever instance they run at.
+  it('are learnt anew from few streams after all instances were killed', async () => {
+    await serve(4)
+    for (const killed of [...fleet.instances]) {
+      fleet.kill(killed)
+      const fresh = fleet.restart(killed)
+      for (const [engine, { instance, token }] of fleet.owners) if (instance === killed.member.instance) fleet.owners.set(engine, { instance: fresh.member.instance, token })
+    }
+    await fleet.clock.advance(2_000)
+    const before = fleet.views(SLOW)
+    await serve(4)
+    expect([before, fleet.views(SLOW), fleet.views(FAST)]).toEqual([[1], [1.8], [1]])
+  })
 })
