An endpoint that queues nothing gets its slots and no places beyond them

A refusal of what goes beyond the slots lowered the places to three quarters, and the place beyond came back with them, to be refused again.

--- a/packages/decisions/src/limits/place-endpoint.ts
+++ b/packages/decisions/src/limits/place-endpoint.ts
@@ -41,6 +41,8 @@
   /** Places that are lent at most, without those beyond the slots. */
   private bound: number
   private boundAt: number
+  /** Whether the endpoint has shown that it queues no requests beyond its slots. */
+  private hasNoQueue = false
   /** Whether no request has ended at this incarnation yet. */
   private isUnknown = true
   /** Monotonic time of the last grant. */
@@ -72,7 +74,7 @@
     this.recover(now)
     if (this.isUnknown) return Math.max(1, Math.ceil(this.bound * SHARE_OF_UNKNOWN))
     if (this.bound < this.slots) return Math.max(1, Math.floor(this.bound))
-    const beyond = this.duration === undefined ? 0 : Math.ceil(this.slots * this.transitMilliseconds / Math.max(1, this.duration.mean))
+    const beyond = this.duration === undefined || this.hasNoQueue ? 0 : Math.ceil(this.slots * this.transitMilliseconds / Math.max(1, this.duration.mean))
     return this.slots + Math.min(MOST_PLACES_BEYOND_SLOTS, beyond)
   }
 
@@ -116,10 +118,13 @@
     this.transitMilliseconds += LEAST_WEIGHT * (Math.max(0, now - grantedAt - milliseconds) - this.transitMilliseconds)
   }
 
-  /** Takes a place back after the endpoint refused the request: it has room for fewer requests than it says. */
+  /** Takes a place back after the endpoint refused the request: it has room for fewer requests than it says, or none beyond its slots. */
   refused (key: string, now: number): void {
     this.recover(now)
-    this.held.delete(key)
+    if (this.held.delete(key) && this.held.size >= this.slots) {
+      this.hasNoQueue = true
+      return
+    }
     this.bound = Math.max(1, Math.min(this.bound, (this.held.size + 1) * KEPT_AFTER_REFUSAL))
   }
 
--- a/packages/ingress/test/place-fleet.failure.test.ts
+++ b/packages/ingress/test/place-fleet.failure.test.ts
@@ -91,6 +91,15 @@
     expect(fleet.results.filter(({ outcome }) => outcome === 'full').length / fleet.results.length).toBeLessThan(0.04)
   })
 
+  // An endpoint without a queue refuses what goes beyond its slots; some crash when they refuse several requests in a second.
+  it('are no more than the slots of an endpoint that queues nothing', async () => {
+    const fleet = new PlaceFleet(INSTANCES, seeded(8))
+    for (const endpoint of fleet.endpoints) endpoint.queue = 0
+    await fleet.run(1.6 * CAPACITY, 5_000)
+    expect(fleet.results.filter(({ outcome }) => outcome === 'full').length).toBeLessThanOrEqual(2 * fleet.endpoints.length)
+    expect(fleet.results.filter(({ outcome }) => outcome === 'served').length).toBeGreaterThan(0.85 * 5 * CAPACITY)
+  })
+
   // An instance that is killed, paused or cut off takes the places that it holds with it.
   it.each([['killed', 1_000], ['cut off', 1_000], ['paused', 3_500]])('come back from a holder that is %s', async (fate, milliseconds) => {
     const fleet = new PlaceFleet(INSTANCES, seeded(4))
