The first response without an end ends the other running ones of the endpoint

Attempts that were under way each waited for their own time, so the third failure was known half an objective after the first.

--- a/packages/decisions/src/responses/response-progress-meter.ts
+++ b/packages/decisions/src/responses/response-progress-meter.ts
@@ -37,9 +37,9 @@
     this.fillerMilliseconds = fillerMilliseconds
   }
 
-  /** Whether bytes have arrived several times since the latest progress. */
+  /** Whether bytes have arrived so often since the latest progress that time alone is missing to judge the response. */
   get hasFiller (): boolean {
-    return this.fillerArrivals > 1
+    return this.fillerArrivals >= MINIMUM_FILLER_ARRIVALS
   }
 
   /**
--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -166,7 +166,7 @@
     this.fail(UNBOUNDED_REASONS[kind])
   }
 
-  /** Ends the attempt if bytes without progress have arrived; called when the endpoint is known to send responses without an end. */
+  /** Ends the attempt if bytes without progress have arrived often; called when the endpoint has sent another response without an end. */
   failIfFiller (): void {
     if (this.meter.hasFiller) this.failUnbounded('filler-time')
   }
--- a/packages/ingress/src/unbounded-responses/unbounded-responses.ts
+++ b/packages/ingress/src/unbounded-responses/unbounded-responses.ts
@@ -77,7 +77,7 @@
     overlay.onNeighbour((neighbour) => overlay.replay(neighbour, this.frames().map((frame) => [this.parts.self, frame])))
   }
 
-  /** Follows an attempt. @param endIfFiller - ends the attempt if nothing but bytes without progress has arrived lately */
+  /** Follows an attempt. @param endIfFiller - ends the attempt if bytes without progress have arrived often */
   begin (endpoint: Endpoint, endIfFiller: () => void): FollowedAttempt {
     const { id } = endpoint
     const running = this.running.get(id) ?? new Set()
@@ -128,6 +128,8 @@
     if (decision === 'ignored') return false
     this.born.set(id, born)
     if (decision === 'ejected') this.handleEjected(id, born)
+    // Other running responses that consist of such bytes would only take longer to show the same.
+    for (const endIfFiller of [...this.running.get(id) ?? []]) endIfFiller()
     return true
   }
 
@@ -135,8 +137,6 @@
     this.born.set(id, born)
     const milliseconds = Math.round(this.ejection.trialFrom(id) - this.parts.clock.now())
     this.parts.logger.warn('An endpoint is out of use at all instances, since its responses have no end.', { endpoint: id, milliseconds })
-    // Its other responses that consist of such bytes so far would be waited for until their deadlines.
-    for (const endIfFiller of [...this.running.get(id) ?? []]) endIfFiller()
   }
 
   private logRestored (endpoint: EndpointId): void {
