--- a/packages/decisions/test/load-queue-order.failure.test.ts
+++ b/packages/decisions/test/load-queue-order.failure.test.ts
@@ -1,7 +1,7 @@
 // Guards against service by chance, under this load: requests of teams and priorities compete for the adapter slots of one engine.
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { LoadQueue, QueuePace } from '../src/index.js'
+import { LoadQueue, QuotaLedger, QueuePace } from '../src/index.js'
 import type { WaitingRequestFacts } from '../src/index.js'
 
 const none = (): boolean => false
@@ -57,6 +57,19 @@
     expect(orderOf(queue, 0).slice(0, 15).every((key) => key.startsWith('small'))).toBe(true)
   })
 
+  it('is told by the use of its quota over all instances, which fades', () => {
+    const [flood, small] = [0, 0].map(() => new QuotaLedger({ tokensPerSecond: 1_000, capacity: 10_000 }, 0)) as [QuotaLedger, QuotaLedger]
+    for (let now = 0; now < 6_000; now += 100) flood.answer(`instance ${now / 100 % 10}`, { held: 0, returned: 0, needs: [400], wanted: 0 }, now)
+    small.answer('instance 1', { held: 0, returned: 0, needs: [400], wanted: 0 }, 5_900)
+    expect([flood.usedShare(6_000), small.usedShare(6_000), flood.usedShare(30_000)].map((share) => Math.round(share * 10) / 10)).toMatchInlineSnapshot(`
+      [
+        0.8,
+        0.1,
+        0,
+      ]
+    `)
+  })
+
   it('does not let the share outweigh urgency, nor small differences the number of requests that a load serves', () => {
     const queue = new LoadQueue()
     ask(queue, 'nearly fair', 3, { shareUsed: 1.2 })
