A kept place goes last until its caller returns, and forecasts count the more urgent requests to come

A load that was made ahead of the return of a refused caller took a slot from those that waited, and a forecast for a less urgent request left out that more urgent ones which arrive later go before it, so that it was admitted and refused seconds later.

The place of a refused caller is now only its age in the load queue, which the next request for the adapter takes over; the wait of a priority is divided by the part of recent loads that was not for more urgent ones.

--- a/packages/decisions/src/loads/load-queue.ts
+++ b/packages/decisions/src/loads/load-queue.ts
@@ -43,8 +43,8 @@
 interface WaitingRequest extends LoadClaim {
   /** Monotonic time after which the response to this request is late, milliseconds. */
   readonly onTimeUntil: number
-  /** Monotonic time at which the refused caller was told to return, milliseconds; -Infinity for a request that waits. */
-  readonly returnsAt: number
+  /** Monotonic time at which the refused caller was told to return, milliseconds; undefined for a request that waits. */
+  readonly returnsAt: number | undefined
   /** Monotonic time of the latest load request for this request, milliseconds. */
   requestedAt: number
 }
@@ -59,7 +59,7 @@
   readonly priority?: number | undefined
   /** Recent service of the request's team divided by its share; 1 is fair, and assumed by default. */
   readonly shareUsed?: number | undefined
-  /** Time until the caller, who was refused, was told to return; undefined for a request that waits. Its place in the queue is kept until then. */
+  /** Time until the caller, who was refused, was told to return; undefined for a request that waits. Until then the pending load and its age are kept, but it goes last. */
   readonly returnsInMilliseconds?: number | undefined
 }
 
@@ -72,6 +72,8 @@
   readonly firstRequestedAt: number
   /** Reason why the load was last passed over; logged when the load is ordered. */
   heldUpBy: LoadDelayReason
+  /** Priority of the most urgent request that waited for the load when it was last chosen; undefined if none did. */
+  priority?: number | undefined
 }
 
 interface QueueEntry<Key extends string> extends PendingLoad<Key> {
@@ -118,7 +120,7 @@
     }
     const known = entry.waitingRequests.get(waiting.request)
     if (known !== undefined) known.requestedAt = now
-    else entry.waitingRequests.set(waiting.request, newWaitingRequest(waiting, now))
+    else entry.waitingRequests.set(waiting.request, newWaitingRequest(waiting, waiting.returnsInMilliseconds === undefined ? takeKeptPlace(entry) : undefined, now))
   }
 
   /** @returns the pending load of an adapter, or undefined */
@@ -148,7 +150,7 @@
   lengthsByPriority (now: number): readonly number[] {
     const lengths: number[] = []
     for (const entry of this.entries.values()) {
-      const { priority } = claimOf(activeRequests(entry, now, 0))
+      const { priority } = claimOf(activeRequests(entry, now))
       if (!Number.isFinite(priority)) continue
       while (lengths.length <= priority) lengths.push(0)
       lengths[priority] = (lengths[priority] ?? 0) + 1
@@ -174,7 +176,9 @@
       const ranked = rank(entry, isCached(entry.key), loadMilliseconds, now)
       if (best === undefined || goesBefore(ranked, best)) best = ranked
     }
-    return best?.entry
+    if (best === undefined) return undefined
+    best.entry.priority = Number.isFinite(best.claim.priority) ? best.claim.priority : undefined
+    return best.entry
   }
 }
 
@@ -185,28 +189,37 @@
   readonly weight: number
 }
 
-function newWaitingRequest ({ onTimeMilliseconds, priority, shareUsed, returnsInMilliseconds }: WaitingRequestFacts, now: number): WaitingRequest {
-  // A caller that returns is judged anew from its return on.
-  const returnsAt = returnsInMilliseconds === undefined ? -Infinity : now + returnsInMilliseconds
+/** @param kept - the place that was kept for the caller, who was refused before; undefined if none was */
+function newWaitingRequest (
+  { onTimeMilliseconds = DEFAULT_ON_TIME_MILLISECONDS, priority = MOST_URGENT_PRIORITY, shareUsed = UNKNOWN_SHARE, returnsInMilliseconds }: WaitingRequestFacts,
+  kept: WaitingRequest | undefined,
+  now: number
+): WaitingRequest {
   return {
     requestedAt: now,
-    returnsAt,
-    onTimeUntil: Math.max(now, returnsAt) + (onTimeMilliseconds ?? DEFAULT_ON_TIME_MILLISECONDS),
-    priority: priority ?? MOST_URGENT_PRIORITY,
-    shareUsed: shareUsed ?? UNKNOWN_SHARE
+    returnsAt: returnsInMilliseconds === undefined ? undefined : now + returnsInMilliseconds,
+    // To its caller, the response is late by the time of the first attempt.
+    onTimeUntil: Math.min(now + onTimeMilliseconds, kept?.onTimeUntil ?? Infinity),
+    priority,
+    shareUsed
   }
 }
 
+/** Takes a kept place, for a request that has just arrived: its caller has returned. */
+function takeKeptPlace ({ waitingRequests }: QueueEntry<string>): WaitingRequest | undefined {
+  const kept = [...waitingRequests].find(([, { returnsAt }]) => returnsAt !== undefined)
+  if (kept !== undefined) waitingRequests.delete(kept[0])
+  return kept?.[1]
+}
+
 /** @returns time since which nothing was heard of the request; a refused caller is not expected before it was told to return */
-function lastHeardOf ({ requestedAt, returnsAt }: WaitingRequest): number {
+function lastHeardOf ({ requestedAt, returnsAt = requestedAt }: WaitingRequest): number {
   return Math.max(requestedAt, returnsAt)
 }
 
-/** @returns requests that are about to use the adapter: those whose load request was repeated in time, and refused callers that return before the load is complete */
-function activeRequests (entry: QueueEntry<string>, now: number, loadMilliseconds: number): readonly WaitingRequest[] {
-  return [...entry.waitingRequests.values()].filter((request) => (
-    now - lastHeardOf(request) <= REQUEST_OVERDUE_MILLISECONDS && request.returnsAt <= now + loadMilliseconds
-  ))
+/** @returns requests that wait for the load now: those whose load request was repeated in time, but not refused callers that have not returned */
+function activeRequests (entry: QueueEntry<string>, now: number): readonly WaitingRequest[] {
+  return [...entry.waitingRequests.values()].filter(({ requestedAt, returnsAt }) => returnsAt === undefined && now - requestedAt <= REQUEST_OVERDUE_MILLISECONDS)
 }
 
 /** @returns the claim of the request that goes first; a load for which no request is about to come goes last */
@@ -215,7 +228,7 @@
 }
 
 function rank<Key extends string> (entry: QueueEntry<Key>, cached: boolean, loadMilliseconds: number, now: number): RankedEntry<Key> {
-  const active = activeRequests(entry, now, cached ? 0 : loadMilliseconds)
+  const active = activeRequests(entry, now)
   return { entry, claim: claimOf(active), weight: weightOf(entry, active, cached, loadMilliseconds, now) }
 }
 
--- a/packages/decisions/src/loads/queue-pace.ts
+++ b/packages/decisions/src/loads/queue-pace.ts
@@ -10,6 +10,10 @@
  * average, which evens out slots that become free in bursts.
  */
 const SMOOTHING_FACTOR = 0.2
+/** Weight of the latest load in the moving average of how many loads are for requests of each priority; the last seven make up half of it. */
+const SHARE_SMOOTHING = 0.1
+/** Least part of the loads that is assumed to be left for a priority, so that its forecast stays a finite number while nearly all loads are for more urgent requests. */
+const LEAST_OWN_SHARE = 0.05
 /** Upper bound of one measured interval between loads, since an engine that was unresponsive for seconds resumes loading at its usual pace. */
 const MAXIMUM_INTERVAL_MILLISECONDS = 1_000
 
@@ -18,6 +22,8 @@
  * the wait of requests that may join the queue.
  */
 export class QueuePace {
+  /** Part of the recent loads that were for requests of each priority. */
+  private readonly sharesByPriority: number[] = []
   private interval = INITIAL_INTERVAL_MILLISECONDS
   /** Monotonic time since which the queue waits for its next load to start; undefined while the queue is empty. */
   private waitingSince: number | undefined
@@ -28,8 +34,14 @@
     else this.waitingSince ??= now
   }
 
-  /** Records the start of a load. @param remaining - number of adapters that still wait to be loaded */
-  recordLoadStart (remaining: number, now: number): void {
+  /**
+   * Records the start of a load.
+   *
+   * @param remaining - number of adapters that still wait to be loaded
+   * @param priority - priority of the most urgent request that waited for the load; undefined if none did
+   */
+  recordLoadStart (remaining: number, now: number, priority?: number): void {
+    if (priority !== undefined) this.recordPriority(priority)
     if (this.waitingSince !== undefined) {
       const sample = Math.min(MAXIMUM_INTERVAL_MILLISECONDS, now - this.waitingSince)
       this.interval += SMOOTHING_FACTOR * (sample - this.interval)
@@ -51,12 +63,21 @@
   waitsByPriority (lengths: readonly number[], length: number, now: number): readonly number[] {
     if (length === 0) return []
     let ahead = 0
-    return (lengths.length === 0 ? [0] : lengths).map((atPriority) => {
+    let moreUrgentShare = 0
+    return (lengths.length === 0 ? [0] : lengths).map((atPriority, priority) => {
       ahead += atPriority
-      return this.waitBehind(ahead, length, now)
+      // Loads for more urgent requests that arrive meanwhile go before this one as well.
+      const wait = this.waitBehind(ahead, length, now) / Math.max(LEAST_OWN_SHARE, 1 - moreUrgentShare)
+      moreUrgentShare += this.sharesByPriority[priority] ?? 0
+      return wait
     })
   }
 
+  private recordPriority (priority: number): void {
+    while (this.sharesByPriority.length <= priority) this.sharesByPriority.push(0)
+    for (const [index, share] of this.sharesByPriority.entries()) this.sharesByPriority[index] = share + SHARE_SMOOTHING * ((index === priority ? 1 : 0) - share)
+  }
+
   private waitBehind (ahead: number, length: number, now: number): number {
     if (length === 0) return 0
     const elapsed = this.waitingSince === undefined ? 0 : now - this.waitingSince
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -273,7 +273,7 @@
       if (!this.reservations.recentlyEvicted.has(key)) this.storeTurn.loadBegan()
       this.reservations.ordered(key, version, now)
       this.queue.met(key)
-      this.queuePace.recordLoadStart(this.queue.length, now)
+      this.queuePace.recordLoadStart(this.queue.length, now, pendingLoad.priority)
       this.publisher.changed()
       return true
     }
