The wait for a load counts the pace at which slots become free, also where the load queue is empty

Requests asked engines for loads whose slots were all held by long streams: their load queues were empty, so they looked as good as any. Urgent requests were refused there after their whole search, and no forecast saw it coming.

The load owner now says what one more load of each priority waits while no slot is free, also for an empty queue, by the measured pace of its loads; both the forecast and the choice of the engine to ask use it.

--- a/packages/core/src/frames/work-frames.ts
+++ b/packages/core/src/frames/work-frames.ts
@@ -45,8 +45,8 @@
   /** Expected wait of one more load for its turn, in milliseconds; absent in frames of an older release. */
   readonly waitMilliseconds?: number | undefined
   /**
-   * The same for a load of each priority, from 0 on, in milliseconds: it goes behind the loads that are at least as urgent. Less urgent loads than
-   * those listed wait as long as the last one. Absent while no load is pending, and in frames of an older release.
+   * Expected wait of one more load of each priority, from 0 on, while no slot is free, in milliseconds: it goes behind the loads that are at least as
+   * urgent. Less urgent loads than those listed wait as long as the last one. Absent in frames of an older release.
    */
   readonly waits?: readonly number[] | undefined
 }
--- a/packages/decisions/src/loads/queue-pace.ts
+++ b/packages/decisions/src/loads/queue-pace.ts
@@ -14,6 +14,8 @@
 const SHARE_SMOOTHING = 0.1
 /** Least part of the loads that is assumed to be left for a priority, so that its forecast stays a finite number while nearly all loads are for more urgent requests. */
 const LEAST_OWN_SHARE = 0.05
+/** Time without pending loads after which the measured interval counts 1/e: about the duration of a stream. */
+const IDLE_MEMORY_MILLISECONDS = 2_000
 /** Upper bound of one measured interval between loads, since an engine that was unresponsive for seconds resumes loading at its usual pace. */
 const MAXIMUM_INTERVAL_MILLISECONDS = 1_000
 
@@ -24,6 +26,7 @@
 export class QueuePace {
   /** Part of the recent loads that were for requests of each priority. */
   private readonly sharesByPriority: number[] = []
+  private lastLoadAt = -Infinity
   private interval = INITIAL_INTERVAL_MILLISECONDS
   /** Monotonic time since which the queue waits for its next load to start; undefined while the queue is empty. */
   private waitingSince: number | undefined
@@ -42,6 +45,7 @@
    */
   recordLoadStart (remaining: number, now: number, priority?: number): void {
     if (priority !== undefined) this.recordPriority(priority)
+    this.lastLoadAt = now
     if (this.waitingSince !== undefined) {
       const sample = Math.min(MAXIMUM_INTERVAL_MILLISECONDS, now - this.waitingSince)
       this.interval += SMOOTHING_FACTOR * (sample - this.interval)
@@ -57,22 +61,28 @@
   /**
    * @param lengths - number of pending loads by priority, the most urgent first; loads for which no request is about to come are left out
    * @param length - number of all pending loads
-   * @returns expected wait of one more load of each priority, which goes behind those that are at least as urgent, milliseconds; less urgent ones
-   *   than those listed wait as long as the last one. Empty while no load is pending
+   * @returns expected wait of one more load of each priority while no slot is free, milliseconds: it goes behind those that are at least as urgent, and
+   *   waits for a slot itself. Less urgent ones than those listed wait as long as the last one
    */
   waitsByPriority (lengths: readonly number[], length: number, now: number): readonly number[] {
-    if (length === 0) return []
     let ahead = 0
     let moreUrgentShare = 0
     return (lengths.length === 0 ? [0] : lengths).map((atPriority, priority) => {
       ahead += atPriority
       // Loads for more urgent requests that arrive meanwhile go before this one as well.
-      const wait = this.waitBehind(ahead, length, now) / Math.max(LEAST_OWN_SHARE, 1 - moreUrgentShare)
+      const wait = (this.waitBehind(ahead, length, now) + this.recentInterval(now)) / Math.max(LEAST_OWN_SHARE, 1 - moreUrgentShare)
       moreUrgentShare += this.sharesByPriority[priority] ?? 0
       return wait
     })
   }
 
+  /** @returns the interval between loads, which falls back to the initial one while the queue is empty: runs end meanwhile */
+  private recentInterval (now: number): number {
+    if (this.waitingSince !== undefined) return this.interval
+    const idle = now - this.lastLoadAt
+    return INITIAL_INTERVAL_MILLISECONDS + (this.interval - INITIAL_INTERVAL_MILLISECONDS) * Math.exp(-idle / IDLE_MEMORY_MILLISECONDS)
+  }
+
   private recordPriority (priority: number): void {
     while (this.sharesByPriority.length <= priority) this.sharesByPriority.push(0)
     for (const [index, share] of this.sharesByPriority.entries()) this.sharesByPriority[index] = share + SHARE_SMOOTHING * ((index === priority ? 1 : 0) - share)
--- a/packages/decisions/test/load-queue-order.failure.test.ts
+++ b/packages/decisions/test/load-queue-order.failure.test.ts
@@ -53,7 +53,7 @@
     ask(queue, 'c', 1, { priority: 2 })
     const pace = new QueuePace()
     pace.recordLength(queue.length, 0)
-    expect(pace.waitsByPriority(queue.lengthsByPriority(0), queue.length, 0)).toEqual([40, 40, 120])
+    expect(pace.waitsByPriority(queue.lengthsByPriority(0), queue.length, 0)).toEqual([80, 80, 160])
   })
 })
 
--- a/packages/ingress/src/adapters/adapter-locations.ts
+++ b/packages/ingress/src/adapters/adapter-locations.ts
@@ -22,7 +22,7 @@
   readonly waiting: ReadonlySet<string>
   /** Expected wait of one more load in the queue, milliseconds. */
   readonly waitMilliseconds: number
-  /** The same for a load of each priority, from the most urgent one on; less urgent loads wait as long as the last one. */
+  /** Expected wait of one more load of each priority while no slot is free, from the most urgent one on; less urgent loads wait as long as the last one. */
   readonly waits: readonly number[]
   readonly receivedAt: number
 }
--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -1,7 +1,6 @@
 /** Finds an engine for a request, and requests a load of the adapter when no engine holds it. */
 import { QueuePosition } from '@limpetwinch/decisions'
 import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger, TeamId } from '@limpetwinch/core'
-import { waitOf } from '../admission/load-forecast.js'
 import type { KeptPlace, StreamAdmission } from '../admission/stream-admission.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Service } from '../routes/configuration.js'
@@ -47,7 +46,7 @@
   readonly requestLoad: (to: InstanceId, frame: LoadAskFrame) => void
   /** @returns the lowest adapter version that a new request may start on */
   readonly leastVersion: (request: RequestFacts, now: number) => number
-  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf'>
+  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf' | 'extraWait'>
   /** @returns recent service of a team over all instances, divided by its share; undefined if it is not known */
   readonly shareUsed: (team: TeamId) => number | undefined
 }
@@ -196,7 +195,7 @@
    * request must be repeated, so that the load owner does not drop it. Returns at once when the best engine has no room for the request.
    */
   private async requestLoadAndWait (search: EngineSearch, queuePosition: QueuePosition, places: PlaceSearch): Promise<void> {
-    const { clock, router, locations, rateLimiter } = this.dependencies
+    const { clock, router, locations, rateLimiter, admission } = this.dependencies
     const { facts, until, onTimeUntil, signal } = search
     const { adapter } = facts
     if (adapter === undefined) return
@@ -209,10 +208,8 @@
     if (adapter.name === undefined) return await wait(NO_ENGINE_WAIT_MILLISECONDS)
     const { limited } = rateLimiter
     const bias = (endpoint: EndpointId): number => {
-      const queue = locations.line(endpoint)
-      // The router counts all pending loads; this request goes before the less urgent ones.
-      const passed = queue === undefined ? 0 : queue.waitMilliseconds - waitOf(queue, search.priority)
-      return queuePosition.bias(endpoint, queue?.receivedAt, now) + (limited.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0) - passed
+      const position = queuePosition.bias(endpoint, locations.line(endpoint)?.receivedAt, now)
+      return position + (limited.has(endpoint) ? LIMITED_LOAD_MILLISECONDS : 0) + admission.extraWait(search, endpoint, now)
     }
     const unable = new Set([...this.recentlyRefusing(adapter.key, now), ...places.full])
     // A load on an engine that this request may not use again can only serve other requests, so such an engine is the last resort.
--- a/packages/ingress/src/adapters/held-adapter-notices.ts
+++ b/packages/ingress/src/adapters/held-adapter-notices.ts
@@ -28,7 +28,7 @@
   readonly waiting: readonly AdapterKey[]
   /** Expected wait of one more load in the engine's load queue. */
   readonly waitMilliseconds: number
-  /** The same for a load of each priority, from the most urgent one on. */
+  /** Expected wait of one more load of each priority while no slot is free, from the most urgent one on. */
   readonly waits: readonly number[]
 }
 
--- a/packages/ingress/src/admission/load-forecast.ts
+++ b/packages/ingress/src/admission/load-forecast.ts
@@ -78,6 +78,26 @@
     return best
   }
 
+  /**
+   * @returns milliseconds by which a load of this priority waits longer on the engine than the router assumes, which counts all pending loads
+   *   alike and knows no pace of the engine's slots; negative if the load goes before others
+   */
+  extraWait (endpoint: EndpointId, shape: EngineShape, priority: number, now: number): number {
+    const { slotWait, idleSlots } = this.slots(endpoint, shape, now)
+    const queue = this.parts.locations.line(endpoint)
+    return this.waitAt(queue, priority, slotWait, idleSlots) - Math.max(slotWait, queue?.waitMilliseconds ?? 0)
+  }
+
+  private slots (endpoint: EndpointId, shape: EngineShape, now: number): { readonly idleSlots: number, readonly slotWait: number } {
+    const { locations, workTracker } = this.parts
+    const idleSlots = shape.adapterSlots - workTracker.adaptersInUse(endpoint, now) - locations.inFlight.countFor(endpoint)
+    return { idleSlots, slotWait: idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots) }
+  }
+
+  private waitAt (queue: ReportedQueue | undefined, priority: number, slotWait: number, idleSlots: number): number {
+    return idleSlots > (queue?.waiting.size ?? 0) ? 0 : Math.max(slotWait, waitOf(queue, priority))
+  }
+
   private candidates ({ service, excluded, softwareVersion }: EngineQuery, model: ModelName, now: number): Endpoint[] {
     const { directory, ejection, hasLoadOwner } = this.parts
     const engines = directory.servable(service.name).filter((engine) => softwareVersion === undefined || engine.softwareVersion === softwareVersion)
@@ -94,9 +114,8 @@
     const queue = locations.line(id)
     const isInFlight = locations.inFlight.has(id, key, now)
     const isCached = locations.isCached(id, key, leastVersion(key, now))
-    const idleSlots = shape.adapterSlots - workTracker.adaptersInUse(id, now) - locations.inFlight.countFor(id)
-    const slotWait = idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots)
-    const waitMilliseconds = isInFlight ? 0 : Math.max(slotWait, waitOf(queue, priority))
+    const { idleSlots, slotWait } = this.slots(id, shape, now)
+    const waitMilliseconds = isInFlight ? 0 : this.waitAt(queue, priority, slotWait, idleSlots)
     const readyMilliseconds = waitMilliseconds + (isCached ? CACHED_LOAD_MILLISECONDS : store.milliseconds)
     const reading = firstEvent.milliseconds(id, shape, workTracker.outstanding(id, now), facts.promptTokens, facts.promptTokens + facts.outputTokens)
     return {
--- a/packages/ingress/src/admission/stream-admission.ts
+++ b/packages/ingress/src/admission/stream-admission.ts
@@ -33,7 +33,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Pick<IngressMetrics, 'admissionDecided'>
-  readonly forecast: Pick<LoadForecast, 'earliest'>
+  readonly forecast: Pick<LoadForecast, 'earliest' | 'extraWait'>
   /** @returns whether requests of different priorities or teams compete for the engines, so that one may have to give way to another */
   readonly competes: () => boolean
 }
@@ -99,6 +99,11 @@
     return { endpoint: forecast.endpoint, returnMilliseconds }
   }
 
+  /** @returns milliseconds to add to the wait for a load that the router assumes; 0 where no callers compete */
+  extraWait ({ service, priority }: Pick<AdmissionQuery, 'service' | 'priority'>, endpoint: EndpointId, now: number): number {
+    return service.engine !== undefined && this.parts.competes() ? this.parts.forecast.extraWait(endpoint, service.engine, priority, now) : 0
+  }
+
   /** @returns the error of a request that was refused by forecast; undefined for every other request */
   refusalOf (facts: RequestFacts): LimpetwinchError | undefined {
     return this.refusals.get(facts)
