Answers that began before a crash clear the parts of their prompts at once

The time of answers ran only while a crash was known. So after many engines had crashed at once, no answer was sound before 400 ms had passed, however long it had gone on, and all callers with a widely shared part of a prompt were refused meanwhile.

--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -72,7 +72,7 @@
   private readonly parts: RequestQuarantineDependencies
   private readonly crashTracker: CrashTracker
   private readonly promptParts: PromptPartQuarantine
-  /** Times answers, while any crash is known. */
+  /** Times answers, also before any crash: answers that were going on before one are the first to show which parts of prompts are sound. */
   readonly answerTime: RunningTime
   private readonly prefixes = new WeakMap<RoutedRequest, FingerprintPrefix>()
   private readonly fingerprints = new WeakMap<RoutedRequest, RequestFingerprint>()
@@ -91,6 +91,7 @@
     this.parts = parts
     this.crashTracker = new CrashTracker(parts.endpointCount)
     this.answerTime = new RunningTime(parts.clock)
+    this.answerTime.keepOn(true)
     const { logger, metrics, endpointCount, announcer } = parts
     this.promptParts = new PromptPartQuarantine({
       now: () => parts.clock.now(), logger, metrics, endpointCount, announceSound: (part) => announcer.soundPart(part), released: (part) => announcer.released(part)
@@ -219,7 +220,6 @@
   /** Applies a crash that another instance saw, with the requests that the other instance had in flight there. */
   applyPeerCrash (crash: EndpointCrash, aboard: readonly InFlightRequest[], accusedRuns: readonly AccusedRun[]): void {
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, false)]
-    this.answerTime.keepOn(true)
     for (const decision of confirmed) this.logDecision(decision, 'crashes seen elsewhere')
     void this.reports.awaitDecision(crash.life)
   }
@@ -237,7 +237,6 @@
     if ((this.verdict(fingerprint)?.strikes ?? 0) >= decision.strikes) return
     if (isPartFingerprint(fingerprint)) this.promptParts.adopt({ ...decision, fingerprint })
     else this.crashTracker.quarantine({ ...decision, fingerprint })
-    this.answerTime.keepOn(true)
     this.logDecision(decision, source)
   }
 
@@ -272,7 +271,6 @@
     const now = this.parts.clock.now()
     this.crashTracker.expire(now)
     this.promptParts.expire(now)
-    this.answerTime.keepOn(this.promptParts.isTracking)
   }
 
   private losses (request: RoutedRequest): number {
@@ -399,7 +397,6 @@
     const { announcer, clock, metrics } = this.parts
     metrics.endpointCrashed(crash.service)
     const confirmed = [...this.crashTracker.record(crash, aboard), ...this.promptParts.record(crash, accusedRuns, true)]
-    this.answerTime.keepOn(true)
     for (const decision of confirmed) this.announceDecision(decision, true)
     announcer.crashed(crashFrame(crash, aboard, accusedRuns, clock.now()))
   }
--- a/packages/ingress/test/shared-prompt-parts.failure.test.ts
+++ b/packages/ingress/test/shared-prompt-parts.failure.test.ts
@@ -1,9 +1,12 @@
 // Guards against refusing callers who did nothing, under this load: many endpoints crash at once for a common reason, and parts that many
 // prompts share were in flight at most of them, while requests with the same parts go on elsewhere.
-import { describe, expect, it } from 'vitest'
-import { silentLogger } from '@limpetwinch/core'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, describe, expect, it } from 'vitest'
+import { silentLogger, SystemClock } from '@limpetwinch/core'
 import { PromptPartQuarantine, SOUND_AFTER_MILLISECONDS } from '../src/quarantine/prompt-part-quarantine.js'
 import type { IngressMetrics } from '../src/observability/ingress-metrics.js'
+import { RequestQuarantine } from '../src/quarantine/request-quarantine.js'
+import type { RequestQuarantineDependencies } from '../src/quarantine/request-quarantine.js'
 import type { RoutedRequest } from '../src/relay/routed-request.js'
 
 const CRASHES = 10
@@ -82,3 +85,28 @@
     expect([instance.isOnTrial('bad'), instance.isOnTrial('shared')]).toEqual([true, false])
   })
 })
+
+describe('an answer that began before the first crash', () => {
+  let quarantine: RequestQuarantine | undefined
+
+  afterEach(() => quarantine?.answerTime.keepOn(false))
+
+  // The time of answers stood still until a crash was known, so that for 400 ms no answer was sound, however long it had gone on.
+  it('clears its parts as soon as it goes on', async () => {
+    quarantine = new RequestQuarantine({
+      clock: new SystemClock(),
+      logger: silentLogger(),
+      metrics: { quarantineActionTaken: () => {} },
+      announcer: { soundPart: () => {}, released: () => {} },
+      endpointCount: () => ENGINES
+    } as unknown as RequestQuarantineDependencies)
+    const [other, running] = [request('shared'), request('shared')]
+    const began = quarantine.answerTime.now()
+    await sleep(GOING_ON + 200)
+    const parts = new Instance().parts.accusedRun(request('shared'), { milliseconds: 100, answerMilliseconds: undefined, response: 'none' })?.parts ?? []
+    for (let crash = 0; crash < CRASHES; crash += 1) quarantine.applyPeerCrash({ life: `engine-${crash}/1`, service: 'engines', at: new SystemClock().now() }, [], [{ parts, milliseconds: 100 }])
+    const before = quarantine.isUnsuspected(other)
+    quarantine.answering(running, quarantine.answerTime.now() - began)
+    expect([before, quarantine.isUnsuspected(other)]).toEqual([false, true])
+  })
+})
