--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -119,12 +119,12 @@
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
       }
       if (isLate) return this.logNoEngine(search, 'its search took too long', askings, now - startedAt)
-      const kept = askings === 0 && search.isNew ? this.dependencies.admission.refuse(withExcluded(search, places.full)) : undefined
+      const untilRoom = places.hasPlace ? undefined : this.millisecondsUntilRoom(search, now)
+      const kept = untilRoom === undefined && askings === 0 && search.isNew ? this.dependencies.admission.refuse(withExcluded(search, places.full)) : undefined
       if (kept !== undefined) {
         this.keepPlace(search, kept, now)
         return this.logNoEngine(search, 'the forecast shows no room in time', askings, now - startedAt)
       }
-      const untilRoom = places.hasPlace ? undefined : this.millisecondsUntilRoom(search, now)
       if (untilRoom === undefined) {
         await this.requestLoadAndWait(search, queuePosition, places)
         continue
