--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -1,7 +1,7 @@
 /** Finds an engine for a request, and requests a load of the adapter when no engine holds it. */
 import { QueuePosition } from '@limpetwinch/decisions'
 import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger, TeamId } from '@limpetwinch/core'
-import type { KeptPlace, StreamAdmission } from '../admission/stream-admission.js'
+import type { AdmissionForecast, AdmissionQuery, KeptPlace, StreamAdmission } from '../admission/stream-admission.js'
 import type { RequestFacts } from '../relay/request-codec.js'
 import type { Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice, UsableQuery } from '../routing/engine-router.js'
@@ -46,7 +46,7 @@
   readonly requestLoad: (to: InstanceId, frame: LoadAskFrame) => void
   /** @returns the lowest adapter version that a new request may start on */
   readonly leastVersion: (request: RequestFacts, now: number) => number
-  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf' | 'extraWait'>
+  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf' | 'extraWait' | 'forecast'>
   /** @returns recent service of a team over all instances, divided by its share; undefined if it is not known */
   readonly shareUsed: (team: TeamId) => number | undefined
 }
@@ -147,6 +147,11 @@
     return Math.min(LONGEST_RETRY_AFTER_MILLISECONDS, Math.max(SHORTEST_RETRY_AFTER_MILLISECONDS, wait)) / 1_000
   }
 
+  /** @returns what the admission by forecast would decide on a request that no engine can serve now; nothing is recorded or sent */
+  admissionForecast (query: AdmissionQuery): AdmissionForecast {
+    return this.dependencies.admission.forecast(query, this.dependencies.clock.now())
+  }
+
   /** @returns the error of a request that was refused by forecast, or while all engines of its service have reached their rate limits; else undefined */
   refusalOf ({ facts, service, priority }: Pick<EngineSearch, 'facts' | 'service' | 'priority'>): LimpetwinchError | undefined {
     const { admission, rateLimiter } = this.dependencies
--- a/packages/ingress/src/admission/stream-admission.ts
+++ b/packages/ingress/src/admission/stream-admission.ts
@@ -51,7 +51,7 @@
   /** @returns what would be decided on the request now; nothing is recorded */
   forecast (query: AdmissionQuery, now: number): AdmissionForecast {
     const forecast = this.parts.forecast.earliest(query, now)
-    if (forecast === undefined) return { forecast, decision: { admitted: true } }
+    if (forecast === undefined || !this.parts.competes()) return { forecast, decision: { admitted: true } }
     const { priority, onTimeUntil, until } = query
     const decision = decideLoadAdmission({
       ...forecast,
--- a/packages/ingress/test/stream-admission.failure.test.ts
+++ b/packages/ingress/test/stream-admission.failure.test.ts
@@ -41,7 +41,7 @@
   readonly lines: RecordedLine[] = []
   readonly decisions: string[] = []
   readonly admission: StreamAdmission
-  private readonly finder: EngineFinder
+  readonly finder: EngineFinder
   private readonly locations = new AdapterLocations()
   private sequence = 0
 
@@ -145,8 +145,7 @@
 
   it('forecasts without recording anything', () => {
     const instance = new Instance({ pending: [10] })
-    const now = instance.clock.now()
-    const both = [1, 2].map(() => instance.admission.forecast(instance.query('wanted'), now))
+    const both = [1, 2].map(() => instance.finder.admissionForecast(instance.query('wanted')))
     expect([both[0], instance.asked, instance.lines, instance.decisions]).toEqual([both[1], [], [], []])
   })
 
