--- a/packages/ingress/src/places/place-desk.ts
+++ b/packages/ingress/src/places/place-desk.ts
@@ -93,6 +93,11 @@
     }
   }
 
+  /** @returns whether requests of the service have been asked for here lately */
+  lends (service: ServiceName): boolean {
+    return this.desks.has(service)
+  }
+
   /** Drops the ledger of a service that another instance lends now. */
   drop (service: ServiceName): void {
     this.desks.delete(service)
--- a/packages/ingress/src/places/service-places.ts
+++ b/packages/ingress/src/places/service-places.ts
@@ -236,9 +236,10 @@
   }
 
   private handleAsk (from: InstanceId, frame: FrameOf<'place-ask'>): void {
-    const { owners, owned, self } = this.parts
+    const { owners, owned, self, logger } = this.parts
     const { service, number } = frame
     if (owners.ownerOf(subjectOf(service as ServiceName)) !== self) return this.answer(from, { kind: 'place-answer', service, number, decision: 'not-owner', milliseconds: 0 })
+    if (!owned.lends(service as ServiceName)) logger.info('This instance lends the places of a service.', { service })
     const ask = { ...frame, excluded: new Set(frame.excluded as EndpointId[]) }
     owned.ask(service as ServiceName, from, ask, (decision) => this.answer(from, answerFrame(service, number, decision)))
   }
