--- a/packages/soak/src/faults/unbounded-faults.ts
+++ b/packages/soak/src/faults/unbounded-faults.ts
@@ -6,7 +6,8 @@
 
 /** Without events that the engine repeats: the caller would take the first of them for a part of its answer, as it must. */
 const FORMS = ENDLESS_FORMS.filter((form) => form !== 'repeats')
-const PIECE_INTERVALS_MILLISECONDS = [0, 2, 10, 40] as const
+/** The endpoints share one process with the store, so no piece follows the last one without a pause. */
+const PIECE_INTERVALS_MILLISECONDS = [1, 2, 10, 40] as const
 const PIECE_BYTES = [16, 200, 2_000] as const
 const MILLISECONDS = { minimum: 4_000, maximum: 9_000 }
 
