--- a/packages/ingress/src/admission/stream-admission.ts
+++ b/packages/ingress/src/admission/stream-admission.ts
@@ -99,9 +99,9 @@
     return { endpoint: forecast.endpoint, returnMilliseconds }
   }
 
-  /** @returns milliseconds to add to the wait for a load that the router assumes; 0 where no callers compete */
+  /** @returns milliseconds to add to the wait for a load that the router assumes, which counts less urgent loads as well; 0 or less */
   extraWait ({ service, priority }: Pick<AdmissionQuery, 'service' | 'priority'>, endpoint: EndpointId, now: number): number {
-    return service.engine !== undefined && this.parts.competes() ? this.parts.forecast.extraWait(endpoint, service.engine, priority, now) : 0
+    return service.engine !== undefined && this.parts.competes() ? Math.min(0, this.parts.forecast.extraWait(endpoint, service.engine, priority, now)) : 0
   }
 
   /** @returns the error of a request that was refused by forecast; undefined for every other request */
