Short requests pay for the prompts that their engine still has to read

A short request went to an engine with a backlog of prompts whose reading takes as long as its caller accepts as a pause, although its own stream pauses with the others. Its cost now grows with the square of the share of the accepted pause. A request that waits for a load is sent too late for today's backlog, so loads are chosen as before.

--- a/packages/decisions/src/routing/pause-cost.ts
+++ b/packages/decisions/src/routing/pause-cost.ts
@@ -23,6 +23,12 @@
 const JOINT_PAUSE_MILLISECONDS = PAUSED_STREAM_MILLISECONDS / 2
 /** A prompt whose reading takes less than this share of the longest accepted pause is read between two events, without a noticeable pause. */
 const SHORT_PROMPT_SHARE = 0.1
+/**
+ * Cost for a request with a short prompt when the prompts that its engine still has to read take as long as the longest accepted pause: its own
+ * stream is then likely to be late. The cost falls with the square of their share of that pause, like {@link JOINT_PAUSE_MILLISECONDS}.
+ */
+const OWN_PAUSE_MILLISECONDS = PAUSED_STREAM_MILLISECONDS
+
 /** What the cost of a prompt on one engine depends on. */
 export interface PauseFacts {
   /** Tokens of the prompt that the engine has to read. */
@@ -46,3 +52,13 @@
   const joint = Math.min(1, prefillMilliseconds(prefillTokens + promptTokens) / gapMilliseconds)
   return requests * JOINT_PAUSE_MILLISECONDS * joint ** 2
 }
+
+/**
+ * @param prefillMilliseconds - returns the time in which the engine reads a number of tokens
+ * @returns the cost for the stream of a short prompt that is sent to an engine now, in milliseconds of waiting: the stream pauses while the engine
+ *   reads the prompts that it has to read already; 0 for a long prompt, whose stream begins after them
+ */
+export function ownPauseCost ({ promptTokens, gapMilliseconds, prefillTokens }: Omit<PauseFacts, 'requests'>, prefillMilliseconds: (tokens: number) => number): number {
+  if (prefillMilliseconds(promptTokens) / gapMilliseconds >= SHORT_PROMPT_SHARE) return 0
+  return OWN_PAUSE_MILLISECONDS * Math.min(1, prefillMilliseconds(prefillTokens) / gapMilliseconds) ** 2
+}
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -3,7 +3,7 @@
  * When no engine holds the adapter, it is the engine that should load the adapter. All costs are in milliseconds of waiting; the engine
  * with the lowest cost is chosen.
  */
-import { pauseCost, rendezvousWeight } from '@limpetwinch/decisions'
+import { ownPauseCost, pauseCost, rendezvousWeight } from '@limpetwinch/decisions'
 import type { EngineSpeeds, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
@@ -141,7 +141,8 @@
     for (const endpoint of this.holders(query, now)) {
       const choice = this.estimate(endpoint, shape, query.facts, now)
       const running = this.parts.workTracker.outstanding(endpoint.id, now).requests * (query.isolated === true ? CRASH_RISK_MILLISECONDS : RUNNING_MILLISECONDS)
-      const cost = choice.forecastMilliseconds + running + this.pauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now)
+      const pauses = this.pauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now) + this.ownPauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now)
+      const cost = choice.forecastMilliseconds + running + pauses
       if (cost >= least) continue
       best = { ...choice, costMilliseconds: cost }
       least = cost
@@ -292,6 +293,13 @@
     return pauseCost({ promptTokens, gapMilliseconds, requests, prefillTokens }, (tokens) => speeds.prefillMilliseconds(endpoint.id, tokens))
   }
 
+  /** @returns the cost for the stream of a prompt of this many tokens when it is sent to the engine now; a prompt that waits for a load is sent too late for it */
+  private ownPauseCost (endpoint: Endpoint, promptTokens: number, gapMilliseconds: number, now: number): number {
+    const { speeds, workTracker } = this.parts
+    const { prefillTokens } = workTracker.outstanding(endpoint.id, now)
+    return ownPauseCost({ promptTokens, gapMilliseconds, prefillTokens }, (tokens) => speeds.prefillMilliseconds(endpoint.id, tokens))
+  }
+
   /** @returns milliseconds until the adapter could be used on the engine, plus the cost of the load for other requests */
   private loadCost (endpoint: Endpoint, shape: EngineShape, key: AdapterKey, storeMilliseconds: number, now: number): number {
     const { workTracker, forecast, locations, dataCentre, leastVersion } = this.parts
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -127,6 +127,13 @@
   })
 })
 
+// Guards against short streams that pause for longer than their callers accept, because the engine they are sent to has long prompts to read.
+describe('a short prompt', () => {
+  it('goes to an engine with more streams rather than to one whose long prompts take as long to read as its caller accepts', () => {
+    expect(routerFor({ reading: { holds: 1, toRead: 13_000 }, busy: { holds: 50, toRead: 9_000 } }).choose(query(), NOW)?.endpoint.id).toBe('busy')
+  })
+})
+
 // Guards against callers that retry at once and find the same full load queues: under overload more requests are refused than the queues accept.
 describe('a request that found no engine', () => {
   it('is told to retry when a load that is requested now could be complete, by the shortest load queue', () => {
