Admission by forecast and order by urgency act only where the settings say that callers compete

Streams of different priorities alone switched both on, and load requests stated their priority everywhere.

--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -46,7 +46,7 @@
   readonly requestLoad: (to: InstanceId, frame: LoadAskFrame) => void
   /** @returns the lowest adapter version that a new request may start on */
   readonly leastVersion: (request: RequestFacts, now: number) => number
-  readonly admission: Pick<StreamAdmission, 'refuse' | 'refusalOf' | 'extraWait' | 'forecast'>
+  readonly admission: Pick<StreamAdmission, 'isActive' | 'refuse' | 'refusalOf' | 'extraWait' | 'forecast'>
   /** @returns recent service of a team over all instances, divided by its share; undefined if it is not known */
   readonly shareUsed: (team: TeamId) => number | undefined
 }
@@ -166,6 +166,7 @@
 
   /** @returns the part of a load request that says how the waiting request is ordered among others */
   private claimOf ({ facts, priority, team }: EngineSearch): Pick<LoadAskFrame, 'request' | 'priority' | 'shareUsed'> {
+    if (!this.dependencies.admission.isActive) return { request: facts.requestId }
     return { request: facts.requestId, priority, shareUsed: team === undefined ? undefined : this.dependencies.shareUsed(team) }
   }
 
--- a/packages/ingress/src/admission/create-engine-finder.ts
+++ b/packages/ingress/src/admission/create-engine-finder.ts
@@ -24,6 +24,8 @@
   readonly versions: AdapterVersions
   readonly loadOwnership: LoadOwnership
   readonly overlay: PeerOverlay
+  /** Whether the settings of the instance say that callers compete for too little room. */
+  readonly isEnabled: boolean
 }
 
 /** @returns the engine finder */
@@ -39,7 +41,7 @@
   })
   return new EngineFinder({
     ...components,
-    admission: new StreamAdmission({ ...components, forecast, competes: () => doCallersCompete(configuration.current) }),
+    admission: new StreamAdmission({ ...components, forecast, competes: () => components.isEnabled && doCallersCompete(configuration.current) }),
     loadOwnerOf: (endpoint) => loadOwnership.loadOwnerOf(endpoint),
     requestLoad: (to, frame) => overlay.notify(to, frame),
     leastVersion: (facts, now) => facts.adapter === undefined ? 0 : versions.minimumUsable(facts.adapter.key, now)
--- a/packages/ingress/src/admission/stream-admission.ts
+++ b/packages/ingress/src/admission/stream-admission.ts
@@ -48,6 +48,11 @@
     this.parts = parts
   }
 
+  /** Whether requests are judged by forecast, and loads go by urgency and share. */
+  get isActive (): boolean {
+    return this.parts.competes()
+  }
+
   /** @returns what would be decided on the request now; nothing is recorded */
   forecast (query: AdmissionQuery, now: number): AdmissionForecast {
     const forecast = this.parts.forecast.earliest(query, now)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -196,7 +196,7 @@
     })
     const { rateLimiter, storeLimiter, forecast, ejection, locations, loadOwnership } = this
     const shareUsed = (team: TeamId): number | undefined => this.teams.shareUsed(team)
-    this.engineFinder = createEngineFinder({ clock, logger: logger.part('relay'), metrics, configuration, router, rateLimiter, locations, storeLimiter, versions, overlay, directory, loadOwnership, workTracker, forecast, ejection, shareUsed })
+    this.engineFinder = createEngineFinder({ clock, logger: logger.part('relay'), metrics, configuration, router, rateLimiter, locations, storeLimiter, versions, overlay, directory, loadOwnership, workTracker, forecast, ejection, shareUsed, isEnabled: settings.admitsByForecast })
     const { network, heldNotices, engineFinder, figures: { digests } } = this
     this.messaging = new PeerMessaging({ self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics })
     this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -46,6 +46,11 @@
    */
   readonly revocationMilliseconds: number | undefined
   readonly quotas: QuotaSettings
+  /**
+   * Whether callers compete for too little room: adapter loads then go by the urgency of the requests and by what their teams used, and a request whose
+   * adapter cannot be loaded in time is refused at once.
+   */
+  readonly admitsByForecast: boolean
   /** Whether endpoints reject load orders with an old fencing token. */
   readonly fencedEndpoints: boolean
   /** Duration of a lease on the load orders of an endpoint: within one lease, no two instances may send load orders to that endpoint. */
@@ -72,6 +77,8 @@
   /** Instances that are cut off go on serving unless operators choose otherwise. */
   revocationMilliseconds: undefined,
   quotas: { windowMilliseconds: 10_000, toleranceShare: 0.1, toleranceUnits: 0 },
+  /** Must be enabled explicitly, because strict order by urgency costs the less urgent requests of a deployment with room for all. */
+  admitsByForecast: false,
   /** Must be enabled explicitly, because endpoints that do not check fencing tokens need more careful load orders. */
   fencedEndpoints: false,
   leaseMilliseconds: 3_000,
