A call without an answer ends at its timeout

Cause: the timeout of a call was a source of AbortSignal.any, which holds its sources weakly. A garbage collection removed it before it fired. Now the timer itself keeps the controller.

--- a/packages/core/src/http/bounded-call.ts
+++ b/packages/core/src/http/bounded-call.ts
@@ -1,4 +1,5 @@
 /** Bounds one HTTP call in time and in interim responses, and recognises responses without an end by their errors. */
+import { setMaxListeners } from 'node:events'
 import { OversizedResponseError } from './bounded-text.js'
 
 /** Most interim responses (status 1xx) before the response to one call. Servers send one or two, such as 100 or 103. */
@@ -20,18 +21,30 @@
 }
 
 /**
+ * The timer keeps its controller alive. `AbortSignal.any` holds its sources weakly, so that a timeout signal that is only a source of another signal
+ * may be collected before it fires, and a call without an answer would never end.
+ *
  * @param milliseconds - timeout of the whole call, with its body
  * @param cancel - cancels the call earlier
  * @returns the options of the call
  */
 export function boundedCall (milliseconds: number, cancel?: AbortSignal): BoundedCall {
-  const interim = new AbortController()
+  const controller = new AbortController()
+  const cancelled = (): void => controller.abort(cancel?.reason)
+  // All calls of an instance may share the signal.
+  if (cancel !== undefined) setMaxListeners(0, cancel)
+  cancel?.addEventListener('abort', cancelled, { once: true })
+  if (cancel?.aborted === true) cancelled()
+  setTimeout(() => {
+    cancel?.removeEventListener('abort', cancelled)
+    controller.abort(new DOMException('The operation was aborted due to timeout', 'TimeoutError'))
+  }, milliseconds).unref()
   let count = 0
   return {
-    signal: AbortSignal.any([AbortSignal.timeout(milliseconds), interim.signal, ...(cancel === undefined ? [] : [cancel])]),
+    signal: controller.signal,
     onInfo: () => {
       count += 1
-      if (count > MAXIMUM_INTERIM_RESPONSES) interim.abort(new InterimResponsesError())
+      if (count > MAXIMUM_INTERIM_RESPONSES) controller.abort(new InterimResponsesError())
     }
   }
 }
