--- a/review/stand-ins/model-server.mjs
+++ b/review/stand-ins/model-server.mjs
@@ -23,6 +23,7 @@
     this.options = { megabytes: 16_500, modelMegabytes: 16_100, adapterMegabytes: 14, adapterSlots: 8, loadMilliseconds: 250, modelMilliseconds: 600, zone: 'midrand-a', slots: 96, ...options }
     this.incarnation = 0
     this.overloads = []
+    this.orders = []
     this.lost = []
     this.runs = []
     this.newest = new Map()
@@ -136,13 +137,14 @@
 
   apply (order) {
     const status = this.applied(order)
+    this.orders.push({ at: performance.now(), holder: order.Holder, fence: order.Fence, status })
     this.record.add(`order at ${this.id}`, { status, sequence: this.sequence, held: [...this.adapters.keys()], coming: [...this.coming.keys()], ...order })
     return status
   }
 
   applied ({ Op: operation, Model: model, Adapter: adapter, Version: version, Precondition: precondition, Holder: holder, Fence: fence }) {
     if (holder === undefined || fence === undefined) return 400
-    if (fence < this.fence) return 412
+    if (this.options.checksFences !== false && fence < this.fence) return 412
     this.fence = fence
     if (precondition !== undefined && precondition !== this.sequence) return 409
     if (model !== MODEL) return 400
