A tunnel marks the orderly end of the endpoint's connection

Cause: a response without a length is complete if its connection ended in order, which a write of an empty line checks. A tunnel joins two connections, and the system closes the connections of a killed process in order too; the write succeeds before the reset that answers it arrives. The end of the endpoint's connection could not be told from the end of the process between.

Excluded: a reset of the endpoint that is passed on as an orderly end (no code of a killed process runs), and a check that did not run.

Fix: the bytes of a tunnel are the chunked bodies of an HTTP request and its response. The carrying instance sends the last chunk only after the endpoint closed in order, so that any other end fails at the asking instance. It works since chunks are read by Node's own parser, which reports a body without its last chunk as aborted. Members register the address under a new name, so that instances of two releases do not ask each other for tunnels.

--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -11,7 +11,7 @@
 /** Object kind shared by all these objects, so that one watch of the store covers them all. */
 export const CLUSTER_KIND = 'limpetwinch-cluster'
 
-const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), tunnelAddress: z.string().optional(), remembersStreams: z.boolean().optional() })
+const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), chunkedTunnelAddress: z.string().optional(), remembersStreams: z.boolean().optional() })
 const loadOwnerSchema = z.object({
   holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), engine: z.object({ service: z.string(), softwareVersion: z.string() }).optional()
 })
@@ -25,8 +25,11 @@
   readonly instance: InstanceId
   /** `host:port` on which the instance accepts connections of its peers. */
   readonly address: string
-  /** `host:port` at which the instance accepts requests for tunnels; undefined when it opens none. */
-  readonly tunnelAddress?: string | undefined
+  /**
+   * `host:port` at which the instance accepts requests for tunnels; undefined when it opens none. Instances of earlier releases registered
+   * `tunnelAddress`: their tunnels do not tell the end of the endpoint's bytes from that of the carrying process, so they are not asked.
+   */
+  readonly chunkedTunnelAddress?: string | undefined
   /** Whether the instance remembers where streams of other instances began; undefined for an instance of an earlier release. */
   readonly remembersStreams?: boolean | undefined
   readonly dataCentre: DataCentreId
@@ -98,10 +101,10 @@
   if (name.startsWith('member.')) {
     const decoded = memberSchema.safeParse(object.value)
     if (!decoded.success) return undefined
-    const { instance, address, dataCentre, cores = 0, tunnelAddress, remembersStreams } = decoded.data
+    const { instance, address, dataCentre, cores = 0, chunkedTunnelAddress, remembersStreams } = decoded.data
     return {
       kind: 'member',
-      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, tunnelAddress, remembersStreams, version: object.version }
+      member: { name: subject, instance: instance as InstanceId, address, dataCentre: dataCentre as DataCentreId, cores, chunkedTunnelAddress, remembersStreams, version: object.version }
     }
   }
   if (name.startsWith('verdict.')) {
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -21,7 +21,7 @@
   readonly name: string
   readonly instance: InstanceId
   readonly address: string
-  readonly tunnelAddress?: string | undefined
+  readonly chunkedTunnelAddress?: string | undefined
   readonly dataCentre: DataCentreId
   /** Processor share that the host grants this process, in cores. */
   readonly cores: number
@@ -120,8 +120,8 @@
   /** @returns the other live members that open tunnels */
   tunnelPeers (): TunnelPeer[] {
     const peers: TunnelPeer[] = []
-    for (const { name, instance, tunnelAddress, dataCentre } of this.members.values()) {
-      if (tunnelAddress !== undefined && name !== this.self.name && this.isLive(name)) peers.push({ instance, dataCentre, address: tunnelAddress })
+    for (const { name, instance, chunkedTunnelAddress: address, dataCentre } of this.members.values()) {
+      if (address !== undefined && name !== this.self.name && this.isLive(name)) peers.push({ instance, dataCentre, address })
     }
     return peers
   }
--- a/packages/ingress/src/paths/create-paths.ts
+++ b/packages/ingress/src/paths/create-paths.ts
@@ -106,7 +106,7 @@
 
 /** Closes a connection that was opened as a trial. @returns whether it was opened */
 function close (dialled: Result<EndpointSocket, DialError>): boolean {
-  if (dialled.isOk()) dialled.value.socket.destroy()
+  if (dialled.isOk()) dialled.value.stream.destroy()
   return dialled.isOk()
 }
 
--- a/packages/ingress/src/paths/path-dialler.ts
+++ b/packages/ingress/src/paths/path-dialler.ts
@@ -6,7 +6,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Endpoint } from '../routes/configuration.js'
-import { DialError, EndpointDialler } from './endpoint-dialler.js'
+import { DialError, EndpointDialler, TunnelledSocket } from './endpoint-dialler.js'
 import type { EndpointSocket } from './endpoint-dialler.js'
 import type { EndpointPaths } from './endpoint-paths.js'
 import type { openTunnel } from './tunnel-client.js'
@@ -61,7 +61,7 @@
     for (const peer of peers.candidates(endpoint, MOST_PEERS)) {
       if (signal.aborted || failedTrials >= MOST_FAILED_TRIALS) break
       const opened = await this.parts.openTunnel(peer, { endpoint: endpoint.id, self, ownHost, milliseconds: TUNNEL_MILLISECONDS, signal })
-      if (opened.isOk()) return ok({ socket: opened.value, via: peer.instance })
+      if (opened.isOk()) return ok(new TunnelledSocket(opened.value, peer.instance))
       if (!signal.aborted) peers.avoid(peer.instance, endpoint.id)
       if (opened.error !== 'no-path') failedTrials += 1
       last = new DialError(opened.error === 'refused' ? 'refused' : 'silent', `no tunnel to ${endpoint.address}: ${opened.error}`)
@@ -104,7 +104,7 @@
 }
 
 function close (result: DialResult): void {
-  if (result.isOk()) result.value.socket.destroy()
+  if (result.isOk()) result.value.stream.destroy()
 }
 
 /** @returns the first open connection; the error of the own path if neither opens, or of the tunnel if only that was refused by the endpoint */
--- a/packages/ingress/src/paths/tunnel-admission.ts
+++ b/packages/ingress/src/paths/tunnel-admission.ts
@@ -1,10 +1,9 @@
 /** Decides whether this instance opens a tunnel for another one, and connects it to the endpoint. */
-import type { Socket } from 'node:net'
 import type { EndpointId, InstanceId } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import type { EndpointDialler } from './endpoint-dialler.js'
+import type { EndpointDialler, EndpointSocket } from './endpoint-dialler.js'
 import type { EndpointPaths } from './endpoint-paths.js'
 import type { TunnelRefusal } from './tunnel-client.js'
 
@@ -51,7 +50,7 @@
   }
 
   /** @returns a connection to the endpoint, or why there is none */
-  async connect (ask: TunnelAsk): Promise<Result<Socket, TunnelRefusal>> {
+  async connect (ask: TunnelAsk): Promise<Result<EndpointSocket, TunnelRefusal>> {
     const { directory, paths, dialler, isBackingOff } = this.parts
     const endpoint = directory.find(ask.endpoint)
     if (this.isStopping || ask.tunnels > MAXIMUM_TUNNELS || !this.isMember(ask) || endpoint === undefined || endpoint.leaving) return err('unavailable')
@@ -61,7 +60,7 @@
     // A failure is only told to the asking instance. If it made this instance ask others, instances would ask each other for ever.
     if (dialled.isErr()) return err(dialled.error.kind)
     paths.recordReached(endpoint.id)
-    return ok(dialled.value.socket)
+    return ok(dialled.value)
   }
 
   /** @returns whether the request comes from the host of the registered instance that it names */
--- a/packages/ingress/src/paths/tunnel-client.ts
+++ b/packages/ingress/src/paths/tunnel-client.ts
@@ -1,10 +1,10 @@
 /** Opens tunnels: connections to endpoints that another instance opens and whose bytes it passes on. */
 import { request } from 'node:http'
-import type { Socket } from 'node:net'
 import { splitAddress } from '@limpetwinch/core'
 import type { DataCentreId, EndpointId, InstanceId } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { TunnelStream } from './tunnel-stream.js'
 
 /** Header in which an instance that asks for a tunnel names itself. */
 export const INSTANCE_HEADER = 'limpetwinch-instance'
@@ -45,39 +45,46 @@
   readonly signal: AbortSignal
 }
 
+/** Path of tunnels; the id of the endpoint follows. */
+export const TUNNEL_PATH = '/tunnels/'
+
 const OK = 200
 
 /** Asks an instance for a tunnel to an endpoint. @returns the connection, which behaves like one to the endpoint */
-export async function openTunnel (peer: TunnelPeer, { endpoint, self, ownHost, milliseconds, signal }: TunnelRequest): Promise<Result<Socket, TunnelRefusal>> {
+export async function openTunnel (peer: TunnelPeer, { endpoint, self, ownHost, milliseconds, signal }: TunnelRequest): Promise<Result<TunnelStream, TunnelRefusal>> {
   const { host, port } = splitAddress(peer.address)
   return await new Promise((resolve) => {
-    const outgoing = request({ host, port, localAddress: ownHost, method: 'CONNECT', path: endpoint, headers: { [INSTANCE_HEADER]: self }, agent: false })
+    const headers = { [INSTANCE_HEADER]: self, 'transfer-encoding': 'chunked' }
+    const outgoing = request({ host, port, localAddress: ownHost, method: 'POST', path: pathOfTunnel(endpoint), headers, agent: false })
     const timer = setTimeout(() => outgoing.destroy(), milliseconds)
     const cancel = (): void => { outgoing.destroy() }
-    const settle = (result: Result<Socket, TunnelRefusal>): void => {
+    const settle = (result: Result<TunnelStream, TunnelRefusal>): void => {
       clearTimeout(timer)
       signal.removeEventListener('abort', cancel)
       resolve(result)
     }
     signal.addEventListener('abort', cancel)
-    outgoing.once('connect', (response, socket) => {
-      socket.on('error', () => socket.destroy())
-      if (response.statusCode === OK) {
-        socket.setNoDelay(true)
-        return settle(ok(socket))
+    outgoing.once('response', (incoming) => {
+      if (incoming.statusCode === OK) {
+        const stream = new TunnelStream(outgoing, incoming)
+        stream.on('error', () => stream.destroy())
+        return settle(ok(stream))
       }
-      socket.destroy()
-      settle(err(refusalOf(response.headers[REFUSAL_HEADER])))
+      settle(err(refusalOf(incoming.headers[REFUSAL_HEADER])))
+      outgoing.destroy()
     })
-    // An instance that answers with anything but a tunnel closes the connection.
-    outgoing.once('response', () => outgoing.destroy())
     outgoing.once('close', () => settle(err('no-answer')))
     outgoing.on('error', () => settle(err('no-answer')))
-    outgoing.end()
+    outgoing.flushHeaders()
     if (signal.aborted) cancel()
   })
 }
 
+/** @returns the path at which an instance is asked for a tunnel to an endpoint */
+function pathOfTunnel (endpoint: EndpointId): string {
+  return `${TUNNEL_PATH}${encodeURIComponent(endpoint)}`
+}
+
 function refusalOf (text: string | string[] | undefined): TunnelRefusal {
   return TUNNEL_REFUSALS.find((refusal) => refusal === text) ?? 'unavailable'
 }
--- a/packages/ingress/src/paths/tunnel-server.ts
+++ b/packages/ingress/src/paths/tunnel-server.ts
@@ -1,17 +1,15 @@
 /** Carries connections of other instances to endpoints that those instances do not reach. */
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server } from 'node:http'
-import type { Duplex } from 'node:stream'
-import type { Socket } from 'node:net'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { splitAddress } from '@limpetwinch/core'
 import type { EndpointId, InstanceId, Logger } from '@limpetwinch/core'
-import { provesOrderlyEnd } from './orderly-end.js'
+import type { EndpointSocket } from './endpoint-dialler.js'
 import type { TunnelAdmission } from './tunnel-admission.js'
-import { INSTANCE_HEADER, REFUSAL_HEADER } from './tunnel-client.js'
+import { INSTANCE_HEADER, REFUSAL_HEADER, TUNNEL_PATH } from './tunnel-client.js'
 import type { TunnelRefusal } from './tunnel-client.js'
 
-/** Time limit for a request, in milliseconds; it is a few headers long. */
-const REQUEST_MILLISECONDS = 1_000
+/** Time limit for the headers of a request, in milliseconds; they are a few lines long. */
+const HEADERS_MILLISECONDS = 1_000
 
 /** What the server needs of the instance. */
 export interface TunnelServerDependencies {
@@ -31,14 +29,12 @@
 export class TunnelServer {
   private readonly parts: TunnelServerDependencies
   private readonly server: Server
-  private readonly tunnels = new Map<Duplex, Tunnel>()
+  private readonly tunnels = new Map<ServerResponse, Tunnel>()
 
   constructor (parts: TunnelServerDependencies) {
     this.parts = parts
-    this.server = createServer({ requestTimeout: REQUEST_MILLISECONDS, noDelay: true }, (_request, response) => {
-      response.writeHead(405, { connection: 'close' }).end()
-    })
-    this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.handleRequest(request, socket as Socket) })
+    // The body of a request lasts as long as its tunnel.
+    this.server = createServer({ headersTimeout: HEADERS_MILLISECONDS, requestTimeout: 0, noDelay: true }, (request, response) => { void this.handleRequest(request, response) })
   }
 
   /** Number of tunnels that are open or being opened. */
@@ -71,53 +67,82 @@
     this.parts.admission.stop()
   }
 
-  /** Stops listening and closes all tunnels. */
+  /** Stops listening and closes all tunnels, without the mark of an orderly end. */
   destroy (): void {
     this.server.close()
     this.server.closeAllConnections()
-    for (const tunnel of this.tunnels.keys()) tunnel.destroy()
   }
 
-  private async handleRequest (request: IncomingMessage, caller: Socket): Promise<void> {
+  private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { logger, admission, onDecision } = this.parts
-    const endpoint = request.url as EndpointId
+    const path = request.url ?? ''
+    if (request.method !== 'POST' || !path.startsWith(TUNNEL_PATH)) return refuse(response, 'unavailable')
+    const endpoint = decodeURIComponent(path.slice(TUNNEL_PATH.length)) as EndpointId
     const from = String(request.headers[INSTANCE_HEADER])
     const left = new AbortController()
-    this.tunnels.set(caller, { endpoint, from: from as InstanceId })
-    caller.on('error', () => caller.destroy())
-    caller.once('close', () => {
+    this.tunnels.set(response, { endpoint, from: from as InstanceId })
+    request.on('error', () => response.destroy())
+    response.once('close', () => {
       left.abort()
-      this.tunnels.delete(caller)
+      this.tunnels.delete(response)
     })
-    const host = caller.remoteAddress?.replace(/^::ffff:/, '')
+    const host = request.socket.remoteAddress?.replace(/^::ffff:/, '')
     const opened = await admission.connect({ endpoint, from, host, tunnels: this.tunnels.size, signal: left.signal })
     onDecision?.(opened.isOk() ? 'carried' : opened.error)
     if (opened.isOk()) {
       logger.debug('A tunnel was opened.', { endpoint, from, tunnels: this.tunnels.size })
-      return join(caller, opened.value)
+      const end = await join(request, response, opened.value)
+      logger.debug('A tunnel was closed.', { endpoint, from, end })
+      return
     }
     logger.debug('A tunnel was refused.', { endpoint, from, reason: opened.error })
-    caller.end(`HTTP/1.1 503 No tunnel\r\n${REFUSAL_HEADER}: ${opened.error}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    refuse(response, opened.error)
   }
 }
 
-/** Passes bytes between the asking instance and the endpoint until one of them closes, and shows each how the other closed. */
-function join (caller: Socket, endpoint: Socket): void {
-  endpoint.on('error', () => caller.resetAndDestroy())
-  if (caller.destroyed) {
-    endpoint.destroy()
-    return
-  }
-  caller.write('HTTP/1.1 200 Connected\r\n\r\n')
-  caller.pipe(endpoint, { end: false })
-  endpoint.pipe(caller, { end: false })
-  caller.once('end', () => endpoint.destroy())
-  caller.once('close', () => endpoint.destroy())
-  let hasEnded = false
-  // Runs before Node.js ends the own side, after which nothing could be written.
-  endpoint.prependOnceListener('end', () => {
-    hasEnded = true
-    void provesOrderlyEnd(endpoint).then((isOrderly) => isOrderly ? caller.end() : caller.resetAndDestroy())
+function refuse (response: ServerResponse, reason: TunnelRefusal): void {
+  response.writeHead(503, { [REFUSAL_HEADER]: reason, connection: 'close', 'content-length': 0 }).end()
+}
+
+/** How a tunnel ended: the endpoint closed its connection in order, or lost it, or the asking instance closed the tunnel. */
+type TunnelEnd = 'in-order' | 'lost' | 'by-asking-instance'
+
+/**
+ * Passes bytes between the asking instance and the endpoint until one of them closes. The last chunk of the response says that the endpoint closed
+ * in order; the response has none when the connection to the endpoint was lost or when this process ends.
+ *
+ * @returns how the tunnel ended
+ */
+async function join (request: IncomingMessage, response: ServerResponse, endpoint: EndpointSocket): Promise<TunnelEnd> {
+  const { stream } = endpoint
+  return await new Promise((resolve) => {
+    let hasEnded = false
+    const cut = (): void => {
+      resolve('lost')
+      response.destroy()
+    }
+    stream.on('error', cut)
+    if (response.destroyed) {
+      stream.destroy()
+      return resolve('by-asking-instance')
+    }
+    response.writeHead(200, { connection: 'close' }).flushHeaders()
+    request.pipe(stream, { end: false })
+    stream.pipe(response, { end: false })
+    request.once('end', () => stream.destroy())
+    response.once('close', () => {
+      resolve('by-asking-instance')
+      stream.destroy()
+    })
+    // Runs before Node.js ends the own side, after which nothing could be written.
+    stream.prependOnceListener('end', () => {
+      hasEnded = true
+      void endpoint.provesOrderlyEnd().then((isOrderly) => {
+        if (!isOrderly) return cut()
+        resolve('in-order')
+        response.end()
+      })
+    })
+    stream.once('close', () => { if (!hasEnded) cut() })
   })
-  endpoint.once('close', () => { if (!hasEnded) caller.resetAndDestroy() })
 }
--- a/packages/ingress/src/quarantine/crash-detector.ts
+++ b/packages/ingress/src/quarantine/crash-detector.ts
@@ -94,7 +94,7 @@
   return async (endpoint) => {
     const dialled = await dialler.dial(endpoint, new AbortController().signal)
     if (dialled.isErr()) return dialled.error.kind === 'refused' ? 'refused' : 'unknown'
-    dialled.value.socket.destroy()
+    dialled.value.stream.destroy()
     return 'accepted'
   }
 }
--- a/packages/ingress/src/relay/endpoint-connections.ts
+++ b/packages/ingress/src/relay/endpoint-connections.ts
@@ -1,9 +1,8 @@
 /** HTTP connections to one endpoint: each connection carries one request at a time, and is reused only after a complete response. */
-import type { InstanceId } from '@limpetwinch/core'
 import type { Socket } from 'node:net'
+import type { InstanceId } from '@limpetwinch/core'
 import { Client } from 'undici'
-import type { EndpointDialler } from '../paths/endpoint-dialler.js'
-import { provesOrderlyEnd } from '../paths/orderly-end.js'
+import type { EndpointDialler, EndpointSocket } from '../paths/endpoint-dialler.js'
 import type { Endpoint } from '../routes/configuration.js'
 
 /**
@@ -28,7 +27,7 @@
   via: InstanceId | undefined
   /** Called when bytes have arrived, before they are read, with the number of bytes that have arrived since the connection was opened. */
   onArrival: ((bytesRead: number) => void) | undefined
-  private socket: Socket | undefined
+  private socket: EndpointSocket | undefined
   private isFollowed = false
   private readonly closing = new AbortController()
   private orderlyEnd: Promise<boolean> | undefined
@@ -51,20 +50,22 @@
         const startedAt = performance.now()
         void dialler.dial(endpoint, this.closing.signal).then((dialled) => {
           if (dialled.isErr()) return callback(dialled.error, null)
-          const { socket, via } = dialled.value
+          const socket = dialled.value
+          const { stream } = socket
           this.connectMilliseconds = Math.round(performance.now() - startedAt)
-          this.via = via
+          this.via = socket.via
           this.socket = socket
           this.isFollowed = false
           // On a connection that the endpoint will close, undici takes the end of the connection for the end of the response, even
           // after a reset or without the last chunk, so a truncated response would look complete. These listeners run before
           // those of undici and record how the connection ended.
-          socket.prependListener('error', () => { this.ended = 'by-error' })
-          socket.prependListener('end', () => {
+          stream.prependListener('error', () => { this.ended = 'by-error' })
+          stream.prependListener('end', () => {
             this.ended = 'in-order'
-            if (this.bodyEndsWithConnection) this.orderlyEnd = provesOrderlyEnd(socket)
+            if (this.bodyEndsWithConnection) this.orderlyEnd = socket.provesOrderlyEnd()
           })
-          callback(null, socket)
+          // undici uses no more of a socket than a duplex stream has.
+          callback(null, stream as Socket)
         })
       }
     })
@@ -72,7 +73,7 @@
 
   /** Number of bytes that have arrived since the connection was opened. */
   get bytesRead (): number {
-    return this.socket?.bytesRead ?? 0
+    return this.socket?.stream.bytesRead ?? 0
   }
 
   /**
@@ -80,10 +81,10 @@
    * added earlier would be told of the first bytes alone.
    */
   followArrivals (): void {
-    const { socket } = this
-    if (this.isFollowed || socket === undefined) return
+    const stream = this.socket?.stream
+    if (this.isFollowed || stream === undefined) return
     this.isFollowed = true
-    socket.prependListener('readable', () => { this.onArrival?.(socket.bytesRead) })
+    stream.prependListener('readable', () => { this.onArrival?.(stream.bytesRead) })
   }
 
   /** @returns whether the endpoint closed the connection on purpose, so that a response without a length is complete */
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -143,7 +143,7 @@
       remoteHeartbeatFactor: 1
     })
     this.health = new StoreHealth(logger.part('store'), () => this.freshness.ageMilliseconds('endpoints'))
-    const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, tunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
+    const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, chunkedTunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
     this.overlay = new PeerOverlay({ self, network: this.network, clock: this.clock, logger: logger.part('overlay') })
     this.members = new MemberList(self, this.platform.store, this.overlay, this.clock, logger.part('members'))
     this.freshness = new StateFreshness(freshnessLimits(settings), this.clock, logger.part('state'))
--- a/packages/ingress/test/support/path-world.ts
+++ b/packages/ingress/test/support/path-world.ts
@@ -1,5 +1,4 @@
 /** Instances, endpoints and the links between them, under a test's clock and without a network. */
-import type { Socket } from 'node:net'
 import { silentLogger } from '@limpetwinch/core'
 import type { DataCentreId, EndpointId, InstanceId } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
@@ -14,6 +13,7 @@
 import { TunnelAdmission } from '../../src/paths/tunnel-admission.js'
 import type { TunnelPeer, TunnelRefusal, TunnelRequest } from '../../src/paths/tunnel-client.js'
 import { TunnelPeers } from '../../src/paths/tunnel-peers.js'
+import type { TunnelStream } from '../../src/paths/tunnel-stream.js'
 import type { Endpoint } from '../../src/routes/configuration.js'
 import { ManualClock } from './manual-clock.js'
 import { endpoint } from './samples.js'
@@ -41,7 +41,7 @@
   readonly milliseconds: number
 }
 
-interface SimulatedSocket extends Socket {
+interface SimulatedStream extends TunnelStream {
   readonly hops: number
 }
 
@@ -154,15 +154,15 @@
   }
 
   /** Opens a tunnel as the real client and server do. */
-  async openTunnel (peer: TunnelPeer, { endpoint: id, self, milliseconds, signal }: TunnelRequest): Promise<Result<Socket, TunnelRefusal>> {
+  async openTunnel (peer: TunnelPeer, { endpoint: id, self, milliseconds, signal }: TunnelRequest): Promise<Result<TunnelStream, TunnelRefusal>> {
     const instance = this.instances.find((each) => each.id === peer.instance)
     const ended = new AbortController()
-    const late = this.clock.sleep(milliseconds, ended.signal).then(() => err<Socket, TunnelRefusal>('no-answer'))
-    const answer = async (): Promise<Result<Socket, TunnelRefusal>> => {
+    const late = this.clock.sleep(milliseconds, ended.signal).then(() => err<TunnelStream, TunnelRefusal>('no-answer'))
+    const answer = async (): Promise<Result<TunnelStream, TunnelRefusal>> => {
       await this.clock.sleep(LINK_MILLISECONDS)
       if (instance?.isUp !== true) return await late
       const opened = await instance.admission.connect({ endpoint: id, from: self, host: self, tunnels: 1, signal })
-      return opened.map((socket) => socketWith((socket as SimulatedSocket).hops + 1))
+      return opened.map(({ stream }) => streamWith((stream as SimulatedStream).hops + 1))
     }
     const result = await Promise.race([answer(), late])
     ended.abort()
@@ -176,7 +176,7 @@
     if (target === undefined) return undefined
     const dialled = await instance.dialler.dial(target, new AbortController().signal)
     if (dialled.isErr()) return undefined
-    return { hops: (dialled.value.socket as SimulatedSocket).hops, milliseconds: this.clock.now() - startedAt }
+    return { hops: (dialled.value.stream as SimulatedStream).hops, milliseconds: this.clock.now() - startedAt }
   }
 
   /** Advances the time while connections are opened. @returns the paths of all instances to all endpoints that any of them reaches */
@@ -213,10 +213,10 @@
     const link = this.world.link(this.instance, id)
     await this.world.clock.sleep(link === 'silent' ? this.milliseconds : LINK_MILLISECONDS, signal)
     if (link !== 'open' || signal.aborted) return err(new DialError(link === 'refused' ? 'refused' : 'silent', link))
-    return ok({ socket: socketWith(0), via: undefined })
+    return ok({ stream: streamWith(0), via: undefined, provesOrderlyEnd: async () => true })
   }
 }
 
-function socketWith (hops: number): SimulatedSocket {
-  return { hops, destroy: () => {} } as unknown as SimulatedSocket
+function streamWith (hops: number): SimulatedStream {
+  return { hops, destroy: () => {} } as unknown as SimulatedStream
 }
--- a/packages/ingress/test/tunnel.failure.test.ts
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -1,13 +1,13 @@
 // Guards against tunnels that change what a caller gets or what an endpoint sees: a truncated response that looks complete since the
 // carrying instance closed its side in order, a request that goes on after its caller left, and connections for strangers.
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { silentLogger } from '@limpetwinch/core'
 import type { EndpointId, InstanceId } from '@limpetwinch/core'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { afterEach, describe, expect, it } from 'vitest'
-import { DialError, DirectDialler, EndpointDialler } from '../src/paths/endpoint-dialler.js'
+import { DialError, DirectDialler, EndpointDialler, TunnelledSocket } from '../src/paths/endpoint-dialler.js'
 import type { EndpointSocket } from '../src/paths/endpoint-dialler.js'
 import { TunnelAdmission } from '../src/paths/tunnel-admission.js'
 import { openTunnel } from '../src/paths/tunnel-client.js'
@@ -74,24 +74,52 @@
 
   override async dial (): Promise<Result<EndpointSocket, DialError>> {
     const opened = await ask(this.through)
-    return opened.isOk() ? ok({ socket: opened.value, via: PEER.instance }) : err(new DialError('silent', opened.error))
+    return opened.isOk() ? ok(new TunnelledSocket(opened.value, PEER.instance)) : err(new DialError('silent', opened.error))
   }
 }
 
-/** Sends one request through the tunnel. @returns how the attempt ended, and the body */
-async function attempt (through: Carrying): Promise<{ readonly kind: string, readonly body: string }> {
+/** Sends one request through the tunnel. @param onData - called with the body so far @returns how the attempt ended, and the body */
+async function attempt (through: Carrying, onData = (_body: string, _attempt: Attempt): void => {}): Promise<{ readonly kind: string, readonly body: string }> {
   const connection = new EndpointConnection(through.target, new TunnelDialler(through))
   ending.push({ stop: () => connection.destroy() })
   let body = ''
-  const end = await new Attempt(connection, new TestCodec()).run(
+  const sent = new Attempt(connection, new TestCodec())
+  const end = await sent.run(
     { requestId: 'one', method: 'GET', target: '/', headers: ['x-request-id', 'one'], body: undefined },
-    { head: () => {}, data: (chunk) => { body += String(chunk); return 'part' } }
+    {
+      head: () => {},
+      data: (chunk) => {
+        body += String(chunk)
+        onData(body, sent)
+        return 'part'
+      }
+    }
   )
   return { kind: end.kind, body }
 }
 
-function untilClosed (request: string): string {
-  return `HTTP/1.1 200 X\r\nX-Request-Id: ${requestIdOf(request)}\r\nX-Server-Signature: s\r\nConnection: close\r\n\r\nall`
+function untilClosed (request: string, body = 'all'): string {
+  return `HTTP/1.1 200 X\r\nX-Request-Id: ${requestIdOf(request)}\r\nX-Server-Signature: s\r\nConnection: close\r\n\r\n${body}`
+}
+
+/** A response without a length of which only a part is sent. */
+const half: RawAnswer = (socket, request) => { socket.write(untilClosed(request, 'half')) }
+
+/** Puts a relay before the carrying instance, which closes both sides in order as the operating system does when a process is killed. */
+async function killable (through: Carrying): Promise<{ readonly through: Carrying, readonly kill: () => void }> {
+  const sockets: Socket[] = []
+  const relay = createServer((asking) => {
+    const { port } = new URL(`http://${through.peer.address}`)
+    const carrying = connect({ host: HOST, port: Number(port) })
+    for (const socket of [asking, carrying]) socket.on('error', () => {})
+    asking.pipe(carrying).pipe(asking)
+    sockets.push(asking, carrying)
+  })
+  await new Promise<void>((resolve) => relay.listen(0, HOST, resolve))
+  const kill = (): void => { for (const socket of sockets) socket.destroy() }
+  ending.push({ stop: () => { kill(); relay.close() } })
+  const { port } = relay.address() as AddressInfo
+  return { through: { ...through, peer: { ...through.peer, address: `${HOST}:${port}` } }, kill }
 }
 
 describe('a request through a tunnel', () => {
@@ -108,6 +136,18 @@
     expect((await attempt(await carrying(resets))).kind).toBe('broken')
   })
 
+  // Guards against a truncated response without a length that looks complete: the system closes the connections of a killed process in order.
+  it('sees that the carrying instance was killed before the end of a response without a length', async () => {
+    const { through, kill } = await killable(await carrying(half))
+    expect(await attempt(through, kill)).toEqual({ kind: 'broken', body: 'half' })
+  })
+
+  // Guards against the same at the end of a planned stop, when the carrying instance closes the tunnels that are still open.
+  it('sees that the carrying instance stopped before the end of a response without a length', async () => {
+    const through = await carrying(half)
+    expect(await attempt(through, () => through.server.destroy())).toEqual({ kind: 'broken', body: 'half' })
+  })
+
   it('is cancelled at the endpoint when the asking instance closes the tunnel', async () => {
     const through = await carrying(silence)
     const opened = (await ask(through))._unsafeUnwrap()
