A late order of an earlier loader does not pass for the loader's own

Cause: a conflict proves that some order with the same condition was carried out. A loader attributed it to its own unanswered order, which holds only if no other order with that condition is under way. At its start a loader does not know those of the loader before it: of the last process of its host, of another load owner, or of a loader of this process that was stopped.

Excluded: a stale report (the late order came 2 s after the report was read) and the fencing token (a newer one refuses nothing before the first order that bears it).

Fix: until the engine has accepted and counted an order of this loader, a conflict beside an unanswered order is settled by the engine's report. It works since the count then has passed the conditions of all earlier orders; from then on conflicts are explained at once as before. After each report that follows a conflict, an engine that has restarted is given up; the early branch left that out.

--- a/packages/ingress/src/adapters/order-dispatcher.ts
+++ b/packages/ingress/src/adapters/order-dispatcher.ts
@@ -134,10 +134,7 @@
 
   private async resolveConflict (signal: AbortSignal): Promise<void> {
     const { clock, logger } = this.dependencies
-    if (this.unanswered.isBeyondSlots(this.reservations)) {
-      await this.reconcile(signal)
-      return
-    }
+    if (this.unanswered.needReport(this.reservations)) return await this.readReportAfterConflict(signal)
     if (this.unanswered.assumeCarriedOut(this.reservations, clock.now())) {
       logger.debug('A conflict shows that an order without an answer was carried out.', {
         endpoint: this.endpoint.id, ifSequence: this.reservations.sequence - 1
@@ -146,6 +143,10 @@
     }
     this.conflicts += 1
     if (this.conflicts <= MAXIMUM_CONFLICT_PAUSES) return await clock.sleep(CONFLICT_PAUSE_MILLISECONDS, signal)
+    await this.readReportAfterConflict(signal)
+  }
+
+  private async readReportAfterConflict (signal: AbortSignal): Promise<void> {
     this.conflicts = 0
     await this.reconcile(signal)
     if (this.restarted) this.dependencies.onLost(this.endpoint.id, 'restarted')
--- a/packages/ingress/src/adapters/unanswered-orders.ts
+++ b/packages/ingress/src/adapters/unanswered-orders.ts
@@ -25,15 +25,21 @@
  */
 export class UnansweredOrders {
   private orders: UnansweredOrder[] = []
+  /**
+   * Whether every order that the engine may still carry out is known here. Orders of an earlier loader, of this host's last process or of another
+   * host, stay possible until the engine accepts an order of this loader: then its count has passed all of their conditions.
+   */
+  private isComplete = false
 
   /** Adds an order without an answer. */
   add (order: UnansweredOrder): void {
     this.orders = [...this.orders.filter(({ ifSequence }) => ifSequence === order.ifSequence), order]
   }
 
-  /** Removes all orders after the engine accepted a newer one: its count has grown, so none of the orders can take effect any more. */
+  /** Removes all orders after the engine accepted and counted a newer one: none of them, nor of an earlier loader's, can take effect any more. */
   clear (): void {
     this.orders = []
+    this.isComplete = true
   }
 
   /** Removes the orders whose number is lower than the count of accepted orders in the engine's report: the report shows their outcome. */
@@ -42,17 +48,13 @@
   }
 
   /**
-   * Two load orders for the same slot can both stay unanswered, although the engine carried out only one of them. The load owner
-   * confirms the completion of a load by sending its order again. If the load owner assumed that both loads were carried out, it would
-   * also send the order of the other load again. The engine would then carry out that order too, exceed its slots and crash. Only the
-   * engine's report tells which of the loads was carried out.
+   * Whether only the engine's report can tell which order caused a conflict: an order of an earlier loader may have been carried out in place
+   * of the unanswered ones, or there are more unanswered loads than free slots.
    *
-   * @returns whether there are more unanswered loads than free slots
+   * @returns whether the unanswered orders, if there are any, do not explain a conflict
    */
-  isBeyondSlots (reservations: SlotReservations): boolean {
-    const loads = this.unsettled(reservations).filter(({ operation, key }) =>
-      operation === 'load' && !reservations.inFlight.has(key) && !reservations.held.has(key))
-    return new Set(loads.map(({ key }) => key)).size > reservations.free
+  needReport (reservations: SlotReservations): boolean {
+    return this.unsettled(reservations).length > 0 && (!this.isComplete || this.isBeyondSlots(reservations))
   }
 
   /**
@@ -74,6 +76,20 @@
     return true
   }
 
+  /**
+   * Two load orders for the same slot can both stay unanswered, although the engine carried out only one of them. The load owner
+   * confirms the completion of a load by sending its order again. If the load owner assumed that both loads were carried out, it would
+   * also send the order of the other load again. The engine would then carry out that order too, exceed its slots and crash. Only the
+   * engine's report tells which of the loads was carried out.
+   *
+   * @returns whether there are more unanswered loads than free slots
+   */
+  private isBeyondSlots (reservations: SlotReservations): boolean {
+    const loads = this.unsettled(reservations).filter(({ operation, key }) =>
+      operation === 'load' && !reservations.inFlight.has(key) && !reservations.held.has(key))
+    return new Set(loads.map(({ key }) => key)).size > reservations.free
+  }
+
   private unsettled (reservations: SlotReservations): readonly UnansweredOrder[] {
     return this.orders.filter(({ ifSequence }) => ifSequence === reservations.sequence)
   }
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -10,8 +10,10 @@
 import { StallEvictionPolicy } from '@limpetwinch/decisions'
 import { AdapterLocations } from '../src/adapters/adapter-locations.js'
 import { EndpointLoader } from '../src/adapters/endpoint-loader.js'
+import type { EngineOrder } from '../src/adapters/engine-control.js'
 import { ModelLoadRateLimiter } from '../src/adapters/model-load-rate-limiter.js'
 import { WeightStoreLimiter } from '../src/adapters/weight-store-limiter.js'
+import type { ModelName } from '../src/routes/configuration.js'
 import { EndpointWorkTracker } from '../src/routing/endpoint-work-tracker.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
 import type { OrderFate } from './support/simulated-engine.js'
@@ -26,6 +28,11 @@
 const OTHER_LOADS = 12
 const OTHER_LOAD_MILLISECONDS = 400
 
+/** An order of an earlier process or loader for one more adapter. */
+function earlierOrder (adapter: string, ifSequence: number): EngineOrder {
+  return { operation: 'load', model: 'base' as ModelName, adapter, version: undefined, ifSequence }
+}
+
 interface Run {
   readonly engine: SimulatedEngine
   readonly loader: EndpointLoader
@@ -204,6 +211,25 @@
     expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: true, most: 2 })
   })
 
+  // Guards against a conflict that counts as the proof of the loader's own order although a late order of an earlier process caused it: the
+  // loader would order its load once more to confirm it, beyond the slots.
+  it('do not take a late order of the process before for an own one without an answer', async () => {
+    const engine = new SimulatedEngine({ slots: 2 })
+    const before = start(engine)
+    await loadAdapter(before, 'x')
+    await before.stop()
+    engine.nextFates = ['late']
+    await engine.order(earlierOrder('y', engine.accepted))
+    const run = start(engine)
+    await until(() => run.locations.holders(key('x')).size > 0)
+    run.workTracker.begin(endpoint('engine').id, { prefillTokens: 0, memoryTokens: 0, adapter: key('x') })
+    engine.carryOutLate()
+    engine.nextFates = ['silent']
+    const loaded = await loadAdapter(run, 'z')
+    await run.stop()
+    expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: true, most: 2 })
+  })
+
   // To an instance that receives messages late, the weight store appears congested. To the others it does not, so there are always more
   // loads in progress than the limit of this instance allows. Without turns it would order none for as long as the others go on, and
   // requests sent to its idle engines would be refused.
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -11,6 +11,7 @@
  */
 export type OrderFate = 'done' | 'lost' | 'silent' | 'late'
 
+/** Default duration of a load. */
 const LOAD_MILLISECONDS = 30
 
 /** One engine that holds the model `base`. */
@@ -25,6 +26,7 @@
   /** Number of reports that were read. */
   reportCount = 0
   private readonly slots: number
+  private readonly loadMilliseconds: number
   private readonly adapters = new Map<string, 'held' | 'inFlight'>()
   private readonly versions = new Map<string, number>()
   private readonly late: EngineOrder[] = []
@@ -33,11 +35,17 @@
   private readonly counts = new Map<EngineOrder['operation'], number>()
   private sequence = 0
 
-  constructor ({ slots, next = [] }: { readonly slots: number, readonly next?: readonly OrderFate[] }) {
+  constructor ({ slots, next = [], loadMilliseconds = LOAD_MILLISECONDS }: { readonly slots: number, readonly next?: readonly OrderFate[], readonly loadMilliseconds?: number }) {
     this.slots = slots
+    this.loadMilliseconds = loadMilliseconds
     this.nextFates = [...next]
   }
 
+  /** Number of orders that were carried out. */
+  get accepted (): number {
+    return this.sequence
+  }
+
   /** @returns names of the adapters held */
   held (): string[] {
     return [...this.adapters].filter(([, state]) => state === 'held').map(([name]) => name)
@@ -101,7 +109,7 @@
     this.adapters.set(name, 'inFlight')
     this.mostOccupied = Math.max(this.mostOccupied, this.adapters.size)
     if (this.adapters.size > this.slots) throw new Error('the engine crashed: more adapters than slots')
-    setTimeout(() => { if (this.adapters.has(name)) this.adapters.set(name, 'held') }, LOAD_MILLISECONDS)
+    setTimeout(() => { if (this.adapters.has(name)) this.adapters.set(name, 'held') }, this.loadMilliseconds)
     return 'accepted'
   }
 
