Only a counted order clears the orders without an answer

What callers would see: the same as with late orders of an earlier loader: an engine that is ordered beyond its slots, crashes and cuts what it runs.

Cause: while a load is in progress, an engine accepts its order once more without counting it. That answer, which the loader gets at each early confirmation, cleared the list of unanswered orders as if the engine's count had passed their conditions. One of them could still be carried out and take the last slot, and the conflict that follows was attributed to a later order.

Fix: the order of a load or unload in progress clears nothing, and does not end the time in which orders of earlier loaders are possible.

Test: "is remembered while the engine confirms a load in progress"; before the fix the loader gave the slot of the late order to another adapter. The second test holds that conflicts are still explained without a report.

--- a/packages/ingress/src/adapters/order-dispatcher.ts
+++ b/packages/ingress/src/adapters/order-dispatcher.ts
@@ -115,6 +115,7 @@
   ): Promise<OrderAnswer | undefined> {
     const { clock, onLost, onUnreachable: onSilent } = this.dependencies
     const { operation, version, ifSequence } = order
+    const isRepeated = key !== undefined && this.isInProgress(operation, key)
     const result = await this.orders.send(order, pendingLoad)
     if (result.isErr()) {
       if (result.error.outcome === 'not_run') {
@@ -125,13 +126,19 @@
     }
     const answer = result.value
     if (answer === 'stale-token' || answer === 'other-endpoint') onLost(this.endpoint.id, answer)
-    if (answer === 'accepted' || (answer === 'holds' && operation === 'unload')) this.unanswered.clear()
+    const isAccepted = answer === 'accepted' || (answer === 'holds' && operation === 'unload')
+    // An engine does not count the order of a load or unload in progress again, so that older orders can still be carried out after it.
+    if (isAccepted && !isRepeated) this.unanswered.clear()
     if (answer === 'conflict') await this.resolveConflict(signal)
     else this.conflicts = 0
     if (answer === 'refused') await this.reconcile(signal)
     return answer
   }
 
+  private isInProgress (operation: EngineOrder['operation'], key: AdapterKey): boolean {
+    return operation === 'load' ? this.reservations.inFlight.has(key) : this.reservations.unloading.has(key)
+  }
+
   private async resolveConflict (signal: AbortSignal): Promise<void> {
     const { clock, logger } = this.dependencies
     if (this.unanswered.needReport(this.reservations)) return await this.readReportAfterConflict(signal)
