Loads keep to the memory of an engine, not only to its slots

Cause: slots were the only bound on adapters. The configuration's size of adapters was decoded and read by nobody, and the memory of an engine only decided whether a whole model fits.

Excluded: two loads at once that are not counted together (asked one after the other they crash the engine as well), and values that are not decoded.

Fix: the load owner reserves slots and memory, and orders a load only where both are left beside the models that the engine holds. Evictions, unanswered orders, routing, the forecast of loads and the need for a further copy of a model count alike. An engine without room for a single adapter is asked for no load, and if no engine has room the request is refused at once. Where the configuration states no memory or sizes, slots alone bound the loads as before.

--- a/packages/decisions/src/loads/load-queue.ts
+++ b/packages/decisions/src/loads/load-queue.ts
@@ -37,7 +37,7 @@
 const CACHED_FACTOR = 3
 
 /** Reason why a load has not started yet. */
-export type LoadDelayReason = 'nothing' | 'travelling loads' | 'slots in use' | 'a silent engine' | 'runs of the old version'
+export type LoadDelayReason = 'nothing' | 'travelling loads' | 'slots in use' | 'memory in use' | 'a silent engine' | 'runs of the old version'
 
 /** A request that waits for an adapter. */
 interface WaitingRequest extends LoadClaim {
--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -10,7 +10,8 @@
 import { HeldAdapterPublisher } from './held-adapter-publisher.js'
 import type { LoaderDependencies } from './loader-dependencies.js'
 import { OrderDispatcher } from './order-dispatcher.js'
-import { mostCached, SlotReservations } from './slot-reservations.js'
+import { SlotReservations } from './slot-reservations.js'
+import type { Room } from './slot-reservations.js'
 import { StoreTurn } from './store-turn.js'
 
 /** Most loads in progress on one engine; the engine accepts no more at once. */
@@ -61,7 +62,7 @@
     this.hidden = new HiddenAdapters(dependencies.noticeRoundTripMilliseconds)
     this.storeTurn = new StoreTurn(dependencies.storeLimiter)
     const { queue, hidden } = this
-    this.reservations = new SlotReservations(shape.adapterSlots, mostCached(shape.adapterSlots))
+    this.reservations = new SlotReservations(shape)
     this.publisher = new HeldAdapterPublisher(dependencies.clock, (now) => ({
       endpoint, token, reservations: this.reservations, hidden, waiting: queue.keys(), waitMilliseconds: this.queuePace.waitMilliseconds(queue.length, now), waits: this.queuePace.waitsByPriority(queue.lengthsByPriority(now), queue.length, now)
     }), dependencies.publish)
@@ -181,8 +182,9 @@
     if (this.queue.length === 0 && this.hidden.keys('eviction').length === 0) return false
     if (!this.dependencies.mayOrder(this.endpoint.id)) return false
     if (await this.evictions.evictHidden(now, signal)) return true
+    const room = this.reservations.room()
     const pendingLoad = this.queue.next(
-      (key) => !this.mayLoad(key, now), (key) => this.reservations.recentlyEvicted.has(key), this.expectedStoreLoadTime(), now
+      (key) => !this.mayLoad(key, room, now), (key) => this.reservations.recentlyEvicted.has(key), this.expectedStoreLoadTime(), now
     )
     if (pendingLoad !== undefined) return await this.load(pendingLoad, signal)
     return this.evictions.hideVictim(MAXIMUM_IN_FLIGHT - this.reservations.inFlight.size, now)
@@ -239,7 +241,7 @@
     }
   }
 
-  private mayLoad (key: AdapterKey, now: number): boolean {
+  private mayLoad (key: AdapterKey, room: Room, now: number): boolean {
     const { inFlight, unloading, held } = this.reservations
     const pendingLoad = this.queue.find(key)
     if (pendingLoad === undefined || inFlight.has(key) || unloading.has(key)) return false
@@ -247,8 +249,8 @@
       pendingLoad.heldUpBy = 'runs of the old version'
       return false
     }
-    if (!held.has(key) && !this.reservations.hasFree) {
-      pendingLoad.heldUpBy = 'slots in use'
+    if (!held.has(key) && !this.reservations.fits(key, room)) {
+      pendingLoad.heldUpBy = room.slots < 1 ? 'slots in use' : 'memory in use'
       return false
     }
     if (this.reservations.recentlyEvicted.has(key) || this.hasStoreCapacity(now)) return true
--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -79,7 +79,7 @@
 }
 
 /** Why a search found no engine. */
-type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'its engines have reached their rate limits' | 'the forecast shows no room in time' | 'its search took too long' | 'its request ended'
+type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'no engine has room for an adapter' | 'its engines have reached their rate limits' | 'the forecast shows no room in time' | 'its search took too long' | 'its request ended'
 
 /** Finds engines for requests. */
 export class EngineFinder {
@@ -114,6 +114,7 @@
       if (router.isVersionGone(search)) {
         return this.logNoEngine(search, 'no engine runs its software version', askings, now - startedAt)
       }
+      if (router.isAdapterTooLarge(search)) return this.logNoEngine(search, 'no engine has room for an adapter', askings, now - startedAt)
       const isLate = now >= until
       if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) {
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
--- a/packages/ingress/src/adapters/engine-inventory.ts
+++ b/packages/ingress/src/adapters/engine-inventory.ts
@@ -1,9 +1,10 @@
-/** Counts the engines with adapter slots, and the slots that are in use on those that hold a model. */
+/** Counts the engines with adapter slots, and the adapters that those that hold a model have in use and could hold. */
 import type { Clock } from '@limpetwinch/core'
 import type { AcceptedConfiguration } from '../cluster-state/accepted-configuration.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
-import type { Endpoint, ModelName, ServiceName } from '../routes/configuration.js'
+import type { Endpoint, EngineShape, ModelName, ServiceName } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
+import { adapterCapacity } from './engine-memory.js'
 import type { EngineUsage } from './model-need.js'
 
 /** The engines of the configuration in force. */
@@ -28,20 +29,21 @@
 
   /** Number of engines with adapter slots. */
   get engineCount (): number {
-    this.count ??= this.directory.all().filter(({ service }) => this.adapterSlots(service) > 0).length
+    this.count ??= this.directory.all().filter(({ service }) => (this.shapeOf(service)?.adapterSlots ?? 0) > 0).length
     return this.count
   }
 
-  /** @returns the adapter slots, and those in use, of the engines of the endpoint's service that hold the model */
+  /** @returns the adapters that each engine of the endpoint's service that holds the model could hold and has in use */
   usageOf (endpoint: Endpoint, model: ModelName): EngineUsage[] {
-    const slots = this.adapterSlots(endpoint.service)
+    const shape = this.shapeOf(endpoint.service)
+    if (shape === undefined) return []
     const now = this.clock.now()
     return this.directory.servable(endpoint.service)
       .filter((engine) => engine.models.includes(model))
-      .map(({ id }) => ({ slots, adaptersInUse: this.workTracker.adaptersInUse(id, now) }))
+      .map(({ id, models }) => ({ slots: adapterCapacity(shape, models, model), adaptersInUse: this.workTracker.adaptersInUse(id, now) }))
   }
 
-  private adapterSlots (service: ServiceName): number {
-    return this.configuration.current?.services.get(service)?.engine?.adapterSlots ?? 0
+  private shapeOf (service: ServiceName): EngineShape | undefined {
+    return this.configuration.current?.services.get(service)?.engine
   }
 }
--- a/packages/ingress/src/adapters/evictions.ts
+++ b/packages/ingress/src/adapters/evictions.ts
@@ -44,10 +44,9 @@
   hideVictim (most: number, now: number): boolean {
     const { reservations, queue, hidden, publisher, loaderDependencies } = this.dependencies
     const { inFlight, unloading, held } = reservations
-    const waiting = queue.keys().filter((key) => !inFlight.has(key) && !unloading.has(key) && !held.has(key))
-    const slotsFreeSoon = reservations.free + hidden.keys('eviction').length
+    const waiting = queue.keys().filter((key) => !inFlight.has(key) && !unloading.has(key) && !held.has(key) && reservations.couldHold(key)).slice(0, Math.max(0, most))
     const [firstWaiting] = waiting
-    if (firstWaiting === undefined || slotsFreeSoon >= Math.min(waiting.length, most)) return false
+    if (firstWaiting === undefined || reservations.countFitting(waiting, new Set(hidden.keys('eviction'))) >= waiting.length) return false
     const victim = loaderDependencies.policy.victim(this.slotViews(now), firstWaiting, now) as AdapterKey | undefined
     // Every slot is in use or already being freed; the pending loads stay queued and are checked again when a request on the engine ends.
     if (victim === undefined) return false
--- a/packages/ingress/src/adapters/model-need.ts
+++ b/packages/ingress/src/adapters/model-need.ts
@@ -6,7 +6,7 @@
  * the load would bring no benefit.
  */
 
-/** Adapter slots of an engine that holds the model, and how many of them are in use. */
+/** Adapters that an engine that holds the model could hold at one time, by its slots and its memory, and how many are in use. */
 export interface EngineUsage {
   readonly slots: number
   readonly adaptersInUse: number
--- a/packages/ingress/src/adapters/slot-reservations.ts
+++ b/packages/ingress/src/adapters/slot-reservations.ts
@@ -1,6 +1,7 @@
-/** The adapter slots of one engine, as known to its load owner. */
-import type { AdapterKey, HeldAdapter, ModelName } from '../routes/configuration.js'
+/** The adapter slots of one engine and the memory that its adapters take, as known to its load owner. */
+import type { AdapterKey, EngineShape, HeldAdapter, ModelName } from '../routes/configuration.js'
 import type { EngineReport } from './engine-control.js'
+import { adapterMegabytes, megabytesForAdapters } from './engine-memory.js'
 
 /** Evicted adapters that an engine is assumed to cache per slot: the smallest known engines cache five, larger ones six. */
 const CACHED_PER_SLOT = 5
@@ -10,6 +11,14 @@
   return CACHED_PER_SLOT * slots
 }
 
+/** Slots and memory of an engine that no adapter occupies; negative where it holds more than the configuration says. */
+export interface Room {
+  readonly slots: number
+  readonly megabytes: number
+}
+
+const NO_ADAPTERS: ReadonlySet<AdapterKey> = new Set()
+
 /** An adapter that occupies a slot. */
 export interface HeldSlot {
   version: number
@@ -28,10 +37,10 @@
 }
 
 /**
- * Slots of an engine, and the number of orders that it has accepted. Each order carries this number as a condition, so that an
+ * Slots and memory of an engine, and the number of orders that it has accepted. Each order carries this number as a condition, so that an
  * order whose answer was lost, and which the engine carries out seconds later, cannot take effect once a newer order has been
  * accepted. Without the condition, a late load would take a slot that was reassigned in the meantime, and an engine that exceeds its
- * slots crashes.
+ * slots or its memory crashes.
  */
 export class SlotReservations {
   readonly held = new Map<AdapterKey, HeldSlot>()
@@ -44,33 +53,55 @@
   cachedModels: readonly ModelName[] = []
   /** Number of orders that the engine has accepted. */
   sequence = 0
-  private readonly slots: number
-  private readonly mostCached: number
+  private readonly shape: EngineShape
+
+  /** @param shape - slots and memory of the engine */
+  constructor (shape: EngineShape) {
+    this.shape = shape
+  }
 
   /**
-   * @param slots - number of adapters that the engine can hold
-   * @param mostCached - number of evicted adapters to remember
+   * @param leaving - adapters that are about to be evicted
+   * @returns the room beside all other adapters that are held or being loaded
    */
-  constructor (slots: number, mostCached: number) {
-    this.slots = slots
-    this.mostCached = mostCached
+  room (leaving: ReadonlySet<AdapterKey> = NO_ADAPTERS): Room {
+    let slots = this.shape.adapterSlots
+    let megabytes = megabytesForAdapters(this.shape, this.models)
+    const occupy = (key: AdapterKey): void => {
+      if (leaving.has(key)) return
+      slots -= 1
+      megabytes -= adapterMegabytes(this.shape, key)
+    }
+    for (const key of this.held.keys()) occupy(key)
+    // A replacement takes the place of the old version.
+    for (const key of this.inFlight.keys()) if (!this.held.has(key)) occupy(key)
+    return { slots, megabytes }
   }
 
-  /** Number of slots occupied by adapters that are held or being loaded. A replacement does not occupy a second slot. */
-  get occupied (): number {
-    let sum = this.held.size
-    for (const key of this.inFlight.keys()) if (!this.held.has(key)) sum += 1
-    return sum
+  /** @returns whether one more adapter fits into the room */
+  fits (key: AdapterKey, { slots, megabytes }: Room): boolean {
+    return slots >= 1 && megabytes >= adapterMegabytes(this.shape, key)
   }
 
-  /** Number of unoccupied slots. */
-  get free (): number {
-    return Math.max(0, this.slots - this.occupied)
+  /** @returns whether the engine could hold the adapter if it held no other one */
+  couldHold (key: AdapterKey): boolean {
+    return this.fits(key, { slots: this.shape.adapterSlots, megabytes: megabytesForAdapters(this.shape, this.models) })
   }
 
-  /** Whether one more adapter fits. */
-  get hasFree (): boolean {
-    return this.free > 0
+  /**
+   * @param keys - adapters to load, in this order; none of them is held or being loaded
+   * @param leaving - adapters that are evicted before
+   * @returns how many of them fit beside the adapters that are held or being loaded, from the first one on
+   */
+  countFitting (keys: readonly AdapterKey[], leaving: ReadonlySet<AdapterKey> = NO_ADAPTERS): number {
+    let { slots, megabytes } = this.room(leaving)
+    const count = keys.findIndex((key) => {
+      if (!this.fits(key, { slots, megabytes })) return true
+      slots -= 1
+      megabytes -= adapterMegabytes(this.shape, key)
+      return false
+    })
+    return count === -1 ? keys.length : count
   }
 
   /** @returns whether the adapter is held in this version or a newer one */
@@ -116,7 +147,7 @@
     this.recentlyEvicted.delete(key)
     this.recentlyEvicted.add(key)
     const oldest = this.recentlyEvicted.values().next().value
-    if (this.recentlyEvicted.size > this.mostCached && oldest !== undefined) this.recentlyEvicted.delete(oldest)
+    if (this.recentlyEvicted.size > mostCached(this.shape.adapterSlots) && oldest !== undefined) this.recentlyEvicted.delete(oldest)
   }
 
   /** Replaces the state by what the engine reports. */
--- a/packages/ingress/src/adapters/unanswered-orders.ts
+++ b/packages/ingress/src/adapters/unanswered-orders.ts
@@ -49,7 +49,7 @@
 
   /**
    * Whether only the engine's report can tell which order caused a conflict: an order of an earlier loader may have been carried out in place
-   * of the unanswered ones, or there are more unanswered loads than free slots.
+   * of the unanswered ones, or there are more unanswered loads than fit.
    *
    * @returns whether the unanswered orders, if there are any, do not explain a conflict
    */
@@ -82,12 +82,13 @@
    * also send the order of the other load again. The engine would then carry out that order too, exceed its slots and crash. Only the
    * engine's report tells which of the loads was carried out.
    *
-   * @returns whether there are more unanswered loads than free slots
+   * @returns whether there are more unanswered loads than fit
    */
   private isBeyondSlots (reservations: SlotReservations): boolean {
     const loads = this.unsettled(reservations).filter(({ operation, key }) =>
       operation === 'load' && !reservations.inFlight.has(key) && !reservations.held.has(key))
-    return new Set(loads.map(({ key }) => key)).size > reservations.free
+    const keys = [...new Set(loads.map(({ key }) => key))]
+    return reservations.countFitting(keys) < keys.length
   }
 
   private unsettled (reservations: SlotReservations): readonly UnansweredOrder[] {
--- a/packages/ingress/src/admission/load-forecast.ts
+++ b/packages/ingress/src/admission/load-forecast.ts
@@ -6,6 +6,8 @@
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations, ReportedQueue } from '../adapters/adapter-locations.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
+import { adapterCapacity, canLoadAdapters } from '../adapters/engine-memory.js'
+import { modelOf } from '../routes/configuration.js'
 import type { AdapterKey, Endpoint, EngineShape, ModelName } from '../routes/configuration.js'
 import type { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
 import type { EngineQuery } from '../routing/engine-router.js'
@@ -34,7 +36,7 @@
 
 /** Dependencies of the forecast. */
 export interface LoadForecastDependencies {
-  readonly directory: Pick<EndpointDirectory, 'servable'>
+  readonly directory: Pick<EndpointDirectory, 'find' | 'servable'>
   readonly locations: AdapterLocations
   readonly workTracker: EndpointWorkTracker
   readonly firstEvent: FirstEventForecast
@@ -71,7 +73,7 @@
     // The duration of a load and the capacity of the store go over all engines, so they are computed once.
     const store = { milliseconds: this.parts.loadMilliseconds(), hasCapacity: this.parts.hasStoreCapacity(now) }
     let best: EngineForecast | undefined
-    for (const endpoint of this.candidates(query, adapter.model as ModelName, now)) {
+    for (const endpoint of this.candidates(query, shape, adapter.model as ModelName, now)) {
       const forecast = this.forEngine(endpoint, shape, query, store, now)
       if (best === undefined || goesBefore(forecast, best)) best = forecast
     }
@@ -82,39 +84,46 @@
    * @returns milliseconds by which a load of this priority waits longer on the engine than the router assumes, which counts all pending loads
    *   alike and knows no pace of the engine's slots; negative if the load goes before others
    */
-  extraWait (endpoint: EndpointId, shape: EngineShape, priority: number, now: number): number {
-    const { slotWait, idleSlots } = this.slots(endpoint, shape, now)
-    const queue = this.parts.locations.line(endpoint)
+  extraWait ({ service, facts, priority }: Pick<LoadForecastQuery, 'service' | 'facts' | 'priority'>, id: EndpointId, now: number): number {
+    const endpoint = this.parts.directory.find(id)
+    const { adapter } = facts
+    if (endpoint === undefined || adapter === undefined || service.engine === undefined) return 0
+    const model = adapter.model as ModelName
+    if (!canLoadAdapters(service.engine, endpoint.models, model)) return 0
+    const { slotWait, idleSlots } = this.slots(endpoint, service.engine, model, now)
+    const queue = this.parts.locations.line(id)
     return this.waitAt(queue, priority, slotWait, idleSlots) - Math.max(slotWait, queue?.waitMilliseconds ?? 0)
   }
 
-  private slots (endpoint: EndpointId, shape: EngineShape, now: number): { readonly idleSlots: number, readonly slotWait: number } {
+  private slots ({ id, models }: Endpoint, shape: EngineShape, model: ModelName, now: number): { readonly idleSlots: number, readonly slotWait: number } {
     const { locations, workTracker } = this.parts
-    const idleSlots = shape.adapterSlots - workTracker.adaptersInUse(endpoint, now) - locations.inFlight.countFor(endpoint)
-    return { idleSlots, slotWait: idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots) }
+    const capacity = adapterCapacity(shape, models, model)
+    const idleSlots = capacity - workTracker.adaptersInUse(id, now) - locations.inFlight.countFor(id)
+    return { idleSlots, slotWait: idleSlots > 0 ? 0 : RUN_MILLISECONDS / capacity * (1 - idleSlots) }
   }
 
   private waitAt (queue: ReportedQueue | undefined, priority: number, slotWait: number, idleSlots: number): number {
     return idleSlots > (queue?.waiting.size ?? 0) ? 0 : Math.max(slotWait, waitOf(queue, priority))
   }
 
-  private candidates ({ service, excluded, softwareVersion }: EngineQuery, model: ModelName, now: number): Endpoint[] {
+  private candidates ({ service, excluded, softwareVersion }: EngineQuery, shape: EngineShape, model: ModelName, now: number): Endpoint[] {
     const { directory, ejection, hasLoadOwner } = this.parts
     const engines = directory.servable(service.name).filter((engine) => softwareVersion === undefined || engine.softwareVersion === softwareVersion)
     return ejection.usable(engines.map((entry) => ({ endpoint: entry.id, entry })), now)
       .map(({ entry }) => entry)
-      .filter(({ id, models }) => !excluded.has(id) && models.includes(model) && hasLoadOwner(id))
+      .filter(({ id, models }) => !excluded.has(id) && canLoadAdapters(shape, models, model) && hasLoadOwner(id))
   }
 
   private forEngine (
-    { id }: Endpoint, shape: EngineShape, { facts, priority }: LoadForecastQuery, store: { readonly milliseconds: number, readonly hasCapacity: boolean }, now: number
+    endpoint: Endpoint, shape: EngineShape, { facts, priority }: LoadForecastQuery, store: { readonly milliseconds: number, readonly hasCapacity: boolean }, now: number
   ): EngineForecast {
     const { locations, workTracker, firstEvent, leastVersion } = this.parts
+    const { id } = endpoint
     const key = facts.adapter?.key as AdapterKey
     const queue = locations.line(id)
     const isInFlight = locations.inFlight.has(id, key, now)
     const isCached = locations.isCached(id, key, leastVersion(key, now))
-    const { idleSlots, slotWait } = this.slots(id, shape, now)
+    const { idleSlots, slotWait } = this.slots(endpoint, shape, modelOf(key), now)
     const waitMilliseconds = isInFlight ? 0 : this.waitAt(queue, priority, slotWait, idleSlots)
     const readyMilliseconds = waitMilliseconds + (isCached ? CACHED_LOAD_MILLISECONDS : store.milliseconds)
     const reading = firstEvent.milliseconds(id, shape, workTracker.outstanding(id, now), facts.promptTokens, facts.promptTokens + facts.outputTokens)
--- a/packages/ingress/src/admission/stream-admission.ts
+++ b/packages/ingress/src/admission/stream-admission.ts
@@ -105,8 +105,8 @@
   }
 
   /** @returns milliseconds to add to the wait for a load that the router assumes, which counts less urgent loads as well; 0 or less */
-  extraWait ({ service, priority }: Pick<AdmissionQuery, 'service' | 'priority'>, endpoint: EndpointId, now: number): number {
-    return service.engine !== undefined && this.parts.competes() ? Math.min(0, this.parts.forecast.extraWait(endpoint, service.engine, priority, now)) : 0
+  extraWait (query: Pick<AdmissionQuery, 'service' | 'facts' | 'priority'>, endpoint: EndpointId, now: number): number {
+    return this.parts.competes() ? Math.min(0, this.parts.forecast.extraWait(query, endpoint, now)) : 0
   }
 
   /** @returns the error of a request that was refused by forecast; undefined for every other request */
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -7,9 +7,11 @@
 import type { EngineSpeeds, OutlierEjection } from '@limpetwinch/decisions'
 import type { EndpointId } from '@limpetwinch/core'
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
+import { adapterCapacity, canLoadAdapters } from '../adapters/engine-memory.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { EndpointBackoffs } from '../rate-limits/endpoint-backoffs.js'
 import type { RequestFacts } from '../relay/request-codec.js'
+import { modelOf } from '../routes/configuration.js'
 import type { AdapterKey, Endpoint, EngineShape, ModelName, Service, SoftwareVersion } from '../routes/configuration.js'
 import type { FirstEventForecast } from './first-event-forecast.js'
 import type { EndpointWorkTracker } from './endpoint-work-tracker.js'
@@ -165,7 +167,7 @@
     if (shape === undefined || facts.adapter === undefined) return undefined
     const { key, model } = facts.adapter
     const usable = this.usableEngines(query, now)
-      .filter((endpoint) => hasLoadOwner(endpoint.id) && endpoint.models.includes(model as ModelName) && !locations.holders(key).has(endpoint.id))
+      .filter((endpoint) => hasLoadOwner(endpoint.id) && canLoadAdapters(shape, endpoint.models, model as ModelName) && !locations.holders(key).has(endpoint.id))
     // Computing the duration of a load goes over all engines, so it is done once and not for each engine.
     const storeMilliseconds = this.parts.loadMilliseconds()
     let best: LoadChoice | undefined
@@ -212,6 +214,16 @@
     return this.parts.directory.servable(service.name).some((engine) => engine.softwareVersion !== softwareVersion)
   }
 
+  /** @returns whether engines hold the model of the adapter, and none of them has slots and memory for a single adapter of it */
+  isAdapterTooLarge ({ service, facts }: Pick<EngineQuery, 'service' | 'facts'>): boolean {
+    const { adapter } = facts
+    const shape = service.engine
+    if (adapter?.name === undefined || shape === undefined) return false
+    const model = adapter.model as ModelName
+    const engines = this.parts.directory.servable(service.name).filter(({ models }) => models.includes(model))
+    return engines.length > 0 && !engines.some(({ models }) => canLoadAdapters(shape, models, model))
+  }
+
   /** @returns milliseconds until an adapter load that is requested now could be complete, on the engine with the shortest load queue */
   shortestWait (service: Service, now: number): number {
     let least = Infinity
@@ -309,8 +321,9 @@
     const joinsPendingLoad = queue?.waiting.has(key) === true
     const storeCost = joinsPendingLoad ? 0 : STORE_LOAD_COST_MILLISECONDS
     const loadMilliseconds = locations.isCached(endpoint.id, key, leastVersion(key, now)) ? CACHED_LOAD_MILLISECONDS : storeMilliseconds + storeCost
-    const idleSlots = shape.adapterSlots - workTracker.adaptersInUse(endpoint.id, now) - locations.inFlight.countFor(endpoint.id)
-    const slotWait = idleSlots > 0 ? 0 : RUN_MILLISECONDS / shape.adapterSlots * (1 - idleSlots)
+    const slots = adapterCapacity(shape, endpoint.models, modelOf(key))
+    const idleSlots = slots - workTracker.adaptersInUse(endpoint.id, now) - locations.inFlight.countFor(endpoint.id)
+    const slotWait = idleSlots > 0 ? 0 : RUN_MILLISECONDS / slots * (1 - idleSlots)
     const queueWait = Math.max(slotWait, queue?.waitMilliseconds ?? 0)
     // Requests still run with the adapter although the engine does not offer it. So the engine is evicting or replacing the adapter, and has to
     // wait until these runs end before a new load.
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -13,7 +13,7 @@
 import type { EngineOrder } from '../src/adapters/engine-control.js'
 import { ModelLoadRateLimiter } from '../src/adapters/model-load-rate-limiter.js'
 import { WeightStoreLimiter } from '../src/adapters/weight-store-limiter.js'
-import type { ModelName } from '../src/routes/configuration.js'
+import type { AdapterKey, EngineShape, ModelName } from '../src/routes/configuration.js'
 import { EndpointWorkTracker } from '../src/routing/endpoint-work-tracker.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
 import type { OrderFate } from './support/simulated-engine.js'
@@ -59,12 +59,12 @@
 /** Number of random runs; set CROWD_RUNS for more. */
 const CROWD_RUNS = Number(process.env['CROWD_RUNS'] ?? 8)
 
-function start (engine: SimulatedEngine, latest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2, storeLimiter = new WeightStoreLimiter(() => ENGINES)): Run {
+function start (engine: SimulatedEngine, latest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2, storeLimiter = new WeightStoreLimiter(() => ENGINES), shape: Partial<EngineShape> = {}): Run {
   const clock = new SystemClock()
   const locations = new AdapterLocations()
   const workTracker = new EndpointWorkTracker()
   const subject = endpoint('engine')
-  const loader = new EndpointLoader(subject, 7 as FencingToken, engineShape({ adapterSlots }), {
+  const loader = new EndpointLoader(subject, 7 as FencingToken, engineShape({ adapterSlots, ...shape }), {
     control: new SimulatedEngineControl(engine),
     clock,
     logger: silentLogger(),
@@ -211,6 +211,29 @@
     expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: true, most: 2 })
   })
 
+  // Guards against an engine that runs out of memory before it runs out of slots, which crashes it like a load beyond the slots.
+  it('load no more adapters than the memory of the engine holds, and evict unused ones for others', async () => {
+    const engine = new SimulatedEngine({ slots: 3 })
+    const run = start(engine, new Map(), 8, new WeightStoreLimiter(() => ENGINES), { megabytes: 16_050 })
+    const loaded: boolean[] = []
+    for (const name of ['a', 'b', 'c', 'd', 'e']) loaded.push(await loadAdapter(run, name))
+    await run.stop()
+    expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: [true, true, true, true, true], most: 3 })
+  })
+
+  // Guards against a loader that evicts adapters one after the other for a load that does not fit beside the model at all.
+  it('evict nothing for an adapter that is larger than the memory beside the model', async () => {
+    const engine = new SimulatedEngine({ slots: 3 })
+    const small = { name: 'base' as ModelName, megabytes: 16_000, adapters: 100, adapterMegabytes: 14 }
+    const large = { name: 'large' as ModelName, megabytes: 100, adapters: 100, adapterMegabytes: 400 }
+    const run = start(engine, new Map(), 3, new WeightStoreLimiter(() => ENGINES), { megabytes: 16_300, models: [small, large] })
+    for (const name of ['a', 'b', 'c']) await loadAdapter(run, name)
+    await sleep(300)
+    await until(() => { run.loader.requestLoad('large/x' as AdapterKey, 0, { request: 'r', onTimeMilliseconds: undefined }); return false }, 500)
+    await run.stop()
+    expect({ held: engine.held().toSorted(), unloaded: engine.unloaded }).toEqual({ held: ['a', 'b', 'c'], unloaded: [] })
+  })
+
   // Guards against a conflict that counts as the proof of the loader's own order although a late order of an earlier process caused it: the
   // loader would order its load once more to confirm it, beyond the slots.
   it('do not take a late order of the process before for an own one without an answer', async () => {
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -13,6 +13,7 @@
 import { FirstEventForecast } from '../src/routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../src/routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../src/routing/prefix-cache-estimate.js'
+import type { ModelName } from '../src/routes/configuration.js'
 import type { RequestFacts } from '../src/relay/request-codec.js'
 import { endpoint, engineShape, key, service, LOAD_OWNER, NO_BACKOFFS } from './support/samples.js'
 
@@ -46,12 +47,12 @@
 }
 
 /** @returns a router with engines in these states */
-function routerFor (states: Readonly<Record<string, State>>): EngineRouter {
+function routerFor (states: Readonly<Record<string, State>>, models: Readonly<Record<string, readonly string[]>> = {}): EngineRouter {
   const directory = new EndpointDirectory(silentLogger())
   const locations = new AdapterLocations()
   const workTracker = new EndpointWorkTracker()
   const speeds = new EngineSpeeds()
-  const endpoints = Object.keys(states).map((id) => endpoint(id, { service: 'engines' }))
+  const endpoints = Object.keys(states).map((id) => endpoint(id, { service: 'engines', models: models[id] ?? ['base'] }))
   directory.apply({ revision: 1, endpoints }, undefined, NOW)
   for (const { id } of endpoints) {
     const { caches = false, holds = 0, inUse = 0, inFlight = 0, waits = 0, spacing = 28, toRead = 0 } = states[id] ?? {}
@@ -106,6 +107,23 @@
   })
 })
 
+// Guards against loads that are asked of an engine whose memory is full of models: its load owner would order none of them, or crash it.
+describe('an engine without memory for a single adapter', () => {
+  const other = { name: 'other' as ModelName, megabytes: 495, adapters: 1, adapterMegabytes: 1 }
+  const full = { ...query(), service: service('engines', { ...SHAPE, models: [...SHAPE.models, other] }) }
+  const models = { full: ['base', 'other'] }
+
+  it('is not asked for a load while another one has room', () => {
+    const router = routerFor({ full: {}, busy: { inUse: 2 } }, models)
+    expect({ choice: router.chooseForLoad(full, () => 0, NOW)?.endpoint.id, isTooLarge: router.isAdapterTooLarge(full) }).toEqual({ choice: 'busy', isTooLarge: false })
+  })
+
+  it('is not asked either when it is the only one, and the adapter is known to fit nowhere', () => {
+    const router = routerFor({ full: {} }, models)
+    expect({ choice: router.chooseForLoad(full, () => 0, NOW), isTooLarge: router.isAdapterTooLarge(full) }).toEqual({ choice: undefined, isTooLarge: true })
+  })
+})
+
 // Guards against a long prompt that makes all streams of an engine late: they pause while the engine reads the prompt, and on an engine
 // that is a third slower than its peers the pause is longer than callers accept.
 describe('a long prompt', () => {
--- a/packages/ingress/test/order-dispatcher.failure.test.ts
+++ b/packages/ingress/test/order-dispatcher.failure.test.ts
@@ -7,7 +7,7 @@
 import type { LoaderDependencies } from '../src/adapters/loader-dependencies.js'
 import { OrderDispatcher } from '../src/adapters/order-dispatcher.js'
 import { SlotReservations } from '../src/adapters/slot-reservations.js'
-import { endpoint, key } from './support/samples.js'
+import { endpoint, engineShape, key } from './support/samples.js'
 import { SimulatedEngine } from './support/simulated-engine.js'
 import { SimulatedEngineControl } from './support/simulated-engine-control.js'
 
@@ -17,7 +17,7 @@
 
 /** Sends loads as a loader does: one without an answer is sent again, one that was accepted takes a slot. */
 class Loads {
-  readonly reservations = new SlotReservations(SLOTS, SLOTS)
+  readonly reservations = new SlotReservations(engineShape({ adapterSlots: SLOTS }))
   private readonly dispatcher: OrderDispatcher
   private readonly signal = new AbortController().signal
 
