Loaders follow the slots and memory of the configuration in force

What callers would see: after a configuration that states fewer slots, less memory or larger adapters for the engines of a service, running engines are ordered beyond it until they restart.

Cause: a loader was given the resources of its engine when it began, and a check of each engine every 300 ms found it running and left it as it was.

Fix: the check passes the resources of the configuration in force to the running loader. Adapters beyond them stay until they are evicted for other loads.

Test: "keep to the slots of the configuration in force"; before the fix the engine held three adapters where two slots were stated.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -41,7 +41,7 @@
 export class EndpointLoader {
   readonly endpoint: Endpoint
   readonly token: FencingToken
-  private readonly shape: EngineShape
+  private shape: EngineShape
   private readonly dependencies: LoaderDependencies
   private readonly reservations: SlotReservations
   private readonly queue = new LoadQueue<AdapterKey>()
@@ -85,6 +85,14 @@
     this.wake.notify()
   }
 
+  /** Called with the engine's resources as the configuration in force states them. */
+  applyShape (shape: EngineShape): void {
+    if (shape === this.shape) return
+    this.shape = shape
+    this.reservations.applyShape(shape)
+    this.wake.notify()
+  }
+
   /** Called when requests on the engine have ended, so that a slot which pending loads wait for may be free. */
   runsEnded (): void {
     if (this.queue.length > 0) this.wake.notify()
--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -297,7 +297,7 @@
   private startLoader (endpoint: Endpoint, owner: LoadOwner, shape: EngineShape): void {
     const current = this.running.get(endpoint.id)
     if (current !== undefined) {
-      if (current.loader.token === owner.token && current.loader.endpoint.born === endpoint.born) return
+      if (current.loader.token === owner.token && current.loader.endpoint.born === endpoint.born) return current.loader.applyShape(shape)
       this.stopLoader(endpoint.id)
     }
     const { clock, logger } = this.dependencies
--- a/packages/ingress/src/adapters/slot-reservations.ts
+++ b/packages/ingress/src/adapters/slot-reservations.ts
@@ -53,13 +53,18 @@
   cachedModels: readonly ModelName[] = []
   /** Number of orders that the engine has accepted. */
   sequence = 0
-  private readonly shape: EngineShape
+  private shape: EngineShape
 
   /** @param shape - slots and memory of the engine */
   constructor (shape: EngineShape) {
     this.shape = shape
   }
 
+  /** Bounds further loads by other resources; adapters that are held beyond them stay until they are evicted. */
+  applyShape (shape: EngineShape): void {
+    this.shape = shape
+  }
+
   /**
    * @param leaving - adapters that are about to be evicted
    * @returns the room beside all other adapters that are held or being loaded
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -221,6 +221,17 @@
     expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: [true, true, true, true, true], most: 3 })
   })
 
+  // Guards against a loader that keeps the slots and memory of the configuration with which it began, when a newer one states less of them.
+  it('keep to the slots of the configuration in force', async () => {
+    const engine = new SimulatedEngine({ slots: 3 })
+    const run = start(engine, new Map(), 3)
+    for (const name of ['a', 'b']) await loadAdapter(run, name)
+    run.loader.applyShape(engineShape({ adapterSlots: 2 }))
+    const loaded = [await loadAdapter(run, 'c'), await loadAdapter(run, 'd')]
+    await run.stop()
+    expect({ loaded, most: engine.mostOccupied }).toEqual({ loaded: [true, true], most: 2 })
+  })
+
   // Guards against a loader that evicts adapters one after the other for a load that does not fit beside the model at all.
   it('evict nothing for an adapter that is larger than the memory beside the model', async () => {
     const engine = new SimulatedEngine({ slots: 3 })
