No connection is kept after a response without an id

Cause: a full endpoint refused a request without an id and sent the refusal once more, late, where the answer to the next request on its connection was expected. A response is foreign if its id differs; one without an id counted as the answer, and the request went to another endpoint while the first ran it.

Fix: a connection that has carried a response without an id is closed after it, so that no copy can follow. Copies with an id are told by it. True refusals are used at once as before.

--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -111,9 +111,13 @@
     return this.unbounded
   }
 
-  /** Whether the connection may carry another request. */
+  /**
+   * Whether the connection may carry another request. Endpoints may send a response once more, late. Its id shows that it belongs to another
+   * request; a copy without an id, of a refusal for example, would count as the refusal of a request that runs.
+   */
   get reusable (): boolean {
-    return this.head !== undefined && this.abandonReason === undefined && !namesClose(this.head.headers.connection)
+    if (this.head === undefined || this.abandonReason !== undefined) return false
+    return this.head.facts.requestId !== undefined && !namesClose(this.head.headers.connection)
   }
 
   /** Whether any byte of the request may have reached the endpoint. */
--- a/packages/ingress/test/attempt.failure.test.ts
+++ b/packages/ingress/test/attempt.failure.test.ts
@@ -102,6 +102,13 @@
     expect((await attemptOn(connection, 'one')).body).toBe('second')
   })
 
+  // Guards against a request that runs twice: an endpoint sends a refusal once more, late, where the answer to the next request on its connection is
+  // expected. Without an id it would count as the refusal of that request, which runs.
+  it('leaves no connection for another request when its response has no id, by which a second copy of it could be told', async () => {
+    const refusal: RawAnswer = (socket) => { socket.write('HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n') }
+    expect(await attemptOn(await connectionTo(refusal))).toEqual({ kind: 'whole', body: '', reusable: false })
+  })
+
   // Guards against an answer that states neither a length, nor chunks, nor that its connection will close: taken for whole after a reset, or for
   // broken after its end.
   it('is judged by the end of its connection when its response says nothing of its end', async () => {
