A lease is counted from the claim that it belongs to

Cause: the time of the last claim was kept for each engine. A claim whose answer is lost did not replace it, and losing the ownership did not remove it, so that the new owner counted its lease from a claim before the other owner.

Excluded: the wall clock, which was not touched.

Fix: the time belongs to the fencing token of a claim. A claim without an answer counts from the moment at which a listing of the store shows it, which is later than the claim.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -81,6 +81,12 @@
   readonly ending: AbortController
 }
 
+/** A claim of this process, by which a lease is counted from its monotonic time or later. */
+interface Claim {
+  readonly token: LoadOwner['token']
+  readonly madeBefore: number
+}
+
 /** Load ownership of this instance: the engines whose loads it orders. */
 export class LoadOwnership {
   private readonly dependencies: LoadOwnershipDependencies
@@ -91,8 +97,10 @@
   private readonly endpointMissingSince = new Map<EndpointId, number>()
   /** Monotonic time at which an engine's load owner became unable to order; cleared while the store is unreachable. */
   private readonly ownerAbsentSince = new Map<EndpointId, number>()
-  /** Monotonic times of the claims that this process made. */
-  private readonly claimedAt = new Map<EndpointId, number>()
+  /** The last claim of each engine that this process is known to have made. */
+  private readonly claims = new Map<EndpointId, Claim>()
+  /** Engines whose claim by this process got no answer, so that it may have taken effect, or may still. */
+  private readonly unansweredClaims = new Set<EndpointId>()
   /** Engines whose loader failed, with the time at which it may start again. */
   private readonly restartPostponed = new Map<EndpointId, { readonly delays: Backoff, readonly until: number }>()
   /** Monotonic time before which no order is sent. */
@@ -284,11 +292,14 @@
     logger.info('This instance tried to claim the load ownership of an engine.', {
       endpoint: endpoint.id, previous: before?.holder, token: written.isOk() ? written.value : undefined, outcome
     })
-    if (written.isErr()) return
-    this.claimedAt.set(endpoint.id, this.dependencies.clock.now())
-    const owner: LoadOwner = {
-      endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, engine: value.engine, token: written.value as LoadOwner['token']
+    if (written.isErr()) {
+      if (written.error.outcome === 'unknown') this.unansweredClaims.add(endpoint.id)
+      return
     }
+    const token = written.value as LoadOwner['token']
+    this.unansweredClaims.delete(endpoint.id)
+    this.claims.set(endpoint.id, { token, madeBefore: this.dependencies.clock.now() })
+    const owner: LoadOwner = { endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, engine: value.engine, token }
     const known = this.owners.get(endpoint.id)
     if (known !== undefined && known.token > owner.token) return
     this.owners.set(endpoint.id, owner)
@@ -351,8 +362,8 @@
     const { clock, members, leaseMilliseconds } = this.dependencies
     if (owner.previous === undefined || owner.previous === members.self.name) return clock.now()
     const separation = leaseMilliseconds + LEASE_MARGIN_MILLISECONDS
-    const claimedAt = this.claimedAt.get(owner.endpoint)
-    if (claimedAt !== undefined) return claimedAt + separation
+    const claim = this.claimOf(owner)
+    if (claim !== undefined) return claim.madeBefore + separation
     // An earlier process of this host made the claim, so only the wall clock time of the claim is known.
     const age = Date.now() - owner.claimedAt
     if (Math.abs(age) > CERTAINLY_OLD_MILLISECONDS) return clock.now()
@@ -363,6 +374,21 @@
     return clock.now() + Math.min(separation, Math.max(0, separation + CLOCK_MARGIN_MILLISECONDS - Math.max(0, age)))
   }
 
+  /**
+   * A claim whose answer was lost is first known from a listing of the store, and was made before that. The time of an earlier claim says nothing
+   * of it: another instance may have owned the engine in between.
+   *
+   * @returns the claim by which this process became the owner; undefined when an earlier process of this host made it
+   */
+  private claimOf ({ endpoint, token }: LoadOwner): Claim | undefined {
+    const known = this.claims.get(endpoint)
+    if (known?.token === token) return known
+    if (!this.unansweredClaims.delete(endpoint)) return undefined
+    const claim = { token, madeBefore: this.dependencies.clock.now() }
+    this.claims.set(endpoint, claim)
+    return claim
+  }
+
   /** @returns whether the engine gets no orders because it has asked this instance to back off */
   isBackingOff (endpoint: EndpointId): boolean {
     return this.dependencies.isBackingOff(endpoint)
@@ -407,7 +433,8 @@
       this.owners.delete(owner.endpoint)
       this.endpointMissingSince.delete(owner.endpoint)
       this.ownerAbsentSince.delete(owner.endpoint)
-      this.claimedAt.delete(owner.endpoint)
+      this.claims.delete(owner.endpoint)
+      this.unansweredClaims.delete(owner.endpoint)
     }
   }
 }
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -7,7 +7,7 @@
 import type { DataCentreId, DeletingObjectStore, InstanceId } from '@limpetwinch/core'
 import { StallEvictionPolicy } from '@limpetwinch/decisions'
 import { MemoryObjectStore } from '@limpetwinch/stand-ins'
-import { err, ok, okAsync } from 'neverthrow'
+import { err, errAsync, ok, okAsync } from 'neverthrow'
 import type { Result, ResultAsync } from 'neverthrow'
 import { AdapterLocations } from '../src/adapters/adapter-locations.js'
 import type { EngineControl, EngineOrder, OrderAnswer, OrderTarget } from '../src/adapters/engine-control.js'
@@ -29,6 +29,16 @@
 const HERE = 'here' as DataCentreId
 
 class StoreUnderTest extends MemoryObjectStore {
+  /** Host whose next claim takes effect without an answer. */
+  losesAnswerOf: string | undefined
+
+  override put (change: Parameters<MemoryObjectStore['put']>[0]): ReturnType<MemoryObjectStore['put']> {
+    const written = super.put(change)
+    if ((change.value as { holder?: string }).holder !== this.losesAnswerOf) return written
+    this.losesAnswerOf = undefined
+    return written.andThen(() => errAsync(new LimpetwinchError('store-answer-lost', { reason: 'the test loses it' })))
+  }
+
   remove (): ResultAsync<void, LimpetwinchError> {
     return okAsync(undefined)
   }
@@ -325,6 +335,26 @@
     expect({ ordered: first < 7_000, when: first < LEASE ? 'sooner' : 'later' }).toEqual({ ordered: true, when })
   })
 
+  // Guards against two owners within a lease: an instance claims an engine again, the claim's answer is lost, and the wait counts from its earlier claim.
+  it('is not continued within a lease of the last order of the owner between, when the answer to the second claim is lost', async () => {
+    const cluster = testCluster(false)
+    cluster.reachable.delete('two')
+    cluster.dataCentres.set('two', 'there')
+    const one = instance('one', cluster, false)
+    await advance(4_000, cluster, one)
+    cluster.reachable.delete('one')
+    cluster.reachable.add('two')
+    const two = instance('two', cluster, false)
+    await advance(12_000, cluster, two)
+    cluster.reachable.add('one')
+    cluster.store.losesAnswerOf = 'one'
+    await advance(25_000, cluster, one, two)
+    const { seen } = cluster.engines
+    const back = seen.findIndex(({ by }, index) => index > 0 && by === 'one' && seen[index - 1]?.by === 'two')
+    expect({ by: [...new Set(seen.map(({ by }) => by))], isLost: cluster.store.losesAnswerOf === undefined, apartByLease: (seen[back]?.at ?? 0) - (seen[back - 1]?.at ?? 0) > LEASE })
+      .toEqual({ by: ['one', 'two'], isLost: true, apartByLease: true })
+  })
+
   it('is suspended after a process pause until the store has been read', async () => {
     const cluster = testCluster()
     const [one, two] = [instance('one', cluster), instance('two', cluster)]
