Where engines check no tokens, no age of a claim shortens the lease

What callers would see: orders of two holders within a lease after a host's wall clock was set by more than 30 s between a claim and its next process.

Cause: a claim that seemed older than 30 s skipped the wait before the check whether engines refuse older tokens, though only the wait separates two holders where they do not.

Fix: that check comes first. Test: "is continued only after a lease where tokens are not checked, however old the claim seems" failed before.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -364,13 +364,13 @@
     const separation = leaseMilliseconds + LEASE_MARGIN_MILLISECONDS
     const claim = this.claimOf(owner)
     if (claim !== undefined) return claim.madeBefore + separation
-    // An earlier process of this host made the claim, so only the wall clock time of the claim is known.
+    // An earlier process of this host made the claim, so only the wall clock time of the claim is known. If the wall clock was set forward
+    // after the claim, the claim looks older than it is, and a wait shortened by its age would be too short. Endpoints that check fencing
+    // tokens refuse the previous owner from the first order of the new owner on, so a short wait does no harm there. With other
+    // endpoints only the wait separates the two owners, so the full wait starts now.
+    if (!this.dependencies.fencedEndpoints) return clock.now() + separation
     const age = Date.now() - owner.claimedAt
     if (Math.abs(age) > CERTAINLY_OLD_MILLISECONDS) return clock.now()
-    // If the wall clock was set forward after the claim, the claim looks older than it is, and a wait shortened by its age would be
-    // too short. Endpoints that check fencing tokens refuse the previous owner from the first order of the new owner on, so a short
-    // wait does no harm there. With other endpoints only the wait separates the two owners, so the full wait starts now.
-    if (!this.dependencies.fencedEndpoints) return clock.now() + separation
     return clock.now() + Math.min(separation, Math.max(0, separation + CLOCK_MARGIN_MILLISECONDS - Math.max(0, age)))
   }
 
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -355,6 +355,18 @@
       .toEqual({ by: ['one', 'two'], isLost: true, apartByLease: true })
   })
 
+  // Guards against a host whose wall clock was set by minutes between a claim and its next process: the claim looked far too old to wait for.
+  it('is continued only after a lease where tokens are not checked, however old the claim seems', async () => {
+    const cluster = testCluster(false)
+    cluster.reachable.delete('two')
+    await cluster.store.put({ path: loadOwnerPath(endpoint('e').id), ifVersion: 0, value: { holder: 'one', previous: 'two', claimedAt: Date.now() - 600_000 } })
+    const startedAt = cluster.clock.now()
+    const one = instance('one', cluster, false)
+    await advance(7_000, cluster, one)
+    const first = (cluster.engines.seen[0]?.at ?? Infinity) - startedAt
+    expect({ ordered: first < 7_000, apartByLease: first > LEASE }).toEqual({ ordered: true, apartByLease: true })
+  })
+
   it('is suspended after a process pause until the store has been read', async () => {
     const cluster = testCluster()
     const [one, two] = [instance('one', cluster), instance('two', cluster)]
