An engine that restarts under its id gets orders under a newer token

Cause: a restart clears the count and the fencing token of an engine, and its load owner went on under the same token. An order of the earlier life that arrived late passed once the count was the same again.

Fix: the load owner's object names the start time of the engine's process, and its owner claims an engine that has started since once more before the first order. The first order under the newer token makes the engine refuse all older ones. Software versions that streams may have begun at stay in the object. While the store is away, loads go on under the earlier token.

Tests: "gets a newer token for each life of an engine that keeps its id ..." and "... when the engine restarted before its owner's next process began" failed before.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -197,7 +197,11 @@
   private async checkEndpoint (endpoint: Endpoint, shape: EngineShape): Promise<void> {
     const { members } = this.dependencies
     const owner = this.owners.get(endpoint.id)
-    if (owner?.holder === members.self.name) return this.startLoader(endpoint, owner, shape)
+    if (owner?.holder === members.self.name) {
+      // Without the store, the engine is served under the earlier token rather than not at all.
+      if (isOfEarlierLife(owner, endpoint) && this.dependencies.health.reachable) await this.claim(endpoint, owner)
+      return this.startLoader(endpoint, this.owners.get(endpoint.id) ?? owner, shape)
+    }
     const isOwnerReachable = owner !== undefined && members.isReachable(owner.holder)
     if (isOwnerReachable && this.reachesServiceOf(endpoint.id, owner.holder)) {
       this.ownerAbsentSince.delete(endpoint.id)
@@ -286,7 +290,15 @@
 
   private async claim (endpoint: Endpoint, before: LoadOwner | undefined): Promise<void> {
     const { store, members, logger } = this.dependencies
-    const value = { holder: members.self.name, ...(before === undefined ? {} : { previous: before.holder }), claimedAt: Date.now(), engine: engineOf(endpoint) }
+    const isRenewal = before?.holder === members.self.name
+    const value = {
+      holder: members.self.name,
+      ...(before === undefined ? {} : { previous: before.holder }),
+      claimedAt: Date.now(),
+      born: endpoint.born,
+      // Streams may have begun at the software version that the earlier claim names.
+      engine: isRenewal ? before.engine ?? engineOf(endpoint) : engineOf(endpoint)
+    }
     const written = await store.put({ path: loadOwnerPath(endpoint.id), ifVersion: before?.token ?? 0, value })
     const outcome = written.isOk() ? 'done' : written.error.kind
     logger.info('This instance tried to claim the load ownership of an engine.', {
@@ -299,7 +311,7 @@
     const token = written.value as LoadOwner['token']
     this.unansweredClaims.delete(endpoint.id)
     this.claims.set(endpoint.id, { token, madeBefore: this.dependencies.clock.now() })
-    const owner: LoadOwner = { endpoint: endpoint.id, holder: members.self.name, previous: before?.holder, claimedAt: value.claimedAt, engine: value.engine, token }
+    const owner: LoadOwner = { ...value, endpoint: endpoint.id, previous: before?.holder, token }
     const known = this.owners.get(endpoint.id)
     if (known !== undefined && known.token > owner.token) return
     this.owners.set(endpoint.id, owner)
@@ -439,6 +451,16 @@
   }
 }
 
+/**
+ * An engine that starts again under its id has forgotten fencing tokens and counts from 0. Orders of its earlier life that arrive late would pass
+ * under the same token as soon as the count is the same; a newer token keeps them out from the first order that bears it.
+ *
+ * @returns whether the token was issued for an earlier life of the engine
+ */
+function isOfEarlierLife ({ born }: LoadOwner, endpoint: Endpoint): boolean {
+  return born !== undefined && born < endpoint.born
+}
+
 /** @returns the engine as its load owner object names it; undefined when its software version is not stated */
 function engineOf ({ service, softwareVersion }: Endpoint): LoadOwner['engine'] {
   return softwareVersion === undefined ? undefined : { service, softwareVersion }
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -13,7 +13,7 @@
 
 const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), chunkedTunnelAddress: z.string().optional(), remembersStreams: z.boolean().optional() })
 const loadOwnerSchema = z.object({
-  holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), engine: z.object({ service: z.string(), softwareVersion: z.string() }).optional()
+  holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), born: z.number().optional(), engine: z.object({ service: z.string(), softwareVersion: z.string() }).optional()
 })
 const quarantineDecisionSchema = z.object({ crashes: z.number(), strikes: z.number(), certain: z.boolean(), untilWallTime: z.number() })
 
@@ -47,7 +47,9 @@
   readonly previous: string | undefined
   /** Wall clock time of the claim, milliseconds. */
   readonly claimedAt: number
-  /** The engine at the time of the claim; undefined in a claim of an earlier release. */
+  /** Start time of the engine's process when the token was issued, Unix milliseconds; undefined in a claim of an earlier release. */
+  readonly born?: number | undefined
+  /** The engine at the time of the first claim of its present owner; undefined in a claim of an earlier release. */
   readonly engine?: { readonly service: ServiceName, readonly softwareVersion: SoftwareVersion } | undefined
   /** Version of the stored object. The store issues each version once and in increasing order, as a fencing token requires. */
   readonly token: FencingToken
@@ -113,7 +115,7 @@
   }
   const decoded = loadOwnerSchema.safeParse(object.value)
   if (!decoded.success) return undefined
-  const { holder, previous, claimedAt } = decoded.data
+  const { holder, previous, claimedAt, born } = decoded.data
   const engine = decoded.data.engine as LoadOwner['engine']
-  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, engine, token: object.version as FencingToken } }
+  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, born, engine, token: object.version as FencingToken } }
 }
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -84,6 +84,8 @@
 interface Instance {
   readonly ownership: LoadOwnership
   readonly health: StoreHealth
+  /** Applies a listing in which the engine has started again under its id, at this time. */
+  readonly restartEngine: (born: number) => void
   /** Reads the store and applies the listing, as the instance's store follower would. */
   readonly readStore: () => Promise<void>
   readonly requestLoad: () => void
@@ -149,7 +151,10 @@
   void ownership.run(new AbortController().signal)
   let requested = 0
   const requestLoad = (): void => ownership.loader(endpoint('e').id)?.requestLoad(key(`${name}${requested++}`), 0, { request: name, onTimeMilliseconds: undefined })
-  return { ownership, health, readStore, requestLoad }
+  const restartEngine = (born: number): void => {
+    directory.apply({ revision: born, endpoints: [endpoint('e', { service: 'engines', born, revision: born })] }, undefined, clock.now())
+  }
+  return { ownership, health, restartEngine, readStore, requestLoad }
 }
 
 /** @returns the engine control of one instance, which fails while the instance cannot reach the engine */
@@ -367,6 +372,37 @@
     expect({ ordered: first < 7_000, apartByLease: first > LEASE }).toEqual({ ordered: true, apartByLease: true })
   })
 
+  // Guards against an order that outlasts a restart of its engine under the same id: the engine has forgotten the token and the count, and only a
+  // newer token keeps the order out once the count is the same again.
+  it('gets a newer token for each life of an engine that keeps its id, and is not interrupted', async () => {
+    const cluster = testCluster()
+    cluster.reachable.delete('two')
+    const one = instance('one', cluster)
+    await advance(4_000, cluster, one)
+    const before = cluster.engines.seen.at(-1)
+    one.restartEngine(200)
+    const restartedAt = cluster.clock.now()
+    await advance(4_000, cluster, one)
+    const later = cluster.engines.seen.filter(({ at }) => at > restartedAt)
+    expect({ isNewer: later.length > 0 && later.every(({ token }) => token > (before?.token ?? Infinity)), isSoon: (later[0]?.at ?? Infinity) - restartedAt < LEASE }).toEqual({ isNewer: true, isSoon: true })
+  })
+
+  // Guards against the same restart while no process of the owner's host ran: the next process finds the token of the earlier life.
+  it('gets a newer token when the engine restarted before its owner\'s next process began', async () => {
+    const cluster = testCluster()
+    cluster.reachable.delete('two')
+    const one = instance('one', cluster)
+    await advance(4_000, cluster, one)
+    one.ownership.stop()
+    const before = cluster.engines.seen.at(-1)?.token ?? Infinity
+    const next = instance('one', cluster)
+    next.restartEngine(200)
+    const startedAt = cluster.clock.now()
+    await advance(4_000, cluster, next)
+    const later = cluster.engines.seen.filter(({ at }) => at > startedAt)
+    expect(later.length > 0 && later.every(({ token }) => token > before)).toBe(true)
+  })
+
   it('is suspended after a process pause until the store has been read', async () => {
     const cluster = testCluster()
     const [one, two] = [instance('one', cluster), instance('two', cluster)]
