--- a/packages/ingress/src/adapters/engine-finder.ts
+++ b/packages/ingress/src/adapters/engine-finder.ts
@@ -3,11 +3,12 @@
 import type { Clock, EndpointId, InstanceId, LimpetwinchError, LoadAskFrame, Logger, TeamId } from '@limpetwinch/core'
 import type { AdmissionForecast, AdmissionQuery, KeptPlace, StreamAdmission } from '../admission/stream-admission.js'
 import type { RequestFacts } from '../relay/request-codec.js'
-import type { Service } from '../routes/configuration.js'
+import type { ModelName, Service } from '../routes/configuration.js'
 import type { EngineChoice, EngineQuery, EngineRouter, LoadChoice, UsableQuery } from '../routing/engine-router.js'
 import type { EndpointRateLimiter } from '../rate-limits/endpoint-rate-limiter.js'
 import { PlaceSearch } from '../rate-limits/place-search.js'
 import type { AdapterLocations } from './adapter-locations.js'
+import { isAdapterTooLarge } from './engine-memory.js'
 
 /**
  * Interval between the load requests of one search. A load owner drops a load request that is not repeated, and by then another
@@ -79,7 +80,7 @@
 }
 
 /** Why a search found no engine. */
-type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'no engine has room for an adapter' | 'its engines have reached their rate limits' | 'the forecast shows no room in time' | 'its search took too long' | 'its request ended'
+type SearchFailure = 'no engine may serve it' | 'no engine runs its software version' | 'its adapter is larger than the memory of engines' | 'its engines have reached their rate limits' | 'the forecast shows no room in time' | 'its search took too long' | 'its request ended'
 
 /** Finds engines for requests. */
 export class EngineFinder {
@@ -114,7 +115,7 @@
       if (router.isVersionGone(search)) {
         return this.logNoEngine(search, 'no engine runs its software version', askings, now - startedAt)
       }
-      if (router.isAdapterTooLarge(search)) return this.logNoEngine(search, 'no engine has room for an adapter', askings, now - startedAt)
+      if (isLargerThanEngines(search)) return this.logNoEngine(search, 'its adapter is larger than the memory of engines', askings, now - startedAt)
       const isLate = now >= until
       if (facts.adapter === undefined || (isLate && facts.adapter.name === undefined)) {
         return this.logNoEngine(search, 'no engine may serve it', askings, now - startedAt)
@@ -260,6 +261,10 @@
   }
 }
 
+function isLargerThanEngines ({ service, facts: { adapter } }: Pick<EngineQuery, 'service' | 'facts'>): boolean {
+  return adapter?.name !== undefined && service.engine !== undefined && isAdapterTooLarge(service.engine, adapter.model as ModelName)
+}
+
 function targetOf ({ endpoint, costMilliseconds }: LoadChoice): LoadTarget {
   return { endpoint: endpoint.id, costMilliseconds }
 }
--- a/packages/ingress/src/adapters/engine-memory.ts
+++ b/packages/ingress/src/adapters/engine-memory.ts
@@ -28,6 +28,11 @@
   return Math.max(0, Math.min(shape.adapterSlots, fitting))
 }
 
+/** @returns whether not even an engine that holds nothing but the model has room for one adapter of it */
+export function isAdapterTooLarge (shape: EngineShape, model: ModelName): boolean {
+  return adapterCapacity(shape, [model], model) === 0
+}
+
 /** @returns whether an engine that holds these models holds this one and has room for at least one adapter of it */
 export function canLoadAdapters (shape: EngineShape, models: readonly ModelName[], model: ModelName): boolean {
   return models.includes(model) && adapterCapacity(shape, models, model) > 0
--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -199,7 +199,7 @@
     const owner = this.owners.get(endpoint.id)
     if (owner?.holder === members.self.name) {
       // Without the store, the engine is served under the earlier token rather than not at all.
-      if (isOfEarlierLife(owner, endpoint) && this.dependencies.health.reachable) await this.claim(endpoint, owner)
+      if (isOfEarlierIncarnation(owner, endpoint) && this.dependencies.health.reachable) await this.claim(endpoint, owner)
       return this.startLoader(endpoint, this.owners.get(endpoint.id) ?? owner, shape)
     }
     const isOwnerReachable = owner !== undefined && members.isReachable(owner.holder)
@@ -452,12 +452,12 @@
 }
 
 /**
- * An engine that starts again under its id has forgotten fencing tokens and counts from 0. Orders of its earlier life that arrive late would pass
+ * An engine that starts again under its id has forgotten fencing tokens and counts from 0. Orders to its earlier incarnation that arrive late would pass
  * under the same token as soon as the count is the same; a newer token keeps them out from the first order that bears it.
  *
- * @returns whether the token was issued for an earlier life of the engine
+ * @returns whether the token was issued for an earlier incarnation of the engine
  */
-function isOfEarlierLife ({ born }: LoadOwner, endpoint: Endpoint): boolean {
+function isOfEarlierIncarnation ({ born }: LoadOwner, endpoint: Endpoint): boolean {
   return born !== undefined && born < endpoint.born
 }
 
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -214,16 +214,6 @@
     return this.parts.directory.servable(service.name).some((engine) => engine.softwareVersion !== softwareVersion)
   }
 
-  /** @returns whether engines hold the model of the adapter, and none of them has slots and memory for a single adapter of it */
-  isAdapterTooLarge ({ service, facts }: Pick<EngineQuery, 'service' | 'facts'>): boolean {
-    const { adapter } = facts
-    const shape = service.engine
-    if (adapter?.name === undefined || shape === undefined) return false
-    const model = adapter.model as ModelName
-    const engines = this.parts.directory.servable(service.name).filter(({ models }) => models.includes(model))
-    return engines.length > 0 && !engines.some(({ models }) => canLoadAdapters(shape, models, model))
-  }
-
   /** @returns milliseconds until an adapter load that is requested now could be complete, on the engine with the shortest load queue */
   shortestWait (service: Service, now: number): number {
     let least = Infinity
--- a/packages/ingress/test/engine-memory.test.ts
+++ b/packages/ingress/test/engine-memory.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { adapterCapacity } from '../src/adapters/engine-memory.js'
+import { adapterCapacity, isAdapterTooLarge } from '../src/adapters/engine-memory.js'
 import { SlotReservations } from '../src/adapters/slot-reservations.js'
 import type { AdapterKey, EngineShape, ModelName } from '../src/routes/configuration.js'
 import { engineShape } from './support/samples.js'
@@ -24,6 +24,11 @@
   })
 })
 
+// Guards against requests that wait to their deadline for a load which no engine can ever carry out.
+it.each([[1_009, true], [1_010, false], [0, false]])('an adapter beside its model on an engine of %i MB is too large: %s', (megabytes, isTooLarge) => {
+  expect(isAdapterTooLarge(shapeOf(megabytes), SMALL.name)).toBe(isTooLarge)
+})
+
 describe('the reservations of an engine', () => {
   it('never take more slots or memory than there are, whatever the sizes of the adapters', () => {
     const adapter = fc.record({ model: fc.constantFrom(SMALL, LARGE), number: fc.nat(6) })
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -113,14 +113,9 @@
   const full = { ...query(), service: service('engines', { ...SHAPE, models: [...SHAPE.models, other] }) }
   const models = { full: ['base', 'other'] }
 
-  it('is not asked for a load while another one has room', () => {
-    const router = routerFor({ full: {}, busy: { inUse: 2 } }, models)
-    expect({ choice: router.chooseForLoad(full, () => 0, NOW)?.endpoint.id, isTooLarge: router.isAdapterTooLarge(full) }).toEqual({ choice: 'busy', isTooLarge: false })
-  })
-
-  it('is not asked either when it is the only one, and the adapter is known to fit nowhere', () => {
-    const router = routerFor({ full: {} }, models)
-    expect({ choice: router.chooseForLoad(full, () => 0, NOW), isTooLarge: router.isAdapterTooLarge(full) }).toEqual({ choice: undefined, isTooLarge: true })
+  it('is not asked for a load, whether another one has room or not', () => {
+    const engineFor = (states: Readonly<Record<string, State>>): EndpointId | undefined => routerFor(states, models).chooseForLoad(full, () => 0, NOW)?.endpoint.id
+    expect([engineFor({ full: {}, busy: { inUse: 2 } }), engineFor({ full: {} })]).toEqual(['busy', undefined])
   })
 })
 
