Request bodies of all requests together keep to the memory of the process

Cause: each body is read whole and kept until its request ends, and nothing bounded them over all requests; the memory of the process was decoded and read by nobody.

Chunks count as they arrive.

--- a/packages/core/src/errors/errors-data.ts
+++ b/packages/core/src/errors/errors-data.ts
@@ -35,6 +35,12 @@
     outcome: 'not_run',
     message: ({ limit }) => `The body is larger than ${limit} bytes. Shorten the prompt or split the request.`
   },
+  'bodies-fill-memory': {
+    title: 'The bodies of the requests in progress fill the memory for them.',
+    status: 503,
+    outcome: 'not_run',
+    message: () => 'This instance holds as many bytes of requests as its memory allows. Send the request again after the stated time; a shorter one may be served at once.'
+  },
   'body-timeout': {
     title: 'The body arrived too slowly.',
     status: 408,
--- a/packages/ingress/src/relay/caller-exchange.ts
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -8,6 +8,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { ResponseHead } from './attempt.js'
+import { HeldRequestBytes } from './held-request-bytes.js'
 
 /** Hop-by-hop headers, which concern one connection only. Neither those of a request nor those of a response are forwarded. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -21,14 +22,23 @@
   readonly incoming: IncomingMessage
   private readonly outgoing: ServerResponse
   private readonly leaving = new AbortController()
+  private readonly held: HeldRequestBytes
+  private heldBytes = 0
+  /** Whether the rest of the request is read and dropped, so that the connection may be kept. */
+  private isDiscarding = false
   /** Number of writes whose bytes have not left this process yet. */
   private unflushed = 0
   private whenFlushed: (() => void) | undefined
 
-  constructor (incoming: IncomingMessage, outgoing: ServerResponse) {
+  /** @param held - counts the bytes of the bodies of all requests */
+  constructor (incoming: IncomingMessage, outgoing: ServerResponse, held = new HeldRequestBytes()) {
     this.incoming = incoming
     this.outgoing = outgoing
-    outgoing.on('close', () => { if (!outgoing.writableFinished) this.leaving.abort() })
+    this.held = held
+    outgoing.on('close', () => {
+      if (!outgoing.writableFinished) this.leaving.abort()
+      this.releaseBody()
+    })
     // A caller that resets its connection has left.
     outgoing.on('error', () => { this.leaving.abort() })
   }
@@ -47,21 +57,37 @@
    * Reads the request body.
    *
    * @param maximumBytes - largest accepted body, bytes
-   * @returns the body, undefined when it is empty; or the error `body-too-large` or `request-ended-early`
+   * @returns the body, undefined when it is empty; or the error `body-too-large`, `bodies-fill-memory` or `request-ended-early`
    */
   async readBody (maximumBytes: number): Promise<Result<Buffer | undefined, LimpetwinchError>> {
+    const announcedBytes = Number(this.incoming.headers['content-length'] ?? 0)
+    if (announcedBytes <= maximumBytes && !this.held.fits(announcedBytes, 0)) return this.discardBody()
     const chunks: Buffer[] = []
-    let bytes = 0
     try {
-      for await (const chunk of this.incoming) {
-        bytes += (chunk as Buffer).length
-        if (bytes > maximumBytes) return err(new LimpetwinchError('body-too-large', { limit: maximumBytes }))
-        chunks.push(chunk as Buffer)
+      for await (const chunk of this.incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+        if (this.heldBytes + chunk.length > maximumBytes) return err(new LimpetwinchError('body-too-large', { limit: maximumBytes }))
+        if (!this.held.fits(chunk.length, this.heldBytes)) return this.discardBody()
+        this.held.hold(chunk.length)
+        this.heldBytes += chunk.length
+        chunks.push(chunk)
       }
     } catch (cause) {
       return err(new LimpetwinchError('request-ended-early', {}, { outcome: 'not_run', cause }))
     }
-    return ok(bytes === 0 ? undefined : Buffer.concat(chunks))
+    return ok(this.heldBytes === 0 ? undefined : Buffer.concat(chunks))
+  }
+
+  /** Closing the connection with unread bytes would reset it, and the caller might not get the answer that its request was not run. */
+  private discardBody (): Result<never, LimpetwinchError> {
+    this.releaseBody()
+    this.isDiscarding = true
+    this.incoming.resume()
+    return err(new LimpetwinchError('bodies-fill-memory'))
+  }
+
+  private releaseBody (): void {
+    this.held.release(this.heldBytes)
+    this.heldBytes = 0
   }
 
   /**
@@ -149,7 +175,7 @@
     const body = JSON.stringify({ error: { code: error.code, message: error.message, outcome: error.outcome } })
     const retryAfter = error.status === 503 || error.status === 429 ? { 'retry-after': String(error.retryAfterSeconds ?? RETRY_AFTER_SECONDS) } : {}
     // If the connection were kept, the unread rest of the request body would be parsed as the next request.
-    const unread = this.incoming.complete ? {} : { connection: 'close' }
+    const unread = this.incoming.complete || this.isDiscarding ? {} : { connection: 'close' }
     this.outgoing.writeHead(error.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...retryAfter, ...unread })
     this.outgoing.end(body)
   }
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -20,6 +20,7 @@
 import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
 import type { EndpointSenders } from './endpoint-senders.js'
+import { HeldRequestBytes, requestBytesFor } from './held-request-bytes.js'
 import type { RequestCodec } from './request-codec.js'
 import { RoutedListener } from './routed-listener.js'
 import { ServiceRelay } from './service-relay.js'
@@ -30,7 +31,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: IngressMetrics
-  readonly settings: Pick<IngressSettings, 'dataCentre'>
+  readonly settings: Pick<IngressSettings, 'dataCentre' | 'memoryMegabytes'>
   readonly codec: RequestCodec
   readonly configuration: AcceptedConfiguration
   readonly freshness: StateFreshness
@@ -64,5 +65,5 @@
     findService: (name) => configuration.current?.services.get(name),
     expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
   })
-  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services })
+  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)) })
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -14,6 +14,7 @@
 import type { TeamAdmission } from '../teams/team-admission.js'
 import { CallerExchange } from './caller-exchange.js'
 import type { RelayOutcome } from './relay-outcome.js'
+import type { HeldRequestBytes } from './held-request-bytes.js'
 import type { RequestCodec, RequestFacts } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
 
@@ -67,6 +68,7 @@
   readonly random: () => number
   readonly streams: RequestRelay
   readonly services: RequestRelay
+  readonly heldRequests: HeldRequestBytes
 }
 
 interface RouteOfRequest {
@@ -139,7 +141,7 @@
     this.inProgress += 1
     if (this.stopping) outgoing.setHeader('connection', 'close')
     outgoing.on('finish', () => this.closeKeptAliveConnection(incoming))
-    const exchange = new CallerExchange(incoming, outgoing)
+    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests)
     try {
       await this.route(exchange, arrivedAt)
     } catch (cause) {
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -29,6 +29,8 @@
   readonly isFirstStart: boolean
   /** Processor cores available to this process; 0 when unknown. */
   readonly cores: number
+  /** Memory that the host grants this process, in megabytes; undefined when unknown. */
+  readonly memoryMegabytes?: number | undefined
   /** Address for callers. All addresses have the form `host:port`. */
   readonly callerAddress: string
   readonly readinessAddress: string
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -22,6 +22,7 @@
 import { IsolatedRunClaims } from '../../src/quarantine/isolated-run-claims.js'
 import { EndpointSenders } from '../../src/relay/endpoint-senders.js'
 import { RoutedListener } from '../../src/relay/routed-listener.js'
+import { HeldRequestBytes } from '../../src/relay/held-request-bytes.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import type { ServiceRelayDependencies } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
@@ -74,6 +75,8 @@
   readonly places?: ServiceRelayDependencies['places']
   /** Answers each ask for quota tokens: whether the tokens are granted. All are granted by default. */
   readonly grantsTokens?: () => boolean
+  /** Most bytes of the bodies of all requests; no bound by default. */
+  readonly requestBytes?: number
 }
 
 /** The origins of an instance that knows of no stream, all of whose engines run the version of the sample endpoints. */
@@ -195,7 +198,7 @@
       clock, configuration: this.configuration, proof: this.proof, revocationMilliseconds: setup.revocationMilliseconds, quotas, metrics
     })
     this.quotas = quotas
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, heldRequests: new HeldRequestBytes(setup.requestBytes) })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
--- a/packages/ingress/test/support/raw-endpoint.ts
+++ b/packages/ingress/test/support/raw-endpoint.ts
@@ -44,6 +44,11 @@
     return this.sockets.size
   }
 
+  /** Resets all connections. */
+  reset (): void {
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
   /** Stops the server and closes all connections. */
   stop (): void {
     this.server.close()
