A request for a tunnel names its endpoint in a header

A malformed escape in the path would have thrown outside any handler and left the request without an answer. The path is fixed now, and a request with another path is refused as before. Seen in the read-through; the tests of tunnels and of cut off instances pass.

--- a/packages/ingress/src/paths/tunnel-client.ts
+++ b/packages/ingress/src/paths/tunnel-client.ts
@@ -45,8 +45,10 @@
   readonly signal: AbortSignal
 }
 
-/** Path of tunnels; the id of the endpoint follows. */
-export const TUNNEL_PATH = '/tunnels/'
+/** Path at which an instance is asked for tunnels. */
+export const TUNNEL_PATH = '/tunnels'
+/** Header that names the endpoint of a tunnel. */
+export const ENDPOINT_HEADER = 'limpetwinch-endpoint'
 
 const OK = 200
 
@@ -54,8 +56,8 @@
 export async function openTunnel (peer: TunnelPeer, { endpoint, self, ownHost, milliseconds, signal }: TunnelRequest): Promise<Result<TunnelStream, TunnelRefusal>> {
   const { host, port } = splitAddress(peer.address)
   return await new Promise((resolve) => {
-    const headers = { [INSTANCE_HEADER]: self, 'transfer-encoding': 'chunked' }
-    const outgoing = request({ host, port, localAddress: ownHost, method: 'POST', path: pathOfTunnel(endpoint), headers, agent: false })
+    const headers = { [INSTANCE_HEADER]: self, [ENDPOINT_HEADER]: endpoint, 'transfer-encoding': 'chunked' }
+    const outgoing = request({ host, port, localAddress: ownHost, method: 'POST', path: TUNNEL_PATH, headers, agent: false })
     const timer = setTimeout(() => outgoing.destroy(), milliseconds)
     const cancel = (): void => { outgoing.destroy() }
     const settle = (result: Result<TunnelStream, TunnelRefusal>): void => {
@@ -80,11 +82,6 @@
   })
 }
 
-/** @returns the path at which an instance is asked for a tunnel to an endpoint */
-function pathOfTunnel (endpoint: EndpointId): string {
-  return `${TUNNEL_PATH}${encodeURIComponent(endpoint)}`
-}
-
 function refusalOf (text: string | string[] | undefined): TunnelRefusal {
   return TUNNEL_REFUSALS.find((refusal) => refusal === text) ?? 'unavailable'
 }
--- a/packages/ingress/src/paths/tunnel-server.ts
+++ b/packages/ingress/src/paths/tunnel-server.ts
@@ -5,7 +5,7 @@
 import type { EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { EndpointSocket } from './endpoint-dialler.js'
 import type { TunnelAdmission } from './tunnel-admission.js'
-import { INSTANCE_HEADER, REFUSAL_HEADER, TUNNEL_PATH } from './tunnel-client.js'
+import { ENDPOINT_HEADER, INSTANCE_HEADER, REFUSAL_HEADER, TUNNEL_PATH } from './tunnel-client.js'
 import type { TunnelRefusal } from './tunnel-client.js'
 
 /** Time limit for the headers of a request, in milliseconds; they are a few lines long. */
@@ -75,9 +75,8 @@
 
   private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { logger, admission, onDecision } = this.parts
-    const path = request.url ?? ''
-    if (request.method !== 'POST' || !path.startsWith(TUNNEL_PATH)) return refuse(response, 'unavailable')
-    const endpoint = decodeURIComponent(path.slice(TUNNEL_PATH.length)) as EndpointId
+    if (request.method !== 'POST' || request.url !== TUNNEL_PATH) return refuse(response, 'unavailable')
+    const endpoint = String(request.headers[ENDPOINT_HEADER]) as EndpointId
     const from = String(request.headers[INSTANCE_HEADER])
     const left = new AbortController()
     this.tunnels.set(response, { endpoint, from: from as InstanceId })
