VERSION: each send says which adapter version is offered and how long it may serve

A request that began on an older version of its adapter could not be told from any other in the logs: a send named neither the version that the engine offers nor the time that was left, and nothing looked at the version of the response.

A send to an engine with an older version than the newest now logs that version and the milliseconds until requests must not begin on it. The first event is checked against the version that the response states; one that is too late is a warning and a counter. Nothing is decided by it.

--- a/packages/ingress/src/cluster-state/adapter-versions.ts
+++ b/packages/ingress/src/cluster-state/adapter-versions.ts
@@ -23,7 +23,7 @@
   private readonly announced = new Map<AdapterKey, AnnouncedVersion>()
   private readonly listeners: ((key: AdapterKey, version: number) => void)[] = []
   private readonly logger: Logger
-  private readonly previousVersionMilliseconds: number
+  private readonly newVersionMilliseconds: number
   private hasAnnouncements = false
 
   /**
@@ -32,7 +32,7 @@
    */
   constructor (logger: Logger, newVersionMilliseconds: number) {
     this.logger = logger
-    this.previousVersionMilliseconds = newVersionMilliseconds * PREVIOUS_VERSION_SHARE
+    this.newVersionMilliseconds = newVersionMilliseconds
   }
 
   /**
@@ -74,11 +74,17 @@
     return this.announced.get(key)?.version
   }
 
+  /** @returns monotonic time until which requests may begin on older versions than the latest; undefined when no version was announced */
+  previousServesUntil (key: AdapterKey): number | undefined {
+    const known = this.announced.get(key)
+    return known === undefined ? undefined : known.learntAt + this.newVersionMilliseconds
+  }
+
   /** @returns the minimum version that a new request may start on; 0 allows any version */
   minimumUsable (key: AdapterKey, now: number): number {
     const known = this.announced.get(key)
     if (known === undefined) return 0
-    return now - known.learntAt < this.previousVersionMilliseconds ? known.version - 1 : known.version
+    return now - known.learntAt < this.newVersionMilliseconds * PREVIOUS_VERSION_SHARE ? known.version - 1 : known.version
   }
 
   /**
--- a/packages/ingress/src/observability/ingress-metrics.ts
+++ b/packages/ingress/src/observability/ingress-metrics.ts
@@ -73,6 +73,7 @@
   private readonly rateLimitDecisions = this.counter('limpetwinch_rate_limit_total', 'Requests to endpoints with a rate limit by service and whether they had room', ['service', 'decision'])
   private readonly admissions = this.counter('limpetwinch_admission_total', 'Requests for adapters that no engine held by what the admission by forecast decided', ['decision'])
   private readonly placeAsks = this.counter('limpetwinch_place_asks_total', 'Requests that needed a place at a plain service, by service and what became of them', ['service', 'outcome'])
+  private readonly lateVersions = this.counter('limpetwinch_late_versions_total', 'Requests that began on an older adapter version too late, by service', ['service'])
   private readonly retries = this.counter('limpetwinch_retries_total', 'Retries by service and whether the retry budget allowed them', ['service', 'decision'])
   private readonly tunnelDecisions = this.counter('limpetwinch_tunnels_total', 'Tunnels that other instances asked for, by what became of them', ['decision'])
   private readonly resumptions = this.counter('limpetwinch_stream_resumptions_total', 'Streams that callers resumed, by service and how it was known where they began', ['service', 'origin'])
@@ -186,6 +187,11 @@
     this.ejections.inc()
   }
 
+  /** Counts a request that began on an older adapter version after requests had to begin on a newer one. */
+  lateVersionServed (service: string): void {
+    this.lateVersions.inc({ service: this.bounded(service) })
+  }
+
   /** Counts an endpoint that crashed under requests of this instance. */
   endpointCrashed (service: string): void {
     this.crashes.inc({ service: this.bounded(service) })
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -25,6 +25,7 @@
 import { RoutedListener } from './routed-listener.js'
 import { ServiceRelay } from './service-relay.js'
 import { StreamRelay } from './stream-relay.js'
+import { VersionedSends } from './versioned-sends.js'
 
 /** The components that the listener and its relays need. */
 export interface ListenerComponents {
@@ -56,14 +57,14 @@
 
 /** @returns the listener, which does not listen yet */
 export function createListener (components: ListenerComponents): RoutedListener {
-  const { settings, configuration, freshness, directory, versions, workTracker, ejection, errors, rateLimiter } = components
+  const { settings, configuration, freshness, directory, workTracker, ejection, errors, rateLimiter } = components
   const shared = { ...components, random: Math.random }
   const router = new ServiceRouter(directory, workTracker, ejection, errors, rateLimiter.backoffs, settings.dataCentre)
   const services = new ServiceRelay({ ...shared, router })
   const streams = new StreamRelay({
     ...shared,
     findService: (name) => configuration.current?.services.get(name),
-    expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
+    versionedSends: new VersionedSends(components)
   })
   return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)) })
 }
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -213,17 +213,17 @@
 
   private async attemptOn (engine: FoundEngine): Promise<AttemptOutcome> {
     const { request, progress } = this
-    const { clock, workTracker, senders, forecast, speeds, prefixes, expectedVersion } = this.parts
+    const { clock, workTracker, senders, forecast, speeds, prefixes, versionedSends } = this.parts
     const { facts, service } = request
     const { endpoint, forecastMilliseconds, uncachedTokens } = engine
     const readTokens = workTracker.outstanding(endpoint.id, clock.now()).prefillTokens + uncachedTokens
-    const ticket = workTracker.begin(endpoint.id, {
-      prefillTokens: uncachedTokens, memoryTokens: facts.promptTokens + facts.outputTokens, adapter: facts.adapter?.key
-    })
+    const ticket = workTracker.begin(endpoint.id, { prefillTokens: uncachedTokens, memoryTokens: facts.promptTokens + facts.outputTokens, adapter: facts.adapter?.key })
     const sentAt = clock.now()
+    const versioned = versionedSends.begin(request, endpoint.id, sentAt)
     const failover = new FailoverSearch(async (ending) => await this.findReplacement(engine, ending), () => stream.fail(REPLACED))
-    const stream = new StreamAttempt(request.exchange, progress, this.idleWatch(failover, forecastMilliseconds), clock, () => {
+    const stream = new StreamAttempt(request.exchange, progress, this.idleWatch(failover, forecastMilliseconds), clock, (response) => {
       this.recordOrigin(endpoint)
+      versionedSends.answerBegan(request, endpoint.id, response, clock.now())
       ticket.prefilled()
       forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.recordPrompt(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
@@ -232,9 +232,9 @@
     const options = {
       endpoint,
       lastEventId: progress.lastEventId,
-      adapterVersion: expectedVersion(request, sentAt),
+      adapterVersion: versioned.expectedVersion,
       earlierAttempts: this.sends,
-      grounds: { forecastMilliseconds: Math.round(forecastMilliseconds), uncachedTokens, stallMilliseconds: Math.round(engine.stallMilliseconds) }
+      grounds: { forecastMilliseconds: Math.round(forecastMilliseconds), uncachedTokens, stallMilliseconds: Math.round(engine.stallMilliseconds), ...versioned.grounds }
     }
     this.attempted.add(endpoint.id)
     this.sends += 1
--- a/packages/ingress/src/relay/stream-attempt.ts
+++ b/packages/ingress/src/relay/stream-attempt.ts
@@ -6,6 +6,7 @@
 import type { RunningAttempt } from './endpoint-senders.js'
 import type { CompleteEvent } from './event-splitter.js'
 import { EventSplitter, MAXIMUM_EVENT_BYTES } from './event-splitter.js'
+import type { ResponseFacts } from './request-codec.js'
 
 /**
  * Time without an event after which a stream counts as idle. Engines produce an event of a stream every few milliseconds, so the engine of
@@ -59,7 +60,7 @@
   private readonly progress: StreamProgress
   private readonly idleWatch: IdleWatch | undefined
   private readonly clock: Clock
-  private readonly onFirstEvent: () => void
+  private readonly onFirstEvent: (response: ResponseFacts | undefined) => void
   /** Time between the events of this attempt, from which the speed of the engine is learnt. */
   readonly spacing = new EventSpacing()
   private readonly splitter = new EventSplitter()
@@ -81,9 +82,9 @@
    * @param progress - shared by all attempts of the stream
    * @param idleWatch - called while the stream is idle; undefined when the stream may not continue on another engine
    * @param clock - monotonic time
-   * @param onFirstEvent - called once, with the first event of this attempt
+   * @param onFirstEvent - called once, with the first event of this attempt and what the head of the response states
    */
-  constructor (exchange: CallerExchange, progress: StreamProgress, idleWatch: IdleWatch | undefined, clock: Clock, onFirstEvent: () => void) {
+  constructor (exchange: CallerExchange, progress: StreamProgress, idleWatch: IdleWatch | undefined, clock: Clock, onFirstEvent: (response: ResponseFacts | undefined) => void) {
     this.exchange = exchange
     this.progress = progress
     this.idleWatch = idleWatch
@@ -172,7 +173,7 @@
     this.hasEvents = true
     this.progress.firstEventAt ??= this.clock.now()
     if (this.head !== undefined) this.exchange.beginResponse(this.head)
-    this.onFirstEvent()
+    this.onFirstEvent(this.head?.facts)
   }
 
   private isOld (id: string): boolean {
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -19,6 +19,7 @@
 import type { RelayOutcome } from './relay-outcome.js'
 import { RelayedStream } from './relayed-stream.js'
 import type { RoutedRequest } from './routed-request.js'
+import type { VersionedSends } from './versioned-sends.js'
 
 /**
  * `retry-after` of a resumption whose origin is not known, in seconds. Another instance may know it, and a cut between instances may be over
@@ -42,8 +43,7 @@
   readonly origins: Pick<StreamOrigins, 'begun' | 'completed' | 'find'>
   /** @returns the service of this name in the configuration that is in force */
   readonly findService: (name: ServiceName) => Service | undefined
-  /** @returns the version of the request's adapter that engines must have; undefined accepts any version */
-  readonly expectedVersion: (request: RoutedRequest, now: number) => number | undefined
+  readonly versionedSends: Pick<VersionedSends, 'begin' | 'answerBegan'>
 }
 
 /** Relays requests of stream routes. */
--- /dev/null
+++ b/packages/ingress/src/relay/versioned-sends.ts
@@ -0,0 +1,54 @@
+/** What the adapter versions mean for single attempts: the version that an engine must check, and whether a response began on an older version too late. */
+import type { EndpointId, Logger } from '@limpetwinch/core'
+import type { AdapterLocations } from '../adapters/adapter-locations.js'
+import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
+import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { ResponseFacts } from './request-codec.js'
+import type { RoutedRequest } from './routed-request.js'
+
+/** Dependencies of the versions of attempts. */
+export interface VersionedSendsDependencies {
+  readonly logger: Logger
+  readonly metrics: Pick<IngressMetrics, 'lateVersionServed'>
+  readonly locations: Pick<AdapterLocations, 'holders'>
+  readonly versions: Pick<AdapterVersions, 'newest' | 'expected' | 'previousServesUntil'>
+}
+
+/** The version of its adapter with which an attempt is sent. */
+export interface VersionedSend {
+  /** Version of the adapter that the engine must have; undefined accepts any version. */
+  readonly expectedVersion: number | undefined
+  /** Log fields, present only if the engine offers an older version than the newest: that version, and the milliseconds until requests must not begin on it. */
+  readonly grounds: { readonly offeredVersion?: number, readonly versionMillisecondsLeft?: number }
+}
+
+/** Decides on and checks the adapter versions of attempts. */
+export class VersionedSends {
+  private readonly parts: VersionedSendsDependencies
+
+  constructor (parts: VersionedSendsDependencies) {
+    this.parts = parts
+  }
+
+  /** @returns the version with which a request is sent to an engine now */
+  begin ({ facts: { adapter } }: Pick<RoutedRequest, 'facts'>, endpoint: EndpointId, now: number): VersionedSend {
+    if (adapter === undefined) return { expectedVersion: undefined, grounds: {} }
+    const { versions, locations } = this.parts
+    const { key } = adapter
+    const offeredVersion = locations.holders(key).get(endpoint)
+    const isOlder = offeredVersion !== undefined && offeredVersion < (versions.newest(key) ?? 0)
+    const versionMillisecondsLeft = Math.round((versions.previousServesUntil(key) ?? now) - now)
+    return { expectedVersion: versions.expected(key, now), grounds: isOlder ? { offeredVersion, versionMillisecondsLeft } : {} }
+  }
+
+  /** Checks the version with which an engine began to answer. @param response - of the engine; undefined if there was none */
+  answerBegan ({ facts: { adapter, requestId }, service }: Pick<RoutedRequest, 'facts' | 'service'>, endpoint: EndpointId, response: ResponseFacts | undefined, now: number): void {
+    const version = response?.adapterVersion
+    if (adapter?.name === undefined || version === undefined) return
+    const newest = this.parts.versions.newest(adapter.key) ?? 0
+    const millisecondsLate = Math.round(now - (this.parts.versions.previousServesUntil(adapter.key) ?? now))
+    if (version >= newest || millisecondsLate <= 0) return
+    this.parts.metrics.lateVersionServed(service.name)
+    this.parts.logger.warn('A request began on an older adapter version too late.', { request: requestId, endpoint, adapter: adapter.key, version, newest, millisecondsLate })
+  }
+}
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -17,6 +17,7 @@
 import { LeavingNotices } from '../../src/endpoints/leaving-notices.js'
 import { IngressMetrics } from '../../src/observability/ingress-metrics.js'
 import { DirectDialler } from '../../src/paths/endpoint-dialler.js'
+import { AdapterVersions } from '../../src/cluster-state/adapter-versions.js'
 import { CrashDetector } from '../../src/quarantine/crash-detector.js'
 import { RequestQuarantine } from '../../src/quarantine/request-quarantine.js'
 import { IsolatedRunClaims } from '../../src/quarantine/isolated-run-claims.js'
@@ -27,6 +28,8 @@
 import type { ServiceRelayDependencies } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import type { StreamRelayDependencies } from '../../src/relay/stream-relay.js'
+import { VersionedSends } from '../../src/relay/versioned-sends.js'
+import type { VersionedSendsDependencies } from '../../src/relay/versioned-sends.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
 import { SlackPart } from '../../src/retries/slack-part.js'
 import { BrittleEndpoints } from '../../src/rate-limits/brittle-endpoints.js'
@@ -75,6 +78,8 @@
   readonly places?: ServiceRelayDependencies['places']
   /** Answers each ask for quota tokens: whether the tokens are granted. All are granted by default. */
   readonly grantsTokens?: () => boolean
+  /** The announced versions that attempts are checked against; none are announced by default. */
+  readonly versions?: VersionedSendsDependencies['versions']
   /** Most bytes of the bodies of all requests; no bound by default. */
   readonly requestBytes?: number
 }
@@ -180,7 +185,7 @@
     })
     const errors = new ErrorRates()
     const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, places: setup.places ?? NOT_DIVIDED, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
-    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), expectedVersion: () => undefined })
+    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), versionedSends: new VersionedSends({ logger, metrics, locations, versions: setup.versions ?? new AdapterVersions(logger, 1) }) })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
       clock,
