VERSION: requests that wait on an old adapter version are recalled in time

Cause: the load owner hides the old copy when a newer version is announced, and withholds the replacement while any request counts as running there. A request that waits at the engine counts as well, so that the longer requests wait, the later the copy is replaced, and nothing looks at a request again once it is sent.

From half of the time on, the load owner orders the replacement although requests are counted on the old copy. The engine refuses at that moment what has not begun, which proves that it did not run, and what runs ends as it began. The other half is left for an order that is lost and for the new send. The relay sends refused requests elsewhere against the retry budget; their search goes on until their caller is expected to leave, as for requests that have run, since they have used up the time of a search.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -10,6 +10,7 @@
 import { HeldAdapterPublisher } from './held-adapter-publisher.js'
 import type { LoaderDependencies } from './loader-dependencies.js'
 import { OrderDispatcher } from './order-dispatcher.js'
+import { Replacements } from './replacements.js'
 import { SlotReservations } from './slot-reservations.js'
 import type { Room } from './slot-reservations.js'
 import { StoreTurn } from './store-turn.js'
@@ -50,6 +51,7 @@
   private readonly wake = new Wake()
   private readonly dispatcher: OrderDispatcher
   private readonly evictions: Evictions
+  private readonly replacements: Replacements
   private readonly publisher: HeldAdapterPublisher
   private readonly storeTurn: StoreTurn
   private publishedQueueLength = 0
@@ -67,9 +69,9 @@
       endpoint, token, reservations: this.reservations, hidden, waiting: queue.keys(), waitMilliseconds: this.queuePace.waitMilliseconds(queue.length, now), waits: this.queuePace.waitsByPriority(queue.lengthsByPriority(now), queue.length, now)
     }), dependencies.publish)
     this.dispatcher = new OrderDispatcher(endpoint, token, this.reservations, dependencies, () => this.showSettledAdapters())
-    this.evictions = new Evictions({
-      endpoint, reservations: this.reservations, queue, hidden, dispatcher: this.dispatcher, publisher: this.publisher, loaderDependencies: dependencies
-    })
+    const parts = { endpoint, reservations: this.reservations, queue, hidden, dispatcher: this.dispatcher, publisher: this.publisher, loaderDependencies: dependencies }
+    this.evictions = new Evictions(parts)
+    this.replacements = new Replacements(parts)
   }
 
   /**
@@ -183,7 +185,7 @@
     const now = this.dependencies.clock.now()
     this.queue.expire(now)
     this.removeFulfilledLoads(now)
-    this.hideOldVersions(now)
+    this.replacements.hideOldVersions(now)
     this.queueChanged(now)
     // While an engine waits for the last requests on an adapter that it unloads, it accepts no other order.
     if (this.reservations.unloading.size > 0) return false
@@ -236,24 +238,11 @@
     }
   }
 
-  /**
-   * Hides held adapters that a newer version is pending for. The engine refuses requests for an adapter while it loads the newer
-   * version, so peers are notified first. The load order also waits until no request runs on the old version. Sent earlier, the
-   * order would block the adapter until the last of those requests has ended; a copy on another engine serves new requests sooner.
-   */
-  private hideOldVersions (now: number): void {
-    for (const key of this.queue.keys()) {
-      if (!this.reservations.held.has(key) || this.hidden.has(key) || this.reservations.inFlight.has(key)) continue
-      this.hidden.hide(key, 'replacement', now)
-      this.publisher.publish()
-    }
-  }
-
   private mayLoad (key: AdapterKey, room: Room, now: number): boolean {
     const { inFlight, unloading, held } = this.reservations
     const pendingLoad = this.queue.find(key)
     if (pendingLoad === undefined || inFlight.has(key) || unloading.has(key)) return false
-    if (held.has(key) && !this.mayReplace(key, now)) {
+    if (held.has(key) && !this.replacements.mayReplace(key, now)) {
       pendingLoad.heldUpBy = 'runs of the old version'
       return false
     }
@@ -261,15 +250,12 @@
       pendingLoad.heldUpBy = room.slots < 1 ? 'slots in use' : 'memory in use'
       return false
     }
+    if (held.has(key) && inFlight.size < MAXIMUM_IN_FLIGHT && this.replacements.isRecalled(key, now)) return true
     if (this.reservations.recentlyEvicted.has(key) || this.hasStoreCapacity(now)) return true
     pendingLoad.heldUpBy = 'travelling loads'
     return false
   }
 
-  private mayReplace (key: AdapterKey, now: number): boolean {
-    return now >= (this.hidden.noticeReceivedAt(key) ?? Infinity) && this.dependencies.workTracker.running(this.endpoint.id, key, now) === 0
-  }
-
   private hasStoreCapacity (now: number): boolean {
     return this.reservations.inFlight.size < MAXIMUM_IN_FLIGHT && this.storeTurn.mayBegin(this.dependencies.locations.inFlight.count(now))
   }
--- a/packages/ingress/src/cluster-state/adapter-versions.ts
+++ b/packages/ingress/src/cluster-state/adapter-versions.ts
@@ -8,6 +8,11 @@
  * before it starts.
  */
 const PREVIOUS_VERSION_SHARE = 0.4
+/**
+ * Part of that time after which requests that wait at an engine for the previous version are recalled. The rest is left for an order that is
+ * lost or carried out late, and for another send. It is larger than the part during which requests are still sent to the previous version.
+ */
+const RECALL_SHARE = 0.5
 
 interface AnnouncedVersion {
   readonly version: number
@@ -80,6 +85,12 @@
     return known === undefined ? undefined : known.learntAt + this.newVersionMilliseconds
   }
 
+  /** @returns monotonic time from which copies of older versions are recalled although requests wait for them; undefined when no version was announced */
+  recallsPreviousAt (key: AdapterKey): number | undefined {
+    const known = this.announced.get(key)
+    return known === undefined ? undefined : known.learntAt + this.newVersionMilliseconds * RECALL_SHARE
+  }
+
   /** @returns the minimum version that a new request may start on; 0 allows any version */
   minimumUsable (key: AdapterKey, now: number): number {
     const known = this.announced.get(key)
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -74,6 +74,8 @@
   /** Where the stream began, and may go on; undefined before its first event. */
   private origin: StreamOrigin | undefined
   private isOriginRecorded = false
+  /** Whether an engine refused the request because the version for which it waited there is replaced. */
+  private wasRecalled = false
   /** The last engine that was unresponsive and that the stream left for another engine. */
   private left: EndpointId | undefined
 
@@ -178,8 +180,8 @@
   private searchEnd (): number {
     const { arrivedAt, endsAt, route, facts } = this.request
     // Only a caller whose request has not run can retry after a refusal. Any other caller, and one that resumes a stream, has no second chance
-    // to get a response, so the search goes on until that caller is expected to leave.
-    if (this.runs > 0 || this.origin !== undefined) return this.callerLeavesAt()
+    // to get a response, so the search goes on until that caller is expected to leave. A recalled request has waited for most of its time.
+    if (this.runs > 0 || this.origin !== undefined || this.wasRecalled) return this.callerLeavesAt()
     // A request for the base model needs no adapter load, so its search does not wait.
     if (facts.adapter?.name === undefined) return arrivedAt
     return arrivedAt + longestAdapterWait({ timeToDeadline: endsAt - arrivedAt, objective: route.objectiveMilliseconds, gap: route.gapMilliseconds })
@@ -229,18 +231,14 @@
       if (facts.adapter !== undefined) prefixes.recordPrompt(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
     })
     stream.spacing.onEstimate((milliseconds) => speeds.recordEventSpacing(endpoint.id, milliseconds))
-    const options = {
-      endpoint,
-      lastEventId: progress.lastEventId,
-      adapterVersion: versioned.expectedVersion,
-      earlierAttempts: this.sends,
-      grounds: { forecastMilliseconds: Math.round(forecastMilliseconds), uncachedTokens, stallMilliseconds: Math.round(engine.stallMilliseconds), ...versioned.grounds }
-    }
+    const grounds = { forecastMilliseconds: Math.round(forecastMilliseconds), uncachedTokens, stallMilliseconds: Math.round(engine.stallMilliseconds), ...versioned.grounds }
+    const options = { endpoint, lastEventId: progress.lastEventId, adapterVersion: versioned.expectedVersion, earlierAttempts: this.sends, grounds }
     this.attempted.add(endpoint.id)
     this.sends += 1
     const result = await stream.run((sink) => senders.send(request, options, sink))
     if (result.kind !== 'not-sent') this.wasSent = true
     ticket.ended()
+    this.wasRecalled ||= result.kind === 'other-answer' && result.head.facts.notRun && versionedSends.isReplaced(request, versioned)
     const replacement = await failover.end()
     if (replacement !== undefined) this.left = endpoint.id
     return { result, replacement }
--- a/packages/ingress/src/relay/stream-relay.ts
+++ b/packages/ingress/src/relay/stream-relay.ts
@@ -43,7 +43,7 @@
   readonly origins: Pick<StreamOrigins, 'begun' | 'completed' | 'find'>
   /** @returns the service of this name in the configuration that is in force */
   readonly findService: (name: ServiceName) => Service | undefined
-  readonly versionedSends: Pick<VersionedSends, 'begin' | 'answerBegan'>
+  readonly versionedSends: Pick<VersionedSends, 'begin' | 'isReplaced' | 'answerBegan'>
 }
 
 /** Relays requests of stream routes. */
--- a/packages/ingress/src/relay/versioned-sends.ts
+++ b/packages/ingress/src/relay/versioned-sends.ts
@@ -18,6 +18,8 @@
 export interface VersionedSend {
   /** Version of the adapter that the engine must have; undefined accepts any version. */
   readonly expectedVersion: number | undefined
+  /** Version that the engine offered; undefined if that is not known. */
+  readonly offered: number | undefined
   /** Log fields, present only if the engine offers an older version than the newest: that version, and the milliseconds until requests must not begin on it. */
   readonly grounds: { readonly offeredVersion?: number, readonly versionMillisecondsLeft?: number }
 }
@@ -32,13 +34,18 @@
 
   /** @returns the version with which a request is sent to an engine now */
   begin ({ facts: { adapter } }: Pick<RoutedRequest, 'facts'>, endpoint: EndpointId, now: number): VersionedSend {
-    if (adapter === undefined) return { expectedVersion: undefined, grounds: {} }
+    if (adapter === undefined) return { expectedVersion: undefined, offered: undefined, grounds: {} }
     const { versions, locations } = this.parts
     const { key } = adapter
-    const offeredVersion = locations.holders(key).get(endpoint)
-    const isOlder = offeredVersion !== undefined && offeredVersion < (versions.newest(key) ?? 0)
+    const offered = locations.holders(key).get(endpoint)
+    const isOlder = offered !== undefined && offered < (versions.newest(key) ?? 0)
     const versionMillisecondsLeft = Math.round((versions.previousServesUntil(key) ?? now) - now)
-    return { expectedVersion: versions.expected(key, now), grounds: isOlder ? { offeredVersion, versionMillisecondsLeft } : {} }
+    return { expectedVersion: versions.expected(key, now), offered, grounds: isOlder ? { offeredVersion: offered, versionMillisecondsLeft } : {} }
+  }
+
+  /** @returns whether a newer version than the one that the engine offered at the send has been announced */
+  isReplaced ({ facts: { adapter } }: Pick<RoutedRequest, 'facts'>, { offered }: VersionedSend): boolean {
+    return adapter !== undefined && offered !== undefined && offered < (this.parts.versions.newest(adapter.key) ?? 0)
   }
 
   /** Checks the version with which an engine began to answer. @param response - of the engine; undefined if there was none */
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -59,7 +59,7 @@
 /** Number of random runs; set CROWD_RUNS for more. */
 const CROWD_RUNS = Number(process.env['CROWD_RUNS'] ?? 8)
 
-function start (engine: SimulatedEngine, latest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2, storeLimiter = new WeightStoreLimiter(() => ENGINES), shape: Partial<EngineShape> = {}): Run {
+function start (engine: SimulatedEngine, latest: ReadonlyMap<string, number> = new Map(), adapterSlots = 2, storeLimiter = new WeightStoreLimiter(() => ENGINES), shape: Partial<EngineShape> = {}, recallAt?: number): Run {
   const clock = new SystemClock()
   const locations = new AdapterLocations()
   const workTracker = new EndpointWorkTracker()
@@ -75,6 +75,7 @@
     storeLimiter,
     holder: 'me',
     latestVersion: (name) => latest.get(name) ?? 0,
+    recallsPreviousAt: () => recallAt,
     isModelNeeded: () => true,
     mayOrder: () => true,
     noticeRoundTripMilliseconds: () => NOTICE_MILLISECONDS,
@@ -164,6 +165,21 @@
     expect({ during, after, version: run.engine.versionOf('x') }).toEqual({ during: { version: 1, offered: 0 }, after: true, version: 2 })
   })
 
+  // Guards against requests that begin on an old version too late, since they wait at the engine and hold its replacement up.
+  it('replace an old version at the time of its recall although requests are counted there', async () => {
+    const latest = new Map<string, number>()
+    const recallAt = performance.now() + 700
+    const run = start(new SimulatedEngine({ slots: 2 }), latest, 2, undefined, {}, recallAt)
+    await loadAdapter(run, 'x')
+    run.workTracker.begin(endpoint('engine').id, { prefillTokens: 0, memoryTokens: 0, adapter: key('x') })
+    latest.set(key('x'), 2)
+    run.loader.versionAnnounced(key('x'), 2)
+    const isReplaced = await until(() => run.engine.versionOf('x') === 2)
+    const isEarly = performance.now() < recallAt
+    await run.stop()
+    expect({ isReplaced, isEarly }).toEqual({ isReplaced: true, isEarly: false })
+  })
+
   it('continue when an order is carried out late, after newer ones', async () => {
     const engine = new SimulatedEngine({ slots: 2 })
     const run = start(engine)
--- a/packages/ingress/test/load-ownership.failure.test.ts
+++ b/packages/ingress/test/load-ownership.failure.test.ts
@@ -133,6 +133,7 @@
     modelLoadLimiter: new ModelLoadRateLimiter(clock, () => 1),
     storeLimiter: new WeightStoreLimiter(() => 13),
     latestVersion: () => 0,
+    recallsPreviousAt: () => undefined,
     isModelNeeded: () => true,
     publish: () => {},
     noticeRoundTripMilliseconds: () => 30,
