ORDER: a load owner's object names each version that its engine has run

What callers saw: streams of two software versions, answered 200 and whole, after all instances were killed at once, where an engine had returned under its id with another version and left with the kill. Cause: a claim by the same owner kept the version that it named first, and one by another owner named only the present one. An engine that went from v1 to v1.1 under its id ran a version that its object did not name; processes that started after the kill knew v1 only and took it for the origin of every stream. Why it works: an engine is claimed again as soon as its object does not name what its entry says, and a claim keeps the names of the earlier ones. An entry without a version is named as such, so that nothing is proved from it.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -8,6 +8,7 @@
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import { loadOwnerPath } from '../members/cluster-objects.js'
 import type { LoadOwner } from '../members/cluster-objects.js'
+import { isNamedBy, namesForClaim } from '../members/engine-names.js'
 import type { MemberList } from '../members/member-list.js'
 import type { AdapterKey, Endpoint, EngineShape, ServiceName } from '../routes/configuration.js'
 import { EndpointLoader } from './endpoint-loader.js'
@@ -199,7 +200,7 @@
     const owner = this.owners.get(endpoint.id)
     if (owner?.holder === members.self.name) {
       // Without the store, the engine is served under the earlier token rather than not at all.
-      if (isOfEarlierIncarnation(owner, endpoint) && this.dependencies.health.reachable) await this.claim(endpoint, owner)
+      if (isOutdated(owner, endpoint) && this.dependencies.health.reachable) await this.claim(endpoint, owner)
       return this.startLoader(endpoint, this.owners.get(endpoint.id) ?? owner, shape)
     }
     const isOwnerReachable = owner !== undefined && members.isReachable(owner.holder)
@@ -290,14 +291,15 @@
 
   private async claim (endpoint: Endpoint, before: LoadOwner | undefined): Promise<void> {
     const { store, members, logger } = this.dependencies
-    const isRenewal = before?.holder === members.self.name
+    // A renewal takes the engine from nobody: the wait after the claim that did is still due.
+    const renewed = before?.holder === members.self.name ? before : undefined
+    const previous = renewed === undefined ? before?.holder : renewed.previous
     const value = {
       holder: members.self.name,
-      ...(before === undefined ? {} : { previous: before.holder }),
-      claimedAt: Date.now(),
+      ...(previous === undefined ? {} : { previous }),
+      claimedAt: renewed?.claimedAt ?? Date.now(),
       born: endpoint.born,
-      // Streams may have begun at the software version that the earlier claim names.
-      engine: isRenewal ? before.engine ?? engineOf(endpoint) : engineOf(endpoint)
+      ...namesForClaim(before, endpoint)
     }
     const written = await store.put({ path: loadOwnerPath(endpoint.id), ifVersion: before?.token ?? 0, value })
     const outcome = written.isOk() ? 'done' : written.error.kind
@@ -309,9 +311,10 @@
       return
     }
     const token = written.value as LoadOwner['token']
+    const claim = renewed === undefined ? { madeBefore: this.dependencies.clock.now() } : this.claimOf(renewed)
     this.unansweredClaims.delete(endpoint.id)
-    this.claims.set(endpoint.id, { token, madeBefore: this.dependencies.clock.now() })
-    const owner: LoadOwner = { ...value, endpoint: endpoint.id, previous: before?.holder, token }
+    if (claim !== undefined) this.claims.set(endpoint.id, { ...claim, token })
+    const owner: LoadOwner = { ...value, endpoint: endpoint.id, previous, token }
     const known = this.owners.get(endpoint.id)
     if (known !== undefined && known.token > owner.token) return
     this.owners.set(endpoint.id, owner)
@@ -451,6 +454,11 @@
   }
 }
 
+/** @returns whether the engine has to be claimed again: the claim is that of an earlier incarnation, or does not name what the engine runs */
+function isOutdated (owner: LoadOwner, endpoint: Endpoint): boolean {
+  return isOfEarlierIncarnation(owner, endpoint) || !isNamedBy(owner, endpoint)
+}
+
 /**
  * An engine that starts again under its id has forgotten fencing tokens and counts from 0. Orders to its earlier incarnation that arrive late would pass
  * under the same token as soon as the count is the same; a newer token keeps them out from the first order that bears it.
@@ -460,8 +468,3 @@
 function isOfEarlierIncarnation ({ born }: LoadOwner, endpoint: Endpoint): boolean {
   return born !== undefined && born < endpoint.born
 }
-
-/** @returns the engine as its load owner object names it; undefined when its software version is not stated */
-function engineOf ({ service, softwareVersion }: Endpoint): LoadOwner['engine'] {
-  return softwareVersion === undefined ? undefined : { service, softwareVersion }
-}
--- a/packages/ingress/src/members/cluster-objects.ts
+++ b/packages/ingress/src/members/cluster-objects.ts
@@ -6,14 +6,15 @@
 import type { DataCentreId, EndpointId, FencingToken, InstanceId, StoredObject } from '@limpetwinch/core'
 import type { QuarantineDecision, Suspect } from '@limpetwinch/decisions'
 import { z } from 'zod'
-import type { ServiceName, SoftwareVersion } from '../routes/configuration.js'
+import type { EngineName } from './engine-names.js'
 
 /** Object kind shared by all these objects, so that one watch of the store covers them all. */
 export const CLUSTER_KIND = 'limpetwinch-cluster'
 
 const memberSchema = z.object({ instance: z.string(), address: z.string(), dataCentre: z.string(), cores: z.number().optional(), chunkedTunnelAddress: z.string().optional(), remembersStreams: z.boolean().optional() })
+const engineNameSchema = z.object({ service: z.string(), softwareVersion: z.string() })
 const loadOwnerSchema = z.object({
-  holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), born: z.number().optional(), engine: z.object({ service: z.string(), softwareVersion: z.string() }).optional()
+  holder: z.string(), previous: z.string().optional(), claimedAt: z.number(), born: z.number().optional(), engine: engineNameSchema.optional(), earlierEngines: z.array(engineNameSchema).optional()
 })
 const quarantineDecisionSchema = z.object({ crashes: z.number(), strikes: z.number(), certain: z.boolean(), untilWallTime: z.number() })
 
@@ -49,8 +50,10 @@
   readonly claimedAt: number
   /** Start time of the engine's process when the token was issued, Unix milliseconds; undefined in a claim of an earlier release. */
   readonly born?: number | undefined
-  /** The engine at the time of the first claim of its present owner; undefined in a claim of an earlier release. */
-  readonly engine?: { readonly service: ServiceName, readonly softwareVersion: SoftwareVersion } | undefined
+  /** What the engine ran at the time of the claim; undefined in a claim of an earlier release. */
+  readonly engine?: EngineName | undefined
+  /** What earlier processes of the engine ran, the latest first; undefined when there is none. */
+  readonly earlierEngines?: readonly EngineName[] | undefined
   /** Version of the stored object. The store issues each version once and in increasing order, as a fencing token requires. */
   readonly token: FencingToken
 }
@@ -116,6 +119,6 @@
   const decoded = loadOwnerSchema.safeParse(object.value)
   if (!decoded.success) return undefined
   const { holder, previous, claimedAt, born } = decoded.data
-  const engine = decoded.data.engine as LoadOwner['engine']
-  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, born, engine, token: object.version as FencingToken } }
+  const { engine, earlierEngines } = decoded.data as Pick<LoadOwner, 'engine' | 'earlierEngines'>
+  return { kind: 'holder', holder: { endpoint: subject as EndpointId, holder, previous, claimedAt, born, engine, earlierEngines, token: object.version as FencingToken } }
 }
--- a/packages/ingress/src/streams/software-versions.ts
+++ b/packages/ingress/src/streams/software-versions.ts
@@ -1,14 +1,12 @@
 /** Tracks which software versions the endpoints of each service run, and which they ran for as long as streams from then may be resumed. */
 import type { Clock } from '@limpetwinch/core'
 import type { LoadOwner } from '../members/cluster-objects.js'
+import { namesIn, UNSTATED_VERSION } from '../members/engine-names.js'
 import type { Endpoint, ServiceName, SoftwareVersion } from '../routes/configuration.js'
 
 /** Longest time from the first event of a stream until its caller resumes it for the last time. */
 export const STREAM_LIFETIME_MILLISECONDS = 60_000
 
-/** Stands for the version of an endpoint that states none. It is the same as no other version, nor as that of another such endpoint. */
-export const UNSTATED_VERSION = '' as SoftwareVersion
-
 /** The software versions of all services. */
 export class SoftwareVersions {
   private readonly clock: Clock
@@ -46,8 +44,9 @@
    */
   applyLoadOwners (owners: readonly LoadOwner[]): void {
     const newest = Math.max(this.newestToken, ...owners.map(({ token }) => token))
-    for (const { token, engine } of owners) {
-      if (token > this.newestToken && engine !== undefined) this.recordSeen(engine.service, engine.softwareVersion)
+    for (const owner of owners) {
+      if (owner.token <= this.newestToken) continue
+      for (const { service, softwareVersion } of namesIn(owner)) this.recordSeen(service, softwareVersion)
     }
     this.newestToken = newest
   }
