ORDER: a stream that may be resumed begins only at an engine whose version the store names

What callers saw: streams of base models that held events of two software versions, answered 200 and whole, after a second kill of all instances. Cause: such a stream waits for no load, so it began at an engine as soon as its entry was known, before the engine was claimed: in the first 1.5 s of instances that have started, and for as long as the store refuses the claim. When the engine left with the next kill, nothing named its version, and the only one that was left counted as the origin. Streams that go on, and those that are never resumed, go on as before, so do engines that nobody owns ever (no adapter slots), and those with a claim of an earlier release.

--- a/packages/ingress/src/adapters/load-ownership.ts
+++ b/packages/ingress/src/adapters/load-ownership.ts
@@ -11,6 +11,7 @@
 import { isNamedBy, namesForClaim } from '../members/engine-names.js'
 import type { MemberList } from '../members/member-list.js'
 import type { AdapterKey, Endpoint, EngineShape, ServiceName } from '../routes/configuration.js'
+import type { EngineClaims } from '../routing/stream-beginnings.js'
 import { EndpointLoader } from './endpoint-loader.js'
 import type { LoaderDependencies } from './loader-dependencies.js'
 
@@ -90,6 +91,12 @@
 
 /** Load ownership of this instance: the engines whose loads it orders. */
 export class LoadOwnership {
+  /** What the engine router has to know of the load owners. */
+  readonly claimsOfEngines: EngineClaims = {
+    hasLoadOwner: (endpoint) => this.loadOwnerOf(endpoint) !== undefined,
+    isNamed: (endpoint) => this.isNamed(endpoint)
+  }
+
   private readonly dependencies: LoadOwnershipDependencies
   private readonly loaderDependencies: Omit<LoaderDependencies, 'mayOrder' | 'onLost' | 'holder'>
   private readonly owners = new Map<EndpointId, LoadOwner>()
@@ -141,6 +148,13 @@
     return this.reachesServiceOf(endpoint, owner.holder) ? this.instanceOf(owner.holder) : undefined
   }
 
+  /** @returns whether the store names the software version of the engine's entry; true for an engine that nobody ever owns, or whose claim is that of an earlier release */
+  private isNamed (endpoint: Endpoint): boolean {
+    if (this.shapeOf(endpoint) === undefined) return true
+    const owner = this.owners.get(endpoint.id)
+    return owner !== undefined && (owner.engine === undefined || isNamedBy(owner, endpoint))
+  }
+
   /** @returns the loader of an engine that this instance owns */
   loader (endpoint: EndpointId): EndpointLoader | undefined {
     return this.running.get(endpoint)?.loader
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -140,6 +140,7 @@
       service,
       facts,
       gapMilliseconds: route.gapMilliseconds,
+      resumable: route.resumable,
       softwareVersion: this.origin?.softwareVersion,
       excluded: this.attempted,
       priority,
@@ -207,8 +208,7 @@
    * @returns whether the stream may be resumed by one more attempt: the route allows it, and the software version that began the stream is known
    */
   private mayRunAgain (runs: number): boolean {
-    const { route } = this.request
-    return route.resumable && runs < route.mostAttempts && this.origin?.softwareVersion !== UNSTATED_VERSION
+    return this.request.route.resumable && runs < this.request.route.mostAttempts && this.origin?.softwareVersion !== UNSTATED_VERSION
   }
 
   private async attemptOn (engine: FoundEngine): Promise<AttemptOutcome> {
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -16,6 +16,8 @@
 import type { FirstEventForecast } from './first-event-forecast.js'
 import type { EndpointWorkTracker } from './endpoint-work-tracker.js'
 import type { PrefixCacheEstimate } from './prefix-cache-estimate.js'
+import { maySend } from './stream-beginnings.js'
+import type { EngineClaims, StreamContinuation } from './stream-beginnings.js'
 
 /**
  * Added to the cost of engines in other data centres, since bytes take longer and cost money between data centres. The addition decides
@@ -72,13 +74,11 @@
 const MAXIMUM_COPY_TIMES = 5_000
 
 /** What an engine is chosen for. */
-export interface EngineQuery {
+export interface EngineQuery extends StreamContinuation {
   readonly service: Service
   readonly facts: RequestFacts
   /** The longest pause between two events of a stream that callers accept. */
   readonly gapMilliseconds: number
-  /** Software version that the engine must run, for a stream that began at it; undefined accepts any version. */
-  readonly softwareVersion?: SoftwareVersion | undefined
   /** Engines that must not be chosen, such as those that were attempted before or refused the request. */
   readonly excluded: ReadonlySet<EndpointId>
   /** Whether the request is suspected of crashing its engine, so that an engine with few running requests is best. */
@@ -107,7 +107,7 @@
 }
 
 /** Dependencies of the router. */
-export interface EngineRouterDependencies {
+export interface EngineRouterDependencies extends EngineClaims {
   readonly directory: EndpointDirectory
   readonly locations: AdapterLocations
   readonly workTracker: EndpointWorkTracker
@@ -121,8 +121,6 @@
   readonly leastVersion: (key: AdapterKey, now: number) => number
   /** @returns current duration of an adapter load from the weight store, milliseconds */
   readonly loadMilliseconds: () => number
-  /** @returns whether the engine has a load owner, without which it loads nothing */
-  readonly hasLoadOwner: (endpoint: EndpointId) => boolean
 }
 
 /** Chooses engines for requests and for loads. */
@@ -246,7 +244,7 @@
     const { locations, leastVersion } = this.parts
     const { adapter } = query.facts
     if (adapter === undefined) return []
-    const engines = this.usableEngines(query, now)
+    const engines = this.usableEngines(query, now).filter((endpoint) => maySend(query, endpoint, this.parts))
     if (adapter.name === undefined) return engines.filter((endpoint) => endpoint.models.includes(adapter.model as ModelName))
     const least = leastVersion(adapter.key, now)
     const holders = locations.holders(adapter.key)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -192,7 +192,7 @@
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.minimumUsable(key, now),
       loadMilliseconds,
-      hasLoadOwner: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint) !== undefined
+      ...this.loadOwnership.claimsOfEngines
     })
     const { rateLimiter, storeLimiter, forecast, ejection, locations, loadOwnership } = this
     const shareUsed = (team: TeamId): number | undefined => this.teams.shareUsed(team)
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -13,9 +13,9 @@
 import { FirstEventForecast } from '../src/routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../src/routing/endpoint-work-tracker.js'
 import { PrefixCacheEstimate } from '../src/routing/prefix-cache-estimate.js'
-import type { ModelName } from '../src/routes/configuration.js'
+import type { AdapterKey, Endpoint, ModelName } from '../src/routes/configuration.js'
 import type { RequestFacts } from '../src/relay/request-codec.js'
-import { endpoint, engineShape, key, service, LOAD_OWNER, NO_BACKOFFS } from './support/samples.js'
+import { endpoint, engineShape, key, service, LOAD_OWNER, NO_BACKOFFS, SOFTWARE_VERSION } from './support/samples.js'
 
 const NOW = 10_000
 const SHAPE = engineShape({ adapterSlots: 2, batchSlots: 64, memoryTokens: 200_000 })
@@ -47,7 +47,7 @@
 }
 
 /** @returns a router with engines in these states */
-function routerFor (states: Readonly<Record<string, State>>, models: Readonly<Record<string, readonly string[]>> = {}): EngineRouter {
+function routerFor (states: Readonly<Record<string, State>>, models: Readonly<Record<string, readonly string[]>> = {}, isNamed = (_: Endpoint): boolean => true): EngineRouter {
   const directory = new EndpointDirectory(silentLogger())
   const locations = new AdapterLocations()
   const workTracker = new EndpointWorkTracker()
@@ -68,7 +68,7 @@
   }
   const ejection = new OutlierEjection({ failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, recoveryMilliseconds: 4_000, minimumUsableShare: 0.25 })
   return new EngineRouter({
-    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true
+    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true, isNamed
   })
 }
 
@@ -175,3 +175,21 @@
     expect(routerFor({ busy: { holds: 30 }, calm: { holds: 3 } }).choose(query(), NOW)?.endpoint.id).toBe('calm')
   })
 })
+
+// Guards against streams that go on at another software version after all instances were killed: a stream of a base model waits for no load, so it
+// began at engines whose version nothing in the store named.
+describe('an engine whose version the store does not name', () => {
+  const router = routerFor({ unnamed: { holds: 1 }, named: { holds: 1, inUse: 2 } }, {}, ({ id }) => id === 'named')
+  const base: RequestFacts['adapter'] = { key: 'base' as AdapterKey, model: 'base', name: undefined }
+  const chosen = (sample: Partial<EngineQuery>): EndpointId | undefined => router.choose({ ...query(), ...sample }, NOW)?.endpoint.id
+
+  it('begins no stream that may be resumed, and continues one', () => {
+    for (const each of [facts(100), { ...facts(100), adapter: base }]) {
+      expect([chosen({ facts: each, resumable: true }), chosen({ facts: each, resumable: true, softwareVersion: SOFTWARE_VERSION })]).toEqual(['named', 'unnamed'])
+    }
+  })
+
+  it('begins streams that are not resumed', () => {
+    expect(chosen({})).toBe('unnamed')
+  })
+})
--- a/packages/ingress/test/stream-admission.failure.test.ts
+++ b/packages/ingress/test/stream-admission.failure.test.ts
@@ -56,7 +56,7 @@
     for (const id of ENGINES) for (const used of ['x', 'y']) workTracker.begin(id, { prefillTokens: 0, memoryTokens: 100, adapter: key(used) })
     this.applyLoad(load)
     const shared = {
-      clock, directory, locations, workTracker, ejection, firstEvent, leastVersion: () => 0, loadMilliseconds: () => 250, hasStoreCapacity: () => true, hasLoadOwner: (id: EndpointId) => !ownerless.includes(id)
+      clock, directory, locations, workTracker, ejection, firstEvent, leastVersion: () => 0, loadMilliseconds: () => 250, hasStoreCapacity: () => true, hasLoadOwner: (id: EndpointId) => !ownerless.includes(id), isNamed: () => true
     }
     const logger = recordingLogger(this.lines)
     this.admission = new StreamAdmission({ clock, logger, metrics: { admissionDecided: (decision) => { this.decisions.push(decision) } }, forecast: new LoadForecast(shared), competes: () => competes })
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -159,7 +159,7 @@
     })
     rateLimiter.connect(peers.links, { onNeighbour: () => {}, replay: () => {} })
     const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.88, windowMilliseconds: 10_000 }, slackPart: new WholeSlack(), logger, metrics })
-    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
+    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true, isNamed: () => true })
     const engineFinder = new EngineFinder({
       clock,
       logger,
