--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -11,7 +11,7 @@
 import type { RelayOutcome } from './relay-outcome.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { Endpoint } from '../routes/configuration.js'
-import { UNSTATED_VERSION } from '../streams/software-versions.js'
+import { UNSTATED_VERSION } from '../members/engine-names.js'
 import type { StreamOrigin } from '../streams/stream-origin-table.js'
 import type { StreamRelayDependencies } from './stream-relay.js'
 import { StreamAttempt } from './stream-attempt.js'
@@ -142,6 +142,7 @@
       service,
       facts,
       gapMilliseconds: route.gapMilliseconds,
+      resumable: route.resumable,
       softwareVersion: this.origin?.softwareVersion,
       excluded: this.attempted,
       priority,
@@ -209,8 +210,7 @@
    * @returns whether the stream may be resumed by one more attempt: the route allows it, and the software version that began the stream is known
    */
   private mayRunAgain (runs: number): boolean {
-    const { route } = this.request
-    return route.resumable && runs < route.mostAttempts && this.origin?.softwareVersion !== UNSTATED_VERSION
+    return this.request.route.resumable && runs < this.request.route.mostAttempts && this.origin?.softwareVersion !== UNSTATED_VERSION
   }
 
   private async attemptOn (engine: FoundEngine): Promise<AttemptOutcome> {
