Bodies in chunks of a byte fill the heap: collect them in blocks

What callers would see: all answers of an instance cut at once, since its process has ended with a full heap. Cause: bodies of plain services, other answers of engines, and answers to orders, reports and calls to the store were kept as lists of chunks and bounded by the sum of their lengths. A chunk of one byte takes some hundred times its length as an object, so the bounds (8, 1, 16 MB) stood for many times as much. Why it works: chunks are copied into blocks of at most 64 KB, which take their bytes and one block more. Stand-ins write endless pieces that have no pause in blocks, so that small pieces come fast too.

--- a/packages/core/src/http/bounded-text.ts
+++ b/packages/core/src/http/bounded-text.ts
@@ -1,4 +1,5 @@
 /** Reads HTTP response bodies, as text or bytes, up to a maximum size. */
+import { ByteCollector } from './byte-collector.js'
 
 /** The error for a response that exceeds its maximum size. */
 export class OversizedResponseError extends Error {
@@ -27,12 +28,10 @@
  * @throws OversizedResponseError if the body is larger
  */
 export async function readBoundedBytes (body: AsyncIterable<Uint8Array>, maximumBytes: number): Promise<Buffer> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
+  const collector = new ByteCollector()
   for await (const chunk of body) {
-    bytes += chunk.length
-    if (bytes > maximumBytes) throw new OversizedResponseError(maximumBytes)
-    chunks.push(chunk)
+    if (collector.length + chunk.length > maximumBytes) throw new OversizedResponseError(maximumBytes)
+    collector.append(chunk)
   }
-  return Buffer.concat(chunks)
+  return collector.toBuffer()
 }
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -1,5 +1,5 @@
 /** Relays requests to plain services: a response is received completely before any of it is sent to the caller. */
-import { LimpetwinchError } from '@limpetwinch/core'
+import { ByteCollector, LimpetwinchError } from '@limpetwinch/core'
 import type { EndpointId, Logger } from '@limpetwinch/core'
 import type { ErrorRates, PlaceEnd } from '@limpetwinch/decisions'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
@@ -125,16 +125,14 @@
     const { clock, workTracker, senders } = this.parts
     const startedAt = clock.now()
     const ticket = workTracker.begin(endpoint.id, { prefillTokens: 0, memoryTokens: 0, adapter: undefined })
-    const chunks: Buffer[] = []
-    let bytes = 0
+    const body = new ByteCollector()
     let head: ResponseHead | undefined
     let replacement: FoundEndpoint | undefined
     const inHand = workTracker.outstanding(endpoint.id, clock.now()).requests
     const sending = senders.send(request, { endpoint, lastEventId: undefined, adapterVersion: undefined, earlierAttempts, grounds: { inHand } }, {
       head: (answer) => { head = answer },
       data: (chunk) => {
-        bytes += chunk.length
-        if (sending.attempt.holds(bytes, MAXIMUM_RESPONSE_BYTES, 'body')) chunks.push(chunk)
+        if (sending.attempt.holds(body.length + chunk.length, MAXIMUM_RESPONSE_BYTES, 'body')) body.append(chunk)
         return 'part'
       }
     })
@@ -156,7 +154,7 @@
     clearImmediate(pendingSwitch)
     ticket.ended()
     giveBack(this.placeEnd(request, end, head, endpoint), clock.now() - startedAt)
-    return { end, head, body: Buffer.concat(chunks), replacement }
+    return { end, head, body: body.toBuffer(), replacement }
   }
 
   /** @returns how the use of the place at the endpoint ended */
--- a/packages/ingress/src/relay/stream-attempt.ts
+++ b/packages/ingress/src/relay/stream-attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a stream on one engine: passes complete events to the caller and detects when the engine sends no events on this stream. */
+import { ByteCollector } from '@limpetwinch/core'
 import type { Clock } from '@limpetwinch/core'
 import { EventSpacing } from '@limpetwinch/decisions'
 import type { ChunkUse, ResponseHead, AttemptSink } from './attempt.js'
@@ -63,8 +64,7 @@
   /** Time between the events of this attempt, from which the speed of the engine is learnt. */
   readonly spacing = new EventSpacing()
   private readonly splitter = new EventSplitter()
-  private readonly otherBody: Buffer[] = []
-  private otherBytes = 0
+  private readonly otherBody = new ByteCollector()
   private head: ResponseHead | undefined
   private sending: RunningAttempt | undefined
   private watchdog: NodeJS.Timeout | undefined
@@ -119,7 +119,7 @@
     if (head === undefined) return { kind: 'broken', reason: 'an answer without a beginning' }
     if (!this.isStream) {
       if (!head.facts.signed && !head.facts.notRun) return { kind: 'broken', reason: 'an answer that the engine did not sign' }
-      return { kind: 'other-answer', head, body: Buffer.concat(this.otherBody) }
+      return { kind: 'other-answer', head, body: this.otherBody.toBuffer() }
     }
     // A stream that ends in the middle of an event is truncated, even if its HTTP framing is complete.
     if (!this.splitter.isBetweenEvents) return { kind: 'broken', reason: 'the stream ended within an event' }
@@ -181,8 +181,8 @@
   }
 
   private handleOtherChunk (chunk: Buffer): ChunkUse {
-    this.otherBytes += chunk.length
-    if (this.sending?.attempt.holds(this.otherBytes, MAXIMUM_OTHER_BYTES, 'body') !== false) this.otherBody.push(chunk)
+    const bytes = this.otherBody.length + chunk.length
+    if (this.sending?.attempt.holds(bytes, MAXIMUM_OTHER_BYTES, 'body') !== false) this.otherBody.append(chunk)
     return 'part'
   }
 
--- a/packages/stand-ins/src/http/endless-answers.ts
+++ b/packages/stand-ins/src/http/endless-answers.ts
@@ -10,6 +10,8 @@
   readonly bytes: number
 }
 
+/** Bytes that are written at once, about, when the pieces come as fast as the connection takes them. */
+const WRITE_BYTES = 65_536
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n'
 
 /** What comes before the endless pieces, after the given head, and one piece. */
@@ -38,7 +40,7 @@
   const { before, piece } = FORMS[form]
   const text = piece('x'.repeat(bytes))
   socket.write(before(head))
-  if (milliseconds === 0) return writeAll(socket, text)
+  if (milliseconds === 0) return writeAll(socket, text.repeat(Math.ceil(WRITE_BYTES / text.length)))
   const timer = setInterval(() => { socket.write(text) }, milliseconds)
   socket.on('close', () => { clearInterval(timer) })
 }
