Responses that wait for slow callers count as held

What callers would see: an instance beyond its memory is killed, and all answers on it are cut, when many callers read large responses slowly or not at all. Cause: a response counted while it was unfinished. From its last byte on, and for an event from the moment it was passed on, it waited in the write buffer of its caller and counted for nothing, without an end for a caller that never reads; so did an error response that is kept while another endpoint is asked. Why it works: the exchange with the caller counts what its write buffer holds in the same sum as unfinished responses, whose largest is ended beyond the bound; a log line says so.

--- a/packages/ingress/src/relay/caller-exchange.ts
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -9,6 +9,7 @@
 import type { Result } from 'neverthrow'
 import type { ResponseHead } from './attempt.js'
 import { HeldRequestBytes } from './held-request-bytes.js'
+import { HeldResponseBytes } from './held-response-bytes.js'
 
 /** Hop-by-hop headers, which concern one connection only. Neither those of a request nor those of a response are forwarded. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -24,20 +25,29 @@
   private readonly leaving = new AbortController()
   private readonly held: HeldRequestBytes
   private heldBytes = 0
+  private readonly heldResponses: HeldResponseBytes
+  private readonly holder = { drop: (): void => { this.cut() } }
+  /** Bytes of a response that is kept and may be sent later. */
+  private retainedBytes = 0
   /** Whether the rest of the request is read and dropped, so that the connection may be kept. */
   private isDiscarding = false
   /** Number of writes whose bytes have not left this process yet. */
   private unflushed = 0
   private whenFlushed: (() => void) | undefined
 
-  /** @param held - counts the bytes of the bodies of all requests */
-  constructor (incoming: IncomingMessage, outgoing: ServerResponse, held = new HeldRequestBytes()) {
+  /**
+   * @param held - counts the bytes of the bodies of all requests
+   * @param heldResponses - counts the bytes of all responses; a caller that does not take its response keeps them until it leaves
+   */
+  constructor (incoming: IncomingMessage, outgoing: ServerResponse, held = new HeldRequestBytes(), heldResponses = new HeldResponseBytes()) {
     this.incoming = incoming
     this.outgoing = outgoing
     this.held = held
+    this.heldResponses = heldResponses
     outgoing.on('close', () => {
       if (!outgoing.writableFinished) this.leaving.abort()
       this.releaseBody()
+      this.heldResponses.set(this.holder, 0)
     })
     // A caller that resets its connection has left.
     outgoing.on('error', () => { this.leaving.abort() })
@@ -109,9 +119,20 @@
     return headers
   }
 
+  /** Counts a response that is kept while another endpoint is asked, and that {@link answer} may send later. @param bytes - length of its body */
+  retain (bytes: number): void {
+    this.retainedBytes = bytes
+    this.countResponse()
+  }
+
+  private countResponse (): void {
+    if (!this.outgoing.destroyed) this.heldResponses.set(this.holder, this.retainedBytes + this.outgoing.writableLength)
+  }
+
   /** Sends the complete response of an endpoint. */
   answer (head: ResponseHead, body: Buffer): void {
     if (this.outgoing.destroyed || this.hasResponseStarted) return
+    this.retainedBytes = 0
     this.outgoing.writeHead(head.status, { ...headersToCaller(head), 'content-length': body.length })
     this.write(body)
     this.end()
@@ -128,7 +149,9 @@
   write (bytes: Buffer): boolean {
     if (this.outgoing.destroyed) return true
     this.unflushed += 1
-    return this.outgoing.write(bytes, this.flushed)
+    const mayWriteMore = this.outgoing.write(bytes, this.flushed)
+    this.countResponse()
+    return mayWriteMore
   }
 
   /** Resolves when the write buffer is empty, or when the caller has left. */
@@ -160,6 +183,7 @@
 
   private readonly flushed = (): void => {
     this.unflushed -= 1
+    this.countResponse()
     if (this.unflushed === 0) this.whenFlushed?.()
   }
 
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -74,6 +74,8 @@
   readonly unbounded: Pick<UnboundedResponses, 'begin'>
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
+  /** Most bytes that the responses of all requests may hold. */
+  readonly maximumResponseBytes?: number
 }
 
 /** Sends attempts to all endpoints. */
@@ -81,12 +83,14 @@
   private readonly parts: EndpointSendersDependencies
   private readonly contacts: EndpointContacts
   private readonly unanswered = new UnansweredAttempts()
-  private readonly held = new HeldResponseBytes()
+  /** Counts the bytes of all responses. */
+  readonly heldResponses: HeldResponseBytes
   private readonly connections = new Map<EndpointId, { readonly address: string, readonly pool: EndpointConnections }>()
 
   constructor (parts: EndpointSendersDependencies) {
     this.parts = parts
     this.contacts = new EndpointContacts(parts.clock)
+    this.heldResponses = new HeldResponseBytes(parts.maximumResponseBytes, (bytes) => parts.logger.warn('A response was ended, since the responses of all requests hold too many bytes.', { bytes }))
   }
 
   /** @returns number of requests that this instance has in flight on the endpoint */
@@ -105,7 +109,7 @@
     if (backoffs.isBackingOff(options.endpoint.id)) return this.holdBack(request, options.endpoint)
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
-    const attempt = new Attempt(connection, codec, { held: this.held, fillerMilliseconds: fillerMilliseconds(request.route) })
+    const attempt = new Attempt(connection, codec, { held: this.heldResponses, fillerMilliseconds: fillerMilliseconds(request.route) })
     const contact = this.contacts.watch(options.endpoint.id)
     const onAbort = (): void => attempt.abandon(request.exchange.left.aborted ? 'the caller left' : 'its time is over')
     const millisecondsLeft = request.endsAt - clock.now()
--- a/packages/ingress/src/relay/held-response-bytes.ts
+++ b/packages/ingress/src/relay/held-response-bytes.ts
@@ -1,4 +1,4 @@
-/** Bounds the bytes of unfinished responses that one instance holds over all its connections. */
+/** Bounds the bytes of responses that one instance holds over all its connections: those that are unfinished, and those that their callers have not taken yet. */
 
 /**
  * Bytes held over all connections. Together with a slow caller's share of each stream this stays far below the memory of a small instance,
@@ -12,15 +12,25 @@
   readonly drop: (reason: string) => void
 }
 
-/** The bytes that all unfinished responses hold. */
+/** The bytes that all responses hold, from their arrival until they have left this process. */
 export class HeldResponseBytes {
   private readonly maximumBytes: number
+  private readonly onDrop: (bytes: number) => void
   private readonly holders = new Map<BytesHolder, number>()
   private total = 0
 
-  /** @param maximumBytes - most bytes that all responses may hold together */
-  constructor (maximumBytes = MAXIMUM_TOTAL_BYTES) {
+  /**
+   * @param maximumBytes - most bytes that all responses may hold together
+   * @param onDrop - called with the bytes of each response that is ended because all of them hold too many
+   */
+  constructor (maximumBytes = MAXIMUM_TOTAL_BYTES, onDrop: (bytes: number) => void = () => {}) {
     this.maximumBytes = maximumBytes
+    this.onDrop = onDrop
+  }
+
+  /** Bytes that all responses hold now. */
+  get bytes (): number {
+    return this.total
   }
 
   /** Records how many bytes of its response a holder holds now; beyond the bound, the response that holds the most is ended. */
@@ -35,6 +45,7 @@
     const [largest] = [...this.holders].sort(([, one], [, other]) => other - one)
     if (largest === undefined) return
     this.set(largest[0], 0)
+    this.onDrop(largest[1])
     largest[0].drop('the responses of all requests hold too many bytes')
   }
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -15,6 +15,7 @@
 import { CallerExchange } from './caller-exchange.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { HeldRequestBytes } from './held-request-bytes.js'
+import type { HeldResponseBytes } from './held-response-bytes.js'
 import type { RequestCodec, RequestFacts } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
 
@@ -69,6 +70,7 @@
   readonly streams: RequestRelay
   readonly services: RequestRelay
   readonly heldRequests: HeldRequestBytes
+  readonly heldResponses: HeldResponseBytes
 }
 
 interface RouteOfRequest {
@@ -141,7 +143,7 @@
     this.inProgress += 1
     if (this.stopping) outgoing.setHeader('connection', 'close')
     outgoing.on('finish', () => this.closeKeptAliveConnection(incoming))
-    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests)
+    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests, this.parts.heldResponses)
     try {
       await this.route(exchange, arrivedAt)
     } catch (cause) {
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -99,7 +99,10 @@
       if (exchange.left.aborted) break
       const resultKind = this.classify(request, result, endpoint, record)
       if (resultKind === 'deliver' || (resultKind === 'server-error' && route.kind !== 'safe')) return deliver(request, result, sends + 1)
-      if (resultKind === 'server-error') serverError = result
+      if (resultKind === 'server-error') {
+        serverError = result
+        exchange.retain(result.body.length)
+      }
       // When the replacement refused the request, the endpoint that was replaced may be attempted again.
       if (resultKind === 'not-run' && replaced !== undefined) attempted.delete(replaced)
       replaced = replacement === undefined ? undefined : endpoint.id
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -77,6 +77,8 @@
   readonly grantsTokens?: () => boolean
   /** Most bytes of the bodies of all requests; no bound by default. */
   readonly requestBytes?: number
+  /** Most bytes of all responses that are held; as in an instance by default. */
+  readonly responseBytes?: number
 }
 
 /** The origins of an instance that knows of no stream, all of whose engines run the version of the sample endpoints. */
@@ -140,7 +142,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), unbounded: { begin: () => ({ ended: () => {} }) }, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} } })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), unbounded: { begin: () => ({ ended: () => {} }) }, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} }, maximumResponseBytes: setup.responseBytes })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
@@ -198,7 +200,7 @@
       clock, configuration: this.configuration, proof: this.proof, revocationMilliseconds: setup.revocationMilliseconds, quotas, metrics
     })
     this.quotas = quotas
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, heldRequests: new HeldRequestBytes(setup.requestBytes) })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, heldRequests: new HeldRequestBytes(setup.requestBytes), heldResponses: senders.heldResponses })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
