Responses follow the memory of the process, and bodies of requests leave them room

What callers would see: an instance with little memory is killed where large requests and large responses come together, each within its own bound. Cause: responses held up to 32 MB at any size of the process, and request bodies up to seven eighths of the memory beside what the process needs itself (44 of 50 MB where the settings state 160 MB), neither with regard to the other. Evidence: the new test; without the room for responses a body of 10 MB is taken beside 4 MB of responses and a bound of 20 MB for both (seen failing). Why it works: both come out of one bound, which is that of request bodies; responses get a quarter of it, 10 MB at least, so that the largest response fits, and 32 MB at most.

--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -65,5 +65,7 @@
     findService: (name) => configuration.current?.services.get(name),
     expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
   })
-  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)), heldResponses: components.senders.heldResponses })
+  const { heldResponses } = components.senders
+  const heldRequests = new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes), () => heldResponses.bytes)
+  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests, heldResponses })
 }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -75,7 +75,7 @@
   readonly dialler: EndpointDialler
   readonly paths: Pick<EndpointPaths, 'isLost' | 'suspect'>
   /** Most bytes that the responses of all requests may hold. */
-  readonly maximumResponseBytes?: number
+  readonly maximumResponseBytes: number
 }
 
 /** Sends attempts to all endpoints. */
--- a/packages/ingress/src/relay/held-request-bytes.ts
+++ b/packages/ingress/src/relay/held-request-bytes.ts
@@ -12,7 +12,7 @@
 /** Bytes that only small bodies may take, so that they are served while large ones fill the rest. */
 const SMALL_BODIES_BYTES = 8 * BYTES_PER_MEGABYTE
 
-/** @returns the most bytes of request bodies for a process with this memory, in megabytes; Infinity when its memory is not known */
+/** @returns the most bytes of request bodies, with the responses that are held, for a process with this memory, in megabytes; Infinity when its memory is not known */
 export function requestBytesFor (memoryMegabytes: number | undefined): number {
   if (memoryMegabytes === undefined) return Infinity
   return Math.max(MINIMUM_BYTES, (memoryMegabytes - OWN_MEGABYTES) * BODY_SHARE * BYTES_PER_MEGABYTE)
@@ -21,11 +21,16 @@
 /** The bytes that the bodies of all requests in progress hold. */
 export class HeldRequestBytes {
   private readonly maximumBytes: number
+  private readonly responseBytes: () => number
   private total = 0
 
-  /** @param maximumBytes - most bytes that all bodies may hold together */
-  constructor (maximumBytes = Infinity) {
+  /**
+   * @param maximumBytes - most bytes that all bodies may hold, together with the responses
+   * @param responseBytes - called for the bytes that responses hold now
+   */
+  constructor (maximumBytes = Infinity, responseBytes: () => number = () => 0) {
     this.maximumBytes = maximumBytes
+    this.responseBytes = responseBytes
   }
 
   /**
@@ -35,7 +40,7 @@
    */
   fits (bytes: number, held: number): boolean {
     const reserved = held + bytes > SMALL_BODY_BYTES ? SMALL_BODIES_BYTES : 0
-    return this.total + bytes <= this.maximumBytes - reserved
+    return this.total + this.responseBytes() + bytes <= this.maximumBytes - reserved
   }
 
   /** Records bytes of a body that fits; to be released when its request ends. */
--- a/packages/ingress/src/relay/held-response-bytes.ts
+++ b/packages/ingress/src/relay/held-response-bytes.ts
@@ -1,11 +1,23 @@
 /** Bounds the bytes of responses that one instance holds over all its connections: those that are unfinished, and those that their callers have not taken yet. */
 
+import { requestBytesFor } from './held-request-bytes.js'
+
 /**
- * Bytes held over all connections. Together with a slow caller's share of each stream this stays far below the memory of a small instance,
+ * Bytes held over all connections where the memory is not small. Together with a slow caller's share of each stream this stays far below the memory of a small instance,
  * and above the few large responses that may be under way at one time.
  */
 const MAXIMUM_TOTAL_BYTES = 33_554_432
 
+/** Part of the memory for requests and responses that responses may take. */
+const RESPONSE_SHARE = 0.25
+/** Least bound, in bytes: one response of the largest size of a plain service, and small ones beside it. */
+const MINIMUM_TOTAL_BYTES = 10_485_760
+
+/** @returns the most bytes of responses for a process with this memory, in megabytes */
+export function responseBytesFor (memoryMegabytes: number | undefined): number {
+  return Math.min(MAXIMUM_TOTAL_BYTES, Math.max(MINIMUM_TOTAL_BYTES, RESPONSE_SHARE * requestBytesFor(memoryMegabytes)))
+}
+
 /** Something that holds bytes of one response, and can drop them. */
 export interface BytesHolder {
   /** Ends the response, whose bytes are dropped. */
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -30,6 +30,7 @@
 import { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
 import { createListener } from '../relay/create-listener.js'
+import { responseBytesFor } from '../relay/held-response-bytes.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
 import type { Endpoint } from '../routes/configuration.js'
 import { createStreamOrigins } from '../streams/create-stream-origins.js'
@@ -322,21 +323,9 @@
   }
 
   private createSenders (): EndpointSenders {
-    const { clock, ejection, metrics, paths } = this
-    return new EndpointSenders({
-      codec: this.platform.codec,
-      ejection,
-      clock,
-      logger: this.logger.part('relay'),
-      metrics,
-      quarantine: this.quarantine.quarantine,
-      rateLimits: this.rateLimiter.limits,
-      brittle: this.rateLimiter.brittle,
-      backoffs: this.rateLimiter.backoffs,
-      ...this.endpointNotices,
-      dialler: paths.dialler,
-      paths: paths.paths
-    })
+    const { clock, ejection, metrics, paths: { paths, dialler }, platform: { codec }, quarantine: { quarantine }, rateLimiter: { limits: rateLimits, brittle, backoffs } } = this
+    const maximumResponseBytes = responseBytesFor(this.settings.memoryMegabytes)
+    return new EndpointSenders({ codec, ejection, clock, logger: this.logger.part('relay'), metrics, quarantine, rateLimits, brittle, backoffs, ...this.endpointNotices, dialler, paths, maximumResponseBytes })
   }
 
   private followerDependencies (): FollowerDependencies {
--- a/packages/ingress/test/response-bytes.failure.test.ts
+++ b/packages/ingress/test/response-bytes.failure.test.ts
@@ -2,6 +2,8 @@
 // memory, and the requests of all other callers end with it.
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, describe, expect, it } from 'vitest'
+import { HeldRequestBytes } from '../src/relay/held-request-bytes.js'
+import { HeldResponseBytes, responseBytesFor } from '../src/relay/held-response-bytes.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
 import { framed, RawEndpoint } from './support/raw-endpoint.js'
 import { route } from './support/samples.js'
@@ -10,6 +12,7 @@
 const LARGE_BYTES = 7_900_000
 const RESPONSE_BYTES = 12_000_000
 const SLOW_CALLERS = 4
+const MEGABYTE = 1_048_576
 const PAUSE_MILLISECONDS = 4_000
 const APART_MILLISECONDS = 400
 const stops: (() => void)[] = []
@@ -34,3 +37,15 @@
     expect({ small: small.body, whole: whole > 0, ended: whole < SLOW_CALLERS }).toEqual({ small: 'ok', whole: true, ended: true })
   })
 })
+
+describe('the bytes of responses', () => {
+  // Guards against requests and responses that each keep within their bound and together pass the memory of a small process.
+  it('leave less room for request bodies, and follow the memory of the process', () => {
+    const responses = new HeldResponseBytes()
+    const requests = new HeldRequestBytes(20 * MEGABYTE, () => responses.bytes)
+    const before = requests.fits(10 * MEGABYTE, 0)
+    responses.set({ drop: () => {} }, 4 * MEGABYTE)
+    expect([before, requests.fits(10 * MEGABYTE, 0)]).toEqual([true, false])
+    expect([350, 210, 160, undefined].map((memory) => responseBytesFor(memory) / MEGABYTE)).toEqual([32, 21.875, 10.9375, 32])
+  })
+})
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -23,6 +23,7 @@
 import { EndpointSenders } from '../../src/relay/endpoint-senders.js'
 import { RoutedListener } from '../../src/relay/routed-listener.js'
 import { HeldRequestBytes } from '../../src/relay/held-request-bytes.js'
+import { responseBytesFor } from '../../src/relay/held-response-bytes.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
 import type { ServiceRelayDependencies } from '../../src/relay/service-relay.js'
 import { StreamRelay } from '../../src/relay/stream-relay.js'
@@ -142,7 +143,7 @@
       endpointCount: () => directory.all().length,
       newestVersion: (key) => this.newestVersions.get(key)
     })
-    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), unbounded: { begin: () => ({ ended: () => {} }) }, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} }, maximumResponseBytes: setup.responseBytes })
+    this.senders = new EndpointSenders({ codec, ejection, clock, logger, metrics, quarantine, rateLimits: this.rateLimits, brittle, backoffs, leaving: new LeavingNotices({ self: 'here' as InstanceId, directory, broadcast: () => {} }), unbounded: { begin: () => ({ ended: () => {} }) }, dialler: new DirectDialler(), paths: { isLost: () => false, suspect: () => {} }, maximumResponseBytes: setup.responseBytes ?? responseBytesFor(undefined) })
     const { senders } = this
     const peers = loopback()
     const rateLimiter = new EndpointRateLimiter({
