--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -66,5 +66,7 @@
     findService: (name) => configuration.current?.services.get(name),
     versionedSends: new VersionedSends(components)
   })
-  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)) })
+  const { heldResponses } = components.senders
+  const heldRequests = new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes), () => heldResponses.bytes)
+  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests, heldResponses })
 }
