--- a/packages/ingress/src/relay/attempt-record.ts
+++ b/packages/ingress/src/relay/attempt-record.ts
@@ -38,8 +38,12 @@
     return new LimpetwinchError('endpoint-refused', { endpoint: this.lastEndpoint, reason: this.lastReason }, { retryAfterSeconds })
   }
 
-  /** @returns the error for a request that has timed out */
-  timeoutError (retryAfterSeconds: number): LimpetwinchError {
+  /**
+   * @param signal - the signal that ended the request; its reason is an error when the request did not time out
+   * @returns the error for a request that was ended
+   */
+  endedError (signal: AbortSignal, retryAfterSeconds: number): LimpetwinchError {
+    if (signal.reason instanceof LimpetwinchError) return this.mayHaveRun ? this.finalError(retryAfterSeconds) : signal.reason
     if (this.mayHaveRun) return new LimpetwinchError('deadline-passed')
     return new LimpetwinchError('no-endpoint', { reason: `${this.lastReason} within its time` }, { retryAfterSeconds })
   }
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -65,5 +65,5 @@
     findService: (name) => configuration.current?.services.get(name),
     expectedVersion: ({ facts }, now) => facts.adapter === undefined ? undefined : versions.expected(facts.adapter.key, now)
   })
-  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)) })
+  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests: new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes)) })
 }
--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -2,7 +2,7 @@
  * Sends attempts of requests to endpoints: takes a connection, adds headers, and reports lost connections to the quarantine and outcomes
  * to the outlier ejection.
  */
-import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, LimpetwinchError, Logger } from '@limpetwinch/core'
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { LeavingNotices } from '../endpoints/leaving-notices.js'
@@ -23,6 +23,7 @@
 import { sharedPartIds } from './request-codec.js'
 import type { RequestCodec } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
+import { StopGate } from './stop-gate.js'
 import { UnansweredAttempts } from './unanswered-attempts.js'
 
 /** Options of one attempt. */
@@ -35,7 +36,7 @@
   /** Number of attempts of the same request that were made before this one. */
   readonly earlierAttempts: number
   /** Log fields that explain the choice of the endpoint. */
-  readonly grounds: Readonly<Record<string, unknown>>
+  readonly grounds: Readonly<Record<string, unknown>> & { readonly forecastMilliseconds?: number }
 }
 
 /** An attempt in progress. */
@@ -52,6 +53,8 @@
 
 /** Reason of an attempt that was not made because its endpoint asked to back off. */
 const HELD_BACK = 'the endpoint asked this instance to back off'
+/** Reason of an attempt that was not made because it would not end before this instance does. */
+const STOPPING = 'this instance stops before it would end'
 
 /**
  * Least time for which bytes without progress are accepted, in milliseconds: the segments of a head may be delayed by a lost packet. Beyond it, half
@@ -78,6 +81,8 @@
 
 /** Sends attempts to all endpoints. */
 export class EndpointSenders {
+  /** Which requests may still be sent while this instance stops. */
+  readonly stopGate: StopGate
   private readonly parts: EndpointSendersDependencies
   private readonly contacts: EndpointContacts
   private readonly unanswered = new UnansweredAttempts()
@@ -87,6 +92,7 @@
   constructor (parts: EndpointSendersDependencies) {
     this.parts = parts
     this.contacts = new EndpointContacts(parts.clock)
+    this.stopGate = new StopGate(parts.clock, parts.logger)
   }
 
   /** @returns number of requests that this instance has in flight on the endpoint */
@@ -103,6 +109,8 @@
   send (request: RoutedRequest, options: SendOptions, sink: AttemptSink): RunningAttempt {
     const { codec, clock, logger, metrics, quarantine, brittle, backoffs } = this.parts
     if (backoffs.isBackingOff(options.endpoint.id)) return this.holdBack(request, options.endpoint)
+    const refusal = this.stopGate.refusalOf(request, options.grounds.forecastMilliseconds)
+    if (refusal !== undefined) return this.refuseStopping(request, refusal)
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec, { held: this.held, fillerMilliseconds: fillerMilliseconds(request.route) })
@@ -157,6 +165,7 @@
       })
       if (attempt.wasSent) quarantine.sent(request)
       const answerMilliseconds = answerBeganAt === undefined ? undefined : quarantine.answerTime.now() - answerBeganAt
+      if (end.kind === 'whole' && attempt.wasServed) this.stopGate.record(request, { milliseconds: clock.now() - sentAt, answerMilliseconds })
       const run = { milliseconds: clock.now() - sentAt, answerMilliseconds, response: attempt.responseProgress }
       if (attempt.lostConnection) quarantine.lost(request, options.endpoint, run)
       else if (end.kind === 'whole' && attempt.wasServed) quarantine.answered(request, options.endpoint, run, attempt.endedWithConnection)
@@ -170,12 +179,12 @@
 
   /**
    * Records the outcome of an attempt for the outlier ejection: an endpoint with repeated failures gets no new requests for some time.
-   * An attempt that was held back tells nothing of the endpoint, nor does one that was sent and fails while the own path to the endpoint is
+   * An attempt that was held back or refused tells nothing of the endpoint, nor does one that was sent and fails while the own path to the endpoint is
    * lost.
    */
   observe (endpoint: EndpointId, result: ObservedResult, reason?: string): void {
     const { clock, ejection, metrics, logger, paths } = this.parts
-    if ((result === 'failed' && paths.isLost(endpoint)) || reason === HELD_BACK) return
+    if ((result === 'failed' && paths.isLost(endpoint)) || reason === HELD_BACK || reason === STOPPING) return
     const now = clock.now()
     const wasEjected = ejection.isEjected(endpoint, now)
     ejection.observe(endpoint, result === 'answered' ? 'answered' : 'failed', now)
@@ -236,7 +245,14 @@
     const { logger, quarantine } = this.parts
     logger.debug('A request was held back from an endpoint that asked to back off.', { request: request.facts.requestId, endpoint: id })
     quarantine.attemptFinished(request)
-    return { attempt: { abandon: () => {}, pause: () => {}, resume: () => {}, holds: () => true }, ended: Promise.resolve({ kind: 'not-sent', reason: HELD_BACK }) }
+    return notSent(HELD_BACK)
+  }
+
+  /** Ends a request before an attempt that would not end before this instance does. */
+  private refuseStopping (request: RoutedRequest, error: LimpetwinchError): RunningAttempt {
+    this.parts.quarantine.attemptFinished(request)
+    request.end(error)
+    return notSent(STOPPING)
   }
 
   /**
@@ -272,6 +288,11 @@
   }
 }
 
+/** @returns an attempt that was not made */
+function notSent (reason: string): RunningAttempt {
+  return { attempt: { abandon: () => {}, pause: () => {}, resume: () => {}, holds: () => true }, ended: Promise.resolve({ kind: 'not-sent', reason }) }
+}
+
 /** @returns time for which bytes without progress are accepted in a response on the route, milliseconds */
 function fillerMilliseconds ({ objectiveMilliseconds }: Pick<Route, 'objectiveMilliseconds'>): number {
   return Math.max(MINIMUM_FILLER_MILLISECONDS, objectiveMilliseconds / 2)
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -338,7 +338,7 @@
     const common = { tries: this.sends, ...this.times() }
     if (exchange.left.aborted) return { outcome: 'caller-left', ...common }
     const retryAfter = this.parts.engineFinder.retryAfterSeconds(service)
-    const error = signal.aborted ? this.record.timeoutError(retryAfter) : this.finalError(retryAfter)
+    const error = signal.aborted ? this.record.endedError(signal, retryAfter) : this.finalError(retryAfter)
     const wasStarted = exchange.hasResponseStarted
     exchange.refuse(error)
     return { outcome: wasStarted ? 'cut' : 'refused', error, ...common }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -17,6 +17,8 @@
 import type { HeldRequestBytes } from './held-request-bytes.js'
 import type { RequestCodec, RequestFacts } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
+import { stoppingError } from './stop-gate.js'
+import type { StopGate } from './stop-gate.js'
 
 /**
  * Largest request headers that the HTTP server parses. The server is created before the configuration is known, so the configured limit is
@@ -36,12 +38,6 @@
 /** Time limit for receiving a request with its body; the timeouts of routes are usually shorter. */
 const BODY_MILLISECONDS = 60_000
 
-/**
- * `retry-after` of refusals while this instance is stopping, in seconds. The time is short because the load balancer assigns the caller's next
- * connection to another instance.
- */
-const STOPPING_RETRY_SECONDS = 0.05
-
 /**
  * `retry-after` of requests without a route while the configuration may be out of date, in seconds: the next connection may reach an
  * instance that has a newer one.
@@ -68,6 +64,7 @@
   readonly random: () => number
   readonly streams: RequestRelay
   readonly services: RequestRelay
+  readonly stopGate: StopGate
   readonly heldRequests: HeldRequestBytes
 }
 
@@ -118,14 +115,20 @@
     })
   }
 
-  /** From now on, each response asks its caller to use another connection for the next request. */
-  startStopping (): void {
+  /**
+   * From now on, each response asks its caller to use another connection for the next request, and requests that would not end in time are refused.
+   *
+   * @param endsAt - monotonic time at which the requests in progress will be ended
+   */
+  startStopping (endsAt = Infinity): void {
     this.stopping = true
+    this.parts.stopGate.begin(endsAt)
   }
 
   /** Accepts no new connections, closes idle connections and refuses requests that still arrive on busy connections. */
   stopAccepting (): void {
     this.refusing = true
+    this.parts.stopGate.rotationEnded()
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -192,7 +195,8 @@
         body: body.value,
         arrivedAt,
         endsAt,
-        signal: ending.signal
+        signal: ending.signal,
+        end: (error) => ending.abort(error)
       })
       ended(outcome)
     } finally {
@@ -203,7 +207,7 @@
   /** Finds the route and the service of a request from its headers alone. @returns the error for a request that must not be relayed */
   private findRoute (incoming: IncomingMessage, facts: RequestFacts): Result<RouteOfRequest, LimpetwinchError> {
     // A request that is relayed now might be truncated at the end of the stop's grace period.
-    if (this.refusing) return err(new LimpetwinchError('stopping', {}, { retryAfterSeconds: STOPPING_RETRY_SECONDS }))
+    if (this.refusing) return err(stoppingError())
     const inForce = this.parts.configuration.current
     if (inForce === undefined) return err(new LimpetwinchError('not-configured'))
     const { configuration } = inForce
--- a/packages/ingress/src/relay/routed-request.ts
+++ b/packages/ingress/src/relay/routed-request.ts
@@ -1,4 +1,5 @@
 /** The request of a caller after its route and service were chosen, which a relay sends to an endpoint. */
+import type { LimpetwinchError } from '@limpetwinch/core'
 import type { Route, Service, Team } from '../routes/configuration.js'
 import type { CallerExchange } from './caller-exchange.js'
 import type { RequestFacts } from './request-codec.js'
@@ -25,6 +26,8 @@
   readonly arrivedAt: number
   /** Monotonic time at which the request times out: the caller's deadline or the route's timeout, whichever is first. */
   readonly endsAt: number
-  /** Aborted at `endsAt`, or when the caller leaves. */
+  /** Aborted at `endsAt`, when the caller leaves, or by {@link RoutedRequest.end}. */
   readonly signal: AbortSignal
+  /** Ends the request with this error, as far as it has not run; aborts the signal with it. */
+  readonly end: (error: LimpetwinchError) => void
 }
--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -116,7 +116,7 @@
 
   private finalError ({ signal, service, priority }: RoutedRequest, record: AttemptRecord, refusal: LimpetwinchError | undefined): LimpetwinchError {
     if (refusal !== undefined && !record.isOutcomeUnknown) return refusal
-    if (signal.aborted) return record.timeoutError(RETRY_AFTER_SECONDS)
+    if (signal.aborted) return record.endedError(signal, RETRY_AFTER_SECONDS)
     const rateLimited = record.isOutcomeUnknown ? undefined : this.parts.rateLimiter.refusal(service.name, priority)
     return rateLimited ?? record.finalError(RETRY_AFTER_SECONDS)
   }
--- a/packages/ingress/src/runtime/graceful-stop.ts
+++ b/packages/ingress/src/runtime/graceful-stop.ts
@@ -31,7 +31,7 @@
   const startedAt = clock.now()
   const deadline = startedAt + graceMilliseconds - EXIT_MILLISECONDS
   logger.info('This instance is stopping.', { inProgress: listener.requestsInProgress, tunnels: tunnels.count, graceMilliseconds })
-  listener.startStopping()
+  listener.startStopping(deadline)
   tunnels.startStopping()
   await clock.sleep(Math.min(ROTATION_MILLISECONDS, graceMilliseconds / 2))
   listener.stopAccepting()
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -198,7 +198,7 @@
       clock, configuration: this.configuration, proof: this.proof, revocationMilliseconds: setup.revocationMilliseconds, quotas, metrics
     })
     this.quotas = quotas
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, heldRequests: new HeldRequestBytes(setup.requestBytes) })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, stopGate: senders.stopGate, heldRequests: new HeldRequestBytes(setup.requestBytes) })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
