--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -2,7 +2,8 @@
  * Sends attempts of requests to endpoints: takes a connection, adds headers, and reports lost connections to the quarantine and outcomes
  * to the outlier ejection.
  */
-import type { Clock, EndpointId, InstanceId, LimpetwinchError, Logger } from '@limpetwinch/core'
+import { LimpetwinchError } from '@limpetwinch/core'
+import type { Clock, EndpointId, InstanceId, Logger } from '@limpetwinch/core'
 import type { OutlierEjection } from '@limpetwinch/decisions'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { LeavingNotices } from '../endpoints/leaving-notices.js'
@@ -53,8 +54,8 @@
 
 /** Reason of an attempt that was not made because its endpoint asked to back off. */
 const HELD_BACK = 'the endpoint asked this instance to back off'
-/** Reason of an attempt that was not made because it would not end before this instance does. */
-const STOPPING = 'this instance stops before it would end'
+/** Reason of an attempt that was not made, or was abandoned, because this instance stops. */
+const STOPPING = 'this instance stops'
 
 /**
  * Least time for which bytes without progress are accepted, in milliseconds: the segments of a head may be delayed by a lost packet. Beyond it, half
@@ -115,7 +116,7 @@
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec, { held: this.held, fillerMilliseconds: fillerMilliseconds(request.route) })
     const contact = this.contacts.watch(options.endpoint.id)
-    const onAbort = (): void => attempt.abandon(request.exchange.left.aborted ? 'the caller left' : 'its time is over')
+    const onAbort = (): void => attempt.abandon(endReason(request))
     const millisecondsLeft = request.endsAt - clock.now()
     const added = codec.write({
       endpoint: options.endpoint.id,
@@ -288,6 +289,12 @@
   }
 }
 
+/** @returns why the attempts of a request are abandoned whose signal is aborted */
+function endReason ({ exchange, signal }: RoutedRequest): string {
+  if (exchange.left.aborted) return 'the caller left'
+  return signal.reason instanceof LimpetwinchError ? STOPPING : 'its time is over'
+}
+
 /** @returns an attempt that was not made */
 function notSent (reason: string): RunningAttempt {
   return { attempt: { abandon: () => {}, pause: () => {}, resume: () => {}, holds: () => true }, ended: Promise.resolve({ kind: 'not-sent', reason }) }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -13,6 +13,8 @@
 import type { Configuration, Route, Service } from '../routes/configuration.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
 import { CallerExchange } from './caller-exchange.js'
+import { OpenRequests } from './open-requests.js'
+import type { OpenRequest } from './open-requests.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { HeldRequestBytes } from './held-request-bytes.js'
 import type { RequestCodec, RequestFacts } from './request-codec.js'
@@ -79,7 +81,7 @@
 export class RoutedListener {
   private readonly parts: RoutedListenerDependencies
   private readonly server: Server
-  private inProgress = 0
+  private readonly open = new OpenRequests()
   private stopping = false
   private refusing = false
 
@@ -98,7 +100,7 @@
 
   /** Number of requests that are not answered yet. */
   get requestsInProgress (): number {
-    return this.inProgress
+    return this.open.count
   }
 
   /**
@@ -133,6 +135,11 @@
     this.server.closeIdleConnections()
   }
 
+  /** Ends the requests in progress: each response that has not begun says whether the request may have run. */
+  endRequests (): void {
+    this.open.endAll(stoppingError())
+  }
+
   /** Stops listening and closes all connections. */
   destroy (): void {
     this.server.close()
@@ -141,18 +148,18 @@
 
   private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAt = this.parts.clock.now()
-    this.inProgress += 1
+    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests)
+    const request = this.open.begin(exchange)
     if (this.stopping) outgoing.setHeader('connection', 'close')
     outgoing.on('finish', () => this.closeKeptAliveConnection(incoming))
-    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests)
     try {
-      await this.route(exchange, arrivedAt)
+      await this.route(request, arrivedAt)
     } catch (cause) {
       this.parts.logger.error('A request failed because of an unexpected error in this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
       await exchange.delivered()
-      this.inProgress -= 1
+      this.open.ended(request)
     }
   }
 
@@ -164,15 +171,15 @@
     if (this.stopping) incoming.socket.destroySoon()
   }
 
-  private async route (exchange: CallerExchange, arrivedAt: number): Promise<void> {
+  private async route (open: OpenRequest, arrivedAt: number): Promise<void> {
     const { codec, admission } = this.parts
+    const { exchange, ending } = open
     const { incoming } = exchange
     const facts = codec.read(incoming.headers)
     const routed = this.findRoute(incoming, facts)
     if (routed.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, routed.error)
     const { route, service, configuration } = routed.value
     const endsAt = arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity)
-    const ending = new AbortController()
     const timer = setTimeout(() => ending.abort(), Math.max(1, endsAt - arrivedAt))
     exchange.left.addEventListener('abort', () => ending.abort(), { once: true })
     try {
@@ -181,6 +188,7 @@
       const admitted = await admission.admit({ facts, route, endsAt })
       if (admitted.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, admitted.error, route.name)
       const { team, ended } = admitted.value
+      open.isRelayed = true
       const outcome = await this.relay({
         exchange,
         facts,
--- a/packages/ingress/src/runtime/graceful-stop.ts
+++ b/packages/ingress/src/runtime/graceful-stop.ts
@@ -15,6 +15,8 @@
 const EXIT_MILLISECONDS = 700
 /** Interval between checks whether requests are still in progress. */
 const POLL_MILLISECONDS = 25
+/** Longest time for the last responses to leave this process. */
+const LAST_RESPONSES_MILLISECONDS = 150
 
 /** The listener to stop, and how long that may take. */
 export interface GracefulStopOptions {
@@ -26,7 +28,7 @@
   readonly graceMilliseconds: number
 }
 
-/** Resolves when no request is in progress, or shortly before the grace period ends; requests that are still open then are cut off. */
+/** Resolves when no request is in progress, or shortly before the grace period ends; requests that are still open then are ended. */
 export async function stopGracefully ({ listener, tunnels, clock, logger, graceMilliseconds }: GracefulStopOptions): Promise<void> {
   const startedAt = clock.now()
   const deadline = startedAt + graceMilliseconds - EXIT_MILLISECONDS
@@ -40,6 +42,8 @@
     listener.stopAccepting()
   }
   logger.info('No more requests are served.', { cutOff: listener.requestsInProgress, tunnels: tunnels.count, milliseconds: Math.round(clock.now() - startedAt) })
+  listener.endRequests()
+  while (listener.requestsInProgress > 0 && clock.now() < deadline + LAST_RESPONSES_MILLISECONDS) await clock.sleep(POLL_MILLISECONDS)
   listener.destroy()
   tunnels.destroy()
 }
--- a/packages/ingress/test/late-requests.failure.test.ts
+++ b/packages/ingress/test/late-requests.failure.test.ts
@@ -8,9 +8,9 @@
 import { stopGracefully } from '../src/runtime/graceful-stop.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
 import type { CallerView, IngressSetup } from './support/ingress-under-test.js'
-import { framed, RawEndpoint, silence } from './support/raw-endpoint.js'
+import { framed, RawEndpoint, silence, stream } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
-import { route } from './support/samples.js'
+import { key, route } from './support/samples.js'
 
 /** Half of it is left to the load balancer, and 0.7 s before its end the requests in progress are ended. */
 const GRACE_MILLISECONDS = 2_000
@@ -97,4 +97,19 @@
     await stopping
     expect({ early: await early, late, relayed: slow.requests.length }).toEqual({ early: '200 whole', late: ['503 whole', '200 whole'], relayed: 7 })
   }, 15_000)
+
+  // Guards against connections that are closed without an answer at the end of the grace period, which tells a caller nothing.
+  it('answers at the end that the outcome of a request is unknown, and ends a stream after a whole event', async () => {
+    const [plain, engine] = [await RawEndpoint.start(silence), await RawEndpoint.start(stream([1, 2], (socket) => { socket.write('8\r\nid: 3\nda\r\n') }))]
+    const under = await start({
+      routes: [route({ kind: 'unsafe', timeoutMilliseconds: 9_000 }), route({ pathPrefix: '/stream/', kind: 'stream', timeoutMilliseconds: 9_000, targets: [{ service: 'engines', weight: 1 }] })],
+      endpoints: [{ id: 'p', raw: plain }, { id: 'e', raw: engine, adapters: [{ key: key('poem'), version: 1 }] }]
+    })
+    const asking = outcome(under.ask('/'))
+    const streaming = under.ask('/stream/', { 'x-adapter': 'poem' })
+    await expect.poll(() => plain.requests.length + engine.requests.length).toBe(2)
+    await stop(under)
+    const { whole, body } = await streaming
+    expect({ outcome: await asking, whole, events: body.split('\n\n').length - 1, tail: body.split('\n\n').at(-1) }).toEqual({ outcome: '502 whole', whole: false, events: 2, tail: '' })
+  })
 })
