LOST, planned stops: answer pipelined requests before their connection is closed

Callers that send a further request on a connection before the response to the one before it lost the further one when the instance stopped: it was passed on, ran, and its connection was closed after the first response.

Cause: while an instance stops, each response closes its connection, whatever else was passed on from there.

Now a connection is closed after the last response that is due on it; responses before that do not say that they close it. A request that arrives behind a response which has already said so is not passed on.

The new test of late-requests.failure.test.ts failed before: one response of two.

--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -149,26 +149,28 @@
   private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAt = this.parts.clock.now()
     const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests)
-    const request = this.open.begin(exchange)
-    if (this.stopping) outgoing.setHeader('connection', 'close')
-    outgoing.on('finish', () => this.closeKeptAliveConnection(incoming))
+    const request = this.open.begin(incoming, outgoing, exchange)
+    const isAnswerable = !this.stopping || this.open.askToLeave(incoming, request)
+    outgoing.on('finish', () => this.closeKeptAliveConnection(incoming, request))
     try {
-      await this.route(request, arrivedAt)
+      if (isAnswerable) await this.route(request, arrivedAt)
+      else exchange.refuse(stoppingError())
     } catch (cause) {
       this.parts.logger.error('A request failed because of an unexpected error in this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
       await exchange.delivered()
-      this.open.ended(request)
+      this.open.ended(incoming, request)
     }
   }
 
   /**
    * Closes the connection of a request that was answered while this instance is stopping. A response that began before the stop did not
    * ask its caller to use another connection. If its connection stayed open, the next request could arrive there until the process exits.
+   * Requests that the caller has already pipelined there are answered first, since they may run.
    */
-  private closeKeptAliveConnection (incoming: IncomingMessage): void {
-    if (this.stopping) incoming.socket.destroySoon()
+  private closeKeptAliveConnection (incoming: IncomingMessage, request: OpenRequest): void {
+    if (this.stopping && !this.open.hasOthers(incoming, request)) incoming.socket.destroySoon()
   }
 
   private async route (open: OpenRequest, arrivedAt: number): Promise<void> {
--- a/packages/ingress/test/late-requests.failure.test.ts
+++ b/packages/ingress/test/late-requests.failure.test.ts
@@ -2,6 +2,7 @@
 // endpoint cannot finish it is lost if it may not be repeated. Its caller would have been served by another instance, had it been told
 // at once that the request did not run.
 import { request } from 'node:http'
+import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { silentLogger, SystemClock } from '@limpetwinch/core'
 import { afterEach, describe, expect, it } from 'vitest'
@@ -16,6 +17,7 @@
 const GRACE_MILLISECONDS = 2_000
 /** The instance accepts no more requests by then, and ends none yet. */
 const AFTER_ROTATION_MILLISECONDS = 1_150
+const SLOW_MILLISECONDS = 500
 /** In this grace period, less than {@link LONG_MILLISECONDS} are left after {@link LATE_MILLISECONDS}, and requests are still accepted. */
 const LONG_GRACE_MILLISECONDS = 4_000
 const LONG_MILLISECONDS = 1_700
@@ -112,4 +114,20 @@
     const { whole, body } = await streaming
     expect({ outcome: await asking, whole, events: body.split('\n\n').length - 1, tail: body.split('\n\n').at(-1) }).toEqual({ outcome: '502 whole', whole: false, events: 2, tail: '' })
   })
+
+  // Guards against a request that is passed on from a connection which the response before it closes.
+  it('answers requests that were pipelined behind another one before it closes their connection', async () => {
+    const raw = await RawEndpoint.start(delayed(SLOW_MILLISECONDS))
+    const under = await start({ routes: [route({ kind: 'unsafe' })], endpoints: [{ id: 'p', raw }] })
+    const socket = connect(under.port, '127.0.0.1')
+    let received = ''
+    socket.on('data', (bytes) => { received += String(bytes) })
+    const head = 'GET / HTTP/1.1\r\nhost: listings.example\r\nx-request-id: one\r\n\r\n'
+    socket.write(head)
+    await expect.poll(() => raw.requests.length).toBe(1)
+    socket.write(head)
+    await expect.poll(() => raw.requests.length).toBe(2)
+    await stop(under)
+    expect(received.match(/HTTP\/1.1 200/g)).toHaveLength(2)
+  })
 })
