--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -68,5 +68,5 @@
   })
   const { heldResponses } = components.senders
   const heldRequests = new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes), () => heldResponses.bytes)
-  return new RoutedListener({ ...shared, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests, heldResponses })
+  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests, heldResponses })
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -13,11 +13,15 @@
 import type { Configuration, Route, Service } from '../routes/configuration.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
 import { CallerExchange } from './caller-exchange.js'
+import { OpenRequests } from './open-requests.js'
+import type { OpenRequest } from './open-requests.js'
 import type { RelayOutcome } from './relay-outcome.js'
 import type { HeldRequestBytes } from './held-request-bytes.js'
 import type { HeldResponseBytes } from './held-response-bytes.js'
 import type { RequestCodec, RequestFacts } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
+import { stoppingError } from './stop-gate.js'
+import type { StopGate } from './stop-gate.js'
 
 /**
  * Largest request headers that the HTTP server parses. The server is created before the configuration is known, so the configured limit is
@@ -37,12 +41,6 @@
 /** Time limit for receiving a request with its body; the timeouts of routes are usually shorter. */
 const BODY_MILLISECONDS = 60_000
 
-/**
- * `retry-after` of refusals while this instance is stopping, in seconds. The time is short because the load balancer assigns the caller's next
- * connection to another instance.
- */
-const STOPPING_RETRY_SECONDS = 0.05
-
 /**
  * `retry-after` of requests without a route while the configuration may be out of date, in seconds: the next connection may reach an
  * instance that has a newer one.
@@ -69,6 +67,7 @@
   readonly random: () => number
   readonly streams: RequestRelay
   readonly services: RequestRelay
+  readonly stopGate: StopGate
   readonly heldRequests: HeldRequestBytes
   readonly heldResponses: HeldResponseBytes
 }
@@ -84,7 +83,7 @@
 export class RoutedListener {
   private readonly parts: RoutedListenerDependencies
   private readonly server: Server
-  private inProgress = 0
+  private readonly open = new OpenRequests()
   private stopping = false
   private refusing = false
 
@@ -103,7 +102,7 @@
 
   /** Number of requests that are not answered yet. */
   get requestsInProgress (): number {
-    return this.inProgress
+    return this.open.count
   }
 
   /**
@@ -120,18 +119,29 @@
     })
   }
 
-  /** From now on, each response asks its caller to use another connection for the next request. */
-  startStopping (): void {
+  /**
+   * From now on, each response asks its caller to use another connection for the next request, and requests that would not end in time are refused.
+   *
+   * @param endsAt - monotonic time at which the requests in progress will be ended
+   */
+  startStopping (endsAt = Infinity): void {
     this.stopping = true
+    this.parts.stopGate.begin(endsAt)
   }
 
   /** Accepts no new connections, closes idle connections and refuses requests that still arrive on busy connections. */
   stopAccepting (): void {
     this.refusing = true
+    this.parts.stopGate.rotationEnded()
     this.server.close()
     this.server.closeIdleConnections()
   }
 
+  /** Ends the requests in progress: each response that has not begun says whether the request may have run. */
+  endRequests (): void {
+    this.open.endAll(stoppingError())
+  }
+
   /** Stops listening and closes all connections. */
   destroy (): void {
     this.server.close()
@@ -140,38 +150,40 @@
 
   private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAt = this.parts.clock.now()
-    this.inProgress += 1
-    if (this.stopping) outgoing.setHeader('connection', 'close')
-    outgoing.on('finish', () => this.closeKeptAliveConnection(incoming))
     const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests, this.parts.heldResponses)
+    const request = this.open.begin(incoming, outgoing, exchange)
+    const isAnswerable = !this.stopping || this.open.askToLeave(incoming, request)
+    outgoing.on('finish', () => this.closeKeptAliveConnection(incoming, request))
     try {
-      await this.route(exchange, arrivedAt)
+      if (isAnswerable) await this.route(request, arrivedAt)
+      else exchange.refuse(stoppingError())
     } catch (cause) {
       this.parts.logger.error('A request failed because of an unexpected error in this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
       await exchange.delivered()
-      this.inProgress -= 1
+      this.open.ended(incoming, request)
     }
   }
 
   /**
    * Closes the connection of a request that was answered while this instance is stopping. A response that began before the stop did not
    * ask its caller to use another connection. If its connection stayed open, the next request could arrive there until the process exits.
+   * Requests that the caller has already pipelined there are answered first, since they may run.
    */
-  private closeKeptAliveConnection (incoming: IncomingMessage): void {
-    if (this.stopping) incoming.socket.destroySoon()
+  private closeKeptAliveConnection (incoming: IncomingMessage, request: OpenRequest): void {
+    if (this.stopping && !this.open.hasOthers(incoming, request)) incoming.socket.destroySoon()
   }
 
-  private async route (exchange: CallerExchange, arrivedAt: number): Promise<void> {
+  private async route (open: OpenRequest, arrivedAt: number): Promise<void> {
     const { codec, admission } = this.parts
+    const { exchange, ending } = open
     const { incoming } = exchange
     const facts = codec.read(incoming.headers)
     const routed = this.findRoute(incoming, facts)
     if (routed.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, routed.error)
     const { route, service, configuration } = routed.value
     const endsAt = arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity)
-    const ending = new AbortController()
     const timer = setTimeout(() => ending.abort(), Math.max(1, endsAt - arrivedAt))
     exchange.left.addEventListener('abort', () => ending.abort(), { once: true })
     try {
@@ -180,6 +192,7 @@
       const admitted = await admission.admit({ facts, route, endsAt })
       if (admitted.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, admitted.error, route.name)
       const { team, ended } = admitted.value
+      open.isRelayed = true
       const outcome = await this.relay({
         exchange,
         facts,
@@ -194,7 +207,8 @@
         body: body.value,
         arrivedAt,
         endsAt,
-        signal: ending.signal
+        signal: ending.signal,
+        end: (error) => ending.abort(error)
       })
       ended(outcome)
     } finally {
@@ -205,7 +219,7 @@
   /** Finds the route and the service of a request from its headers alone. @returns the error for a request that must not be relayed */
   private findRoute (incoming: IncomingMessage, facts: RequestFacts): Result<RouteOfRequest, LimpetwinchError> {
     // A request that is relayed now might be truncated at the end of the stop's grace period.
-    if (this.refusing) return err(new LimpetwinchError('stopping', {}, { retryAfterSeconds: STOPPING_RETRY_SECONDS }))
+    if (this.refusing) return err(stoppingError())
     const inForce = this.parts.configuration.current
     if (inForce === undefined) return err(new LimpetwinchError('not-configured'))
     const { configuration } = inForce
