ORDER: a process that has read no endpoint takes no version for the only one

What callers saw: a stream that was taken up at an instance which had just started could go on at another version. Cause: the age of what is known of endpoints counts from the start until the first proof, so for the first two to four seconds a process that had read the load owners, which are read first, and no endpoint counted as one that knows all; so did one whose members had all been listed less than 1.2 s ago. The only version that the owners name was then taken for the origin. Seen in a test without a network only: with real instances it takes a version that no owner names. Why it works: nothing is inferred from the endpoints before they were proved once, by the store or by a peer whose state this process has.

--- a/packages/ingress/src/streams/create-stream-origins.ts
+++ b/packages/ingress/src/streams/create-stream-origins.ts
@@ -23,6 +23,8 @@
 /** @returns the stream origins; {@link StreamOrigins.connect} registers their handlers */
 export function createStreamOrigins (components: StreamOriginComponents): StreamOrigins {
   const { self, clock, logger, metrics, freshness, members, overlay, areMembersKnown } = components
+  // The age of what a process knows counts from its start until the first proof, so a process that has read nothing yet is not overdue.
+  const areEndpointsKnown = (): boolean => areMembersKnown() && freshness.isProved('endpoints')
   return new StreamOrigins({
     self,
     clock,
@@ -39,7 +41,7 @@
     },
     isLeaf: (neighbour) => overlay.isLeaf(neighbour),
     notify: (to, frame) => overlay.notify(to, frame),
-    areEndpointsCurrent: () => areMembersKnown() && !freshness.isOverdue('endpoints'),
-    areAllReachable: () => areMembersKnown() && members.reachableShare() === 1
+    areEndpointsCurrent: () => areEndpointsKnown() && !freshness.isOverdue('endpoints'),
+    areAllReachable: () => areEndpointsKnown() && members.reachableShare() === 1
   })
 }
