ORDER: a claim that names no version counts as one of an unknown version

What callers saw: a stream that was taken up after all instances were killed could go on at another version, where the engine that began it had left and its claim was that of an earlier release, or its entry stated no version. Cause: such a claim was passed over, so the only version that was left counted as the origin. Evidence: packages/ingress/test/stream-origins.failure.test.ts, "counts as unknown where the claim of its engine names none": v1.1 in place of nothing on the earlier sources.

--- a/packages/ingress/src/streams/software-versions.ts
+++ b/packages/ingress/src/streams/software-versions.ts
@@ -1,5 +1,5 @@
 /** Tracks which software versions the endpoints of each service run, and which they ran for as long as streams from then may be resumed. */
-import type { Clock } from '@limpetwinch/core'
+import type { Clock, EndpointId } from '@limpetwinch/core'
 import type { LoadOwner } from '../members/cluster-objects.js'
 import { namesIn, UNSTATED_VERSION } from '../members/engine-names.js'
 import type { Endpoint, ServiceName, SoftwareVersion } from '../routes/configuration.js'
@@ -15,6 +15,10 @@
   private readonly lastSeen = new Map<ServiceName, Map<SoftwareVersion, number>>()
   private readonly mixed = new Set<ServiceName>()
   private readonly mixedListeners: ((service: ServiceName) => void)[] = []
+  /** Start time of each endpoint in the last listing. */
+  private startTimes = new Map<EndpointId, number>()
+  /** Engines that were not seen, with claims that name no version: what the claim says of the start, and monotonic time at which it was first seen. */
+  private readonly unnamed = new Map<EndpointId, { readonly born: number | undefined, readonly at: number }>()
   private newestToken = 0
 
   /** @param clock - its monotonic clock is used */
@@ -35,6 +39,8 @@
       const versions = this.present.get(service) ?? new Set()
       this.present.set(service, versions.add(softwareVersion))
     }
+    this.startTimes = new Map(endpoints.map(({ id, born }) => [id, born]))
+    for (const [endpoint, { born }] of this.unnamed) if (this.isPresent(endpoint, born)) this.unnamed.delete(endpoint)
     for (const service of this.present.keys()) this.notifyIfMixed(service)
   }
 
@@ -46,6 +52,7 @@
     const newest = Math.max(this.newestToken, ...owners.map(({ token }) => token))
     for (const owner of owners) {
       if (owner.token <= this.newestToken) continue
+      if (namesIn(owner).length === 0 && !this.isPresent(owner.endpoint, owner.born)) this.unnamed.set(owner.endpoint, { born: owner.born, at: this.clock.now() })
       for (const { service, softwareVersion } of namesIn(owner)) this.recordSeen(service, softwareVersion)
     }
     this.newestToken = newest
@@ -59,6 +66,7 @@
       if (this.clock.now() - at <= STREAM_LIFETIME_MILLISECONDS) versions.add(version)
       else seen?.delete(version)
     }
+    if (this.hasUnnamed()) versions.add(UNSTATED_VERSION)
     return versions
   }
 
@@ -68,6 +76,18 @@
     return versions.size > 1 || versions.has(UNSTATED_VERSION)
   }
 
+  /** @returns whether the endpoint is listed with the process that a claim is about; a claim that does not say so counts as one about it */
+  private isPresent (endpoint: EndpointId, born: number | undefined): boolean {
+    const startTime = this.startTimes.get(endpoint)
+    return startTime !== undefined && (born === undefined || born === startTime)
+  }
+
+  /** @returns whether an engine has left of which neither the service nor the version is known, so lately that streams from then may be resumed */
+  private hasUnnamed (): boolean {
+    for (const [endpoint, { at }] of this.unnamed) if (this.clock.now() - at > STREAM_LIFETIME_MILLISECONDS) this.unnamed.delete(endpoint)
+    return this.unnamed.size > 0
+  }
+
   private recordSeen (service: ServiceName, version: SoftwareVersion): void {
     const seen = this.lastSeen.get(service) ?? new Map<SoftwareVersion, number>()
     this.lastSeen.set(service, seen.set(version, this.clock.now()))
--- a/packages/ingress/test/stream-origins.failure.test.ts
+++ b/packages/ingress/test/stream-origins.failure.test.ts
@@ -164,6 +164,23 @@
     expect(await fleet.resume(instanceAt(0), 'unknown')).toBeUndefined()
   })
 
+  // Guards against streams of an engine that has left, whose load owner is of an earlier release and named no version.
+  it('counts as unknown where the claim of its engine names none', async () => {
+    fleet = await StreamFleet.start(1, 3, 'v1.1')
+    fleet.showLoadOwner(instanceAt(0), undefined)
+    expect(await fleet.resume(instanceAt(0), 'unknown')).toBeUndefined()
+    await fleet.clock.advance(STREAM_LIFETIME_MILLISECONDS + 1)
+    expect(await fleet.resume(instanceAt(0), 'unknown')).toBe('v1.1')
+  })
+
+  it('is that of the entry where the claim of an engine names none and the engine was seen', async () => {
+    fleet = await StreamFleet.start(1, 3, 'v1.1')
+    fleet.showLoadOwner(instanceAt(0), undefined, 'e-v1.1')
+    expect(await fleet.resume(instanceAt(0), 'unknown')).toBe('v1.1')
+    fleet.show()
+    expect(await fleet.resume(instanceAt(0), 'unknown')).toBe('v1.1')
+  })
+
   it('that an endpoint does not state makes its streams go on nowhere else', async () => {
     fleet = await StreamFleet.start(1, 3, 'v1')
     fleet.showTo(instanceAt(0), 'v1', undefined)
--- a/packages/ingress/test/support/stream-fleet.ts
+++ b/packages/ingress/test/support/stream-fleet.ts
@@ -56,10 +56,10 @@
     known.applyEndpoints(versions.map((version): Endpoint => endpoint(`e-${version}`, { service: SERVICE, softwareVersion: version as SoftwareVersion | undefined })))
   }
 
-  /** Names the software version of an engine that has left to one instance, as the store does. */
-  showLoadOwner ({ versions }: StreamingInstance, version: string): void {
-    const engine = { service: SERVICE, softwareVersion: version as SoftwareVersion }
-    versions.applyLoadOwners([{ endpoint: endpoint('gone').id, holder: 'any', previous: undefined, claimedAt: 0, token: 1 as FencingToken, engine }])
+  /** Names the software version of an engine to one instance, as the store does; undefined is that of a claim which names none. */
+  showLoadOwner ({ versions }: StreamingInstance, version: string | undefined, id = 'gone'): void {
+    const engine = version === undefined ? undefined : { service: SERVICE, softwareVersion: version as SoftwareVersion }
+    versions.applyLoadOwners([{ endpoint: endpoint(id).id, holder: 'any', previous: undefined, claimedAt: 0, token: 1 as FencingToken, engine }])
   }
 
   /** Begins a stream at an instance. */
