--- a/packages/core/src/platform/store-connection.ts
+++ b/packages/core/src/platform/store-connection.ts
@@ -36,6 +36,8 @@
   readonly status: number
   /** The parsed JSON body, or undefined for any other body, such as an error page; callers then use the status alone. */
   readonly body: unknown
+  /** Size of the body. */
+  readonly bytes: number
 }
 
 /** Options of the connections to a store. */
@@ -99,8 +101,8 @@
       ...(call.body === undefined ? {} : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } })
     })
     // Invalid UTF-8 is replaced and not rejected, so that one object with invalid bytes does not hide all other objects of a list.
-    const text = (await readBoundedBytes(this.counted(response.body), this.maximumAnswerBytes)).toString('utf8')
-    return { status: response.statusCode, body: parseJson(text) }
+    const body = await readBoundedBytes(this.counted(response.body), this.maximumAnswerBytes)
+    return { status: response.statusCode, body: parseJson(body.toString('utf8')), bytes: body.length }
   }
 
   /** @returns the chunks of a body, which count as held until all of them have been read */
