LOST, planned stops: let requests go on that an endpoint may have begun to run

Cause: the check of the stop asked about each attempt. A refusal as not run is of use only to a request that did not run.

--- a/packages/ingress/src/relay/endpoint-senders.ts
+++ b/packages/ingress/src/relay/endpoint-senders.ts
@@ -112,6 +112,7 @@
     if (backoffs.isBackingOff(options.endpoint.id)) return this.holdBack(request, options.endpoint)
     const refusal = this.stopGate.refusalOf(request, options.grounds.forecastMilliseconds)
     if (refusal !== undefined) return this.refuseStopping(request, refusal)
+    const isFirst = this.stopGate.sent(request)
     const pool = this.pool(options.endpoint)
     const connection = pool.acquire(clock.now())
     const attempt = new Attempt(connection, codec, { held: this.held, fillerMilliseconds: fillerMilliseconds(request.route) })
@@ -167,6 +168,7 @@
       if (attempt.wasSent) quarantine.sent(request)
       const answerMilliseconds = answerBeganAt === undefined ? undefined : quarantine.answerTime.now() - answerBeganAt
       if (end.kind === 'whole' && attempt.wasServed) this.stopGate.record(request, { milliseconds: clock.now() - sentAt, answerMilliseconds })
+      else if (isFirst && (end.kind === 'not-sent' || end.kind === 'whole')) this.stopGate.notRun(request)
       const run = { milliseconds: clock.now() - sentAt, answerMilliseconds, response: attempt.responseProgress }
       if (attempt.lostConnection) quarantine.lost(request, options.endpoint, run)
       else if (end.kind === 'whole' && attempt.wasServed) quarantine.answered(request, options.endpoint, run, attempt.endedWithConnection)
--- a/packages/ingress/src/relay/stop-gate.ts
+++ b/packages/ingress/src/relay/stop-gate.ts
@@ -32,6 +32,8 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly durations = new Map<string, RunDurations>()
+  /** Requests that an endpoint may have begun to run. */
+  private readonly begun = new WeakSet<RoutedRequest>()
   private endsAt = Infinity
   private isRotationOver = false
 
@@ -50,6 +52,18 @@
     this.isRotationOver = true
   }
 
+  /** Called when a request is sent. @returns whether no endpoint can have begun to run it before */
+  sent (request: RoutedRequest): boolean {
+    const isFirst = !this.begun.has(request)
+    this.begun.add(request)
+    return isFirst
+  }
+
+  /** Called when the only attempt so far that may have run has proved that it did not. */
+  notRun (request: RoutedRequest): void {
+    this.begun.delete(request)
+  }
+
   /** Records a complete response, so that the gate knows how long such requests last. */
   record (request: RoutedRequest, { milliseconds, answerMilliseconds }: CompleteRun): void {
     if (request.facts.lastEventId !== undefined) return
@@ -63,13 +77,14 @@
   }
 
   /**
-   * Called right before a request is sent, since it may have waited since it arrived. A response that has begun goes on as long as it can.
+   * Called right before a request is sent, since it may have waited since it arrived. A request that an endpoint may have begun to run, as one that
+   * leaves a slow endpoint for another one, goes on as long as it can: its caller cannot be told that it did not run.
    *
    * @param forecastMilliseconds - forecast time until the first event of a stream; undefined for plain services
    * @returns the error of a request that must not be sent
    */
   refusalOf (request: RoutedRequest, forecastMilliseconds = 0): LimpetwinchError | undefined {
-    if (this.endsAt === Infinity || request.exchange.hasResponseStarted) return undefined
+    if (this.endsAt === Infinity || this.begun.has(request)) return undefined
     const millisecondsLeft = this.endsAt - this.clock.now()
     const { key, size } = sizeOf(request)
     const isInTime = endsInTime({ millisecondsLeft, forecastMilliseconds: size === 1 ? 0 : forecastMilliseconds, size, durations: this.durations.get(key) })
