LOST, planned stops: give up no run for one that would not end in time

Cause: the search for another endpoint did not know of the stop.

Now a plain request stays where it runs when what is known of its route says that another run would not end before the instance does.

The new test of late-requests.failure.test.ts failed before: 502 for 200.

--- a/packages/ingress/src/relay/service-relay.ts
+++ b/packages/ingress/src/relay/service-relay.ts
@@ -140,6 +140,7 @@
     })
     let hasEnded = false
     const switchEndpoint = async (): Promise<void> => {
+      if (!senders.stopGate.allowsAnother(request)) return
       // Without another endpoint, the attempt goes on: its late response is the only one that the caller can get.
       const found = await next()
       if (hasEnded) found?.giveBack('abandoned', 0)
--- a/packages/ingress/src/relay/stop-gate.ts
+++ b/packages/ingress/src/relay/stop-gate.ts
@@ -85,15 +85,29 @@
    */
   refusalOf (request: RoutedRequest, forecastMilliseconds = 0): LimpetwinchError | undefined {
     if (this.endsAt === Infinity || this.begun.has(request)) return undefined
-    const millisecondsLeft = this.endsAt - this.clock.now()
-    const { key, size } = sizeOf(request)
-    const isInTime = endsInTime({ millisecondsLeft, forecastMilliseconds: size === 1 ? 0 : forecastMilliseconds, size, durations: this.durations.get(key) })
+    const isInTime = this.isInTime(request, forecastMilliseconds)
     if (isInTime ?? !this.isRotationOver) return undefined
     this.logger.info('A request was refused because it would not end before this instance does.', {
-      request: request.facts.requestId, route: request.route.name, millisecondsLeft: Math.round(millisecondsLeft), durationKnown: isInTime !== undefined
+      request: request.facts.requestId, route: request.route.name, millisecondsLeft: Math.round(this.endsAt - this.clock.now()), durationKnown: isInTime !== undefined
     })
     return stoppingError()
   }
+
+  /** @returns whether a run in progress may be given up for another one, which begins anew: not if that one would not end in time */
+  allowsAnother (request: RoutedRequest): boolean {
+    return this.endsAt === Infinity || this.isInTime(request, 0) !== false
+  }
+
+  /** @returns whether a run that begins now is likely to end before this instance does; undefined when too little is known of such runs */
+  private isInTime (request: RoutedRequest, forecastMilliseconds: number): boolean | undefined {
+    const { key, size } = sizeOf(request)
+    return endsInTime({
+      millisecondsLeft: this.endsAt - this.clock.now(),
+      forecastMilliseconds: size === 1 ? 0 : forecastMilliseconds,
+      size,
+      durations: this.durations.get(key)
+    })
+  }
 }
 
 /** @returns the error of a request that did not run because this instance stops */
--- a/packages/ingress/test/late-requests.failure.test.ts
+++ b/packages/ingress/test/late-requests.failure.test.ts
@@ -22,6 +22,9 @@
 const LONG_GRACE_MILLISECONDS = 4_000
 const LONG_MILLISECONDS = 1_700
 const LATE_MILLISECONDS = 1_800
+/** A second run that begins when a request leaves a slow endpoint would not end in time. */
+const HALF_LONG_MILLISECONDS = 1_000
+const TWO = Array.from({ length: 2 })
 const SIX = Array.from({ length: 6 })
 
 const ending: { stop: () => void }[] = []
@@ -100,6 +103,18 @@
     expect({ early: await early, late, relayed: slow.requests.length }).toEqual({ early: '200 whole', late: ['503 whole', '200 whole'], relayed: 7 })
   }, 15_000)
 
+  // Guards against a safe request that leaves a slow endpoint for another one, begins anew there and does not end in time.
+  it('lets a request end where it runs when another run would not end in time', async () => {
+    const slow = await Promise.all(TWO.map(async () => await RawEndpoint.start(delayed(HALF_LONG_MILLISECONDS))))
+    const under = await start({ routes: [route({ objectiveMilliseconds: 900, timeoutMilliseconds: 9_000 })], endpoints: slow.map((raw, index) => ({ id: `s${index}`, raw })) })
+    await Promise.all(SIX.map(async () => await under.ask('/')))
+    const stopping = stop(under, LONG_GRACE_MILLISECONDS)
+    await sleep(LATE_MILLISECONDS)
+    const answer = await outcome(under.ask('/'))
+    await stopping
+    expect(answer).toBe('200 whole')
+  }, 15_000)
+
   // Guards against connections that are closed without an answer at the end of the grace period, which tells a caller nothing.
   it('answers at the end that the outcome of a request is unknown, and ends a stream after a whole event', async () => {
     const [plain, engine] = [await RawEndpoint.start(silence), await RawEndpoint.start(stream([1, 2], (socket) => { socket.write('8\r\nid: 3\nda\r\n') }))]
