VERSION: late begins are told from the version that the engine offered, not from the response

The version that responses state is that of the model, whatever adapter serves. An engine that begins to replace an adapter refuses what waits for it, so that the version that was offered at the send is the one that serves.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -223,9 +223,9 @@
     const sentAt = clock.now()
     const versioned = versionedSends.begin(request, endpoint.id, sentAt)
     const failover = new FailoverSearch(async (ending) => await this.findReplacement(engine, ending), () => stream.fail(REPLACED))
-    const stream = new StreamAttempt(request.exchange, progress, this.idleWatch(failover, forecastMilliseconds), clock, (response) => {
+    const stream = new StreamAttempt(request.exchange, progress, this.idleWatch(failover, forecastMilliseconds), clock, () => {
       this.recordOrigin(endpoint)
-      versionedSends.answerBegan(request, endpoint.id, response, clock.now())
+      versionedSends.answerBegan(request, endpoint.id, versioned, clock.now())
       ticket.prefilled()
       forecast.observe(endpoint.id, forecastMilliseconds, clock.now() - sentAt, readTokens)
       if (facts.adapter !== undefined) prefixes.recordPrompt(endpoint.id, facts.adapter.key, facts.promptParts, service.engine?.memoryTokens ?? 0)
--- a/packages/ingress/src/relay/request-codec.ts
+++ b/packages/ingress/src/relay/request-codec.ts
@@ -82,8 +82,6 @@
   readonly backoffMilliseconds: number | 'malformed' | undefined
   /** Whether the endpoint says that it is leaving. */
   readonly isLeaving: boolean
-  /** Version of the adapter that serves the request; undefined when the response states none. */
-  readonly adapterVersion: number | undefined
   /** Id of the endpoint that answered; undefined when the response does not name it. */
   readonly answeredBy: string | undefined
 }
--- a/packages/ingress/src/relay/stream-attempt.ts
+++ b/packages/ingress/src/relay/stream-attempt.ts
@@ -6,7 +6,6 @@
 import type { RunningAttempt } from './endpoint-senders.js'
 import type { CompleteEvent } from './event-splitter.js'
 import { EventSplitter, MAXIMUM_EVENT_BYTES } from './event-splitter.js'
-import type { ResponseFacts } from './request-codec.js'
 
 /**
  * Time without an event after which a stream counts as idle. Engines produce an event of a stream every few milliseconds, so the engine of
@@ -60,7 +59,7 @@
   private readonly progress: StreamProgress
   private readonly idleWatch: IdleWatch | undefined
   private readonly clock: Clock
-  private readonly onFirstEvent: (response: ResponseFacts | undefined) => void
+  private readonly onFirstEvent: () => void
   /** Time between the events of this attempt, from which the speed of the engine is learnt. */
   readonly spacing = new EventSpacing()
   private readonly splitter = new EventSplitter()
@@ -82,9 +81,9 @@
    * @param progress - shared by all attempts of the stream
    * @param idleWatch - called while the stream is idle; undefined when the stream may not continue on another engine
    * @param clock - monotonic time
-   * @param onFirstEvent - called once, with the first event of this attempt and what the head of the response states
+   * @param onFirstEvent - called once, with the first event of this attempt
    */
-  constructor (exchange: CallerExchange, progress: StreamProgress, idleWatch: IdleWatch | undefined, clock: Clock, onFirstEvent: (response: ResponseFacts | undefined) => void) {
+  constructor (exchange: CallerExchange, progress: StreamProgress, idleWatch: IdleWatch | undefined, clock: Clock, onFirstEvent: () => void) {
     this.exchange = exchange
     this.progress = progress
     this.idleWatch = idleWatch
@@ -173,7 +172,7 @@
     this.hasEvents = true
     this.progress.firstEventAt ??= this.clock.now()
     if (this.head !== undefined) this.exchange.beginResponse(this.head)
-    this.onFirstEvent(this.head?.facts)
+    this.onFirstEvent()
   }
 
   private isOld (id: string): boolean {
--- a/packages/ingress/src/relay/versioned-sends.ts
+++ b/packages/ingress/src/relay/versioned-sends.ts
@@ -3,7 +3,6 @@
 import type { AdapterLocations } from '../adapters/adapter-locations.js'
 import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
-import type { ResponseFacts } from './request-codec.js'
 import type { RoutedRequest } from './routed-request.js'
 
 /** Dependencies of the versions of attempts. */
@@ -48,10 +47,12 @@
     return adapter !== undefined && offered !== undefined && offered < (this.parts.versions.newest(adapter.key) ?? 0)
   }
 
-  /** Checks the version with which an engine began to answer. @param response - of the engine; undefined if there was none */
-  answerBegan ({ facts: { adapter, requestId }, service }: Pick<RoutedRequest, 'facts' | 'service'>, endpoint: EndpointId, response: ResponseFacts | undefined, now: number): void {
-    const version = response?.adapterVersion
-    if (adapter?.name === undefined || version === undefined) return
+  /**
+   * Checks the version with which an engine began to answer. Responses do not state the version of the adapter. It is the one that the
+   * engine offered at the send, since an engine refuses the requests that wait for an adapter when it begins to replace it.
+   */
+  answerBegan ({ facts: { adapter, requestId }, service }: Pick<RoutedRequest, 'facts' | 'service'>, endpoint: EndpointId, { offered: version, expectedVersion }: VersionedSend, now: number): void {
+    if (adapter === undefined || version === undefined || expectedVersion !== undefined) return
     const newest = this.parts.versions.newest(adapter.key) ?? 0
     const millisecondsLate = Math.round(now - (this.parts.versions.previousServesUntil(adapter.key) ?? now))
     if (version >= newest || millisecondsLate <= 0) return
