VERSION: an old adapter version gets a request only if the request begins there in time

A request was sent to an engine with the previous version for as long as that version could be sent to, however long the wait at that engine was: the record's request waited for 3.65 s with 3.3 s left. The recall covers engines with a load owner only.

An engine with an older version is chosen only if three times the forecast of the first event, and twice the wait of the own attempt that waits longest there, fit into the time that is left. Where no engine is left, the adapter is loaded, as if none held it. What is sent there all the same and has no load owner is covered by this alone.

--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -25,6 +25,7 @@
 import { RoutedListener } from './routed-listener.js'
 import { ServiceRelay } from './service-relay.js'
 import { StreamRelay } from './stream-relay.js'
+import type { WaitingAttempts } from './waiting-attempts.js'
 import { VersionedSends } from './versioned-sends.js'
 
 /** The components that the listener and its relays need. */
@@ -40,6 +41,7 @@
   readonly budgets: RetryBudgets
   readonly locations: AdapterLocations
   readonly versions: AdapterVersions
+  readonly waiting: WaitingAttempts
   readonly engineFinder: EngineFinder
   readonly workTracker: EndpointWorkTracker
   readonly forecast: FirstEventForecast
--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -238,6 +238,7 @@
     const result = await stream.run((sink) => senders.send(request, options, sink))
     if (result.kind !== 'not-sent') this.wasSent = true
     ticket.ended()
+    versioned.ended()
     this.wasRecalled ||= result.kind === 'other-answer' && result.head.facts.notRun && versionedSends.isReplaced(request, versioned)
     const replacement = await failover.end()
     if (replacement !== undefined) this.left = endpoint.id
--- a/packages/ingress/src/relay/versioned-sends.ts
+++ b/packages/ingress/src/relay/versioned-sends.ts
@@ -4,12 +4,14 @@
 import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
 import type { RoutedRequest } from './routed-request.js'
+import type { WaitingAttempts } from './waiting-attempts.js'
 
 /** Dependencies of the versions of attempts. */
 export interface VersionedSendsDependencies {
   readonly logger: Logger
   readonly metrics: Pick<IngressMetrics, 'lateVersionServed'>
   readonly locations: Pick<AdapterLocations, 'holders'>
+  readonly waiting: Pick<WaitingAttempts, 'begin'>
   readonly versions: Pick<AdapterVersions, 'newest' | 'expected' | 'previousServesUntil'>
 }
 
@@ -19,6 +21,8 @@
   readonly expectedVersion: number | undefined
   /** Version that the engine offered; undefined if that is not known. */
   readonly offered: number | undefined
+  /** To be called when the attempt has ended. */
+  readonly ended: () => void
   /** Log fields, present only if the engine offers an older version than the newest: that version, and the milliseconds until requests must not begin on it. */
   readonly grounds: { readonly offeredVersion?: number, readonly versionMillisecondsLeft?: number }
 }
@@ -33,13 +37,13 @@
 
   /** @returns the version with which a request is sent to an engine now */
   begin ({ facts: { adapter } }: Pick<RoutedRequest, 'facts'>, endpoint: EndpointId, now: number): VersionedSend {
-    if (adapter === undefined) return { expectedVersion: undefined, offered: undefined, grounds: {} }
+    if (adapter === undefined) return { expectedVersion: undefined, offered: undefined, ended: () => {}, grounds: {} }
     const { versions, locations } = this.parts
     const { key } = adapter
     const offered = locations.holders(key).get(endpoint)
     const isOlder = offered !== undefined && offered < (versions.newest(key) ?? 0)
     const versionMillisecondsLeft = Math.round((versions.previousServesUntil(key) ?? now) - now)
-    return { expectedVersion: versions.expected(key, now), offered, grounds: isOlder ? { offeredVersion: offered, versionMillisecondsLeft } : {} }
+    return { expectedVersion: versions.expected(key, now), offered, ended: this.parts.waiting.begin(endpoint, now), grounds: isOlder ? { offeredVersion: offered, versionMillisecondsLeft } : {} }
   }
 
   /** @returns whether a newer version than the one that the engine offered at the send has been announced */
@@ -51,7 +55,8 @@
    * Checks the version with which an engine began to answer. Responses do not state the version of the adapter. It is the one that the
    * engine offered at the send, since an engine refuses the requests that wait for an adapter when it begins to replace it.
    */
-  answerBegan ({ facts: { adapter, requestId }, service }: Pick<RoutedRequest, 'facts' | 'service'>, endpoint: EndpointId, { offered: version, expectedVersion }: VersionedSend, now: number): void {
+  answerBegan ({ facts: { adapter, requestId }, service }: Pick<RoutedRequest, 'facts' | 'service'>, endpoint: EndpointId, { offered: version, expectedVersion, ended }: VersionedSend, now: number): void {
+    ended()
     if (adapter === undefined || version === undefined || expectedVersion !== undefined) return
     const newest = this.parts.versions.newest(adapter.key) ?? 0
     const millisecondsLate = Math.round(now - (this.parts.versions.previousServesUntil(adapter.key) ?? now))
--- a/packages/ingress/src/routing/engine-router.ts
+++ b/packages/ingress/src/routing/engine-router.ts
@@ -119,6 +119,8 @@
   readonly dataCentre: string
   /** @returns the lowest version of the adapter with which a new request may start */
   readonly leastVersion: (key: AdapterKey, now: number) => number
+  /** @returns whether a request with this forecast time until its first event begins at an engine while the version there may serve */
+  readonly mayBegin: (endpoint: EndpointId, key: AdapterKey, forecastMilliseconds: number, now: number) => boolean
   /** @returns current duration of an adapter load from the weight store, milliseconds */
   readonly loadMilliseconds: () => number
   /** @returns whether the engine has a load owner, without which it loads nothing */
@@ -136,12 +138,14 @@
 
   /** @returns the engine that holds the adapter and has the lowest cost; undefined when no engine holds it */
   choose (query: EngineQuery, now: number): EngineChoice | undefined {
-    const shape = query.service.engine
-    if (shape === undefined || query.facts.adapter === undefined) return undefined
+    const { service: { engine: shape }, facts: { adapter } } = query
+    if (shape === undefined || adapter === undefined) return undefined
+    const { mayBegin } = this.parts
     let best: EngineChoice | undefined
     let least = Infinity
     for (const endpoint of this.holders(query, now)) {
       const choice = this.estimate(endpoint, shape, query.facts, now)
+      if (!mayBegin(endpoint.id, adapter.key, choice.forecastMilliseconds, now)) continue
       const running = this.parts.workTracker.outstanding(endpoint.id, now).requests * (query.isolated === true ? CRASH_RISK_MILLISECONDS : RUNNING_MILLISECONDS)
       const pauses = this.pauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now) + this.ownPauseCost(endpoint, choice.uncachedTokens, query.gapMilliseconds, now)
       const cost = choice.forecastMilliseconds + running + pauses
@@ -191,7 +195,7 @@
     const { facts } = query
     const { adapter } = facts
     const shape = query.service.engine
-    if (adapter === undefined || adapter.name === undefined || shape === undefined) return undefined
+    if (adapter?.name === undefined || shape === undefined) return undefined
     const crowded = this.isCrowded(query, best.endpoint, shape, now)
     if (!crowded && best.forecastMilliseconds < COPY_GAIN_MILLISECONDS + this.parts.loadMilliseconds()) return undefined
     if (now - (this.copyRequestTimes.get(adapter.key) ?? -Infinity) < COPY_INTERVAL_MILLISECONDS) return undefined
@@ -225,11 +229,10 @@
 
   /** @returns whether the engine is crowded and the adapter of the request is a cause of the crowding */
   private isCrowded ({ service, facts }: EngineQuery, endpoint: Endpoint, shape: EngineShape, now: number): boolean {
-    const { workTracker } = this.parts
-    const { requests } = workTracker.outstanding(endpoint.id, now)
+    const { requests } = this.parts.workTracker.outstanding(endpoint.id, now)
     if (facts.adapter === undefined || requests < shape.batchSlots * CROWDED_SHARE_OF_BATCH) return false
     if (requests < this.meanRequests(service, now) * CROWDED_SHARE_OF_MEAN) return false
-    return workTracker.running(endpoint.id, facts.adapter.key, now) >= CROWDED_RUNS
+    return this.parts.workTracker.running(endpoint.id, facts.adapter.key, now) >= CROWDED_RUNS
   }
 
   private isAboveMean (service: Service, endpoint: Endpoint, now: number): boolean {
@@ -275,11 +278,9 @@
     const cachedTokens = key === undefined ? 0 : prefixes.cachedTokens(endpoint.id, key, facts.promptParts)
     const uncachedTokens = Math.max(0, facts.promptTokens - cachedTokens)
     const outstanding = workTracker.outstanding(endpoint.id, now)
-    const memoryTokens = facts.promptTokens + facts.outputTokens
-    const expected = forecast.milliseconds(endpoint.id, shape, outstanding, uncachedTokens, memoryTokens)
+    const expected = forecast.milliseconds(endpoint.id, shape, outstanding, uncachedTokens, facts.promptTokens + facts.outputTokens)
     const remote = endpoint.dataCentre === dataCentre ? 0 : REMOTE_MILLISECONDS
-    const penalty = this.penalty(endpoint.id, now)
-    return { endpoint, forecastMilliseconds: expected + remote + penalty, uncachedTokens }
+    return { endpoint, forecastMilliseconds: expected + remote + this.penalty(endpoint.id, now), uncachedTokens }
   }
 
   /** @returns the cost of an engine that has just failed or asked to back off, in milliseconds */
@@ -297,9 +298,8 @@
 
   /** @returns the cost for the stream of a prompt of this many tokens when it is sent to the engine now; a prompt that waits for a load is sent too late for it */
   private ownPauseCost (endpoint: Endpoint, promptTokens: number, gapMilliseconds: number, now: number): number {
-    const { speeds, workTracker } = this.parts
-    const { prefillTokens } = workTracker.outstanding(endpoint.id, now)
-    return ownPauseCost({ promptTokens, gapMilliseconds, prefillTokens }, (tokens) => speeds.prefillMilliseconds(endpoint.id, tokens))
+    const { prefillTokens } = this.parts.workTracker.outstanding(endpoint.id, now)
+    return ownPauseCost({ promptTokens, gapMilliseconds, prefillTokens }, (tokens) => this.parts.speeds.prefillMilliseconds(endpoint.id, tokens))
   }
 
   /** @returns milliseconds until the adapter could be used on the engine, plus the cost of the load for other requests */
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -29,6 +29,7 @@
 import { InstancePaths } from '../paths/create-paths.js'
 import { QuotaOwners } from '../quotas/quota-owners.js'
 import { EndpointSenders } from '../relay/endpoint-senders.js'
+import { WaitingAttempts } from '../relay/waiting-attempts.js'
 import { createListener } from '../relay/create-listener.js'
 import type { RoutedListener } from '../relay/routed-listener.js'
 import type { Endpoint } from '../routes/configuration.js'
@@ -44,6 +45,7 @@
 import { EngineRouter } from '../routing/engine-router.js'
 import { FirstEventForecast } from '../routing/first-event-forecast.js'
 import { EndpointWorkTracker } from '../routing/endpoint-work-tracker.js'
+import { PreviousVersionLimit } from '../routing/previous-version-limit.js'
 import { PrefixCacheEstimate } from '../routing/prefix-cache-estimate.js'
 import { Teams } from '../teams/teams.js'
 import type { IngressPlatform } from './ingress-platform.js'
@@ -101,6 +103,7 @@
   private readonly workTracker = new EndpointWorkTracker((endpoint) => this.speeds.prefillRate(endpoint))
   private readonly speeds = new EngineSpeeds((endpoint) => this.directory.find(endpoint as EndpointId)?.service ?? '')
   private readonly forecast = new FirstEventForecast(this.speeds)
+  private readonly waitingAttempts = new WaitingAttempts()
   private readonly prefixCache = new PrefixCacheEstimate()
   private readonly ejection = createEjection()
   private readonly errors = new ErrorRates()
@@ -133,15 +136,8 @@
     this.metrics = new IngressMetrics(() => readGauges(this.gaugeSources()))
     this.platform = platform((kind, outcome, milliseconds) => this.metrics.storeCall(kind, outcome, milliseconds))
     this.supervisor = new Supervisor(logger.part('supervisor'), this.clock)
-    this.network = new TcpPeerNetwork({
-      instance: this.instance,
-      dataCentre: settings.dataCentre,
-      address: settings.peerAddress,
-      logger,
-      clock: this.clock,
-      heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
-      remoteHeartbeatFactor: 1
-    })
+    const { dataCentre, peerAddress: address } = settings
+    this.network = new TcpPeerNetwork({ instance: this.instance, dataCentre, address, logger, clock: this.clock, heartbeatMilliseconds: HEARTBEAT_MILLISECONDS, remoteHeartbeatFactor: 1 })
     this.health = new StoreHealth(logger.part('store'), () => this.freshness.ageMilliseconds('endpoints'))
     const self = { name: settings.name, instance: this.instance, address: settings.peerAddress, chunkedTunnelAddress: settings.tunnelAddress, dataCentre: settings.dataCentre, cores: settings.cores }
     this.overlay = new PeerOverlay({ self, network: this.network, clock: this.clock, logger: logger.part('overlay') })
@@ -180,6 +176,7 @@
     this.figures = createEngineFigures({ self: this.instance, clock, logger: logger.part('engines'), directory, overlay, speeds, workTracker, members, loadOwnership: () => this.loadOwnership })
     this.loadOwnership = this.createLoadOwnership()
     const loadMilliseconds = (): number => this.storeLimiter.expectedMilliseconds(this.locations.inFlight.count(this.clock.now()))
+    const limit = new PreviousVersionLimit({ versions, locations: this.locations, waiting: this.waitingAttempts })
     const router = new EngineRouter({
       directory,
       workTracker,
@@ -191,6 +188,7 @@
       backoffs: this.rateLimiter.backoffs,
       dataCentre: settings.dataCentre,
       leastVersion: (key, now) => this.versions.minimumUsable(key, now),
+      mayBegin: (...sent) => limit.mayBegin(...sent),
       loadMilliseconds,
       hasLoadOwner: (endpoint) => this.loadOwnership.loadOwnerOf(endpoint) !== undefined
     })
@@ -209,6 +207,7 @@
       codec: this.platform.codec,
       budgets: this.budgets,
       versions: this.versions,
+      waiting: this.waitingAttempts,
       forecast: this.forecast,
       prefixes: this.prefixCache,
       ejection: this.ejection,
--- a/packages/ingress/test/engine-router.test.ts
+++ b/packages/ingress/test/engine-router.test.ts
@@ -68,7 +68,7 @@
   }
   const ejection = new OutlierEjection({ failuresToEject: 2, ejectionMilliseconds: 1_500, longestEjectionMilliseconds: 10_000, recoveryMilliseconds: 4_000, minimumUsableShare: 0.25 })
   return new EngineRouter({
-    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true
+    directory, locations, workTracker, ejection, forecast: new FirstEventForecast(speeds), speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', leastVersion: () => 0, mayBegin: () => true, loadMilliseconds: () => 270, hasLoadOwner: () => true
   })
 }
 
--- a/packages/ingress/test/request-explainer.test.ts
+++ b/packages/ingress/test/request-explainer.test.ts
@@ -106,7 +106,7 @@
       configuration,
       rateLimiter,
       loadMilliseconds,
-      router: new EngineRouter({ ...shared, leastVersion: () => 0, loadMilliseconds, hasLoadOwner: () => this.loadOwners }),
+      router: new EngineRouter({ ...shared, leastVersion: () => 0, mayBegin: () => true, loadMilliseconds, hasLoadOwner: () => this.loadOwners }),
       serviceRouter: new ServiceRouter(directory, workTracker, ejection, errors, NO_BACKOFFS, 'here'),
       engineFinder: { retryAfterSeconds: () => 0.7 },
       figures: {
--- a/packages/ingress/test/stream-admission.failure.test.ts
+++ b/packages/ingress/test/stream-admission.failure.test.ts
@@ -64,7 +64,7 @@
       ...shared,
       logger,
       rateLimiter: NO_LIMITS,
-      router: new EngineRouter({ ...shared, forecast: firstEvent, speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here' }),
+      router: new EngineRouter({ ...shared, forecast: firstEvent, speeds, prefixes: new PrefixCacheEstimate(), backoffs: NO_BACKOFFS, dataCentre: 'here', mayBegin: () => true }),
       loadOwnerOf: (id) => ownerless.includes(id) ? undefined : 'owner' as InstanceId,
       requestLoad: (_to, frame) => { this.asked.push(frame) },
       admission: this.admission,
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -29,6 +29,7 @@
 import { StreamRelay } from '../../src/relay/stream-relay.js'
 import type { StreamRelayDependencies } from '../../src/relay/stream-relay.js'
 import { VersionedSends } from '../../src/relay/versioned-sends.js'
+import { WaitingAttempts } from '../../src/relay/waiting-attempts.js'
 import type { VersionedSendsDependencies } from '../../src/relay/versioned-sends.js'
 import { RetryBudgets } from '../../src/retries/retry-budgets.js'
 import { SlackPart } from '../../src/retries/slack-part.js'
@@ -164,7 +165,7 @@
     })
     rateLimiter.connect(peers.links, { onNeighbour: () => {}, replay: () => {} })
     const budgets = new RetryBudgets({ settings: { share: 0, slack: (setup.repeats ?? 100) / 0.88, windowMilliseconds: 10_000 }, slackPart: new WholeSlack(), logger, metrics })
-    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, loadMilliseconds: () => 270, hasLoadOwner: () => true })
+    const router = new EngineRouter({ directory, locations, workTracker, forecast, speeds, prefixes, ejection, backoffs, dataCentre: 'here', leastVersion: () => 0, mayBegin: () => true, loadMilliseconds: () => 270, hasLoadOwner: () => true })
     const engineFinder = new EngineFinder({
       clock,
       logger,
@@ -185,7 +186,7 @@
     })
     const errors = new ErrorRates()
     const services = new ServiceRelay({ clock, logger, workTracker, senders, errors, budgets, quarantine, rateLimiter, places: setup.places ?? NOT_DIVIDED, random, router: new ServiceRouter(directory, workTracker, ejection, errors, backoffs, 'here') })
-    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), versionedSends: new VersionedSends({ logger, metrics, locations, versions: setup.versions ?? new AdapterVersions(logger, 1) }) })
+    const streams = new StreamRelay({ clock, logger, workTracker, senders, budgets, quarantine, engineFinder, locations, forecast, speeds, prefixes, origins: setup.origins ?? NO_ORIGINS, findService: (name) => this.configuration.current?.services.get(name), versionedSends: new VersionedSends({ logger, metrics, locations, waiting: new WaitingAttempts(), versions: setup.versions ?? new AdapterVersions(logger, 1) }) })
     this.proof = new ConfigurationProof(clock, () => this.configuration.version)
     const quotas: QuotaClient<TeamId> = new QuotaClient<TeamId>({
       clock,
