VERSION: a recall only where something waits, counted from the first newer version

A stream counts as one that waits until its first event, also where its prompt is cached, and without such a stream of any instance at the engine nothing is recalled.

--- a/packages/ingress/src/adapters/create-load-ownership.ts
+++ b/packages/ingress/src/adapters/create-load-ownership.ts
@@ -65,7 +65,7 @@
     modelLoadLimiter: new ModelLoadRateLimiter(clock, () => members.count),
     storeLimiter,
     latestVersion: (key) => versions.newest(key) ?? 0,
-    recallsPreviousAt: (key) => versions.recallsPreviousAt(key),
+    recallsPreviousAt: (key, version) => versions.recallsPreviousAt(key, version),
     isModelNeeded: (endpoint, model) => isModelNeeded(engines.usageOf(endpoint, model)),
     publish: (statement, urgency) => heldNotices.publish(statement, urgency),
     noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds,
--- a/packages/ingress/src/adapters/loader-dependencies.ts
+++ b/packages/ingress/src/adapters/loader-dependencies.ts
@@ -20,8 +20,8 @@
   readonly storeLimiter: WeightStoreLimiter
   /** @returns the latest announced version of the adapter; 0 for none */
   readonly latestVersion: (key: AdapterKey) => number
-  /** @returns monotonic time from which copies of older versions than the latest are replaced although requests use them; undefined when no version was announced */
-  readonly recallsPreviousAt: (key: AdapterKey) => number | undefined
+  /** @returns monotonic time from which copies of a version are replaced although requests wait for them; undefined when no newer one was announced */
+  readonly recallsPreviousAt: (key: AdapterKey, version: number) => number | undefined
   /** @returns whether loading the model on one more engine is worth a load from the weight store */
   readonly isModelNeeded: (endpoint: Endpoint, model: ModelName) => boolean
   /** @returns whether orders may be sent to the engine now */
--- a/packages/ingress/src/adapters/replacements.ts
+++ b/packages/ingress/src/adapters/replacements.ts
@@ -47,11 +47,15 @@
 
   /**
    * Requests that wait at the engine would begin on the old version too late. From the time of the recall on, the replacement is ordered
-   * although requests are counted there: the engine refuses those that have not begun, which proves that they did not run.
+   * although requests are counted there: the engine refuses those that have not begun, which proves that they did not run. Until the others have
+   * ended, the engine accepts no other order, so there is no recall where all requests have begun.
    *
    * @returns whether the old version of the adapter is recalled
    */
   isRecalled (key: AdapterKey, now: number): boolean {
-    return now >= (this.dependencies.loaderDependencies.recallsPreviousAt(key) ?? Infinity)
+    const { endpoint, reservations, loaderDependencies: { recallsPreviousAt, workTracker } } = this.dependencies
+    const version = reservations.held.get(key)?.version
+    if (version === undefined || now < (recallsPreviousAt(key, version) ?? Infinity)) return false
+    return workTracker.hasWaitingRequests(endpoint.id, now)
   }
 }
--- a/packages/ingress/src/relay/versioned-sends.ts
+++ b/packages/ingress/src/relay/versioned-sends.ts
@@ -41,9 +41,9 @@
     const { versions, locations } = this.parts
     const { key } = adapter
     const offered = locations.holders(key).get(endpoint)
-    const isOlder = offered !== undefined && offered < (versions.newest(key) ?? 0)
-    const versionMillisecondsLeft = Math.round((versions.previousServesUntil(key) ?? now) - now)
-    return { expectedVersion: versions.expected(key, now), offered, ended: this.parts.waiting.begin(endpoint, now), grounds: isOlder ? { offeredVersion: offered, versionMillisecondsLeft } : {} }
+    const until = offered === undefined ? undefined : versions.previousServesUntil(key, offered)
+    const grounds = offered === undefined || until === undefined ? {} : { offeredVersion: offered, versionMillisecondsLeft: Math.round(until - now) }
+    return { expectedVersion: versions.expected(key, now), offered, ended: this.parts.waiting.begin(endpoint, now), grounds }
   }
 
   /** @returns whether a newer version than the one that the engine offered at the send has been announced */
@@ -59,7 +59,7 @@
     ended()
     if (adapter === undefined || version === undefined || expectedVersion !== undefined) return
     const newest = this.parts.versions.newest(adapter.key) ?? 0
-    const millisecondsLate = Math.round(now - (this.parts.versions.previousServesUntil(adapter.key) ?? now))
+    const millisecondsLate = Math.round(now - (this.parts.versions.previousServesUntil(adapter.key, version) ?? now))
     if (version >= newest || millisecondsLate <= 0) return
     this.parts.metrics.lateVersionServed(service.name)
     this.parts.logger.warn('A request began on an older adapter version too late.', { request: requestId, endpoint, adapter: adapter.key, version, newest, millisecondsLate })
--- a/packages/ingress/src/routing/endpoint-work-tracker.ts
+++ b/packages/ingress/src/routing/endpoint-work-tracker.ts
@@ -8,6 +8,8 @@
 /** Age at which the report of a peer expires, so that the work of an unresponsive peer does not count for ever. */
 const PEER_REPORT_MILLISECONDS = 5_000
 
+/** Least number of prompt tokens that count as unread until the first event of a stream, so that a stream whose prompt is cached counts as one that waits. */
+const LEAST_PREFILL_TOKENS = 1
 /** Prompt tokens from which the reading of a prompt takes long enough to change where other requests should go. */
 const LONG_PROMPT_TOKENS = 2_000
 
@@ -105,8 +107,9 @@
   /** Adds the work of a request that is sent to an endpoint. */
   begin (endpoint: EndpointId, work: RequestWork): WorkTicket {
     const own = this.ownWork(endpoint)
+    const prefillTokens = work.adapter === undefined ? work.prefillTokens : Math.max(LEAST_PREFILL_TOKENS, work.prefillTokens)
     own.requests += 1
-    own.prefillTokens += work.prefillTokens
+    own.prefillTokens += prefillTokens
     own.memoryTokens += work.memoryTokens
     if (work.adapter !== undefined) {
       own.running.set(work.adapter, (own.running.get(work.adapter) ?? 0) + 1)
@@ -119,7 +122,7 @@
     const prefilled = (): void => {
       if (!isReading) return
       isReading = false
-      own.prefillTokens -= work.prefillTokens
+      own.prefillTokens -= prefillTokens
     }
     const ended = (): void => {
       if (!isRunning) return
@@ -146,6 +149,12 @@
     }
   }
 
+  /** @returns whether an engine has not sent the first event of some request of any instance, as far as their reports say */
+  hasWaitingRequests (endpoint: EndpointId, now: number): boolean {
+    this.dropExpiredReports(now)
+    return (this.own.get(endpoint)?.prefillTokens ?? 0) > 0 || (this.peerTotals.get(endpoint)?.prefillTokens ?? 0) > 0
+  }
+
   /** @returns number of requests of this instance that use the adapter on the endpoint now */
   ownRunning (endpoint: EndpointId, key: AdapterKey): number {
     return this.own.get(endpoint)?.running.get(key) ?? 0
--- a/packages/ingress/src/routing/previous-version-limit.ts
+++ b/packages/ingress/src/routing/previous-version-limit.ts
@@ -29,8 +29,9 @@
   mayBegin (endpoint: EndpointId, key: AdapterKey, forecastMilliseconds: number, now: number): boolean {
     const { locations, versions, waiting } = this.parts
     const newest = versions.newest(key)
-    const until = versions.previousServesUntil(key)
-    if (newest === undefined || until === undefined || (locations.holders(key).get(endpoint) ?? newest) >= newest) return true
+    const held = locations.holders(key).get(endpoint)
+    if (newest === undefined || held === undefined || held >= newest) return true
+    const until = versions.previousServesUntil(key, held) ?? Infinity
     return now + Math.max(forecastMilliseconds * FORECAST_FACTOR, waiting.longestWait(endpoint, now) * WAIT_FACTOR) < until
   }
 }
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -243,7 +243,7 @@
     this.paths.start(supervisor)
     void supervisor.start('teams', async (signal) => { await this.teams.run(signal) })
     void supervisor.start('housekeeping', async (signal) => { await this.runHousekeeping(signal) })
-    void supervisor.start('pauses', async (signal) => { await watchForProcessPauses(this.clock, logger.part('clock'), () => this.handlePause(), signal) })
+    void supervisor.start('pauses', async (signal) => { await watchForProcessPauses(this.clock, logger.part('clock'), (milliseconds) => this.handlePause(milliseconds), signal) })
     await this.monitoring.listen(settings.readinessAddress, settings.metricsAddress)
     logger.info('This instance has started.', { instance: this.instance, ...settings })
   }
@@ -398,7 +398,8 @@
     }
   }
 
-  private handlePause (): void {
+  private handlePause (milliseconds: number): void {
+    this.versions.paused(milliseconds, this.clock.now())
     this.loadOwnership.pauseUntil(this.clock.now() + ORDER_PAUSE_MILLISECONDS)
     this.exchange.markStale()
     this.freshness.forget()
--- a/packages/ingress/src/runtime/pause-watch.ts
+++ b/packages/ingress/src/runtime/pause-watch.ts
@@ -17,10 +17,10 @@
  *
  * @param clock - provides both clocks
  * @param logger - receives a line for each pause
- * @param onPause - called after each pause, when the known state is out of date
+ * @param onPause - called after each pause, when the known state is out of date, with the time that passed, milliseconds
  * @param signal - ends the watch when it aborts
  */
-export async function watchForProcessPauses (clock: Clock, logger: Logger, onPause: () => void, signal: AbortSignal): Promise<void> {
+export async function watchForProcessPauses (clock: Clock, logger: Logger, onPause: (milliseconds: number) => void, signal: AbortSignal): Promise<void> {
   let wall = clock.wallTime()
   let monotonic = clock.now()
   while (!signal.aborted) {
@@ -34,6 +34,6 @@
     logger.warn('This process was paused or its clock was set.', {
       wallMilliseconds: Math.round(wallPassed), monotonicMilliseconds: Math.round(monotonicPassed)
     })
-    onPause()
+    onPause(Math.max(monotonicPassed, wallPassed))
   }
 }
