VERSION: old versions whose replacement was forgotten

A load that was in progress when a newer version was announced arrived, was offered and was never replaced: nothing looked at the announced version when a load completed. A report of the engine that was read after a conflict showed a hidden old version again, and the pending load had expired meanwhile, so that it was offered and never replaced either. The loader now asks for the newest version when an older one arrives, and old versions stay hidden over reports, which keeps their replacement pending.

--- a/packages/ingress/src/adapters/endpoint-loader.ts
+++ b/packages/ingress/src/adapters/endpoint-loader.ts
@@ -306,14 +306,20 @@
     this.hidden.show(key)
     const pendingLoad = this.queue.find(key)
     if (pendingLoad !== undefined && this.reservations.holds(key, pendingLoad.version)) this.queue.met(key)
+    // A newer version may have been announced while this one was being loaded.
+    this.versionAnnounced(key, this.dependencies.latestVersion(key))
     this.publisher.publish()
   }
 
-  /** Called after a report was applied: shows all hidden adapters that are neither being loaded nor unloaded. */
+  /**
+   * Called after a report was applied: shows all hidden adapters that are neither being loaded nor unloaded. Old versions stay hidden until they
+   * are replaced: nothing else keeps their replacement pending.
+   */
   private showSettledAdapters (): void {
-    const { inFlight, unloading } = this.reservations
+    const { inFlight, unloading, held } = this.reservations
     for (const key of [...this.hidden.keys('eviction'), ...this.hidden.keys('replacement')]) {
-      if (!inFlight.has(key) && !unloading.has(key)) this.hidden.show(key)
+      const isOld = this.hidden.reasonOf(key) === 'replacement' && held.has(key) && !this.reservations.holds(key, this.dependencies.latestVersion(key))
+      if (!inFlight.has(key) && !unloading.has(key) && !isOld) this.hidden.show(key)
     }
     this.publisher.publish()
   }
--- a/packages/ingress/test/endpoint-loader.failure.test.ts
+++ b/packages/ingress/test/endpoint-loader.failure.test.ts
@@ -35,6 +35,7 @@
 
 interface Run {
   readonly engine: SimulatedEngine
+  readonly control: SimulatedEngineControl
   readonly loader: EndpointLoader
   readonly locations: AdapterLocations
   readonly workTracker: EndpointWorkTracker
@@ -64,8 +65,9 @@
   const locations = new AdapterLocations()
   const workTracker = new EndpointWorkTracker()
   const subject = endpoint('engine')
+  const control = new SimulatedEngineControl(engine)
   const loader = new EndpointLoader(subject, 7 as FencingToken, engineShape({ adapterSlots, ...shape }), {
-    control: new SimulatedEngineControl(engine),
+    control,
     clock,
     logger: silentLogger(),
     locations,
@@ -88,7 +90,7 @@
   })
   const ending = new AbortController()
   const running = loader.run(clock.now(), ending.signal)
-  return { engine, loader, locations, workTracker, stop: async () => { ending.abort(); await running } }
+  return { engine, control, loader, locations, workTracker, stop: async () => { ending.abort(); await running } }
 }
 
 /** @returns the limiter of an instance that was short of processor time: all loads appeared three times as long to it as they were */
@@ -180,6 +182,58 @@
     expect({ isReplaced, isEarly }).toEqual({ isReplaced: true, isEarly: false })
   })
 
+  // Guards against an engine that accepts no other order for as long as a stream lasts, because a version was recalled for which nothing waits.
+  it('leave an old version in place after the time of its recall while all requests there have begun', async () => {
+    const latest = new Map<string, number>()
+    const run = start(new SimulatedEngine({ slots: 2 }), latest, 2, undefined, {}, performance.now())
+    await loadAdapter(run, 'x')
+    const ticket = run.workTracker.begin(endpoint('engine').id, { prefillTokens: 10, memoryTokens: 0, adapter: key('x') })
+    ticket.prefilled()
+    latest.set(key('x'), 2)
+    run.loader.versionAnnounced(key('x'), 2)
+    await sleep(500)
+    const during = run.engine.versionOf('x')
+    ticket.ended()
+    const after = await until(() => run.engine.versionOf('x') === 2)
+    await run.stop()
+    expect({ during, after }).toEqual({ during: 1, after: true })
+  })
+
+  // Guards against an old version that is offered and never replaced, because its load was in progress when the newer one was announced.
+  it('replace a version that arrives after a newer one was announced', async () => {
+    const latest = new Map<string, number>()
+    const run = start(new SimulatedEngine({ slots: 2, loadMilliseconds: 300 }), latest)
+    run.loader.requestLoad(key('x'), 1, undefined)
+    await until(() => run.engine.accepted === 1)
+    latest.set(key('x'), 2)
+    run.loader.versionAnnounced(key('x'), 2)
+    const isReplaced = await until(() => run.engine.versionOf('x') === 2)
+    await run.stop()
+    expect(isReplaced).toBe(true)
+  })
+
+  // Guards against an old version that is offered again and never replaced, because a report of the engine ended its hiding.
+  it('keep the replacement of an old version pending over a report of the engine', async () => {
+    const latest = new Map<string, number>()
+    const run = start(new SimulatedEngine({ slots: 3 }), latest, 3)
+    await loadAdapter(run, 'x')
+    const ticket = run.workTracker.begin(endpoint('engine').id, { prefillTokens: 0, memoryTokens: 0, adapter: key('x') })
+    latest.set(key('x'), 2)
+    run.loader.versionAnnounced(key('x'), 2)
+    await until(() => run.locations.holders(key('x')).size === 0)
+    const reports = run.engine.reportCount
+    run.control.reportMilliseconds = 900
+    run.engine.countOfOther()
+    run.loader.requestLoad(key('y'), 0, undefined)
+    await until(() => run.engine.reportCount > reports)
+    await sleep(1_000)
+    const offered = run.locations.holders(key('x')).size
+    ticket.ended()
+    const isReplaced = await until(() => run.engine.versionOf('x') === 2)
+    await run.stop()
+    expect({ offered, isReplaced }).toEqual({ offered: 0, isReplaced: true })
+  })
+
   it('continue when an order is carried out late, after newer ones', async () => {
     const engine = new SimulatedEngine({ slots: 2 })
     const run = start(engine)
--- a/packages/ingress/test/support/simulated-engine-control.ts
+++ b/packages/ingress/test/support/simulated-engine-control.ts
@@ -1,4 +1,5 @@
 /** Control client of one simulated engine. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { LimpetwinchError } from '@limpetwinch/core'
 import type { Result } from 'neverthrow'
 import { EngineControl } from '../../src/adapters/engine-control.js'
@@ -7,6 +8,9 @@
 
 /** Passes orders and report requests directly to the simulated engine. */
 export class SimulatedEngineControl extends EngineControl {
+  /** Time that a report takes. */
+  reportMilliseconds = 0
+
   constructor (readonly engine: SimulatedEngine) {
     super()
   }
@@ -16,6 +20,7 @@
   }
 
   override async report (): Promise<Result<EngineReport, LimpetwinchError>> {
+    await sleep(this.reportMilliseconds)
     return this.engine.report()
   }
 }
--- a/packages/ingress/test/support/simulated-engine.ts
+++ b/packages/ingress/test/support/simulated-engine.ts
@@ -85,6 +85,11 @@
     return err(new LimpetwinchError('endpoint-failed', { endpoint: 'engine', reason: 'no answer' }))
   }
 
+  /** Counts an order of somebody else, so that the next order meets a conflict. */
+  countOfOther (): void {
+    this.sequence += 1
+  }
+
   /** Carries out the delayed orders. */
   carryOutLate (): void {
     for (const order of this.late.splice(0)) this.carryOut(order)
