VERSION: a recalled request may go to the engine that refused it

The engine that refuses a request because it replaces the version for which it waited may be the first one with the newer version. It counted as attempted, and the caller got 503 in the end (found by the review). The test 'is sent to the same engine again' failed before.

--- a/packages/ingress/src/relay/relayed-stream.ts
+++ b/packages/ingress/src/relay/relayed-stream.ts
@@ -239,7 +239,8 @@
     if (result.kind !== 'not-sent') this.wasSent = true
     ticket.ended()
     versioned.ended()
-    this.wasRecalled ||= result.kind === 'other-answer' && result.head.facts.notRun && versionedSends.isReplaced(request, versioned)
+    // The same engine may be the first one that holds the newer version.
+    if (result.kind === 'other-answer' && result.head.facts.notRun && versionedSends.isReplaced(request, versioned)) this.wasRecalled = this.attempted.delete(endpoint.id)
     const replacement = await failover.end()
     if (replacement !== undefined) this.left = endpoint.id
     return { result, replacement }
