--- a/packages/ingress/src/relay/held-response-bytes.ts
+++ b/packages/ingress/src/relay/held-response-bytes.ts
@@ -10,8 +10,8 @@
 
 /** Part of the memory for requests and responses that responses may take. */
 const RESPONSE_SHARE = 0.25
-/** Least bound, in bytes: one response of the largest size of a plain service, and small ones beside it. */
-const MINIMUM_TOTAL_BYTES = 10_485_760
+/** Least bound, in bytes: two responses of the largest size of a plain service. */
+const MINIMUM_TOTAL_BYTES = 16_777_216
 
 /** @returns the most bytes of responses for a process with this memory, in megabytes */
 export function responseBytesFor (memoryMegabytes: number | undefined): number {
