--- a/packages/ingress/src/relay/attempt.ts
+++ b/packages/ingress/src/relay/attempt.ts
@@ -62,6 +62,8 @@
   /** This instance cancelled the attempt after the request was sent. */
   | { readonly kind: 'abandoned', readonly reason: string }
 
+/** Largest status that HTTP defines a class for. */
+const MAXIMUM_STATUS = 599
 /** undici's error for headers or trailers beyond the size that it accepts. */
 const HEADERS_OVERFLOW = 'UND_ERR_HEADERS_OVERFLOW'
 /** Time for which bytes without progress are accepted when the caller of the class states none, milliseconds. */
@@ -233,6 +235,7 @@
       },
       onResponseStart: (_controller, status, headers) => {
         if (status < 200) return
+        if (status > MAXIMUM_STATUS) return this.fail('the answer has no valid status')
         this.meter.progressed()
         const facts = this.codec.readResponse(status, headers)
         this.head = { status, headers, facts }
