Connections of callers and their pipelined requests are bounded

Callers saw a process end: 20 connections with small pipelined requests filled the heap (277 to 290 MB of 210, up to 7,478 descriptors of 1,000), with larger ones it took 388 MB, and 1,500 idle connections took 1,534 descriptors. The HTTP server reads up to 64 KiB and starts each request that it finds, thousands of small ones, each with its objects, its own connection to an endpoint and its response; nothing counted objects or connections. A response behind another one of its connection was never told that its caller had left, so its request stayed in progress.

Two requests of a connection run at one time and 64 over all beside earlier ones; the others wait and are answered in order, nothing is read from a connection while many wait, and such connections and waiting requests are bounded by the memory of the process: the one with the most, or held back first, is closed. Connections are bounded by the descriptors (MaxFds): the one that is idle or stalled for the longest time is closed, not the newest. After a refusal the next pipelined request waits 100 ms.

--- a/packages/ingress/src/relay/caller-exchange.ts
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -22,6 +22,8 @@
 /** One request of a caller and the response to it. */
 export class CallerExchange {
   readonly incoming: IncomingMessage
+  /** Whether the response is an error of this instance. */
+  wasRefused = false
   private readonly outgoing: ServerResponse
   private readonly leaving = new AbortController()
   private readonly held: HeldRequestBytes
@@ -191,6 +193,7 @@
   refuse (error: LimpetwinchError): void {
     if (this.outgoing.destroyed) return
     if (this.hasResponseStarted) return this.cut()
+    this.wasRefused = true
     const body = JSON.stringify({ error: { code: error.code, message: error.message, outcome: error.outcome } })
     const retryAfter = error.status === 503 || error.status === 429 ? { 'retry-after': String(error.retryAfterSeconds ?? RETRY_AFTER_SECONDS) } : {}
     // If the connection were kept, the unread rest of the request body would be parsed as the next request.
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -19,6 +19,7 @@
 import type { IngressSettings } from '../runtime/ingress-settings.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
+import { callerConnectionsFor, CallerConnections, heldBackConnectionsFor, waitingRequestsFor } from './caller-connections.js'
 import type { EndpointSenders } from './endpoint-senders.js'
 import { HeldRequestBytes, requestBytesFor } from './held-request-bytes.js'
 import type { RequestCodec } from './request-codec.js'
@@ -33,7 +34,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: IngressMetrics
-  readonly settings: Pick<IngressSettings, 'dataCentre' | 'memoryMegabytes'>
+  readonly settings: Pick<IngressSettings, 'dataCentre' | 'memoryMegabytes' | 'descriptors'>
   readonly codec: RequestCodec
   readonly configuration: AcceptedConfiguration
   readonly freshness: StateFreshness
@@ -69,6 +70,9 @@
     versionedSends: new VersionedSends(components)
   })
   const { heldResponses } = components.senders
-  const heldRequests = new HeldRequestBytes(requestBytesFor(settings.memoryMegabytes), () => heldResponses.bytes)
-  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, heldRequests, heldResponses })
+  const { clock, logger } = components
+  const requestBytes = requestBytesFor(settings.memoryMegabytes)
+  const heldRequests = new HeldRequestBytes(requestBytes, () => heldResponses.bytes)
+  const connections = new CallerConnections({ clock, logger, maximumConnections: callerConnectionsFor(settings.descriptors), maximumWaiting: waitingRequestsFor(requestBytes), maximumHeldBack: heldBackConnectionsFor(requestBytes) })
+  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, connections, heldRequests, heldResponses })
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -12,6 +12,7 @@
 import { pickTarget } from '../routes/route-table.js'
 import type { Configuration, Route, Service } from '../routes/configuration.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
+import type { CallerConnection, CallerConnections } from './caller-connections.js'
 import { CallerExchange } from './caller-exchange.js'
 import { OpenRequests } from './open-requests.js'
 import type { OpenRequest } from './open-requests.js'
@@ -38,6 +39,13 @@
  * expect, so that it is not closed just when a caller sends a request on it.
  */
 const IDLE_MARGIN_MILLISECONDS = 1_000
+/**
+ * Time that passes before the next pipelined request takes the place of one that was refused: without it, a caller that ignores refusals makes this
+ * process read and refuse bodies as fast as the network brings them.
+ */
+const REFUSED_TURN_MILLISECONDS = 100
+/** Interval between two checks of the time limits for headers and bodies. */
+const TIMEOUT_CHECK_MILLISECONDS = 1_000
 /** Time limit for receiving a request with its body; the timeouts of routes are usually shorter. */
 const BODY_MILLISECONDS = 60_000
 
@@ -68,6 +76,7 @@
   readonly streams: RequestRelay
   readonly services: RequestRelay
   readonly stopGate: StopGate
+  readonly connections: CallerConnections
   readonly heldRequests: HeldRequestBytes
   readonly heldResponses: HeldResponseBytes
 }
@@ -91,9 +100,11 @@
     this.parts = parts
     // The relays forward bytes and raw headers, so they work on the objects of the Node.js server rather than through a web framework
     // that wraps bodies in web streams.
-    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: BODY_MILLISECONDS, noDelay: true }, (incoming, outgoing) => {
-      void this.serve(incoming, outgoing)
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: BODY_MILLISECONDS, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, noDelay: true }, (incoming, outgoing) => {
+      // The server parses the rest of what it has read from a connection that was closed meanwhile.
+      if (!incoming.socket.destroyed) void this.serve(incoming, outgoing)
     })
+    this.server.on('connection', (socket) => this.parts.connections.accept(socket))
     parts.configuration.onChange(({ configuration }) => {
       this.server.headersTimeout = configuration.limits.headerMilliseconds + IDLE_MARGIN_MILLISECONDS
       this.server.keepAliveTimeout = configuration.limits.idleMilliseconds + IDLE_MARGIN_MILLISECONDS
@@ -148,21 +159,33 @@
     this.server.closeAllConnections()
   }
 
+  /** Notes which connections make progress; to be called regularly. */
+  maintain (): void {
+    this.parts.connections.maintain()
+  }
+
   private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAt = this.parts.clock.now()
+    const connection = this.parts.connections.of(incoming.socket)
     const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests, this.parts.heldResponses)
     const request = this.open.begin(incoming, outgoing, exchange)
     const isAnswerable = !this.stopping || this.open.askToLeave(incoming, request)
     outgoing.on('finish', () => this.closeKeptAliveConnection(incoming, request))
+    if (!isAnswerable) exchange.refuse(stoppingError())
+    // The body of a request that need not wait is read at once, before the server collects more of its chunks.
+    const turn = connection.takeTurn(incoming)
+    if (turn !== true && !await turn) return this.open.ended(incoming, request)
     try {
-      if (isAnswerable) await this.route(request, arrivedAt)
-      else exchange.refuse(stoppingError())
+      // A request that waited for its turn may have been refused meanwhile.
+      if (!exchange.hasResponseStarted) await this.route(request, connection, arrivedAt)
     } catch (cause) {
       this.parts.logger.error('A request failed because of an unexpected error in this program.', { request: this.parts.codec.read(incoming.headers).requestId, reason: cause instanceof Error ? cause.stack : String(cause) })
       exchange.refuse(new LimpetwinchError('endpoint-failed', { endpoint: 'this instance', reason: 'a fault of this program' }))
     } finally {
       await exchange.delivered()
       this.open.ended(incoming, request)
+      if (exchange.wasRefused && connection.waitingCount > 0) await this.parts.clock.sleep(REFUSED_TURN_MILLISECONDS)
+      connection.endTurn()
     }
   }
 
@@ -175,8 +198,8 @@
     if (this.stopping && !this.open.hasOthers(incoming, request)) incoming.socket.destroySoon()
   }
 
-  private async route (open: OpenRequest, arrivedAt: number): Promise<void> {
-    const { codec, admission } = this.parts
+  private async route (open: OpenRequest, connection: CallerConnection, arrivedAt: number): Promise<void> {
+    const { clock, codec, admission } = this.parts
     const { exchange, ending } = open
     const { incoming } = exchange
     const facts = codec.read(incoming.headers)
@@ -184,10 +207,10 @@
     if (routed.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, routed.error)
     const { route, service, configuration } = routed.value
     const endsAt = arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity)
-    const timer = setTimeout(() => ending.abort(), Math.max(1, endsAt - arrivedAt))
+    const timer = setTimeout(() => ending.abort(), Math.max(1, endsAt - clock.now()))
     exchange.left.addEventListener('abort', () => ending.abort(), { once: true })
     try {
-      const body = await exchange.readBody(configuration.limits.bodyBytes, ending.signal)
+      const body = await connection.receive(exchange.readBody(configuration.limits.bodyBytes, ending.signal))
       if (body.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, body.error)
       const admitted = await admission.admit({ facts, route, endsAt })
       if (admitted.isErr()) return this.refuseUnrelayed(exchange, facts.requestId, admitted.error, route.name)
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -393,6 +393,7 @@
       this.teams.maintain()
       this.rateLimiter.maintain()
       this.places.maintain()
+      this.listener.maintain()
       this.budgets.maintain(this.clock.now())
       this.origins.maintain()
     }
--- a/packages/ingress/src/runtime/ingress-settings.ts
+++ b/packages/ingress/src/runtime/ingress-settings.ts
@@ -31,6 +31,8 @@
   readonly cores: number
   /** Memory that the host grants this process, in megabytes; undefined when unknown. */
   readonly memoryMegabytes?: number | undefined
+  /** Descriptors that the host grants this process, for files and connections; undefined when unknown. */
+  readonly descriptors?: number | undefined
   /** Address for callers. All addresses have the form `host:port`. */
   readonly callerAddress: string
   readonly readinessAddress: string
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -23,6 +23,7 @@
 import { IsolatedRunClaims } from '../../src/quarantine/isolated-run-claims.js'
 import { EndpointSenders } from '../../src/relay/endpoint-senders.js'
 import { RoutedListener } from '../../src/relay/routed-listener.js'
+import { CallerConnections } from '../../src/relay/caller-connections.js'
 import { HeldRequestBytes } from '../../src/relay/held-request-bytes.js'
 import { responseBytesFor } from '../../src/relay/held-response-bytes.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
@@ -84,6 +85,12 @@
   readonly versions?: VersionedSendsDependencies['versions']
   /** Most bytes of the bodies of all requests; no bound by default. */
   readonly requestBytes?: number
+  /** Most connections of callers; no bound by default. */
+  readonly connections?: number
+  /** Most pipelined requests that wait for their turn; no bound by default. */
+  readonly waiting?: number
+  /** Most connections from which nothing is read; no bound by default. */
+  readonly heldBack?: number
   /** Most bytes of all responses that are held; as in an instance by default. */
   readonly responseBytes?: number
 }
@@ -207,7 +214,8 @@
       clock, configuration: this.configuration, proof: this.proof, revocationMilliseconds: setup.revocationMilliseconds, quotas, metrics
     })
     this.quotas = quotas
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, stopGate: senders.stopGate, heldRequests: new HeldRequestBytes(setup.requestBytes), heldResponses: senders.heldResponses })
+    const connections = new CallerConnections({ clock, logger, maximumConnections: setup.connections ?? Infinity, maximumWaiting: setup.waiting ?? Infinity, maximumHeldBack: setup.heldBack ?? Infinity })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, stopGate: senders.stopGate, connections, heldRequests: new HeldRequestBytes(setup.requestBytes), heldResponses: senders.heldResponses })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
