Deploy: a young generation of 4 MB, and bodies leave 45 MB for what is not collected

Bodies in large chunks still took a process to 233 and 235 MB of 210: V8 lets buffers outside of its heap grow to twice the size of the young generation before it collects them.

--- a/packages/ingress/src/relay/held-request-bytes.ts
+++ b/packages/ingress/src/relay/held-request-bytes.ts
@@ -5,7 +5,7 @@
 /** Memory of a process without request bodies. */
 const OWN_MEGABYTES = 110
 /** Memory of what was read and is not collected yet, while callers send as fast as they can. */
-const TRANSIENT_MEGABYTES = 30
+const TRANSIENT_MEGABYTES = 45
 /** Part of the other memory that bodies may take; the rest is for what the operating system has received and this process has not read. */
 const BODY_SHARE = 0.75
 /** Least bound, so that an instance with very little memory takes requests at all. */
--- a/scripts/bundle-ingress.mjs
+++ b/scripts/bundle-ingress.mjs
@@ -7,8 +7,8 @@
 import { build } from 'esbuild'
 
 const BUNDLE = 'target/limpetwinch-ingress.bundle.cjs'
-/** V8 accepts compiled code only in a process with the same flags; this flag is the one in the deploy file. */
-const HEAP_FLAG = '--max-old-space-size=200'
+/** V8 accepts compiled code only in a process with the same flags; these are the ones in the deploy file. */
+const HEAP_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=4']
 
 /** Modules that a service needs only partly or not at all, and their replacements in the bundle. */
 const REPLACED = new Map([
@@ -45,5 +45,5 @@
 // The launcher wraps the bundle in a function, so the bundle must not begin with an interpreter line.
 writeFileSync(BUNDLE, readFileSync(BUNDLE, 'utf8').replace(/^#!.*\n/, ''))
 copyFileSync('scripts/launch-bundle.cjs', 'target/limpetwinch-ingress.cjs')
-const launch = spawnSync(process.execPath, [HEAP_FLAG, 'target/limpetwinch-ingress.cjs', '--keep-code'], { stdio: ['ignore', 'ignore', 'inherit'] })
+const launch = spawnSync(process.execPath, [...HEAP_FLAGS, 'target/limpetwinch-ingress.cjs', '--keep-code'], { stdio: ['ignore', 'ignore', 'inherit'] })
 if (launch.status !== 0) throw new Error('The compiled code of the bundle could not be stored.')
