RECOVER: what a fleet held back is tried again once nobody of that fleet is left

What callers would see: all instances are lost at once and return, and requests of whole classes are refused as request_quarantined for up to an hour.

A part of prompts that was aboard at several crashes is held back by all instances, and the decision is kept in the store. What clears it is a run of it that goes on without a crash, and such runs are what the decision refuses; a decision that was wrong is cleared by the runs that were going on when it was made. A loss of all instances ends those, so the decision outlasts the fleet that could have cleared it.

Now a decision on a part that is older than the registration of every instance that runs is tried again: three isolated runs at most, the first that goes on clears it everywhere, the first that crashes confirms it. Requests, which concern one caller, stay held back. One restarted instance changes nothing, as the others remember.

--- a/packages/decisions/src/quarantine/prompt-part-tracker.ts
+++ b/packages/decisions/src/quarantine/prompt-part-tracker.ts
@@ -179,6 +179,11 @@
     this.forgetPart(decision.fingerprint)
   }
 
+  /** Ends the quarantine of a part now, so that one isolated run is allowed. */
+  reconsider (part: PartFingerprint): void {
+    this.decisions.reconsider(part)
+  }
+
   /** Records that this or another instance sent a request with a suspected part to an endpoint, in an isolated run. */
   sent (part: PartFingerprint, now: number): void {
     if (this.decisions.get(part) !== undefined) return this.decisions.trialSent(part, now)
--- a/packages/ingress/src/members/member-list.ts
+++ b/packages/ingress/src/members/member-list.ts
@@ -105,6 +105,12 @@
     return member !== undefined && !this.presence.isLeaving(member.instance) && this.isReachable(name)
   }
 
+  /** @returns whether a member that can be reached, or this instance, was registered at this revision of the store already; true before the first listing */
+  hasReachableSince (revision: number): boolean {
+    if (!this.listingApplied) return true
+    return [...this.members.values()].some(({ name, version, instance }) => version <= revision && (name === this.self.name ? instance === this.self.instance : this.isReachable(name)))
+  }
+
   /** @returns the part of all registered members that can be reached, including this instance, from 0 to 1 */
   reachableShare (): number {
     const reachable = [...this.members.keys()].filter((name) => this.isReachable(name)).length + (this.members.has(this.self.name) ? 0 : 1)
--- a/packages/ingress/src/quarantine/create-quarantine.ts
+++ b/packages/ingress/src/quarantine/create-quarantine.ts
@@ -4,6 +4,7 @@
 import type { AdapterVersions } from '../cluster-state/adapter-versions.js'
 import type { EndpointDirectory } from '../endpoints/endpoint-directory.js'
 import type { IngressMetrics } from '../observability/ingress-metrics.js'
+import type { MemberList } from '../members/member-list.js'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { InstancePaths } from '../paths/create-paths.js'
 import type { ServiceName } from '../routes/configuration.js'
@@ -21,13 +22,15 @@
   readonly paths: InstancePaths
   readonly directory: EndpointDirectory
   readonly versions: AdapterVersions
+  readonly members: MemberList
 }
 
 /** @returns the quarantine, which does not run yet */
-export function createQuarantine ({ paths, directory, versions, ...shared }: QuarantineComponents): QuarantineExchange {
+export function createQuarantine ({ paths, directory, versions, members, ...shared }: QuarantineComponents): QuarantineExchange {
   return new QuarantineExchange({
     ...shared,
     dialler: paths.dialler,
+    isRemembered: (revision) => members.hasReachableSince(revision),
     findEndpoint: (endpoint) => directory.find(endpoint),
     endpointCount: (service) => directory.servable(service as ServiceName).length,
     newestVersion: (key) => versions.newest(key)
--- a/packages/ingress/src/quarantine/prompt-part-quarantine.ts
+++ b/packages/ingress/src/quarantine/prompt-part-quarantine.ts
@@ -158,6 +158,11 @@
     this.tracker.quarantine(decision)
   }
 
+  /** Ends the quarantine of a part now, so that one isolated run is allowed. */
+  reconsider (part: PartFingerprint): void {
+    this.tracker.reconsider(part)
+  }
+
   /** Records that this or another instance sent a request with the part to an endpoint. */
   sent (part: PartFingerprint, now: number): void {
     this.tracker.sent(part, now)
--- a/packages/ingress/src/quarantine/quarantine-exchange.ts
+++ b/packages/ingress/src/quarantine/quarantine-exchange.ts
@@ -27,6 +27,8 @@
   readonly store: DeletingObjectStore
   /** Opens connections to endpoints that may have crashed. */
   readonly dialler: EndpointDialler
+  /** @returns whether an instance that runs was registered at this revision of the store already */
+  readonly isRemembered?: (revision: number) => boolean
   readonly network: Pick<PeerLinks, 'onNotice'>
   readonly overlay: Pick<PeerOverlay, 'broadcast' | 'notify' | 'replay' | 'onNeighbour' | 'noticeRoundTripMilliseconds'>
 }
@@ -53,8 +55,9 @@
     this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger, probeBy(parts.dialler)), announcer: this.announcer() })
     this.records = new QuarantineRecords(store, {
       applyDecision: (decision, source) => this.quarantine.applyDecision(decision, source),
-      release: (fingerprint, by) => this.quarantine.release(fingerprint, by)
-    }, clock, logger)
+      release: (fingerprint, by) => this.quarantine.release(fingerprint, by),
+      reconsider: (part, limit) => this.quarantine.reconsider(part, limit)
+    }, clock, logger, parts.isRemembered)
     this.connect()
   }
 
--- a/packages/ingress/src/quarantine/quarantine-records.ts
+++ b/packages/ingress/src/quarantine/quarantine-records.ts
@@ -1,6 +1,7 @@
 /** Keeps quarantine decisions in the platform's store. Instances that start later read them there, even after all instances were restarted. */
 import type { Clock, DeletingObjectStore, Logger } from '@limpetwinch/core'
-import type { QuarantineDecision, Suspect } from '@limpetwinch/decisions'
+import { isPartFingerprint } from '@limpetwinch/decisions'
+import type { PartFingerprint, QuarantineDecision, Suspect } from '@limpetwinch/decisions'
 import { quarantineDecisionPath } from '../members/cluster-objects.js'
 import type { StoredQuarantineDecision } from '../members/cluster-objects.js'
 
@@ -18,11 +19,23 @@
  * request before then either clears the request or, by a crash, extends the quarantine.
  */
 const RETENTION_MILLISECONDS = 3_600_000
+/** Most isolated runs of requests with a part whose decision no running process remembers; the first that crashes its endpoint confirms the decision. */
+const FORGOTTEN_TRIALS = 3
+
+/** Until when isolated runs are allowed again. */
+export interface TrialLimit {
+  /** Number of crashes beyond which the decision stands. */
+  readonly crashes: number
+  /** Number of quarantines in a row, each of which follows a run, from which on the decision stands. */
+  readonly strikes: number
+}
 
 /** Receives changes of the decisions in the store. */
 export interface QuarantineListener {
   readonly applyDecision: (decision: QuarantineDecision, source: 'store') => void
   readonly release: (fingerprint: Suspect, by: 'store') => void
+  /** Allows an isolated run, unless a crash has confirmed the decision since or as many were sent as the limit says. */
+  readonly reconsider: (part: PartFingerprint, limit: TrialLimit) => void
 }
 
 interface PendingWrite {
@@ -37,16 +50,19 @@
   private readonly listener: QuarantineListener
   private readonly clock: Clock
   private readonly logger: Logger
+  private readonly isRemembered: (revision: number) => boolean
   private listed = new Map<Suspect, StoredQuarantineDecision>()
   /** Monotonic time from which an expired record is removed again: after a failure only, since the next listing lacks a removed one. */
   private readonly removalDueAt = new Map<Suspect, number>()
   private readonly pendingWrites = new Map<Suspect, PendingWrite>()
 
-  constructor (store: DeletingObjectStore, listener: QuarantineListener, clock: Clock, logger: Logger) {
+  /** @param isRemembered - returns whether a process that runs was registered at this revision of the store already, and so knows of what led to a decision */
+  constructor (store: DeletingObjectStore, listener: QuarantineListener, clock: Clock, logger: Logger, isRemembered: (revision: number) => boolean = () => true) {
     this.store = store
     this.listener = listener
     this.clock = clock
     this.logger = logger
+    this.isRemembered = isRemembered
   }
 
   /** Applies the decisions that the store lists. A decision that was listed the last time and is missing now was revoked. */
@@ -89,10 +105,21 @@
     while (!signal.aborted) {
       await this.clock.sleep(CHECK_MILLISECONDS, signal)
       for (const { decision, dueAt } of [...this.pendingWrites.values()]) if (dueAt <= this.clock.now()) await this.write(decision)
+      this.reconsiderForgotten()
       await this.removeExpired()
     }
   }
 
+  /**
+   * Allows a few isolated runs where all processes that knew what led to a decision have ended. A decision on a part that many prompts share would otherwise
+   * outlast the fleet that made it: nothing that could clear it is sent.
+   */
+  private reconsiderForgotten (): void {
+    for (const { fingerprint, crashes, strikes, version } of this.listed.values()) {
+      if (isPartFingerprint(fingerprint) && !this.isRemembered(version)) this.listener.reconsider(fingerprint, { crashes, strikes: strikes + FORGOTTEN_TRIALS })
+    }
+  }
+
   private async write (decision: QuarantineDecision): Promise<void> {
     const { fingerprint, crashes, strikes, certain, until } = decision
     const listed = this.listed.get(fingerprint)
--- a/packages/ingress/src/quarantine/request-quarantine.ts
+++ b/packages/ingress/src/quarantine/request-quarantine.ts
@@ -21,6 +21,7 @@
 import type { IsolatedRunClaims } from './isolated-run-claims.js'
 import { PromptPartQuarantine, SOUND_AFTER_MILLISECONDS } from './prompt-part-quarantine.js'
 import type { EndedRun } from './prompt-part-quarantine.js'
+import type { TrialLimit } from './quarantine-records.js'
 import { RunningTime } from './running-time.js'
 
 /** `retry-after` for a copy of a request whose isolated run is in progress, in seconds: such a run takes about this long. */
@@ -253,6 +254,14 @@
     this.refusedVersions.delete(fingerprint)
   }
 
+  /** Allows an isolated run of a request with a part in quarantine, within a limit: no running process remembers what led to the decision. */
+  reconsider (part: PartFingerprint, { crashes, strikes }: TrialLimit): void {
+    const decision = this.promptParts.verdict(part)
+    if (decision === undefined || decision.crashes > crashes || decision.strikes >= strikes || decision.until <= this.parts.clock.now()) return
+    this.promptParts.reconsider(part)
+    this.parts.logger.info('A part of prompts may be tried again, since all instances that held it back have ended.', { fingerprint: part, crashes: decision.crashes, strikes: decision.strikes })
+  }
+
   /** @returns messages that bring an instance without any quarantine state up to date */
   framesForNewNeighbour (): { readonly crashes: readonly EndpointCrashFrame[], readonly verdicts: readonly RequestVerdictFrame[] } {
     const now = this.parts.clock.now()
--- a/packages/ingress/src/runtime/ingress-instance.ts
+++ b/packages/ingress/src/runtime/ingress-instance.ts
@@ -199,7 +199,7 @@
     const { network, heldNotices, engineFinder, figures: { digests } } = this
     this.messaging = new PeerMessaging({ self: this.instance, network, overlay, clock, workTracker, digests, locations, heldNotices, loadOwnership, engineFinder, metrics })
     this.budgets = createRetryBudgets({ settings, members, logger: logger.part('relay'), metrics })
-    this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions })
+    this.quarantine = createQuarantine({ self: this.instance, clock, logger: logger.part('quarantine'), metrics, network, overlay, store: this.platform.store, paths: this.paths, directory, versions, members })
     this.senders = this.createSenders()
     const wired = { clock, metrics, settings, configuration, freshness, directory, locations, workTracker, engineFinder, speeds }
     const relays = {
--- a/packages/ingress/test/quarantine-records.failure.test.ts
+++ b/packages/ingress/test/quarantine-records.failure.test.ts
@@ -1,6 +1,6 @@
 // Guards against losing a quarantine decision when no instance that knows it is left: it has to be in the store.
 import { silentLogger } from '@limpetwinch/core'
-import { joinFingerprint } from '@limpetwinch/decisions'
+import { joinFingerprint, partFingerprint } from '@limpetwinch/decisions'
 import type { FingerprintPrefix, QuarantineDecision } from '@limpetwinch/decisions'
 import { okAsync } from 'neverthrow'
 import { describe, expect, it } from 'vitest'
@@ -12,14 +12,15 @@
 const CRASHING = joinFingerprint('guilty' as FingerprintPrefix, 'body')
 const SECONDS = 1_000
 
-function setUp (): { store: MemoryStore, clock: ManualClock, records: QuarantineRecords, events: string[], ending: AbortController, list: () => void } {
+function setUp (isRemembered = true): { store: MemoryStore, clock: ManualClock, records: QuarantineRecords, events: string[], ending: AbortController, list: () => void } {
   const store = new MemoryStore()
   const clock = new ManualClock()
   const events: string[] = []
   const records = new QuarantineRecords(store, {
     applyDecision: ({ fingerprint, strikes }) => events.push(`${fingerprint} held, ${strikes}`),
-    release: (fingerprint) => events.push(`${fingerprint} released`)
-  }, clock, silentLogger())
+    release: (fingerprint) => events.push(`${fingerprint} released`),
+    reconsider: (part, { crashes, strikes }) => events.push(`${part} may be tried until ${crashes} crashes or ${strikes} strikes`)
+  }, clock, silentLogger(), () => isRemembered)
   const ending = new AbortController()
   void records.run(ending.signal)
   const list = (): void => {
@@ -82,4 +83,17 @@
     list()
     expect(events).toEqual([`${CRASHING} held, 1`, `${CRASHING} released`])
   })
+
+  // Guards against a part that many prompts share and that is held back for an hour by a fleet that has ended: nothing that could clear it is sent.
+  it.each([true, false])('on a part of prompts allows a few runs where no running process remembers its cause, and one on a request never (remembered: %s)', async (isRemembered) => {
+    const { clock, records, events, ending, list } = setUp(isRemembered)
+    const part = partFingerprint('f0')
+    records.keep({ ...decision(clock), fingerprint: part }, true)
+    records.keep(decision(clock), true)
+    await clock.advance(SECONDS)
+    list()
+    await clock.advance(SECONDS)
+    ending.abort()
+    expect(new Set(events.filter((event) => event.includes('tried')))).toEqual(new Set(isRemembered ? [] : [`${part} may be tried until 3 crashes or 4 strikes`]))
+  })
 })
