RECOVER: a cut data centre is no crash of all its endpoints

A request or a part of prompts that was aboard at several crashes is held back.

An endpoint counts as crashed now only if another endpoint of its data centre, of whatever service, accepts a connection: three of them are asked, once for each crash. Where all refuse, the links have failed or the whole data centre is lost, and no request is the cause. A data centre with one endpoint is judged as before. The test fails before: a refusing endpoint was a crash whatever the others did.

--- a/packages/ingress/src/quarantine/crash-detector.ts
+++ b/packages/ingress/src/quarantine/crash-detector.ts
@@ -31,22 +31,49 @@
 /** Opens a connection to check whether the process of an endpoint listens. */
 export type ConnectionProbe = (endpoint: Endpoint) => Promise<ProbeResult>
 
+/**
+ * Tells whether the data centre of an endpoint can be reached, as its other endpoints show: where all of them refuse connections, the links have failed or
+ * the whole data centre is lost, and no request is the cause.
+ */
+export type DataCentreWitness = (endpoint: Endpoint, probe: ConnectionProbe) => Promise<boolean>
+
+/** Number of other endpoints that are asked. */
+const WITNESSES = 3
+
+/**
+ * @param others - returns all endpoints
+ * @param random - returns a number from 0 to 1
+ * @returns a witness that probes some other endpoints of the data centre; one without other endpoints counts as reachable
+ */
+export function witnessBy (others: () => readonly Endpoint[], random: () => number = Math.random): DataCentreWitness {
+  return async ({ id, dataCentre }, probe) => {
+    const candidates = others().filter((other) => other.dataCentre === dataCentre && other.id !== id && !other.leaving)
+    if (candidates.length === 0) return true
+    const chosen = candidates.map((each) => ({ each, order: random() })).sort((one, other) => one.order - other.order).slice(0, WITNESSES)
+    const results = await Promise.all(chosen.map(async ({ each }) => await probe(each)))
+    return results.includes('accepted')
+  }
+}
+
 /** Finds out whether an endpoint on which responses were truncated has crashed, by opening new connections to it. */
 export class CrashDetector {
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly probe: ConnectionProbe
+  private readonly witness: DataCentreWitness
   private readonly probes = new Map<string, Promise<boolean>>()
 
   /**
    * @param clock - monotonic time
    * @param logger - receives one line for each checked endpoint
    * @param probe - opens a connection to an endpoint
+   * @param witness - tells whether the data centre of an endpoint can be reached
    */
-  constructor (clock: Clock, logger: Logger, probe: ConnectionProbe = probeBy(new DirectDialler())) {
+  constructor (clock: Clock, logger: Logger, probe: ConnectionProbe = probeBy(new DirectDialler()), witness: DataCentreWitness = async () => true) {
     this.clock = clock
     this.logger = logger
     this.probe = probe
+    this.witness = witness
   }
 
   /**
@@ -67,9 +94,10 @@
       result = await this.probe(endpoint)
       if (result === 'refused') break
     }
-    const crashed = result === 'refused'
+    const isReachable = result !== 'refused' || await this.witness(endpoint, this.probe)
+    const crashed = result === 'refused' && isReachable
     if (crashed) this.logger.warn('An endpoint crashed.', { endpoint: endpoint.id, service: endpoint.service, address: endpoint.address, born: endpoint.born })
-    else this.logger.info('Responses were truncated by an endpoint that did not crash.', { endpoint: endpoint.id, service: endpoint.service, probe: result })
+    else this.logger.info('Responses were truncated by an endpoint that did not crash.', { endpoint: endpoint.id, service: endpoint.service, probe: result, dataCentreReachable: isReachable })
     setTimeout(() => this.probes.delete(life), crashed ? CRASH_MEMORY_MILLISECONDS : 0).unref()
     return crashed
   }
--- a/packages/ingress/src/quarantine/create-quarantine.ts
+++ b/packages/ingress/src/quarantine/create-quarantine.ts
@@ -30,6 +30,7 @@
   return new QuarantineExchange({
     ...shared,
     dialler: paths.dialler,
+    endpoints: () => directory.all(),
     isRemembered: (revision) => members.hasReachableSince(revision),
     findEndpoint: (endpoint) => directory.find(endpoint),
     endpointCount: (service) => directory.servable(service as ServiceName).length,
--- a/packages/ingress/src/quarantine/quarantine-exchange.ts
+++ b/packages/ingress/src/quarantine/quarantine-exchange.ts
@@ -7,8 +7,9 @@
 import type { PeerLinks } from '@limpetwinch/entry'
 import type { PeerOverlay } from '../overlay/peer-overlay.js'
 import type { EndpointDialler } from '../paths/endpoint-dialler.js'
+import type { Endpoint } from '../routes/configuration.js'
 import type { StoredQuarantineDecision } from '../members/cluster-objects.js'
-import { CrashDetector, probeBy } from './crash-detector.js'
+import { CrashDetector, probeBy, witnessBy } from './crash-detector.js'
 import { QuarantineRecords } from './quarantine-records.js'
 import { decisionFrame } from './quarantine-frames.js'
 import { RequestQuarantine } from './request-quarantine.js'
@@ -27,6 +28,8 @@
   readonly store: DeletingObjectStore
   /** Opens connections to endpoints that may have crashed. */
   readonly dialler: EndpointDialler
+  /** @returns all endpoints; those of a data centre that refuse together have not crashed because of a request */
+  readonly endpoints?: () => readonly Endpoint[]
   /** @returns whether an instance that runs was registered at this revision of the store already */
   readonly isRemembered?: (revision: number) => boolean
   readonly network: Pick<PeerLinks, 'onNotice'>
@@ -52,7 +55,7 @@
       noticeRoundTripMilliseconds: () => overlay.noticeRoundTripMilliseconds
     })
     this.soundParts = new SoundPartNotices((frame) => overlay.broadcast(frame))
-    this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger, probeBy(parts.dialler)), announcer: this.announcer() })
+    this.quarantine = new RequestQuarantine({ ...parts, claims: this.claims, detector: new CrashDetector(clock, logger, probeBy(parts.dialler), witnessBy(parts.endpoints ?? (() => []))), announcer: this.announcer() })
     this.records = new QuarantineRecords(store, {
       applyDecision: (decision, source) => this.quarantine.applyDecision(decision, source),
       release: (fingerprint, by) => this.quarantine.release(fingerprint, by),
--- a/packages/ingress/test/crash-detector.failure.test.ts
+++ b/packages/ingress/test/crash-detector.failure.test.ts
@@ -1,7 +1,7 @@
 // Guards against mistaking a lost connection for a crashed endpoint and the reverse: a truncated response looks the same in both cases.
 import { silentLogger, SystemClock } from '@limpetwinch/core'
 import { afterEach, describe, expect, it } from 'vitest'
-import { CrashDetector, incarnationOf } from '../src/quarantine/crash-detector.js'
+import { CrashDetector, incarnationOf, witnessBy } from '../src/quarantine/crash-detector.js'
 import { fingerprintOf } from '../src/quarantine/fingerprint.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
 import { RawEndpoint, silence, stream } from './support/raw-endpoint.js'
@@ -41,6 +41,25 @@
     expect({ results, probes }).toEqual({ results: [true, true, true], probes: 1 })
   })
 
+  // Guards against a cut link that is taken for the crash of each endpoint behind it, and then for the fault of whatever all of them were running.
+  it.each([
+    ['is not attributed to a crash where the other endpoints of its data centre refuse connections as well', ['crashed', 'second', 'third'], false],
+    ['is attributed to a crash where another endpoint of its data centre accepts connections', ['crashed', 'second'], true],
+    ['is attributed to a crash where endpoints of other data centres alone refuse connections', ['crashed', 'elsewhere'], true]
+  ] as const)('%s', async (_name, refusing: readonly string[], hasCrashed) => {
+    const crashed = endpoint('crashed', { dataCentre: 'there' })
+    const all = [crashed, endpoint('second', { dataCentre: 'there' }), endpoint('third', { dataCentre: 'there' }), endpoint('elsewhere', { dataCentre: 'here' })]
+    const probe = async ({ id }: { readonly id: string }): Promise<'refused' | 'accepted'> => refusing.includes(id) ? 'refused' : 'accepted'
+    const detector = new CrashDetector(new SystemClock(), silentLogger(), probe, witnessBy(() => all))
+    expect(await detector.hasCrashed({ endpoint: crashed, life: incarnationOf(crashed) })).toBe(hasCrashed)
+  })
+
+  it('is attributed to a crash where its data centre has no other endpoint', async () => {
+    const crashed = endpoint('crashed')
+    const detector = new CrashDetector(new SystemClock(), silentLogger(), async () => 'refused', witnessBy(() => [crashed]))
+    expect(await detector.hasCrashed({ endpoint: crashed, life: incarnationOf(crashed) })).toBe(true)
+  })
+
   // Guards against a log that does not show which arrivals were the same request.
   it('is logged with a fingerprint that is equal for all arrivals of its request', async () => {
     raw = await RawEndpoint.start(stream([1], () => setTimeout(() => raw?.stop(), 20)))
