Closed connections of callers are logged once a second at most; the bound on responses is as before

A crowd that opens connections again at once made some thousand lines a second; each line now counts all that were closed.

--- a/packages/ingress/src/relay/caller-connections.ts
+++ b/packages/ingress/src/relay/caller-connections.ts
@@ -42,6 +42,8 @@
 const DEFAULT_CONNECTIONS = 10_000
 /** Interval between two checks whether the bytes of a connection move. */
 const PROGRESS_CHECK_MILLISECONDS = 1_000
+/** Least time between two log lines about closed connections. */
+const WARNING_INTERVAL_MILLISECONDS = 1_000
 /** Time without a byte in either direction after which an unfinished request or an untaken response counts as stalled. */
 const STALLED_MILLISECONDS = 5_000
 
@@ -221,6 +223,9 @@
   /** Connections from which nothing is read, in the order in which they were held back. */
   private readonly unread = new Set<CallerConnection>()
   private checkedAt = -Infinity
+  private warnedAt = -Infinity
+  /** Number of connections that were closed because of a bound. */
+  private closedByBound = 0
   /** Number of requests that wait for their turn. */
   waitingCount = 0
   /** Number of requests that are served beside an earlier one of their connection. */
@@ -258,7 +263,7 @@
     if (this.waitingCount <= this.options.maximumWaiting) return
     const [longest] = [...this.open.values()].sort((one, other) => other.waitingCount - one.waitingCount)
     if (longest === undefined) return
-    this.options.logger.warn('A connection of a caller was closed because too many pipelined requests wait.', { waiting: longest.waitingCount, all: this.waitingCount })
+    if (this.isLogged()) this.options.logger.warn('A connection of a caller was closed because too many pipelined requests wait.', { waiting: longest.waitingCount, all: this.waitingCount, closed: this.closedByBound })
     this.drop(longest)
   }
 
@@ -268,7 +273,7 @@
     if (this.unread.size <= this.options.maximumHeldBack) return
     const [first] = this.unread
     if (first === undefined) return
-    this.options.logger.warn('A connection of a caller was closed because too many send more than is read.', { waiting: first.waitingCount, connections: this.unread.size })
+    if (this.isLogged()) this.options.logger.warn('A connection of a caller was closed because too many send more than is read.', { waiting: first.waitingCount, connections: this.unread.size, closed: this.closedByBound })
     this.drop(first)
   }
 
@@ -291,6 +296,15 @@
     this.unread.delete(connection)
   }
 
+  /** @returns whether a closed connection gets a log line: one a second at most, since callers that open connections again at once would fill the log */
+  private isLogged (): boolean {
+    const now = this.options.clock.now()
+    this.closedByBound += 1
+    if (now - this.warnedAt < WARNING_INTERVAL_MILLISECONDS) return false
+    this.warnedAt = now
+    return true
+  }
+
   private makeRoom (socket: Socket, now: number): void {
     let victim: CallerConnection | undefined
     for (const each of this.open.values()) {
@@ -298,7 +312,7 @@
       if (!each.isIdle && !isStalled) continue
       if (victim === undefined || each.movedAt < victim.movedAt) victim = each
     }
-    this.options.logger.warn('A connection of a caller was closed because there are too many.', { connections: this.open.size, idle: victim?.isIdle, isNew: victim === undefined })
+    if (this.isLogged()) this.options.logger.warn('A connection of a caller was closed because there are too many.', { connections: this.open.size, idle: victim?.isIdle, isNew: victim === undefined, closed: this.closedByBound })
     if (victim === undefined) socket.destroy()
     else this.drop(victim)
   }
--- a/packages/ingress/src/relay/held-response-bytes.ts
+++ b/packages/ingress/src/relay/held-response-bytes.ts
@@ -1,6 +1,6 @@
 /** Bounds the bytes of responses that one instance holds over all its connections: those that are unfinished, and those that their callers have not taken yet. */
 
-import { requestBytesFor } from './held-request-bytes.js'
+const BYTES_PER_MEGABYTE = 1_048_576
 
 /**
  * Bytes held over all connections where the memory is not small. Together with a slow caller's share of each stream this stays far below the memory of a small instance,
@@ -8,14 +8,17 @@
  */
 const MAXIMUM_TOTAL_BYTES = 33_554_432
 
-/** Part of the memory for requests and responses that responses may take. */
-const RESPONSE_SHARE = 0.25
+/** Memory of a process without requests and responses. */
+const OWN_MEGABYTES = 110
+/** Part of the memory beside it that responses may take. */
+const RESPONSE_SHARE = 0.21875
 /** Least bound, in bytes: two responses of the largest size of a plain service. */
 const MINIMUM_TOTAL_BYTES = 16_777_216
 
 /** @returns the most bytes of responses for a process with this memory, in megabytes */
 export function responseBytesFor (memoryMegabytes: number | undefined): number {
-  return Math.min(MAXIMUM_TOTAL_BYTES, Math.max(MINIMUM_TOTAL_BYTES, RESPONSE_SHARE * requestBytesFor(memoryMegabytes)))
+  if (memoryMegabytes === undefined) return MAXIMUM_TOTAL_BYTES
+  return Math.min(MAXIMUM_TOTAL_BYTES, Math.max(MINIMUM_TOTAL_BYTES, (memoryMegabytes - OWN_MEGABYTES) * RESPONSE_SHARE * BYTES_PER_MEGABYTE))
 }
 
 /** Something that holds bytes of one response, and can drop them. */
