Connections that opened while the process was paused are used

Callers saw: 503 without need, and sound endpoints counted as unreachable, after a pause of the process for longer than the connection timeout (250 ms for endpoints, 100 ms on behalf of other instances).

Cause: after a pause, overdue timers fire before the poll phase, so the timeout destroyed a connection that the kernel had opened long before.

Why it works: the timeout ends the attempt from setImmediate, after the poll phase, in which the connection is reported. Timeouts of tunnels and of calls to peers were read, not changed: they need several rounds of events.

--- a/packages/entry/src/peers/handshake.ts
+++ b/packages/entry/src/peers/handshake.ts
@@ -31,10 +31,13 @@
   return await new Promise((resolve) => {
     const socket = connect({ host, port, noDelay: true })
     const stop = (): void => { socket.destroy(new Error('the attempt to connect timed out or was cancelled')) }
-    const timer = setTimeout(stop, timeoutMilliseconds)
+    let pendingStop: NodeJS.Immediate | undefined
+    // After a process pause, timers fire before a connection that has opened meanwhile is seen. `setImmediate` lets it be seen first.
+    const timer = setTimeout(() => { pendingStop = setImmediate(stop) }, timeoutMilliseconds)
     signal.addEventListener('abort', stop)
     const settle = (result: Result<Socket, NodeJS.ErrnoException>): void => {
       clearTimeout(timer)
+      clearImmediate(pendingStop)
       signal.removeEventListener('abort', stop)
       resolve(result)
     }
