--- a/packages/ingress/test/tunnel.failure.test.ts
+++ b/packages/ingress/test/tunnel.failure.test.ts
@@ -23,6 +23,8 @@
 
 const ASKING = 'asking' as InstanceId
 const HOST = '127.0.0.1'
+/** Larger than what the operating system takes for a connection that is not read. */
+const UPLOAD_BYTES = 16_777_216
 const PEER = { instance: 'carrying' as InstanceId, dataCentre: 'here' } as Pick<TunnelPeer, 'instance' | 'dataCentre'>
 const ending: { stop: () => void }[] = []
 
@@ -78,14 +80,14 @@
   }
 }
 
-/** Sends one request through the tunnel. @param onData - called with the body so far @returns how the attempt ended, and the body */
-async function attempt (through: Carrying, onData = (_body: string, _attempt: Attempt): void => {}): Promise<{ readonly kind: string, readonly body: string }> {
+/** Sends one request through the tunnel. @param onData - called with the body so far @param upload - body of the request @returns how the attempt ended, and the body */
+async function attempt (through: Carrying, onData = (_body: string, _attempt: Attempt): void => {}, upload?: Buffer): Promise<{ readonly kind: string, readonly body: string }> {
   const connection = new EndpointConnection(through.target, new TunnelDialler(through))
   ending.push({ stop: () => connection.destroy() })
   let body = ''
   const sent = new Attempt(connection, new TestCodec())
   const end = await sent.run(
-    { requestId: 'one', method: 'GET', target: '/', headers: ['x-request-id', 'one'], body: undefined },
+    { requestId: 'one', method: upload === undefined ? 'GET' : 'POST', target: '/', headers: ['x-request-id', 'one'], body: upload },
     {
       head: () => {},
       data: (chunk) => {
@@ -136,6 +138,16 @@
     expect((await attempt(await carrying(resets))).kind).toBe('broken')
   })
 
+  // Guards against a part of a response that is taken for the complete one: the endpoint responds before it has read the request, and resets.
+  it('sees that a response without a length was reset while the request is still being written', async () => {
+    const resets: RawAnswer = (socket, request) => {
+      if (socket.isPaused()) return
+      socket.pause()
+      socket.write(untilClosed(request, 'half'), () => socket.resetAndDestroy())
+    }
+    expect((await attempt(await carrying(resets), undefined, Buffer.alloc(UPLOAD_BYTES))).kind).toBe('broken')
+  })
+
   // Guards against a truncated response without a length that looks complete: the system closes the connections of a killed process in order.
   it('sees that the carrying instance was killed before the end of a response without a length', async () => {
     const { through, kill } = await killable(await carrying(half))
