Connections that send many chunks or requests are read in turns

Callers saw: beside a mixture of callers that keep to no limit, an ordinary request on a new connection got no answer for 5 s; after pipelined requests without a route its connection was reset. Operators saw a process that stood still for seconds (up to 3.6 s beside other work).

Cause: libuv reads a connection up to 32 times 64 KiB in one turn of the event loop, and each chunk of a body costs a call from the parser. 2 MiB in chunks of a byte are 350,000 calls. Beside it, Node.js 20 accepts one connection in a turn, so that long turns leave hundreds of connections waiting (549 of 1,024 seen in the listen queue, most of them of callers that had left).

Why it works: a connection that has sent 512 chunks (a request counts as 16) is paused, which ends libuv's reads; of all such connections one is read at a time, with a rest of three times what its turn took, so that they get a quarter of the process at most. Nothing is refused.

--- a/packages/ingress/src/relay/caller-connections.ts
+++ b/packages/ingress/src/relay/caller-connections.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import type { Clock, Logger } from '@limpetwinch/core'
 
 /** Most requests of one connection that are served at one time; the responses are sent in the order of the requests, so more gain little. */
@@ -19,6 +20,12 @@
 const READ_AHEAD = 32
 /** Bytes of the bodies of such requests from which on nothing more is read. */
 const READ_AHEAD_BYTES = 65_536
+/** Chunks of request bodies after which nothing more is read from a connection until it gets a turn. */
+const CHUNKS_PER_TURN = 512
+/** Number of chunks that a request counts as. */
+const CHUNKS_PER_REQUEST = 16
+/** Time between two such turns, as a multiple of the time that the earlier one took. */
+const REST_PER_TURN = 3
 /** Memory of one request that waits for its turn: its parsed headers, its message objects and its signals. */
 const WAITING_REQUEST_BYTES = 16_384
 /** Part of the memory for requests that those that wait for their turn may take. */
@@ -89,6 +96,9 @@
   private readonly waiting: WaitingRequest[] = []
   /** Whether nothing is read from the connection because many of its requests wait. */
   isHeldBack = false
+  /** Whether nothing is read from the connection until it gets a turn. */
+  private isYielding = false
+  private chunks = 0
   private running = 0
   private uploads = 0
   private bytesMoved = 0
@@ -105,7 +115,7 @@
     this.all = all
     this.movedAt = now
     // Reading a request body resumes the connection, also while later requests wait.
-    socket.on('resume', () => { if (this.isHeldBack) socket.pause() })
+    socket.on('resume', () => { if (this.isHeldBack || this.isYielding) socket.pause() })
     socket.once('close', () => {
       this.dropWaiting()
       all.closed(this)
@@ -137,6 +147,21 @@
     }
   }
 
+  /**
+   * Called for each chunk of a request body that is read. One turn of the event loop reads up to two megabytes from a connection; in chunks of a byte,
+   * they would keep the process from everything else for seconds. Connections that send many chunks or requests are read in turns, one at a time.
+   */
+  chunkRead (): void {
+    this.count(1)
+  }
+
+  /** Reads from the connection again, after it has waited for its turn. */
+  takeReadTurn (): void {
+    this.isYielding = false
+    this.chunks = 0
+    if (!this.isHeldBack) this.socket.resume()
+  }
+
   /**
    * Waits until a request may be served. Nothing more is read from the connection while many wait.
    *
@@ -145,6 +170,7 @@
    *   ends with {@link endTurn}
    */
   takeTurn (incoming: IncomingMessage): true | Promise<boolean> {
+    this.count(CHUNKS_PER_REQUEST)
     if (this.mayRun()) {
       this.begin()
       return true
@@ -198,7 +224,18 @@
   private readOn (): void {
     this.isHeldBack = false
     this.all.readOn(this)
-    this.socket.resume()
+    if (!this.isYielding) this.awaitReadTurn()
+  }
+
+  private count (chunks: number): void {
+    this.chunks += chunks
+    if (this.chunks >= CHUNKS_PER_TURN && !this.isYielding) this.awaitReadTurn()
+  }
+
+  private awaitReadTurn (): void {
+    this.isYielding = true
+    this.socket.pause()
+    this.all.yields(this)
   }
 
   private mayRun (): boolean {
@@ -222,6 +259,9 @@
   private readonly open = new Map<Socket, CallerConnection>()
   /** Connections from which nothing is read, in the order in which they were held back. */
   private readonly unread = new Set<CallerConnection>()
+  /** Connections that wait for a turn to be read. */
+  private readonly yielding = new Set<CallerConnection>()
+  private areTurnsGiven = false
   private checkedAt = -Infinity
   private warnedAt = -Infinity
   /** Number of connections that were closed because of a bound. */
@@ -282,6 +322,12 @@
     this.unread.delete(connection)
   }
 
+  /** Called when a connection has sent many chunks, from which nothing is read until it gets a turn. */
+  yields (connection: CallerConnection): void {
+    this.yielding.add(connection)
+    if (!this.areTurnsGiven) void this.giveTurns()
+  }
+
   /** Notes which connections make progress; to be called regularly. */
   maintain (): void {
     const now = this.options.clock.now()
@@ -294,6 +340,26 @@
   closed (connection: CallerConnection): void {
     this.open.delete(connection.socket)
     this.unread.delete(connection)
+    this.yielding.delete(connection)
+  }
+
+  /** Has the connections read that wait for a turn, one after the other, and rests between them. */
+  private async giveTurns (): Promise<void> {
+    const { clock } = this.options
+    this.areTurnsGiven = true
+    let beganAt = clock.now()
+    while (this.yielding.size > 0) {
+      // What was read from a connection is parsed to its end first.
+      await nextTurn()
+      await clock.sleep((clock.now() - beganAt) * REST_PER_TURN)
+      const [next] = this.yielding
+      if (next === undefined) break
+      this.yielding.delete(next)
+      beganAt = clock.now()
+      next.takeReadTurn()
+      await nextTurn()
+    }
+    this.areTurnsGiven = false
   }
 
   /** @returns whether a closed connection gets a log line: one a second at most, since callers that open connections again at once would fill the log */
--- a/packages/ingress/src/relay/caller-exchange.ts
+++ b/packages/ingress/src/relay/caller-exchange.ts
@@ -42,12 +42,13 @@
   /**
    * @param held - counts the bytes of the bodies of all requests
    * @param heldResponses - counts the bytes of all responses; a caller that does not take its response keeps them until it leaves
+   * @param onChunk - called for each chunk of the body that is read
    */
-  constructor (incoming: IncomingMessage, outgoing: ServerResponse, held = new HeldRequestBytes(), heldResponses = new HeldResponseBytes()) {
+  constructor (incoming: IncomingMessage, outgoing: ServerResponse, held = new HeldRequestBytes(), heldResponses = new HeldResponseBytes(), onChunk?: () => void) {
     this.incoming = incoming
     this.outgoing = outgoing
     this.held = held
-    this.body = new RequestBody(incoming, held)
+    this.body = new RequestBody(incoming, held, onChunk)
     this.heldResponses = heldResponses
     outgoing.on('close', () => this.disconnected())
     // A caller that resets its connection has left.
@@ -93,7 +94,7 @@
   /** Closing the connection with unread bytes would reset it, and the caller might not get the answer that its request was not run. */
   private discardBody (): Result<never, LimpetwinchError> {
     this.isDiscarding = true
-    this.incoming.resume()
+    this.body.discard()
     return err(new LimpetwinchError('bodies-fill-memory'))
   }
 
--- a/packages/ingress/src/relay/request-body.ts
+++ b/packages/ingress/src/relay/request-body.ts
@@ -31,14 +31,17 @@
   /** Bytes that are free in the last page. */
   private room = 0
   private finish: (result: ReceivedBody) => void = () => {}
+  private readonly onChunk: () => void
 
   /**
    * @param incoming - the request
    * @param held - counts the bytes of the bodies of all requests
+   * @param onChunk - called for each chunk that is read
    */
-  constructor (incoming: IncomingMessage, held: HeldRequestBytes) {
+  constructor (incoming: IncomingMessage, held: HeldRequestBytes, onChunk: () => void = () => {}) {
     this.incoming = incoming
     this.held = held
+    this.onChunk = onChunk
     this.arrivedAt = performance.now()
   }
 
@@ -72,6 +75,11 @@
     return received
   }
 
+  /** Reads the rest of a body that was refused and drops it. */
+  discard (): void {
+    this.incoming.on('data', this.onChunk)
+  }
+
   /** Refuses the request, since its caller has stopped to send it. */
   drop (): void {
     this.isArriving = false
@@ -87,6 +95,7 @@
   }
 
   private take (chunk: Buffer, maximumBytes: number): void {
+    this.onChunk()
     if (!this.isArriving) return
     this.arrivedAt = performance.now()
     if (this.length + chunk.length > maximumBytes) return this.refuse(new LimpetwinchError('body-too-large', { limit: maximumBytes }))
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -167,7 +167,7 @@
   private async serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAt = this.parts.clock.now()
     const connection = this.parts.connections.of(incoming.socket)
-    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests, this.parts.heldResponses)
+    const exchange = new CallerExchange(incoming, outgoing, this.parts.heldRequests, this.parts.heldResponses, () => connection.chunkRead())
     const request = this.open.begin(incoming, outgoing, exchange)
     const isAnswerable = !this.stopping || this.open.askToLeave(incoming, request)
     outgoing.on('finish', () => this.closeKeptAliveConnection(incoming, request))
