Fewer connections wait to be accepted where memory is small

Operators saw: an instance of 210 MB beyond its memory beside a mixture of callers that keep to no limit.

Cause: up to 1,024 connections wait to be accepted, and the operating system receives 64 KiB for each. Most of those seen were of callers that had left: 482 of them held 30 of 52 MB that the process had not read.

Why it works: the backlog follows the memory for bodies, 165 at 210 MB, 64 at least. Where memory is not stated, and from about 500 MB on, it is 1,024 as before.

--- a/packages/ingress/src/relay/caller-connections.ts
+++ b/packages/ingress/src/relay/caller-connections.ts
@@ -40,6 +40,13 @@
 /** Least bound on the waiting requests, and the bound of a process whose memory is not known. */
 const MINIMUM_WAITING = 256
 const DEFAULT_WAITING = 16_384
+/** Bytes that the operating system receives for a connection before it is accepted. */
+const PENDING_BYTES = 65_536
+/** Part of the memory for requests that connections which are not accepted yet may take. */
+const PENDING_SHARE = 0.25
+/** Least and largest number of connections that may wait to be accepted; the largest is that of a process whose memory is not known. */
+const MINIMUM_PENDING = 64
+const MAXIMUM_PENDING = 1_024
 
 /** Descriptors that the process needs for files, the store, its peers and its listeners. */
 const RESERVED_DESCRIPTORS = 200
@@ -71,6 +78,14 @@
   return Math.max(MINIMUM_HELD_BACK, Math.floor(requestBytes * UNREAD_SHARE / UNREAD_BYTES))
 }
 
+/**
+ * @param requestBytes - most bytes of request bodies that the process may hold
+ * @returns the backlog of the listening socket. In a burst, the operating system drops connections beyond it, and their callers retry only a second later
+ */
+export function pendingConnectionsFor (requestBytes: number): number {
+  return Math.min(MAXIMUM_PENDING, Math.max(MINIMUM_PENDING, Math.floor(requestBytes * PENDING_SHARE / PENDING_BYTES)))
+}
+
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly clock: Clock
--- a/packages/ingress/src/relay/create-listener.ts
+++ b/packages/ingress/src/relay/create-listener.ts
@@ -19,7 +19,7 @@
 import type { IngressSettings } from '../runtime/ingress-settings.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { TeamAdmission } from '../teams/team-admission.js'
-import { callerConnectionsFor, CallerConnections, heldBackConnectionsFor, waitingRequestsFor } from './caller-connections.js'
+import { callerConnectionsFor, CallerConnections, heldBackConnectionsFor, pendingConnectionsFor, waitingRequestsFor } from './caller-connections.js'
 import type { EndpointSenders } from './endpoint-senders.js'
 import { HeldRequestBytes, requestBytesFor } from './held-request-bytes.js'
 import type { RequestCodec } from './request-codec.js'
@@ -74,5 +74,5 @@
   const requestBytes = requestBytesFor(settings.memoryMegabytes)
   const heldRequests = new HeldRequestBytes(requestBytes, () => heldResponses.bytes)
   const connections = new CallerConnections({ clock, logger, maximumConnections: callerConnectionsFor(settings.descriptors), maximumWaiting: waitingRequestsFor(requestBytes), maximumHeldBack: heldBackConnectionsFor(requestBytes) })
-  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, connections, heldRequests, heldResponses })
+  return new RoutedListener({ ...shared, stopGate: components.senders.stopGate, isConfigurationCurrent: () => !freshness.isOverdue('configuration'), streams, services, connections, heldRequests, heldResponses, maximumPending: pendingConnectionsFor(requestBytes) })
 }
--- a/packages/ingress/src/relay/routed-listener.ts
+++ b/packages/ingress/src/relay/routed-listener.ts
@@ -29,11 +29,6 @@
  * checked after parsing.
  */
 const MAXIMUM_HEADER_BYTES = 64 * 1024
-/**
- * Backlog of the listening socket: the number of connections that may wait to be accepted. In a burst, the operating system drops connections
- * beyond this number, and their callers retry only seconds later.
- */
-const BACKLOG = 1_024
 /**
  * Added to the configured time limits for idle connections and for headers. An idle connection is kept this much longer than callers
  * expect, so that it is not closed just when a caller sends a request on it.
@@ -79,6 +74,8 @@
   readonly connections: CallerConnections
   readonly heldRequests: HeldRequestBytes
   readonly heldResponses: HeldResponseBytes
+  /** Most connections that wait to be accepted. */
+  readonly maximumPending: number
 }
 
 interface RouteOfRequest {
@@ -126,7 +123,7 @@
     const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
-      this.server.listen({ host, port, backlog: BACKLOG }, () => resolve())
+      this.server.listen({ host, port, backlog: this.parts.maximumPending }, () => resolve())
     })
   }
 
--- a/packages/ingress/test/caller-connections.failure.test.ts
+++ b/packages/ingress/test/caller-connections.failure.test.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
-import { callerConnectionsFor, heldBackConnectionsFor, waitingRequestsFor } from '../src/relay/caller-connections.js'
+import { callerConnectionsFor, heldBackConnectionsFor, pendingConnectionsFor, waitingRequestsFor } from '../src/relay/caller-connections.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
 import { framed, RawEndpoint, silence } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
@@ -129,19 +129,22 @@
         10000,
       ]
     `)
-    expect([65 * MEGABYTE, 16 * MEGABYTE, Infinity].map((bytes) => [waitingRequestsFor(bytes), heldBackConnectionsFor(bytes)])).toMatchInlineSnapshot(`
+    expect([65 * MEGABYTE, 16 * MEGABYTE, Infinity].map((bytes) => [waitingRequestsFor(bytes), heldBackConnectionsFor(bytes), pendingConnectionsFor(bytes)])).toMatchInlineSnapshot(`
       [
         [
           1040,
           8,
+          260,
         ],
         [
           256,
           4,
+          64,
         ],
         [
           16384,
           64,
+          1024,
         ],
       ]
     `)
--- a/packages/ingress/test/support/ingress-under-test.ts
+++ b/packages/ingress/test/support/ingress-under-test.ts
@@ -23,7 +23,7 @@
 import { IsolatedRunClaims } from '../../src/quarantine/isolated-run-claims.js'
 import { EndpointSenders } from '../../src/relay/endpoint-senders.js'
 import { RoutedListener } from '../../src/relay/routed-listener.js'
-import { CallerConnections } from '../../src/relay/caller-connections.js'
+import { CallerConnections, pendingConnectionsFor } from '../../src/relay/caller-connections.js'
 import { HeldRequestBytes } from '../../src/relay/held-request-bytes.js'
 import { responseBytesFor } from '../../src/relay/held-response-bytes.js'
 import { ServiceRelay } from '../../src/relay/service-relay.js'
@@ -215,7 +215,7 @@
     })
     this.quotas = quotas
     const connections = new CallerConnections({ clock, logger, maximumConnections: setup.connections ?? Infinity, maximumWaiting: setup.waiting ?? Infinity, maximumHeldBack: setup.heldBack ?? Infinity })
-    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, stopGate: senders.stopGate, connections, heldRequests: new HeldRequestBytes(setup.requestBytes), heldResponses: senders.heldResponses })
+    this.listener = new RoutedListener({ clock, logger, codec, configuration: this.configuration, isConfigurationCurrent: () => setup.isConfigurationCurrent ?? true, budgets, quarantine, admission, metrics, random, streams, services, stopGate: senders.stopGate, connections, heldRequests: new HeldRequestBytes(setup.requestBytes), heldResponses: senders.heldResponses, maximumPending: pendingConnectionsFor(Infinity) })
     if (setup.routes.length > 0) this.configure(setup.routes, 1, setup.teams)
     directory.apply({ revision: 1, endpoints: setup.endpoints.map((each) => this.sample(each)) }, undefined, 0)
     for (const each of directory.all()) locations.applyStatement(each)
