Only what comes at one time counts towards read turns; read turns and bounds have modules of their own

A caller on one connection that sends one request after the other would have waited for a turn at each 32nd request: chunks were counted over the life of a connection. They count within 50 ms now, and requests only when they are pipelined. The functions that size bounds (caller-bounds.ts) and the turns (read-turns.ts) are moved out of caller-connections.ts without changes.

--- a/packages/ingress/src/relay/caller-connections.ts
+++ b/packages/ingress/src/relay/caller-connections.ts
@@ -6,8 +6,8 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
-import { setImmediate as nextTurn } from 'node:timers/promises'
 import type { Clock, Logger } from '@limpetwinch/core'
+import { ReadTurns } from './read-turns.js'
 
 /** Most requests of one connection that are served at one time; the responses are sent in the order of the requests, so more gain little. */
 const MAXIMUM_RUNNING = 2
@@ -22,38 +22,10 @@
 const READ_AHEAD_BYTES = 65_536
 /** Chunks of request bodies after which nothing more is read from a connection until it gets a turn. */
 const CHUNKS_PER_TURN = 512
-/** Number of chunks that a request counts as. */
+/** Number of chunks that a pipelined request counts as. */
 const CHUNKS_PER_REQUEST = 16
-/** Time between two such turns, as a multiple of the time that the earlier one took. */
-const REST_PER_TURN = 3
-/** Memory of one request that waits for its turn: its parsed headers, its message objects and its signals. */
-const WAITING_REQUEST_BYTES = 16_384
-/** Part of the memory for requests that those that wait for their turn may take. */
-const WAITING_SHARE = 0.25
-/** Memory that a connection from which nothing is read may take: the operating system receives for it until its buffer is full. */
-const UNREAD_BYTES = 2_097_152
-/** Part of the memory for requests that such connections may take. */
-const UNREAD_SHARE = 0.25
-/** Least bound on such connections, and the bound of a process whose memory is not known. */
-const MINIMUM_HELD_BACK = 4
-const DEFAULT_HELD_BACK = 64
-/** Least bound on the waiting requests, and the bound of a process whose memory is not known. */
-const MINIMUM_WAITING = 256
-const DEFAULT_WAITING = 16_384
-/** Bytes that the operating system receives for a connection before it is accepted. */
-const PENDING_BYTES = 65_536
-/** Part of the memory for requests that connections which are not accepted yet may take. */
-const PENDING_SHARE = 0.25
-/** Least and largest number of connections that may wait to be accepted; the largest is that of a process whose memory is not known. */
-const MINIMUM_PENDING = 64
-const MAXIMUM_PENDING = 1_024
-
-/** Descriptors that the process needs for files, the store, its peers and its listeners. */
-const RESERVED_DESCRIPTORS = 200
-/** Part of the other descriptors that connections of callers may take: each request also needs a connection to an endpoint. */
-const CALLER_SHARE = 0.45
-/** Most connections of a process whose descriptors are not known. */
-const DEFAULT_CONNECTIONS = 10_000
+/** Time in which so many chunks have to arrive. */
+const COUNTED_MILLISECONDS = 50
 /** Interval between two checks whether the bytes of a connection move. */
 const PROGRESS_CHECK_MILLISECONDS = 1_000
 /** Least time between two log lines about closed connections. */
@@ -61,31 +33,6 @@
 /** Time without a byte in either direction after which an unfinished request or an untaken response counts as stalled. */
 const STALLED_MILLISECONDS = 5_000
 
-/** @returns the most connections of callers for a process with so many descriptors; a default when they are not known */
-export function callerConnectionsFor (descriptors: number | undefined): number {
-  return descriptors === undefined ? DEFAULT_CONNECTIONS : Math.max(1, Math.floor((descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE))
-}
-
-/** @param requestBytes - most bytes of request bodies that the process may hold @returns the most requests that may wait for their turn */
-export function waitingRequestsFor (requestBytes: number): number {
-  if (requestBytes === Infinity) return DEFAULT_WAITING
-  return Math.max(MINIMUM_WAITING, Math.floor(requestBytes * WAITING_SHARE / WAITING_REQUEST_BYTES))
-}
-
-/** @param requestBytes - most bytes of request bodies that the process may hold @returns the most connections from which nothing is read */
-export function heldBackConnectionsFor (requestBytes: number): number {
-  if (requestBytes === Infinity) return DEFAULT_HELD_BACK
-  return Math.max(MINIMUM_HELD_BACK, Math.floor(requestBytes * UNREAD_SHARE / UNREAD_BYTES))
-}
-
-/**
- * @param requestBytes - most bytes of request bodies that the process may hold
- * @returns the backlog of the listening socket. In a burst, the operating system drops connections beyond it, and their callers retry only a second later
- */
-export function pendingConnectionsFor (requestBytes: number): number {
-  return Math.min(MAXIMUM_PENDING, Math.max(MINIMUM_PENDING, Math.floor(requestBytes * PENDING_SHARE / PENDING_BYTES)))
-}
-
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly clock: Clock
@@ -114,6 +61,8 @@
   /** Whether nothing is read from the connection until it gets a turn. */
   private isYielding = false
   private chunks = 0
+  /** Monotonic time since which the chunks are counted. */
+  private countedSince: number
   private running = 0
   private uploads = 0
   private bytesMoved = 0
@@ -129,6 +78,7 @@
     this.socket = socket
     this.all = all
     this.movedAt = now
+    this.countedSince = now
     // Reading a request body resumes the connection, also while later requests wait.
     socket.on('resume', () => { if (this.isHeldBack || this.isYielding) socket.pause() })
     socket.once('close', () => {
@@ -164,7 +114,7 @@
 
   /**
    * Called for each chunk of a request body that is read. One turn of the event loop reads up to two megabytes from a connection; in chunks of a byte,
-   * they would keep the process from everything else for seconds. Connections that send many chunks or requests are read in turns, one at a time.
+   * they would keep the process from everything else for seconds. Connections that send many chunks or requests at a time are read in turns.
    */
   chunkRead (): void {
     this.count(1)
@@ -185,7 +135,7 @@
    *   ends with {@link endTurn}
    */
   takeTurn (incoming: IncomingMessage): true | Promise<boolean> {
-    this.count(CHUNKS_PER_REQUEST)
+    if (!this.isIdle) this.count(CHUNKS_PER_REQUEST)
     if (this.mayRun()) {
       this.begin()
       return true
@@ -243,6 +193,11 @@
   }
 
   private count (chunks: number): void {
+    const now = this.all.now()
+    if (now - this.countedSince >= COUNTED_MILLISECONDS) {
+      this.countedSince = now
+      this.chunks = 0
+    }
     this.chunks += chunks
     if (this.chunks >= CHUNKS_PER_TURN && !this.isYielding) this.awaitReadTurn()
   }
@@ -250,7 +205,7 @@
   private awaitReadTurn (): void {
     this.isYielding = true
     this.socket.pause()
-    this.all.yields(this)
+    this.all.readTurns.wait(this)
   }
 
   private mayRun (): boolean {
@@ -274,9 +229,8 @@
   private readonly open = new Map<Socket, CallerConnection>()
   /** Connections from which nothing is read, in the order in which they were held back. */
   private readonly unread = new Set<CallerConnection>()
-  /** Connections that wait for a turn to be read. */
-  private readonly yielding = new Set<CallerConnection>()
-  private areTurnsGiven = false
+  /** Gives turns to connections that have sent many chunks. */
+  readonly readTurns: ReadTurns<CallerConnection>
   private checkedAt = -Infinity
   private warnedAt = -Infinity
   /** Number of connections that were closed because of a bound. */
@@ -289,6 +243,12 @@
   /** @param options - the bounds */
   constructor (options: CallerConnectionsOptions) {
     this.options = options
+    this.readTurns = new ReadTurns(options.clock)
+  }
+
+  /** @returns monotonic time */
+  now (): number {
+    return this.options.clock.now()
   }
 
   /** Number of connections. */
@@ -337,12 +297,6 @@
     this.unread.delete(connection)
   }
 
-  /** Called when a connection has sent many chunks, from which nothing is read until it gets a turn. */
-  yields (connection: CallerConnection): void {
-    this.yielding.add(connection)
-    if (!this.areTurnsGiven) void this.giveTurns()
-  }
-
   /** Notes which connections make progress; to be called regularly. */
   maintain (): void {
     const now = this.options.clock.now()
@@ -355,26 +309,7 @@
   closed (connection: CallerConnection): void {
     this.open.delete(connection.socket)
     this.unread.delete(connection)
-    this.yielding.delete(connection)
-  }
-
-  /** Has the connections read that wait for a turn, one after the other, and rests between them. */
-  private async giveTurns (): Promise<void> {
-    const { clock } = this.options
-    this.areTurnsGiven = true
-    let beganAt = clock.now()
-    while (this.yielding.size > 0) {
-      // What was read from a connection is parsed to its end first.
-      await nextTurn()
-      await clock.sleep((clock.now() - beganAt) * REST_PER_TURN)
-      const [next] = this.yielding
-      if (next === undefined) break
-      this.yielding.delete(next)
-      beganAt = clock.now()
-      next.takeReadTurn()
-      await nextTurn()
-    }
-    this.areTurnsGiven = false
+    this.readTurns.forget(connection)
   }
 
   /** @returns whether a closed connection gets a log line: one a second at most, since callers that open connections again at once would fill the log */
--- a/packages/ingress/test/caller-connections.failure.test.ts
+++ b/packages/ingress/test/caller-connections.failure.test.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
-import { callerConnectionsFor, heldBackConnectionsFor, pendingConnectionsFor, waitingRequestsFor } from '../src/relay/caller-connections.js'
+import { callerConnectionsFor, heldBackConnectionsFor, pendingConnectionsFor, waitingRequestsFor } from '../src/relay/caller-bounds.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
 import { framed, RawEndpoint, silence } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
--- a/packages/ingress/test/read-turns.failure.test.ts
+++ b/packages/ingress/test/read-turns.failure.test.ts
@@ -80,3 +80,22 @@
     expect({ mostOfOne: counter.mostOfOne <= CHUNKS_PER_READ, mostAgain: counter.mostAgain }).toEqual({ mostOfOne: true, mostAgain: 1 })
   }, 60_000)
 })
+
+// Guards against a caller within the limits that waits for turns.
+describe('requests that follow one another', () => {
+  it('are read all the time, however fast they come', async () => {
+    const received: number[] = []
+    const server = await listen(new TurnCounter(), received)
+    let pauses = 0
+    server.on('connection', (socket) => { socket.on('pause', () => { pauses += 1 }) })
+    const { port } = server.address() as AddressInfo
+    const caller = connect(port, '127.0.0.1')
+    stops.push(() => caller.destroy())
+    for (let sent = 1; sent <= 200; sent++) {
+      const answered = once(caller, 'data')
+      caller.write('POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok')
+      await answered
+    }
+    expect({ received: received.length, pauses }).toEqual({ received: 200, pauses: 0 })
+  })
+})
