The rest of a body that was refused in its middle is read again

Callers would have seen: no answer to the next request on a connection whose body was refused as bodies_fill_memory in its middle. The test is new; it fails without the line and passes with it.

--- a/packages/ingress/src/relay/request-body.ts
+++ b/packages/ingress/src/relay/request-body.ts
@@ -78,6 +78,7 @@
   /** Reads the rest of a body that was refused and drops it. */
   discard (): void {
     this.incoming.on('data', this.onChunk)
+    this.incoming.resume()
   }
 
   /** Refuses the request, since its caller has stopped to send it. */
--- a/packages/ingress/test/request-bytes.failure.test.ts
+++ b/packages/ingress/test/request-bytes.failure.test.ts
@@ -1,9 +1,10 @@
 // Guards against long request bodies that together take a process over its memory, so that the platform kills it with all that it serves.
 import { Agent, request } from 'node:http'
+import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { HeldRequestBytes, requestBytesFor } from '../src/relay/held-request-bytes.js'
 import { IngressUnderTest } from './support/ingress-under-test.js'
-import { framed, RawEndpoint, silence } from './support/raw-endpoint.js'
+import { chunk, framed, RawEndpoint, silence } from './support/raw-endpoint.js'
 import type { RawAnswer } from './support/raw-endpoint.js'
 import { route } from './support/samples.js'
 
@@ -59,6 +60,23 @@
     const [refused, next] = [await post(under, agent, 900), await post(under, agent, 200)]
     expect({ statuses: [refused.status, next.status], isKept: refused.localPort === next.localPort }).toEqual({ statuses: [503, 200], isKept: true })
   })
+
+  // Guards against the same where the refusal comes in the middle of the body: the rest is read, more of it than is buffered.
+  it('keeps its connection for the next one when its length is not announced', async () => {
+    const { under, raw } = await ingress(silence, framed(200, 'ok'))
+    void under.ask('/', {}, 'x'.repeat(900)).catch(() => {})
+    await expect.poll(() => raw.requests.length).toBe(1)
+    let received = ''
+    const caller = connect(under.port, '127.0.0.1')
+    stops.push(() => caller.destroy())
+    caller.on('data', (bytes) => { received += String(bytes) })
+    const head = 'host: listings.example\r\nx-request-id: two\r\n'
+    caller.write(`POST / HTTP/1.1\r\n${head}transfer-encoding: chunked\r\n\r\n${chunk('x'.repeat(300))}`)
+    await expect.poll(() => received).toContain('HTTP/1.1 503')
+    caller.write(`${chunk('x'.repeat(900)).repeat(300)}0\r\n\r\n`)
+    caller.write(`POST / HTTP/1.1\r\n${head}content-length: 2\r\n\r\nok`)
+    await expect.poll(() => received).toContain('HTTP/1.1 200')
+  })
 })
 
 describe('the bytes of request bodies', () => {
