Read turns are for small chunks only; pipelined requests take none

Why turns of pipelined requests take so much is not traced; they are taken out. Chunks count only where they have less than 128 bytes on average: while a connection that sends fast is not read, the operating system receives megabytes for it.

--- a/packages/ingress/src/relay/caller-connections.ts
+++ b/packages/ingress/src/relay/caller-connections.ts
@@ -22,10 +22,10 @@
 const READ_AHEAD_BYTES = 65_536
 /** Chunks of request bodies after which nothing more is read from a connection until it gets a turn. */
 const CHUNKS_PER_TURN = 512
-/** Number of chunks that a pipelined request counts as. */
-const CHUNKS_PER_REQUEST = 16
 /** Time in which so many chunks have to arrive. */
 const COUNTED_MILLISECONDS = 50
+/** Bytes of a chunk from which on it is not small. While a connection that sends fast is not read, the operating system receives megabytes for it. */
+const SMALL_CHUNK_BYTES = 128
 /** Interval between two checks whether the bytes of a connection move. */
 const PROGRESS_CHECK_MILLISECONDS = 1_000
 /** Least time between two log lines about closed connections. */
@@ -63,6 +63,8 @@
   private chunks = 0
   /** Monotonic time since which the chunks are counted. */
   private countedSince: number
+  /** Bytes that had been read from the connection then. */
+  private bytesBefore = 0
   private running = 0
   private uploads = 0
   private bytesMoved = 0
@@ -114,10 +116,19 @@
 
   /**
    * Called for each chunk of a request body that is read. One turn of the event loop reads up to two megabytes from a connection; in chunks of a byte,
-   * they would keep the process from everything else for seconds. Connections that send many chunks or requests at a time are read in turns.
+   * they would keep the process from everything else for seconds. Connections that send many small chunks at a time are read in turns.
    */
   chunkRead (): void {
-    this.count(1)
+    const now = this.all.now()
+    if (now - this.countedSince >= COUNTED_MILLISECONDS) {
+      this.countedSince = now
+      this.bytesBefore = this.socket.bytesRead
+      this.chunks = 0
+    }
+    this.chunks += 1
+    if (this.chunks < CHUNKS_PER_TURN || this.isYielding) return
+    const areSmall = this.socket.bytesRead - this.bytesBefore < this.chunks * SMALL_CHUNK_BYTES
+    if (areSmall) this.awaitReadTurn()
   }
 
   /** Reads from the connection again, after it has waited for its turn. */
@@ -135,7 +146,6 @@
    *   ends with {@link endTurn}
    */
   takeTurn (incoming: IncomingMessage): true | Promise<boolean> {
-    if (!this.isIdle) this.count(CHUNKS_PER_REQUEST)
     if (this.mayRun()) {
       this.begin()
       return true
@@ -189,17 +199,7 @@
   private readOn (): void {
     this.isHeldBack = false
     this.all.readOn(this)
-    if (!this.isYielding) this.awaitReadTurn()
-  }
-
-  private count (chunks: number): void {
-    const now = this.all.now()
-    if (now - this.countedSince >= COUNTED_MILLISECONDS) {
-      this.countedSince = now
-      this.chunks = 0
-    }
-    this.chunks += chunks
-    if (this.chunks >= CHUNKS_PER_TURN && !this.isYielding) this.awaitReadTurn()
+    if (!this.isYielding) this.socket.resume()
   }
 
   private awaitReadTurn (): void {
