Review, a further case: heads of very many lines end an instance

Requests that wait for their turn are bounded by their number, at 16 kB each; a head of many lines takes several times that once it is parsed. Case: 90 connections with 31 pipelined requests each, heads of 12.8 kB inside the limits.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,41 +1,54 @@
-/** A request with very many short header lines, inside the limits, runs without the last of its headers. */
+/** Callers pipeline requests whose heads have very many short lines, all inside the limits; the instance runs out of memory. */
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { runCase } from '../harness-2/deployment.mjs'
+import { OrdinaryCallers, residentMegabytes, runCase } from '../harness-2/deployment.mjs'
 
 const CRLF = '\r\n'
-/** Header lines before the last ones; the whole head stays below `MaxHeaderBytes` (16,384). */
-const HEADER_LINES = 2_100
-const FEW_HEADER_LINES = 10
-const CALM_MILLISECONDS = 3_500
-const ANSWER_MILLISECONDS = 3_000
-const SENT = { model: 'base', usage: '100,200', prefix: '5c1e07a2:60,91bd3f06:40' }
-const REQUESTS = 5
+const CONNECTIONS = 90
+/** Requests that are sent on one connection without waiting for the answers. */
+const PIPELINED = 31
+/** Header lines beside the usual ones; the whole head stays below `MaxHeaderBytes` (16,384). */
+const HEADER_LINES = 1_750
+const OPENING_MILLISECONDS = 25
+const PRESSED_MILLISECONDS = 15_000
+const ORDINARY_CALLERS = 8
+const CALM_MILLISECONDS = 4_000
+/** LOST: more than three requests. */
+const ALLOWED_LOSSES = 3
 
-await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 2, webServers: 1 }, async (deployment, hasTrouble) => {
+const LINES = Array.from({ length: HEADER_LINES }, (_, number) => `${number.toString(36)}:${(number % 26 + 10).toString(36)}${(number % 31).toString(36)}`)
+
+function head (id, lines) {
+  return ['POST /once/1 HTTP/1.1', 'host: guide.example', `x-request-id: ${id}`, 'x-deadline: 15000', 'x-model: base', 'x-token-usage: 100,2500', 'content-length: 0', ...lines, '', ''].join(CRLF)
+}
+
+await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 2, webServers: 2, webOptions: { workMilliseconds: 300 }, configuration: { streamMilliseconds: 15_000 } }, async (deployment, hasTrouble) => {
   await deployment.start(1)
+  const [instance] = deployment.instances
+  const { host, port, child } = instance
+  const ordinary = new OrdinaryCallers(deployment, instance)
+  ordinary.begin(ORDINARY_CALLERS)
   await sleep(CALM_MILLISECONDS)
-  const [{ host, port }] = deployment.instances
-  const lines = Array.from({ length: hasTrouble ? HEADER_LINES : FEW_HEADER_LINES }, (_, number) => `a:${number % 10}`)
-  let altered = 0
-  for (let number = 0; number < REQUESTS; number += 1) {
-    const id = `many-lines-${number}`
-    const socket = connect({ host, port, noDelay: true })
-    let text = ''
-    socket.on('data', (bytes) => { text += String(bytes) })
-    socket.on('error', ({ message }) => deployment.record(`the client's connection failed: ${message}`))
-    const head = ['POST /once/1 HTTP/1.1', 'host: guide.example', `x-request-id: ${id}`, `x-model: ${SENT.model}`, ...lines, 'x-deadline: 5000', `x-token-usage: ${SENT.usage}`, `x-prompt-prefix: ${SENT.prefix}`, 'content-length: 0', '', ''].join(CRLF)
-    socket.write(head)
-    deployment.record(`the client sent ${id}, a head of ${head.length} bytes: ${JSON.stringify(SENT)}`)
-    await sleep(ANSWER_MILLISECONDS)
-    socket.destroy()
-    const ran = deployment.engines.map((engine) => engine.ran.get(id)).find((each) => each !== undefined)
-    const events = [...text.matchAll(/^id: \d+\r?$/gm)].length
-    deployment.record(`a server ran ${id} as ${JSON.stringify(ran)}; the client's answer: ${text.slice(0, 15).trim()}, ${events} events, ${text.endsWith(`0${CRLF}${CRLF}`) ? 'complete' : 'not complete'}`)
-    if (ran !== undefined && (ran.model !== SENT.model || ran.usage !== SENT.usage || ran.prefix !== SENT.prefix)) altered += 1
+  const lines = hasTrouble ? LINES : []
+  deployment.record(`each of ${CONNECTIONS} connections sends ${PIPELINED} requests, each with a head of ${head('pressing-1-1', lines).length} bytes`)
+  const open = []
+  for (let number = 0; number < CONNECTIONS && instance.end === undefined; number += 1) {
+    const socket = connect({ host, port })
+    socket.on('error', () => {})
+    socket.resume()
+    for (let request = 0; request < PIPELINED; request += 1) socket.write(head(`pressing-${number}-${request}`, lines))
+    open.push(socket)
+    await sleep(OPENING_MILLISECONDS)
+  }
+  const until = performance.now() + PRESSED_MILLISECONDS
+  while (performance.now() < until && instance.end === undefined) {
+    deployment.record(`resident ${residentMegabytes(child.pid)?.toFixed(0) ?? '-'} MB`)
+    await sleep(500)
   }
-  deployment.record(`${altered} of ${REQUESTS} requests ran with headers that are not the client's`)
-  return altered > 0
+  await ordinary.end()
+  for (const socket of open) socket.destroy()
+  deployment.record(`ordinary callers: ${JSON.stringify(ordinary.answers)} (status: number); passed on, then closed without an answer: ${ordinary.lost.join(', ') || 'none'}`)
+  return ordinary.lost.length > ALLOWED_LOSSES
 })
