Review, a further case: 408 for a request that runs

The HTTP server's own answer to a head that takes too long goes out in the place of the answer to an earlier request of the connection, which is at a server. Case: a whole request on an unsafe route, then two lines of a second one and no more.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,54 +1,43 @@
-/** Callers pipeline requests whose heads have very many short lines, all inside the limits; the instance runs out of memory. */
+/** A client sends the beginning of a second request while its first one runs, and no more: the first one is answered 408. */
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { OrdinaryCallers, residentMegabytes, runCase } from '../harness-2/deployment.mjs'
+import { runCase } from '../harness-2/deployment.mjs'
 
 const CRLF = '\r\n'
-const CONNECTIONS = 90
-/** Requests that are sent on one connection without waiting for the answers. */
-const PIPELINED = 31
-/** Header lines beside the usual ones; the whole head stays below `MaxHeaderBytes` (16,384). */
-const HEADER_LINES = 1_750
-const OPENING_MILLISECONDS = 25
-const PRESSED_MILLISECONDS = 15_000
-const ORDINARY_CALLERS = 8
-const CALM_MILLISECONDS = 4_000
-/** LOST: more than three requests. */
-const ALLOWED_LOSSES = 3
+/** The server's work on the request, inside the route's `TimeoutMs`. */
+const WORK_MILLISECONDS = 5_500
+const TIMEOUT_MILLISECONDS = 6_000
+const SECOND_REQUEST_MILLISECONDS = 200
+const CALM_MILLISECONDS = 3_500
+const PROMISES_NOT_RUN = [408, 421, 429, 503]
 
-const LINES = Array.from({ length: HEADER_LINES }, (_, number) => `${number.toString(36)}:${(number % 26 + 10).toString(36)}${(number % 31).toString(36)}`)
-
-function head (id, lines) {
-  return ['POST /once/1 HTTP/1.1', 'host: guide.example', `x-request-id: ${id}`, 'x-deadline: 15000', 'x-model: base', 'x-token-usage: 100,2500', 'content-length: 0', ...lines, '', ''].join(CRLF)
-}
-
-await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 2, webServers: 2, webOptions: { workMilliseconds: 300 }, configuration: { streamMilliseconds: 15_000 } }, async (deployment, hasTrouble) => {
+await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 1, webServers: 1, webOptions: { workMilliseconds: WORK_MILLISECONDS }, configuration: { plainMilliseconds: TIMEOUT_MILLISECONDS } }, async (deployment, hasTrouble) => {
   await deployment.start(1)
-  const [instance] = deployment.instances
-  const { host, port, child } = instance
-  const ordinary = new OrdinaryCallers(deployment, instance)
-  ordinary.begin(ORDINARY_CALLERS)
   await sleep(CALM_MILLISECONDS)
-  const lines = hasTrouble ? LINES : []
-  deployment.record(`each of ${CONNECTIONS} connections sends ${PIPELINED} requests, each with a head of ${head('pressing-1-1', lines).length} bytes`)
-  const open = []
-  for (let number = 0; number < CONNECTIONS && instance.end === undefined; number += 1) {
-    const socket = connect({ host, port })
-    socket.on('error', () => {})
-    socket.resume()
-    for (let request = 0; request < PIPELINED; request += 1) socket.write(head(`pressing-${number}-${request}`, lines))
-    open.push(socket)
-    await sleep(OPENING_MILLISECONDS)
-  }
-  const until = performance.now() + PRESSED_MILLISECONDS
-  while (performance.now() < until && instance.end === undefined) {
-    deployment.record(`resident ${residentMegabytes(child.pid)?.toFixed(0) ?? '-'} MB`)
-    await sleep(500)
+  const [{ host, port }] = deployment.instances
+  const socket = connect({ host, port, noDelay: true })
+  let text = ''
+  socket.on('data', (bytes) => {
+    deployment.record(`the client received ${JSON.stringify(String(bytes))}`)
+    text += String(bytes)
+  })
+  socket.on('error', ({ message }) => deployment.record(`the client's connection failed: ${message}`))
+  socket.on('close', () => deployment.record('the client\'s connection is closed'))
+  const body = 'book this'
+  socket.write(['POST /enter/1 HTTP/1.1', 'host: guide.example', 'x-request-id: booking-1', `x-deadline: ${TIMEOUT_MILLISECONDS}`, `content-length: ${body.length}`, '', body].join(CRLF))
+  deployment.record('the client sent the whole request booking-1, on an unsafe route')
+  await sleep(SECOND_REQUEST_MILLISECONDS)
+  if (hasTrouble) {
+    socket.write(['POST /enter/2 HTTP/1.1', 'host: guide.example', ''].join(CRLF))
+    deployment.record('the client sent the first two lines of a second request, and nothing more')
   }
-  await ordinary.end()
-  for (const socket of open) socket.destroy()
-  deployment.record(`ordinary callers: ${JSON.stringify(ordinary.answers)} (status: number); passed on, then closed without an answer: ${ordinary.lost.join(', ') || 'none'}`)
-  return ordinary.lost.length > ALLOWED_LOSSES
+  await sleep(TIMEOUT_MILLISECONDS + 500)
+  socket.destroy()
+  const runs = deployment.webServers.flatMap((server) => server.runs)
+  for (const run of runs) deployment.record(`the server ran ${run.request}: ${run.outcome}`)
+  const status = Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? 0)
+  deployment.record(`the client's request was answered ${status}`)
+  return PROMISES_NOT_RUN.includes(status) && runs.some(({ request }) => request === 'booking-1')
 })
