--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,43 +1,64 @@
-/** New versions of two adapters of one server are announced at once; a long stream on one of them keeps the other one old, and requests that wait for it begin too late. */
+/** All instances are killed at once while servers of two software versions serve: streams that clients take up again are refused for good. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { call, runCase } from '../harness-2/deployment.mjs'
 
-const REQUESTS = 24
-const EVENTS = 40
-/** Events of the stream on the other adapter, which takes some eight seconds. */
-const LONG_EVENTS = 400
-/** Streams that the server runs at one time while others wait. */
-const RUNS_AT_ONCE = 3
+const INSTANCES = 3
+const STREAMS = 24
+const EVENTS = 60
 const SETTLING_MILLISECONDS = 5_000
-const REQUEST_INTERVAL_MILLISECONDS = 20
-const VERSION_MILLISECONDS = 5_000
+/** Time from the beginning of the streams to the kill; a stream lasts 1.2 s or more. */
+const KILL_AFTER_MILLISECONDS = 600
+const DOWN_MILLISECONDS = 1_000
+const STABILITY_WINDOW_MILLISECONDS = 3_000
+/** Attempts of a client to take its stream up, each at another machine, and the pause between them; more than the `Retry-After` of the refusals (0.3 s). */
+const ATTEMPTS = 3
+const RETRY_MILLISECONDS = 500
+/** LOST counts 12 or more streams. */
+const LEAST_STREAMS = 12
+/** Without the disruption the clients break their connections themselves. */
+const EVENTS_BEFORE_BREAK = 20
+const HEADERS = { 'x-deadline': '15000', 'x-model': 'base', 'x-token-usage': `100,${EVENTS * 5}` }
 
-function headersOf (id, adapter, events) {
-  return { 'x-request-id': id, 'x-deadline': '14500', 'x-model': `base/${adapter}`, 'x-token-usage': `100,${events * 5}` }
-}
-
-await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 1, webServers: 1, configuration: { streamMilliseconds: 15_000 } }, async (deployment, hasTrouble) => {
-  await deployment.start(2)
-  const { instances, engines: [engine] } = deployment
+await runCase({ folder: dirname(fileURLToPath(import.meta.url)), engines: 4, webServers: 1, softwareVersions: ['v1', 'v2'], configuration: { streamMilliseconds: 15_000 } }, async (deployment, hasTrouble) => {
+  await deployment.start(INSTANCES)
   await sleep(SETTLING_MILLISECONDS)
-  for (const adapter of ['a1', 'a2']) await call(instances[0], { path: '/draft/1', headers: headersOf(`first-${adapter}`, adapter, 2) })
-  const sent = [call(instances[0], { path: '/once/1', headers: headersOf('long', 'a2', LONG_EVENTS) })]
-  await sleep(300)
-  engine.queue.limit = RUNS_AT_ONCE
-  for (let number = 0; number < REQUESTS; number += 1) {
-    sent.push(call(instances[number % 2], { path: '/once/1', headers: headersOf(`waiting-${number}`, 'a1', EVENTS) }))
-    await sleep(REQUEST_INTERVAL_MILLISECONDS)
+  const beginOne = async (number) => {
+    const headers = { ...HEADERS, 'x-request-id': `stream-${number}` }
+    const first = await call(deployment.instances[number % INSTANCES], { path: '/draft/1', headers, breakAfterEvents: hasTrouble ? Infinity : EVENTS_BEFORE_BREAK })
+    return { number, lastEvent: first.lastEvent }
+  }
+  const starting = Array.from({ length: STREAMS }, async (_, number) => await beginOne(number))
+  await sleep(KILL_AFTER_MILLISECONDS)
+  if (hasTrouble) {
+    deployment.record('all instances are killed')
+    for (const { child } of deployment.instances) child.kill('SIGKILL')
   }
-  const announcedAt = Date.now()
-  for (const adapter of hasTrouble ? ['a2', 'a1'] : ['a1']) deployment.store.objects.create('versions', `base.${adapter}`, { Model: 'base', Adapter: adapter, Version: 2 })
-  deployment.record(`version 2 of ${hasTrouble ? 'a2 and a1' : 'a1'} is announced`)
-  await Promise.all(sent)
-  for (const { at, operation, adapter, status } of engine.orders.slice(0, 40)) deployment.record(`order ${operation} ${adapter}, ${at - announcedAt} ms after the announcement: ${status}`)
-  const runs = engine.runs.filter(({ request }) => request.startsWith('waiting'))
-  for (const { request, version, at } of runs) deployment.record(`${request} began on version ${version} ${at - announcedAt} ms after the announcement`)
-  const late = runs.filter(({ version, at }) => version === 1 && at > announcedAt + VERSION_MILLISECONDS)
-  deployment.record(`${late.length} of ${runs.length} requests began on version 1 more than ${VERSION_MILLISECONDS} ms after the announcement`)
-  return late.length > 0
+  const firsts = await Promise.all(starting)
+  await sleep(DOWN_MILLISECONDS)
+  if (hasTrouble) for (let number = 0; number < INSTANCES; number += 1) await deployment.launch(number)
+  for (const instance of deployment.instances) await deployment.untilReady(instance)
+  deployment.record('all instances are ready')
+  await sleep(STABILITY_WINDOW_MILLISECONDS + 500)
+  let wentOn = 0
+  let fresh = 0
+  const began = firsts.filter(({ lastEvent }) => lastEvent > 0)
+  await Promise.all(began.map(async ({ number, lastEvent }) => {
+    const statuses = []
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      const next = await call(deployment.instances[(number + attempt) % INSTANCES], { path: '/draft/1', headers: { ...HEADERS, 'x-deadline': '9000', 'x-request-id': `stream-${number}-again-${attempt}`, 'last-event-id': String(lastEvent), resumes: `stream-${number}` } })
+      statuses.push(next.status)
+      if (next.lastEvent === EVENTS) {
+        wentOn += 1
+        break
+      }
+      await sleep(RETRY_MILLISECONDS)
+    }
+    const { lastEvent: last } = await call(deployment.instances[number % INSTANCES], { path: '/draft/1', headers: { ...HEADERS, 'x-request-id': `fresh-${number}` } })
+    if (last === EVENTS) fresh += 1
+    deployment.record(`stream-${number} was broken off after event ${lastEvent} and taken up again: ${statuses.join(', ')}`)
+  }))
+  deployment.record(`${began.length} streams were taken up again, ${wentOn} went on; ${fresh} of ${began.length} new ones ran`)
+  return began.length >= LEAST_STREAMS && wentOn / began.length < fresh / began.length / 2
 })
